--- /dev/null
+++ b/controller/coordinator/coordinator.go
@@ -0,0 +1,263 @@
+// Package coordinator owns a controller's state: the state machine behind the log
+// and, while the instance leads, the sessions, allotments and placements.
+//
+// One goroutine does all of it; calls from others come through a bounded ring.
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/leaser"
+	"bronzelead.example/pkg/limiter"
+	"bronzelead.example/pkg/planner"
+	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	callRing  = 8192
+	tickEvery = 20 * time.Millisecond
+	defaultSnapshotEvery = 20_000
+)
+
+// ErrBusy is returned when too many calls wait.
+var ErrBusy = errors.New("coordinator: too many calls wait")
+
+// Keeper is what the coordinator uses of the replicated log.
+type Keeper interface {
+	Standing() *keeper.Standing
+	Start(cmd *wire.Command, done func(recorder.Result, error))
+	Compact(index uint64, state []byte)
+}
+
+// Coordinator owns the state. Set the exported fields, then call Run.
+type Coordinator struct {
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	Keeper Keeper
+	// In brings committed entries.
+	In <-chan keeper.Item
+	// Carry takes orders to engines, and reports each one's end to Ordered. It must
+	// not block.
+	Carry func(order planner.Order, done func(ok bool))
+
+	Policy         planner.Policy
+	Lease          time.Duration
+	LongestRequest time.Duration
+	SnapshotEvery  uint64
+
+	calls    chan func(now time.Time)
+	state    *recorder.Recorder
+	snapshot uint64
+
+	term     uint64
+	leaser   *leaser.Leaser
+	limiter  *limiter.Limiter
+	planner  *planner.Planner
+	services map[string]*service
+	backends *backendList
+	warm     time.Time
+}
+
+// service is a plain service that has announced itself.
+type service struct {
+	info *wire.Backend
+	seen time.Time
+}
+
+// Init prepares the coordinator for calls before Run.
+func (c *Coordinator) Init() {
+	c.calls = make(chan func(time.Time), callRing)
+	c.state = recorder.New()
+	if c.SnapshotEvery == 0 {
+		c.SnapshotEvery = defaultSnapshotEvery
+	}
+}
+
+// Run works until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	ticker := c.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case item := <-c.In:
+			c.apply(item)
+		case call := <-c.calls:
+			c.follow()
+			call(c.Clock.Now())
+		case <-ticker.Chan():
+			c.follow()
+			c.tick(c.Clock.Now())
+		}
+	}
+}
+
+// Call runs f in the coordinator's goroutine and waits for it.
+func (c *Coordinator) Call(ctx context.Context, f func(now time.Time)) error {
+	done := make(chan struct{})
+	call := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case c.calls <- call:
+	default:
+		return ErrBusy
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "coordinator")
+	}
+}
+
+func (c *Coordinator) apply(item keeper.Item) {
+	if item.Restore != nil {
+		c.restore(item.Restore)
+	}
+	for _, a := range item.Applied {
+		result := c.state.Apply(a.Entry)
+		c.applied(result)
+		if a.Reply != nil {
+			a.Reply(result)
+		}
+	}
+	if c.state.Applied() >= c.snapshot+c.SnapshotEvery {
+		c.compact()
+	}
+}
+
+func (c *Coordinator) restore(s *wire.Snapshot) {
+	state, err := recorder.Restore(s.GetState())
+	if err != nil {
+		// The snapshot's checksum was right, so it was written by another version.
+		c.Log.Error("a snapshot can't be decoded", "Error", err.Error())
+		return
+	}
+	c.state = state
+	c.snapshot = s.GetIndex()
+}
+
+func (c *Coordinator) compact() {
+	data, err := c.state.Snapshot()
+	if err != nil {
+		c.Log.Error("the state can't be encoded", "Error", err.Error())
+		return
+	}
+	c.snapshot = c.state.Applied()
+	c.Keeper.Compact(c.snapshot, data)
+}
+
+// follow begins a term as leader, once all that was committed before has been
+// applied, and ends it.
+func (c *Coordinator) follow() {
+	standing := c.Keeper.Standing()
+	leads := standing.Leads(c.Clock.Now())
+	switch {
+	case leads && c.term != standing.Term && c.state.Applied() >= standing.TermStart:
+		c.begin(c.Clock.Now(), standing.Term)
+	case !leads && c.term != 0 && c.term != standing.Term:
+		c.term = 0
+	}
+}
+
+// begin starts a term: the sessions are known from the log, what they hold is not.
+func (c *Coordinator) begin(now time.Time, term uint64) {
+	c.term = term
+	c.leaser = &leaser.Leaser{Lease: c.Lease, LongestRequest: c.LongestRequest}
+	c.limiter = &limiter.Limiter{}
+	c.planner = &planner.Planner{Policy: c.Policy}
+	c.planner.Start(now, term)
+	c.services = map[string]*service{}
+	c.backends = newBackendList(term)
+	c.warm = now.Add(c.Policy.BackendLease)
+	for id, s := range c.state.Sessions() {
+		c.leaser.Open(now, leaser.SessionID(id), s.GetInstance(), s.GetZone(), true)
+		c.limiter.Expect(leaser.SessionID(id))
+	}
+	for _, s := range c.state.Ended() {
+		c.leaser.AdoptEnded(now, leaser.SessionID(s.GetId()))
+		c.limiter.Expect(leaser.SessionID(s.GetId()))
+	}
+	for _, contract := range c.state.Contracts() {
+		c.limiter.SetLimit(contract.GetCustomer(), contract.GetRequestsAtOnce())
+	}
+	c.Log.Info("this instance leads", "Term", term, "Sessions", len(c.state.Sessions()))
+}
+
+// leads reports whether the instance may answer and give orders now.
+func (c *Coordinator) leads(now time.Time) bool {
+	standing := c.Keeper.Standing()
+	return c.term != 0 && c.term == standing.Term && standing.Leads(now)
+}
+
+// applied lets a result take effect on the leader's side.
+func (c *Coordinator) applied(result recorder.Result) {
+	if c.term == 0 {
+		return
+	}
+	if s := result.Session; s != nil {
+		c.leaser.Open(c.Clock.Now(), leaser.SessionID(s.GetId()), s.GetInstance(), s.GetZone(), false)
+	}
+	if closed := result.Closed; closed != nil {
+		id := leaser.SessionID(closed.GetSession())
+		c.leaser.Closed(c.Clock.Now(), id, closed.GetGraceful())
+		c.planner.ForgetDemand(id)
+	}
+	if a := result.Apply; a != nil && a.GetContract() != nil {
+		contract := c.state.Contract(a.GetContract().GetCustomer())
+		c.limiter.SetLimit(contract.GetCustomer(), contract.GetRequestsAtOnce())
+	}
+}
+
+func (c *Coordinator) tick(now time.Time) {
+	if !c.leads(now) {
+		return
+	}
+	for _, id := range c.leaser.Expired(now) {
+		c.Log.Info("a session has expired", "Session", uint64(id), "Of", c.leaser.Get(id).Instance)
+		c.closeSession(id)
+	}
+	for _, id := range c.leaser.Freed(now) {
+		c.limiter.Forget(id)
+		c.planner.ForgetSession(id)
+	}
+	c.expireServices(now)
+	if now.Before(c.warm) {
+		// Engines and leases are still being reported.
+		return
+	}
+	c.planner.SetSettled(c.leaser.Settled())
+	for _, order := range c.planner.Plan(now) {
+		c.carry(order)
+	}
+	c.refreshBackends()
+}
+
+func (c *Coordinator) closeSession(id leaser.SessionID) {
+	cmd := &wire.Command{Body: &wire.Command_CloseSession{
+		CloseSession: &wire.CloseSession{Session: uint64(id)},
+	}}
+	c.Keeper.Start(cmd, func(recorder.Result, error) {})
+}
+
+func (c *Coordinator) carry(order planner.Order) {
+	term := c.term
+	c.Log.Info("order", "Kind", int(order.Kind), "Backend", order.Backend, "Adapter", order.Adapter, "Order", uint64(order.ID))
+	c.Carry(order, func(ok bool) {
+		c.calls <- func(now time.Time) {
+			if c.term == term {
+				c.planner.Done(now, order.ID, ok)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/controller/coordinator/reports.go
@@ -0,0 +1,96 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/leaser"
+	"bronzelead.example/pkg/wire"
+)
+
+// Read runs f on the state while this instance leads; else it fails.
+func (c *Coordinator) Read(ctx context.Context, f func(now time.Time)) error {
+	led := false
+	err := c.Call(ctx, func(now time.Time) {
+		if led = c.leads(now); led {
+			f(now)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if !led || !c.Keeper.Standing().Leads(c.Clock.Now()) {
+		return keeper.ErrNotLeader
+	}
+	return nil
+}
+
+// Contract returns a customer's contract, or nil.
+func (c *Coordinator) Contract(ctx context.Context, customer string) (contract *wire.Contract, err error) {
+	err = c.Read(ctx, func(time.Time) { contract = c.state.Contract(customer) })
+	return contract, err
+}
+
+// Contracts returns all contracts.
+func (c *Coordinator) Contracts(ctx context.Context) (contracts []*wire.Contract, err error) {
+	err = c.Read(ctx, func(time.Time) { contracts = c.state.Contracts() })
+	return contracts, err
+}
+
+// History returns the kept changes of a customer's contract.
+func (c *Coordinator) History(ctx context.Context, customer string) (changes []*wire.ChangeRecord, err error) {
+	err = c.Read(ctx, func(time.Time) { changes = c.state.History(customer) })
+	return changes, err
+}
+
+// InForce tells whether every live session has applied a revision.
+func (c *Coordinator) InForce(ctx context.Context, revision uint64) (*wire.InForceResponse, error) {
+	res := &wire.InForceResponse{}
+	err := c.Read(ctx, func(now time.Time) {
+		for _, s := range c.leaser.Lagging(revision) {
+			res.Missing = append(res.Missing, sessionStatus(now, s))
+		}
+		res.InForce = len(res.Missing) == 0 && c.state.Revision() >= revision
+	})
+	return res, err
+}
+
+// AdmittedMembers returns the names of instances that may become members.
+func (c *Coordinator) AdmittedMembers(ctx context.Context) (names []string, err error) {
+	err = c.Read(ctx, func(time.Time) { names = c.state.AdmittedMembers() })
+	return names, err
+}
+
+// Status returns what an operator sees of the whole system.
+func (c *Coordinator) Status(ctx context.Context) (*wire.StatusResponse, error) {
+	standing := c.Keeper.Standing()
+	res := &wire.StatusResponse{
+		Leader: standing.Leader, Term: standing.Term, Configuration: standing.Configuration,
+	}
+	err := c.Read(ctx, func(now time.Time) {
+		res.Applied, res.Revision = c.state.Applied(), c.state.Revision()
+		res.Claims = uint64(c.state.Claims())
+		res.Drained = c.state.Drained()
+		for _, s := range c.leaser.All() {
+			res.Sessions = append(res.Sessions, sessionStatus(now, s))
+		}
+		for _, b := range c.backends.known {
+			res.Backends = append(res.Backends, b.info)
+		}
+		for _, pl := range c.planner.Placements() {
+			res.Placements = append(res.Placements, &wire.PlacementStatus{
+				Backend: pl.Backend, Adapter: pl.Adapter,
+				State: pl.State.String(), Holders: uint32(pl.Holders()),
+			})
+		}
+	})
+	return res, err
+}
+
+func sessionStatus(now time.Time, s *leaser.Session) *wire.SessionStatus {
+	return &wire.SessionStatus{
+		Session: uint64(s.ID), Instance: s.Instance, Zone: s.Zone,
+		Revision: s.Revision, SilentNs: int64(now.Sub(s.Renewed)),
+	}
+}
--- /dev/null
+++ b/controller/coordinator/sessions.go
@@ -0,0 +1,95 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/leaser"
+	"bronzelead.example/pkg/limiter"
+	"bronzelead.example/pkg/planner"
+	"bronzelead.example/pkg/wire"
+)
+
+// Renew answers a gateway's renewal of its session.
+func (c *Coordinator) Renew(ctx context.Context, req *wire.RenewRequest) (*wire.RenewResponse, error) {
+	var res *wire.RenewResponse
+	err := c.Call(ctx, func(now time.Time) {
+		if c.leads(now) {
+			res = c.renew(now, req)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	// The lease is asked again: the call may have waited longer than it ran.
+	if res == nil || !c.Keeper.Standing().Leads(c.Clock.Now()) {
+		return nil, keeper.ErrNotLeader
+	}
+	return res, nil
+}
+
+func (c *Coordinator) renew(now time.Time, req *wire.RenewRequest) *wire.RenewResponse {
+	id := leaser.SessionID(req.GetSession())
+	res := &wire.RenewResponse{Term: c.term, Revision: c.state.Revision()}
+	switch c.leaser.Renew(now, id, req.GetSequence(), req.GetRevision(), req.GetFull()) {
+	case leaser.Ended:
+		res.Ended = true
+		return res
+	case leaser.Stale:
+		res.NeedFull = true
+		return res
+	case leaser.NeedFull:
+		res.NeedFull = true
+	case leaser.Renewed:
+		if req.GetFull() {
+			c.resetSession(now, id, req)
+		}
+		c.report(now, id, req, res)
+	}
+	c.announce(now, req.GetAnnounced())
+	c.addNews(now, req, res)
+	return res
+}
+
+// resetSession takes a full report for all that the session holds.
+func (c *Coordinator) resetSession(now time.Time, id leaser.SessionID, req *wire.RenewRequest) {
+	c.planner.ResetSession(now, id, req.GetHeld())
+	c.limiter.Reset(id, demandsOf(req))
+}
+
+func demandsOf(req *wire.RenewRequest) []limiter.Demand {
+	demands := make([]limiter.Demand, len(req.GetCustomers()))
+	for i, d := range req.GetCustomers() {
+		demands[i] = limiter.Demand{Customer: d.GetCustomer(), Held: d.GetHeld(), Wanted: d.GetWanted()}
+	}
+	return demands
+}
+
+func (c *Coordinator) report(now time.Time, id leaser.SessionID, req *wire.RenewRequest, res *wire.RenewResponse) {
+	for _, lease := range req.GetReleased() {
+		c.planner.Release(id, planner.LeaseID(lease))
+	}
+	for _, d := range req.GetDemands() {
+		c.planner.Demand(now, id, d)
+		if d.GetWaiting() > 0 || d.GetRunning() > 0 {
+			res.Grants = append(res.Grants, c.planner.Grant(now, id, d.GetAdapter())...)
+		}
+	}
+	for _, d := range demandsOf(req) {
+		amount := c.limiter.Report(now, id, d)
+		res.Allotments = append(res.Allotments, &wire.Allotment{Customer: d.Customer, Amount: amount})
+	}
+	res.Recalls = c.planner.Recalls(id)
+}
+
+// addNews adds what changed since the gateway last heard: contracts, and backend
+// servers once this leader has had time to hear of them all.
+func (c *Coordinator) addNews(now time.Time, req *wire.RenewRequest, res *wire.RenewResponse) {
+	res.Contracts = c.state.ChangedSince(req.GetRevision())
+	res.BackendsVersion = req.GetBackendsVersion()
+	if now.Before(c.warm) && req.GetTerm() != 0 {
+		return
+	}
+	c.backends.addTo(res, req.GetBackendsVersion())
+}
--- /dev/null
+++ b/controller/keeper/keeper.go
@@ -0,0 +1,379 @@
+// Package keeper runs a controller's part of the replicated log: one goroutine
+// takes messages, proposals and time, syncs what the replicator asks for, sends
+// its messages, and passes committed entries on.
+package keeper
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/recruiter"
+	"bronzelead.example/pkg/replicator"
+	"bronzelead.example/pkg/storer"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	ringSize     = 4096
+	maxBatch     = 1024
+	tickEvery    = 10 * time.Millisecond
+	joinRemember = 5 * time.Second
+)
+
+// ErrNotLeader is returned for what only a leader may do.
+var ErrNotLeader = errors.New("keeper: this instance does not lead")
+
+// ErrUnknown is returned when it is not known whether a proposal will be committed.
+var ErrUnknown = errors.New("keeper: leadership was lost before the outcome was known")
+
+// ErrBusy is returned when a ring is full; nothing was proposed.
+var ErrBusy = errors.New("keeper: too much waits to be written")
+
+// Applied is a committed entry. Reply is not nil when a caller of this instance
+// waits for its result.
+type Applied struct {
+	Entry *wire.Entry
+	Reply func(recorder.Result)
+}
+
+// Item is what the keeper passes on, in order.
+type Item struct {
+	// Restore replaces the state, when not nil.
+	Restore *wire.Snapshot
+	Applied []Applied
+}
+
+// Standing is what the instance is at the moment.
+type Standing struct {
+	Role          replicator.Role
+	Term          uint64
+	TermStart     uint64
+	Leader        string
+	LeaseUntil    time.Time
+	Commit        uint64
+	Last          uint64
+	First         uint64
+	Configuration *wire.Configuration
+}
+
+// Leads reports whether the instance may answer and give orders at now.
+func (s *Standing) Leads(now time.Time) bool { return now.Before(s.LeaseUntil) }
+
+// Keeper runs the replicated log. Set the exported fields, then call Run.
+type Keeper struct {
+	Clock      clockwork.Clock
+	Log        *slog.Logger
+	Storer     *storer.Storer
+	Replicator *replicator.Replicator
+	// Send takes messages for other members; it must not block.
+	Send func(config *wire.Configuration, messages []*wire.Message)
+	// Out takes committed entries.
+	Out chan<- Item
+	// Admitted reports whether an instance may be a member.
+	Admitted func(name string) bool
+
+	messages  chan []*wire.Message
+	proposals chan proposal
+	requests  chan func(now time.Time)
+	standing  atomic.Pointer[Standing]
+	waiting   map[uint64]proposal
+	backlog   []Item
+	joined    map[string]joinedMember
+	// fatal is set when the disk failed outside of carryOut.
+	fatal error
+}
+
+type proposal struct {
+	data []byte
+	term uint64
+	// done gets the result or the error, once. It must not block.
+	done func(recorder.Result, error)
+}
+
+type joinedMember struct {
+	member *wire.Member
+	at     time.Time
+}
+
+// Init prepares the keeper for calls before Run.
+func (k *Keeper) Init(stored *storer.Contents) {
+	k.messages = make(chan []*wire.Message, ringSize)
+	k.proposals = make(chan proposal, ringSize)
+	k.requests = make(chan func(time.Time), ringSize)
+	k.waiting = map[uint64]proposal{}
+	k.joined = map[string]joinedMember{}
+	k.Replicator.Start(k.Clock.Now(), replicator.Stored{
+		HardState: stored.HardState, Snapshot: stored.Snapshot, Entries: stored.Entries,
+	})
+	if stored.Snapshot != nil {
+		k.backlog = append(k.backlog, Item{Restore: stored.Snapshot})
+	}
+	k.publish()
+}
+
+// Run works until ctx ends. An error means that the disk failed; the process must
+// end, since what it holds is unknown.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := k.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		var out chan<- Item
+		var first Item
+		if len(k.backlog) > 0 {
+			out, first = k.Out, k.backlog[0]
+		}
+		select {
+		case <-ctx.Done():
+			k.failWaiting()
+			return nil
+		case out <- first:
+			k.backlog = k.backlog[1:]
+			continue
+		case <-ticker.Chan():
+			k.Replicator.Tick(k.Clock.Now())
+			k.recruit()
+		case messages := <-k.messages:
+			k.step(messages)
+		case p := <-k.proposals:
+			k.propose(p)
+		case request := <-k.requests:
+			request(k.Clock.Now())
+		}
+		if k.fatal != nil {
+			return k.fatal
+		}
+		k.drain()
+		if err := k.carryOut(); err != nil {
+			return err
+		}
+		k.publish()
+	}
+}
+
+// drain takes in what else waits, so that one sync serves many.
+func (k *Keeper) drain() {
+	for range maxBatch {
+		select {
+		case messages := <-k.messages:
+			k.step(messages)
+		case p := <-k.proposals:
+			k.propose(p)
+		default:
+			k.Replicator.Flush(k.Clock.Now())
+			return
+		}
+	}
+	k.Replicator.Flush(k.Clock.Now())
+}
+
+func (k *Keeper) step(messages []*wire.Message) {
+	for _, m := range messages {
+		k.Replicator.Step(k.Clock.Now(), m)
+	}
+}
+
+func (k *Keeper) propose(p proposal) {
+	index, err := k.Replicator.Propose(p.data)
+	if err != nil {
+		p.done(recorder.Result{}, ErrNotLeader)
+		return
+	}
+	p.term = k.Replicator.Term()
+	k.waiting[index] = p
+}
+
+// carryOut does what the replicator asks for until it asks for nothing more.
+func (k *Keeper) carryOut() error {
+	for {
+		rd := k.Replicator.Take()
+		if rd.Empty() {
+			return nil
+		}
+		if err := k.persist(&rd); err != nil {
+			return err
+		}
+		k.Send(k.Replicator.Configuration(), rd.Messages)
+		k.passOn(&rd)
+	}
+}
+
+func (k *Keeper) persist(rd *replicator.Ready) error {
+	if rd.Snapshot != nil {
+		if err := k.Storer.SaveSnapshot(rd.Snapshot, nil); err != nil {
+			return errors.Wrap(err, "keeper")
+		}
+	}
+	if err := k.Storer.Append(rd.HardState, rd.Entries); err != nil {
+		return errors.Wrap(err, "keeper")
+	}
+	if n := len(rd.Entries); n > 0 {
+		k.Replicator.Synced(rd.Entries[n-1].GetIndex())
+	}
+	return nil
+}
+
+func (k *Keeper) passOn(rd *replicator.Ready) {
+	if rd.Snapshot != nil {
+		k.backlog = append(k.backlog, Item{Restore: rd.Snapshot})
+	}
+	if len(rd.Committed) > 0 {
+		item := Item{Applied: make([]Applied, len(rd.Committed))}
+		for i, e := range rd.Committed {
+			item.Applied[i] = Applied{Entry: e, Reply: k.replyTo(e)}
+		}
+		k.backlog = append(k.backlog, item)
+	}
+	if k.Replicator.Role() != replicator.Leader {
+		k.failWaiting()
+	}
+}
+
+// replyTo finds who waits for an entry. An entry of another term in the same place
+// means that the proposal was lost.
+func (k *Keeper) replyTo(e *wire.Entry) func(recorder.Result) {
+	p, ok := k.waiting[e.GetIndex()]
+	if !ok {
+		return nil
+	}
+	delete(k.waiting, e.GetIndex())
+	if p.term != e.GetTerm() {
+		p.done(recorder.Result{}, ErrUnknown)
+		return nil
+	}
+	return func(result recorder.Result) { p.done(result, nil) }
+}
+
+func (k *Keeper) failWaiting() {
+	for index, p := range k.waiting {
+		p.done(recorder.Result{}, ErrUnknown)
+		delete(k.waiting, index)
+	}
+}
+
+func (k *Keeper) publish() {
+	r := k.Replicator
+	k.standing.Store(&Standing{
+		Role: r.Role(), Term: r.Term(), TermStart: r.TermStart(), Leader: r.LeaderID(),
+		LeaseUntil: r.LeaseUntil(k.Clock.Now()), Commit: r.Commit(), Last: r.LastIndex(),
+		First: r.FirstIndex(), Configuration: r.Configuration(),
+	})
+}
+
+// Standing returns what the instance is at the moment.
+func (k *Keeper) Standing() *Standing { return k.standing.Load() }
+
+// Leads reports whether this instance may answer and give orders now.
+func (k *Keeper) Leads() bool { return k.Standing().Leads(k.Clock.Now()) }
+
+// Deliver takes messages from other members. They are dropped when too many wait,
+// as a network would.
+func (k *Keeper) Deliver(messages []*wire.Message) {
+	select {
+	case k.messages <- messages:
+	default:
+	}
+}
+
+// Start proposes a command and calls done, once, with what it led to.
+func (k *Keeper) Start(cmd *wire.Command, done func(recorder.Result, error)) {
+	cmd.AtNs = k.Clock.Now().UnixNano()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		done(recorder.Result{}, errors.Wrap(err, "keeper"))
+		return
+	}
+	select {
+	case k.proposals <- proposal{data: data, done: done}:
+	default:
+		done(recorder.Result{}, ErrBusy)
+	}
+}
+
+// Propose proposes a command and waits for what it led to.
+func (k *Keeper) Propose(ctx context.Context, cmd *wire.Command) (recorder.Result, error) {
+	type answer struct {
+		result recorder.Result
+		err    error
+	}
+	answers := make(chan answer, 1)
+	k.Start(cmd, func(result recorder.Result, err error) { answers <- answer{result, err} })
+	select {
+	case a := <-answers:
+		return a.result, a.err
+	case <-ctx.Done():
+		return recorder.Result{}, errors.Wrap(ErrUnknown, ctx.Err().Error())
+	}
+}
+
+// Compact replaces the log up to an index by a snapshot of the state there.
+func (k *Keeper) Compact(index uint64, state []byte) {
+	k.request(func(time.Time) {
+		s := &wire.Snapshot{Index: index, State: state}
+		if err := k.Replicator.Compact(s); err != nil {
+			return
+		}
+		rest := k.Replicator.Stored()
+		if err := k.Storer.SaveSnapshot(s, rest); err != nil {
+			k.fatal = errors.Wrap(err, "keeper")
+		}
+	})
+}
+
+// Join notes a member that asks to take part.
+func (k *Keeper) Join(m *wire.Member) {
+	k.request(func(now time.Time) {
+		k.joined[m.GetName()] = joinedMember{member: m, at: now}
+	})
+}
+
+// Transfer hands leadership over, before a planned stop.
+func (k *Keeper) Transfer() {
+	k.request(func(now time.Time) {
+		if err := k.Replicator.Transfer(now); err != nil {
+			k.Log.Info("leadership is not handed over", "Reason", err.Error())
+		}
+	})
+}
+
+func (k *Keeper) request(f func(now time.Time)) {
+	select {
+	case k.requests <- f:
+	default:
+	}
+}
+
+// recruit proposes the next change of members, if this instance leads.
+func (k *Keeper) recruit() {
+	if k.Replicator.Role() != replicator.Leader {
+		return
+	}
+	now := k.Clock.Now()
+	var joining []*wire.Member
+	for name, j := range k.joined {
+		if now.Sub(j.at) > joinRemember {
+			delete(k.joined, name)
+			continue
+		}
+		joining = append(joining, j.member)
+	}
+	next := recruiter.Next(recruiter.Facts{
+		Configuration: k.Replicator.Configuration(),
+		Joining:       joining,
+		Admitted:      k.Admitted,
+		CaughtUp:      k.Replicator.CaughtUp,
+		Leader:        k.Replicator.ID,
+	})
+	if next == nil {
+		return
+	}
+	if _, err := k.Replicator.ChangeMembers(next); err == nil {
+		k.Log.Info("the members change", "Voters", len(next.GetVoters()), "Learners", len(next.GetLearners()))
+	}
+}
--- /dev/null
+++ b/pkg/admitter/admitter.go
@@ -0,0 +1,283 @@
+// Package admitter decides which requests of a customer may go on: as many at once
+// as the gateway's share of the customer's limit, the rest in queues by priority,
+// and those that can't be served in time refused at once with when to come back.
+//
+// It is pure and not safe for concurrent use.
+package admitter
+
+import (
+	"container/heap"
+	"time"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// RequestID names a request within one gateway.
+type RequestID uint64
+
+// Request is what admission needs to know of a request.
+type Request struct {
+	ID       RequestID
+	Customer string
+	// Priority is the class's; higher goes first.
+	Priority int32
+	// Deadline is when an answer is of no use any more.
+	Deadline time.Time
+}
+
+// Reason tells why a request was refused.
+type Reason int
+
+// The reasons for a refusal.
+const (
+	// QueueFull means that as many requests wait as the contract allows.
+	QueueFull Reason = iota + 1
+	// TooLate means that the deadline has passed or can't be met.
+	TooLate
+	// NoContract means that the customer has no contract any more.
+	NoContract
+)
+
+// Refusal is the final answer to a request that did not run.
+type Refusal struct {
+	ID     RequestID
+	Reason Reason
+	// RetryAfter is when a new attempt is likely to be admitted.
+	RetryAfter time.Duration
+}
+
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+	// smoothing is the weight of a new sample in the mean time of a request.
+	smoothing = 0.1
+	// samples before the mean is trusted to refuse a request early.
+	trustedSamples = 20
+)
+
+// Admitter holds the queues of all customers. The zero value is ready to use.
+type Admitter struct {
+	customers map[string]*customer
+	queued    map[RequestID]*waiter
+	arrivals  uint64
+}
+
+type customer struct {
+	contract *wire.Contract
+	share    uint32
+	running  uint32
+	queue    queue
+	mean     time.Duration
+	samples  int
+	touched  bool
+}
+
+// SetContract puts a contract into force.
+func (a *Admitter) SetContract(c *wire.Contract) {
+	a.customer(c.GetCustomer()).contract = c
+}
+
+// SetShare sets how many requests of a customer may run here at once. It takes
+// effect for new requests; what runs goes on.
+func (a *Admitter) SetShare(name string, share uint32) {
+	c := a.customer(name)
+	c.share = share
+	c.touched = true
+}
+
+func (a *Admitter) customer(name string) *customer {
+	if a.customers == nil {
+		a.customers = map[string]*customer{}
+		a.queued = map[RequestID]*waiter{}
+	}
+	c := a.customers[name]
+	if c == nil {
+		c = &customer{}
+		a.customers[name] = c
+	}
+	return c
+}
+
+// Arrive takes a request in. It is admitted at once, queued (neither result set),
+// or refused.
+func (a *Admitter) Arrive(now time.Time, r Request) (admitted bool, refusal *Refusal) {
+	c := a.customer(r.Customer)
+	c.touched = true
+	switch {
+	case c.contract == nil:
+		return false, &Refusal{ID: r.ID, Reason: NoContract}
+	case !r.Deadline.After(now):
+		return false, &Refusal{ID: r.ID, Reason: TooLate, RetryAfter: minRetryAfter}
+	case c.queue.Len() == 0 && c.running < c.share:
+		c.running++
+		return true, nil
+	case c.queue.Len() >= int(c.contract.GetQueueLength()):
+		return false, &Refusal{ID: r.ID, Reason: QueueFull, RetryAfter: c.retryAfter()}
+	case c.hopeless(now, r):
+		return false, &Refusal{ID: r.ID, Reason: TooLate, RetryAfter: c.retryAfter()}
+	}
+	a.arrivals++
+	w := &waiter{request: r, arrival: a.arrivals}
+	heap.Push(&c.queue, w)
+	a.queued[r.ID] = w
+	return false, nil
+}
+
+// Leave notes that an admitted request has ended, after a time that it ran.
+func (a *Admitter) Leave(name string, took time.Duration) {
+	c := a.customer(name)
+	c.running--
+	c.touched = true
+	if c.samples == 0 {
+		c.mean = took
+	}
+	c.samples++
+	c.mean += time.Duration(smoothing * float64(took-c.mean))
+}
+
+// Cancel takes a queued request out. It reports false if it was not queued.
+func (a *Admitter) Cancel(id RequestID) bool {
+	w := a.queued[id]
+	if w == nil {
+		return false
+	}
+	c := a.customers[w.request.Customer]
+	heap.Remove(&c.queue, w.position)
+	delete(a.queued, id)
+	c.touched = true
+	return true
+}
+
+// Next returns the queued requests that may go on now, and those that are refused
+// because their deadline has passed.
+func (a *Admitter) Next(now time.Time) (admitted []RequestID, refused []Refusal) {
+	for _, c := range a.customers {
+		for c.queue.Len() > 0 && (c.running < c.share || !c.queue[0].request.Deadline.After(now)) {
+			w := heap.Pop(&c.queue).(*waiter)
+			delete(a.queued, w.request.ID)
+			c.touched = true
+			if !w.request.Deadline.After(now) {
+				refused = append(refused, Refusal{ID: w.request.ID, Reason: TooLate, RetryAfter: c.retryAfter()})
+				continue
+			}
+			c.running++
+			admitted = append(admitted, w.request.ID)
+		}
+	}
+	return admitted, refused
+}
+
+// Expired returns the queued requests whose deadline has passed, wherever they
+// stand in their queues.
+func (a *Admitter) Expired(now time.Time) []Refusal {
+	var refused []Refusal
+	for id, w := range a.queued {
+		if w.request.Deadline.After(now) {
+			continue
+		}
+		c := a.customers[w.request.Customer]
+		a.Cancel(id)
+		refused = append(refused, Refusal{ID: id, Reason: TooLate, RetryAfter: c.retryAfter()})
+	}
+	return refused
+}
+
+// RefuseAll empties the queues, when the gateway may not serve at all.
+func (a *Admitter) RefuseAll() []RequestID {
+	var refused []RequestID
+	for id := range a.queued {
+		refused = append(refused, id)
+	}
+	for _, id := range refused {
+		a.Cancel(id)
+	}
+	return refused
+}
+
+// Demand is what a customer uses and wants at this gateway.
+type Demand struct {
+	Customer string
+	Held     uint32
+	Wanted   uint32
+}
+
+// Demands returns the demands that changed since the last call, and those that are
+// not met. A share that is not used may be handed back by setting it lower.
+func (a *Admitter) Demands(all bool) []Demand {
+	var demands []Demand
+	for name, c := range a.customers {
+		wanted := c.running + uint32(c.queue.Len())
+		if all && c.share+c.running > 0 || c.touched || wanted > c.share {
+			demands = append(demands, Demand{Customer: name, Held: max(c.share, c.running), Wanted: wanted})
+			c.touched = false
+		}
+	}
+	return demands
+}
+
+// Unmet reports whether requests wait for a larger share.
+func (a *Admitter) Unmet() bool {
+	for _, w := range a.queued {
+		c := a.customers[w.request.Customer]
+		if c.running+uint32(c.queue.Len()) > c.share {
+			return true
+		}
+	}
+	return false
+}
+
+// Queued returns the number of requests that wait.
+func (a *Admitter) Queued() int { return len(a.queued) }
+
+// Running returns the number of admitted requests of a customer.
+func (a *Admitter) Running(name string) uint32 { return a.customer(name).running }
+
+// hopeless reports whether the requests ahead will take longer than the deadline.
+func (c *customer) hopeless(now time.Time, r Request) bool {
+	return c.samples >= trustedSamples && c.expectedWait() > r.Deadline.Sub(now)
+}
+
+func (c *customer) expectedWait() time.Duration {
+	share := max(1, c.share)
+	return time.Duration(c.queue.Len()+1) * c.mean / time.Duration(share)
+}
+
+func (c *customer) retryAfter() time.Duration {
+	return min(max(c.expectedWait(), minRetryAfter), maxRetryAfter)
+}
+
+type waiter struct {
+	request  Request
+	arrival  uint64
+	position int
+}
+
+// queue is a heap by priority, then by arrival.
+type queue []*waiter
+
+func (q queue) Len() int { return len(q) }
+
+func (q queue) Less(i, j int) bool {
+	if q[i].request.Priority != q[j].request.Priority {
+		return q[i].request.Priority > q[j].request.Priority
+	}
+	return q[i].arrival < q[j].arrival
+}
+
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].position, q[j].position = i, j
+}
+
+func (q *queue) Push(x any) {
+	w := x.(*waiter)
+	w.position = len(*q)
+	*q = append(*q, w)
+}
+
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/pkg/connector/connector.go
@@ -0,0 +1,104 @@
+// Package connector makes the HTTP clients with which bronzelead's processes call
+// each other and backend servers.
+//
+// A connection can go silent for good while new ones work. So each call has a
+// deadline, and after a call that ran into it all idle connections are given up:
+// the next call goes out on a new one.
+package connector
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	defaultDialTimeout = 500 * time.Millisecond
+	defaultIdle        = 5 * time.Second
+	defaultIdleConns   = 256
+)
+
+// Client calls other processes. Set the exported fields, then call Do. It serves
+// as the client of generated twirp code.
+type Client struct {
+	// Timeout bounds a call until its answer has been read.
+	Timeout time.Duration
+	// Key is sent as a bearer token.
+	Key string
+	// Forwarded marks calls that were passed on by another controller.
+	Forwarded bool
+	// Transport may be shared between clients; nil makes one.
+	Transport *http.Transport
+}
+
+// ForwardedHeader marks a call that must not be passed on again.
+const ForwardedHeader = "Bronzelead-Forwarded"
+
+// NewTransport returns a transport whose connections are dialled quickly and do
+// not stay idle for long. Guard, if not nil, is asked before each write to a
+// connection, and its error fails the write.
+func NewTransport(guard func() error) *http.Transport {
+	dialer := &net.Dialer{Timeout: defaultDialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil || guard == nil {
+				return conn, err
+			}
+			return &guardedConn{Conn: conn, guard: guard}, nil
+		},
+		MaxIdleConnsPerHost: defaultIdleConns,
+		IdleConnTimeout:     defaultIdle,
+		DisableCompression:  true,
+	}
+}
+
+// guardedConn asks its guard directly before bytes are written, so that nothing
+// that happened since an earlier check is overlooked.
+type guardedConn struct {
+	net.Conn
+	guard func() error
+}
+
+func (c *guardedConn) Write(b []byte) (int, error) {
+	if err := c.guard(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// Do sends a request with the key and a deadline.
+func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(req.Context(), c.Timeout)
+	req = req.WithContext(ctx)
+	if c.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	if c.Forwarded {
+		req.Header.Set(ForwardedHeader, "1")
+	}
+	res, err := c.Transport.RoundTrip(req)
+	if err != nil {
+		cancel()
+		c.Transport.CloseIdleConnections()
+		return nil, errors.Wrap(err, "connector")
+	}
+	res.Body = &body{ReadCloser: res.Body, cancel: cancel}
+	return res, nil
+}
+
+// body ends the call's deadline once the answer has been read.
+type body struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return errors.Wrap(err, "connector: close")
+}
--- /dev/null
+++ b/pkg/planner/leases.go
@@ -0,0 +1,132 @@
+package planner
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	termShift    = 32
+	popularityIn = 5 * time.Minute
+)
+
+// Demand takes a session's report on one adapter.
+func (p *Planner) Demand(now time.Time, id SessionID, d *wire.AdapterDemand) {
+	a := p.adapters[d.GetAdapter()]
+	if a == nil {
+		a = &adapter{
+			name: d.GetAdapter(), waiting: map[SessionID]uint32{}, running: map[SessionID]uint32{},
+			avoid: map[string]time.Time{}, decayedAt: now,
+		}
+		p.adapters[d.GetAdapter()] = a
+	}
+	a.base = d.GetBaseModel()
+	a.decay(now)
+	a.popularity += float64(d.GetStarted())
+	set(a.waiting, id, d.GetWaiting())
+	set(a.running, id, d.GetRunning())
+	if a.outstanding() > 0 || d.GetStarted() > 0 {
+		a.lastUsed = now
+	}
+	if sum(a.waiting) == 0 {
+		a.since = time.Time{}
+	} else if a.since.IsZero() {
+		a.since = now
+	}
+}
+
+func set(m map[SessionID]uint32, id SessionID, n uint32) {
+	if n == 0 {
+		delete(m, id)
+		return
+	}
+	m[id] = n
+}
+
+func (a *adapter) decay(now time.Time) {
+	age := now.Sub(a.decayedAt)
+	if age > 0 {
+		a.popularity *= math.Exp(-age.Seconds() / popularityIn.Seconds())
+		a.decayedAt = now
+	}
+}
+
+// Grant gives a session leases on all loaded placements of an adapter that it
+// does not hold yet.
+func (p *Planner) Grant(now time.Time, id SessionID, name string) []*wire.LeaseGrant {
+	var grants []*wire.LeaseGrant
+	for _, backend := range slices.Sorted(maps.Keys(p.engines)) {
+		e := p.engines[backend]
+		pl := e.placements[name]
+		if pl == nil || pl.State != Loaded || !e.takesWork() {
+			continue
+		}
+		if _, held := pl.holders[id]; held {
+			continue
+		}
+		lease := LeaseID(p.term<<termShift + p.next())
+		pl.holders[id] = lease
+		pl.LastUsed = now
+		p.leases[lease] = pl
+		grants = append(grants, &wire.LeaseGrant{
+			Id: uint64(lease), Backend: backend, Incarnation: pl.Incarnation, Adapter: name,
+		})
+	}
+	return grants
+}
+
+func (p *Planner) next() uint64 {
+	p.nextID++
+	return p.nextID
+}
+
+// Release takes back a lease that a session no longer uses.
+func (p *Planner) Release(id SessionID, lease LeaseID) {
+	delete(p.recalled[id], lease)
+	pl := p.leases[lease]
+	if pl == nil || pl.holders[id] != lease {
+		return
+	}
+	delete(pl.holders, id)
+	delete(p.leases, lease)
+}
+
+// Recalls returns the leases that a session has to hand back: it may begin no new
+// request under them, and releases each when its last request there has ended.
+func (p *Planner) Recalls(id SessionID) []uint64 {
+	var recalls []uint64
+	for lease := range p.recalled[id] {
+		recalls = append(recalls, uint64(lease))
+	}
+	slices.Sort(recalls)
+	return recalls
+}
+
+// ForgetSession drops a session with all that it held and wanted. The caller makes
+// sure that nothing of it can still run.
+func (p *Planner) ForgetSession(id SessionID) {
+	for lease, pl := range p.leases {
+		if pl.holders[id] == lease {
+			delete(pl.holders, id)
+			delete(p.leases, lease)
+		}
+	}
+	delete(p.recalled, id)
+	delete(p.orphans, id)
+	p.ForgetDemand(id)
+}
+
+// ForgetDemand drops what a session wants, as soon as it has ended.
+func (p *Planner) ForgetDemand(id SessionID) {
+	for _, a := range p.adapters {
+		delete(a.waiting, id)
+		delete(a.running, id)
+		if len(a.waiting) == 0 {
+			a.since = time.Time{}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/planner/plan.go
@@ -0,0 +1,349 @@
+package planner
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// fillTarget is the part of an engine's batch that one adapter should fill
+	// before it gets a second engine.
+	fillTarget     = 0.75
+	maxDoublings   = 8
+	forgetAdapters = 4 * popularityIn
+)
+
+// Plan returns the orders that are due. Each is under way until Done is called.
+func (p *Planner) Plan(now time.Time) []Order {
+	p.Expire(now)
+	p.refill(now)
+	p.forgetIdle(now)
+	var orders []Order
+	orders = append(orders, p.unloads(now)...)
+	for _, a := range p.wanting(now) {
+		if p.loading >= p.Policy.LoadsAtOnce || p.tokens < 1 {
+			break
+		}
+		e := p.roomFor(now, a)
+		if e == nil {
+			p.makeRoom(now, a)
+			continue
+		}
+		orders = append(orders, p.load(now, e, a))
+	}
+	return orders
+}
+
+func (p *Planner) refill(now time.Time) {
+	p.tokens += now.Sub(p.filledAt).Seconds() * p.Policy.LoadsPerSecond
+	p.tokens = min(p.tokens, max(1, float64(p.Policy.LoadsAtOnce)))
+	p.filledAt = now
+}
+
+func (p *Planner) forgetIdle(now time.Time) {
+	for name, a := range p.adapters {
+		if a.outstanding() == 0 && now.Sub(a.lastUsed) > forgetAdapters {
+			delete(p.adapters, name)
+		}
+	}
+}
+
+// unloads orders away recalled adapters on which nobody holds a lease any more.
+func (p *Planner) unloads(now time.Time) []Order {
+	if !p.settled {
+		return nil
+	}
+	var orders []Order
+	for _, pl := range p.Placements() {
+		e := p.engines[pl.Backend]
+		if pl.State == Recalling && len(pl.holders) == 0 && p.mayOrder(now, e) {
+			pl.State, pl.Since = Unloading, now
+			orders = append(orders, p.order(Unload, e, pl))
+		}
+	}
+	return orders
+}
+
+// wanting returns the adapters that need one more engine, most urgent first.
+func (p *Planner) wanting(now time.Time) []*adapter {
+	replicas := p.replicas()
+	var all []*adapter
+	for _, a := range p.adapters {
+		if sum(a.waiting) == 0 && a.outstanding() == 0 || now.Before(a.notBefore) {
+			continue
+		}
+		if n := replicas[a.name]; n.loading > 0 || n.all >= p.replicasFor(a) {
+			continue
+		}
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(a, b *adapter) int {
+		return cmp.Or(cmp.Compare(p.urgency(now, b), p.urgency(now, a)), cmp.Compare(a.name, b.name))
+	})
+	return all
+}
+
+// urgency weighs how long requests have waited against how many would share the
+// engine's steps.
+func (p *Planner) urgency(now time.Time, a *adapter) float64 {
+	if a.since.IsZero() {
+		return 0
+	}
+	waited := now.Sub(a.since).Seconds()
+	return p.Policy.StallWeight*waited + p.Policy.BatchWeight*float64(sum(a.waiting))
+}
+
+type replicaCount struct{ all, loading int }
+
+func (p *Planner) replicas() map[string]replicaCount {
+	counts := map[string]replicaCount{}
+	for _, e := range p.engines {
+		for name, pl := range e.placements {
+			n := counts[name]
+			if e.takesWork() && (pl.State == Loading || pl.State == Loaded) {
+				n.all++
+			}
+			if pl.State == Loading {
+				n.loading++
+			}
+			counts[name] = n
+		}
+	}
+	return counts
+}
+
+// replicasFor keeps an adapter on few engines, so that gateways that don't talk to
+// each other still fill the same batches.
+func (p *Planner) replicasFor(a *adapter) int {
+	batch := 1.0
+	for _, e := range p.engines {
+		if e.info.GetBaseModel() == a.base {
+			batch = max(batch, float64(e.info.GetBatch()))
+		}
+	}
+	return max(1, int(math.Ceil(float64(a.outstanding())/(batch*fillTarget))))
+}
+
+// roomFor returns the least loaded engine with a free slot for an adapter.
+func (p *Planner) roomFor(now time.Time, a *adapter) *engine {
+	var best *engine
+	for _, e := range p.usable(now, a) {
+		if len(e.placements) >= int(e.info.GetSlots()) {
+			continue
+		}
+		if best == nil || p.burden(e) < p.burden(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// usable returns the engines that may be ordered to load an adapter, by name.
+func (p *Planner) usable(now time.Time, a *adapter) []*engine {
+	var all []*engine
+	for _, name := range slices.Sorted(maps.Keys(p.engines)) {
+		e := p.engines[name]
+		if e.info.GetBaseModel() != a.base || !e.takesWork() || !p.mayOrder(now, e) {
+			continue
+		}
+		if e.placements[a.name] != nil || now.Before(a.avoid[name]) {
+			continue
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+// mayOrder keeps a new leader from ordering engines that do not check fencing
+// numbers while an order of the old leader can still arrive.
+func (p *Planner) mayOrder(now time.Time, e *engine) bool {
+	return e.info.GetChecksFencing() || now.Sub(p.started) > p.Policy.LongestOrder
+}
+
+// burden is an engine's work: what it reported, and what the adapters on it have
+// drawn since.
+func (p *Planner) burden(e *engine) float64 {
+	reported := float64(e.info.GetRunning() + e.info.GetWaiting())
+	return reported + float64(len(e.placements))
+}
+
+// makeRoom recalls one adapter, so that a later plan finds a free slot. Adapters
+// without demand go first; one in use goes only for one that has starved.
+func (p *Planner) makeRoom(now time.Time, a *adapter) {
+	if !p.settled {
+		return
+	}
+	var idle, busy []*Placement
+	for _, e := range p.usable(now, a) {
+		for _, pl := range e.placements {
+			if pl.State == Recalling || pl.State == Unloading {
+				// Room is being made here already.
+				return
+			}
+			if pl.State != Loaded || now.Sub(pl.Since) < p.Policy.MinResidence {
+				continue
+			}
+			p.describe(now, pl)
+			if p.inDemand(pl) {
+				busy = append(busy, pl)
+				continue
+			}
+			idle = append(idle, pl)
+		}
+	}
+	candidates := idle
+	starved := !a.since.IsZero() && now.Sub(a.since) > p.Policy.StarveAfter
+	if len(candidates) == 0 && starved {
+		candidates = busy
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	p.startRecall(now, p.pick(candidates))
+}
+
+func (p *Planner) startRecall(now time.Time, pl *Placement) {
+	pl.State, pl.Since = Recalling, now
+	for id, lease := range pl.holders {
+		p.recall(id, lease)
+	}
+}
+
+func (p *Planner) inDemand(pl *Placement) bool {
+	a := p.adapters[pl.Adapter]
+	return a != nil && a.outstanding() > 0
+}
+
+func (p *Planner) describe(now time.Time, pl *Placement) {
+	if a := p.adapters[pl.Adapter]; a != nil {
+		a.decay(now)
+		pl.Popularity = a.popularity
+		pl.LastUsed = a.lastUsed
+	} else {
+		pl.Popularity = 0
+	}
+}
+
+func (p *Planner) pick(candidates []*Placement) *Placement {
+	if p.Policy.Evict != nil {
+		return p.Policy.Evict(candidates)
+	}
+	return LeastPopular(candidates)
+}
+
+// LeastPopular picks the adapter with the fewest requests lately.
+func LeastPopular(candidates []*Placement) *Placement {
+	return slices.MinFunc(candidates, func(a, b *Placement) int {
+		return cmp.Or(
+			cmp.Compare(a.Popularity, b.Popularity),
+			a.LastUsed.Compare(b.LastUsed),
+			cmp.Compare(a.Backend, b.Backend),
+			cmp.Compare(a.Adapter, b.Adapter))
+	})
+}
+
+// LeastRecentlyUsed picks the adapter that was unused for longest; the baseline.
+func LeastRecentlyUsed(candidates []*Placement) *Placement {
+	return slices.MinFunc(candidates, func(a, b *Placement) int {
+		return cmp.Or(
+			a.LastUsed.Compare(b.LastUsed),
+			cmp.Compare(a.Backend, b.Backend),
+			cmp.Compare(a.Adapter, b.Adapter))
+	})
+}
+
+func (p *Planner) load(now time.Time, e *engine, a *adapter) Order {
+	pl := &Placement{
+		Backend: e.info.GetName(), Incarnation: e.info.GetIncarnation(), Adapter: a.name,
+		State: Loading, Since: now, LastUsed: now, holders: map[SessionID]LeaseID{},
+	}
+	delete(e.unloaded, a.name)
+	e.placements[a.name] = pl
+	p.loading++
+	p.tokens--
+	return p.order(Load, e, pl)
+}
+
+func (p *Planner) order(kind OrderKind, e *engine, pl *Placement) Order {
+	pl.order = OrderID(p.next())
+	p.orders[pl.order] = pl
+	return Order{
+		ID: pl.order, Term: p.term, Kind: kind, Backend: pl.Backend,
+		Incarnation: pl.Incarnation, Address: e.info.GetAddress(), Adapter: pl.Adapter,
+	}
+}
+
+// Done takes in how an order ended.
+func (p *Planner) Done(now time.Time, id OrderID, ok bool) {
+	pl := p.orders[id]
+	if pl == nil {
+		return
+	}
+	kind := pl.State
+	p.closeOrder(pl)
+	e := p.engines[pl.Backend]
+	pl.Since = now
+	switch {
+	case kind == Loading && ok:
+		pl.State = Loaded
+		p.succeeded(pl)
+	case kind == Loading:
+		delete(e.placements, pl.Adapter)
+		p.failed(now, pl)
+	case ok:
+		delete(e.placements, pl.Adapter)
+		e.unloaded[pl.Adapter] = now
+	default:
+		// The adapter may still be there; the engine's next list tells.
+		pl.State = Recalling
+	}
+}
+
+func (p *Planner) closeOrder(pl *Placement) {
+	delete(p.orders, pl.order)
+	pl.order = 0
+	if pl.State == Loading {
+		p.loading--
+	}
+}
+
+func (p *Planner) succeeded(pl *Placement) {
+	if a := p.adapters[pl.Adapter]; a != nil {
+		a.failures = 0
+	}
+}
+
+// failed backs the adapter off, longer each time, and sends it elsewhere, so that
+// one that can't be loaded does not use up the weight store.
+func (p *Planner) failed(now time.Time, pl *Placement) {
+	a := p.adapters[pl.Adapter]
+	if a == nil {
+		return
+	}
+	wait := p.Policy.BackOff << min(a.failures, maxDoublings)
+	wait = min(wait, p.Policy.MaxBackOff)
+	a.failures++
+	a.notBefore = now.Add(wait)
+	a.avoid[pl.Backend] = now.Add(2 * wait)
+}
+
+// Failing returns the number of failed loads of an adapter in a row.
+func (p *Planner) Failing(name string) int {
+	if a := p.adapters[name]; a != nil {
+		return a.failures
+	}
+	return 0
+}
+
+// Backend returns what an engine last announced, or nil.
+func (p *Planner) Backend(name string) *wire.Backend {
+	if e := p.engines[name]; e != nil {
+		return e.info
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/recorder/claims.go
@@ -0,0 +1,78 @@
+package recorder
+
+import (
+	"bronzelead.example/pkg/wire"
+)
+
+// claim gives a key to the first request that asks for it. Everybody later gets
+// the claim as it stands; only the owner's own repeat is granted again.
+func (r *Recorder) claim(cmd *wire.ClaimCommand) *wire.ClaimResponse {
+	key := ClaimKey{Customer: cmd.GetCustomer(), Key: cmd.GetKey()}
+	if c := r.claims[key]; c != nil {
+		own := c.GetState() == wire.ClaimState_CLAIM_STATE_RUNNING && !c.GetOrphaned() &&
+			c.GetCommand().GetRequestId() == cmd.GetRequestId() &&
+			c.GetCommand().GetAttempt() == cmd.GetAttempt()
+		return &wire.ClaimResponse{Granted: own, Claim: c}
+	}
+	if r.sessions[cmd.GetSession()] == nil {
+		// A session that has ended may claim nothing: nobody would notice its end.
+		return &wire.ClaimResponse{}
+	}
+	c := &wire.Claim{
+		Command: cmd, State: wire.ClaimState_CLAIM_STATE_RUNNING,
+		ClaimedAtNs: r.now, ExpiresAtNs: r.now + cmd.GetKeepNs(),
+	}
+	r.claims[key] = c
+	r.own(key, c)
+	r.expiry.push(key, c.GetExpiresAtNs())
+	return &wire.ClaimResponse{Granted: true, Claim: c}
+}
+
+func (r *Recorder) own(key ClaimKey, c *wire.Claim) {
+	session := c.GetCommand().GetSession()
+	if r.owned[session] == nil {
+		r.owned[session] = map[ClaimKey]bool{}
+	}
+	r.owned[session][key] = true
+}
+
+// running returns the claim if the request still holds it.
+func (r *Recorder) running(key ClaimKey, requestID string) *wire.Claim {
+	c := r.claims[key]
+	if c.GetCommand().GetRequestId() != requestID || c.GetState() != wire.ClaimState_CLAIM_STATE_RUNNING {
+		return nil
+	}
+	return c
+}
+
+// finish stores the outcome of a request. The first outcome stands.
+func (r *Recorder) finish(cmd *wire.FinishCommand) *wire.Outcome {
+	key := ClaimKey{Customer: cmd.GetCustomer(), Key: cmd.GetKey()}
+	if c := r.running(key, cmd.GetRequestId()); c != nil {
+		c.State = wire.ClaimState_CLAIM_STATE_FINISHED
+		c.Outcome = cmd.GetOutcome()
+		r.disown(key, c)
+	}
+	return r.claims[key].GetOutcome()
+}
+
+// release takes a claim back whose request is known not to have run.
+func (r *Recorder) release(cmd *wire.ReleaseCommand) {
+	key := ClaimKey{Customer: cmd.GetCustomer(), Key: cmd.GetKey()}
+	if r.running(key, cmd.GetRequestId()) != nil {
+		r.dropClaim(key)
+	}
+}
+
+func (r *Recorder) dropClaim(key ClaimKey) {
+	r.disown(key, r.claims[key])
+	delete(r.claims, key)
+}
+
+func (r *Recorder) disown(key ClaimKey, c *wire.Claim) {
+	session := c.GetCommand().GetSession()
+	delete(r.owned[session], key)
+	if len(r.owned[session]) == 0 {
+		delete(r.owned, session)
+	}
+}
--- /dev/null
+++ b/pkg/recruiter/recruiter.go
@@ -0,0 +1,114 @@
+// Package recruiter decides the next change of a replicated log's members: new
+// incarnations of admitted instances join as learners and get the vote of the one
+// that they replace once they have caught up. It is pure.
+package recruiter
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// Facts is what a leader knows when it looks for a change to make.
+type Facts struct {
+	Configuration *wire.Configuration
+	// Joining are the members that have lately asked to join.
+	Joining []*wire.Member
+	// Admitted reports whether an instance may be a member.
+	Admitted func(name string) bool
+	// CaughtUp reports whether a member holds nearly all of the log.
+	CaughtUp func(id string) bool
+	// Leader is the id of the leader, which never removes itself.
+	Leader string
+}
+
+// Next returns the next configuration, which differs in one member, or nil when
+// nothing is to be done. An incarnation that has lost its disk is removed only when
+// its successor has caught up, and before the successor is promoted: two of three
+// voters then decide, never a lost one.
+func Next(f Facts) *wire.Configuration {
+	steps := []func(Facts) *wire.Configuration{removeUnadmitted, removeReplaced, promote, addLearner}
+	for _, step := range steps {
+		if next := step(f); next != nil {
+			return next
+		}
+	}
+	return nil
+}
+
+func removeUnadmitted(f Facts) *wire.Configuration {
+	for _, m := range members(f.Configuration) {
+		if !f.Admitted(m.GetName()) && m.GetId() != f.Leader {
+			return without(f.Configuration, m.GetId())
+		}
+	}
+	return nil
+}
+
+// removeReplaced takes out a voter whose instance has come back with another disk.
+func removeReplaced(f Facts) *wire.Configuration {
+	for _, learner := range f.Configuration.GetLearners() {
+		if !f.CaughtUp(learner.GetId()) || !joining(f, learner.GetId()) {
+			continue
+		}
+		for _, voter := range f.Configuration.GetVoters() {
+			replaced := voter.GetName() == learner.GetName()
+			if replaced && voter.GetId() != f.Leader {
+				return without(f.Configuration, voter.GetId())
+			}
+		}
+	}
+	return nil
+}
+
+func promote(f Facts) *wire.Configuration {
+	for _, learner := range f.Configuration.GetLearners() {
+		if !f.CaughtUp(learner.GetId()) || hasName(f.Configuration.GetVoters(), learner.GetName()) {
+			continue
+		}
+		next := without(f.Configuration, learner.GetId())
+		next.Voters = append(next.Voters, learner)
+		return next
+	}
+	return nil
+}
+
+func addLearner(f Facts) *wire.Configuration {
+	for _, m := range f.Joining {
+		if !f.Admitted(m.GetName()) || hasID(members(f.Configuration), m.GetId()) {
+			continue
+		}
+		next := proto.CloneOf(f.Configuration)
+		// An earlier incarnation that never got to vote is of no use any more.
+		next.Learners = slices.DeleteFunc(next.GetLearners(), func(l *wire.Member) bool {
+			return l.GetName() == m.GetName()
+		})
+		next.Learners = append(next.Learners, m)
+		return next
+	}
+	return nil
+}
+
+func joining(f Facts, id string) bool { return hasID(f.Joining, id) }
+
+func members(c *wire.Configuration) []*wire.Member {
+	return slices.Concat(c.GetVoters(), c.GetLearners())
+}
+
+func hasID(list []*wire.Member, id string) bool {
+	return slices.ContainsFunc(list, func(m *wire.Member) bool { return m.GetId() == id })
+}
+
+func hasName(list []*wire.Member, name string) bool {
+	return slices.ContainsFunc(list, func(m *wire.Member) bool { return m.GetName() == name })
+}
+
+func without(c *wire.Configuration, id string) *wire.Configuration {
+	next := proto.CloneOf(c)
+	other := func(m *wire.Member) bool { return m.GetId() == id }
+	next.Voters = slices.DeleteFunc(next.GetVoters(), other)
+	next.Learners = slices.DeleteFunc(next.GetLearners(), other)
+	return next
+}
--- /dev/null
+++ b/pkg/storer/fault.go
@@ -0,0 +1,44 @@
+package storer
+
+import "github.com/pkg/errors"
+
+// Kind tells errors of this package apart.
+type Kind int
+
+// The kinds of errors.
+const (
+	// KindDisk means that the operating system refused an operation.
+	KindDisk Kind = iota + 1
+	// KindDamaged means that data that had been synced can't be read back.
+	KindDamaged
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Operation string
+	Kind      Kind
+	cause     error
+}
+
+// Error returns the operation and its cause.
+func (e *Error) Error() string { return "storer: " + e.Operation + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// IsDamaged reports whether an error tells of damaged data.
+func IsDamaged(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == KindDamaged
+}
+
+func diskFault(operation string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Operation: operation, Kind: KindDisk, cause: errors.WithStack(err)}
+}
+
+func damaged(operation, format string, args ...any) error {
+	return &Error{Operation: operation, Kind: KindDamaged, cause: errors.Errorf(format, args...)}
+}
--- /dev/null
+++ b/pkg/storer/storer.go
@@ -0,0 +1,292 @@
+// Package storer keeps a controller's log, votes and snapshots on disk.
+//
+// Everything lies in one folder: Identity (the incarnation of this disk and the
+// cluster), Snapshot, and Log. What a method has written is synced when it
+// returns; a rename syncs the folder too. After an error of a write or a sync the
+// process must end, since what the disk then holds is unknown.
+package storer
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"google.golang.org/protobuf/proto"
+
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	identityName = "Identity"
+	snapshotName = "Snapshot"
+	logName      = "Log"
+	lockName     = "Lock"
+	filePerm     = 0o600
+	folderPerm   = 0o700
+)
+
+// Contents is what a folder held when it was opened.
+type Contents struct {
+	HardState *wire.HardState
+	Snapshot  *wire.Snapshot
+	Entries   []*wire.Entry
+	// Cut is the number of bytes of a torn tail that were dropped.
+	Cut int
+}
+
+// Storer writes to one data folder. Set Folder, then call Open.
+type Storer struct {
+	Folder string
+
+	log  *os.File
+	lock *os.File
+	buf  []byte
+	hard *wire.HardState
+}
+
+// Open creates the folder if need be and reads it. An error of kind damaged means
+// that this disk must not vote any more; see SetAside.
+func (s *Storer) Open() (*Contents, error) {
+	if err := os.MkdirAll(s.Folder, folderPerm); err != nil {
+		return nil, diskFault("Open", err)
+	}
+	if err := s.takeLock(); err != nil {
+		return nil, err
+	}
+	c := &Contents{}
+	if err := s.readSnapshot(c); err != nil {
+		return nil, err
+	}
+	if err := s.readLog(c); err != nil {
+		return nil, err
+	}
+	s.hard = c.HardState
+	return c, nil
+}
+
+// Close releases the folder.
+func (s *Storer) Close() error {
+	if s.log != nil {
+		if err := s.log.Close(); err != nil {
+			return diskFault("Close", err)
+		}
+	}
+	if s.lock == nil {
+		return nil
+	}
+	return diskFault("Close", s.lock.Close())
+}
+
+// Identity returns the identity of this disk, or "" of a new one.
+func (s *Storer) Identity() (id, cluster string, err error) {
+	buf, err := os.ReadFile(s.path(identityName))
+	if os.IsNotExist(err) {
+		return "", "", nil
+	}
+	if err != nil {
+		return "", "", diskFault("Identity", err)
+	}
+	rec, _, ok := nextRecord(buf)
+	identity := &wire.Identity{}
+	if !ok || rec.kind != recordIdentity || proto.Unmarshal(rec.payload, identity) != nil {
+		return "", "", damaged("Identity", "file %s can't be read", identityName)
+	}
+	return identity.GetId(), identity.GetCluster(), nil
+}
+
+// SetIdentity stores the identity of this disk.
+func (s *Storer) SetIdentity(id, cluster string) error {
+	payload, err := proto.Marshal(&wire.Identity{Id: id, Cluster: cluster})
+	if err != nil {
+		return diskFault("SetIdentity", err)
+	}
+	return s.replace(identityName, appendRecord(nil, recordIdentity, payload))
+}
+
+// Append writes and syncs a hard state, if not nil, and entries. An entry at or
+// below the last index cuts the log there.
+func (s *Storer) Append(hard *wire.HardState, entries []*wire.Entry) error {
+	s.buf = s.buf[:0]
+	if hard != nil {
+		s.hard = hard
+		if err := s.encode(recordHardState, hard); err != nil {
+			return err
+		}
+	}
+	for _, e := range entries {
+		if err := s.encode(recordEntry, e); err != nil {
+			return err
+		}
+	}
+	if len(s.buf) == 0 {
+		return nil
+	}
+	if _, err := s.log.Write(s.buf); err != nil {
+		return diskFault("Append", err)
+	}
+	return diskFault("Append", s.log.Sync())
+}
+
+// SaveSnapshot replaces the snapshot and then the log, which from then on holds
+// only the given entries. A crash in between leaves entries that the snapshot
+// already covers, which Open drops.
+func (s *Storer) SaveSnapshot(snapshot *wire.Snapshot, rest []*wire.Entry) error {
+	payload, err := proto.Marshal(snapshot)
+	if err != nil {
+		return diskFault("SaveSnapshot", err)
+	}
+	if err := s.replace(snapshotName, appendRecord(nil, recordSnapshot, payload)); err != nil {
+		return err
+	}
+	s.buf = s.buf[:0]
+	if s.hard != nil {
+		if err := s.encode(recordHardState, s.hard); err != nil {
+			return err
+		}
+	}
+	for _, e := range rest {
+		if err := s.encode(recordEntry, e); err != nil {
+			return err
+		}
+	}
+	if err := s.replace(logName, s.buf); err != nil {
+		return err
+	}
+	return s.openLog()
+}
+
+// SetAside moves the files of a damaged folder away, so that the instance can
+// join again with an empty one. Nothing is deleted.
+func (s *Storer) SetAside(now time.Time) (string, error) {
+	aside := s.path("Damaged-" + strconv.FormatInt(now.UnixNano(), 10))
+	if err := os.MkdirAll(aside, folderPerm); err != nil {
+		return "", diskFault("SetAside", err)
+	}
+	for _, name := range []string{identityName, snapshotName, logName} {
+		err := os.Rename(s.path(name), filepath.Join(aside, name))
+		if err != nil && !os.IsNotExist(err) {
+			return "", diskFault("SetAside", err)
+		}
+	}
+	return aside, s.syncFolder()
+}
+
+func (s *Storer) encode(kind recordKind, m proto.Message) error {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return diskFault("Encode", err)
+	}
+	s.buf = appendRecord(s.buf, kind, payload)
+	return nil
+}
+
+func (s *Storer) readSnapshot(c *Contents) error {
+	buf, err := os.ReadFile(s.path(snapshotName))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return diskFault("Open", err)
+	}
+	rec, size, ok := nextRecord(buf)
+	c.Snapshot = &wire.Snapshot{}
+	if !ok || size != len(buf) || rec.kind != recordSnapshot || proto.Unmarshal(rec.payload, c.Snapshot) != nil {
+		return damaged("Open", "the snapshot can't be read")
+	}
+	return nil
+}
+
+func (s *Storer) readLog(c *Contents) error {
+	buf, err := os.ReadFile(s.path(logName))
+	if err != nil && !os.IsNotExist(err) {
+		return diskFault("Open", err)
+	}
+	records, good, err := splitRecords(buf)
+	if err != nil {
+		return err
+	}
+	if err := c.replay(records); err != nil {
+		return err
+	}
+	c.Cut = len(buf) - good
+	if err := s.openLog(); err != nil {
+		return err
+	}
+	if c.Cut == 0 {
+		return s.syncFolder()
+	}
+	if err := s.log.Truncate(int64(good)); err != nil {
+		return diskFault("Open", err)
+	}
+	return diskFault("Open", s.log.Sync())
+}
+
+// replay rebuilds the entries behind the snapshot.
+func (c *Contents) replay(records []record) error {
+	base := c.Snapshot.GetIndex()
+	for _, rec := range records {
+		switch rec.kind {
+		case recordHardState:
+			c.HardState = &wire.HardState{}
+			if err := proto.Unmarshal(rec.payload, c.HardState); err != nil {
+				return damaged("Open", "hard state: %v", err)
+			}
+		case recordEntry:
+			e := &wire.Entry{}
+			if err := proto.Unmarshal(rec.payload, e); err != nil {
+				return damaged("Open", "entry: %v", err)
+			}
+			if e.GetIndex() <= base {
+				c.Entries = nil
+				continue
+			}
+			keep := e.GetIndex() - base - 1
+			if keep > uint64(len(c.Entries)) {
+				return damaged("Open", "entry %d follows entry %d", e.GetIndex(), base+uint64(len(c.Entries)))
+			}
+			c.Entries = append(c.Entries[:keep], e)
+		default:
+			return damaged("Open", "record of kind %d in the log", rec.kind)
+		}
+	}
+	return nil
+}
+
+func (s *Storer) openLog() error {
+	if s.log != nil {
+		if err := s.log.Close(); err != nil {
+			return diskFault("Open", err)
+		}
+	}
+	log, err := os.OpenFile(s.path(logName), os.O_RDWR|os.O_CREATE|os.O_APPEND, filePerm)
+	if err != nil {
+		return diskFault("Open", err)
+	}
+	s.log = log
+	return nil
+}
+
+// replace writes a file whole: a new one is synced, renamed over the old one, and
+// the folder synced.
+func (s *Storer) replace(name string, data []byte) error {
+	if err := renameio.WriteFile(s.path(name), data, filePerm); err != nil {
+		return diskFault("Replace", err)
+	}
+	return s.syncFolder()
+}
+
+func (s *Storer) syncFolder() error {
+	folder, err := os.Open(s.Folder)
+	if err != nil {
+		return diskFault("Sync", err)
+	}
+	if err := folder.Sync(); err != nil {
+		_ = folder.Close()
+		return diskFault("Sync", err)
+	}
+	return diskFault("Sync", folder.Close())
+}
+
+func (s *Storer) path(name string) string { return filepath.Join(s.Folder, name) }
--- /dev/null
+++ b/pkg/translator/announcement.go
@@ -0,0 +1,148 @@
+// Package translator speaks the protocol of backend servers: announcements, orders
+// to load and unload adapters, requests with their echoes, resuming and cancelling.
+// Another published protocol changes this package alone.
+package translator
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"regexp"
+
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// AnnouncePath is where a gateway takes announcements.
+const AnnouncePath = "/backends/announce"
+
+// The kinds of backend servers, as they announce themselves.
+const (
+	KindEngine  = "Engine"
+	KindService = "Service"
+)
+
+const (
+	maxLoaded   = 4096
+	maxSlots    = 65536
+	namePattern = `^[A-Za-z0-9][A-Za-z0-9._@-]{0,255}$`
+)
+
+// Announcement is what a backend server says of itself, about once a second.
+type Announcement struct {
+	// Name is the instance's name; Incarnation changes with each start.
+	Name        string
+	Incarnation string
+	// Kind is Engine or Service.
+	Kind string
+	// Address is an IP number and port.
+	Address string
+	// Zone is the availability zone.
+	Zone string
+	// BaseModel, Slots, Batch and Loaded belong to engines.
+	BaseModel string   `json:",omitempty"`
+	Slots     uint32   `json:",omitempty"`
+	Batch     uint32   `json:",omitempty"`
+	Loaded    []string `json:",omitempty"`
+	// Service is the name of a plain service.
+	Service string `json:",omitempty"`
+	// ChecksFencing tells that orders with an old fencing number are refused.
+	ChecksFencing bool
+	// Leaving tells that no new work is wanted.
+	Leaving bool
+	// Running and Waiting are the requests at the server, as of a while ago.
+	Running uint32
+	Waiting uint32
+}
+
+// ParseAnnouncement decodes and checks an announcement.
+func ParseAnnouncement(body []byte) (*wire.Backend, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	a := &Announcement{}
+	if err := decoder.Decode(a); err != nil {
+		return nil, fail("ParseAnnouncement", KindMalformed, "%v", err)
+	}
+	if err := a.check(); err != nil {
+		return nil, err
+	}
+	return a.backend(), nil
+}
+
+func (a *Announcement) check() error {
+	names := regexp.MustCompile(namePattern)
+	for what, name := range map[string]string{"Name": a.Name, "Incarnation": a.Incarnation, "Zone": a.Zone} {
+		if !names.MatchString(name) {
+			return fail("ParseAnnouncement", KindMalformed, "%s %q is no name", what, name)
+		}
+	}
+	host, port, err := net.SplitHostPort(a.Address)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		return fail("ParseAnnouncement", KindMalformed, "Address %q is no IP number and port", a.Address)
+	}
+	switch a.Kind {
+	case KindEngine:
+		if a.BaseModel == "" || a.Slots == 0 || a.Slots > maxSlots || a.Batch == 0 || len(a.Loaded) > maxLoaded {
+			return fail("ParseAnnouncement", KindMalformed, "an engine needs BaseModel, Slots and Batch")
+		}
+	case KindService:
+		if !names.MatchString(a.Service) {
+			return fail("ParseAnnouncement", KindMalformed, "a service needs Service")
+		}
+	default:
+		return fail("ParseAnnouncement", KindMalformed, "Kind %q is not %s or %s", a.Kind, KindEngine, KindService)
+	}
+	return nil
+}
+
+func (a *Announcement) backend() *wire.Backend {
+	kind := wire.BackendKind_BACKEND_KIND_ENGINE
+	if a.Kind == KindService {
+		kind = wire.BackendKind_BACKEND_KIND_SERVICE
+	}
+	return &wire.Backend{
+		Name: a.Name, Incarnation: a.Incarnation, Kind: kind, Address: a.Address, Zone: a.Zone,
+		BaseModel: a.BaseModel, Service: a.Service, Slots: a.Slots, Batch: a.Batch,
+		ChecksFencing: a.ChecksFencing, Leaving: a.Leaving, Loaded: a.Loaded,
+		Running: a.Running, Waiting: a.Waiting,
+	}
+}
+
+// Kind tells errors of this package apart.
+type Kind int
+
+// The kinds of errors.
+const (
+	// KindMalformed means that something can't be decoded.
+	KindMalformed Kind = iota + 1
+	// KindCrossed means that an answer belongs to another request or adapter.
+	KindCrossed
+	// KindCut means that an answer ended before it was whole.
+	KindCut
+	// KindRefused means that the server refused, and did not run, what it was asked.
+	KindRefused
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Operation string
+	Kind      Kind
+	cause     error
+}
+
+// Error returns the operation and its cause.
+func (e *Error) Error() string { return "translator: " + e.Operation + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+func fail(operation string, kind Kind, format string, args ...any) error {
+	return &Error{Operation: operation, Kind: kind, cause: errors.Errorf(format, args...)}
+}
+
+// IsKind reports whether an error is of a kind of this package.
+func IsKind(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
