--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+MODULES := pkg gateway controller bronzectl standin
+PROGRAMS := gateway controller bronzectl standin
+
+.PHONY: build run test lint generate
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do (cd $$p && go build -o ../bin/$$p .) || exit 1; done
+
+run: build
+	@scripts/local.sh
+
+test:
+	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
+
+lint:
+	@scripts/lint.sh
+
+generate:
+	@scripts/generate.sh
--- /dev/null
+++ b/bronzectl/app/main.go
@@ -0,0 +1,140 @@
+// Package app is the operators' command line.
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"bronzelead.example/pkg/authenticator"
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/wire"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitNotYet   = 4
+)
+
+const (
+	callTimeout = 2 * time.Second
+	pauseFor    = 100 * time.Millisecond
+)
+
+type commandLine struct {
+	Controllers []string      `short:"c" env:"BRONZELEAD_CONTROLLERS" required:"" help:"IP numbers and ports of the controllers."`
+	KeyFile     string        `short:"k" env:"BRONZELEAD_KEY_FILE" required:"" help:"File with the operator's key."`
+	Output      string        `short:"o" enum:"table,json" default:"table" help:"Form of the output: table or json."`
+	Timeout     time.Duration `default:"15s" help:"How long to try, and to wait with --wait."`
+
+	Contract contractCommands `cmd:"" help:"Read and change contracts."`
+	Status   statusCommand    `cmd:"" help:"Show the leader, sessions, backend servers and placements."`
+	Explain  explainCommand   `cmd:"" help:"Show what was decided for a request, and why."`
+	Backend  backendCommands  `cmd:"" help:"Read and drain backend servers."`
+	Member   memberCommands   `cmd:"" help:"Read and change the controllers."`
+	Key      keyCommands      `cmd:"" help:"Make keys."`
+}
+
+// session is what a command works with.
+type session struct {
+	ctx         context.Context
+	out         io.Writer
+	json        bool
+	key         string
+	clock       clockwork.Clock
+	client      *connector.Client
+	controllers *connector.Controllers
+}
+
+// exitError ends the program with a certain code.
+type exitError struct {
+	code int
+	text string
+}
+
+func (e *exitError) Error() string { return e.text }
+
+// Main runs the program and returns its exit code: 0 success, 1 failure, 2 wrong
+// usage or a contract that is refused, 3 a conflict with another change, 4 not in
+// force everywhere within the time.
+func Main(args []string, stdout, stderr io.Writer) int {
+	line := &commandLine{}
+	exited := -1
+	parser, err := kong.New(line, kong.Name("bronzectl"), kong.Writers(stdout, stderr),
+		kong.Description("Drives bronzelead. Exit codes: 0 success, 1 failure, 2 wrong usage or a refused contract, "+
+			"3 conflict with another change, 4 not in force everywhere within the time."),
+		kong.Exit(func(code int) { exited = code }), kong.UsageOnError())
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "bronzectl:", err)
+		return exitUsage
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), line.Timeout)
+	defer cancel()
+	s, err := line.session(ctx, stdout)
+	if err == nil {
+		err = parsed.Run(s)
+	}
+	return exitCode(err, stderr)
+}
+
+func (c *commandLine) session(ctx context.Context, out io.Writer) (*session, error) {
+	key, err := authenticator.ReadKey(c.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "bronzectl")
+	}
+	return &session{
+		ctx: ctx, out: out, json: c.Output == "json", key: key, clock: clockwork.NewRealClock(),
+		client:      &connector.Client{Timeout: callTimeout, Key: key, Transport: connector.NewTransport(nil)},
+		controllers: &connector.Controllers{Addresses: c.Controllers},
+	}, nil
+}
+
+func exitCode(err error, stderr io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "bronzectl:", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	var answer twirp.Error
+	if errors.As(err, &answer) && answer.Code() == twirp.InvalidArgument {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// call tries a call at one controller after the other until it is answered.
+func (s *session) call(f func(wire.Operator) error) error {
+	return s.controllers.Try(s.ctx, s.pause, func(address string) error {
+		return f(wire.NewOperatorProtobufClient("http://"+address, s.client))
+	})
+}
+
+func (s *session) pause(int) bool {
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-s.clock.After(pauseFor):
+		return true
+	}
+}
--- /dev/null
+++ b/bronzectl/main.go
@@ -0,0 +1,10 @@
+// Command bronzectl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"bronzelead.example/bronzectl/app"
+)
+
+func main() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/controller/app/app.go
@@ -0,0 +1,285 @@
+// Package app wires a controller's stages together and runs them.
+package app
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/controller/coordinator"
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/controller/orderer"
+	"bronzelead.example/controller/responder"
+	"bronzelead.example/controller/transporter"
+	"bronzelead.example/pkg/authenticator"
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/logger"
+	"bronzelead.example/pkg/planner"
+	"bronzelead.example/pkg/replicator"
+	"bronzelead.example/pkg/server"
+	"bronzelead.example/pkg/storer"
+	"bronzelead.example/pkg/translator"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	itemRing     = 1024
+	joinEvery    = 500 * time.Millisecond
+	stopWithin   = 5 * time.Second
+	transferPoll = 20 * time.Millisecond
+)
+
+// App is one controller. Set the exported fields, then call Run.
+type App struct {
+	Settings *Settings
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+
+	cluster     atomic.Pointer[string]
+	clusterKey  string
+	operators   authenticator.Ring
+	storer      *storer.Storer
+	keeper      *keeper.Keeper
+	coordinator *coordinator.Coordinator
+	transporter *transporter.Transporter
+	responder   *responder.Responder
+	peers       *connector.Client
+	server      *server.Server
+}
+
+// NewLog returns the log that the settings ask for.
+func NewLog(s *Settings) *slog.Logger {
+	var level slog.Level
+	// The settings were checked; the zero level is Info.
+	_ = level.UnmarshalText([]byte(s.Log.Level))
+	log := logger.New(os.Stderr, level, "controller", s.Instance.Name, s.Instance.Zone)
+	logger.UseForLibrary(log)
+	return log
+}
+
+// Run works until ctx ends, and then hands leadership over before it stops. An error
+// means that the disk or the settings don't allow to go on.
+func (a *App) Run(ctx context.Context) error {
+	if err := a.readKeys(); err != nil {
+		return err
+	}
+	contents, id, err := a.openFolder()
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	a.build(contents, id)
+	a.transporter.Start(background)
+	failed := make(chan error, 1)
+	go a.coordinator.Run(background)
+	go func() { failed <- a.keeper.Run(background) }()
+	go a.join(background, id)
+	if err := a.server.Start(); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	a.Log.Info("the controller serves", "Address", a.server.Addr(), "Member", id)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "app")
+	case <-ctx.Done():
+	}
+	return a.stop()
+}
+
+func (a *App) readKeys() error {
+	var err error
+	if a.clusterKey, err = authenticator.ReadKey(a.Settings.Keys.ClusterFile); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	a.operators, err = authenticator.ReadRing(a.Settings.Keys.OperatorFile)
+	if err != nil {
+		return errors.Wrap(err, "app")
+	}
+	a.operators[authenticator.DigestOf(a.clusterKey)] = authenticator.Cluster
+	return nil
+}
+
+// openFolder reads the data folder. A damaged one is set aside: this disk's votes
+// are lost, so the instance joins again under a new incarnation.
+func (a *App) openFolder() (*storer.Contents, string, error) {
+	a.storer = &storer.Storer{Folder: a.Settings.Data.Folder}
+	contents, err := a.storer.Open()
+	if err == nil {
+		_, _, err = a.storer.Identity()
+	}
+	if storer.IsDamaged(err) {
+		aside, moveErr := a.storer.SetAside(a.Clock.Now())
+		if moveErr != nil {
+			return nil, "", errors.Wrap(moveErr, "app")
+		}
+		a.Log.Error("the data folder is damaged; the instance joins anew", "Error", err.Error(), "Aside", aside)
+		contents, err = a.storer.Open()
+	}
+	if err != nil {
+		return nil, "", errors.Wrap(err, "app")
+	}
+	id, cluster, err := a.storer.Identity()
+	if err != nil {
+		return nil, "", errors.Wrap(err, "app")
+	}
+	if id == "" {
+		id = newMemberID(a.Settings.Instance.Name)
+		if err := a.storer.SetIdentity(id, ""); err != nil {
+			return nil, "", errors.Wrap(err, "app")
+		}
+	}
+	a.cluster.Store(&cluster)
+	return contents, id, nil
+}
+
+// newMemberID names a member: the instance, and the incarnation of its disk.
+func newMemberID(instance string) string { return instance + "/" + rand.Text() }
+
+func (a *App) build(contents *storer.Contents, id string) {
+	s := a.Settings
+	items := make(chan keeper.Item, itemRing)
+	a.peers = &connector.Client{
+		Timeout: s.Timing.PeerTimeout, Key: a.clusterKey, Transport: connector.NewTransport(nil),
+	}
+	forward := &connector.Client{
+		Timeout: s.Timing.PeerTimeout, Key: a.clusterKey, Transport: connector.NewTransport(nil), Forwarded: true,
+	}
+	a.transporter = &transporter.Transporter{Log: a.Log, Client: a.peers, Cluster: a.clusterID}
+	a.coordinator = &coordinator.Coordinator{
+		Clock: a.Clock, Log: a.Log, In: items, Policy: a.policy(), Lease: s.Timing.SessionLease,
+		LongestRequest: s.Timing.LongestRequest, SnapshotEvery: uint64(s.Data.SnapshotEvery),
+	}
+	a.keeper = &keeper.Keeper{
+		Clock: a.Clock, Log: a.Log, Storer: a.storer, Send: a.transporter.Send, Out: items,
+		Admission: a.coordinator.Admission,
+		Replicator: &replicator.Replicator{
+			ID: id, Heartbeat: s.Timing.Heartbeat, ElectionTimeout: s.Timing.ElectionTimeout, Random: mathrand.Int64N,
+		},
+	}
+	a.keeper.Init(contents)
+	a.coordinator.Keeper = a.keeper
+	a.coordinator.Carry = a.orderer().Carry
+	a.coordinator.Init()
+	a.responder = &responder.Responder{
+		Log: a.Log, Keeper: a.keeper, Coordinator: a.coordinator, Peer: forward, LeaseNs: int64(s.Timing.SessionLease),
+	}
+	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log}
+}
+
+func (a *App) policy() planner.Policy {
+	e := a.Settings.Engines
+	return planner.Policy{
+		LoadsPerSecond: e.LoadsPerSecond, LoadsAtOnce: e.LoadsAtOnce, StallWeight: e.StallWeight,
+		BatchWeight: e.BatchWeight, StarveAfter: e.StarveAfter, MinResidence: e.MinResidence,
+		BackendLease: e.BackendLease, LongestOrder: e.LongestOrder, BackOff: e.BackOff, MaxBackOff: e.MaxBackOff,
+	}
+}
+
+func (a *App) orderer() *orderer.Orderer {
+	client := &connector.Client{Timeout: a.Settings.Engines.LongestOrder, Transport: connector.NewTransport(nil)}
+	return &orderer.Orderer{
+		Log: a.Log, LongestOrder: a.Settings.Engines.LongestOrder, Leads: a.keeper.Leads,
+		Orders: &translator.Orders{Client: client, WeightsURL: a.Settings.Engines.WeightsURL},
+	}
+}
+
+func (a *App) handler(forward *connector.Client) http.Handler {
+	cluster := authenticator.Ring{authenticator.DigestOf(a.clusterKey): authenticator.Cluster}
+	peer := &responder.Peer{
+		Keeper: a.keeper, Cluster: a.clusterID, Leader: a.responder.LeaderAddress,
+		Client: func(address string) wire.Peer { return wire.NewPeerProtobufClient("http://"+address, forward) },
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wire.PeerPathPrefix, authenticator.Require(cluster, responder.MarkForwarded(wire.NewPeerServer(peer))))
+	mux.Handle(wire.ControlPathPrefix, authenticator.Require(cluster, responder.MarkForwarded(wire.NewControlServer(a.responder))))
+	mux.Handle(wire.OperatorPathPrefix, authenticator.Require(a.operators, responder.MarkForwarded(wire.NewOperatorServer(a.responder))))
+	mux.HandleFunc("GET /healthz", a.health)
+	mux.HandleFunc("GET /readyz", a.ready)
+	return mux
+}
+
+func (a *App) health(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
+
+// ready reports whether the instance knows a leader.
+func (a *App) ready(w http.ResponseWriter, _ *http.Request) {
+	if a.keeper.Standing().Leader == "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = w.Write([]byte(a.keeper.Standing().Role.String() + "\n"))
+}
+
+func (a *App) clusterID() string { return *a.cluster.Load() }
+
+// join asks to become a member as long as the instance is none.
+func (a *App) join(ctx context.Context, id string) {
+	controllers := &connector.Controllers{Addresses: a.Settings.Members.Addresses}
+	member := &wire.Member{
+		Id: id, Name: a.Settings.Instance.Name, Address: a.Settings.address(), Zone: a.Settings.Instance.Zone,
+	}
+	for {
+		if !a.isVoter(id) {
+			a.askToJoin(ctx, controllers, member)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.Clock.After(joinEvery):
+		}
+	}
+}
+
+func (a *App) isVoter(id string) bool {
+	for _, m := range a.keeper.Standing().Configuration.GetVoters() {
+		if m.GetId() == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *App) askToJoin(ctx context.Context, controllers *connector.Controllers, member *wire.Member) {
+	address := controllers.Current()
+	if address == a.Settings.address() {
+		controllers.Failed(address)
+		address = controllers.Current()
+	}
+	res, err := wire.NewPeerProtobufClient("http://"+address, a.peers).Join(ctx, &wire.JoinRequest{Member: member})
+	if err != nil {
+		a.Log.Debug("no controller let this one join", "Controller", address, "Error", err.Error())
+		controllers.Failed(address)
+		return
+	}
+	if a.clusterID() == "" {
+		if err := a.storer.SetIdentity(member.GetId(), res.GetCluster()); err != nil {
+			a.Log.Error("the cluster can't be stored", "Error", err.Error())
+			return
+		}
+		cluster := res.GetCluster()
+		a.cluster.Store(&cluster)
+	}
+}
+
+// stop hands leadership over, so that nobody has to wait for an election.
+func (a *App) stop() error {
+	a.Log.Info("the controller stops")
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	if a.keeper.Leads() {
+		a.keeper.Transfer()
+		for a.keeper.Standing().Role == replicator.Leader && ctx.Err() == nil {
+			<-a.Clock.After(transferPoll)
+		}
+	}
+	err := a.server.Stop(ctx)
+	a.Log.Info("the controller has stopped")
+	return errors.Wrap(err, "app")
+}
--- a/controller/coordinator/coordinator.go
+++ b/controller/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -53,6 +54,7 @@
 	SnapshotEvery  uint64
 
 	calls    chan func(now time.Time)
+	admitted atomic.Pointer[keeper.Admission]
 	state    *recorder.Recorder
 	snapshot uint64
 
@@ -131,11 +133,16 @@
 			a.Reply(result)
 		}
 	}
+	c.admitted.Store(&keeper.Admission{Names: c.state.AdmittedMembers(), Applied: c.state.Applied()})
 	if c.state.Applied() >= c.snapshot+c.SnapshotEvery {
 		c.compact()
 	}
 }
 
+// Admission returns which instances may be members, or nil before anything is
+// known. It may be called from any goroutine.
+func (c *Coordinator) Admission() *keeper.Admission { return c.admitted.Load() }
+
 func (c *Coordinator) restore(s *wire.Snapshot) {
 	state, err := recorder.Restore(s.GetState())
 	if err != nil {
@@ -181,7 +188,7 @@
 	c.backends = newBackendList(term)
 	c.warm = now.Add(c.Policy.BackendLease)
 	for id, s := range c.state.Sessions() {
-		c.leaser.Open(now, leaser.SessionID(id), s.GetInstance(), s.GetZone(), true)
+		c.leaser.Open(now, sessionOf(s), true)
 		c.limiter.Expect(leaser.SessionID(id))
 	}
 	for _, s := range c.state.Ended() {
@@ -194,6 +201,12 @@
 	c.Log.Info("this instance leads", "Term", term, "Sessions", len(c.state.Sessions()))
 }
 
+func sessionOf(s *wire.Session) leaser.Session {
+	return leaser.Session{
+		ID: leaser.SessionID(s.GetId()), Instance: s.GetInstance(), Zone: s.GetZone(), Address: s.GetAddress(),
+	}
+}
+
 // leads reports whether the instance may answer and give orders now.
 func (c *Coordinator) leads(now time.Time) bool {
 	standing := c.Keeper.Standing()
@@ -206,7 +219,7 @@
 		return
 	}
 	if s := result.Session; s != nil {
-		c.leaser.Open(c.Clock.Now(), leaser.SessionID(s.GetId()), s.GetInstance(), s.GetZone(), false)
+		c.leaser.Open(c.Clock.Now(), sessionOf(s), false)
 	}
 	if closed := result.Closed; closed != nil {
 		id := leaser.SessionID(closed.GetSession())
--- a/controller/coordinator/reports.go
+++ b/controller/coordinator/reports.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bronzelead.example/controller/keeper"
 	"bronzelead.example/pkg/leaser"
+	"bronzelead.example/pkg/recorder"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -44,6 +47,16 @@
 	return changes, err
 }
 
+// Claim returns a copy of a claim, or nil.
+func (c *Coordinator) Claim(ctx context.Context, key recorder.ClaimKey) (claim *wire.Claim, err error) {
+	err = c.Read(ctx, func(time.Time) {
+		if found := c.state.ClaimOf(key); found != nil {
+			claim = proto.CloneOf(found)
+		}
+	})
+	return claim, err
+}
+
 // InForce tells whether every live session has applied a revision.
 func (c *Coordinator) InForce(ctx context.Context, revision uint64) (*wire.InForceResponse, error) {
 	res := &wire.InForceResponse{}
@@ -90,7 +103,7 @@
 
 func sessionStatus(now time.Time, s *leaser.Session) *wire.SessionStatus {
 	return &wire.SessionStatus{
-		Session: uint64(s.ID), Instance: s.Instance, Zone: s.Zone,
+		Session: uint64(s.ID), Instance: s.Instance, Zone: s.Zone, Address: s.Address,
 		Revision: s.Revision, SilentNs: int64(now.Sub(s.Renewed)),
 	}
 }
--- a/controller/coordinator/sessions.go
+++ b/controller/coordinator/sessions.go
@@ -80,6 +80,9 @@
 		amount := c.limiter.Report(now, id, d)
 		res.Allotments = append(res.Allotments, &wire.Allotment{Customer: d.Customer, Amount: amount})
 	}
+	for _, d := range c.limiter.Reductions(id) {
+		res.Allotments = append(res.Allotments, &wire.Allotment{Customer: d.Customer, Amount: d.Held})
+	}
 	res.Recalls = c.planner.Recalls(id)
 }
 
--- a/controller/keeper/keeper.go
+++ b/controller/keeper/keeper.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,12 @@
 // Leads reports whether the instance may answer and give orders at now.
 func (s *Standing) Leads(now time.Time) bool { return now.Before(s.LeaseUntil) }
 
+// Admission is which instances may be members, as of an applied entry.
+type Admission struct {
+	Names   []string
+	Applied uint64
+}
+
 // Keeper runs the replicated log. Set the exported fields, then call Run.
 type Keeper struct {
 	Clock      clockwork.Clock
@@ -76,8 +83,8 @@
 	Send func(config *wire.Configuration, messages []*wire.Message)
 	// Out takes committed entries.
 	Out chan<- Item
-	// Admitted reports whether an instance may be a member.
-	Admitted func(name string) bool
+	// Admission returns which instances may be members, or nil.
+	Admission func() *Admission
 
 	messages  chan []*wire.Message
 	proposals chan proposal
@@ -351,7 +358,9 @@
 
 // recruit proposes the next change of members, if this instance leads.
 func (k *Keeper) recruit() {
-	if k.Replicator.Role() != replicator.Leader {
+	admission := k.Admission()
+	if k.Replicator.Role() != replicator.Leader || admission == nil || admission.Applied < k.Replicator.TermStart() {
+		// A state that lags behind could take a member for one that was removed.
 		return
 	}
 	now := k.Clock.Now()
@@ -366,7 +375,7 @@
 	next := recruiter.Next(recruiter.Facts{
 		Configuration: k.Replicator.Configuration(),
 		Joining:       joining,
-		Admitted:      k.Admitted,
+		Admitted:      func(name string) bool { return slices.Contains(admission.Names, name) },
 		CaughtUp:      k.Replicator.CaughtUp,
 		Leader:        k.Replicator.ID,
 	})
--- /dev/null
+++ b/controller/orderer/orderer.go
@@ -0,0 +1,46 @@
+// Package orderer carries orders to engines: one goroutine for each order, of which
+// the planner allows few at a time.
+package orderer
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"bronzelead.example/pkg/planner"
+	"bronzelead.example/pkg/translator"
+)
+
+// Orderer carries orders. Set the exported fields before use.
+type Orderer struct {
+	Log *slog.Logger
+	// Orders speaks the engines' protocol.
+	Orders *translator.Orders
+	// LongestOrder bounds an order in time.
+	LongestOrder time.Duration
+	// Leads is asked directly before an order leaves.
+	Leads func() bool
+}
+
+// Carry starts an order and calls done from another goroutine when it has ended.
+func (o *Orderer) Carry(order planner.Order, done func(ok bool)) {
+	go func() { done(o.carry(order)) }()
+}
+
+func (o *Orderer) carry(order planner.Order) bool {
+	if !o.Leads() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), o.LongestOrder)
+	defer cancel()
+	fencing := translator.FencingNumber(order.Term, uint64(order.ID))
+	send := o.Orders.Load
+	if order.Kind == planner.Unload {
+		send = o.Orders.Unload
+	}
+	if err := send(ctx, order.Address, order.Adapter, fencing); err != nil {
+		o.Log.Warn("an order failed", "Backend", order.Backend, "Adapter", order.Adapter, "Error", err.Error())
+		return false
+	}
+	return true
+}
--- a/controller/responder/control.go
+++ b/controller/responder/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"bronzelead.example/pkg/recorder"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -15,7 +16,9 @@
 
 func (r *Responder) open(ctx context.Context, req *wire.OpenRequest) (*wire.OpenResponse, error) {
 	result, err := r.Keeper.Propose(ctx, &wire.Command{Body: &wire.Command_OpenSession{
-		OpenSession: &wire.OpenSession{Instance: req.GetInstance(), Zone: req.GetZone(), Nonce: req.GetNonce()},
+		OpenSession: &wire.OpenSession{
+			Instance: req.GetInstance(), Zone: req.GetZone(), Nonce: req.GetNonce(), Address: req.GetAddress(),
+		},
 	}})
 	if err != nil {
 		return nil, err
@@ -82,3 +85,15 @@
 	_, err := r.Keeper.Propose(ctx, &wire.Command{Body: &wire.Command_Release{Release: req.GetCommand()}})
 	return &wire.ReleaseResponse{}, err
 }
+
+// Lookup tells what is known of a key, without claiming it.
+func (r *Responder) Lookup(ctx context.Context, req *wire.LookupRequest) (*wire.LookupResponse, error) {
+	return serve(ctx, r, req, r.lookup, func(a string) func(context.Context, *wire.LookupRequest) (*wire.LookupResponse, error) {
+		return r.control(a).Lookup
+	})
+}
+
+func (r *Responder) lookup(ctx context.Context, req *wire.LookupRequest) (*wire.LookupResponse, error) {
+	claim, err := r.Coordinator.Claim(ctx, recorder.ClaimKey{Customer: req.GetCustomer(), Key: req.GetKey()})
+	return &wire.LookupResponse{Claim: claim}, err
+}
--- /dev/null
+++ b/controller/responder/peer.go
@@ -0,0 +1,43 @@
+package responder
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/wire"
+)
+
+// Peer serves wire.Peer: messages from other controllers and requests to join.
+type Peer struct {
+	Keeper *keeper.Keeper
+	// Cluster returns the cluster that this instance belongs to.
+	Cluster func() string
+	// Client returns a client of the controller at an address.
+	Client func(address string) wire.Peer
+	// Leader returns the leader's address, or "".
+	Leader func() string
+}
+
+// Deliver takes messages of the same cluster.
+func (p *Peer) Deliver(_ context.Context, req *wire.DeliverRequest) (*wire.DeliverResponse, error) {
+	if req.GetCluster() != p.Cluster() {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "the message is from another cluster")
+	}
+	p.Keeper.Deliver(req.GetMessages())
+	return &wire.DeliverResponse{}, nil
+}
+
+// Join notes at the leader that an instance wants to become a member.
+func (p *Peer) Join(ctx context.Context, req *wire.JoinRequest) (*wire.JoinResponse, error) {
+	if p.Keeper.Leads() {
+		p.Keeper.Join(req.GetMember())
+		return &wire.JoinResponse{Cluster: p.Cluster()}, nil
+	}
+	address := p.Leader()
+	if address == "" || ctx.Value(forwardedKey{}) != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "no leader is known here")
+	}
+	return p.Client(address).Join(ctx, req)
+}
--- a/controller/responder/responder.go
+++ b/controller/responder/responder.go
@@ -43,8 +43,8 @@
 	})
 }
 
-// leaderAddress returns where to pass a call on to, or "".
-func (r *Responder) leaderAddress() string {
+// LeaderAddress returns where to pass a call on to, or "".
+func (r *Responder) LeaderAddress() string {
 	standing := r.Keeper.Standing()
 	for _, m := range standing.Configuration.GetVoters() {
 		if m.GetId() == standing.Leader {
@@ -66,7 +66,7 @@
 			return res, twirpError(err)
 		}
 	}
-	address := r.leaderAddress()
+	address := r.LeaderAddress()
 	if ctx.Value(forwardedKey{}) != nil || address == "" {
 		return nil, twirpError(keeper.ErrNotLeader)
 	}
--- /dev/null
+++ b/controller/transporter/transporter.go
@@ -0,0 +1,120 @@
+// Package transporter carries messages between controllers: one goroutine and one
+// bounded ring for each other member. A full ring drops messages, as a network
+// would; the replicator sends them again.
+package transporter
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	ringSize = 256
+	maxBatch = 64
+)
+
+// Transporter sends messages. Set the exported fields before use.
+type Transporter struct {
+	Log    *slog.Logger
+	Client *connector.Client
+	// Cluster returns the cluster that this instance belongs to.
+	Cluster func() string
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	ctx   context.Context
+}
+
+type peer struct {
+	address string
+	ring    chan *wire.Message
+	cancel  context.CancelFunc
+}
+
+// Start lets the transporter work until ctx ends.
+func (t *Transporter) Start(ctx context.Context) {
+	t.ctx = ctx
+	t.peers = map[string]*peer{}
+}
+
+// Send passes messages on to the members of a configuration. It does not block.
+func (t *Transporter) Send(config *wire.Configuration, messages []*wire.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update(config)
+	for _, m := range messages {
+		p := t.peers[m.GetTo()]
+		if p == nil {
+			continue
+		}
+		select {
+		case p.ring <- m:
+		default:
+		}
+	}
+}
+
+// update keeps a peer for each member, at its present address.
+func (t *Transporter) update(config *wire.Configuration) {
+	addresses := map[string]string{}
+	for _, m := range config.GetVoters() {
+		addresses[m.GetId()] = m.GetAddress()
+	}
+	for _, m := range config.GetLearners() {
+		addresses[m.GetId()] = m.GetAddress()
+	}
+	for id, p := range t.peers {
+		if addresses[id] != p.address {
+			p.cancel()
+			delete(t.peers, id)
+		}
+	}
+	for id, address := range addresses {
+		if t.peers[id] == nil {
+			t.peers[id] = t.connect(address)
+		}
+	}
+}
+
+func (t *Transporter) connect(address string) *peer {
+	ctx, cancel := context.WithCancel(t.ctx)
+	p := &peer{address: address, ring: make(chan *wire.Message, ringSize), cancel: cancel}
+	go t.run(ctx, p)
+	return p
+}
+
+func (t *Transporter) run(ctx context.Context, p *peer) {
+	client := wire.NewPeerProtobufClient("http://"+p.address, t.Client)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.ring:
+			batch := p.more([]*wire.Message{m})
+			_, err := client.Deliver(ctx, &wire.DeliverRequest{Cluster: t.Cluster(), Messages: batch})
+			if err != nil {
+				t.Log.Debug("messages were not delivered", "Peer", p.address, "Error", err.Error())
+			}
+		}
+	}
+}
+
+// more adds what else waits.
+func (p *peer) more(batch []*wire.Message) []*wire.Message {
+	for len(batch) < maxBatch {
+		select {
+		case m := <-p.ring:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/gateway/app/app.go
@@ -0,0 +1,187 @@
+// Package app wires a gateway's stages together and runs them.
+package app
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/gateway/claimer"
+	"bronzelead.example/gateway/dispatcher"
+	"bronzelead.example/gateway/explainer"
+	"bronzelead.example/gateway/receiver"
+	"bronzelead.example/gateway/registrar"
+	"bronzelead.example/gateway/renewer"
+	"bronzelead.example/gateway/scheduler"
+	"bronzelead.example/pkg/authenticator"
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/logger"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/router"
+	"bronzelead.example/pkg/server"
+)
+
+const idleCheck = 50 * time.Millisecond
+
+// App is one gateway. Set the exported fields, then call Run.
+type App struct {
+	Settings *Settings
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+
+	keys      keys
+	registrar *registrar.Registrar
+	scheduler *scheduler.Scheduler
+	renewer   *renewer.Renewer
+	claimer   *claimer.Claimer
+	server    *server.Server
+	leave     chan struct{}
+	stopping  chan struct{}
+}
+
+type keys struct {
+	cluster   string
+	backends  authenticator.Ring
+	operators authenticator.Ring
+}
+
+// NewLog returns the log that the settings ask for.
+func NewLog(s *Settings) *slog.Logger {
+	var level slog.Level
+	// The settings were checked; the zero level is Info.
+	_ = level.UnmarshalText([]byte(s.Log.Level))
+	log := logger.New(os.Stderr, level, "gateway", s.Instance.Name, s.Instance.Zone)
+	logger.UseForLibrary(log)
+	return log
+}
+
+// Run serves until ctx ends, and then stops gracefully: unready first, then what
+// runs is finished, then the session is handed back.
+func (a *App) Run(ctx context.Context) error {
+	if err := a.readKeys(); err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	a.build()
+	go a.scheduler.Run(background)
+	go a.claimer.Run(background)
+	left := make(chan struct{})
+	go func() {
+		a.renewer.Run(background)
+		close(left)
+	}()
+	if err := a.server.Start(); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	a.Log.Info("the gateway serves", "Address", a.server.Addr())
+	<-ctx.Done()
+	return a.stop(left)
+}
+
+func (a *App) readKeys() error {
+	var err error
+	if a.keys.cluster, err = authenticator.ReadKey(a.Settings.Keys.ClusterFile); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	if a.keys.backends, err = authenticator.ReadRing(a.Settings.Keys.BackendFile); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	a.keys.operators, err = authenticator.ReadRing(a.Settings.Keys.OperatorFile)
+	return errors.Wrap(err, "app")
+}
+
+func (a *App) build() {
+	s := a.Settings
+	a.leave, a.stopping = make(chan struct{}), make(chan struct{})
+	a.registrar = &registrar.Registrar{}
+	controllers := &connector.Controllers{Addresses: s.Controllers.Addresses}
+	client := &connector.Client{
+		Timeout: s.Controllers.Timeout, Key: a.keys.cluster, Transport: connector.NewTransport(nil),
+	}
+	a.scheduler = &scheduler.Scheduler{
+		Clock: a.Clock, Log: a.Log, Registrar: a.registrar,
+		Router: &router.Router{Zone: s.Instance.Zone, Policy: router.Policy{
+			BatchWeight: s.Policy.BatchWeight, StallWeight: s.Policy.StallWeight,
+			PrefixWeight: s.Policy.PrefixWeight, ZoneWeight: s.Policy.ZoneWeight,
+			SuspectFor: s.Policy.SuspectFor, IdleLease: s.Policy.IdleLease,
+		}},
+		Wake: func() { a.renewer.Wake() },
+	}
+	a.scheduler.Init()
+	address := s.Instance.Address
+	if address == "" {
+		address = s.Instance.Listen
+	}
+	a.renewer = &renewer.Renewer{
+		Clock: a.Clock, Log: a.Log, Scheduler: a.scheduler, Controllers: controllers, Client: client,
+		Instance: s.Instance.Name, Zone: s.Instance.Zone, Address: address,
+		Every: s.Controllers.RenewEvery, Leave: a.leave,
+	}
+	a.renewer.Init()
+	a.claimer = &claimer.Claimer{Clock: a.Clock, Log: a.Log, Client: client, Controllers: &connector.Controllers{
+		Addresses: s.Controllers.Addresses,
+	}}
+	a.claimer.Init()
+	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(), Log: a.Log}
+}
+
+func (a *App) handler() http.Handler {
+	s := a.Settings
+	r := &receiver.Receiver{
+		Clock: a.Clock, Log: a.Log, Instance: s.Instance.Name,
+		Registrar: a.registrar, Scheduler: a.scheduler, Claimer: a.claimer,
+		Dispatcher: a.dispatcher(), Explainer: &explainer.Explainer{Clock: a.Clock},
+		Meter:   meter.New("gateway", s.Instance.Name, s.Instance.Zone),
+		Retries: &receiver.RetryBudget{Clock: a.Clock, Share: s.Requests.RetryShare, Burst: s.Requests.RetryBurst},
+		Session: a.scheduler.Session, BackendKeys: a.keys.backends, OperatorKeys: a.keys.operators,
+		Ready: a.ready, MaxBody: s.Requests.MaxBody, KeepAnswer: s.Requests.KeepAnswer,
+	}
+	return r.Handler()
+}
+
+func (a *App) dispatcher() *dispatcher.Dispatcher {
+	fresh := connector.NewTransport(nil)
+	fresh.DisableKeepAlives = true
+	freshWork := connector.NewTransport(a.scheduler.Guard)
+	freshWork.DisableKeepAlives = true
+	return &dispatcher.Dispatcher{
+		Clock: a.Clock, Work: connector.NewTransport(a.scheduler.Guard), Fresh: fresh, FreshWork: freshWork,
+		SilenceAfter: a.Settings.Requests.SilenceAfter,
+	}
+}
+
+// ready reports whether the balancer shall send callers here.
+func (a *App) ready() bool {
+	select {
+	case <-a.stopping:
+		return false
+	default:
+		return a.scheduler.Live()
+	}
+}
+
+func (a *App) stop(left <-chan struct{}) error {
+	a.Log.Info("the gateway stops: it is unready, and finishes what runs")
+	close(a.stopping)
+	<-a.Clock.After(a.Settings.Requests.StopDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.Requests.StopWithin)
+	defer cancel()
+	err := a.server.Stop(ctx)
+	for !a.scheduler.Idle() && ctx.Err() == nil {
+		<-a.Clock.After(idleCheck)
+	}
+	a.claimer.Drain(ctx)
+	close(a.leave)
+	select {
+	case <-left:
+	case <-ctx.Done():
+	}
+	a.Log.Info("the gateway has stopped")
+	return errors.Wrap(err, "app")
+}
--- /dev/null
+++ b/gateway/dispatcher/services.go
@@ -0,0 +1,106 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/translator"
+)
+
+// ServiceCall is one request to a plain service.
+type ServiceCall struct {
+	RequestID string
+	Address   string
+	Method    string
+	// Path has the query, and starts with a slash.
+	Path     string
+	Header   http.Header
+	Body     []byte
+	Priority int32
+	Session  uint64
+	// Once marks a request that must not run twice. It goes out on a connection of
+	// its own, which no earlier use can have left silent.
+	Once bool
+	// Buffer is how much of an answer is read before any of it is passed on.
+	Buffer int
+}
+
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	Ran    Ran
+	Status int
+	Header http.Header
+	// Body is the whole answer, if Rest is nil, else its beginning.
+	Body []byte
+	// Rest is what follows Body. It has to be closed.
+	Rest io.ReadCloser
+	Err  error
+}
+
+// hopHeaders belong to one connection and are not passed on.
+func hopHeaders() []string {
+	return []string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Authorization", "Idempotency-Key", "X-Idempotency-Key",
+	}
+}
+
+// Call carries out a request to a plain service. Silence is not probed: a plain
+// service can't be asked what became of a request, so its deadline decides.
+func (d *Dispatcher) Call(ctx context.Context, c *ServiceCall) *ServiceAnswer {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, nil)
+	if err != nil {
+		return &ServiceAnswer{Ran: RanNo, Err: errors.Wrap(err, "dispatcher")}
+	}
+	req.Header = c.Header.Clone()
+	for _, name := range hopHeaders() {
+		req.Header.Del(name)
+	}
+	req.Header.Set(translator.RequestIDHeader, c.RequestID)
+	req.Header.Set(translator.PriorityHeader, strconv.Itoa(int(c.Priority)))
+	req.Header.Set(translator.SessionHeader, strconv.FormatUint(c.Session, 10))
+	if len(c.Body) > 0 || c.Once {
+		setBody(req, c.Body)
+	}
+	transport := d.Work
+	if c.Once {
+		transport = d.FreshWork
+	}
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return &ServiceAnswer{Ran: ranAfter(err), Err: errors.Wrap(err, "dispatcher")}
+	}
+	return c.read(res)
+}
+
+// read takes in the beginning of an answer, so that a short one is known to be whole
+// before any of it is passed on.
+func (c *ServiceCall) read(res *http.Response) *ServiceAnswer {
+	a := &ServiceAnswer{Ran: RanYes, Status: res.StatusCode, Header: res.Header}
+	if got := res.Header.Get(translator.RequestIDHeader); got != "" && got != c.RequestID {
+		_ = res.Body.Close()
+		return &ServiceAnswer{Ran: RanUnknown, Err: errors.Errorf("dispatcher: the answer is for %s", got)}
+	}
+	if res.Header.Get(translator.RanHeader) == translator.RanNo && res.StatusCode >= http.StatusInternalServerError {
+		a.Ran = RanNo
+	}
+	for _, name := range hopHeaders() {
+		a.Header.Del(name)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, int64(c.Buffer)))
+	if err != nil {
+		_ = res.Body.Close()
+		return &ServiceAnswer{Ran: RanUnknown, Err: errors.Wrap(err, "dispatcher: the answer was cut")}
+	}
+	a.Body = body
+	if len(body) < c.Buffer {
+		_ = res.Body.Close()
+		return a
+	}
+	a.Rest = res.Body
+	return a
+}
--- /dev/null
+++ b/gateway/explainer/explainer.go
@@ -0,0 +1,81 @@
+// Package explainer remembers what was decided for recent requests and why, for
+// operators. It holds a bounded number of requests and no prompts or keys.
+package explainer
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	maxRequests = 20_000
+	maxSteps    = 40
+)
+
+// Step is one decision.
+type Step struct {
+	At   time.Time
+	What string
+}
+
+// Account is all that was decided for one request.
+type Account struct {
+	RequestID string
+	Customer  string
+	Steps     []Step
+}
+
+// Explainer keeps the latest accounts. Set Clock before use.
+type Explainer struct {
+	Clock clockwork.Clock
+
+	mu       sync.Mutex
+	accounts map[string]*Account
+	order    []string
+	next     int
+}
+
+// Note adds a decision to a request's account.
+func (e *Explainer) Note(requestID, customer, format string, args ...any) {
+	step := Step{At: e.Clock.Now(), What: fmt.Sprintf(format, args...)}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.accounts[requestID]
+	if a == nil {
+		a = &Account{RequestID: requestID, Customer: customer}
+		e.remember(requestID, a)
+	}
+	if len(a.Steps) < maxSteps {
+		a.Steps = append(a.Steps, step)
+	}
+}
+
+func (e *Explainer) remember(requestID string, a *Account) {
+	if e.accounts == nil {
+		e.accounts = map[string]*Account{}
+	}
+	e.accounts[requestID] = a
+	if len(e.order) < maxRequests {
+		e.order = append(e.order, requestID)
+		return
+	}
+	delete(e.accounts, e.order[e.next])
+	e.order[e.next] = requestID
+	e.next = (e.next + 1) % maxRequests
+}
+
+// Get returns a copy of a request's account.
+func (e *Explainer) Get(requestID string) (Account, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.accounts[requestID]
+	if a == nil {
+		return Account{}, false
+	}
+	copied := *a
+	copied.Steps = append([]Step(nil), a.Steps...)
+	return copied, true
+}
--- /dev/null
+++ b/gateway/receiver/receiver.go
@@ -0,0 +1,296 @@
+// Package receiver takes callers' requests through all their stages: authenticate,
+// contract, admit, route, claim, dispatch, verify, answer. It also takes the
+// announcements of backend servers.
+package receiver
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/gateway/claimer"
+	"bronzelead.example/gateway/dispatcher"
+	"bronzelead.example/gateway/explainer"
+	"bronzelead.example/gateway/registrar"
+	"bronzelead.example/gateway/scheduler"
+	"bronzelead.example/pkg/authenticator"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/translator"
+)
+
+const (
+	defaultMaxBody = 4 << 20
+	maxKeyLength   = 256
+	servicesPath   = "/services/"
+	// ClassHeader lets a caller choose among its contract's classes.
+	ClassHeader = "X-Priority-Class"
+	// DeadlineHeader shortens a request's deadline; it is a duration or seconds.
+	DeadlineHeader = "X-Deadline"
+	// KeyHeader names a request that must not run twice.
+	KeyHeader = "Idempotency-Key"
+	// RequestIDAnswer tells the caller the request's id.
+	RequestIDAnswer = "X-Request-Id"
+)
+
+// Receiver serves callers. Set the exported fields, then use Handler.
+type Receiver struct {
+	Clock      clockwork.Clock
+	Log        *slog.Logger
+	Instance   string
+	Registrar  *registrar.Registrar
+	Scheduler  *scheduler.Scheduler
+	Dispatcher *dispatcher.Dispatcher
+	Claimer    *claimer.Claimer
+	Explainer  *explainer.Explainer
+	Meter      *meter.Meter
+	Retries    *RetryBudget
+	// Session returns the gateway's present session.
+	Session func() uint64
+	// BackendKeys are the keys of backend servers; OperatorKeys those of operators.
+	BackendKeys  authenticator.Ring
+	OperatorKeys authenticator.Ring
+	// Ready reports whether the balancer shall send callers here.
+	Ready func() bool
+	// MaxBody bounds a request's body in bytes.
+	MaxBody int
+	// KeepAnswer bounds the answer that is kept for an idempotency key, in bytes.
+	KeepAnswer int
+}
+
+// Handler returns the routes that callers, backend servers and operators use.
+func (r *Receiver) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+translator.CompletionsPath, r.complete)
+	mux.HandleFunc("POST "+translator.ChatPath, r.complete)
+	mux.HandleFunc("GET "+translator.ModelsPath, r.models)
+	mux.HandleFunc(servicesPath, r.service)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", r.ready)
+	mux.Handle("GET /metrics", r.Meter.Handler())
+	mux.Handle("POST "+translator.AnnouncePath, authenticator.Require(r.BackendKeys, http.HandlerFunc(r.announce)))
+	mux.Handle("GET /operator/explain/{id}", authenticator.Require(r.OperatorKeys, http.HandlerFunc(r.explain)))
+	mux.HandleFunc("/", func(w http.ResponseWriter, req *http.Request) {
+		p := &Problem{Status: http.StatusNotFound, Kind: kindUnknownPath, Message: "nothing is served at " + req.URL.Path, Ran: dispatcher.RanNo}
+		p.write(w, r.newID())
+	})
+	return mux
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
+
+func (r *Receiver) ready(w http.ResponseWriter, _ *http.Request) {
+	if !r.Ready() {
+		writeText(w, http.StatusServiceUnavailable, "not ready")
+		return
+	}
+	writeText(w, http.StatusOK, "ready")
+}
+
+func (r *Receiver) announce(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		writeText(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	backend, err := translator.ParseAnnouncement(body)
+	if err != nil {
+		writeText(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if !r.Scheduler.Live() {
+		// The server shall tell another instance, which can pass it on.
+		writeText(w, http.StatusServiceUnavailable, "no live session")
+		return
+	}
+	r.Scheduler.Announce(backend)
+	writeText(w, http.StatusOK, "ok")
+}
+
+func (r *Receiver) explain(w http.ResponseWriter, req *http.Request) {
+	account, ok := r.Explainer.Get(req.PathValue("id"))
+	if !ok {
+		writeText(w, http.StatusNotFound, "nothing is known of this request here")
+		return
+	}
+	body, err := json.Marshal(account)
+	if err != nil {
+		writeText(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+func (r *Receiver) newID() string {
+	var raw [8]byte
+	n := rand.Uint64()
+	for i := range raw {
+		raw[i] = byte(n >> (8 * i))
+	}
+	return r.Instance + "-" + hex.EncodeToString(raw[:])
+}
+
+// entry is one caller's request on its way.
+type entry struct {
+	id    string
+	terms *registrar.Terms
+	start time.Time
+	class string
+	job   *scheduler.Job
+	ctx   context.Context
+	body  []byte
+	http  *http.Request
+	// key makes the request run at most once; empty when it may run again.
+	key string
+	// once marks a request that may not be repeated.
+	once bool
+}
+
+// identify finds out who calls.
+func (r *Receiver) identify(req *http.Request) (*registrar.Terms, *Problem) {
+	if !r.Scheduler.Live() {
+		// Without a live session the contracts here may be out of date.
+		return nil, refused(&scheduler.Refusal{Reason: scheduler.NoQuorum, RetryAfter: 2 * time.Second})
+	}
+	terms := r.Registrar.ByKey(authenticator.BearerKey(req))
+	if terms == nil {
+		return nil, &Problem{
+			Status: http.StatusUnauthorized, Kind: kindUnauthenticated,
+			Message: "a valid key is required", Ran: dispatcher.RanNo,
+		}
+	}
+	return terms, nil
+}
+
+// open reads what all requests have in common.
+func (r *Receiver) open(req *http.Request, class string) (*entry, *Problem) {
+	e := &entry{id: r.newID(), start: r.Clock.Now(), http: req, class: class, ctx: req.Context()}
+	terms, problem := r.identify(req)
+	if problem != nil {
+		return e, problem
+	}
+	e.terms = terms
+	maxBody := r.MaxBody
+	if maxBody == 0 {
+		maxBody = defaultMaxBody
+	}
+	if req.ContentLength > int64(maxBody) {
+		return e, tooLarge(maxBody)
+	}
+	body, err := io.ReadAll(io.LimitReader(req.Body, int64(maxBody)+1))
+	if err != nil {
+		return e, malformed("the body can't be read")
+	}
+	if len(body) > maxBody {
+		return e, tooLarge(maxBody)
+	}
+	e.body = body
+	return e, nil
+}
+
+func tooLarge(limit int) *Problem {
+	return &Problem{
+		Status: http.StatusRequestEntityTooLarge, Kind: kindTooLarge, Ran: dispatcher.RanNo,
+		Message: "the body is larger than " + strconv.Itoa(limit) + " bytes",
+	}
+}
+
+// plan fills in the job: class, priority and deadline.
+func (r *Receiver) plan(e *entry, job *scheduler.Job) *Problem {
+	if class := e.http.Header.Get(ClassHeader); class != "" {
+		if !e.terms.HasClass(class) {
+			return malformed(ClassHeader + ": the contract has no class " + strconv.Quote(class))
+		}
+		e.class = class
+	}
+	limit := time.Duration(e.terms.Contract.GetDeadlineNs())
+	if text := e.http.Header.Get(DeadlineHeader); text != "" {
+		asked, ok := parseDeadline(text)
+		if !ok {
+			return malformed(DeadlineHeader + ": want a duration such as 2s, or seconds")
+		}
+		limit = min(limit, asked)
+	}
+	job.Customer = e.terms.Customer()
+	job.Priority = e.terms.Priority(e.class)
+	job.Deadline = e.start.Add(limit)
+	e.job = job
+	return nil
+}
+
+func parseDeadline(text string) (time.Duration, bool) {
+	if d, err := time.ParseDuration(text); err == nil && d >= 0 {
+		return d, true
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || seconds < 0 || seconds > 1e6 {
+		return 0, false
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// models lists what the customer may call.
+func (r *Receiver) models(w http.ResponseWriter, req *http.Request) {
+	terms, problem := r.identify(req)
+	if problem != nil {
+		problem.write(w, r.newID())
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range terms.Models() {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: terms.Customer()})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		malformed(err.Error()).write(w, r.newID())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// finish writes the problem, if there is one, and the request's line in the log.
+func (r *Receiver) finish(w http.ResponseWriter, e *entry, p *Problem) {
+	customer := ""
+	if e.terms != nil {
+		customer = e.terms.Customer()
+	}
+	kind := "Answered"
+	if p != nil {
+		kind = p.Kind
+		r.Explainer.Note(e.id, customer, "final answer: %s (%d), ran: %s, retry after %s", p.Kind, p.Status, p.Ran, p.RetryAfter)
+		p.write(w, e.id)
+	}
+	took := r.Clock.Now().Sub(e.start)
+	r.Meter.Ended(customer, e.class, kind, took)
+	r.Log.Debug("request", "RequestId", e.id, "Customer", customer, "Class", e.class, "Kind", kind, "Took", took.String())
+}
+
+func splitService(path string) (name, rest string) {
+	name, rest, _ = strings.Cut(strings.TrimPrefix(path, servicesPath), "/")
+	return name, "/" + rest
+}
--- /dev/null
+++ b/gateway/receiver/services.go
@@ -0,0 +1,227 @@
+package receiver
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"bronzelead.example/gateway/dispatcher"
+	"bronzelead.example/gateway/scheduler"
+	"bronzelead.example/pkg/router"
+	"bronzelead.example/pkg/server"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// Answers up to this size are known to be whole before they are passed on.
+	serviceBuffer = 256 << 10
+	copyBuffer    = 32 << 10
+	derivedPrefix = "derived:"
+)
+
+// service passes a request on to a plain service.
+func (r *Receiver) service(w http.ResponseWriter, req *http.Request) {
+	e, problem := r.open(req, "")
+	if problem == nil {
+		problem = r.callService(w, e)
+	}
+	r.finish(w, e, problem)
+}
+
+func (r *Receiver) callService(w http.ResponseWriter, e *entry) *Problem {
+	name, rest := splitService(e.http.URL.Path)
+	terms := e.terms.Service(name)
+	if terms == nil {
+		return &Problem{
+			Status: http.StatusNotFound, Kind: kindUnknownService, Ran: dispatcher.RanNo,
+			Message: "the contract names no service " + strconv.Quote(name),
+		}
+	}
+	e.class = terms.GetClass()
+	if problem := e.readServiceKey(terms); problem != nil {
+		return problem
+	}
+	if problem := r.plan(e, &scheduler.Job{Want: router.Want{Service: name}}); problem != nil {
+		return problem
+	}
+	if e.http.URL.RawQuery != "" {
+		rest += "?" + e.http.URL.RawQuery
+	}
+	c := &serviceCall{receiver: r, entry: e, writer: w, path: rest}
+	return c.run()
+}
+
+// readServiceKey finds out whether a call may be repeated, and under which key it
+// runs at most once.
+func (e *entry) readServiceKey(terms *wire.ServiceTerms) *Problem {
+	if problem := e.readKey(); problem != nil {
+		return problem
+	}
+	if !slices.Contains(terms.GetNonIdempotentMethods(), e.http.Method) {
+		return nil
+	}
+	e.once = true
+	if e.key == "" && terms.GetKeyFrom() != "" {
+		e.key = e.deriveKey(terms.GetKeyFrom())
+		if e.key == "" {
+			return &Problem{
+				Status: http.StatusBadRequest, Kind: kindNoKey, Ran: dispatcher.RanNo,
+				Message: "the contract takes the idempotency key from " + terms.GetKeyFrom() + ", which the request lacks",
+			}
+		}
+	}
+	return nil
+}
+
+// deriveKey makes a key for callers that send none, by the contract's rule.
+func (e *entry) deriveKey(rule string) string {
+	source, name, _ := strings.Cut(rule, ":")
+	value := ""
+	switch source {
+	case "Header":
+		value = e.http.Header.Get(name)
+	case "Field":
+		value = jsonField(e.body, name)
+	case "Digest":
+		value = hex.EncodeToString(e.fingerprint())
+	}
+	if value == "" || len(value) > maxKeyLength {
+		return ""
+	}
+	return derivedPrefix + e.http.Method + ":" + e.http.URL.Path + ":" + value
+}
+
+// serviceCall is one request to a plain service on its way there and back.
+type serviceCall struct {
+	receiver *Receiver
+	entry    *entry
+	writer   http.ResponseWriter
+	path     string
+}
+
+func (c *serviceCall) run() *Problem {
+	r, e := c.receiver, c.entry
+	base := e.ctx
+	if e.once {
+		base = context.WithoutCancel(base)
+	}
+	ctx, cancel := context.WithDeadline(base, e.job.Deadline)
+	defer cancel()
+	e.ctx = ctx
+	r.Retries.Earn()
+	candidate, refusal := r.Scheduler.Enter(ctx, e.job)
+	if refusal != nil {
+		return r.refuse(e, refusal)
+	}
+	for attempt := 0; ; attempt++ {
+		r.noteAssigned(e, candidate)
+		s := c.attempt(ctx, candidate, attempt)
+		if s.final {
+			r.Scheduler.Leave(e.job, s.failed)
+			return s.problem
+		}
+		if !r.Retries.Spend(ctx, attempt, e.job.Deadline) {
+			r.Scheduler.Leave(e.job, s.failed)
+			return r.refuse(e, &scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
+		}
+		candidate, refusal = r.Scheduler.Again(ctx, e.job, s.failed, false)
+		if refusal != nil {
+			return r.refuse(e, refusal)
+		}
+	}
+}
+
+func (c *serviceCall) attempt(ctx context.Context, candidate *router.Candidate, attempt int) step {
+	r, e := c.receiver, c.entry
+	requestID := e.id + "-" + strconv.Itoa(attempt)
+	if e.key != "" {
+		claimed, found := r.claim(ctx, e, requestID, candidate)
+		if !claimed {
+			return step{final: true, problem: c.answerOnce(found)}
+		}
+	}
+	answer := r.Dispatcher.Call(ctx, &dispatcher.ServiceCall{
+		RequestID: requestID, Address: candidate.Backend.GetAddress(), Method: e.http.Method,
+		Path: c.path, Header: e.http.Header, Body: e.body, Priority: e.job.Priority,
+		Session: r.Session(), Once: e.once, Buffer: serviceBuffer,
+	})
+	if answer.Err == nil && answer.Ran != dispatcher.RanNo {
+		return c.deliver(requestID, answer)
+	}
+	r.Explainer.Note(e.id, e.terms.Customer(), "%s: status %d, %v, ran: %s", candidate.Backend.GetName(), answer.Status, answer.Err, answer.Ran)
+	return c.afterFailure(ctx, requestID, answer)
+}
+
+func (c *serviceCall) afterFailure(ctx context.Context, requestID string, answer *dispatcher.ServiceAnswer) step {
+	r, e := c.receiver, c.entry
+	switch {
+	case answer.Ran == dispatcher.RanNo:
+		if e.key != "" {
+			r.release(ctx, e, requestID)
+		}
+		return step{failed: true}
+	case e.once:
+		r.store(e, requestID, &wire.Outcome{Unknown: true})
+	case ctx.Err() == nil:
+		return step{failed: true}
+	}
+	return step{final: true, failed: e.http.Context().Err() == nil, problem: mayHaveRun(ctx)}
+}
+
+// deliver passes the service's answer on, and stores it for the key.
+func (c *serviceCall) deliver(requestID string, a *dispatcher.ServiceAnswer) step {
+	r, e := c.receiver, c.entry
+	h := c.writer.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set(RequestIDAnswer, e.id)
+	if a.Rest == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		c.writer.WriteHeader(a.Status)
+		_, _ = c.writer.Write(a.Body)
+		r.store(e, requestID, r.kept(a.Status, a.Header.Get("Content-Type"), a.Body))
+		return step{final: true}
+	}
+	r.store(e, requestID, &wire.Outcome{Status: int32(a.Status), Truncated: true})
+	return c.pipe(a)
+}
+
+// pipe passes a long answer on piece by piece. One that is cut shows as cut.
+func (c *serviceCall) pipe(a *dispatcher.ServiceAnswer) step {
+	defer func() { _ = a.Rest.Close() }()
+	c.writer.Header().Del("Content-Length")
+	c.writer.Header().Set("Transfer-Encoding", "chunked")
+	c.writer.WriteHeader(a.Status)
+	_, _ = c.writer.Write(a.Body)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := a.Rest.Read(buf)
+		if n > 0 {
+			_, _ = c.writer.Write(buf[:n])
+		}
+		if f, ok := c.writer.(http.Flusher); ok && n > 0 {
+			f.Flush()
+		}
+		gone := c.entry.http.Context().Err() != nil
+		switch {
+		case err == io.EOF:
+			return step{final: true}
+		case err != nil || gone:
+			server.Abort(c.writer)
+			return step{final: true, failed: !gone}
+		}
+	}
+}
+
+func (c *serviceCall) answerOnce(found *foundClaim) *Problem {
+	if found.stored == nil {
+		return found.problem
+	}
+	writeStored(c.writer, c.entry.id, found.stored)
+	return nil
+}
--- /dev/null
+++ b/gateway/scheduler/scheduler.go
@@ -0,0 +1,436 @@
+// Package scheduler owns a gateway's decisions: which request goes on, and to which
+// backend server. One goroutine holds the admitter, the router and the gateway's
+// side of its session; request handlers and the renewer call it through a bounded
+// ring.
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/gateway/registrar"
+	"bronzelead.example/pkg/admitter"
+	"bronzelead.example/pkg/router"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	callRing  = 16384
+	tickEvery = 20 * time.Millisecond
+	// driftDivisor is the part of a lease that is given up for clocks that run
+	// apart.
+	driftDivisor = 10
+	noSessionFor = 2 * time.Second
+	noBackendFor = 3 * time.Second
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons for a refusal by the scheduler.
+const (
+	QueueFull   Reason = "QueueFull"
+	TooLate     Reason = "DeadlineTooShort"
+	NotAllowed  Reason = "NotAllowed"
+	NoQuorum    Reason = "NoQuorum"
+	NoBackend   Reason = "NoBackend"
+	Overloaded  Reason = "Overloaded"
+	CallerGone  Reason = "CallerGone"
+	ShutingDown Reason = "Stopping"
+)
+
+// Refusal is the answer to a request that did not run.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Job is a request on its way through the scheduler.
+type Job struct {
+	Customer  string
+	Priority  int32
+	Deadline  time.Time
+	Want      router.Want
+	BaseModel string
+
+	id       admitter.RequestID
+	arrived  time.Time
+	admitted time.Time
+	assigned time.Time
+	phase    phase
+	answer   chan verdict
+	current  *router.Candidate
+}
+
+// QueueWait is how long the job waited for its customer's limit.
+func (j *Job) QueueWait() time.Duration { return j.admitted.Sub(j.arrived) }
+
+// LoadStall is how long the job waited for its adapter to be usable somewhere.
+func (j *Job) LoadStall() time.Duration { return j.assigned.Sub(j.admitted) }
+
+type phase int
+
+const (
+	queued phase = iota
+	unassigned
+	assigned
+	gone
+)
+
+type verdict struct {
+	candidate *router.Candidate
+	refusal   *Refusal
+}
+
+// Scheduler makes the gateway's decisions. Set the exported fields, call Init, then
+// Run.
+type Scheduler struct {
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Registrar *registrar.Registrar
+	Router    *router.Router
+	// Wake asks for a renewal soon; it must not block.
+	Wake func()
+
+	calls     chan func(now time.Time)
+	admitter  *admitter.Admitter
+	jobs      map[admitter.RequestID]*Job
+	waiting   []*Job
+	nextID    uint64
+	session   session
+	announced map[string]*wire.Backend
+	until     atomic.Int64
+	current   atomic.Uint64
+	origin    time.Time
+	stopping  bool
+}
+
+// Init prepares the scheduler for calls before Run.
+func (s *Scheduler) Init() {
+	s.calls = make(chan func(time.Time), callRing)
+	s.admitter = &admitter.Admitter{}
+	s.jobs = map[admitter.RequestID]*Job{}
+	s.announced = map[string]*wire.Backend{}
+	s.origin = s.Clock.Now()
+}
+
+// Run works until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	ticker := s.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-s.calls:
+			call(s.Clock.Now())
+		case <-ticker.Chan():
+			s.tick(s.Clock.Now())
+		}
+	}
+}
+
+// Live reports whether the gateway's session lets it send work. It may be called
+// from any goroutine, directly before bytes are written.
+func (s *Scheduler) Live() bool { return s.liveAt(s.Clock.Now()) }
+
+func (s *Scheduler) liveAt(now time.Time) bool {
+	return int64(now.Sub(s.origin)) < s.until.Load()
+}
+
+// ErrNoSession is what Guard returns without a live session.
+var ErrNoSession = errors.New("scheduler: no live session; nothing was sent")
+
+// Guard returns an error unless the session is live.
+func (s *Scheduler) Guard() error {
+	if !s.Live() {
+		return ErrNoSession
+	}
+	return nil
+}
+
+// Enter waits until a job may go to a backend server. Exactly one of the results is
+// set. After a candidate was returned, Leave must be called.
+func (s *Scheduler) Enter(ctx context.Context, j *Job) (*router.Candidate, *Refusal) {
+	j.answer = make(chan verdict, 1)
+	if !s.try(func(now time.Time) { s.arrive(now, j) }) {
+		return nil, &Refusal{Reason: Overloaded, RetryAfter: time.Second}
+	}
+	return s.await(ctx, j)
+}
+
+// Again asks for another backend server for a job whose request did not run at the
+// last one. The job keeps its place in the customer's limit.
+func (s *Scheduler) Again(ctx context.Context, j *Job, failed, missing bool) (*router.Candidate, *Refusal) {
+	ok := s.try(func(now time.Time) {
+		s.end(now, j, failed, missing)
+		j.Want.Avoid = append(j.Want.Avoid, j.current.Backend.GetName())
+		j.current = nil
+		j.phase = unassigned
+		s.place(now, j)
+	})
+	if !ok {
+		return nil, &Refusal{Reason: Overloaded, RetryAfter: time.Second}
+	}
+	return s.await(ctx, j)
+}
+
+func (s *Scheduler) await(ctx context.Context, j *Job) (*router.Candidate, *Refusal) {
+	select {
+	case v := <-j.answer:
+		return v.candidate, v.refusal
+	case <-ctx.Done():
+	}
+	s.call(func(now time.Time) { s.abandon(now, j) })
+	return nil, &Refusal{Reason: CallerGone}
+}
+
+// Leave ends a job that went to a backend server. Failed marks that server as one
+// to try last.
+func (s *Scheduler) Leave(j *Job, failed bool) {
+	s.call(func(now time.Time) {
+		s.end(now, j, failed, false)
+		s.leave(now, j)
+		s.advance(now)
+	})
+}
+
+// try passes a call on unless too many wait.
+func (s *Scheduler) try(f func(now time.Time)) bool {
+	select {
+	case s.calls <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// call passes on a call that must not be lost.
+func (s *Scheduler) call(f func(now time.Time)) { s.calls <- f }
+
+func (s *Scheduler) arrive(now time.Time, j *Job) {
+	s.nextID++
+	j.id = admitter.RequestID(s.nextID)
+	j.arrived = now
+	switch {
+	case s.stopping:
+		j.answer <- verdict{refusal: &Refusal{Reason: ShutingDown, RetryAfter: time.Second}}
+		return
+	case !s.liveAt(now):
+		j.answer <- verdict{refusal: &Refusal{Reason: NoQuorum, RetryAfter: noSessionFor}}
+		return
+	}
+	admitted, refusal := s.admitter.Arrive(now, admitter.Request{
+		ID: j.id, Customer: j.Customer, Priority: j.Priority, Deadline: j.Deadline,
+	})
+	switch {
+	case refusal != nil:
+		j.answer <- verdict{refusal: refusalOf(*refusal)}
+	case admitted:
+		s.jobs[j.id] = j
+		s.admit(now, j)
+	default:
+		s.jobs[j.id] = j
+		s.Wake()
+	}
+}
+
+func refusalOf(r admitter.Refusal) *Refusal {
+	reasons := map[admitter.Reason]Reason{
+		admitter.QueueFull: QueueFull, admitter.TooLate: TooLate, admitter.NoContract: NotAllowed,
+	}
+	return &Refusal{Reason: reasons[r.Reason], RetryAfter: r.RetryAfter}
+}
+
+func (s *Scheduler) admit(now time.Time, j *Job) {
+	j.phase = unassigned
+	j.admitted = now
+	s.place(now, j)
+}
+
+// place sends an admitted job to a backend server, or lets it wait for one.
+func (s *Scheduler) place(now time.Time, j *Job) {
+	if refusal := s.stillAllowed(now, j); refusal != nil {
+		s.refuse(now, j, refusal)
+		return
+	}
+	if s.assign(now, j) {
+		return
+	}
+	if !s.Router.Knows(j.BaseModel, j.Want.Service) {
+		s.refuse(now, j, &Refusal{Reason: NoBackend, RetryAfter: noBackendFor})
+		return
+	}
+	s.waiting = append(s.waiting, j)
+	if j.Want.Adapter != "" {
+		s.Router.Wait(j.Want.Adapter, j.BaseModel)
+	}
+	s.Wake()
+}
+
+// stillAllowed looks at the contract once more: it may have changed while the job
+// was queued.
+func (s *Scheduler) stillAllowed(now time.Time, j *Job) *Refusal {
+	t := s.Registrar.ByCustomer(j.Customer)
+	switch {
+	case t == nil, j.Want.Adapter != "" && t.Adapter(j.Want.Adapter) == nil,
+		j.Want.Service != "" && t.Service(j.Want.Service) == nil:
+		return &Refusal{Reason: NotAllowed}
+	case !j.Deadline.After(now):
+		return &Refusal{Reason: TooLate, RetryAfter: time.Second}
+	}
+	return nil
+}
+
+func (s *Scheduler) assign(now time.Time, j *Job) bool {
+	c := s.Router.Pick(now, j.Want)
+	if c == nil && len(j.Want.Avoid) > 0 {
+		// Every server failed once; the least bad of them is better than none.
+		j.Want.Avoid = nil
+		c = s.Router.Pick(now, j.Want)
+	}
+	if c == nil {
+		return false
+	}
+	s.Router.Begin(now, j.Want, c)
+	if j.Want.Adapter != "" {
+		s.Router.Started(j.Want.Adapter, j.BaseModel)
+	}
+	j.phase, j.current, j.assigned = assigned, c, now
+	j.answer <- verdict{candidate: c}
+	return true
+}
+
+// end notes that a job's request at its present server is over.
+func (s *Scheduler) end(now time.Time, j *Job, failed, missing bool) {
+	s.Router.End(now, j.current, failed)
+	if missing {
+		s.Router.Missing(j.current)
+	}
+	if j.Want.Adapter != "" {
+		s.Router.Ended(j.Want.Adapter)
+	}
+}
+
+// leave takes a job out of the customer's limit.
+func (s *Scheduler) leave(now time.Time, j *Job) {
+	j.phase = gone
+	delete(s.jobs, j.id)
+	s.admitter.Leave(j.Customer, now.Sub(j.admitted))
+}
+
+func (s *Scheduler) refuse(now time.Time, j *Job, refusal *Refusal) {
+	s.leave(now, j)
+	j.answer <- verdict{refusal: refusal}
+}
+
+// abandon takes out a job whose caller is gone, wherever it is.
+func (s *Scheduler) abandon(now time.Time, j *Job) {
+	switch j.phase {
+	case queued:
+		if s.admitter.Cancel(j.id) {
+			delete(s.jobs, j.id)
+			j.phase = gone
+		}
+	case unassigned:
+		s.stopWaiting(j)
+		s.leave(now, j)
+	case assigned:
+		s.end(now, j, false, false)
+		s.leave(now, j)
+	case gone:
+	}
+	s.advance(now)
+}
+
+func (s *Scheduler) stopWaiting(j *Job) {
+	for i, other := range s.waiting {
+		if other == j {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			s.unwait(j)
+			return
+		}
+	}
+}
+
+func (s *Scheduler) unwait(j *Job) {
+	if j.Want.Adapter != "" {
+		s.Router.Unwait(j.Want.Adapter)
+	}
+}
+
+// advance lets queued jobs go on where there is room now.
+func (s *Scheduler) advance(now time.Time) {
+	admitted, refused := s.admitter.Next(now)
+	for _, r := range refused {
+		s.refuseQueued(r)
+	}
+	for _, id := range admitted {
+		s.admit(now, s.jobs[id])
+	}
+}
+
+func (s *Scheduler) refuseQueued(r admitter.Refusal) {
+	j := s.jobs[r.ID]
+	if j == nil {
+		return
+	}
+	delete(s.jobs, r.ID)
+	j.phase = gone
+	j.answer <- verdict{refusal: refusalOf(r)}
+}
+
+// retryWaiting tries to place the jobs that wait for a backend server.
+func (s *Scheduler) retryWaiting(now time.Time) {
+	waiting := s.waiting
+	s.waiting = nil
+	for _, j := range waiting {
+		refusal := s.stillAllowed(now, j)
+		switch {
+		case refusal != nil:
+			s.unwait(j)
+			s.refuse(now, j, refusal)
+		case s.assign(now, j):
+			s.unwait(j)
+		default:
+			s.waiting = append(s.waiting, j)
+		}
+	}
+}
+
+func (s *Scheduler) tick(now time.Time) {
+	if !s.liveAt(now) {
+		s.refuseAll(now, &Refusal{Reason: NoQuorum, RetryAfter: noSessionFor})
+		return
+	}
+	for _, r := range s.admitter.Expired(now) {
+		s.refuseQueued(r)
+	}
+	s.retryWaiting(now)
+	s.advance(now)
+	s.Router.GiveBackIdle(now)
+	if s.admitter.Unmet() || s.Router.Unmet() {
+		s.Wake()
+	}
+}
+
+// refuseAll answers all that waits at once, when nothing may be sent.
+func (s *Scheduler) refuseAll(now time.Time, refusal *Refusal) {
+	for _, id := range s.admitter.RefuseAll() {
+		j := s.jobs[id]
+		delete(s.jobs, id)
+		j.phase = gone
+		j.answer <- verdict{refusal: refusal}
+	}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, j := range waiting {
+		s.unwait(j)
+		s.refuse(now, j, refusal)
+	}
+}
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -111,7 +111,7 @@
 	case c.queue.Len() == 0 && c.running < c.share:
 		c.running++
 		return true, nil
-	case c.queue.Len() >= int(c.contract.GetQueueLength()):
+	case c.queue.Len() >= c.places():
 		return false, &Refusal{ID: r.ID, Reason: QueueFull, RetryAfter: c.retryAfter()}
 	case c.hopeless(now, r):
 		return false, &Refusal{ID: r.ID, Reason: TooLate, RetryAfter: c.retryAfter()}
@@ -232,6 +232,13 @@
 // Running returns the number of admitted requests of a customer.
 func (a *Admitter) Running(name string) uint32 { return a.customer(name).running }
 
+// places is how many requests may wait: the contract's queue, and as many as a
+// larger share of the limit would let run.
+func (c *customer) places() int {
+	growth := max(0, int(c.contract.GetRequestsAtOnce())-int(c.share))
+	return int(c.contract.GetQueueLength()) + growth
+}
+
 // hopeless reports whether the requests ahead will take longer than the deadline.
 func (c *customer) hopeless(now time.Time, r Request) bool {
 	return c.samples >= trustedSamples && c.expectedWait() > r.Deadline.Sub(now)
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,20 +58,35 @@
 	}
 }
 
-// guardedConn asks its guard directly before bytes are written, so that nothing
-// that happened since an earlier check is overlooked.
+// guardedConn asks its guard directly before the first byte of each request is
+// written, so that nothing that happened since an earlier check is overlooked. The
+// rest of a request that has begun is always written: a request of which nothing was
+// written certainly did not run, one that was cut in the middle might have.
 type guardedConn struct {
 	net.Conn
 	guard func() error
+	begun atomic.Bool
 }
 
 func (c *guardedConn) Write(b []byte) (int, error) {
-	if err := c.guard(); err != nil {
-		return 0, err
+	if !c.begun.Load() {
+		if err := c.guard(); err != nil {
+			return 0, err
+		}
+		c.begun.Store(true)
 	}
 	return c.Conn.Write(b)
 }
 
+// Read notes that an answer has come, after which the next write is a new request.
+func (c *guardedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.begun.Store(false)
+	}
+	return n, err
+}
+
 // Do sends a request with the key and a deadline.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(req.Context(), c.Timeout)
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -23,6 +23,7 @@
 	ID       SessionID
 	Instance string
 	Zone     string
+	Address  string
 	// Renewed is when the leader last received a renewal.
 	Renewed time.Time
 	// Sequence is the number of that renewal.
@@ -68,16 +69,15 @@
 	NeedFull
 )
 
-// Open adds a session. With adopted set it was opened under an earlier leader, and
-// what it holds is unknown.
-func (l *Leaser) Open(now time.Time, id SessionID, instance, zone string, adopted bool) {
+// Open adds a session with its ID and origin set. With adopted set it was opened
+// under an earlier leader, and what it holds is unknown.
+func (l *Leaser) Open(now time.Time, s Session, adopted bool) {
 	l.init()
-	if l.sessions[id] != nil {
+	if l.sessions[s.ID] != nil {
 		return
 	}
-	l.sessions[id] = &Session{
-		ID: id, Instance: instance, Zone: zone, Renewed: now, Reported: !adopted,
-	}
+	s.Renewed, s.Reported = now, !adopted
+	l.sessions[s.ID] = &s
 }
 
 // AdoptEnded notes a session that ended under an earlier leader, without handing
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -105,6 +105,33 @@
 	return s.granted
 }
 
+// Reductions returns the customers of which a session has to hand back a part,
+// with the share that it may keep. It does so only while others want more.
+func (l *Limiter) Reductions(id SessionID) []Demand {
+	var reductions []Demand
+	for name, c := range l.customers {
+		s := c.shares[id]
+		if s == nil || s.granted == 0 || !c.contended() {
+			continue
+		}
+		if target := c.target(s); target < s.granted {
+			reductions = append(reductions, Demand{Customer: name, Held: target, Wanted: s.wanted})
+		}
+	}
+	return reductions
+}
+
+// contended reports whether a session wants more than it has, or more was given
+// than the limit now allows.
+func (c *customer) contended() bool {
+	for _, s := range c.shares {
+		if s.wanted > s.granted {
+			return true
+		}
+	}
+	return c.sum() > c.limit
+}
+
 // Share returns what a session may use of a customer's limit.
 func (l *Limiter) Share(id SessionID, name string) uint32 {
 	if c := l.customers[name]; c != nil && c.shares[id] != nil {
--- /dev/null
+++ b/pkg/meter/meter.go
@@ -0,0 +1,123 @@
+// Package meter counts and times what the system does, with tally. Histograms are
+// kept for each customer and class; their number is bounded.
+package meter
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	// Customers and classes beyond this many share one series.
+	maxSeries    = 500
+	otherSeries  = "Other"
+	reportEvery  = time.Second
+	smallest     = 100 * time.Microsecond
+	bucketFactor = 2
+	bucketCount  = 22
+)
+
+// Meter holds a program's metrics. Make one with New.
+type Meter struct {
+	scope    tally.Scope
+	reporter tallyprom.Reporter
+
+	mu     sync.Mutex
+	series map[seriesKey]*Series
+	kinds  map[string]tally.Counter
+}
+
+type seriesKey struct{ customer, class string }
+
+// Series are the histograms of one customer and class.
+type Series struct {
+	QueueWait     tally.Histogram
+	LoadStall     tally.Histogram
+	FirstToken    tally.Histogram
+	BetweenTokens tally.Histogram
+	Duration      tally.Histogram
+}
+
+// New returns a meter whose metrics carry the program and where it runs.
+func New(program, instance, zone string) *Meter {
+	reporter := tallyprom.NewReporter(tallyprom.Options{})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "bronzelead_" + program,
+		Tags:                   map[string]string{"instance": instance, "zone": zone},
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return &Meter{scope: scope, reporter: reporter, series: map[seriesKey]*Series{}, kinds: map[string]tally.Counter{}}
+}
+
+// Handler serves the metrics as text.
+func (m *Meter) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// For returns the series of a customer and class.
+func (m *Meter) For(customer, class string) *Series {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := seriesKey{customer: customer, class: class}
+	if s := m.series[key]; s != nil {
+		return s
+	}
+	if len(m.series) >= maxSeries {
+		key = seriesKey{customer: otherSeries, class: otherSeries}
+		if s := m.series[key]; s != nil {
+			return s
+		}
+	}
+	s := m.newSeries(key)
+	m.series[key] = s
+	return s
+}
+
+func (m *Meter) newSeries(key seriesKey) *Series {
+	scope := m.scope.Tagged(map[string]string{"customer": key.customer, "class": key.class})
+	buckets := tally.MustMakeExponentialDurationBuckets(smallest, bucketFactor, bucketCount)
+	return &Series{
+		QueueWait:     scope.Histogram("queue_wait", buckets),
+		LoadStall:     scope.Histogram("load_stall", buckets),
+		FirstToken:    scope.Histogram("first_token", buckets),
+		BetweenTokens: scope.Histogram("between_tokens", buckets),
+		Duration:      scope.Histogram("duration", buckets),
+	}
+}
+
+// Ended counts an answered or refused request.
+func (m *Meter) Ended(customer, class, kind string, took time.Duration) {
+	m.For(customer, class).Duration.RecordDuration(took)
+	m.Count("requests", "kind", kind)
+}
+
+// Count adds one to a counter with one tag.
+func (m *Meter) Count(name, tag, value string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := name + "/" + value
+	c := m.kinds[key]
+	if c == nil {
+		if len(m.kinds) >= maxSeries {
+			return
+		}
+		c = m.scope.Tagged(map[string]string{tag: value}).Counter(name)
+		m.kinds[key] = c
+	}
+	c.Inc(1)
+}
+
+// BatchFill records how full an engine's steps run, as a part of its batch.
+func (m *Meter) BatchFill(part float64) {
+	m.scope.Histogram("batch_fill", tally.MustMakeLinearValueBuckets(0, 0.1, 11)).RecordValue(part)
+}
+
+// Took records how long something of the system itself took.
+func (m *Meter) Took(what string, d time.Duration) {
+	buckets := tally.MustMakeExponentialDurationBuckets(smallest, bucketFactor, bucketCount)
+	m.scope.Histogram(what, buckets).RecordDuration(d)
+}
--- a/pkg/recorder/claims.go
+++ b/pkg/recorder/claims.go
@@ -1,6 +1,8 @@
 package recorder
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"bronzelead.example/pkg/wire"
 )
 
@@ -12,7 +14,7 @@
 		own := c.GetState() == wire.ClaimState_CLAIM_STATE_RUNNING && !c.GetOrphaned() &&
 			c.GetCommand().GetRequestId() == cmd.GetRequestId() &&
 			c.GetCommand().GetAttempt() == cmd.GetAttempt()
-		return &wire.ClaimResponse{Granted: own, Claim: c}
+		return &wire.ClaimResponse{Granted: own, Claim: proto.CloneOf(c)}
 	}
 	if r.sessions[cmd.GetSession()] == nil {
 		// A session that has ended may claim nothing: nobody would notice its end.
@@ -25,7 +27,7 @@
 	r.claims[key] = c
 	r.own(key, c)
 	r.expiry.push(key, c.GetExpiresAtNs())
-	return &wire.ClaimResponse{Granted: true, Claim: c}
+	return &wire.ClaimResponse{Granted: true, Claim: proto.CloneOf(c)}
 }
 
 func (r *Recorder) own(key ClaimKey, c *wire.Claim) {
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -136,7 +136,7 @@
 	}
 	s := &wire.Session{
 		Id: index, Instance: cmd.GetInstance(), Zone: cmd.GetZone(),
-		Nonce: cmd.GetNonce(), OpenedAtNs: r.now,
+		Nonce: cmd.GetNonce(), OpenedAtNs: r.now, Address: cmd.GetAddress(),
 	}
 	r.sessions[index] = s
 	return s
--- a/pkg/recorder/snapshot.go
+++ b/pkg/recorder/snapshot.go
@@ -75,3 +75,13 @@
 		r.own(key, c)
 	}
 }
+
+// First encodes the state of a new cluster, in which only members are admitted.
+func First(members []string) ([]byte, error) {
+	r := New()
+	r.applied = 1
+	for _, name := range members {
+		r.admitted[name] = true
+	}
+	return r.Snapshot()
+}
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,329 @@
+// Package router chooses the backend server for a request, among those that the
+// gateway may use: engines on which it holds a lease for the adapter, and the
+// replicas of a plain service.
+//
+// It is pure: reports and the time go in, choices come out. Loads are hints; a
+// gateway corrects each lagged report by what it has itself sent since. It is not
+// safe for concurrent use.
+package router
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// LeaseID names a lease on an adapter at an engine.
+type LeaseID uint64
+
+// Policy holds the weights of a choice.
+type Policy struct {
+	// BatchWeight counts the places that stay empty in an engine's steps.
+	BatchWeight float64
+	// StallWeight counts the work that waits before a request.
+	StallWeight float64
+	// PrefixWeight counts a prompt's beginning that the engine has cached.
+	PrefixWeight float64
+	// ZoneWeight counts leaving the gateway's availability zone.
+	ZoneWeight float64
+	// SuspectFor is how long a backend server that failed is tried last.
+	SuspectFor time.Duration
+	// IdleLease is how long an unused lease is kept.
+	IdleLease time.Duration
+}
+
+// Router knows the backend servers and leases of one gateway. Set the exported
+// fields before use.
+type Router struct {
+	Policy Policy
+	// Zone is the gateway's availability zone.
+	Zone string
+	// Choose overrides the policy's choice among candidates; the baselines of a
+	// bench use it.
+	Choose func(candidates []*Candidate) *Candidate
+
+	backends map[string]*backend
+	leases   map[LeaseID]*lease
+	adapters map[string]map[LeaseID]*lease
+	released []uint64
+	demand   map[string]*demand
+	prefixes prefixCache
+}
+
+type backend struct {
+	info    *wire.Backend
+	drained bool
+	// own counts the gateway's requests there; sent those since the last report.
+	own      int
+	sent     int
+	suspects time.Time
+}
+
+type lease struct {
+	grant    *wire.LeaseGrant
+	inUse    int
+	recalled bool
+	lastUsed time.Time
+}
+
+// demand is a gateway's use of one adapter.
+type demand struct {
+	base    string
+	waiting uint32
+	running uint32
+	started uint32
+	changed bool
+}
+
+// Candidate is a backend server that could take a request.
+type Candidate struct {
+	Backend *wire.Backend
+	Lease   LeaseID
+	// Load is the number of requests thought to be there.
+	Load int
+	// Score is better when lower.
+	Score    float64
+	Prefix   bool
+	Suspect  bool
+	SameZone bool
+}
+
+// Want is what a request needs.
+type Want struct {
+	// Adapter is the model name with its version; empty for a plain service.
+	Adapter string
+	Service string
+	// Prefix is a digest of the prompt's beginning, or 0.
+	Prefix uint64
+	// Avoid names backend servers that failed this request.
+	Avoid []string
+}
+
+// Update takes in what is known of backend servers. With whole set, those that
+// aren't named are gone.
+func (r *Router) Update(list []*wire.Backend, gone, drained []string, whole bool) {
+	if r.backends == nil {
+		r.backends = map[string]*backend{}
+	}
+	named := map[string]bool{}
+	for _, info := range list {
+		named[info.GetName()] = true
+		b := r.backends[info.GetName()]
+		if b == nil || b.info.GetIncarnation() != info.GetIncarnation() {
+			b = &backend{}
+			r.backends[info.GetName()] = b
+		}
+		b.info = info
+		b.sent = 0
+	}
+	for name, b := range r.backends {
+		if whole && !named[name] || slices.Contains(gone, name) {
+			delete(r.backends, name)
+			continue
+		}
+		b.drained = slices.Contains(drained, name)
+	}
+}
+
+// Grant adds leases.
+func (r *Router) Grant(now time.Time, grants []*wire.LeaseGrant) {
+	if r.leases == nil {
+		r.leases = map[LeaseID]*lease{}
+		r.adapters = map[string]map[LeaseID]*lease{}
+	}
+	for _, g := range grants {
+		id := LeaseID(g.GetId())
+		if r.leases[id] != nil {
+			continue
+		}
+		l := &lease{grant: g, lastUsed: now}
+		r.leases[id] = l
+		if r.adapters[g.GetAdapter()] == nil {
+			r.adapters[g.GetAdapter()] = map[LeaseID]*lease{}
+		}
+		r.adapters[g.GetAdapter()][id] = l
+	}
+}
+
+// Recall starts to give leases back: no new request uses them, and each is released
+// when its last request has ended.
+func (r *Router) Recall(ids []uint64) {
+	for _, id := range ids {
+		l := r.leases[LeaseID(id)]
+		if l == nil {
+			// It was released, or never arrived; the leader shall know either way.
+			r.released = append(r.released, id)
+			continue
+		}
+		l.recalled = true
+		r.releaseIfDone(LeaseID(id), l)
+	}
+}
+
+// GiveBackIdle releases leases that were not used for a while.
+func (r *Router) GiveBackIdle(now time.Time) {
+	for id, l := range r.leases {
+		if l.inUse == 0 && now.Sub(l.lastUsed) > r.Policy.IdleLease {
+			l.recalled = true
+			r.releaseIfDone(id, l)
+		}
+	}
+}
+
+// Void drops all leases, when the session they were held under has ended.
+func (r *Router) Void() {
+	r.leases, r.adapters, r.released = nil, nil, nil
+}
+
+func (r *Router) releaseIfDone(id LeaseID, l *lease) {
+	if !l.recalled || l.inUse > 0 {
+		return
+	}
+	r.drop(id, l)
+	r.released = append(r.released, uint64(id))
+}
+
+func (r *Router) drop(id LeaseID, l *lease) {
+	delete(r.leases, id)
+	delete(r.adapters[l.grant.GetAdapter()], id)
+	if len(r.adapters[l.grant.GetAdapter()]) == 0 {
+		delete(r.adapters, l.grant.GetAdapter())
+	}
+}
+
+// Pick returns the best backend server for a request, or nil when there is none
+// that may be used.
+func (r *Router) Pick(now time.Time, w Want) *Candidate {
+	candidates := r.candidates(now, w)
+	if len(candidates) == 0 {
+		return nil
+	}
+	if r.Choose != nil {
+		return r.Choose(candidates)
+	}
+	return slices.MinFunc(candidates, func(a, b *Candidate) int {
+		return cmp.Or(cmp.Compare(a.Score, b.Score), cmp.Compare(a.Backend.GetName(), b.Backend.GetName()))
+	})
+}
+
+func (r *Router) candidates(now time.Time, w Want) []*Candidate {
+	var candidates []*Candidate
+	add := func(b *backend, id LeaseID) {
+		if b == nil || b.info.GetLeaving() || b.drained || slices.Contains(w.Avoid, b.info.GetName()) {
+			return
+		}
+		candidates = append(candidates, r.candidate(now, w, b, id))
+	}
+	if w.Service != "" {
+		for _, name := range slices.Sorted(maps.Keys(r.backends)) {
+			if b := r.backends[name]; b.info.GetService() == w.Service {
+				add(b, 0)
+			}
+		}
+		return candidates
+	}
+	for id, l := range r.adapters[w.Adapter] {
+		b := r.backends[l.grant.GetBackend()]
+		if !l.recalled && b != nil && b.info.GetIncarnation() == l.grant.GetIncarnation() {
+			add(b, id)
+		}
+	}
+	return candidates
+}
+
+func (r *Router) candidate(now time.Time, w Want, b *backend, id LeaseID) *Candidate {
+	c := &Candidate{
+		Backend: b.info, Lease: id, Load: b.load(),
+		Suspect: now.Before(b.suspects), SameZone: b.info.GetZone() == r.Zone,
+		Prefix: w.Prefix != 0 && r.prefixes.has(b.info.GetName(), w.Prefix),
+	}
+	c.Score = r.score(c)
+	return c
+}
+
+const suspectScore = 1000
+
+// score weighs lost places in a batch against waiting behind a full one.
+func (r *Router) score(c *Candidate) float64 {
+	batch := float64(max(1, c.Backend.GetBatch()))
+	fill := float64(c.Load) / batch
+	score := r.Policy.StallWeight * max(0, fill-1)
+	score += r.Policy.BatchWeight * max(0, 1-fill)
+	if r.Policy.BatchWeight == 0 {
+		score = r.Policy.StallWeight * fill
+	}
+	if c.Prefix {
+		score -= r.Policy.PrefixWeight
+	}
+	if !c.SameZone {
+		score += r.Policy.ZoneWeight
+	}
+	if c.Suspect {
+		score += suspectScore
+	}
+	return score
+}
+
+// load is the last report, and what this gateway has sent since.
+func (b *backend) load() int {
+	reported := int(b.info.GetRunning() + b.info.GetWaiting())
+	return max(reported+b.sent, b.own)
+}
+
+// Begin notes that a request goes to a candidate.
+func (r *Router) Begin(now time.Time, w Want, c *Candidate) {
+	if b := r.backends[c.Backend.GetName()]; b != nil {
+		b.own++
+		b.sent++
+	}
+	if l := r.leases[c.Lease]; l != nil {
+		l.inUse++
+		l.lastUsed = now
+	}
+	if w.Prefix != 0 {
+		r.prefixes.add(c.Backend.GetName(), w.Prefix)
+	}
+}
+
+// End notes that a request at a candidate has ended. Failed marks the backend
+// server as one to try last for a while.
+func (r *Router) End(now time.Time, c *Candidate, failed bool) {
+	b := r.backends[c.Backend.GetName()]
+	if b != nil && b.info.GetIncarnation() == c.Backend.GetIncarnation() {
+		b.own--
+		b.sent--
+		if failed {
+			b.suspects = now.Add(r.Policy.SuspectFor)
+		}
+	}
+	if l := r.leases[c.Lease]; l != nil {
+		l.inUse--
+		l.lastUsed = now
+		r.releaseIfDone(c.Lease, l)
+	}
+}
+
+// Missing notes that an engine said it does not have an adapter after all.
+func (r *Router) Missing(c *Candidate) {
+	if l := r.leases[c.Lease]; l != nil {
+		l.recalled = true
+		r.releaseIfDone(c.Lease, l)
+	}
+}
+
+// Knows reports whether there is any backend server that takes new work for a base
+// model or, if that is empty, for a service.
+func (r *Router) Knows(baseModel, service string) bool {
+	for _, b := range r.backends {
+		takes := !b.info.GetLeaving() && !b.drained
+		fits := baseModel != "" && b.info.GetBaseModel() == baseModel ||
+			baseModel == "" && b.info.GetService() == service
+		if takes && fits {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/translator/orders.go
+++ b/pkg/translator/orders.go
@@ -13,6 +13,9 @@
 
 const maxRefusal = 4 << 10
 
+// AlreadyLoaded is in the text with which an engine refuses to load twice.
+const AlreadyLoaded = "already been loaded"
+
 // LoadRequest is the published call that loads an adapter.
 type LoadRequest struct {
 	Name string `json:"lora_name"`
@@ -67,8 +70,19 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	text, _ := io.ReadAll(io.LimitReader(res.Body, maxRefusal))
-	if res.StatusCode != http.StatusOK {
+	if res.StatusCode != http.StatusOK && !o.done(res.StatusCode, text, body) {
 		return fail("Order", KindRefused, "%s: %s", res.Status, bytes.TrimSpace(text))
 	}
 	return nil
 }
+
+// done recognizes refusals which say that what was ordered is so already.
+func (o *Orders) done(status int, text []byte, body any) bool {
+	switch body.(type) {
+	case LoadRequest:
+		return status == http.StatusBadRequest && bytes.Contains(text, []byte(AlreadyLoaded))
+	case UnloadRequest:
+		return status == http.StatusNotFound
+	}
+	return false
+}
--- /dev/null
+++ b/standin/announcer/announcer.go
@@ -0,0 +1,73 @@
+// Package announcer lets a stand-in backend server announce itself to gateways.
+package announcer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/translator"
+)
+
+const timeout = 500 * time.Millisecond
+
+// Announcer announces one server. Set the exported fields, then call Run.
+type Announcer struct {
+	// Gateways are asked in turn, as a balancer would.
+	Gateways []string
+	Key      string
+	Every    time.Duration
+	// Now returns what to announce.
+	Now func() translator.Announcement
+
+	next int
+}
+
+// Run announces until ctx ends, and then once more that the server is leaving.
+func (a *Announcer) Run(ctx context.Context) {
+	client := &connector.Client{Timeout: timeout, Key: a.Key, Transport: connector.NewTransport(nil)}
+	ticker := time.NewTicker(a.Every)
+	defer ticker.Stop()
+	for {
+		a.announce(client)
+		select {
+		case <-ctx.Done():
+			a.announce(client)
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce tells the next gateway that takes it.
+func (a *Announcer) announce(client *connector.Client) {
+	body, err := json.Marshal(a.Now())
+	if err != nil {
+		return
+	}
+	for range a.Gateways {
+		address := a.Gateways[a.next%len(a.Gateways)]
+		a.next++
+		if post(client, address, body) {
+			return
+		}
+	}
+}
+
+func post(client *connector.Client, address string, body []byte) bool {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+translator.AnnouncePath, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/standin/app/main.go
@@ -0,0 +1,178 @@
+// Package app runs one stand-in.
+package app
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/authenticator"
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/logger"
+	"bronzelead.example/pkg/server"
+	"bronzelead.example/pkg/translator"
+	"bronzelead.example/standin/acknowledger"
+	"bronzelead.example/standin/announcer"
+	"bronzelead.example/standin/generator"
+	"bronzelead.example/standin/provider"
+)
+
+const (
+	exitOK        = 0
+	exitFailed    = 1
+	exitArguments = 2
+	stopWithin    = 30 * time.Second
+	weightTimeout = 20 * time.Second
+)
+
+type place struct {
+	Name     string        `required:"" help:"Name of the instance."`
+	Zone     string        `required:"" help:"Availability zone."`
+	Listen   string        `required:"" help:"IP number and port."`
+	Gateways []string      `required:"" help:"IP numbers and ports of gateways to announce to."`
+	KeyFile  string        `required:"" help:"File with the key of backend servers."`
+	Every    time.Duration `default:"1s" help:"Time between announcements."`
+	Leave    time.Duration `default:"5s" help:"How long requests are still served after leaving was announced."`
+}
+
+type commandLine struct {
+	Engine struct {
+		Place         place         `embed:""`
+		BaseModel     string        `default:"base" help:"Base model."`
+		Slots         int           `default:"4" help:"Adapters that fit."`
+		Batch         int           `default:"16" help:"Requests in one step."`
+		Step          time.Duration `default:"5ms" help:"Time of one step."`
+		IgnoreFencing bool          `help:"Take orders with old fencing numbers."`
+	} `cmd:"" help:"Play a model engine."`
+	Service struct {
+		Place   place  `embed:""`
+		Service string `required:"" help:"Name of the service."`
+	} `cmd:"" help:"Play a plain service."`
+	Store struct {
+		Listen    string        `required:"" help:"IP number and port."`
+		PerSecond float64       `default:"5" help:"Loads a second."`
+		AtOnce    int           `default:"3" help:"Loads at once at full speed."`
+		Takes     time.Duration `default:"300ms" help:"Time of one load."`
+	} `cmd:"" help:"Play the weight store."`
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	line := &commandLine{}
+	exited := -1
+	parser, err := kong.New(line, kong.Name("standin"), kong.Description("Plays a system that bronzelead serves."),
+		kong.Writers(stdout, stderr), kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "standin:", err)
+		return exitArguments
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	log := logger.New(stderr, slog.LevelInfo, "standin", parsed.Command(), "")
+	logger.UseForLibrary(log)
+	if err := line.run(ctx, parsed.Command(), log); err != nil {
+		_, _ = fmt.Fprintln(stderr, "standin:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func (c *commandLine) run(ctx context.Context, command string, log *slog.Logger) error {
+	switch command {
+	case "engine":
+		return c.engine(ctx, log)
+	case "service":
+		return c.service(ctx, log)
+	}
+	p := &provider.Provider{PerSecond: c.Store.PerSecond, AtOnce: c.Store.AtOnce, Takes: c.Store.Takes}
+	return serve(ctx, log, c.Store.Listen, p.Handler())
+}
+
+func (c *commandLine) engine(ctx context.Context, log *slog.Logger) error {
+	e := c.Engine
+	client := &connector.Client{Timeout: weightTimeout, Transport: connector.NewTransport(nil)}
+	g := &generator.Generator{
+		BaseModel: e.BaseModel, Slots: e.Slots, Batch: e.Batch, Step: e.Step,
+		ChecksFencing: !e.IgnoreFencing, Weights: func(path string) error { return fetch(client, path) },
+	}
+	g.Init(rand.Text())
+	go g.Run(make(chan struct{}))
+	return announced(ctx, log, e.Place, g.Handler(), g.Announcement)
+}
+
+// fetch loads weights from the store.
+func fetch(client *connector.Client, path string) error {
+	req, err := http.NewRequest(http.MethodGet, path, nil)
+	if err != nil {
+		return errors.Wrap(err, "app")
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "app")
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return errors.Wrap(err, "app")
+}
+
+func (c *commandLine) service(ctx context.Context, log *slog.Logger) error {
+	a := &acknowledger.Acknowledger{Name: c.Service.Service}
+	incarnation := rand.Text()
+	return announced(ctx, log, c.Service.Place, a.Handler(), func() translator.Announcement {
+		return translator.Announcement{Kind: translator.KindService, Incarnation: incarnation, Service: c.Service.Service}
+	})
+}
+
+// announced serves a backend server that announces itself, and that leaves before
+// it stops.
+func announced(ctx context.Context, log *slog.Logger, p place, handler http.Handler, now func() translator.Announcement) error {
+	key, err := authenticator.ReadKey(p.KeyFile)
+	if err != nil {
+		return errors.Wrap(err, "app")
+	}
+	var leaving atomic.Bool
+	a := &announcer.Announcer{Gateways: p.Gateways, Key: key, Every: p.Every, Now: func() translator.Announcement {
+		said := now()
+		said.Name, said.Zone, said.Address = p.Name, p.Zone, p.Listen
+		said.Leaving = leaving.Load()
+		return said
+	}}
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		leaving.Store(true)
+		time.AfterFunc(p.Leave, stop)
+	}()
+	go a.Run(serving)
+	return serve(serving, log, p.Listen, handler)
+}
+
+func serve(ctx context.Context, log *slog.Logger, address string, handler http.Handler) error {
+	s := &server.Server{Address: address, Handler: handler, Log: log}
+	if err := s.Start(); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	<-ctx.Done()
+	limited, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	return errors.Wrap(s.Stop(limited), "app")
+}
--- /dev/null
+++ b/standin/generator/serve.go
@@ -0,0 +1,260 @@
+package generator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"bronzelead.example/pkg/translator"
+)
+
+const crossedID = "someone-elses"
+
+// Handler serves the engine's protocol and, below /control/, what tests need.
+func (g *Generator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+translator.CompletionsPath, g.complete)
+	mux.HandleFunc("POST "+translator.ChatPath, g.complete)
+	mux.HandleFunc("GET "+translator.RequestsPath+"{id}", g.resume)
+	mux.HandleFunc("POST "+translator.RequestsPath+"{id}/cancel", g.cancelRequest)
+	mux.HandleFunc("POST "+translator.LoadPath, g.load)
+	mux.HandleFunc("POST "+translator.UnloadPath, g.unload)
+	mux.HandleFunc("POST /control/fault", g.setFault)
+	mux.HandleFunc("GET /control/log", g.serveLog)
+	return g.freezing(mux)
+}
+
+// freezing holds all answers back while the engine is frozen.
+func (g *Generator) freezing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.mu.Lock()
+		wait := time.Until(g.frozenUntil)
+		g.mu.Unlock()
+		if wait > 0 && !strings.HasPrefix(r.URL.Path, "/control/") {
+			select {
+			case <-time.After(wait):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type body struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+func (g *Generator) complete(w http.ResponseWriter, r *http.Request) {
+	b := body{MaxTokens: defaultTokens}
+	data, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(data, &b) != nil || b.MaxTokens < 1 || b.MaxTokens > maxTokens {
+		refuse(w, http.StatusBadRequest, "the body is not right")
+		return
+	}
+	if g.loses() {
+		drop(w)
+		return
+	}
+	id := r.Header.Get(translator.RequestIDHeader)
+	priority, _ := strconv.Atoi(r.Header.Get(translator.PriorityHeader))
+	req := &request{
+		id: id, answerID: translator.AnswerID(r.URL.Path, id), model: b.Model, tokens: b.MaxTokens,
+		chat: r.URL.Path == translator.ChatPath, stream: b.Stream, priority: priority, readers: 1,
+	}
+	if status := g.add(req); status != http.StatusOK {
+		refuse(w, status, "the request does not run here")
+		return
+	}
+	g.answer(r.Context(), w, req, 0)
+	g.unread(req)
+}
+
+func (g *Generator) loses() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fault.Lose == 0 {
+		return false
+	}
+	g.fault.Lose--
+	return true
+}
+
+func drop(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "1000")
+	_, _ = w.Write([]byte("cut"))
+}
+
+func refuse(w http.ResponseWriter, status int, text string) {
+	w.Header().Set(translator.RanHeader, translator.RanNo)
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
+
+func (g *Generator) unread(r *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.readers--
+	r.unreadAt = time.Now()
+}
+
+// resume sends what there is of a request, from an event on, and what follows.
+func (g *Generator) resume(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	g.mu.Lock()
+	req := g.requests[r.PathValue("id")]
+	if req != nil && !req.tombstone {
+		req.readers++
+		req.cross = false
+	}
+	g.mu.Unlock()
+	if req == nil || req.tombstone {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	g.answer(r.Context(), w, req, after)
+	g.unread(req)
+}
+
+// cancelRequest ends a request. One that has not started, or was never seen, leaves
+// a tombstone: it will not run if it arrives later.
+func (g *Generator) cancelRequest(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	g.mu.Lock()
+	req := g.requests[id]
+	if req == nil {
+		req = &request{id: id}
+		g.remember(req)
+	}
+	if !req.done {
+		g.cancel(req)
+	}
+	ran := "partly"
+	if !req.ran {
+		ran = translator.RanNo
+	}
+	g.mu.Unlock()
+	answer, _ := json.Marshal(translator.Cancellation{Ran: ran})
+	_, _ = w.Write(answer)
+}
+
+func (g *Generator) answer(ctx context.Context, w http.ResponseWriter, r *request, after int) {
+	w.Header().Set(translator.RequestIDHeader, r.id)
+	if r.stream {
+		g.stream(ctx, w, r, after)
+		return
+	}
+	events, ok := g.await(ctx, r, r.tokens)
+	if !ok {
+		return
+	}
+	data := r.encode(strings.Join(events, ""), true)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if r.truncates() {
+		data = data[:len(data)/2]
+	}
+	_, _ = w.Write(data)
+}
+
+func (g *Generator) stream(ctx context.Context, w http.ResponseWriter, r *request, after int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Transfer-Encoding", "chunked")
+	w.WriteHeader(http.StatusOK)
+	flush(w)
+	for sent := after; sent < r.tokens; {
+		events, ok := g.await(ctx, r, sent+1)
+		if !ok {
+			return
+		}
+		for _, text := range events[sent:] {
+			if sent == r.tokens/2 && r.truncates() {
+				return
+			}
+			_, _ = w.Write([]byte("data: " + string(r.encode(text, sent+1 == r.tokens)) + "\n\n"))
+			sent++
+		}
+		flush(w)
+	}
+	_, _ = w.Write([]byte("data: [DONE]\n\n"))
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// truncates reports, once, that the answer is to be cut.
+func (r *request) truncates() bool {
+	cut := r.truncate
+	r.truncate = false
+	return cut
+}
+
+// await waits until a request has so many events.
+func (g *Generator) await(ctx context.Context, r *request, count int) ([]string, bool) {
+	stop := context.AfterFunc(ctx, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.changed.Broadcast()
+	})
+	defer stop()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for len(r.events) < count && !r.tombstone && ctx.Err() == nil {
+		g.changed.Wait()
+	}
+	return r.events, len(r.events) >= count && ctx.Err() == nil && !r.tombstone
+}
+
+type answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Text    string   `json:"text,omitempty"`
+	Delta   *message `json:"delta,omitempty"`
+	Message *message `json:"message,omitempty"`
+	Reason  string   `json:"finish_reason,omitempty"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (r *request) encode(text string, last bool) []byte {
+	a := answer{ID: r.answerID, Object: "text_completion", Model: r.model}
+	if r.cross {
+		a.ID = crossedID
+	}
+	c := choice{}
+	switch {
+	case r.chat && r.stream:
+		a.Object, c.Delta = "chat.completion.chunk", &message{Role: "assistant", Content: text}
+	case r.chat:
+		a.Object, c.Message = "chat.completion", &message{Role: "assistant", Content: text}
+	default:
+		c.Text = text
+	}
+	if last {
+		c.Reason = "length"
+	}
+	a.Choices = []choice{c}
+	data, err := json.Marshal(a)
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,11 @@
+// Command standin plays the systems that bronzelead serves: a model engine, a plain
+// service, or the weight store, one a process.
+package main
+
+import (
+	"os"
+
+	"bronzelead.example/standin/app"
+)
+
+func main() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/standin/provider/provider.go
@@ -0,0 +1,60 @@
+// Package provider is a stand-in for the rate-limited weight store: it serves
+// adapters, a few loads at once at full speed and so many a second.
+package provider
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Provider serves weights. Set the exported fields before use.
+type Provider struct {
+	// PerSecond and AtOnce are the limits that a load should keep.
+	PerSecond float64
+	AtOnce    int
+	// Takes is how long a load takes at full speed.
+	Takes time.Duration
+
+	mu      sync.Mutex
+	running int
+	most    int
+	loads   int
+	free    time.Time
+}
+
+// Handler serves GET /weights/ADAPTER and GET /control/loads.
+func (p *Provider) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{adapter}", p.serve)
+	return mux
+}
+
+func (p *Provider) serve(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-time.After(p.begin()):
+	case <-r.Context().Done():
+	}
+	p.end()
+	_, _ = w.Write([]byte("weights of " + r.PathValue("adapter")))
+}
+
+// begin returns how long this load takes: longer when too many run, or come at once.
+func (p *Provider) begin() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running++
+	p.loads++
+	p.most = max(p.most, p.running)
+	now := time.Now()
+	wait := max(0, p.free.Sub(now))
+	p.free = now.Add(wait + time.Duration(float64(time.Second)/p.PerSecond))
+	slow := max(1, float64(p.running)/float64(p.AtOnce))
+	return wait + time.Duration(float64(p.Takes)*slow)
+}
+
+func (p *Provider) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+}
