--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -153,7 +153,7 @@
 	forward := &connector.Client{
 		Timeout: s.Timing.PeerTimeout, Key: a.clusterKey, Transport: connector.NewTransport(nil), Forwarded: true,
 	}
-	a.transporter = &transporter.Transporter{Log: a.Log, Client: a.peers, Cluster: a.clusterID}
+	a.transporter = &transporter.Transporter{Log: a.Log, Client: a.peers, Cluster: a.clusterID, Self: a.member(id)}
 	a.coordinator = &coordinator.Coordinator{
 		Clock: a.Clock, Log: a.Log, In: items, Policy: a.policy(), Lease: s.Timing.SessionLease,
 		LongestRequest: s.Timing.LongestRequest, SnapshotEvery: uint64(s.Data.SnapshotEvery),
@@ -195,7 +195,7 @@
 func (a *App) handler(forward *connector.Client) http.Handler {
 	cluster := authenticator.Ring{authenticator.DigestOf(a.clusterKey): authenticator.Cluster}
 	peer := &responder.Peer{
-		Keeper: a.keeper, Cluster: a.clusterID, Leader: a.responder.LeaderAddress,
+		Keeper: a.keeper, Cluster: a.clusterID, Leader: a.responder.LeaderAddress, Heard: a.transporter.Heard,
 		Client: func(address string) wire.Peer { return wire.NewPeerProtobufClient("http://"+address, forward) },
 	}
 	mux := http.NewServeMux()
@@ -222,9 +222,7 @@
 // join asks to become a member as long as the instance is none.
 func (a *App) join(ctx context.Context, id string) {
 	controllers := &connector.Controllers{Addresses: a.Settings.Members.Addresses}
-	member := &wire.Member{
-		Id: id, Name: a.Settings.Instance.Name, Address: a.Settings.address(), Zone: a.Settings.Instance.Zone,
-	}
+	member := a.member(id)
 	for {
 		if !a.isVoter(id) {
 			a.askToJoin(ctx, controllers, member)
@@ -237,6 +235,11 @@
 	}
 }
 
+func (a *App) member(id string) *wire.Member {
+	s := a.Settings
+	return &wire.Member{Id: id, Name: s.Instance.Name, Address: s.address(), Zone: s.Instance.Zone}
+}
+
 func (a *App) isVoter(id string) bool {
 	for _, m := range a.keeper.Standing().Configuration.GetVoters() {
 		if m.GetId() == id {
--- a/controller/coordinator/backends.go
+++ b/controller/coordinator/backends.go
@@ -99,22 +99,27 @@
 		a.GetRunning() == b.GetRunning() && a.GetWaiting() == b.GetWaiting()
 }
 
-// addTo adds what changed since a version. A version of another term is answered
-// with the whole list.
-func (l *backendList) addTo(res *wire.RenewResponse, since uint64) {
+// addTo adds what changed since a version. A version of an earlier leader is answered
+// with the whole list. A leader that is new has not heard of all servers: until it
+// is warm it takes nothing from what a gateway knows from its predecessor.
+func (l *backendList) addTo(res *wire.RenewResponse, since uint64, warming bool) {
 	res.BackendsVersion = l.version
 	if since == l.version {
 		return
 	}
-	res.BackendsWhole = since < l.first || since > l.version
+	foreign := since < l.first || since > l.version
+	res.BackendsWhole = foreign && !warming
+	if foreign && warming && since != 0 {
+		res.BackendsVersion = since
+	}
 	res.Drained = l.drained
 	for _, name := range slices.Sorted(maps.Keys(l.known)) {
-		if b := l.known[name]; res.GetBackendsWhole() || b.version > since {
+		if b := l.known[name]; foreign || b.version > since {
 			res.Backends = append(res.Backends, forGateways(b.info))
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.gone)) {
-		if !res.GetBackendsWhole() && l.gone[name] > since {
+		if !foreign && l.gone[name] > since {
 			res.Gone = append(res.Gone, name)
 		}
 	}
--- a/controller/coordinator/coordinator.go
+++ b/controller/coordinator/coordinator.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	callRing  = 8192
-	tickEvery = 20 * time.Millisecond
+	callRing             = 8192
+	tickEvery            = 20 * time.Millisecond
 	defaultSnapshotEvery = 20_000
 )
 
--- a/controller/coordinator/sessions.go
+++ b/controller/coordinator/sessions.go
@@ -86,13 +86,9 @@
 	res.Recalls = c.planner.Recalls(id)
 }
 
-// addNews adds what changed since the gateway last heard: contracts, and backend
-// servers once this leader has had time to hear of them all.
+// addNews adds what changed since the gateway last heard of contracts and backend
+// servers.
 func (c *Coordinator) addNews(now time.Time, req *wire.RenewRequest, res *wire.RenewResponse) {
 	res.Contracts = c.state.ChangedSince(req.GetRevision())
-	res.BackendsVersion = req.GetBackendsVersion()
-	if now.Before(c.warm) && req.GetTerm() != 0 {
-		return
-	}
-	c.backends.addTo(res, req.GetBackendsVersion())
+	c.backends.addTo(res, req.GetBackendsVersion(), now.Before(c.warm))
 }
--- a/controller/responder/peer.go
+++ b/controller/responder/peer.go
@@ -18,6 +18,8 @@
 	Client func(address string) wire.Peer
 	// Leader returns the leader's address, or "".
 	Leader func() string
+	// Heard takes note of where a message came from.
+	Heard func(from *wire.Member)
 }
 
 // Deliver takes messages of the same cluster.
@@ -25,6 +27,7 @@
 	if req.GetCluster() != p.Cluster() {
 		return nil, twirp.NewError(twirp.FailedPrecondition, "the message is from another cluster")
 	}
+	p.Heard(req.GetFrom())
 	p.Keeper.Deliver(req.GetMessages())
 	return &wire.DeliverResponse{}, nil
 }
--- a/controller/transporter/transporter.go
+++ b/controller/transporter/transporter.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 
 	"bronzelead.example/pkg/connector"
@@ -23,9 +24,12 @@
 	Client *connector.Client
 	// Cluster returns the cluster that this instance belongs to.
 	Cluster func() string
+	// Self is this member, as it tells others.
+	Self *wire.Member
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	heard map[string]string
 	ctx   context.Context
 }
 
@@ -39,6 +43,18 @@
 func (t *Transporter) Start(ctx context.Context) {
 	t.ctx = ctx
 	t.peers = map[string]*peer{}
+	t.heard = map[string]string{}
+}
+
+// Heard notes where a member sent from that this one's configuration may not name
+// yet, so that it can be answered.
+func (t *Transporter) Heard(m *wire.Member) {
+	if m.GetId() == "" || m.GetAddress() == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard[m.GetId()] = m.GetAddress()
 }
 
 // Send passes messages on to the members of a configuration. It does not block.
@@ -63,7 +79,7 @@
 
 // update keeps a peer for each member, at its present address.
 func (t *Transporter) update(config *wire.Configuration) {
-	addresses := map[string]string{}
+	addresses := maps.Clone(t.heard)
 	for _, m := range config.GetVoters() {
 		addresses[m.GetId()] = m.GetAddress()
 	}
@@ -98,7 +114,7 @@
 			return
 		case m := <-p.ring:
 			batch := p.more([]*wire.Message{m})
-			_, err := client.Deliver(ctx, &wire.DeliverRequest{Cluster: t.Cluster(), Messages: batch})
+			_, err := client.Deliver(ctx, &wire.DeliverRequest{Cluster: t.Cluster(), Messages: batch, From: t.Self})
 			if err != nil {
 				t.Log.Debug("messages were not delivered", "Peer", p.address, "Error", err.Error())
 			}
--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -124,13 +124,13 @@
 }
 
 func (a *attempt) first(ctx context.Context) Outcome {
-	req, err := a.request(http.MethodPost, a.exchange.Path, a.exchange.Body)
+	watched, watch := watchSilence(ctx, a.dispatcher)
+	defer watch.stop()
+	req, err := a.request(watched, http.MethodPost, a.exchange.Path, a.exchange.Body)
 	if err != nil {
 		return Outcome{Ran: RanNo, Err: err}
 	}
-	watched, watch := watchSilence(ctx, a.dispatcher)
-	defer watch.stop()
-	res, err := a.dispatcher.Work.RoundTrip(req.WithContext(watched))
+	res, err := a.dispatcher.Work.RoundTrip(req)
 	if err != nil {
 		return Outcome{Ran: ranAfter(err), Err: errors.Wrap(err, "dispatcher")}
 	}
@@ -146,13 +146,13 @@
 		case <-a.dispatcher.Clock.After(resumePause * time.Duration(count)):
 		}
 	}
-	req, err := a.request(http.MethodGet, translator.ResumePath(a.exchange.RequestID, a.events), nil)
+	watched, watch := watchSilence(ctx, a.dispatcher)
+	defer watch.stop()
+	req, err := a.request(watched, http.MethodGet, translator.ResumePath(a.exchange.RequestID, a.events), nil)
 	if err != nil {
 		return Outcome{Ran: RanUnknown, Err: err, Resumed: count}
 	}
-	watched, watch := watchSilence(ctx, a.dispatcher)
-	defer watch.stop()
-	res, err := a.dispatcher.Fresh.RoundTrip(req.WithContext(watched))
+	res, err := a.dispatcher.Fresh.RoundTrip(req)
 	if err != nil {
 		return Outcome{Ran: RanUnknown, Err: errors.Wrap(err, "dispatcher: resume"), Resumed: count}
 	}
@@ -197,8 +197,8 @@
 	return parseCancellation(body), nil
 }
 
-func (a *attempt) request(method, path string, body []byte) (*http.Request, error) {
-	req, err := http.NewRequest(method, "http://"+a.exchange.Address+path, nil)
+func (a *attempt) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+a.exchange.Address+path, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "dispatcher")
 	}
--- a/gateway/scheduler/session.go
+++ b/gateway/scheduler/session.go
@@ -69,7 +69,7 @@
 			s.admitter.SetContract(c)
 		}
 		s.session.revision = max(s.session.revision, res.GetRevision())
-		if res.GetBackendsVersion() != s.session.backends {
+		if res.GetBackendsVersion() != s.session.backends || len(res.GetBackends()) > 0 {
 			s.Router.Update(res.GetBackends(), res.GetGone(), res.GetDrained(), res.GetBackendsWhole())
 			s.session.backends = res.GetBackendsVersion()
 		}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -101,7 +101,7 @@
 	Popularity float64
 
 	holders map[SessionID]LeaseID
-	order OrderID
+	order   OrderID
 }
 
 // Holders returns the number of sessions that hold a lease.
--- a/pkg/recorder/contracts.go
+++ b/pkg/recorder/contracts.go
@@ -46,11 +46,10 @@
 	}
 	customer := contract.GetCustomer()
 	r.latest[customer] = record
-	past := append(r.history[customer], record)
-	if len(past) > historyPerCustomer {
-		past = slices.Clone(past[len(past)-historyPerCustomer:])
+	r.history[customer] = append(r.history[customer], record)
+	if past := r.history[customer]; len(past) > historyPerCustomer {
+		r.history[customer] = slices.Clone(past[len(past)-historyPerCustomer:])
 	}
-	r.history[customer] = past
 }
 
 func (r *Recorder) response(customer string, outcome *wire.ChangeOutcome) *wire.ApplyResponse {
--- a/pkg/replicator/election.go
+++ b/pkg/replicator/election.go
@@ -96,12 +96,7 @@
 	if !pre && m.GetTerm() > r.term {
 		r.becomeFollower(now, m.GetTerm(), "")
 	}
-	last := r.lastIndex()
-	current := m.GetLogTerm() > r.termOf(last) ||
-		m.GetLogTerm() == r.termOf(last) && m.GetLogIndex() >= last
-	free := pre && m.GetTerm() > r.term ||
-		!pre && m.GetTerm() == r.term && (r.vote == "" || r.vote == m.GetFrom()) && r.role == Follower
-	granted := current && free
+	granted := r.isCurrent(m) && r.mayVote(m, pre)
 	if granted && !pre {
 		r.vote = m.GetFrom()
 		r.hardDirty = true
@@ -114,6 +109,25 @@
 	r.send(&wire.Message{Kind: answer, To: m.GetFrom(), Term: term, Reject: !granted})
 }
 
+// isCurrent reports whether a candidate's log is at least as new as this one
+// (section 5.4.1 of the paper).
+func (r *Replicator) isCurrent(m *wire.Message) bool {
+	last := r.lastIndex()
+	if m.GetLogTerm() != r.termOf(last) {
+		return m.GetLogTerm() > r.termOf(last)
+	}
+	return m.GetLogIndex() >= last
+}
+
+// mayVote reports whether this member's vote for the term is still to be had.
+func (r *Replicator) mayVote(m *wire.Message, pre bool) bool {
+	if pre {
+		return m.GetTerm() > r.term
+	}
+	unused := r.vote == "" || r.vote == m.GetFrom()
+	return m.GetTerm() == r.term && unused && r.role == Follower
+}
+
 // hearsLeader reports whether a leader is known to have worked within the least
 // election timeout.
 func (r *Replicator) hearsLeader(now time.Time) bool {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -57,7 +57,8 @@
 	if s.MaxBody == 0 {
 		s.MaxBody = defaultBodyBytes
 	}
-	listener, err := net.Listen("tcp", s.Address)
+	listen := net.ListenConfig{}
+	listener, err := listen.Listen(context.Background(), "tcp", s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "server: listen on %s", s.Address)
 	}
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -162,6 +162,7 @@
   [ "$(grep -c Working "$run/backends.txt")" -ge 5 ] && break
   sleep 0.1
 done
+sleep 0.6 # one renewal, after which all gateways know the backend servers
 
 entry="http://$(port 11)"
 bearer="Authorization: Bearer $customer"
--- a/standin/announcer/announcer.go
+++ b/standin/announcer/announcer.go
@@ -59,7 +59,7 @@
 }
 
 func post(client *connector.Client, address string, body []byte) bool {
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+translator.AnnouncePath, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+translator.AnnouncePath, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
--- a/standin/app/main.go
+++ b/standin/app/main.go
@@ -120,7 +120,7 @@
 
 // fetch loads weights from the store.
 func fetch(client *connector.Client, path string) error {
-	req, err := http.NewRequest(http.MethodGet, path, nil)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, path, nil)
 	if err != nil {
 		return errors.Wrap(err, "app")
 	}
