--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -35,6 +35,8 @@
 	joinEvery    = 500 * time.Millisecond
 	stopWithin   = 5 * time.Second
 	transferPoll = 20 * time.Millisecond
+	// A snapshot is sent again after ten election timeouts, so it has that long.
+	snapshotTimeout = 6 * time.Second
 )
 
 // App is one controller. Set the exported fields, then call Run.
@@ -153,7 +155,7 @@
 	forward := &connector.Client{
 		Timeout: s.Timing.PeerTimeout, Key: a.clusterKey, Transport: connector.NewTransport(nil), Forwarded: true,
 	}
-	a.transporter = &transporter.Transporter{Log: a.Log, Client: a.peers, Cluster: a.clusterID, Self: a.member(id)}
+	a.transporter = &transporter.Transporter{Log: a.Log, Client: a.peers, Bulk: a.bulk(), Cluster: a.clusterID, Self: a.member(id)}
 	a.coordinator = &coordinator.Coordinator{
 		Clock: a.Clock, Log: a.Log, In: items, Policy: a.policy(), Lease: s.Timing.SessionLease,
 		LongestRequest: s.Timing.LongestRequest, SnapshotEvery: uint64(s.Data.SnapshotEvery),
@@ -175,6 +177,11 @@
 	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log}
 }
 
+// bulk returns the client that sends snapshots.
+func (a *App) bulk() *connector.Client {
+	return &connector.Client{Timeout: snapshotTimeout, Key: a.clusterKey, Transport: connector.NewTransport(nil)}
+}
+
 func (a *App) policy() planner.Policy {
 	e := a.Settings.Engines
 	return planner.Policy{
--- a/controller/transporter/transporter.go
+++ b/controller/transporter/transporter.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 
 	"bronzelead.example/pkg/connector"
@@ -22,6 +23,8 @@
 type Transporter struct {
 	Log    *slog.Logger
 	Client *connector.Client
+	// Bulk is the client for snapshots, which take longer.
+	Bulk *connector.Client
 	// Cluster returns the cluster that this instance belongs to.
 	Cluster func() string
 	// Self is this member, as it tells others.
@@ -108,13 +111,18 @@
 
 func (t *Transporter) run(ctx context.Context, p *peer) {
 	client := wire.NewPeerProtobufClient("http://"+p.address, t.Client)
+	bulk := wire.NewPeerProtobufClient("http://"+p.address, t.Bulk)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-p.ring:
 			batch := p.more([]*wire.Message{m})
-			_, err := client.Deliver(ctx, &wire.DeliverRequest{Cluster: t.Cluster(), Messages: batch, From: t.Self})
+			deliver := client.Deliver
+			if hasSnapshot(batch) {
+				deliver = bulk.Deliver
+			}
+			_, err := deliver(ctx, &wire.DeliverRequest{Cluster: t.Cluster(), Messages: batch, From: t.Self})
 			if err != nil {
 				t.Log.Debug("messages were not delivered", "Peer", p.address, "Error", err.Error())
 			}
@@ -134,3 +142,7 @@
 	}
 	return batch
 }
+
+func hasSnapshot(batch []*wire.Message) bool {
+	return slices.ContainsFunc(batch, func(m *wire.Message) bool { return m.GetSnapshot() != nil })
+}
--- a/pkg/replicator/append.go
+++ b/pkg/replicator/append.go
@@ -209,7 +209,13 @@
 		return
 	}
 	s := m.GetSnapshot()
-	if s.GetIndex() > r.commit {
+	switch {
+	case s.GetIndex() <= r.commit:
+	case s.GetIndex() <= r.lastIndex() && r.termOf(s.GetIndex()) == s.GetTerm():
+		// A snapshot that comes late: what follows it in the log was acknowledged,
+		// and must stay (section 7 of the paper).
+		r.commitTo(s.GetIndex())
+	default:
 		r.base = proto.CloneOf(s)
 		r.log = nil
 		r.commit, r.emitted, r.synced = s.GetIndex(), s.GetIndex(), s.GetIndex()
--- /dev/null
+++ b/pkg/replicator/replicator_test.go
@@ -0,0 +1,276 @@
+package replicator_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/wire"
+)
+
+func TestFailures(t *testing.T) {
+	cases := map[string]func(*cluster){
+		"nothing":                      func(*cluster) {},
+		"messages are lost and late":   func(c *cluster) { c.lossy = true },
+		"the leader is cut off":        cutLeader,
+		"the leader crashes":           crashLeader,
+		"a member loses its disk":      loseDisk,
+		"leadership is handed over":    transfer,
+		"a member is cut for long":     cutFollower,
+		"the leader is heard one way":  oneWay,
+		"any of these, and many times": anything,
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 6; seed++ {
+				runHistory(qt.New(t), seed, fault)
+			}
+		})
+	}
+}
+
+func cutLeader(c *cluster) {
+	if m := c.leader(); m != nil {
+		c.isolate(m.id, true)
+	}
+}
+
+func crashLeader(c *cluster) {
+	if m := c.leader(); m != nil {
+		m.up = false
+	}
+}
+
+// oneWay lets the leader's messages out but no answers in.
+func oneWay(c *cluster) {
+	if m := c.leader(); m != nil {
+		for _, other := range c.members {
+			c.cut[[2]string{other.id, m.id}] = true
+		}
+	}
+}
+
+func cutFollower(c *cluster) {
+	for _, m := range c.sorted() {
+		if m != c.leader() {
+			c.isolate(m.id, true)
+			return
+		}
+	}
+}
+
+func transfer(c *cluster) {
+	if m := c.leader(); m != nil {
+		_ = m.core.Transfer(c.now)
+	}
+}
+
+// loseDisk empties the disk of a member that does not lead, if all is well besides.
+func loseDisk(c *cluster) {
+	l := c.leader()
+	if l == nil || len(l.core.Configuration().GetVoters()) < 3 {
+		return
+	}
+	for _, m := range c.sorted() {
+		if m != l && m.up {
+			c.loseDisk(m.name)
+			return
+		}
+	}
+}
+
+func anything(c *cluster) {
+	c.lossy = c.random.IntN(2) == 0
+	faults := []func(*cluster){cutLeader, crashLeader, transfer, cutFollower, oneWay, func(*cluster) {}}
+	faults[c.random.IntN(len(faults))](c)
+}
+
+// change is one operator's change of the contract, as history checking sees it.
+type change struct {
+	base uint64
+}
+
+type answer struct {
+	unknown bool
+	won     bool
+	version uint64
+	at      time.Time
+}
+
+// contractModel is a register that a change sets only from the version it was made
+// from. An operation whose answer was lost may have taken effect or not.
+func contractModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return uint64(0) },
+		Step: func(state, input, output any) (bool, any) {
+			version, in, out := state.(uint64), input.(change), output.(answer)
+			switch {
+			case out.unknown && version == in.base:
+				return true, version + 1
+			case out.unknown:
+				return true, version
+			case out.won:
+				return version == in.base && out.version == in.base+1, version + 1
+			}
+			return version != in.base, version
+		},
+	}
+}
+
+// runHistory lets operators race each other while a fault comes and goes, and checks
+// the history of their answers and that the system comes back.
+func runHistory(c *qt.C, seed uint64, fault func(*cluster)) {
+	k := newCluster(seed, "a", "b", "c")
+	var history []porcupine.Operation
+	var version uint64
+	for round := range 30 {
+		for operator := range 3 {
+			history = propose(k, history, operator, round, &version)
+		}
+		if round%5 == 2 {
+			fault(k)
+		}
+		k.run(300 * time.Millisecond)
+		if round%5 == 4 {
+			k.heal()
+			k.run(3 * time.Second)
+		}
+	}
+	c.Assert(k.faults, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+	c.Assert(porcupine.CheckOperations(contractModel(), closed(history, k.now)), qt.IsTrue, qt.Commentf("seed %d", seed))
+	c.Assert(k.leader(), qt.IsNotNil, qt.Commentf("seed %d: nobody leads after the faults are over", seed))
+	assertSame(c, k)
+}
+
+func propose(k *cluster, history []porcupine.Operation, operator, round int, version *uint64) []porcupine.Operation {
+	m := k.leader()
+	if m == nil {
+		return history
+	}
+	at := len(history)
+	in := change{base: *version}
+	history = append(history, porcupine.Operation{
+		ClientId: at, Input: in, Call: k.now.UnixNano(), Output: &answer{unknown: true},
+	})
+	out := history[at].Output.(*answer)
+	k.propose(m, applyCommand(fmt.Sprint(operator, "-", round), in.base), func(result recorder.Result) {
+		out.unknown, out.at = false, k.now
+		out.won = !result.Apply.GetConflict()
+		out.version = result.Apply.GetContract().GetVersion()
+		*version = max(*version, out.version)
+	})
+	return history
+}
+
+func applyCommand(id string, base uint64) *wire.Command {
+	return &wire.Command{Body: &wire.Command_ApplyContract{ApplyContract: &wire.ApplyContract{
+		ChangeId: id, BaseVersion: base, Contract: &wire.Contract{Customer: "volantes"},
+	}}}
+}
+
+// closed gives each operation its end. One without an answer may take effect until
+// the end of the history.
+func closed(history []porcupine.Operation, end time.Time) []porcupine.Operation {
+	for i := range history {
+		out := *history[i].Output.(*answer)
+		history[i].Output = out
+		history[i].Return = end.UnixNano()
+		if !out.unknown {
+			history[i].Return = out.at.UnixNano()
+		}
+	}
+	return history
+}
+
+// assertSame lets members catch up, by a snapshot if need be, and compares them.
+func assertSame(c *qt.C, k *cluster) {
+	k.run(8 * time.Second)
+	first := k.sorted()[0]
+	want, err := first.state.Snapshot()
+	c.Assert(err, qt.IsNil)
+	for _, m := range k.sorted() {
+		state, err := m.state.Snapshot()
+		c.Assert(err, qt.IsNil)
+		c.Assert(m.state.Applied(), qt.Equals, first.state.Applied(), qt.Commentf("%s lags", m.id))
+		c.Assert(sha256.Sum256(state), qt.Equals, sha256.Sum256(want), qt.Commentf("%s differs", m.id))
+	}
+}
+
+func TestLostDiskHasNoVote(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(7, "a", "b", "c")
+	k.run(3 * time.Second)
+	leader := k.leader()
+	// The leader and one member agree on an entry; the third knows nothing of it.
+	others := []*member{}
+	for _, m := range k.sorted() {
+		if m != leader {
+			others = append(others, m)
+		}
+	}
+	k.isolate(others[1].id, true)
+	committed := false
+	k.propose(leader, applyCommand("kept", 0), func(recorder.Result) { committed = true })
+	k.run(time.Second)
+	c.Assert(committed, qt.IsTrue)
+	// The member that has the entry loses its disk, and the leader is cut off: the
+	// member that lacks the entry must not be elected with the empty one's help.
+	k.isolate(others[1].id, false)
+	k.isolate(leader.id, true)
+	k.loseDisk(others[0].name)
+	k.run(10 * time.Second)
+	c.Assert(k.leader(), qt.IsNil)
+	// When the leader is back the lost member is replaced, and the entry is there.
+	k.heal()
+	k.run(10 * time.Second)
+	c.Assert(k.leader(), qt.IsNotNil)
+	c.Assert(k.leader().state.Contract("volantes").GetVersion(), qt.Equals, uint64(1))
+	c.Assert(k.leader().core.Configuration().GetVoters(), qt.HasLen, 3)
+	c.Assert(k.faults, qt.HasLen, 0)
+}
+
+func TestSecondLossAfterRepair(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(11, "a", "b", "c")
+	k.run(3 * time.Second)
+	done := false
+	k.propose(k.leader(), applyCommand("kept", 0), func(recorder.Result) { done = true })
+	k.run(time.Second)
+	c.Assert(done, qt.IsTrue)
+	leader := k.leader()
+	var others []*member
+	for _, m := range k.sorted() {
+		if m != leader {
+			others = append(others, m)
+		}
+	}
+	k.loseDisk(others[0].name)
+	k.run(10 * time.Second)
+	c.Assert(leader.core.Configuration().GetVoters(), qt.HasLen, 3)
+	// Right after the repair the leader is lost with its disk.
+	k.loseDisk(leader.name)
+	k.run(15 * time.Second)
+	c.Assert(k.leader(), qt.IsNotNil)
+	c.Assert(k.leader().state.Contract("volantes").GetVersion(), qt.Equals, uint64(1))
+	c.Assert(k.leader().core.Configuration().GetVoters(), qt.HasLen, 3)
+	c.Assert(k.faults, qt.HasLen, 0)
+}
+
+func TestFailoverEndsInsideSessionLease(t *testing.T) {
+	c := qt.New(t)
+	for seed := uint64(1); seed <= 50; seed++ {
+		k := newCluster(seed, "a", "b", "c")
+		k.run(3 * time.Second)
+		crashLeader(k)
+		start := k.now
+		for k.leader() == nil && k.now.Sub(start) < time.Minute {
+			k.run(tick)
+		}
+		c.Assert(k.now.Sub(start) < 2700*time.Millisecond, qt.IsTrue, qt.Commentf("seed %d took %s", seed, k.now.Sub(start)))
+	}
+}
