Proof: separate processes under kills, cuts, silence and engine faults

Cause: the promises have to hold between processes; two faults showed at once. (1) With 9 slots and 24 wanted models 60 answers took 6 to 12 s: the planner made room for one adapter at a time in the whole system. (2) After the connections to an engine went silent no answer came for 60 s: each retry met another silent idle connection. Ruled out: the weight store (20 loads a second allowed, about one used); the engine (its steps went on). Change: one slot is cleared for each adapter that waits; an unanswered call gives up all idle connections; calls to plain services use a connection of their own, as they can't be asked again.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := pkg gateway controller bronzectl standin
+MODULES := pkg gateway controller bronzectl standin proof
 PROGRAMS := gateway controller bronzectl standin
 
 .PHONY: build run test lint generate
--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -69,7 +69,7 @@
 type Dispatcher struct {
 	Clock clockwork.Clock
 	// Work sends new requests; its connections are guarded by the session.
-	Work http.RoundTripper
+	Work *http.Transport
 	// Fresh makes a new connection for each call, for what must not meet one that
 	// has gone silent.
 	Fresh http.RoundTripper
@@ -132,6 +132,8 @@
 	}
 	res, err := a.dispatcher.Work.RoundTrip(req)
 	if err != nil {
+		// The other idle connections may be as silent as this one was.
+		a.dispatcher.Work.CloseIdleConnections()
 		return Outcome{Ran: ranAfter(err), Err: errors.Wrap(err, "dispatcher")}
 	}
 	defer func() { _ = res.Body.Close() }()
--- a/gateway/dispatcher/services.go
+++ b/gateway/dispatcher/services.go
@@ -22,8 +22,7 @@
 	Body     []byte
 	Priority int32
 	Session  uint64
-	// Once marks a request that must not run twice. It goes out on a connection of
-	// its own, which no earlier use can have left silent.
+	// Once marks a request that must not run twice.
 	Once bool
 	// Buffer is how much of an answer is read before any of it is passed on.
 	Buffer int
@@ -49,8 +48,9 @@
 	}
 }
 
-// Call carries out a request to a plain service. Silence is not probed: a plain
-// service can't be asked what became of a request, so its deadline decides.
+// Call carries out a request to a plain service. Silence can't be probed, since a
+// plain service can't be asked what became of a request. So each call goes out on a
+// connection of its own, which no earlier use can have left silent.
 func (d *Dispatcher) Call(ctx context.Context, c *ServiceCall) *ServiceAnswer {
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, nil)
 	if err != nil {
@@ -66,11 +66,7 @@
 	if len(c.Body) > 0 || c.Once {
 		setBody(req, c.Body)
 	}
-	transport := d.Work
-	if c.Once {
-		transport = d.FreshWork
-	}
-	res, err := transport.RoundTrip(req)
+	res, err := d.FreshWork.RoundTrip(req)
 	if err != nil {
 		return &ServiceAnswer{Ran: ranAfter(err), Err: errors.Wrap(err, "dispatcher")}
 	}
--- a/pkg/planner/plan.go
+++ b/pkg/planner/plan.go
@@ -25,20 +25,35 @@
 	p.forgetIdle(now)
 	var orders []Order
 	orders = append(orders, p.unloads(now)...)
+	clearing := p.clearing()
 	for _, a := range p.wanting(now) {
-		if p.loading >= p.Policy.LoadsAtOnce || p.tokens < 1 {
-			break
-		}
 		e := p.roomFor(now, a)
-		if e == nil {
+		switch {
+		case e == nil && clearing > 0:
+			// A slot that is being cleared is for this adapter.
+			clearing--
+		case e == nil:
 			p.makeRoom(now, a)
-			continue
+		case p.loading < p.Policy.LoadsAtOnce && p.tokens >= 1:
+			orders = append(orders, p.load(now, e, a))
 		}
-		orders = append(orders, p.load(now, e, a))
 	}
 	return orders
 }
 
+// clearing returns the number of slots that will be free soon.
+func (p *Planner) clearing() int {
+	n := 0
+	for _, e := range p.engines {
+		for _, pl := range e.placements {
+			if pl.State == Recalling || pl.State == Unloading {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (p *Planner) refill(now time.Time) {
 	p.tokens += now.Sub(p.filledAt).Seconds() * p.Policy.LoadsPerSecond
 	p.tokens = min(p.tokens, max(1, float64(p.Policy.LoadsAtOnce)))
@@ -181,10 +196,6 @@
 	var idle, busy []*Placement
 	for _, e := range p.usable(now, a) {
 		for _, pl := range e.placements {
-			if pl.State == Recalling || pl.State == Unloading {
-				// Room is being made here already.
-				return
-			}
 			if pl.State != Loaded || now.Sub(pl.Since) < p.Policy.MinResidence {
 				continue
 			}
--- a/standin/app/main.go
+++ b/standin/app/main.go
@@ -39,6 +39,7 @@
 	Name     string        `required:"" help:"Name of the instance."`
 	Zone     string        `required:"" help:"Availability zone."`
 	Listen   string        `required:"" help:"IP number and port."`
+	Address  string        `help:"IP number and port to announce; Listen if empty."`
 	Gateways []string      `required:"" help:"IP numbers and ports of gateways to announce to."`
 	KeyFile  string        `required:"" help:"File with the key of backend servers."`
 	Every    time.Duration `default:"1s" help:"Time between announcements."`
@@ -148,10 +149,14 @@
 	if err != nil {
 		return errors.Wrap(err, "app")
 	}
+	address := p.Address
+	if address == "" {
+		address = p.Listen
+	}
 	var leaving atomic.Bool
 	a := &announcer.Announcer{Gateways: p.Gateways, Key: key, Every: p.Every, Now: func() translator.Announcement {
 		said := now()
-		said.Name, said.Zone, said.Address = p.Name, p.Zone, p.Listen
+		said.Name, said.Zone, said.Address = p.Name, p.Zone, address
 		said.Leaving = leaving.Load()
 		return said
 	}}
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -109,12 +109,13 @@
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	g.mu.Lock()
 	req := g.requests[r.PathValue("id")]
-	if req != nil && !req.tombstone {
+	known := req != nil && !req.tombstone
+	if known {
 		req.readers++
 		req.cross = false
 	}
 	g.mu.Unlock()
-	if req == nil || req.tombstone {
+	if !known {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -154,10 +155,10 @@
 	if !ok {
 		return
 	}
-	data := r.encode(strings.Join(events, ""), true)
+	data := g.encode(r, strings.Join(events, ""), true)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	if r.truncates() {
+	if g.truncates(r) {
 		data = data[:len(data)/2]
 	}
 	_, _ = w.Write(data)
@@ -173,11 +174,11 @@
 		if !ok {
 			return
 		}
-		for _, text := range events[sent:] {
-			if sent == r.tokens/2 && r.truncates() {
+		for _, text := range events[sent:min(len(events), r.tokens)] {
+			if sent == r.tokens/2 && g.truncates(r) {
 				return
 			}
-			_, _ = w.Write([]byte("data: " + string(r.encode(text, sent+1 == r.tokens)) + "\n\n"))
+			_, _ = w.Write([]byte("data: " + string(g.encode(r, text, sent+1 == r.tokens)) + "\n\n"))
 			sent++
 		}
 		flush(w)
@@ -192,7 +193,9 @@
 }
 
 // truncates reports, once, that the answer is to be cut.
-func (r *request) truncates() bool {
+func (g *Generator) truncates(r *request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	cut := r.truncate
 	r.truncate = false
 	return cut
@@ -234,9 +237,15 @@
 	Content string `json:"content"`
 }
 
-func (r *request) encode(text string, last bool) []byte {
+func (g *Generator) crosses(r *request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return r.cross
+}
+
+func (g *Generator) encode(r *request, text string, last bool) []byte {
 	a := answer{ID: r.answerID, Object: "text_completion", Model: r.model}
-	if r.cross {
+	if g.crosses(r) {
 		a.ID = crossedID
 	}
 	c := choice{}
