At most once: no 'not run' without looking at the key; histories under kills

Cause: history checking found orders that were acknowledged and, when repeated at a gateway without a session, refused with Ran 'no'. The refusal spoke of the attempt, the client understood the order. The race detector also found Stop waiting on a counter that new requests raised. Ruled out: a second run (each order ran once in the service's log), a lost outcome. Change: before 'not run' is said of a request with a key the key is looked up; a stored answer is given in place of the refusal, and where nobody can look it is 'unknown'. A stopping server asks callers to close connections and counts under a lock. Conclusion: a refusal speaks for the key, not for the attempt.

--- a/gateway/app/app.go
+++ b/gateway/app/app.go
@@ -169,6 +169,7 @@
 func (a *App) stop(left <-chan struct{}) error {
 	a.Log.Info("the gateway stops: it is unready, and finishes what runs")
 	close(a.stopping)
+	a.server.Quiesce()
 	<-a.Clock.After(a.Settings.Requests.StopDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.Requests.StopWithin)
 	defer cancel()
--- a/gateway/receiver/completions.go
+++ b/gateway/receiver/completions.go
@@ -121,7 +121,7 @@
 	r.Retries.Earn()
 	candidate, refusal := r.Scheduler.Enter(ctx, e.job)
 	if refusal != nil {
-		return r.refuse(e, refusal)
+		return refused(refusal)
 	}
 	r.noteAssigned(e, candidate)
 	for attempt := 0; ; attempt++ {
@@ -132,11 +132,11 @@
 		}
 		if !r.Retries.Spend(ctx, attempt, e.job.Deadline) {
 			r.Scheduler.Leave(e.job, step.failed)
-			return r.refuse(e, &scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
+			return refused(&scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
 		}
 		candidate, refusal = r.Scheduler.Again(ctx, e.job, step.failed, step.missing)
 		if refusal != nil {
-			return r.refuse(e, refusal)
+			return refused(refusal)
 		}
 		r.noteAssigned(e, candidate)
 	}
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -5,10 +5,12 @@
 	"crypto/sha256"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"bronzelead.example/gateway/dispatcher"
 	"bronzelead.example/gateway/scheduler"
+	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/router"
 	"bronzelead.example/pkg/wire"
 )
@@ -76,7 +78,7 @@
 		return &foundClaim{problem: unknownIfKeyed(refused(refusal))}, false
 	case string(c.GetCommand().GetFingerprint()) != string(e.fingerprint()):
 		return &foundClaim{problem: &Problem{
-			Status: http.StatusUnprocessableEntity, Kind: kindKeyReused, Ran: dispatcher.RanNo,
+			Status: http.StatusUnprocessableEntity, Kind: kindKeyReused, Ran: dispatcher.RanNo, Certain: true,
 			Message: "the idempotency key was used before for another request",
 		}}, false
 	case c.GetState() == wire.ClaimState_CLAIM_STATE_FINISHED:
@@ -176,28 +178,50 @@
 	return &wire.ReleaseCommand{Customer: e.terms.Customer(), Key: e.key, RequestId: requestID}
 }
 
-// refuse turns a refusal into an answer. A request with a key may be the repeat of
-// one that ran, so "not run" is said only after the key was looked up.
-func (r *Receiver) refuse(e *entry, refusal *scheduler.Refusal) *Problem {
-	p := refused(refusal)
-	if e.key == "" {
-		return p
+// checkKey makes sure of a "not run" that is about to be said of a request which may
+// be the repeat of one that ran: the key is looked up first. A stored answer is given
+// at once in place of the refusal.
+func (r *Receiver) checkKey(e *entry, p *Problem) *foundClaim {
+	refused := &foundClaim{problem: p}
+	switch {
+	case p.Ran != dispatcher.RanNo || p.Certain:
+		return refused
+	case e.key == "" && !r.mayBeRepeat(e):
+		return refused
+	case e.key == "":
+		return &foundClaim{problem: unknownIfKeyed(p)}
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), lookupTimeout)
 	defer cancel()
 	c, err := r.Claimer.Lookup(ctx, e.terms.Customer(), e.key)
 	switch {
 	case err != nil:
-		return unknownIfKeyed(p)
+		return &foundClaim{problem: unknownIfKeyed(p)}
 	case c == nil:
-		return p
-	case c.GetState() == wire.ClaimState_CLAIM_STATE_FINISHED && !c.GetOutcome().GetUnknown():
-		p.Ran = dispatcher.RanYes
-		p.Message = "a request with this key ran; repeat to get its answer: " + p.Message
-	default:
-		p.Ran = dispatcher.RanUnknown
+		return refused
+	case string(c.GetCommand().GetFingerprint()) != string(e.fingerprint()):
+		return refused
+	case c.GetState() == wire.ClaimState_CLAIM_STATE_FINISHED:
+		return foundOutcome(c.GetOutcome())
 	}
-	return p
+	return &foundClaim{problem: unknownIfKeyed(p)}
+}
+
+// mayBeRepeat reports whether a request that was refused before its key was read may
+// have one.
+func (r *Receiver) mayBeRepeat(e *entry) bool {
+	if e.http.Header.Get(KeyHeader) != "" {
+		return true
+	}
+	if !strings.HasPrefix(e.http.URL.Path, servicesPath) || e.once {
+		return false
+	}
+	terms := r.Registrar.ByKey(authenticator.BearerKey(e.http))
+	if terms == nil {
+		return true
+	}
+	name, _ := splitService(e.http.URL.Path)
+	return terms.Service(name).GetKeyFrom() != ""
 }
 
 // unknownIfKeyed takes back a "not run" that nobody could check.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -280,6 +280,13 @@
 		customer = e.terms.Customer()
 	}
 	kind := "Answered"
+	if p != nil {
+		found := r.checkKey(e, p)
+		p = found.problem
+		if found.stored != nil {
+			writeStored(w, e.id, found.stored)
+		}
+	}
 	if p != nil {
 		kind = p.Kind
 		r.Explainer.Note(e.id, customer, "final answer: %s (%d), ran: %s, retry after %s", p.Kind, p.Status, p.Ran, p.RetryAfter)
--- a/gateway/receiver/services.go
+++ b/gateway/receiver/services.go
@@ -115,7 +115,7 @@
 	r.Retries.Earn()
 	candidate, refusal := r.Scheduler.Enter(ctx, e.job)
 	if refusal != nil {
-		return r.refuse(e, refusal)
+		return refused(refusal)
 	}
 	for attempt := 0; ; attempt++ {
 		r.noteAssigned(e, candidate)
@@ -126,11 +126,11 @@
 		}
 		if !r.Retries.Spend(ctx, attempt, e.job.Deadline) {
 			r.Scheduler.Leave(e.job, s.failed)
-			return r.refuse(e, &scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
+			return refused(&scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
 		}
 		candidate, refusal = r.Scheduler.Again(ctx, e.job, s.failed, false)
 		if refusal != nil {
-			return r.refuse(e, refusal)
+			return refused(refusal)
 		}
 	}
 }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -40,7 +41,12 @@
 	engine   *nbhttp.Engine
 	listener net.Listener
 	conns    sync.Map
-	running  sync.WaitGroup
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	running int
+	// idle is closed when nothing runs, once Stop waits for it.
+	idle chan struct{}
 }
 
 // connState is the context of one connection.
@@ -87,26 +93,56 @@
 // gives up waiting when ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
 	_ = s.listener.Close()
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
+	s.Quiesce()
 	defer s.engine.Stop()
 	select {
-	case <-done:
+	case <-s.whenIdle():
 		return nil
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "server: requests still run")
 	}
 }
 
+// Quiesce asks callers to close their connections with the answers from here on, so
+// that a stop finds none in use.
+func (s *Server) Quiesce() { s.stopping.Store(true) }
+
+func (s *Server) whenIdle() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = make(chan struct{})
+	if s.running == 0 {
+		close(s.idle)
+	}
+	return s.idle
+}
+
+func (s *Server) began() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+}
+
+func (s *Server) ended() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	if s.running != 0 || s.idle == nil {
+		return
+	}
+	select {
+	case <-s.idle:
+	default:
+		close(s.idle)
+	}
+}
+
 // execute gives each request a goroutine. The library's own pool is bounded, and
 // requests that wait in it would hold up quick ones.
 func (s *Server) execute(job func()) {
-	s.running.Add(1)
+	s.began()
 	go func() {
-		defer s.running.Done()
+		defer s.ended()
 		defer s.recover()
 		job()
 	}()
@@ -140,6 +176,9 @@
 	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil && res.Parser.Conn != nil {
 		_ = res.Parser.Conn.SetReadDeadline(time.Time{})
 	}
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.Handler.ServeHTTP(w, r.WithContext(state.(*connState).ctx))
 }
 
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -433,3 +433,5 @@
 func lastBytes(text []byte, n int) string { return string(text[max(0, len(text)-n):]) }
 
 func decode(r io.Reader, target any) error { return json.NewDecoder(r).Decode(target) }
+
+func contains(text []byte, part string) bool { return bytes.Contains(text, []byte(part)) }
