Tests of the decisions, proved able to fail

Cause: the first tests passed at once, which shows little. Change: kinds of fault that let logs settle first, directed tests for the rest. Conclusion: the histories exercise the lease and the votes, not only the log.

--- /dev/null
+++ b/pkg/planner/planner_test.go
@@ -0,0 +1,237 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bronzelead.example/pkg/planner"
+	"bronzelead.example/pkg/wire"
+)
+
+func policy() planner.Policy {
+	return planner.Policy{
+		LoadsPerSecond: 10, LoadsAtOnce: 3, StallWeight: 1, BatchWeight: 0.1,
+		StarveAfter: 500 * time.Millisecond, MinResidence: time.Second, BackendLease: 3 * time.Second,
+		LongestOrder: 5 * time.Second, BackOff: 500 * time.Millisecond, MaxBackOff: 10 * time.Second,
+	}
+}
+
+// bench drives a planner with engines and one gateway for each session.
+type bench struct {
+	now      time.Time
+	planner  *planner.Planner
+	loaded   map[string]map[string]bool
+	orders   []planner.Order
+	leases   map[planner.SessionID]map[uint64]*wire.LeaseGrant
+	inUse    map[uint64]int
+	slots    int
+	fencing  bool
+	restarts map[string]int
+}
+
+func newBench(engines, slots int) *bench {
+	b := &bench{
+		now: time.Unix(1000, 0), planner: &planner.Planner{Policy: policy()}, loaded: map[string]map[string]bool{},
+		leases: map[planner.SessionID]map[uint64]*wire.LeaseGrant{}, inUse: map[uint64]int{},
+		slots: slots, fencing: true, restarts: map[string]int{},
+	}
+	b.planner.Start(b.now, 1)
+	b.planner.SetSettled(true)
+	for i := range engines {
+		b.loaded[fmt.Sprintf("engine-%d", i)] = map[string]bool{}
+	}
+	b.announce()
+	return b
+}
+
+func (b *bench) announce() {
+	for name, loaded := range b.loaded {
+		info := &wire.Backend{
+			Name: name, Incarnation: fmt.Sprint(b.restarts[name]), Kind: wire.BackendKind_BACKEND_KIND_ENGINE,
+			BaseModel: "base", Slots: uint32(b.slots), Batch: 8, ChecksFencing: b.fencing,
+		}
+		for adapter := range loaded {
+			info.Loaded = append(info.Loaded, adapter)
+		}
+		b.planner.Announce(b.now, info, false)
+	}
+}
+
+// want reports demand of a session and takes its leases.
+func (b *bench) want(id planner.SessionID, adapter string, waiting uint32) {
+	b.planner.Demand(b.now, id, &wire.AdapterDemand{Adapter: adapter, BaseModel: "base", Waiting: waiting, Started: waiting})
+	if b.leases[id] == nil {
+		b.leases[id] = map[uint64]*wire.LeaseGrant{}
+	}
+	for _, g := range b.planner.Grant(b.now, id, adapter) {
+		b.leases[id][g.GetId()] = g
+	}
+}
+
+// handBack releases recalled leases that no request uses.
+func (b *bench) handBack(id planner.SessionID) {
+	for _, lease := range b.planner.Recalls(id) {
+		if b.inUse[lease] == 0 {
+			b.planner.Release(id, planner.LeaseID(lease))
+			delete(b.leases[id], lease)
+		}
+	}
+}
+
+// step lets time pass, carries orders out, and returns the adapters that were
+// unloaded while a request used them.
+func (b *bench) step(d time.Duration, fail bool) []string {
+	b.now = b.now.Add(d)
+	var wrong []string
+	for _, o := range b.orders {
+		current := fmt.Sprint(b.restarts[o.Backend]) == o.Incarnation
+		if o.Kind == planner.Unload && current {
+			wrong = append(wrong, b.users(o)...)
+			delete(b.loaded[o.Backend], o.Adapter)
+		}
+		if o.Kind == planner.Load && current && !fail {
+			b.loaded[o.Backend][o.Adapter] = true
+		}
+		b.planner.Done(b.now, o.ID, current && !fail)
+	}
+	b.orders = b.planner.Plan(b.now)
+	return wrong
+}
+
+func (b *bench) users(o planner.Order) []string {
+	var users []string
+	for _, leases := range b.leases {
+		for id, g := range leases {
+			same := g.GetBackend() == o.Backend && g.GetAdapter() == o.Adapter && g.GetIncarnation() == o.Incarnation
+			if same && b.inUse[id] > 0 {
+				users = append(users, o.Adapter)
+			}
+		}
+	}
+	return users
+}
+
+func TestNeverUnloadsWhatServes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := newBench(3, 2)
+		for range 150 {
+			id := planner.SessionID(rapid.IntRange(1, 3).Draw(rt, "session"))
+			adapter := fmt.Sprintf("a%d", rapid.IntRange(0, 11).Draw(rt, "adapter"))
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			case 0, 1:
+				b.want(id, adapter, rapid.Uint32Range(0, 5).Draw(rt, "waiting"))
+			case 2:
+				b.begin(rt, id)
+			case 3:
+				b.inUse = map[uint64]int{}
+			case 4:
+				b.handBack(id)
+			case 5:
+				name := fmt.Sprintf("engine-%d", rapid.IntRange(0, 2).Draw(rt, "engine"))
+				b.restarts[name]++
+				b.loaded[name] = map[string]bool{}
+			}
+			b.announce()
+			if wrong := b.step(300*time.Millisecond, rapid.IntRange(0, 9).Draw(rt, "fails") == 0); len(wrong) > 0 {
+				rt.Fatalf("unloaded in use: %v", wrong)
+			}
+			for name, loaded := range b.loaded {
+				if len(loaded) > b.slots {
+					rt.Fatalf("%s holds %d adapters in %d slots", name, len(loaded), b.slots)
+				}
+			}
+		}
+	})
+}
+
+// begin starts a request under a lease that was not recalled.
+func (b *bench) begin(rt *rapid.T, id planner.SessionID) {
+	recalled := map[uint64]bool{}
+	for _, lease := range b.planner.Recalls(id) {
+		recalled[lease] = true
+	}
+	var usable []uint64
+	for lease := range b.leases[id] {
+		if !recalled[lease] {
+			usable = append(usable, lease)
+		}
+	}
+	if len(usable) > 0 {
+		b.inUse[usable[rapid.IntRange(0, len(usable)-1).Draw(rt, "lease")]]++
+	}
+}
+
+func TestFailingAdapterDoesNotStarveOthers(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(3, 4)
+	loads := map[string]int{}
+	for range 100 {
+		b.want(1, "broken", 50)
+		b.want(1, "fine", 1)
+		b.announce()
+		b.now = b.now.Add(100 * time.Millisecond)
+		for _, o := range b.planner.Plan(b.now) {
+			loads[o.Adapter]++
+			ok := o.Adapter == "fine"
+			if ok {
+				b.loaded[o.Backend][o.Adapter] = true
+			}
+			b.planner.Done(b.now, o.ID, ok)
+		}
+	}
+	c.Assert(loads["fine"], qt.Equals, 1)
+	c.Assert(loads["broken"] < 8, qt.IsTrue, qt.Commentf("%d loads of what can't be loaded", loads["broken"]))
+}
+
+func TestWeightStoreIsSpared(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(10, 10)
+	for i := range 100 {
+		b.want(1, fmt.Sprintf("a%d", i), 1)
+	}
+	total := 0
+	for range 20 {
+		b.announce()
+		c.Assert(len(b.orders) <= 3, qt.IsTrue, qt.Commentf("%d loads at once", len(b.orders)))
+		total += len(b.orders)
+		c.Assert(b.step(100*time.Millisecond, false), qt.HasLen, 0)
+	}
+	c.Assert(total <= 2*10+3, qt.IsTrue, qt.Commentf("%d loads in 2s at 10 a second", total))
+}
+
+func TestNewLeader(t *testing.T) {
+	cases := map[string]struct {
+		settled, fencing bool
+		after            time.Duration
+		orders           int
+	}{
+		"before all sessions reported nothing is recalled": {fencing: true, after: time.Second},
+		"afterwards it is": {settled: true, fencing: true, after: time.Second, orders: 1},
+		"an engine that ignores numbers is left alone first": {settled: true, after: time.Second},
+		"until no old order can arrive any more":             {settled: true, after: 6 * time.Second, orders: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(1, 1)
+			b.fencing = tc.fencing
+			b.loaded["engine-0"]["old"] = true
+			b.planner.Start(b.now, 2)
+			b.planner.SetSettled(tc.settled)
+			b.announce()
+			b.now = b.now.Add(tc.after)
+			b.announce()
+			b.want(1, "new", 5)
+			b.planner.Plan(b.now)
+			b.now = b.now.Add(600 * time.Millisecond)
+			b.announce()
+			orders := b.planner.Plan(b.now)
+			orders = append(orders, b.planner.Plan(b.now)...)
+			c.Assert(orders, qt.HasLen, tc.orders)
+		})
+	}
+}
--- a/pkg/replicator/cluster_test.go
+++ b/pkg/replicator/cluster_test.go
@@ -274,6 +274,16 @@
 	return nil
 }
 
+// inLeadersRole returns a member that is in the leader's role, with or without a lease.
+func (c *cluster) inLeadersRole() *member {
+	for _, m := range c.sorted() {
+		if m.up && m.core.Role() == replicator.Leader {
+			return m
+		}
+	}
+	return nil
+}
+
 // propose gives a command to a member and lets done have its result, if it comes.
 func (c *cluster) propose(m *member, cmd *wire.Command, done func(recorder.Result)) bool {
 	cmd.AtNs = c.now.UnixNano()
@@ -298,6 +308,10 @@
 	}
 }
 
+func (c *cluster) cutBetween(a, b string) {
+	c.cut[[2]string{a, b}], c.cut[[2]string{b, a}] = true, true
+}
+
 func (c *cluster) heal() {
 	c.cut = map[[2]string]bool{}
 	c.lossy = false
--- a/pkg/replicator/replicator_test.go
+++ b/pkg/replicator/replicator_test.go
@@ -10,20 +10,24 @@
 	qt "github.com/frankban/quicktest"
 
 	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/replicator"
 	"bronzelead.example/pkg/wire"
 )
 
 func TestFailures(t *testing.T) {
 	cases := map[string]func(*cluster){
-		"nothing":                      func(*cluster) {},
-		"messages are lost and late":   func(c *cluster) { c.lossy = true },
-		"the leader is cut off":        cutLeader,
-		"the leader crashes":           crashLeader,
-		"a member loses its disk":      loseDisk,
-		"leadership is handed over":    transfer,
-		"a member is cut for long":     cutFollower,
-		"the leader is heard one way":  oneWay,
-		"any of these, and many times": anything,
+		"nothing":                                               func(*cluster) {},
+		"messages are lost and late":                            func(c *cluster) { c.lossy = true },
+		"the leader is cut off":                                 cutLeader,
+		"the leader crashes":                                    crashLeader,
+		"a member loses its disk":                               loseDisk,
+		"leadership is handed over":                             transfer,
+		"a member is cut for long":                              cutFollower,
+		"the leader is heard one way":                           oneWay,
+		"one member does not hear the leader, another restarts": restartBeside,
+		"leadership is handed over, and the old leader cut off": transferAndCut,
+		"the member that shall lead is cut off":                 transferToCut,
+		"any of these, and many times":                          anything,
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -49,9 +53,13 @@
 // oneWay lets the leader's messages out but no answers in.
 func oneWay(c *cluster) {
 	if m := c.leader(); m != nil {
-		for _, other := range c.members {
-			c.cut[[2]string{other.id, m.id}] = true
-		}
+		oneWayOf(c, m)
+	}
+}
+
+func oneWayOf(c *cluster, m *member) {
+	for _, other := range c.members {
+		c.cut[[2]string{other.id, m.id}] = true
 	}
 }
 
@@ -84,6 +92,63 @@
 	}
 }
 
+// others returns the members that don't lead.
+func (c *cluster) others(leader *member) []*member {
+	var others []*member
+	for _, m := range c.sorted() {
+		if m != leader {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// restartBeside cuts the cable between the leader and one member, which then asks for
+// votes, and restarts the one that both reach: it must not forget that it is led.
+func restartBeside(c *cluster) {
+	l := c.leader()
+	if l == nil {
+		return
+	}
+	// All hold the same log, so that only their having heard a leader keeps them.
+	c.run(500 * time.Millisecond)
+	others := c.others(l)
+	c.cutBetween(l.id, others[0].id)
+	for range 12 {
+		c.run(100 * time.Millisecond)
+		c.start(others[1])
+	}
+}
+
+// transferAndCut hands leadership over, and lets the old leader hear nothing from
+// there on.
+func transferAndCut(c *cluster) {
+	c.run(500 * time.Millisecond)
+	if l := c.leader(); l != nil {
+		transfer(c)
+		c.carryOut(l)
+		oneWayOf(c, l)
+		c.run(time.Second)
+	}
+}
+
+// transferToCut hands leadership over to a member that can't be reached.
+func transferToCut(c *cluster) {
+	c.run(500 * time.Millisecond)
+	l := c.leader()
+	if l == nil {
+		return
+	}
+	transfer(c)
+	c.carryOut(l)
+	for _, m := range c.others(l) {
+		if c.random.IntN(2) == 0 {
+			c.cutBetween(l.id, m.id)
+			return
+		}
+	}
+}
+
 func anything(c *cluster) {
 	c.lossy = c.random.IntN(2) == 0
 	faults := []func(*cluster){cutLeader, crashLeader, transfer, cutFollower, oneWay, func(*cluster) {}}
@@ -145,6 +210,10 @@
 	c.Assert(porcupine.CheckOperations(contractModel(), closed(history, k.now)), qt.IsTrue, qt.Commentf("seed %d", seed))
 	c.Assert(k.leader(), qt.IsNotNil, qt.Commentf("seed %d: nobody leads after the faults are over", seed))
 	assertSame(c, k)
+	done := false
+	k.propose(k.leader(), applyCommand("last", 0), func(recorder.Result) { done = true })
+	k.run(time.Second)
+	c.Assert(done, qt.IsTrue, qt.Commentf("seed %d: nothing can be committed after the faults are over", seed))
 }
 
 func propose(k *cluster, history []porcupine.Operation, operator, round int, version *uint64) []porcupine.Operation {
@@ -201,6 +270,34 @@
 	}
 }
 
+func TestEntriesOfEarlierTermsAreNotCommittedAlone(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	config := &wire.Configuration{Voters: []*wire.Member{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
+	r := &replicator.Replicator{ID: "a", Random: func(int64) int64 { return 0 }}
+	r.Start(now, replicator.Stored{
+		HardState: &wire.HardState{Term: 3},
+		Snapshot:  &wire.Snapshot{Index: 1, Term: 1, Configuration: config},
+		Entries:   []*wire.Entry{{Index: 2, Term: 2}},
+	})
+	r.Tick(now.Add(time.Minute))
+	answer := func(kind wire.MessageKind, term, index uint64) {
+		r.Step(now.Add(time.Minute), &wire.Message{Kind: kind, From: "b", To: "a", Term: term, LogIndex: index, Round: 1})
+		rd := r.Take()
+		if n := len(rd.Entries); n > 0 {
+			r.Synced(rd.Entries[n-1].GetIndex())
+		}
+	}
+	answer(wire.MessageKind_MESSAGE_KIND_PRE_VOTE_ANSWER, 4, 0)
+	answer(wire.MessageKind_MESSAGE_KIND_VOTE_ANSWER, 4, 0)
+	c.Assert(r.Role(), qt.Equals, replicator.Leader)
+	// A majority holds the entry of term 2, which may still be overwritten.
+	answer(wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, 4, 2)
+	c.Assert(r.Commit(), qt.Equals, uint64(1))
+	answer(wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, 4, 3)
+	c.Assert(r.Commit(), qt.Equals, uint64(3))
+}
+
 func TestLostDiskHasNoVote(t *testing.T) {
 	c := qt.New(t)
 	k := newCluster(7, "a", "b", "c")
@@ -261,6 +358,21 @@
 	c.Assert(k.faults, qt.HasLen, 0)
 }
 
+func TestHandingOverToNobodyEnds(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(3, "a", "b", "c")
+	k.run(3 * time.Second)
+	transfer(k)
+	k.carryOut(k.inLeadersRole())
+	// The message that hands over is lost.
+	k.network = nil
+	k.run(5 * time.Second)
+	done := false
+	k.propose(k.leader(), applyCommand("after", 0), func(recorder.Result) { done = true })
+	k.run(time.Second)
+	c.Assert(done, qt.IsTrue)
+}
+
 func TestFailoverEndsInsideSessionLease(t *testing.T) {
 	c := qt.New(t)
 	for seed := uint64(1); seed <= 50; seed++ {
