--- /dev/null
+++ b/pkg/storer/storer_test.go
@@ -0,0 +1,180 @@
+package storer_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"bronzelead.example/pkg/storer"
+	"bronzelead.example/pkg/wire"
+)
+
+func entries(from, to uint64) []*wire.Entry {
+	var all []*wire.Entry
+	for i := from; i <= to; i++ {
+		all = append(all, &wire.Entry{Index: i, Term: 1, Data: []byte("some command of usual length")})
+	}
+	return all
+}
+
+// filled makes a folder with a hard state, a snapshot of 10 and entries 11 to 20.
+func filled(c *qt.C) string {
+	folder := c.TempDir()
+	s := open(c, folder)
+	c.Assert(s.SetIdentity("a/1", "cluster"), qt.IsNil)
+	c.Assert(s.Append(&wire.HardState{Term: 3, Vote: "b"}, entries(1, 10)), qt.IsNil)
+	c.Assert(s.SaveSnapshot(&wire.Snapshot{Index: 10, Term: 1, State: []byte("state")}, nil), qt.IsNil)
+	for i := uint64(11); i <= 20; i++ {
+		c.Assert(s.Append(nil, entries(i, i)), qt.IsNil)
+	}
+	c.Assert(s.Close(), qt.IsNil)
+	return folder
+}
+
+func open(c *qt.C, folder string) *storer.Storer {
+	s := &storer.Storer{Folder: folder}
+	_, err := s.Open()
+	c.Assert(err, qt.IsNil)
+	return s
+}
+
+func TestReadsBackWhatWasWritten(t *testing.T) {
+	c := qt.New(t)
+	folder := filled(c)
+	s := &storer.Storer{Folder: folder}
+	got, err := s.Open()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.HardState.GetTerm(), qt.Equals, uint64(3))
+	c.Assert(got.Snapshot.GetIndex(), qt.Equals, uint64(10))
+	c.Assert(got.Entries, qt.HasLen, 10)
+	// A cut replaces what follows.
+	c.Assert(s.Append(nil, []*wire.Entry{{Index: 15, Term: 2}}), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	got, err = (&storer.Storer{Folder: folder}).Open()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Entries, qt.HasLen, 5)
+	c.Assert(got.Entries[4].GetTerm(), qt.Equals, uint64(2))
+}
+
+func TestDamage(t *testing.T) {
+	cases := map[string]struct {
+		file    string
+		spoil   func(data []byte) []byte
+		damaged bool
+		entries int
+	}{
+		"a torn last record is cut": {
+			file: "Log", spoil: func(d []byte) []byte { return d[:len(d)-7] }, entries: 9,
+		},
+		"garbage behind the last record is cut": {
+			file: "Log", spoil: func(d []byte) []byte { return append(d, "garbage that was never synced"...) }, entries: 10,
+		},
+		"a flipped bit before the tail is damage": {
+			file: "Log", spoil: func(d []byte) []byte { d[len(d)/2] ^= 1; return d }, damaged: true,
+		},
+		"a hole before the tail is damage": {
+			file: "Log", spoil: func(d []byte) []byte { return append(d[:60:60], d[90:]...) }, damaged: true,
+		},
+		"a flipped bit in the snapshot is damage": {
+			file: "Snapshot", spoil: func(d []byte) []byte { d[len(d)-1] ^= 1; return d }, damaged: true,
+		},
+		"a short snapshot is damage": {
+			file: "Snapshot", spoil: func(d []byte) []byte { return d[:len(d)-1] }, damaged: true,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			folder := filled(c)
+			file := filepath.Join(folder, tc.file)
+			data, err := os.ReadFile(file)
+			c.Assert(err, qt.IsNil)
+			c.Assert(os.WriteFile(file, tc.spoil(data), 0o600), qt.IsNil)
+			s := &storer.Storer{Folder: folder}
+			got, err := s.Open()
+			c.Assert(storer.IsDamaged(err), qt.Equals, tc.damaged, qt.Commentf("%v", err))
+			if tc.damaged {
+				rejoinsEmpty(c, s)
+				return
+			}
+			c.Assert(got.Entries, qt.HasLen, tc.entries)
+			// What is appended after a cut is read back.
+			next := got.Entries[len(got.Entries)-1].GetIndex() + 1
+			c.Assert(s.Append(nil, entries(next, next)), qt.IsNil)
+			c.Assert(s.Close(), qt.IsNil)
+			got, err = (&storer.Storer{Folder: folder}).Open()
+			c.Assert(err, qt.IsNil)
+			c.Assert(got.Entries, qt.HasLen, tc.entries+1)
+		})
+	}
+}
+
+// rejoinsEmpty checks that a damaged disk has no identity, and so no vote, any more.
+func rejoinsEmpty(c *qt.C, s *storer.Storer) {
+	aside, err := s.SetAside(time.Unix(1, 0))
+	c.Assert(err, qt.IsNil)
+	_, err = os.Stat(filepath.Join(aside, "Identity"))
+	c.Assert(err, qt.IsNil)
+	got, err := s.Open()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Entries, qt.HasLen, 0)
+	id, _, err := s.Identity()
+	c.Assert(err, qt.IsNil)
+	c.Assert(id, qt.Equals, "")
+}
+
+func TestCrashBetweenSnapshotAndLog(t *testing.T) {
+	c := qt.New(t)
+	folder := filled(c)
+	old, err := os.ReadFile(filepath.Join(folder, "Log"))
+	c.Assert(err, qt.IsNil)
+	s := open(c, folder)
+	c.Assert(s.SaveSnapshot(&wire.Snapshot{Index: 18, Term: 1}, entries(19, 20)), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	// The snapshot was renamed, the log not yet.
+	c.Assert(os.WriteFile(filepath.Join(folder, "Log"), old, 0o600), qt.IsNil)
+	got, err := (&storer.Storer{Folder: folder}).Open()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Snapshot.GetIndex(), qt.Equals, uint64(18))
+	c.Assert(got.Entries, qt.HasLen, 2)
+	c.Assert(got.HardState.GetTerm(), qt.Equals, uint64(3))
+}
+
+func TestTwoProcessesOneFolder(t *testing.T) {
+	c := qt.New(t)
+	folder := filled(c)
+	first := open(c, folder)
+	_, err := (&storer.Storer{Folder: folder}).Open()
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(first.Close(), qt.IsNil)
+}
+
+func FuzzOpen(f *testing.F) {
+	c := qt.New(f)
+	seed, err := os.ReadFile(filepath.Join(filled(c), "Log"))
+	c.Assert(err, qt.IsNil)
+	f.Add(seed)
+	f.Add(seed[:len(seed)-3])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := qt.New(t)
+		folder := c.TempDir()
+		c.Assert(os.WriteFile(filepath.Join(folder, "Log"), data, 0o600), qt.IsNil)
+		s := &storer.Storer{Folder: folder}
+		got, err := s.Open()
+		if err != nil {
+			c.Assert(storer.IsDamaged(err), qt.IsTrue)
+			return
+		}
+		c.Assert(s.Close(), qt.IsNil)
+		again, err := (&storer.Storer{Folder: folder}).Open()
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Cut, qt.Equals, 0)
+		c.Assert(proto.Equal(again.HardState, got.HardState), qt.IsTrue)
+		c.Assert(again.Entries, qt.HasLen, len(got.Entries))
+	})
+}
--- /dev/null
+++ b/pkg/translator/translator_test.go
@@ -0,0 +1,141 @@
+package translator_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/translator"
+)
+
+const engine = `{"Name":"e1","Incarnation":"i","Kind":"Engine","Address":"127.0.0.1:80","Zone":"z","BaseModel":"b","Slots":4,"Batch":8,"ChecksFencing":true,"Leaving":false,"Running":0,"Waiting":0}`
+
+func TestParseAnnouncement(t *testing.T) {
+	cases := map[string]struct {
+		body string
+		ok   bool
+	}{
+		"an engine":                  {body: engine, ok: true},
+		"a service":                  {body: `{"Name":"s","Incarnation":"i","Kind":"Service","Address":"127.0.0.1:80","Zone":"z","Service":"orders"}`, ok: true},
+		"a service without its name": {body: `{"Name":"s","Incarnation":"i","Kind":"Service","Address":"127.0.0.1:80","Zone":"z"}`},
+		"an unknown kind":            {body: strings.Replace(engine, "Engine", "Motor", 1)},
+		"an unknown field":           {body: strings.Replace(engine, "Zone", "Place", 1)},
+		"a name for an address":      {body: strings.Replace(engine, "127.0.0.1:80", "host:80", 1)},
+		"no slots":                   {body: strings.Replace(engine, `"Slots":4`, `"Slots":0`, 1)},
+		"far too many slots":         {body: strings.Replace(engine, `"Slots":4`, `"Slots":99999999`, 1)},
+		"a number out of range":      {body: strings.Replace(engine, `"Slots":4`, `"Slots":-1`, 1)},
+		"not JSON":                   {body: "{"},
+		"nothing":                    {body: ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b, err := translator.ParseAnnouncement([]byte(tc.body))
+			c.Assert(err == nil, qt.Equals, tc.ok, qt.Commentf("%v", err))
+			c.Assert(b != nil, qt.Equals, tc.ok)
+		})
+	}
+}
+
+func TestExpectation(t *testing.T) {
+	x := translator.Expectation{AnswerID: "cmpl-1", Model: "a@1"}
+	cases := map[string]struct {
+		body string
+		kind translator.Kind
+	}{
+		"its own":                     {body: `{"id":"cmpl-1","model":"a@1"}`},
+		"another request's":           {body: `{"id":"cmpl-2","model":"a@1"}`, kind: translator.KindCrossed},
+		"another version's":           {body: `{"id":"cmpl-1","model":"a@2"}`, kind: translator.KindCrossed},
+		"one without an id":           {body: `{"model":"a@1"}`, kind: translator.KindCrossed},
+		"half of one":                 {body: `{"id":"cmpl-1","mod`, kind: translator.KindCut},
+		"an error in an answer's way": {body: `[]`, kind: translator.KindCut},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			err := x.Check([]byte(tc.body))
+			if tc.kind == 0 {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			c.Assert(translator.IsKind(err, tc.kind), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestEvents(t *testing.T) {
+	long := strings.Repeat("x", 100_000)
+	cases := map[string]struct {
+		stream string
+		events int
+		done   bool
+	}{
+		"a whole stream":               {stream: "data: a\n\ndata: b\r\n\r\ndata: [DONE]\n\n", events: 2, done: true},
+		"comments and other fields":    {stream: ": ping\nevent: x\ndata: a\n\ndata: [DONE]\n\n", events: 1, done: true},
+		"a long event":                 {stream: "data: " + long + "\n\ndata: [DONE]\n\n", events: 1, done: true},
+		"cut between events":           {stream: "data: a\n\n", events: 1},
+		"cut inside an event":          {stream: "data: a\n\ndata: b", events: 1},
+		"cut inside the closing event": {stream: "data: a\n\ndata: [DO", events: 1},
+		"an endless event":             {stream: "data: " + strings.Repeat(long, 50) + "\n\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := translator.NewEventReader(strings.NewReader(tc.stream))
+			events := 0
+			for {
+				_, done, err := r.Next()
+				if done || err != nil {
+					c.Assert(done, qt.Equals, tc.done)
+					break
+				}
+				events++
+			}
+			c.Assert(events, qt.Equals, tc.events)
+		})
+	}
+}
+
+func TestFencingNumbersRise(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(translator.FencingNumber(2, 1) > translator.FencingNumber(1, 999), qt.IsTrue)
+	c.Assert(translator.FencingNumber(2, 10) > translator.FencingNumber(2, 9), qt.IsTrue)
+	c.Assert(translator.FencingNumber(10, 1) > translator.FencingNumber(9, 1), qt.IsTrue)
+}
+
+func FuzzParseAnnouncement(f *testing.F) {
+	f.Add([]byte(engine))
+	f.Add([]byte(`{"Name":1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		b, err := translator.ParseAnnouncement(body)
+		if (b == nil) != (err != nil) {
+			t.Fatal("neither an announcement nor an error, or both")
+		}
+	})
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"a@1","prompt":"x","stream":true}`))
+	f.Add([]byte(`{"model":1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		req, err := translator.ParseCompletion(translator.CompletionsPath, body)
+		if err == nil && req.Model == "" {
+			t.Fatal("a request without a model was taken")
+		}
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata: [DONE]\n\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		r := translator.NewEventReader(bytes.NewReader(stream))
+		for range len(stream) + 1 {
+			if _, done, err := r.Next(); done || err != nil {
+				return
+			}
+		}
+		t.Fatal("more events than bytes")
+	})
+}
