--- a/pkg/recorder/recorder_bench_test.go
+++ b/pkg/recorder/recorder_bench_test.go
@@ -21,6 +21,7 @@
 		n++
 	}
 	b.ReportMetric(float64(heap()-before)/float64(n), "heap-B/claim")
+	runtime.KeepAlive(l)
 }
 
 // BenchmarkSnapshot times a snapshot of 100,000 claims with outcomes.
