--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -35,6 +35,8 @@
 	joinEvery    = 500 * time.Millisecond
 	stopWithin   = 5 * time.Second
 	transferPoll = 20 * time.Millisecond
+	// A message between controllers may hold a whole snapshot.
+	maxMessage = 1 << 30
 	// A snapshot is sent again after ten election timeouts, so it has that long.
 	snapshotTimeout = 6 * time.Second
 )
@@ -174,7 +176,7 @@
 	a.responder = &responder.Responder{
 		Log: a.Log, Keeper: a.keeper, Coordinator: a.coordinator, Peer: forward, LeaseNs: int64(s.Timing.SessionLease),
 	}
-	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log}
+	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log, MaxBody: maxMessage}
 }
 
 // bulk returns the client that sends snapshots.
--- a/controller/coordinator/coordinator.go
+++ b/controller/coordinator/coordinator.go
@@ -34,6 +34,7 @@
 type Keeper interface {
 	Standing() *keeper.Standing
 	Start(cmd *wire.Command, done func(recorder.Result, error))
+	// Compact may take long, and may be called from any goroutine.
 	Compact(index uint64, state []byte)
 }
 
@@ -57,6 +58,8 @@
 	admitted atomic.Pointer[keeper.Admission]
 	state    *recorder.Recorder
 	snapshot uint64
+	// compacting is set while a snapshot is being made.
+	compacting atomic.Bool
 
 	term     uint64
 	leaser   *leaser.Leaser
@@ -155,13 +158,21 @@
 }
 
 func (c *Coordinator) compact() {
-	data, err := c.state.Snapshot()
-	if err != nil {
-		c.Log.Error("the state can't be encoded", "Error", err.Error())
+	c.snapshot = c.state.Applied()
+	if !c.compacting.CompareAndSwap(false, true) {
+		// The next chance comes after as many entries again.
 		return
 	}
-	c.snapshot = c.state.Applied()
-	c.Keeper.Compact(c.snapshot, data)
+	frozen := c.state.Freeze()
+	go func() {
+		defer c.compacting.Store(false)
+		data, err := recorder.Encode(frozen)
+		if err != nil {
+			c.Log.Error("the state can't be encoded", "Error", err.Error())
+			return
+		}
+		c.Keeper.Compact(frozen.GetApplied(), data)
+	}()
 }
 
 // follow begins a term as leader, once all that was committed before has been
--- a/controller/keeper/keeper.go
+++ b/controller/keeper/keeper.go
@@ -89,10 +89,12 @@
 	messages  chan []*wire.Message
 	proposals chan proposal
 	requests  chan func(now time.Time)
-	standing  atomic.Pointer[Standing]
-	waiting   map[uint64]proposal
-	backlog   []Item
-	joined    map[string]joinedMember
+	// ended is closed when Run has returned.
+	ended    chan struct{}
+	standing atomic.Pointer[Standing]
+	waiting  map[uint64]proposal
+	backlog  []Item
+	joined   map[string]joinedMember
 	// fatal is set when the disk failed outside of carryOut.
 	fatal error
 }
@@ -114,6 +116,7 @@
 	k.messages = make(chan []*wire.Message, ringSize)
 	k.proposals = make(chan proposal, ringSize)
 	k.requests = make(chan func(time.Time), ringSize)
+	k.ended = make(chan struct{})
 	k.waiting = map[uint64]proposal{}
 	k.joined = map[string]joinedMember{}
 	k.Replicator.Start(k.Clock.Now(), replicator.Stored{
@@ -128,6 +131,7 @@
 // Run works until ctx ends. An error means that the disk failed; the process must
 // end, since what it holds is unknown.
 func (k *Keeper) Run(ctx context.Context) error {
+	defer close(k.ended)
 	ticker := k.Clock.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -319,15 +323,33 @@
 	}
 }
 
-// Compact replaces the log up to an index by a snapshot of the state there.
+// Compact replaces the log up to an index by a snapshot of the state there. The
+// snapshot is written by the caller's goroutine, since a large one would hold up
+// heartbeats; only the renaming and the new log are the keeper's.
 func (k *Keeper) Compact(index uint64, state []byte) {
+	s := &wire.Snapshot{Index: index, State: state}
+	described := make(chan bool, 1)
+	k.request(func(time.Time) { described <- k.Replicator.Describe(s) })
+	select {
+	case ok := <-described:
+		if !ok {
+			return
+		}
+	case <-k.ended:
+		return
+	}
+	pending, err := k.Storer.PrepareSnapshot(s)
+	if err != nil {
+		k.request(func(time.Time) { k.fatal = errors.Wrap(err, "keeper") })
+		return
+	}
 	k.request(func(time.Time) {
-		s := &wire.Snapshot{Index: index, State: state}
 		if err := k.Replicator.Compact(s); err != nil {
+			// A leader's snapshot came first.
+			pending.Drop()
 			return
 		}
-		rest := k.Replicator.Stored()
-		if err := k.Storer.SaveSnapshot(s, rest); err != nil {
+		if err := k.Storer.CommitSnapshot(pending, k.Replicator.Stored()); err != nil {
 			k.fatal = errors.Wrap(err, "keeper")
 		}
 	})
@@ -349,10 +371,12 @@
 	})
 }
 
+// request hands a request over. It waits while the ring is full, and gives up when
+// the keeper has ended.
 func (k *Keeper) request(f func(now time.Time)) {
 	select {
 	case k.requests <- f:
-	default:
+	case <-k.ended:
 	}
 }
 
--- a/pkg/recorder/claims.go
+++ b/pkg/recorder/claims.go
@@ -1,8 +1,6 @@
 package recorder
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	"bronzelead.example/pkg/wire"
 )
 
@@ -14,7 +12,7 @@
 		own := c.GetState() == wire.ClaimState_CLAIM_STATE_RUNNING && !c.GetOrphaned() &&
 			c.GetCommand().GetRequestId() == cmd.GetRequestId() &&
 			c.GetCommand().GetAttempt() == cmd.GetAttempt()
-		return &wire.ClaimResponse{Granted: own, Claim: proto.CloneOf(c)}
+		return &wire.ClaimResponse{Granted: own, Claim: c}
 	}
 	if r.sessions[cmd.GetSession()] == nil {
 		// A session that has ended may claim nothing: nobody would notice its end.
@@ -27,7 +25,7 @@
 	r.claims[key] = c
 	r.own(key, c)
 	r.expiry.push(key, c.GetExpiresAtNs())
-	return &wire.ClaimResponse{Granted: true, Claim: proto.CloneOf(c)}
+	return &wire.ClaimResponse{Granted: true, Claim: c}
 }
 
 func (r *Recorder) own(key ClaimKey, c *wire.Claim) {
@@ -51,8 +49,11 @@
 func (r *Recorder) finish(cmd *wire.FinishCommand) *wire.Outcome {
 	key := ClaimKey{Customer: cmd.GetCustomer(), Key: cmd.GetKey()}
 	if c := r.running(key, cmd.GetRequestId()); c != nil {
-		c.State = wire.ClaimState_CLAIM_STATE_FINISHED
-		c.Outcome = cmd.GetOutcome()
+		// A claim is replaced, never changed: a snapshot may be encoding it.
+		r.claims[key] = &wire.Claim{
+			Command: c.GetCommand(), State: wire.ClaimState_CLAIM_STATE_FINISHED, Outcome: cmd.GetOutcome(),
+			ClaimedAtNs: c.GetClaimedAtNs(), ExpiresAtNs: c.GetExpiresAtNs(),
+		}
 		r.disown(key, c)
 	}
 	return r.claims[key].GetOutcome()
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -150,11 +150,16 @@
 	}
 	delete(r.sessions, id)
 	if !cmd.GetGraceful() {
-		s.EndedAtNs = r.now
-		r.ended = append(r.ended, s)
+		ended := proto.CloneOf(s)
+		ended.EndedAtNs = r.now
+		r.ended = append(r.ended, ended)
 	}
 	for key := range r.owned[id] {
-		r.claims[key].Orphaned = true
+		c := r.claims[key]
+		r.claims[key] = &wire.Claim{
+			Command: c.GetCommand(), State: c.GetState(), Orphaned: true,
+			ClaimedAtNs: c.GetClaimedAtNs(), ExpiresAtNs: c.GetExpiresAtNs(),
+		}
 	}
 	delete(r.owned, id)
 	return cmd
--- a/pkg/recorder/recorder_bench_test.go
+++ b/pkg/recorder/recorder_bench_test.go
@@ -24,6 +24,20 @@
 	runtime.KeepAlive(l)
 }
 
+// BenchmarkFreeze times what a snapshot of 100,000 claims holds up the state for.
+func BenchmarkFreeze(b *testing.B) {
+	l := newLog()
+	s := l.open()
+	for n := range 100_000 {
+		key := fmt.Sprint("key-", n)
+		l.claim(s, key, key)
+		l.finish(key, key, "ran")
+	}
+	for b.Loop() {
+		l.state.Freeze()
+	}
+}
+
 // BenchmarkSnapshot times a snapshot of 100,000 claims with outcomes.
 func BenchmarkSnapshot(b *testing.B) {
 	l := newLog()
--- a/pkg/recorder/snapshot.go
+++ b/pkg/recorder/snapshot.go
@@ -11,11 +11,21 @@
 )
 
 // Snapshot encodes the whole state.
-func (r *Recorder) Snapshot() ([]byte, error) {
+func (r *Recorder) Snapshot() ([]byte, error) { return Encode(r.Freeze()) }
+
+// Encode encodes a frozen state.
+func Encode(s *wire.State) ([]byte, error) {
+	data, err := proto.Marshal(s)
+	return data, errors.Wrap(err, "recorder: Encode")
+}
+
+// Freeze returns the state as it is now. What it holds is never changed, only
+// replaced, so it may be encoded by another goroutine while the state goes on.
+func (r *Recorder) Freeze() *wire.State {
 	s := &wire.State{
 		NowNs: r.now, Applied: r.applied, Revision: r.revision,
 		AdmittedMembers: r.AdmittedMembers(), DrainedBackends: r.Drained(),
-		Outcomes: r.aging, EndedSessions: r.ended,
+		Outcomes: slices.Clone(r.aging), EndedSessions: slices.Clone(r.ended),
 	}
 	for _, customer := range slices.Sorted(maps.Keys(r.latest)) {
 		s.Latest = append(s.Latest, r.latest[customer])
@@ -24,11 +34,8 @@
 	for _, id := range slices.Sorted(maps.Keys(r.sessions)) {
 		s.Sessions = append(s.Sessions, r.sessions[id])
 	}
-	for _, c := range r.claims {
-		s.Claims = append(s.Claims, c)
-	}
-	data, err := proto.Marshal(s)
-	return data, errors.Wrap(err, "recorder: Snapshot")
+	s.Claims = slices.AppendSeq(make([]*wire.Claim, 0, len(r.claims)), maps.Values(r.claims))
+	return s
 }
 
 // Restore decodes a state that Snapshot encoded.
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -196,14 +196,23 @@
 	}
 }
 
-// Compact replaces the log up to the snapshot's index by the snapshot. The
-// snapshot must be of applied state; its configuration is filled in.
-func (r *Replicator) Compact(s *wire.Snapshot) error {
+// Describe fills in the term and the configuration of a snapshot of applied state. It
+// reports false when the log has no place for it any more.
+func (r *Replicator) Describe(s *wire.Snapshot) bool {
 	if s.GetIndex() <= r.base.GetIndex() || s.GetIndex() > r.emitted {
-		return fail("Compact", KindIndex, "index %d is not between %d and %d", s.GetIndex(), r.base.GetIndex(), r.emitted)
+		return false
 	}
 	s.Term = r.termOf(s.GetIndex())
 	s.Configuration = proto.CloneOf(r.configBefore(s.GetIndex()))
+	return true
+}
+
+// Compact replaces the log up to the snapshot's index by the snapshot, which must be
+// of applied state.
+func (r *Replicator) Compact(s *wire.Snapshot) error {
+	if !r.Describe(s) {
+		return fail("Compact", KindIndex, "index %d is not between %d and %d", s.GetIndex(), r.base.GetIndex(), r.emitted)
+	}
 	rest := r.slice(s.GetIndex()+1, r.lastIndex()+1)
 	r.log = append([]*wire.Entry(nil), rest...)
 	r.base = s
--- a/pkg/storer/record.go
+++ b/pkg/storer/record.go
@@ -8,7 +8,8 @@
 // A record is a length, a CRC-32C of kind and payload, a kind and the payload.
 const (
 	headerSize     = 9
-	maxPayloadSize = 64 << 20
+	// A snapshot of a million claims takes about 600 MB.
+	maxPayloadSize = 1 << 30
 )
 
 type recordKind byte
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -129,15 +129,57 @@
 	return diskFault("Append", s.log.Sync())
 }
 
-// SaveSnapshot replaces the snapshot and then the log, which from then on holds
-// only the given entries. A crash in between leaves entries that the snapshot
-// already covers, which Open drops.
-func (s *Storer) SaveSnapshot(snapshot *wire.Snapshot, rest []*wire.Entry) error {
+// PendingSnapshot is a snapshot that is on disk but does not count yet.
+type PendingSnapshot struct {
+	file *renameio.PendingFile
+}
+
+// Drop forgets a snapshot that came too late.
+func (p *PendingSnapshot) Drop() { _ = p.file.Cleanup() }
+
+// PrepareSnapshot writes and syncs a snapshot that CommitSnapshot puts into force. It
+// may run beside the other methods.
+func (s *Storer) PrepareSnapshot(snapshot *wire.Snapshot) (*PendingSnapshot, error) {
 	payload, err := proto.Marshal(snapshot)
 	if err != nil {
-		return diskFault("SaveSnapshot", err)
+		return nil, diskFault("PrepareSnapshot", err)
+	}
+	if len(payload) > maxPayloadSize {
+		return nil, damaged("PrepareSnapshot", "the state takes %d bytes; %d can be read back", len(payload), maxPayloadSize)
+	}
+	file, err := renameio.NewPendingFile(s.path(snapshotName), renameio.WithPermissions(filePerm))
+	if err != nil {
+		return nil, diskFault("PrepareSnapshot", err)
+	}
+	pending := &PendingSnapshot{file: file}
+	if _, err := file.Write(appendRecord(nil, recordSnapshot, payload)); err != nil {
+		pending.Drop()
+		return nil, diskFault("PrepareSnapshot", err)
+	}
+	if err := file.Sync(); err != nil {
+		pending.Drop()
+		return nil, diskFault("PrepareSnapshot", err)
+	}
+	return pending, nil
+}
+
+// SaveSnapshot writes a snapshot and puts it into force.
+func (s *Storer) SaveSnapshot(snapshot *wire.Snapshot, rest []*wire.Entry) error {
+	pending, err := s.PrepareSnapshot(snapshot)
+	if err != nil {
+		return err
+	}
+	return s.CommitSnapshot(pending, rest)
+}
+
+// CommitSnapshot replaces the snapshot and then the log, which from then on holds
+// only the given entries. A crash in between leaves entries that the snapshot
+// already covers, which Open drops.
+func (s *Storer) CommitSnapshot(pending *PendingSnapshot, rest []*wire.Entry) error {
+	if err := pending.file.CloseAtomicallyReplace(); err != nil {
+		return diskFault("CommitSnapshot", err)
 	}
-	if err := s.replace(snapshotName, appendRecord(nil, recordSnapshot, payload)); err != nil {
+	if err := s.syncFolder(); err != nil {
 		return err
 	}
 	s.buf = s.buf[:0]
--- a/pkg/storer/storer_test.go
+++ b/pkg/storer/storer_test.go
@@ -144,6 +144,34 @@
 	c.Assert(got.HardState.GetTerm(), qt.Equals, uint64(3))
 }
 
+// A state of a hundred thousand claims takes more than 58 MB.
+func TestLargeSnapshotIsReadBack(t *testing.T) {
+	c := qt.New(t)
+	folder := c.TempDir()
+	s := open(c, folder)
+	state := make([]byte, 70<<20)
+	c.Assert(s.SaveSnapshot(&wire.Snapshot{Index: 10, State: state}, nil), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	got, err := (&storer.Storer{Folder: folder}).Open()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Snapshot.GetState(), qt.HasLen, len(state))
+}
+
+func TestLateSnapshotIsDropped(t *testing.T) {
+	c := qt.New(t)
+	folder := filled(c)
+	s := open(c, folder)
+	pending, err := s.PrepareSnapshot(&wire.Snapshot{Index: 12, Term: 1})
+	c.Assert(err, qt.IsNil)
+	// A leader's newer one comes first.
+	c.Assert(s.SaveSnapshot(&wire.Snapshot{Index: 15, Term: 1}, nil), qt.IsNil)
+	pending.Drop()
+	c.Assert(s.Close(), qt.IsNil)
+	got, err := (&storer.Storer{Folder: folder}).Open()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Snapshot.GetIndex(), qt.Equals, uint64(15))
+}
+
 func TestTwoProcessesOneFolder(t *testing.T) {
 	c := qt.New(t)
 	folder := filled(c)
