--- a/gateway/receiver/problem.go
+++ b/gateway/receiver/problem.go
@@ -35,7 +35,6 @@
 	kindInProgress      = "InProgress"
 	kindMayHaveRun      = "MayHaveRun"
 	kindAnswerNotKept   = "AnswerNotKept"
-	kindBackendFailed   = "BackendFailed"
 	kindNoKey           = "IdempotencyKeyRequired"
 )
 
@@ -96,7 +95,7 @@
 		p.Status, p.Message = http.StatusServiceUnavailable, "no backend server takes work for this at the moment"
 	case scheduler.Overloaded:
 		p.Status, p.Message = http.StatusServiceUnavailable, "this instance has too much to decide"
-	case scheduler.ShutingDown:
+	case scheduler.Stopping:
 		p.Status, p.Message = http.StatusServiceUnavailable, "this instance is stopping"
 	case scheduler.CallerGone:
 		p.Status, p.Message = http.StatusServiceUnavailable, "the deadline has passed"
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -30,7 +30,9 @@
 const (
 	defaultMaxBody = 4 << 20
 	maxKeyLength   = 256
-	servicesPath   = "/services/"
+	// A longer deadline is that of the contract anyway.
+	maxDeadlineSeconds = 1e6
+	servicesPath       = "/services/"
 	// ClassHeader lets a caller choose among its contract's classes.
 	ClassHeader = "X-Priority-Class"
 	// DeadlineHeader shortens a request's deadline; it is a duration or seconds.
@@ -236,7 +238,9 @@
 		return d, true
 	}
 	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || seconds < 0 || seconds > 1e6 {
+	inRange := seconds >= 0 && seconds <= maxDeadlineSeconds
+	if err != nil || !inRange {
+		// NaN is in no range.
 		return 0, false
 	}
 	return time.Duration(seconds * float64(time.Second)), true
--- a/gateway/scheduler/scheduler.go
+++ b/gateway/scheduler/scheduler.go
@@ -34,14 +34,14 @@
 
 // The reasons for a refusal by the scheduler.
 const (
-	QueueFull   Reason = "QueueFull"
-	TooLate     Reason = "DeadlineTooShort"
-	NotAllowed  Reason = "NotAllowed"
-	NoQuorum    Reason = "NoQuorum"
-	NoBackend   Reason = "NoBackend"
-	Overloaded  Reason = "Overloaded"
-	CallerGone  Reason = "CallerGone"
-	ShutingDown Reason = "Stopping"
+	QueueFull  Reason = "QueueFull"
+	TooLate    Reason = "DeadlineTooShort"
+	NotAllowed Reason = "NotAllowed"
+	NoQuorum   Reason = "NoQuorum"
+	NoBackend  Reason = "NoBackend"
+	Overloaded Reason = "Overloaded"
+	CallerGone Reason = "CallerGone"
+	Stopping   Reason = "Stopping"
 )
 
 // Refusal is the answer to a request that did not run.
@@ -219,7 +219,7 @@
 	j.arrived = now
 	switch {
 	case s.stopping:
-		j.answer <- verdict{refusal: &Refusal{Reason: ShutingDown, RetryAfter: time.Second}}
+		j.answer <- verdict{refusal: &Refusal{Reason: Stopping, RetryAfter: time.Second}}
 		return
 	case !s.liveAt(now):
 		j.answer <- verdict{refusal: &Refusal{Reason: NoQuorum, RetryAfter: noSessionFor}}
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"strconv"
 	"strings"
@@ -154,7 +155,7 @@
 		value.SetInt(n)
 	case reflect.Float64:
 		f, err := strconv.ParseFloat(text, 64)
-		if err != nil || f < 0 {
+		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
 			return "it is a number from 0 up"
 		}
 		value.SetFloat(f)
