One loop for completions and services; large files split by job

Change: attempts.go holds the loop for both; jobs, placements, members and compaction have files of their own. Nothing else changes. Measured: all unit tests green before and after.

--- a/controller/keeper/keeper.go
+++ b/controller/keeper/keeper.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +14,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"bronzelead.example/pkg/recorder"
-	"bronzelead.example/pkg/recruiter"
 	"bronzelead.example/pkg/replicator"
 	"bronzelead.example/pkg/storer"
 	"bronzelead.example/pkg/wire"
@@ -323,45 +321,6 @@
 	}
 }
 
-// Compact replaces the log up to an index by a snapshot of the state there. The
-// snapshot is written by the caller's goroutine, since a large one would hold up
-// heartbeats; only the renaming and the new log are the keeper's.
-func (k *Keeper) Compact(index uint64, state []byte) {
-	s := &wire.Snapshot{Index: index, State: state}
-	described := make(chan bool, 1)
-	k.request(func(time.Time) { described <- k.Replicator.Describe(s) })
-	select {
-	case ok := <-described:
-		if !ok {
-			return
-		}
-	case <-k.ended:
-		return
-	}
-	pending, err := k.Storer.PrepareSnapshot(s)
-	if err != nil {
-		k.request(func(time.Time) { k.fatal = errors.Wrap(err, "keeper") })
-		return
-	}
-	k.request(func(time.Time) {
-		if err := k.Replicator.Compact(s); err != nil {
-			// A leader's snapshot came first.
-			pending.Drop()
-			return
-		}
-		if err := k.Storer.CommitSnapshot(pending, k.Replicator.Stored()); err != nil {
-			k.fatal = errors.Wrap(err, "keeper")
-		}
-	})
-}
-
-// Join notes a member that asks to take part.
-func (k *Keeper) Join(m *wire.Member) {
-	k.request(func(now time.Time) {
-		k.joined[m.GetName()] = joinedMember{member: m, at: now}
-	})
-}
-
 // Transfer hands leadership over, before a planned stop.
 func (k *Keeper) Transfer() {
 	k.request(func(now time.Time) {
@@ -379,34 +338,3 @@
 	case <-k.ended:
 	}
 }
-
-// recruit proposes the next change of members, if this instance leads.
-func (k *Keeper) recruit() {
-	admission := k.Admission()
-	if k.Replicator.Role() != replicator.Leader || admission == nil || admission.Applied < k.Replicator.TermStart() {
-		// A state that lags behind could take a member for one that was removed.
-		return
-	}
-	now := k.Clock.Now()
-	var joining []*wire.Member
-	for name, j := range k.joined {
-		if now.Sub(j.at) > joinRemember {
-			delete(k.joined, name)
-			continue
-		}
-		joining = append(joining, j.member)
-	}
-	next := recruiter.Next(recruiter.Facts{
-		Configuration: k.Replicator.Configuration(),
-		Joining:       joining,
-		Admitted:      func(name string) bool { return slices.Contains(admission.Names, name) },
-		CaughtUp:      k.Replicator.CaughtUp,
-		Leader:        k.Replicator.ID,
-	})
-	if next == nil {
-		return
-	}
-	if _, err := k.Replicator.ChangeMembers(next); err == nil {
-		k.Log.Info("the members change", "Voters", len(next.GetVoters()), "Learners", len(next.GetLearners()))
-	}
-}
--- a/gateway/receiver/completions.go
+++ b/gateway/receiver/completions.go
@@ -63,7 +63,7 @@
 		return problem
 	}
 	c := &call{receiver: r, entry: e, writer: w, stream: parsed.Stream, model: parsed.Model}
-	return c.run()
+	return r.carry(e, c.attempt)
 }
 
 // readKey takes the key that makes a request run at most once.
@@ -108,65 +108,13 @@
 	keptWhole bool
 }
 
-func (c *call) run() *Problem {
-	r, e := c.receiver, c.entry
-	base := e.ctx
-	if e.once {
-		// The retry of a caller that went away finds the answer instead of a doubt.
-		base = context.WithoutCancel(base)
-	}
-	ctx, cancel := context.WithDeadline(base, e.job.Deadline)
-	defer cancel()
-	e.ctx = ctx
-	r.Retries.Earn()
-	candidate, refusal := r.Scheduler.Enter(ctx, e.job)
-	if refusal != nil {
-		return refused(refusal)
-	}
-	r.noteAssigned(e, candidate)
-	for attempt := 0; ; attempt++ {
-		step := c.attempt(ctx, candidate, attempt)
-		if step.final {
-			r.Scheduler.Leave(e.job, step.failed)
-			return step.problem
-		}
-		if !r.Retries.Spend(ctx, attempt, e.job.Deadline) {
-			r.Scheduler.Leave(e.job, step.failed)
-			return refused(&scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
-		}
-		candidate, refusal = r.Scheduler.Again(ctx, e.job, step.failed, step.missing)
-		if refusal != nil {
-			return refused(refusal)
-		}
-		r.noteAssigned(e, candidate)
-	}
-}
-
-func (r *Receiver) noteAssigned(e *entry, candidate *router.Candidate) {
-	series := r.Meter.For(e.terms.Customer(), e.class)
-	series.QueueWait.RecordDuration(e.job.QueueWait())
-	series.LoadStall.RecordDuration(e.job.LoadStall())
-	r.Explainer.Note(e.id, e.terms.Customer(), "goes to %s (%s) after %s in the queue and %s for the adapter; load %d, score %.2f",
-		candidate.Backend.GetName(), candidate.Backend.GetZone(), e.job.QueueWait(), e.job.LoadStall(), candidate.Load, candidate.Score)
-}
-
-// step is what an attempt led to: a final answer, or the certainty that the request
-// did not run and may be tried elsewhere.
-type step struct {
-	final   bool
-	problem *Problem
-	// failed blames the backend server; missing says that it lacks the adapter.
-	failed  bool
-	missing bool
-}
-
 func (c *call) attempt(ctx context.Context, candidate *router.Candidate, attempt int) step {
 	r, e := c.receiver, c.entry
 	requestID := e.id + "-" + strconv.Itoa(attempt)
 	if e.key != "" {
-		claimed, problem := r.claim(ctx, e, requestID, candidate)
+		claimed, found := r.claim(ctx, e, requestID, candidate)
 		if !claimed {
-			return step{final: true, problem: c.answerOnce(problem)}
+			return step{final: true, problem: found.answer(c.writer, e.id)}
 		}
 	}
 	x := c.exchange(requestID, candidate)
@@ -306,15 +254,6 @@
 	return c.receiver.kept(out.Status, jsonContent, out.Body)
 }
 
-// answerOnce writes a stored answer, or returns the problem as it is.
-func (c *call) answerOnce(found *foundClaim) *Problem {
-	if found.stored == nil {
-		return found.problem
-	}
-	writeStored(c.writer, c.entry.id, found.stored)
-	return nil
-}
-
 // jsonField reads a field of a JSON body as text.
 func jsonField(body []byte, name string) string {
 	fields := map[string]json.RawMessage{}
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -29,6 +29,15 @@
 	problem *Problem
 }
 
+// answer writes the stored answer, or returns the problem that is left.
+func (f *foundClaim) answer(w http.ResponseWriter, requestID string) *Problem {
+	if f.stored != nil {
+		writeStored(w, requestID, f.stored)
+		return nil
+	}
+	return f.problem
+}
+
 // fingerprint tells a repeat from another request under the same key.
 func (e *entry) fingerprint() []byte {
 	h := sha256.New()
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -285,11 +285,7 @@
 	}
 	kind := "Answered"
 	if p != nil {
-		found := r.checkKey(e, p)
-		p = found.problem
-		if found.stored != nil {
-			writeStored(w, e.id, found.stored)
-		}
+		p = r.checkKey(e, p).answer(w, e.id)
 	}
 	if p != nil {
 		kind = p.Kind
--- a/gateway/receiver/services.go
+++ b/gateway/receiver/services.go
@@ -52,7 +52,7 @@
 		rest += "?" + e.http.URL.RawQuery
 	}
 	c := &serviceCall{receiver: r, entry: e, writer: w, path: rest}
-	return c.run()
+	return r.carry(e, c.attempt)
 }
 
 // readServiceKey finds out whether a call may be repeated, and under which key it
@@ -103,45 +103,13 @@
 	path     string
 }
 
-func (c *serviceCall) run() *Problem {
-	r, e := c.receiver, c.entry
-	base := e.ctx
-	if e.once {
-		base = context.WithoutCancel(base)
-	}
-	ctx, cancel := context.WithDeadline(base, e.job.Deadline)
-	defer cancel()
-	e.ctx = ctx
-	r.Retries.Earn()
-	candidate, refusal := r.Scheduler.Enter(ctx, e.job)
-	if refusal != nil {
-		return refused(refusal)
-	}
-	for attempt := 0; ; attempt++ {
-		r.noteAssigned(e, candidate)
-		s := c.attempt(ctx, candidate, attempt)
-		if s.final {
-			r.Scheduler.Leave(e.job, s.failed)
-			return s.problem
-		}
-		if !r.Retries.Spend(ctx, attempt, e.job.Deadline) {
-			r.Scheduler.Leave(e.job, s.failed)
-			return refused(&scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
-		}
-		candidate, refusal = r.Scheduler.Again(ctx, e.job, s.failed, false)
-		if refusal != nil {
-			return refused(refusal)
-		}
-	}
-}
-
 func (c *serviceCall) attempt(ctx context.Context, candidate *router.Candidate, attempt int) step {
 	r, e := c.receiver, c.entry
 	requestID := e.id + "-" + strconv.Itoa(attempt)
 	if e.key != "" {
 		claimed, found := r.claim(ctx, e, requestID, candidate)
 		if !claimed {
-			return step{final: true, problem: c.answerOnce(found)}
+			return step{final: true, problem: found.answer(c.writer, e.id)}
 		}
 	}
 	answer := r.Dispatcher.Call(ctx, &dispatcher.ServiceCall{
@@ -217,11 +185,3 @@
 		}
 	}
 }
-
-func (c *serviceCall) answerOnce(found *foundClaim) *Problem {
-	if found.stored == nil {
-		return found.problem
-	}
-	writeStored(c.writer, c.entry.id, found.stored)
-	return nil
-}
--- a/pkg/storer/record.go
+++ b/pkg/storer/record.go
@@ -7,7 +7,7 @@
 
 // A record is a length, a CRC-32C of kind and payload, a kind and the payload.
 const (
-	headerSize     = 9
+	headerSize = 9
 	// A snapshot of a million claims takes about 600 MB.
 	maxPayloadSize = 1 << 30
 )
