--- a/bench/app/main.go
+++ b/bench/app/main.go
@@ -6,12 +6,8 @@
 	"io"
 
 	"github.com/alecthomas/kong"
-)
 
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"bronzelead.example/pkg/launcher"
 )
 
 type commandLine struct {
@@ -26,24 +22,18 @@
 // Main runs a bench and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	line := &commandLine{}
-	exited := -1
-	parser, err := kong.New(line, kong.Name("bench"), kong.Description("Measures bronzelead."),
-		kong.Writers(stdout, stderr), kong.Exit(func(code int) { exited = code }), kong.BindTo(stdout, (*io.Writer)(nil)))
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	parsed, err := parser.Parse(args)
-	if exited >= 0 {
-		return exited
+	program := &launcher.Program{
+		Name: "bench", Description: "Measures bronzelead.",
+		Line: line, Stdout: stdout, Stderr: stderr,
+		Options: []kong.Option{kong.BindTo(stdout, (*io.Writer)(nil))},
 	}
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "bench:", err)
-		return exitUsage
+	parsed, code := program.Parse(args)
+	if parsed == nil {
+		return code
 	}
 	if err := parsed.Run(); err != nil {
 		_, _ = fmt.Fprintln(stderr, "bench:", err)
-		return exitFailed
+		return launcher.ExitFailed
 	}
-	return exitOK
+	return launcher.ExitOK
 }
--- a/bronzectl/app/contract.go
+++ b/bronzectl/app/contract.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/drafter"
+	"bronzelead.example/pkg/launcher"
 	"bronzelead.example/pkg/validator"
 	"bronzelead.example/pkg/wire"
 )
@@ -38,7 +39,7 @@
 		faults = validator.Contract(contract)
 	}
 	if len(faults) > 0 {
-		return &exitError{code: exitUsage, text: c.File + ":\n" + strings.Join(faults, "\n")}
+		return &exitError{code: launcher.ExitUsage, text: c.File + ":\n" + strings.Join(faults, "\n")}
 	}
 	if c.ChangeID == "" {
 		c.ChangeID = rand.Text()
--- a/bronzectl/app/main.go
+++ b/bronzectl/app/main.go
@@ -7,21 +7,18 @@
 	"io"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/launcher"
 	"bronzelead.example/pkg/wire"
 )
 
-// Exit codes.
+// Exit codes beside those of all programs.
 const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitUsage    = 2
 	exitConflict = 3
 	exitNotYet   = 4
 )
@@ -69,22 +66,14 @@
 // force everywhere within the time.
 func Main(args []string, stdout, stderr io.Writer) int {
 	line := &commandLine{}
-	exited := -1
-	parser, err := kong.New(line, kong.Name("bronzectl"), kong.Writers(stdout, stderr),
-		kong.Description("Drives bronzelead. Exit codes: 0 success, 1 failure, 2 wrong usage or a refused contract, "+
-			"3 conflict with another change, 4 not in force everywhere within the time."),
-		kong.Exit(func(code int) { exited = code }), kong.UsageOnError())
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	parsed, err := parser.Parse(args)
-	if exited >= 0 {
-		return exited
+	program := &launcher.Program{
+		Name: "bronzectl", Line: line, Stdout: stdout, Stderr: stderr,
+		Description: "Drives bronzelead. Exit codes: 0 success, 1 failure, 2 wrong usage or a refused contract, " +
+			"3 conflict with another change, 4 not in force everywhere within the time.",
 	}
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "bronzectl:", err)
-		return exitUsage
+	parsed, code := program.Parse(args)
+	if parsed == nil {
+		return code
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), line.Timeout)
 	defer cancel()
@@ -109,7 +98,7 @@
 
 func exitCode(err error, stderr io.Writer) int {
 	if err == nil {
-		return exitOK
+		return launcher.ExitOK
 	}
 	_, _ = fmt.Fprintln(stderr, "bronzectl:", err)
 	var exit *exitError
@@ -118,9 +107,9 @@
 	}
 	var answer twirp.Error
 	if errors.As(err, &answer) && answer.Code() == twirp.InvalidArgument {
-		return exitUsage
+		return launcher.ExitUsage
 	}
-	return exitFailed
+	return launcher.ExitFailed
 }
 
 // call tries a call at one controller after the other until it is answered.
--- a/controller/app/main.go
+++ b/controller/app/main.go
@@ -7,15 +7,9 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/alecthomas/kong"
 	"github.com/jonboulle/clockwork"
-)
 
-// Exit codes.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitSettings = 2
+	"bronzelead.example/pkg/launcher"
 )
 
 type commandLine struct {
@@ -34,21 +28,13 @@
 // 2 for a fault in the arguments or settings.
 func Main(args []string, stdout, stderr io.Writer) int {
 	line := &commandLine{}
-	exited := -1
-	parser, err := kong.New(line, kong.Name("controller"),
-		kong.Description("Keeps contracts, claims and members on an instance with a disk."),
-		kong.Writers(stdout, stderr), kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	parsed, err := parser.Parse(args)
-	if exited >= 0 {
-		return exited
+	program := &launcher.Program{
+		Name: "controller", Description: "Keeps contracts, claims and members on an instance with a disk.",
+		Line: line, Stdout: stdout, Stderr: stderr,
 	}
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "controller:", err)
-		return exitSettings
+	parsed, code := program.Parse(args)
+	if parsed == nil {
+		return code
 	}
 	switch parsed.Command() {
 	case "check-settings <file>":
@@ -64,10 +50,10 @@
 		for _, fault := range faults {
 			_, _ = fmt.Fprintln(stderr, fault)
 		}
-		return exitSettings
+		return launcher.ExitUsage
 	}
 	_, _ = fmt.Fprintln(stdout, file+": all settings are right")
-	return exitOK
+	return launcher.ExitOK
 }
 
 func initialize(file string, stdout, stderr io.Writer) int {
@@ -78,10 +64,10 @@
 	cluster, err := Init(settings)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "controller:", err)
-		return exitFailed
+		return launcher.ExitFailed
 	}
 	_, _ = fmt.Fprintln(stdout, "made cluster", cluster)
-	return exitOK
+	return launcher.ExitOK
 }
 
 func run(file string, stderr io.Writer) int {
@@ -94,7 +80,7 @@
 	a := &App{Settings: settings, Clock: clockwork.NewRealClock(), Log: NewLog(settings)}
 	if err := a.Run(ctx); err != nil {
 		a.Log.Error("the controller ends", "Error", err.Error())
-		return exitFailed
+		return launcher.ExitFailed
 	}
-	return exitOK
+	return launcher.ExitOK
 }
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -154,17 +154,22 @@
 		}
 		value.SetInt(n)
 	case reflect.Float64:
-		f, err := strconv.ParseFloat(text, 64)
-		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
-			return "it is a number from 0 up"
-		}
-		value.SetFloat(f)
+		return setFloat(value, text)
 	default:
 		return "its type is not known to the program"
 	}
 	return ""
 }
 
+func setFloat(value reflect.Value, text string) string {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
+		return "it is a number from 0 up"
+	}
+	value.SetFloat(f)
+	return ""
+}
+
 func list(text string) []string {
 	var items []string
 	for _, item := range strings.Split(text, ",") {
--- /dev/null
+++ b/pkg/launcher/launcher.go
@@ -0,0 +1,54 @@
+// Package launcher parses a program's command line and gives all programs the same
+// exit codes.
+package launcher
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of all programs.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	// ExitUsage is for wrong arguments and settings.
+	ExitUsage = 2
+)
+
+// Program is a command line. Set the exported fields, then call Parse.
+type Program struct {
+	Name        string
+	Description string
+	// Line is a pointer to the struct of commands and flags.
+	Line   any
+	Stdout io.Writer
+	Stderr io.Writer
+	// Options are added to the parser's.
+	Options []kong.Option
+}
+
+// Parse parses arguments. Without a context the program is to end with the code: help
+// was shown, or a fault was reported.
+func (p *Program) Parse(args []string) (parsed *kong.Context, code int) {
+	exited := -1
+	options := append([]kong.Option{
+		kong.Name(p.Name), kong.Description(p.Description),
+		kong.Writers(p.Stdout, p.Stderr), kong.Exit(func(code int) { exited = code }),
+	}, p.Options...)
+	parser, err := kong.New(p.Line, options...)
+	if err != nil {
+		_, _ = fmt.Fprintln(p.Stderr, err)
+		return nil, ExitFailed
+	}
+	parsed, err = parser.Parse(args)
+	switch {
+	case exited >= 0:
+		return nil, exited
+	case err != nil:
+		_, _ = fmt.Fprintf(p.Stderr, "%s: %v\n", p.Name, err)
+		return nil, ExitUsage
+	}
+	return parsed, ExitOK
+}
--- a/proof/promises_test.go
+++ b/proof/promises_test.go
@@ -238,9 +238,9 @@
 	y.gateways[0].stop()
 }
 
-// aFewSeconds is what the users' promise is taken for. The engine stays for longer, so
+// leaveBound is what the users' promise is taken for. The engine stays for longer, so
 // that work that comes later would be seen.
-const aFewSeconds = 5 * time.Second
+const leaveBound = 5 * time.Second
 
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
 	c := qt.New(t)
@@ -264,7 +264,7 @@
 	for _, e := range last {
 		if e.What == "Ran" {
 			after := e.At.Sub(leaving)
-			c.Assert(after < aFewSeconds, qt.IsTrue, qt.Commentf("new work %s after leaving", after))
+			c.Assert(after < leaveBound, qt.IsTrue, qt.Commentf("new work %s after leaving", after))
 		}
 	}
 }
--- a/standin/app/main.go
+++ b/standin/app/main.go
@@ -13,11 +13,11 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/launcher"
 	"bronzelead.example/pkg/logger"
 	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/translator"
@@ -28,9 +28,6 @@
 )
 
 const (
-	exitOK        = 0
-	exitFailed    = 1
-	exitArguments = 2
 	stopWithin    = 30 * time.Second
 	weightTimeout = 20 * time.Second
 )
@@ -70,20 +67,13 @@
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	line := &commandLine{}
-	exited := -1
-	parser, err := kong.New(line, kong.Name("standin"), kong.Description("Plays a system that bronzelead serves."),
-		kong.Writers(stdout, stderr), kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	parsed, err := parser.Parse(args)
-	if exited >= 0 {
-		return exited
+	program := &launcher.Program{
+		Name: "standin", Description: "Plays a system that bronzelead serves.",
+		Line: line, Stdout: stdout, Stderr: stderr,
 	}
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "standin:", err)
-		return exitArguments
+	parsed, code := program.Parse(args)
+	if parsed == nil {
+		return code
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -91,9 +81,9 @@
 	logger.UseForLibrary(log)
 	if err := line.run(ctx, parsed.Command(), log); err != nil {
 		_, _ = fmt.Fprintln(stderr, "standin:", err)
-		return exitFailed
+		return launcher.ExitFailed
 	}
-	return exitOK
+	return launcher.ExitOK
 }
 
 func (c *commandLine) run(ctx context.Context, command string, log *slog.Logger) error {
