A claim that comes after its release, and a session's end that was lost

(1) A gateway that gives up on a claim releases it; when the claim comes into the log later, nobody would dispatch or release it, and the key would hear 'in progress' until its session ends. (2) The end of an expired session was proposed once; if that proposal was lost, its claims were never orphaned and its shares never came back. Ruled out: repeats by the same gateway (they name the same request and are granted). Before: TestReleaseBeforeItsClaim and TestEndOfASession red. After: green, with the other tests of the log.

--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -32,8 +32,8 @@
 	Revision uint64
 	// Reported tells whether this leader knows all that the session holds.
 	Reported bool
-	// closing is set when the end of the session has been proposed.
-	closing bool
+	// closing is when the end of the session was last proposed.
+	closing time.Time
 }
 
 // Leaser holds the sessions. Set the exported fields before use.
@@ -99,7 +99,7 @@
 func (l *Leaser) Renew(now time.Time, id SessionID, sequence, revision uint64, full bool) Verdict {
 	s := l.sessions[id]
 	switch {
-	case s == nil || s.closing:
+	case s == nil || !s.closing.IsZero():
 		return Ended
 	case sequence <= s.Sequence:
 		return Stale
@@ -115,12 +115,13 @@
 }
 
 // Expired returns sessions whose lease has run out and whose end the caller has to
-// put into the log. Each is returned once.
+// put into the log. One whose end has not come there within a lease is returned
+// again: the proposal may have been lost.
 func (l *Leaser) Expired(now time.Time) []SessionID {
 	var expired []SessionID
 	for id, s := range l.sessions {
-		if !s.closing && now.Sub(s.Renewed) > l.Lease {
-			s.closing = true
+		if now.Sub(s.Renewed) > l.Lease && now.Sub(s.closing) > l.Lease {
+			s.closing = now
 			expired = append(expired, id)
 		}
 	}
--- /dev/null
+++ b/pkg/leaser/leaser_test.go
@@ -0,0 +1,74 @@
+package leaser_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/leaser"
+)
+
+const lease = 3 * time.Second
+
+func start() time.Time { return time.Unix(1000, 0) }
+
+func newLeaser(adopted bool) *leaser.Leaser {
+	l := &leaser.Leaser{Lease: lease, LongestRequest: time.Minute}
+	l.Open(start(), leaser.Session{ID: 1, Instance: "entry-1"}, adopted)
+	return l
+}
+
+func TestRenew(t *testing.T) {
+	cases := map[string]struct {
+		adopted  bool
+		id       leaser.SessionID
+		sequence uint64
+		full     bool
+		want     leaser.Verdict
+	}{
+		"a session of this leader":                {id: 1, sequence: 1, want: leaser.Renewed},
+		"an unknown session":                      {id: 2, sequence: 1, want: leaser.Ended},
+		"a renewal that was overtaken":            {id: 1, want: leaser.Stale},
+		"an adopted session that says too little": {adopted: true, id: 1, sequence: 1, want: leaser.NeedFull},
+		"an adopted session that says all":        {adopted: true, id: 1, sequence: 1, full: true, want: leaser.Renewed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := newLeaser(tc.adopted)
+			c.Assert(l.Renew(start(), tc.id, tc.sequence, 0, tc.full), qt.Equals, tc.want)
+			c.Assert(l.Settled(), qt.Equals, !tc.adopted || tc.full)
+		})
+	}
+}
+
+func TestEndOfASession(t *testing.T) {
+	c := qt.New(t)
+	l := newLeaser(false)
+	c.Assert(l.Expired(start().Add(lease)), qt.HasLen, 0)
+	late := start().Add(lease + time.Millisecond)
+	c.Assert(l.Expired(late), qt.DeepEquals, []leaser.SessionID{1})
+	c.Assert(l.Expired(late), qt.HasLen, 0)
+	// From then on it can't be renewed, and if its end did not get into the log it is
+	// asked for again.
+	c.Assert(l.Renew(late, 1, 1, 0, true), qt.Equals, leaser.Ended)
+	again := late.Add(lease + time.Millisecond)
+	c.Assert(l.Expired(again), qt.DeepEquals, []leaser.SessionID{1})
+	l.Closed(again, 1, false)
+	c.Assert(l.Expired(again.Add(time.Hour)), qt.HasLen, 0)
+	// What it held comes back only when nothing of it can run any more.
+	c.Assert(l.Freed(again.Add(time.Minute-time.Millisecond)), qt.HasLen, 0)
+	c.Assert(l.Freed(again.Add(time.Minute)), qt.DeepEquals, []leaser.SessionID{1})
+}
+
+func TestSessionsOfEarlierLeaders(t *testing.T) {
+	c := qt.New(t)
+	l := newLeaser(true)
+	l.AdoptEnded(start(), 9)
+	c.Assert(l.Settled(), qt.IsFalse)
+	l.Renew(start(), 1, 1, 0, true)
+	c.Assert(l.Settled(), qt.IsFalse, qt.Commentf("requests of the ended session may still run"))
+	c.Assert(l.Freed(start().Add(time.Minute)), qt.DeepEquals, []leaser.SessionID{9})
+	c.Assert(l.Settled(), qt.IsTrue)
+}
--- a/pkg/recorder/claims.go
+++ b/pkg/recorder/claims.go
@@ -14,8 +14,9 @@
 			c.GetCommand().GetAttempt() == cmd.GetAttempt()
 		return &wire.ClaimResponse{Granted: own, Claim: c}
 	}
-	if r.sessions[cmd.GetSession()] == nil {
-		// A session that has ended may claim nothing: nobody would notice its end.
+	if r.sessions[cmd.GetSession()] == nil || r.released[cmd.GetRequestId()] {
+		// A session that has ended may claim nothing: nobody would notice its end. Nor
+		// may a request that has given up: nobody would dispatch or release it.
 		return &wire.ClaimResponse{}
 	}
 	c := &wire.Claim{
@@ -59,12 +60,17 @@
 	return r.claims[key].GetOutcome()
 }
 
-// release takes a claim back whose request is known not to have run.
+// release takes a claim back whose request is known not to have run. A claim that
+// has not come into the log yet is kept out of it.
 func (r *Recorder) release(cmd *wire.ReleaseCommand) {
 	key := ClaimKey{Customer: cmd.GetCustomer(), Key: cmd.GetKey()}
 	if r.running(key, cmd.GetRequestId()) != nil {
 		r.dropClaim(key)
 	}
+	if !r.released[cmd.GetRequestId()] {
+		r.released[cmd.GetRequestId()] = true
+		r.releasedOrder = append(r.releasedOrder, &wire.ReleasedRequest{RequestId: cmd.GetRequestId(), AtNs: r.now})
+	}
 }
 
 func (r *Recorder) dropClaim(key ClaimKey) {
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -57,6 +57,10 @@
 	expiry   expiryQueue
 	admitted map[string]bool
 	drained  map[string]bool
+	// released are requests that gave up before their claim came into the log; the
+	// order is that of their times.
+	released      map[string]bool
+	releasedOrder []*wire.ReleasedRequest
 }
 
 // New returns an empty state.
@@ -70,6 +74,7 @@
 		owned:    map[uint64]map[ClaimKey]bool{},
 		admitted: map[string]bool{},
 		drained:  map[string]bool{},
+		released: map[string]bool{},
 	}
 }
 
@@ -179,6 +184,10 @@
 	for len(r.ended) > 0 && r.ended[0].GetEndedAtNs()+int64(keepEnded) < r.now {
 		r.ended = r.ended[1:]
 	}
+	for len(r.releasedOrder) > 0 && r.releasedOrder[0].GetAtNs()+int64(keepEnded) < r.now {
+		delete(r.released, r.releasedOrder[0].GetRequestId())
+		r.releasedOrder = r.releasedOrder[1:]
+	}
 	for len(r.aging) > 0 && r.aging[0].GetAtNs()+int64(keepOutcomes) < r.now {
 		delete(r.outcomes, r.aging[0].GetChangeId())
 		r.aging = r.aging[1:]
--- a/pkg/recorder/recorder_test.go
+++ b/pkg/recorder/recorder_test.go
@@ -199,3 +199,15 @@
 	c.Assert(l.state.ChangedSince(first.GetRevision()), qt.HasLen, 1)
 	c.Assert(l.state.History("v"), qt.HasLen, 2)
 }
+
+func TestReleaseBeforeItsClaim(t *testing.T) {
+	c := qt.New(t)
+	l := newLog()
+	s := l.open()
+	// A gateway gave up on a claim and released it; the claim comes into the log late.
+	l.release("k", "r1")
+	l.restart(c)
+	c.Assert(l.claim(s, "k", "r1").GetGranted(), qt.IsFalse)
+	// Nobody owns the key, so the caller's next attempt may run.
+	c.Assert(l.claim(s, "k", "r2").GetGranted(), qt.IsTrue)
+}
--- a/pkg/recorder/snapshot.go
+++ b/pkg/recorder/snapshot.go
@@ -26,6 +26,7 @@
 		NowNs: r.now, Applied: r.applied, Revision: r.revision,
 		AdmittedMembers: r.AdmittedMembers(), DrainedBackends: r.Drained(),
 		Outcomes: slices.Clone(r.aging), EndedSessions: slices.Clone(r.ended),
+		Released: slices.Clone(r.releasedOrder),
 	}
 	for _, customer := range slices.Sorted(maps.Keys(r.latest)) {
 		s.Latest = append(s.Latest, r.latest[customer])
@@ -57,6 +58,10 @@
 		r.sessions[session.GetId()] = session
 	}
 	r.ended = s.GetEndedSessions()
+	r.releasedOrder = s.GetReleased()
+	for _, released := range s.GetReleased() {
+		r.released[released.GetRequestId()] = true
+	}
 	for _, c := range s.GetClaims() {
 		r.restoreClaim(c)
 	}
