--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -22,6 +22,7 @@
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/logger"
+	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/planner"
 	"bronzelead.example/pkg/replicator"
 	"bronzelead.example/pkg/server"
@@ -57,6 +58,7 @@
 	responder   *responder.Responder
 	peers       *connector.Client
 	server      *server.Server
+	meter       *meter.Meter
 }
 
 // NewLog returns the log that the settings ask for.
@@ -150,6 +152,7 @@
 
 func (a *App) build(contents *storer.Contents, id string) {
 	s := a.Settings
+	a.meter = meter.New("controller", s.Instance.Name, s.Instance.Zone)
 	items := make(chan keeper.Item, itemRing)
 	a.peers = &connector.Client{
 		Timeout: s.Timing.PeerTimeout, Key: a.clusterKey, Transport: connector.NewTransport(nil),
@@ -161,6 +164,7 @@
 	a.coordinator = &coordinator.Coordinator{
 		Clock: a.Clock, Log: a.Log, In: items, Policy: a.policy(), Lease: s.Timing.SessionLease,
 		LongestRequest: s.Timing.LongestRequest, SnapshotEvery: uint64(s.Data.SnapshotEvery),
+		ObserveBatchFill: a.meter.BatchFill, ObserveInForce: func(d time.Duration) { a.meter.Took("in_force", d) },
 	}
 	a.keeper = &keeper.Keeper{
 		Clock: a.Clock, Log: a.Log, Storer: a.storer, Send: a.transporter.Send, Out: items,
@@ -213,6 +217,7 @@
 	mux.Handle(wire.OperatorPathPrefix, authenticator.Require(a.operators, responder.MarkForwarded(wire.NewOperatorServer(a.responder))))
 	mux.HandleFunc("GET /healthz", a.health)
 	mux.HandleFunc("GET /readyz", a.ready)
+	mux.Handle("GET /metrics", a.meter.Handler())
 	return mux
 }
 
--- a/controller/coordinator/backends.go
+++ b/controller/coordinator/backends.go
@@ -20,6 +20,9 @@
 		switch b.GetKind() {
 		case wire.BackendKind_BACKEND_KIND_ENGINE:
 			c.planner.Announce(now, b, slices.Contains(drained, b.GetName()))
+			if c.ObserveBatchFill != nil && b.GetRunning() > 0 {
+				c.ObserveBatchFill(float64(b.GetRunning()) / float64(b.GetBatch()))
+			}
 		case wire.BackendKind_BACKEND_KIND_SERVICE:
 			c.services[b.GetName()] = &service{info: b, seen: now}
 		default:
--- a/controller/coordinator/coordinator.go
+++ b/controller/coordinator/coordinator.go
@@ -49,6 +49,11 @@
 	// not block.
 	Carry func(order planner.Order, done func(ok bool))
 
+	// ObserveBatchFill and ObserveInForce take how full an engine's steps run, and how long a
+	// change took until each live session had applied it. Nil observes nothing.
+	ObserveBatchFill func(part float64)
+	ObserveInForce   func(took time.Duration)
+
 	Policy         planner.Policy
 	Lease          time.Duration
 	LongestRequest time.Duration
@@ -67,7 +72,15 @@
 	planner  *planner.Planner
 	services map[string]*service
 	backends *backendList
-	warm     time.Time
+	// pending are changes that are not in force everywhere yet.
+	pending []pendingChange
+	warm    time.Time
+}
+
+// pendingChange is a change of a contract on its way to the gateways.
+type pendingChange struct {
+	revision uint64
+	at       time.Time
 }
 
 // service is a plain service that has announced itself.
@@ -197,6 +210,7 @@
 	c.planner.Start(now, term)
 	c.services = map[string]*service{}
 	c.backends = newBackendList(term)
+	c.pending = nil
 	c.warm = now.Add(c.Policy.BackendLease)
 	for id, s := range c.state.Sessions() {
 		c.leaser.Open(now, sessionOf(s), true)
@@ -240,6 +254,17 @@
 	if a := result.Apply; a != nil && a.GetContract() != nil {
 		contract := c.state.Contract(a.GetContract().GetCustomer())
 		c.limiter.SetLimit(contract.GetCustomer(), contract.GetRequestsAtOnce())
+		c.pending = append(c.pending, pendingChange{revision: a.GetRevision(), at: c.Clock.Now()})
+	}
+}
+
+// observeChanges notes the changes that have come into force everywhere.
+func (c *Coordinator) observeChanges(now time.Time) {
+	for len(c.pending) > 0 && len(c.leaser.Lagging(c.pending[0].revision)) == 0 {
+		if c.ObserveInForce != nil {
+			c.ObserveInForce(now.Sub(c.pending[0].at))
+		}
+		c.pending = c.pending[1:]
 	}
 }
 
@@ -255,6 +280,7 @@
 		c.limiter.Forget(id)
 		c.planner.ForgetSession(id)
 	}
+	c.observeChanges(now)
 	c.forgetBackends(now)
 	if now.Before(c.warm) {
 		// Engines and leases are still being reported.
