--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -58,9 +58,6 @@
 	}
 }
 
-// Clear forgets everything, when the gateway can't vouch for it any more.
-func (r *Registrar) Clear() { r.current.Store(nil) }
-
 // ByKey returns the terms of the customer that a key belongs to, or nil.
 func (r *Registrar) ByKey(key string) *Terms {
 	d := r.current.Load()
--- a/gateway/scheduler/session.go
+++ b/gateway/scheduler/session.go
@@ -111,11 +111,6 @@
 // Session returns the id of the present session.
 func (s *Scheduler) Session() uint64 { return s.current.Load() }
 
-// Stop refuses new requests; those that were taken in are finished.
-func (s *Scheduler) Stop() {
-	s.wait(func(time.Time) { s.stopping = true })
-}
-
 // Idle reports whether no request runs or waits.
 func (s *Scheduler) Idle() bool {
 	idle := false
@@ -123,13 +118,6 @@
 	return idle
 }
 
-// Revision returns the last change of contracts that is in force here.
-func (s *Scheduler) Revision() uint64 {
-	var revision uint64
-	s.wait(func(time.Time) { revision = s.session.revision })
-	return revision
-}
-
 // wait runs f in the scheduler's goroutine and waits for it.
 func (s *Scheduler) wait(f func(now time.Time)) {
 	done := make(chan struct{})
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -226,9 +226,6 @@
 	return false
 }
 
-// Queued returns the number of requests that wait.
-func (a *Admitter) Queued() int { return len(a.queued) }
-
 // Running returns the number of admitted requests of a customer.
 func (a *Admitter) Running(name string) uint32 { return a.customer(name).running }
 
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -142,14 +142,6 @@
 // than the limit now allows.
 func (c *customer) contended() bool { return c.hungry > 0 || c.granted > c.limit }
 
-// Share returns what a session may use of a customer's limit.
-func (l *Limiter) Share(id SessionID, name string) uint32 {
-	if c := l.customers[name]; c != nil && c.shares[id] != nil {
-		return c.shares[id].granted
-	}
-	return 0
-}
-
 // Sum returns all shares of a customer together.
 func (l *Limiter) Sum(name string) uint32 { return l.customer(name).granted }
 
--- a/pkg/planner/plan.go
+++ b/pkg/planner/plan.go
@@ -350,14 +350,6 @@
 	a.avoid[pl.Backend] = now.Add(2 * wait)
 }
 
-// Failing returns the number of failed loads of an adapter in a row.
-func (p *Planner) Failing(name string) int {
-	if a := p.adapters[name]; a != nil {
-		return a.failures
-	}
-	return 0
-}
-
 // Backend returns what an engine last announced, or nil.
 func (p *Planner) Backend(name string) *wire.Backend {
 	if e := p.engines[name]; e != nil {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -207,15 +206,6 @@
 // unloaded before.
 func (p *Planner) SetSettled(settled bool) { p.settled = settled }
 
-// Engines returns what is known of the engines, by name.
-func (p *Planner) Engines() []*wire.Backend {
-	all := make([]*wire.Backend, 0, len(p.engines))
-	for _, name := range slices.Sorted(maps.Keys(p.engines)) {
-		all = append(all, p.engines[name].info)
-	}
-	return all
-}
-
 // Placements returns all placements by engine and adapter.
 func (p *Planner) Placements() []*Placement {
 	var all []*Placement
