--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := pkg gateway controller bronzectl standin bench proof
+MODULES := pkg platform gateway controller bronzectl standin bench proof
 PROGRAMS := gateway controller bronzectl standin bench
 
 .PHONY: build run test lint generate
--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -33,7 +33,6 @@
 
 const (
 	itemRing     = 1024
-	joinEvery    = 500 * time.Millisecond
 	stopWithin   = 5 * time.Second
 	transferPoll = 20 * time.Millisecond
 	// A message between controllers may hold a whole snapshot.
@@ -77,10 +76,13 @@
 	if err := a.readKeys(); err != nil {
 		return err
 	}
-	contents, id, err := a.openFolder()
+	opened, err := openFolder(a.Settings.Data.Folder, a.Settings.Instance.Name, a.Clock, a.Log)
 	if err != nil {
 		return err
 	}
+	contents, id := opened.contents, opened.id
+	a.storer = opened.storer
+	a.cluster.Store(&opened.cluster)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	a.build(contents, id)
@@ -88,7 +90,11 @@
 	failed := make(chan error, 1)
 	go a.coordinator.Run(background)
 	go func() { failed <- a.keeper.Run(background) }()
-	go a.join(background, id)
+	joining := &joiner{
+		clock: a.Clock, log: a.Log, peers: a.peers, self: a.member(id), keeper: a.keeper, storer: a.storer,
+		cluster: &a.cluster, addresses: func() []string { return a.Settings.Members.Addresses },
+	}
+	go joining.run(background)
 	if err := a.server.Start(); err != nil {
 		return errors.Wrap(err, "app")
 	}
@@ -114,39 +120,6 @@
 	return nil
 }
 
-// openFolder reads the data folder. A damaged one is set aside: this disk's votes
-// are lost, so the instance joins again under a new incarnation.
-func (a *App) openFolder() (*storer.Contents, string, error) {
-	a.storer = &storer.Storer{Folder: a.Settings.Data.Folder}
-	contents, err := a.storer.Open()
-	if err == nil {
-		_, _, err = a.storer.Identity()
-	}
-	if storer.IsDamaged(err) {
-		aside, moveErr := a.storer.SetAside(a.Clock.Now())
-		if moveErr != nil {
-			return nil, "", errors.Wrap(moveErr, "app")
-		}
-		a.Log.Error("the data folder is damaged; the instance joins anew", "Error", err.Error(), "Aside", aside)
-		contents, err = a.storer.Open()
-	}
-	if err != nil {
-		return nil, "", errors.Wrap(err, "app")
-	}
-	id, cluster, err := a.storer.Identity()
-	if err != nil {
-		return nil, "", errors.Wrap(err, "app")
-	}
-	if id == "" {
-		id = newMemberID(a.Settings.Instance.Name)
-		if err := a.storer.SetIdentity(id, ""); err != nil {
-			return nil, "", errors.Wrap(err, "app")
-		}
-	}
-	a.cluster.Store(&cluster)
-	return contents, id, nil
-}
-
 // newMemberID names a member: the instance, and the incarnation of its disk.
 func newMemberID(instance string) string { return instance + "/" + rand.Text() }
 
@@ -233,70 +206,29 @@
 
 func (a *App) clusterID() string { return *a.cluster.Load() }
 
-// join asks to become a member as long as the instance is none.
-func (a *App) join(ctx context.Context, id string) {
-	controllers := &connector.Controllers{Addresses: a.Settings.Members.Addresses}
-	member := a.member(id)
-	for {
-		if !a.isVoter(id) {
-			a.askToJoin(ctx, controllers, member)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-a.Clock.After(joinEvery):
-		}
-	}
-}
-
 func (a *App) member(id string) *wire.Member {
 	s := a.Settings
 	return &wire.Member{Id: id, Name: s.Instance.Name, Address: s.address(), Zone: s.Instance.Zone}
 }
 
-func (a *App) isVoter(id string) bool {
-	for _, m := range a.keeper.Standing().Configuration.GetVoters() {
-		if m.GetId() == id {
-			return true
-		}
-	}
-	return false
-}
-
-func (a *App) askToJoin(ctx context.Context, controllers *connector.Controllers, member *wire.Member) {
-	address := controllers.Current()
-	if address == a.Settings.address() {
-		controllers.Failed(address)
-		address = controllers.Current()
-	}
-	res, err := wire.NewPeerProtobufClient("http://"+address, a.peers).Join(ctx, &wire.JoinRequest{Member: member})
-	if err != nil {
-		a.Log.Debug("no controller let this one join", "Controller", address, "Error", err.Error())
-		controllers.Failed(address)
-		return
-	}
-	if a.clusterID() == "" {
-		if err := a.storer.SetIdentity(member.GetId(), res.GetCluster()); err != nil {
-			a.Log.Error("the cluster can't be stored", "Error", err.Error())
-			return
-		}
-		cluster := res.GetCluster()
-		a.cluster.Store(&cluster)
-	}
-}
-
 // stop hands leadership over, so that nobody has to wait for an election.
 func (a *App) stop() error {
 	a.Log.Info("the controller stops")
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
-	if a.keeper.Leads() {
-		a.keeper.Transfer()
-		for a.keeper.Standing().Role == replicator.Leader && ctx.Err() == nil {
-			<-a.Clock.After(transferPoll)
-		}
-	}
+	handOver(ctx, a.Clock, a.keeper)
 	err := a.server.Stop(ctx)
 	a.Log.Info("the controller has stopped")
 	return errors.Wrap(err, "app")
 }
+
+// handOver lets another controller lead, if this one does.
+func handOver(ctx context.Context, clock clockwork.Clock, k *keeper.Keeper) {
+	if !k.Leads() {
+		return
+	}
+	k.Transfer()
+	for k.Standing().Role == replicator.Leader && ctx.Err() == nil {
+		<-clock.After(transferPoll)
+	}
+}
--- a/controller/app/main.go
+++ b/controller/app/main.go
@@ -4,12 +4,16 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/launcher"
+	"bronzelead.example/pkg/logger"
+	"bronzelead.example/pkg/suspender"
 )
 
 type commandLine struct {
@@ -19,6 +23,9 @@
 	Init struct {
 		File string `arg:"" help:"Settings file."`
 	} `cmd:"" help:"Make a new cluster with this instance as its first member."`
+	RunRouted struct {
+		File string `arg:"" help:"Settings file."`
+	} `cmd:"" help:"Keep a table of routes and place adapters until SIGINT or SIGTERM."`
 	CheckSettings struct {
 		File string `arg:"" help:"Settings file."`
 	} `cmd:"" help:"Check a settings file and show all its faults."`
@@ -39,6 +46,8 @@
 	switch parsed.Command() {
 	case "check-settings <file>":
 		return checkSettings(line.CheckSettings.File, stdout, stderr)
+	case "run-routed <file>":
+		return runRouted(line.RunRouted.File, stderr)
 	case "init <file>":
 		return initialize(line.Init.File, stdout, stderr)
 	}
@@ -84,3 +93,28 @@
 	}
 	return launcher.ExitOK
 }
+
+func runRouted(file string, stderr io.Writer) int {
+	settings, faults := ReadRouted(file)
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			_, _ = fmt.Fprintln(stderr, fault)
+		}
+		return launcher.ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// A reload has nothing to do here: seeds are looked at only when no member is known.
+	signal.Ignore(syscall.SIGHUP)
+	var level slog.Level
+	// The settings were checked; the zero level is Info.
+	_ = level.UnmarshalText([]byte(settings.Log.Level))
+	log := logger.New(os.Stdout, level, "controller", settings.Instance.Name, settings.Instance.Zone)
+	logger.UseForLibrary(log)
+	r := &Routed{Settings: settings, Clock: suspender.Clock(), Log: log}
+	if err := r.Run(ctx); err != nil {
+		log.Error("the controller ends", "Error", err.Error())
+		return launcher.ExitFailed
+	}
+	return launcher.ExitOK
+}
--- /dev/null
+++ b/controller/app/routed_settings.go
@@ -0,0 +1,114 @@
+package app
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"bronzelead.example/pkg/configurer"
+	"bronzelead.example/pkg/placer"
+)
+
+// RoutedSettings are the settings of a controller that keeps a table of routes.
+type RoutedSettings struct {
+	Instance  RoutedInstance
+	Data      DataSettings
+	Members   RoutedMembers
+	Timing    RoutedTiming
+	Placement PlacementSettings
+	Log       LogSettings
+}
+
+// RoutedInstance says who and where the process is.
+type RoutedInstance struct {
+	Name    string `required:"true" help:"Name of the instance, unlike any other's."`
+	Zone    string `required:"true" help:"Availability zone of the instance."`
+	IP      string `required:"true" help:"IP number at which the other instances reach this one."`
+	Port    int    `required:"true" help:"Port for the system's own processes, the same on all instances."`
+	Control string `required:"true" help:"IP number and port for operators and backend servers."`
+}
+
+// RoutedMembers says how controllers find each other.
+type RoutedMembers struct {
+	Seeds     []string `required:"true" help:"Addresses of controllers; only the IP numbers count, since the port is the same everywhere."`
+	Bootstrap bool     `help:"The whole system starts for the first time: the seeds found the cluster."`
+	MaxVoters int      `help:"Most controllers that vote. Two of five may be lost at once."`
+}
+
+// RoutedTiming bounds how long things take.
+type RoutedTiming struct {
+	Heartbeat       time.Duration `help:"Time between two rounds of a leader's messages."`
+	ElectionTimeout time.Duration `help:"Least time without a leader before an election."`
+	SilentMember    time.Duration `help:"Time without an answer after which a controller may lose its vote to one that stands by."`
+	PeerTimeout     time.Duration `help:"How long one call to another controller may take."`
+	Announcements   time.Duration `help:"Time between two announcements of a backend server."`
+	HandOver        time.Duration `help:"How long a new leader gives no orders, so that two never take turns at an engine."`
+	OrderTimeout    time.Duration `help:"How long one call to an engine may take."`
+}
+
+// PlacementSettings bound the placement of adapters.
+type PlacementSettings struct {
+	Reserve     int           `help:"Places kept free at each engine, so that loads need not wait for unloads."`
+	ColdLoad    time.Duration `help:"Expected time of a load from the weight store."`
+	WarmLoad    time.Duration `help:"Expected time of a load from an engine's own memory."`
+	FillPerCopy float64       `help:"Part of an engine's slots that one adapter's requests may take before it gets another copy."`
+}
+
+// RoutedDefaults returns the settings of a file that names only what is required.
+func RoutedDefaults() *RoutedSettings {
+	policy := placer.DefaultPolicy()
+	return &RoutedSettings{
+		Data:    DataSettings{SnapshotEvery: 2000},
+		Members: RoutedMembers{MaxVoters: 5},
+		Timing: RoutedTiming{
+			Heartbeat: 100 * time.Millisecond, ElectionTimeout: 600 * time.Millisecond, SilentMember: 1500 * time.Millisecond,
+			PeerTimeout: 500 * time.Millisecond, Announcements: 1200 * time.Millisecond,
+			HandOver: 3 * time.Second, OrderTimeout: 300 * time.Millisecond,
+		},
+		Placement: PlacementSettings{
+			Reserve: policy.Reserve, ColdLoad: policy.ColdLoad, WarmLoad: policy.WarmLoad, FillPerCopy: policy.FillPerCopy,
+		},
+		Log: LogSettings{Level: "Info"},
+	}
+}
+
+// ReadRouted reads a settings file and checks it whole.
+func ReadRouted(file string) (*RoutedSettings, []configurer.Fault) {
+	s := RoutedDefaults()
+	faults := configurer.Read(file, s)
+	fault := func(section, key, problem string) {
+		faults = append(faults, configurer.Fault{File: file, Section: section, Key: key, Problem: problem})
+	}
+	if s.Instance.IP != "" && net.ParseIP(s.Instance.IP) == nil {
+		fault("Instance", "IP", s.Instance.IP+" is no IP number")
+	}
+	if s.Instance.Control != "" && !isAddress(s.Instance.Control) {
+		fault("Instance", "Control", s.Instance.Control+" is no IP number and port")
+	}
+	for _, seed := range s.Members.Seeds {
+		if !isAddress(seed) {
+			fault("Members", "Seeds", seed+" is no IP number and port")
+		}
+	}
+	if s.Timing.ElectionTimeout < minTimeoutHeartbeats*s.Timing.Heartbeat {
+		fault("Timing", "ElectionTimeout", "it must be at least three times Heartbeat")
+	}
+	return s, faults
+}
+
+// meshAddress returns where the system's own processes reach an instance.
+func (s *RoutedSettings) meshAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.Instance.Port))
+}
+
+// seedAddresses returns where the seeds are reached.
+func (s *RoutedSettings) seedAddresses() []string {
+	list := make([]string, 0, len(s.Members.Seeds))
+	for _, seed := range s.Members.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil {
+			list = append(list, s.meshAddress(host))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/controller/curator/curator.go
@@ -0,0 +1,297 @@
+// Package curator owns a controller's state where requests are routed by a table: the
+// table and the versions of adapters, which are replicated; the backend servers, which
+// announce themselves; and, while the instance leads, the placement of adapters.
+//
+// One goroutine does all of it; calls from others come through a bounded ring.
+package curator
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/placer"
+	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/tracker"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	callRing = 8192
+	// tickEvery bounds how soon gateways hear of news, and how many small answers a
+	// series of changes causes.
+	tickEvery = 20 * time.Millisecond
+	// gatewayLease is how long a gateway's loads count after its last call: a few calls.
+	gatewayLease = 1500 * time.Millisecond
+	// forgetAfter is how long backend servers that left are remembered, so that late
+	// announcements don't bring them back.
+	forgetAfter = 60 * time.Second
+)
+
+// ErrBusy is returned when too many calls wait.
+var ErrBusy = errors.New("curator: too many calls wait")
+
+// Keeper is what the curator uses of the replicated log.
+type Keeper interface {
+	Standing() *keeper.Standing
+	Leads() bool
+	Propose(ctx context.Context, cmd *wire.Command) (recorder.Result, error)
+	Compact(index uint64, state []byte)
+}
+
+// Curator owns the state. Set the exported fields, call Init, then Run.
+type Curator struct {
+	Clock  clockwork.Clock
+	Log    *slog.Logger
+	Keeper Keeper
+	// In brings committed entries.
+	In <-chan keeper.Item
+	// Carry takes orders to engines and reports each one's end. It must not block.
+	Carry func(order placer.Order, term uint64, done func(placer.Outcome, *placer.State))
+	// Relay passes announcements on to the other controllers. It must not block.
+	Relay func(announcements []*wire.Announcement)
+	// Controllers returns the addresses of all controllers.
+	Controllers func() []string
+
+	Policy placer.Policy
+	// SilentAfter is the time without an announcement after which a backend server counts
+	// as silent.
+	SilentAfter time.Duration
+	// HandOver is how long a new leader gives no orders, so that those of the one before
+	// it have ended.
+	HandOver time.Duration
+	// SnapshotEvery is the number of entries, and SnapshotBytes their size, after which a
+	// snapshot replaces the log.
+	SnapshotEvery uint64
+	SnapshotBytes int
+
+	calls      chan func(now time.Time)
+	epoch      uint64
+	state      *recorder.Recorder
+	snapshot   uint64
+	logBytes   int
+	compacting atomic.Bool
+
+	tracker  *tracker.Tracker
+	versions uint64
+	waiters  []*waiter
+	gateways map[string]*gatewayState
+
+	term        uint64
+	ordersAfter time.Time
+	placer      *placer.Placer
+}
+
+// gatewayState is what a gateway said last.
+type gatewayState struct {
+	seen  time.Time
+	loads []*wire.Load
+}
+
+// Init prepares the curator for calls before Run.
+func (c *Curator) Init() {
+	c.calls = make(chan func(time.Time), callRing)
+	c.epoch = rand.Uint64()
+	c.state = recorder.New()
+	c.tracker = &tracker.Tracker{SilentAfter: c.SilentAfter, ForgetAfter: forgetAfter}
+	c.gateways = map[string]*gatewayState{}
+}
+
+// Run works until ctx ends.
+func (c *Curator) Run(ctx context.Context) {
+	ticker := c.Clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case item := <-c.In:
+			c.apply(item)
+		case call := <-c.calls:
+			call(c.Clock.Now())
+		case <-ticker.Chan():
+			c.tick(c.Clock.Now())
+		}
+	}
+}
+
+// Call runs f in the curator's goroutine and waits for it.
+func (c *Curator) Call(ctx context.Context, f func(now time.Time)) error {
+	done := make(chan struct{})
+	call := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case c.calls <- call:
+	default:
+		return ErrBusy
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "curator")
+	}
+}
+
+func (c *Curator) apply(item keeper.Item) {
+	if item.Restore != nil {
+		c.restore(item.Restore)
+	}
+	for _, a := range item.Applied {
+		before := c.state.Table()
+		result := c.state.Apply(a.Entry)
+		c.logBytes += len(a.Entry.GetData())
+		if c.state.Table() != before {
+			c.tableChanged()
+		}
+		if a.Reply != nil {
+			a.Reply(result)
+		}
+	}
+	c.versionsChanged()
+	if c.state.Applied() >= c.snapshot+c.SnapshotEvery || c.logBytes > c.SnapshotBytes {
+		c.compact()
+	}
+}
+
+func (c *Curator) tableChanged() {
+	table := c.state.Table().GetTable()
+	c.Log.Info("a table is in force", "Version", table.GetVersion(), "Routes", len(table.GetRoutes()))
+	if c.placer != nil {
+		c.placer.SetTable(table)
+		for _, a := range c.tracker.All() {
+			c.placer.SetEngine(a)
+		}
+	}
+}
+
+func (c *Curator) versionsChanged() {
+	sum := uint64(0)
+	for _, v := range c.state.AdapterVersions() {
+		sum += v.GetVersion()
+		if c.placer != nil {
+			c.placer.SetVersion(v)
+		}
+	}
+	c.versions = sum
+}
+
+func (c *Curator) restore(s *wire.Snapshot) {
+	state, err := recorder.Restore(s.GetState())
+	if err != nil {
+		// The snapshot's checksum was right, so it was written by another version.
+		c.Log.Error("a snapshot can't be decoded", "Error", err.Error())
+		return
+	}
+	c.state = state
+	c.snapshot, c.logBytes = s.GetIndex(), 0
+	if c.state.Table() != nil {
+		c.tableChanged()
+	}
+}
+
+func (c *Curator) compact() {
+	if !c.compacting.CompareAndSwap(false, true) {
+		return
+	}
+	c.snapshot, c.logBytes = c.state.Applied(), 0
+	frozen := c.state.Freeze()
+	go func() {
+		defer c.compacting.Store(false)
+		data, err := recorder.Encode(frozen)
+		if err != nil {
+			c.Log.Error("the state can't be encoded", "Error", err.Error())
+			return
+		}
+		c.Keeper.Compact(frozen.GetApplied(), data)
+	}()
+}
+
+func (c *Curator) tick(now time.Time) {
+	c.tracker.Tick(now)
+	c.follow(now)
+	if c.placer != nil {
+		c.plan(now)
+	}
+	for name, g := range c.gateways {
+		if now.Sub(g.seen) > gatewayLease {
+			delete(c.gateways, name)
+		}
+	}
+	c.answerWaiters(now)
+}
+
+// follow begins a term as leader, once all that was committed before has been applied,
+// and ends it.
+func (c *Curator) follow(now time.Time) {
+	standing := c.Keeper.Standing()
+	leads := standing.Leads(now)
+	switch {
+	case leads && c.term != standing.Term && c.state.Applied() >= standing.TermStart:
+		c.begin(now, standing.Term)
+	case !leads && c.term != 0 && c.term != standing.Term:
+		c.Log.Info("this instance no longer leads", "Term", c.term)
+		c.term, c.placer = 0, nil
+	}
+}
+
+func (c *Curator) begin(now time.Time, term uint64) {
+	c.term = term
+	c.ordersAfter = now.Add(c.HandOver)
+	c.placer = placer.New(c.Policy)
+	c.placer.Begin(term)
+	c.placer.SetTable(c.state.Table().GetTable())
+	for _, a := range c.tracker.All() {
+		c.placer.SetEngine(a)
+	}
+	for _, v := range c.state.AdapterVersions() {
+		c.placer.SetVersion(v)
+	}
+	c.Log.Info("this instance leads", "Term", term)
+}
+
+// leads reports whether the instance may give orders now.
+func (c *Curator) leads(now time.Time) bool {
+	standing := c.Keeper.Standing()
+	return c.term != 0 && c.term == standing.Term && standing.Leads(now)
+}
+
+func (c *Curator) plan(now time.Time) {
+	if !c.leads(now) || now.Before(c.ordersAfter) {
+		return
+	}
+	c.placer.SetLoads(c.totalLoads())
+	for _, order := range c.placer.Plan(now) {
+		c.carry(order)
+	}
+}
+
+func (c *Curator) carry(order placer.Order) {
+	term := c.term
+	c.Carry(order, term, func(outcome placer.Outcome, state *placer.State) {
+		c.calls <- func(now time.Time) {
+			if c.term == term && c.placer != nil {
+				c.placer.Done(now, order, outcome, state)
+				c.plan(now)
+			}
+		}
+	})
+}
+
+func (c *Curator) totalLoads() map[string]float64 {
+	total := map[string]float64{}
+	for _, g := range c.gateways {
+		for _, l := range g.loads {
+			total[l.GetBackend()] += float64(l.GetRequests())
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/controller/curator/mesh.go
@@ -0,0 +1,158 @@
+package curator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/matcher"
+	"bronzelead.example/pkg/wire"
+)
+
+var errNotLeader = twirp.NewError(twirp.Unavailable, "this instance does not lead")
+
+// commitTimeout bounds the wait for a change to be committed; the operator asks another
+// instance after a second.
+const commitTimeout = 900 * time.Millisecond
+
+// Mesh serves wire.Mesh: calls of gateways and of other controllers.
+type Mesh struct {
+	Curator *Curator
+	// Leader returns the leader's address, or "".
+	Leader func() string
+	// Client returns a client of the controller at an address.
+	Client func(address string) wire.Mesh
+}
+
+// Sync returns news.
+func (m *Mesh) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncResponse, error) {
+	return m.Curator.Sync(ctx, req)
+}
+
+// Acquire asks for adapters.
+func (m *Mesh) Acquire(ctx context.Context, req *wire.AcquireRequest) (*wire.AcquireResponse, error) {
+	return &wire.AcquireResponse{}, m.Curator.Acquire(ctx, req)
+}
+
+// Relay takes announcements that another controller heard.
+func (m *Mesh) Relay(ctx context.Context, req *wire.RelayRequest) (*wire.RelayResponse, error) {
+	return &wire.RelayResponse{}, m.Curator.Announce(ctx, req.GetAnnouncements(), true)
+}
+
+// Put commits a change. Only a leader does.
+func (m *Mesh) Put(ctx context.Context, req *wire.PutRequest) (*wire.PutResponse, error) {
+	cmd := &wire.Command{}
+	switch change := req.GetChange().(type) {
+	case *wire.PutRequest_Table:
+		cmd.Body = &wire.Command_PutTable{PutTable: change.Table}
+	case *wire.PutRequest_Version:
+		cmd.Body = &wire.Command_PutAdapterVersion{PutAdapterVersion: change.Version}
+	}
+	if err := m.commit(ctx, cmd); err != nil {
+		return nil, err
+	}
+	return &wire.PutResponse{}, nil
+}
+
+// Read returns the document in force after all changes that were acknowledged before the
+// call: an empty entry is committed first, which only a leader with a majority can.
+func (m *Mesh) Read(ctx context.Context, _ *wire.ReadRequest) (*wire.ReadResponse, error) {
+	if err := m.commit(ctx, &wire.Command{}); err != nil {
+		return nil, err
+	}
+	table, err := m.Curator.Document(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ReadResponse{Version: table.GetTable().GetVersion(), Document: table.GetDocument()}, nil
+}
+
+func (m *Mesh) commit(ctx context.Context, cmd *wire.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err := m.Curator.Keeper.Propose(ctx, cmd)
+	if errors.Is(err, keeper.ErrNotLeader) {
+		return errNotLeader
+	}
+	return err
+}
+
+// PutTable puts a table into force, here or at the leader. An invalid one is refused
+// with all its faults.
+func (m *Mesh) PutTable(ctx context.Context, table *wire.RoutingTable, document []byte) error {
+	if faults := matcher.Faults(table); len(faults) > 0 {
+		return &InvalidTable{Faults: faults}
+	}
+	_, err := m.atLeader(ctx, &wire.PutRequest{Change: &wire.PutRequest_Table{
+		Table: &wire.PutTable{Table: table, Document: document},
+	}})
+	return err
+}
+
+// PutVersion names the version that an adapter must have.
+func (m *Mesh) PutVersion(ctx context.Context, version *wire.AdapterVersion) error {
+	_, err := m.atLeader(ctx, &wire.PutRequest{Change: &wire.PutRequest_Version{Version: version}})
+	return err
+}
+
+func (m *Mesh) atLeader(ctx context.Context, req *wire.PutRequest) (*wire.PutResponse, error) {
+	if m.Curator.Keeper.Leads() {
+		return m.Put(ctx, req)
+	}
+	leader := m.Leader()
+	if leader == "" {
+		return nil, errNotLeader
+	}
+	return m.Client(leader).Put(ctx, req)
+}
+
+// Document returns the newest document, confirmed by a majority, and false if there is
+// none yet.
+func (m *Mesh) Document(ctx context.Context) ([]byte, error) {
+	res, err := m.readAtLeader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if len(res.GetDocument()) == 0 {
+		return nil, twirp.NewError(twirp.Unavailable, "there is no table yet")
+	}
+	return res.GetDocument(), nil
+}
+
+func (m *Mesh) readAtLeader(ctx context.Context) (*wire.ReadResponse, error) {
+	if m.Curator.Keeper.Leads() {
+		return m.Read(ctx, &wire.ReadRequest{})
+	}
+	leader := m.Leader()
+	if leader == "" {
+		return nil, errNotLeader
+	}
+	return m.Client(leader).Read(ctx, &wire.ReadRequest{})
+}
+
+// Heard takes an announcement. One that ends something is taken only while a leader is
+// known: an instance that is cut off would vouch for what the gateways don't learn.
+func (m *Mesh) Heard(ctx context.Context, a *wire.Announcement) error {
+	if err := m.Curator.Announce(ctx, []*wire.Announcement{a}, false); err != nil {
+		return err
+	}
+	if (a.GetDraining() || a.GetGone()) && m.Leader() == "" && !m.Curator.Keeper.Leads() {
+		return twirp.NewError(twirp.Unavailable, "this instance knows no leader")
+	}
+	return nil
+}
+
+// InvalidTable is returned for a table that may not come into force.
+type InvalidTable struct{ Faults []string }
+
+// Error returns all faults.
+func (e *InvalidTable) Error() string {
+	text := "the table is invalid"
+	for _, fault := range e.Faults {
+		text += "; " + fault
+	}
+	return text
+}
--- /dev/null
+++ b/controller/curator/sync.go
@@ -0,0 +1,172 @@
+package curator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// waiter is a gateway's call that waits for news.
+type waiter struct {
+	request  *wire.SyncRequest
+	deadline time.Time
+	// answer takes the answer, once. It has room for it.
+	answer chan *wire.SyncResponse
+}
+
+// Sync answers a gateway as soon as there is news for it, or when its wait is over.
+func (c *Curator) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncResponse, error) {
+	w := &waiter{request: req, answer: make(chan *wire.SyncResponse, 1)}
+	err := c.Call(ctx, func(now time.Time) {
+		w.deadline = now.Add(time.Duration(req.GetWaitMs()) * time.Millisecond)
+		c.hear(now, req)
+		if c.hasNews(req) || !now.Before(w.deadline) {
+			w.answer <- c.news(req)
+			return
+		}
+		c.waiters = append(c.waiters, w)
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case res := <-w.answer:
+		return res, nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "curator: sync")
+	}
+}
+
+// hear takes in what a gateway says of its requests.
+func (c *Curator) hear(now time.Time, req *wire.SyncRequest) {
+	c.gateways[req.GetGateway()] = &gatewayState{seen: now, loads: req.GetLoads()}
+	if c.placer == nil {
+		return
+	}
+	for _, d := range req.GetDemand() {
+		c.placer.Demand(now, d.GetAdapter(), int(d.GetRequests()))
+	}
+}
+
+// Acquire notes that requests wait for adapters.
+func (c *Curator) Acquire(ctx context.Context, req *wire.AcquireRequest) error {
+	leads := false
+	err := c.Call(ctx, func(now time.Time) {
+		leads = c.leads(now)
+		if !leads || c.placer == nil {
+			return
+		}
+		for _, w := range req.GetWants() {
+			c.placer.Want(now, w.GetAdapter(), w.GetAvoid())
+		}
+		c.plan(now)
+	})
+	if err == nil && !leads {
+		return errNotLeader
+	}
+	return err
+}
+
+func (c *Curator) answerWaiters(now time.Time) {
+	kept := c.waiters[:0]
+	for _, w := range c.waiters {
+		if now.Before(w.deadline) && !c.hasNews(w.request) {
+			kept = append(kept, w)
+			continue
+		}
+		w.answer <- c.news(w.request)
+	}
+	clear(c.waiters[len(kept):])
+	c.waiters = kept
+}
+
+func (c *Curator) hasNews(req *wire.SyncRequest) bool {
+	return req.GetEpoch() != c.epoch ||
+		req.GetAnnouncementRevision() != c.tracker.Revision() ||
+		req.GetVersionRevision() != c.versions ||
+		req.GetTableVersion() < c.state.Table().GetTable().GetVersion() ||
+		c.placer != nil && req.GetHoldingRevision() < c.placer.Revision()
+}
+
+func (c *Curator) news(req *wire.SyncRequest) *wire.SyncResponse {
+	res := &wire.SyncResponse{
+		Epoch: c.epoch, AnnouncementRevision: c.tracker.Revision(), VersionRevision: c.versions,
+		HoldingRevision: req.GetHoldingRevision(), Controllers: c.Controllers(),
+		Gateways: uint32(len(c.gateways)), Leads: c.leads(c.Clock.Now()), Term: c.term,
+	}
+	since := req.GetAnnouncementRevision()
+	if req.GetEpoch() != c.epoch {
+		since = 0
+	}
+	res.Announcements = c.tracker.Since(since)
+	if req.GetVersionRevision() != c.versions {
+		res.Versions = c.state.AdapterVersions()
+	}
+	if table := c.state.Table().GetTable(); table != nil {
+		res.TableVersion = table.GetVersion()
+		if req.GetWantTable() && table.GetVersion() > req.GetTableVersion() {
+			res.Table = table
+		}
+	}
+	if c.placer != nil {
+		res.HoldingRevision = c.placer.Revision()
+		res.Holdings = c.placer.Since(req.GetHoldingRevision())
+		res.Loads = c.loadsOfOthers(req.GetGateway())
+	}
+	return res
+}
+
+func (c *Curator) loadsOfOthers(gateway string) []*wire.Load {
+	total := map[string]uint32{}
+	for name, g := range c.gateways {
+		if name == gateway {
+			continue
+		}
+		for _, l := range g.loads {
+			total[l.GetBackend()] += l.GetRequests()
+		}
+	}
+	loads := make([]*wire.Load, 0, len(total))
+	for backend, n := range total {
+		loads = append(loads, &wire.Load{Backend: backend, Requests: n})
+	}
+	return loads
+}
+
+// Announce takes what a backend server said of itself, here or to another controller.
+func (c *Curator) Announce(ctx context.Context, list []*wire.Announcement, relayed bool) error {
+	return c.Call(ctx, func(now time.Time) {
+		var news []*wire.Announcement
+		for _, a := range list {
+			isNews, changed := c.tracker.Note(now, a)
+			if isNews {
+				news = append(news, a)
+			}
+			if changed {
+				c.announced(a)
+			}
+		}
+		if len(news) > 0 && !relayed {
+			c.Relay(news)
+		}
+	})
+}
+
+func (c *Curator) announced(a *wire.Announcement) {
+	known := c.tracker.Get(a.GetId())
+	c.Log.Info("a backend server has changed", "Backend", a.GetId(), "Service", known.GetService(),
+		"Address", known.GetAddress(), "Draining", known.GetDraining(), "Gone", known.GetGone(), "Sequence", a.GetSequence())
+	if c.placer != nil && known != nil {
+		c.placer.SetEngine(known)
+	}
+}
+
+// Document returns the operator's document in force here.
+func (c *Curator) Document(ctx context.Context) (*wire.PutTable, error) {
+	var table *wire.PutTable
+	err := c.Call(ctx, func(time.Time) { table = c.state.Table() })
+	return table, err
+}
--- a/controller/keeper/keeper.go
+++ b/controller/keeper/keeper.go
@@ -83,6 +83,14 @@
 	Out chan<- Item
 	// Admission returns which instances may be members, or nil.
 	Admission func() *Admission
+	// OpenMembership lets every instance that asks become a member, instead of those that
+	// are admitted.
+	OpenMembership bool
+	// MaxVoters bounds the voters; 0 makes every member a voter.
+	MaxVoters int
+	// SilentAfter is the time without an answer after which a member may lose its vote to
+	// another that stands by; 0 means never.
+	SilentAfter time.Duration
 
 	messages  chan []*wire.Message
 	proposals chan proposal
--- a/gateway/app/main.go
+++ b/gateway/app/main.go
@@ -4,18 +4,24 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/launcher"
+	"bronzelead.example/pkg/logger"
 )
 
 type commandLine struct {
 	Run struct {
 		File string `arg:"" help:"Settings file."`
 	} `cmd:"" help:"Serve callers until SIGINT or SIGTERM, then stop gracefully."`
+	RunRouted struct {
+		File string `arg:"" help:"Settings file."`
+	} `cmd:"" help:"Serve callers by a table of routes until SIGINT or SIGTERM, then stop gracefully."`
 	CheckSettings struct {
 		File string `arg:"" help:"Settings file."`
 	} `cmd:"" help:"Check a settings file and show all its faults."`
@@ -36,6 +42,9 @@
 	if parsed.Command() == "check-settings <file>" {
 		return checkSettings(line.CheckSettings.File, stdout, stderr)
 	}
+	if parsed.Command() == "run-routed <file>" {
+		return runRouted(line.RunRouted.File, stderr)
+	}
 	return run(line.Run.File, stderr)
 }
 
@@ -64,3 +73,53 @@
 	}
 	return launcher.ExitOK
 }
+
+func runRouted(file string, stderr io.Writer) int {
+	settings, faults := ReadRouted(file)
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			_, _ = fmt.Fprintln(stderr, fault)
+		}
+		return launcher.ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var level slog.Level
+	// The settings were checked; the zero level is Info.
+	_ = level.UnmarshalText([]byte(settings.Log.Level))
+	ring := logger.NewRing(os.Stdout)
+	logging, endLogging := context.WithCancel(context.Background())
+	defer ring.Flush()
+	defer endLogging()
+	go ring.Run(logging)
+	log := logger.New(ring, level, "gateway", settings.Instance.Name, settings.Instance.Zone)
+	logger.UseForLibrary(log)
+	r := &Routed{Settings: settings, File: file, Clock: clockwork.NewRealClock(), Log: log, Reload: reloads(ctx)}
+	if err := r.Run(ctx); err != nil {
+		log.Error("the gateway ends", "Error", err.Error())
+		return launcher.ExitFailed
+	}
+	return launcher.ExitOK
+}
+
+// reloads passes on each SIGHUP.
+func reloads(ctx context.Context) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	reload := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				select {
+				case reload <- struct{}{}:
+				case <-ctx.Done():
+					return
+				}
+			}
+		}
+	}()
+	return reload
+}
--- /dev/null
+++ b/gateway/app/routed.go
@@ -0,0 +1,185 @@
+package app
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/gateway/follower"
+	"bronzelead.example/gateway/forwarder"
+	"bronzelead.example/gateway/sender"
+	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/server"
+	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
+)
+
+const (
+	// wantRing bounds the requests for adapters that wait to be sent.
+	wantRing = 256
+	// callerShare is the part, as a divisor, of the file descriptors that callers may use.
+	callerShare = 2
+	// memoryShare is the part of the instance's memory, in percent, from which the
+	// collector works harder. Stacks and bytes in sockets come on top.
+	memoryShare = 60
+	// stopMargin is kept at the end of a planned stop, before the process is killed.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Routed is one gateway that serves callers by a table of routes. Set the exported
+// fields, then call Run.
+type Routed struct {
+	// Settings are those that the process started with; File is read again on Reload.
+	Settings *RoutedSettings
+	File     string
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	// Reload asks to read the file again.
+	Reload <-chan struct{}
+
+	seeds     atomic.Pointer[[]string]
+	stopping  atomic.Bool
+	door      *doorkeeper.Doorkeeper
+	forwarder *forwarder.Forwarder
+	follower  *follower.Follower
+	health    *server.Server
+	meter     *meter.Meter
+	wants     chan []*wire.Want
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (r *Routed) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(r.Settings.Instance.MemoryMB) * memoryShare / 100 << 20)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.build()
+	go r.forwarder.Run(background)
+	go r.follower.Run(background)
+	go r.acquire(background)
+	if err := r.door.Start(); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	if err := r.health.Start(); err != nil {
+		return errors.Wrap(err, "app")
+	}
+	r.Log.Info("the gateway serves", "Address", r.door.Addr(), "Seeds", r.Settings.Controllers.Seeds)
+	for {
+		select {
+		case <-ctx.Done():
+			return r.stop()
+		case <-r.Reload:
+			r.reload()
+		}
+	}
+}
+
+func (r *Routed) build() {
+	s := r.Settings
+	seeds := s.seedAddresses()
+	r.seeds.Store(&seeds)
+	r.meter = meter.New("gateway", s.Instance.Name, s.Instance.Zone)
+	r.wants = make(chan []*wire.Want, wantRing)
+	r.forwarder = &forwarder.Forwarder{
+		Clock: r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want,
+		Budget: forwarder.Budget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
+		Sender: &sender.Sender{
+			Clock: r.Clock, DialTimeout: s.Backends.DialTimeout, MaxIdle: s.Backends.MaxIdle,
+			IdleMargin: s.Backends.IdleMargin, Unacknowledged: s.Backends.Unacknowledged, OwnAnswer: ownAnswer,
+		},
+	}
+	r.forwarder.Init()
+	r.follower = &follower.Follower{
+		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Seeds: func() []string { return *r.seeds.Load() },
+		Apply: r.forwarder.Apply, Demand: r.forwarder.Demand, Loads: r.forwarder.Loads, TableVersion: r.forwarder.TableVersion,
+	}
+	r.door = &doorkeeper.Doorkeeper{
+		Clock: r.Clock, Log: r.Log, Address: s.Instance.Listen, Handle: r.forwarder.Handle,
+		Limits: r.forwarder.Limits, MaxConnections: s.Instance.MaxFiles / callerShare,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", r.ready)
+	mux.Handle("GET /metrics", r.meter.Handler())
+	r.health = &server.Server{Address: s.Instance.Health, Handler: mux, Log: r.Log}
+}
+
+func ownAnswer(head *framer.ResponseHead, requestID string) (bool, time.Duration) {
+	answer := platform.DecodeAnswer(head)
+	// An answer without an id may be this request's; whether it is valid is checked later.
+	return answer.RequestID == requestID || answer.RequestID == "", answer.IdleTimeout
+}
+
+// ready answers 200 while the instance can serve requests and is not stopping.
+func (r *Routed) ready(w http.ResponseWriter, _ *http.Request) {
+	if r.stopping.Load() || !r.forwarder.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// want passes a request for adapters on. When too many wait, it is dropped: the
+// balancer asks again.
+func (r *Routed) want(wants []*wire.Want) {
+	select {
+	case r.wants <- wants:
+	default:
+		r.Log.Warn("requests for adapters were dropped", "Adapters", len(wants))
+	}
+}
+
+func (r *Routed) acquire(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case wants := <-r.wants:
+			for more := true; more; {
+				select {
+				case next := <-r.wants:
+					wants = append(wants, next...)
+				default:
+					more = false
+				}
+			}
+			r.follower.Acquire(ctx, wants)
+		}
+	}
+}
+
+// reload takes over what may change while the process runs: the seeds.
+func (r *Routed) reload() {
+	settings, faults := ReadRouted(r.File)
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			r.Log.Error("the settings are not taken over", "Fault", fault.String())
+		}
+		return
+	}
+	seeds := settings.seedAddresses()
+	r.seeds.Store(&seeds)
+	r.Log.Info("the settings were read again", "Seeds", settings.Controllers.Seeds)
+}
+
+// stop says at once that the instance is not ready, goes on serving until the balancer
+// in front has looked elsewhere, and ends what runs.
+func (r *Routed) stop() error {
+	s := r.Settings.Stop
+	r.Log.Info("the gateway stops")
+	r.stopping.Store(true)
+	r.door.Quiesce()
+	<-r.Clock.After(s.Drain)
+	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-s.Drain-stopMargin)
+	defer cancel()
+	err := r.door.Stop(ctx)
+	if err != nil {
+		r.Log.Warn("requests were still being answered", "Error", err.Error())
+	}
+	r.Log.Info("the gateway has stopped")
+	return nil
+}
--- /dev/null
+++ b/gateway/app/routed_settings.go
@@ -0,0 +1,102 @@
+package app
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"bronzelead.example/pkg/configurer"
+)
+
+// RoutedSettings are the settings of a gateway that serves callers by a table of routes.
+type RoutedSettings struct {
+	Instance    RoutedInstance
+	Controllers RoutedControllers
+	Backends    BackendSettings
+	Budget      BudgetSettings
+	Stop        StopSettings
+	Log         LogSettings
+}
+
+// RoutedInstance says who and where the process is.
+type RoutedInstance struct {
+	Name   string `required:"true" help:"Name of the instance, unlike any other's."`
+	Zone   string `required:"true" help:"Availability zone of the instance."`
+	Listen string `required:"true" help:"IP number and port for callers."`
+	Health string `required:"true" help:"IP number and port at which the instance says whether it is ready, and shows its metrics."`
+	// MaxFiles and MemoryMB are what the instance has.
+	MaxFiles int `help:"File descriptors that the process may use; a part is kept for connections to backend servers."`
+	MemoryMB int `help:"Memory that the process may use, in megabytes; the collector works harder when it is nearly used up."`
+}
+
+// RoutedControllers says how controllers are found.
+type RoutedControllers struct {
+	Seeds []string `required:"true" help:"Addresses of controllers; only the IP numbers count, since the port is the same everywhere."`
+	Port  int      `required:"true" help:"Port at which controllers serve the system's own processes."`
+}
+
+// BackendSettings bound the connections to backend servers.
+type BackendSettings struct {
+	DialTimeout    time.Duration `help:"How long the opening of a connection may take."`
+	MaxIdle        time.Duration `help:"How long an unused connection is kept at most."`
+	IdleMargin     time.Duration `help:"Taken off the time for which a backend server says that it keeps a connection."`
+	Unacknowledged time.Duration `help:"How long sent bytes may stay unacknowledged before a connection counts as dead."`
+}
+
+// BudgetSettings bound how many requests are sent again.
+type BudgetSettings struct {
+	Window time.Duration `help:"Span over which repeats are counted."`
+	Ratio  float64       `help:"Part of a service's requests that may be sent again."`
+	Slack  float64       `help:"Repeats in a window, over all gateways, beside the ratio."`
+}
+
+// StopSettings bound a planned stop.
+type StopSettings struct {
+	Grace time.Duration `help:"How long a planned stop may take."`
+	Drain time.Duration `help:"How long new connections are still taken after a stop has begun, for the balancer in front to look elsewhere."`
+}
+
+// RoutedDefaults returns the settings of a file that names only what is required.
+func RoutedDefaults() *RoutedSettings {
+	return &RoutedSettings{
+		Instance: RoutedInstance{MaxFiles: 4096, MemoryMB: 256},
+		Backends: BackendSettings{
+			DialTimeout: 250 * time.Millisecond, MaxIdle: 4 * time.Second, IdleMargin: time.Second,
+			Unacknowledged: 2 * time.Second,
+		},
+		Budget: BudgetSettings{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
+		Stop:   StopSettings{Grace: 8 * time.Second, Drain: 3 * time.Second},
+		Log:    LogSettings{Level: "Info"},
+	}
+}
+
+// ReadRouted reads a settings file and checks it whole.
+func ReadRouted(file string) (*RoutedSettings, []configurer.Fault) {
+	s := RoutedDefaults()
+	faults := configurer.Read(file, s)
+	addresses := map[string][]string{
+		"Listen": {s.Instance.Listen}, "Health": {s.Instance.Health}, "Seeds": s.Controllers.Seeds,
+	}
+	for _, key := range []string{"Listen", "Health", "Seeds"} {
+		for _, address := range addresses[key] {
+			if host, port, err := net.SplitHostPort(address); address != "" && (err != nil || net.ParseIP(host) == nil || port == "") {
+				faults = append(faults, configurer.Fault{File: file, Key: key, Problem: address + " is no IP number and port"})
+			}
+		}
+	}
+	if s.Stop.Drain >= s.Stop.Grace {
+		faults = append(faults, configurer.Fault{File: file, Section: "Stop", Key: "Drain", Problem: "it must be shorter than Grace"})
+	}
+	return s, faults
+}
+
+// seedAddresses returns where the seeds are reached.
+func (s *RoutedSettings) seedAddresses() []string {
+	list := make([]string, 0, len(s.Controllers.Seeds))
+	for _, seed := range s.Controllers.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			list = append(list, net.JoinHostPort(host, strconv.Itoa(s.Controllers.Port)))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/gateway/follower/follower.go
@@ -0,0 +1,224 @@
+// Package follower keeps a gateway in step with the controllers: one goroutine for each
+// of them asks for news all the time, so that the loss of any one delays nothing.
+package follower
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/twitchtv/twirp"
+
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// leaderWait is how long a call to the leader may wait for news; each call also brings
+	// the leader the gateway's demand and loads.
+	leaderWait = 150 * time.Millisecond
+	// followerWait is the same for the other controllers.
+	followerWait = 1000 * time.Millisecond
+	// callMargin is the time that a call may take beyond its wait.
+	callMargin = 700 * time.Millisecond
+	// retryPause is the wait after a failed call.
+	retryPause = 250 * time.Millisecond
+	// acquireTimeout bounds a request for adapters; it is sent again if need be.
+	acquireTimeout = 300 * time.Millisecond
+	// forgetAfter is how long a controller is asked that no other one lists any more.
+	forgetAfter = 30 * time.Second
+	// reviewEvery is the time between two looks at the list of controllers.
+	reviewEvery = time.Second
+)
+
+// Follower asks the controllers. Set the exported fields, then call Run.
+type Follower struct {
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	// Gateway names this gateway.
+	Gateway string
+	// Seeds returns the addresses that the gateway starts from.
+	Seeds func() []string
+	// Apply takes news from a controller.
+	Apply func(controller string, res *wire.SyncResponse)
+	// Demand returns and clears the requests taken since the last call.
+	Demand func() []*wire.Demand
+	// Loads returns the requests under way.
+	Loads func() []*wire.Load
+	// TableVersion returns the version of the table in force here.
+	TableVersion func() uint64
+
+	// acquiring is shared by the calls of Acquire, so that they use connections again.
+	acquiring     *http.Transport
+	acquiringOnce sync.Once
+
+	mu     sync.Mutex
+	loops  map[string]*loop
+	leader string
+	term   uint64
+}
+
+// loop is what the follower knows of one controller.
+type loop struct {
+	listed time.Time
+	cancel context.CancelFunc
+	failed bool
+}
+
+// Run works until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.loops = map[string]*loop{}
+	ticker := f.Clock.NewTicker(reviewEvery)
+	defer ticker.Stop()
+	for {
+		f.review(ctx, f.Seeds(), false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// review starts asking the listed controllers, and stops asking those that have not been
+// listed for long. Seeds count as listed only while there is nobody else to ask.
+func (f *Follower) review(ctx context.Context, listed []string, fresh bool) {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, address := range listed {
+		known := f.loops[address]
+		if known == nil {
+			loopCtx, cancel := context.WithCancel(ctx)
+			known = &loop{listed: now, cancel: cancel}
+			f.loops[address] = known
+			go f.follow(loopCtx, address)
+		}
+		if fresh {
+			known.listed = now
+		}
+	}
+	for address, known := range f.loops {
+		if now.Sub(known.listed) > forgetAfter && known.failed {
+			known.cancel()
+			delete(f.loops, address)
+		}
+	}
+}
+
+func (f *Follower) follow(ctx context.Context, address string) {
+	transport := connector.NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	client := &connector.Client{Timeout: followerWait + callMargin, Transport: transport}
+	quick := &connector.Client{Timeout: leaderWait + callMargin, Transport: transport}
+	req := &wire.SyncRequest{Gateway: f.Gateway}
+	for ctx.Err() == nil {
+		leads := f.prepare(address, req)
+		caller := client
+		if leads {
+			caller = quick
+		}
+		res, err := wire.NewMeshProtobufClient("http://"+address, caller).Sync(ctx, req)
+		f.note(address, err)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-f.Clock.After(retryPause):
+			}
+			continue
+		}
+		f.take(ctx, address, req, res)
+	}
+}
+
+// prepare fills in the next call and reports whether it goes to the leader.
+func (f *Follower) prepare(address string, req *wire.SyncRequest) bool {
+	f.mu.Lock()
+	leads := f.leader == address
+	f.mu.Unlock()
+	wait := followerWait
+	req.Demand, req.Loads = nil, f.Loads()
+	if leads {
+		wait = leaderWait
+		req.Demand = f.Demand()
+	}
+	req.WaitMs = uint32(wait.Milliseconds())
+	req.TableVersion = f.TableVersion()
+	return leads
+}
+
+func (f *Follower) take(ctx context.Context, address string, req *wire.SyncRequest, res *wire.SyncResponse) {
+	f.mu.Lock()
+	if res.GetLeads() && res.GetTerm() >= f.term && f.leader != address {
+		f.leader, f.term = address, res.GetTerm()
+		f.Log.Info("a controller leads", "Controller", address, "Term", f.term)
+	}
+	f.mu.Unlock()
+	f.Apply(address, res)
+	req.Epoch = res.GetEpoch()
+	req.AnnouncementRevision = res.GetAnnouncementRevision()
+	req.HoldingRevision = res.GetHoldingRevision()
+	req.VersionRevision = res.GetVersionRevision()
+	req.WantTable = res.GetTableVersion() > f.TableVersion()
+	f.review(ctx, res.GetControllers(), true)
+}
+
+// note logs when a controller is lost or answers again.
+func (f *Follower) note(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.loops[address]
+	if known == nil || known.failed == (err != nil) {
+		return
+	}
+	known.failed = err != nil
+	if err != nil {
+		f.Log.Warn("a controller does not answer", "Controller", address, "Error", err.Error())
+		return
+	}
+	f.Log.Info("a controller answers again", "Controller", address)
+}
+
+// Acquire asks the leader to load adapters. It does not wait for the loads.
+func (f *Follower) Acquire(ctx context.Context, wants []*wire.Want) {
+	f.mu.Lock()
+	leader := f.leader
+	f.mu.Unlock()
+	if leader == "" {
+		return
+	}
+	client := &connector.Client{Timeout: acquireTimeout, Transport: f.transport()}
+	_, err := wire.NewMeshProtobufClient("http://"+leader, client).Acquire(ctx, &wire.AcquireRequest{Wants: wants})
+	if err == nil {
+		return
+	}
+	f.Log.Info("the leader was not told of adapters that are needed", "Controller", leader, "Error", err.Error())
+	if code, ok := err.(twirp.Error); ok && code.Code() == twirp.Unavailable {
+		f.mu.Lock()
+		if f.leader == leader {
+			f.leader = ""
+		}
+		f.mu.Unlock()
+	}
+}
+
+// Controllers returns the addresses that are asked, sorted.
+func (f *Follower) Controllers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]string, 0, len(f.loops))
+	for address := range f.loops {
+		list = append(list, address)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (f *Follower) transport() *http.Transport {
+	f.acquiringOnce.Do(func() { f.acquiring = connector.NewTransport(nil) })
+	return f.acquiring
+}
--- /dev/null
+++ b/gateway/forwarder/attempt.go
@@ -0,0 +1,286 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"bronzelead.example/gateway/sender"
+	"bronzelead.example/pkg/balancer"
+	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
+)
+
+const (
+	statusUnavailable = http.StatusServiceUnavailable
+	statusNotFound    = http.StatusNotFound
+	statusBadRequest  = http.StatusBadRequest
+	statusBadGateway  = http.StatusBadGateway
+	statusTimeout     = http.StatusGatewayTimeout
+	statusMisdirected = http.StatusMisdirectedRequest
+)
+
+// try sends a request once and reports whether it is to be tried again.
+func (f *Forwarder) try(ctx context.Context, j *job) bool {
+	d, decided := f.choose(ctx, j)
+	if !decided {
+		f.expired(ctx, j)
+		return false
+	}
+	if d.Backend == nil {
+		f.giveUp(j, d.Reason, d.ComeBack)
+		return false
+	}
+	in, err := f.Sender.Send(ctx, f.outgoing(j, d))
+	if err != nil {
+		return f.failed(ctx, j, d.Backend, err)
+	}
+	j.sends++
+	answer := platform.DecodeAnswer(in.Head)
+	switch {
+	case answer.NotRun:
+		in.Close()
+		return f.rejected(j, d.Backend, in.Head.Status)
+	case !answer.Signed || answer.Encoded:
+		in.Close()
+		j.runs++
+		f.done(j, d.Backend.GetId(), balancer.Failed)
+		return f.lost(j, d.Backend, "the answer is not the backend server's")
+	case in.Head.Status >= http.StatusInternalServerError && f.repeatable(j) && j.runs+1 < f.attempts(j) && f.mayRepeat(j.service):
+		in.Close()
+		j.runs++
+		f.done(j, d.Backend.GetId(), balancer.Failed)
+		j.avoid = append(j.avoid, d.Backend.GetId())
+		f.event(j, d.Backend, "the backend server failed; sent again", in.Head.Status)
+		return true
+	}
+	j.runs++
+	if j.route.GetRepetition() == wire.Repetition_REPETITION_STREAM && in.Head.Status == http.StatusOK {
+		return f.relayStream(ctx, j, d.Backend, in)
+	}
+	return f.relayWhole(ctx, j, d.Backend, in)
+}
+
+func (f *Forwarder) outgoing(j *job, d balancer.Decision) *sender.Outgoing {
+	dispatch := platform.Dispatch{
+		Backend: d.Backend.GetId(), AdapterVersion: d.Version, Urgency: -1, Resumes: j.resume,
+	}
+	if !j.patience.IsZero() {
+		dispatch.Left = j.until.Sub(f.Clock.Now())
+	}
+	if j.adapter != "" {
+		dispatch.Urgency = min(int(j.route.GetPriority()), leastUrgent)
+	}
+	return &sender.Outgoing{
+		Backend: d.Backend.GetId(), Address: d.Backend.GetAddress(), RequestID: j.about.ID,
+		Method: j.req.Head.Method, Target: j.req.Head.Target,
+		Header: platform.EncodeDispatch(j.req.Head.Header, dispatch), Body: j.req.Body,
+	}
+}
+
+// leastUrgent is the lowest urgency that an engine knows.
+const leastUrgent = 9
+
+// repeatable reports whether a request may run again after it may have run.
+func (f *Forwarder) repeatable(j *job) bool {
+	return j.route.GetRepetition() == wire.Repetition_REPETITION_IDEMPOTENT || j.route.GetResumable()
+}
+
+func (f *Forwarder) attempts(j *job) int { return max(1, int(j.route.GetMaxAttempts())) }
+
+// failed handles a try that got no answer.
+func (f *Forwarder) failed(ctx context.Context, j *job, backend *wire.Announcement, err error) bool {
+	if ctx.Err() != nil {
+		f.done(j, backend.GetId(), balancer.Abandoned)
+		if sender.KindOf(err) != sender.KindNotSent {
+			j.runs++
+		}
+		f.expired(ctx, j)
+		return false
+	}
+	if sender.KindOf(err) == sender.KindNotSent {
+		f.done(j, backend.GetId(), balancer.Unreachable)
+		j.sends++
+		j.avoid = append(j.avoid, backend.GetId())
+		f.event(j, backend, "the backend server could not be reached: "+err.Error(), 0)
+		if j.sends < maxSends {
+			return true
+		}
+		f.giveUp(j, "no backend server could be reached", comeBackAfterRejection)
+		return false
+	}
+	j.sends++
+	j.runs++
+	f.done(j, backend.GetId(), balancer.Failed)
+	return f.lost(j, backend, err.Error())
+}
+
+// lost handles a request that may have run and got no whole answer.
+func (f *Forwarder) lost(j *job, backend *wire.Announcement, reason string) bool {
+	j.avoid = append(j.avoid, backend.GetId())
+	if f.repeatable(j) && j.runs < f.attempts(j) && f.mayRepeat(j.service) {
+		f.event(j, backend, "the answer was lost; sent again: "+reason, 0)
+		return true
+	}
+	f.event(j, backend, "the answer was lost: "+reason, statusBadGateway)
+	if j.reply.Begun() {
+		j.reply.Abort()
+		return false
+	}
+	f.fail(j, statusBadGateway)
+	return false
+}
+
+// comeBackAfterRejection is when to come back after backend servers have refused: about
+// the time of one short answer.
+const comeBackAfterRejection = 300 * time.Millisecond
+
+// rejected handles an answer which vouches that the request did not run.
+func (f *Forwarder) rejected(j *job, backend *wire.Announcement, status int) bool {
+	outcome := balancer.Full
+	if status == statusMisdirected {
+		outcome = balancer.Absent
+	}
+	f.done(j, backend.GetId(), outcome)
+	if status == statusMisdirected && j.adapter == "" {
+		// Another start has this address now.
+		f.left(backend)
+	}
+	f.event(j, backend, "the backend server did not run the request", status)
+	if outcome == balancer.Full {
+		j.avoid = append(j.avoid, backend.GetId())
+	}
+	if j.sends < maxSends && f.mayRepeat(j.service) {
+		return true
+	}
+	if j.reply.Begun() {
+		j.reply.Abort()
+		return false
+	}
+	f.giveUp(j, "backend servers refused", comeBackAfterRejection)
+	return false
+}
+
+func (f *Forwarder) left(backend *wire.Announcement) {
+	f.mu.Lock()
+	f.balancer.Left(backend.GetId())
+	f.mu.Unlock()
+	f.Sender.Forget(backend.GetId())
+}
+
+// expired ends a request whose caller has left or whose time is over.
+func (f *Forwarder) expired(ctx context.Context, j *job) {
+	if ctx.Err() == context.Canceled {
+		f.event(j, nil, "the caller has left", 0)
+		j.reply.Abort()
+		return
+	}
+	switch {
+	case j.reply.Begun():
+		f.event(j, nil, "the time is over in the middle of the answer", 0)
+		j.reply.Abort()
+	case j.runs > 0:
+		f.event(j, nil, "the time is over", statusTimeout)
+		f.fail(j, statusTimeout)
+	default:
+		f.giveUp(j, balancer.ReasonTimeout, comeBackAfterRejection)
+	}
+}
+
+// giveUp refuses a request. If no try of it may have run, the refusal says so.
+func (f *Forwarder) giveUp(j *job, reason string, comeBack time.Duration) {
+	switch {
+	case j.reply.Begun():
+		f.event(j, nil, reason, 0)
+		j.reply.Abort()
+	case j.runs > 0:
+		f.event(j, nil, reason, statusBadGateway)
+		f.fail(j, statusBadGateway)
+	default:
+		f.refuse(j, statusUnavailable, reason, comeBack)
+	}
+}
+
+func (f *Forwarder) refuse(j *job, status int, reason string, comeBack time.Duration) {
+	f.event(j, nil, reason, status)
+	j.reply.Send(status, platform.EncodeRefusal(j.about.ID, comeBack), []byte(reason+"\n"))
+}
+
+func (f *Forwarder) fail(j *job, status int) {
+	j.reply.Send(status, platform.EncodeRefusal(j.about.ID, 0), []byte(http.StatusText(status)+"\n"))
+}
+
+const (
+	// maxWhole bounds the answers that are read to their end before they are passed on, so
+	// that one which breaks off can be asked for again or reported as a failure.
+	maxWhole = 256 << 10
+	readSize = 8 << 10
+)
+
+// relayWhole passes on an answer that is not a stream.
+func (f *Forwarder) relayWhole(ctx context.Context, j *job, backend *wire.Announcement, in *sender.Incoming) bool {
+	header := platform.EncodeAnswer(in.Head.Header)
+	body, err := io.ReadAll(io.LimitReader(in.Body, maxWhole))
+	if err == nil && !in.Body.Ended() {
+		return f.relayLong(j, backend, in, header, body)
+	}
+	in.Close()
+	if err != nil {
+		if ctx.Err() != nil {
+			f.done(j, backend.GetId(), balancer.Abandoned)
+			f.expired(ctx, j)
+			return false
+		}
+		f.done(j, backend.GetId(), balancer.Failed)
+		return f.lost(j, backend, err.Error())
+	}
+	outcome := balancer.Served
+	if in.Head.Status >= http.StatusInternalServerError {
+		outcome = balancer.Failed
+	}
+	f.done(j, backend.GetId(), outcome)
+	if in.Body.Framing == framer.FramingNone {
+		j.reply.SendHead(in.Head.Status, withLength(header, in.Head.Header))
+	} else {
+		j.reply.Send(in.Head.Status, header, body)
+	}
+	f.served(j, backend, in.Head.Status)
+	return false
+}
+
+// withLength keeps the length that an answer without a body announces, as to HEAD.
+func withLength(header, original framer.Header) framer.Header {
+	if length := original.Get("Content-Length"); length != "" {
+		return append(header, framer.Field{Name: "Content-Length", Value: length})
+	}
+	return header
+}
+
+// relayLong passes on an answer that is too long to be kept.
+func (f *Forwarder) relayLong(j *job, backend *wire.Announcement, in *sender.Incoming, header framer.Header, begun []byte) bool {
+	defer in.Close()
+	err := j.reply.Begin(in.Head.Status, header)
+	if err == nil {
+		err = j.reply.Write(begun)
+	}
+	buf := make([]byte, readSize)
+	for err == nil {
+		n, readErr := in.Body.Read(buf)
+		err = j.reply.Write(buf[:n])
+		if readErr == io.EOF && err == nil {
+			f.done(j, backend.GetId(), balancer.Served)
+			j.reply.End()
+			f.served(j, backend, in.Head.Status)
+			return false
+		}
+		if readErr != nil {
+			err = readErr
+		}
+	}
+	f.done(j, backend.GetId(), balancer.Abandoned)
+	f.event(j, backend, "a long answer broke off: "+err.Error(), 0)
+	j.reply.Abort()
+	return false
+}
--- /dev/null
+++ b/gateway/forwarder/story.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"strconv"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// sampleServed is how many answered requests there are for each one that is logged.
+// Failures and refusals are all logged.
+const sampleServed = 50
+
+// event logs a decision on a request that was not simply served.
+func (f *Forwarder) event(j *job, backend *wire.Announcement, outcome string, status int) {
+	f.Log.Info("request", f.attributes(j, backend, "Outcome", outcome, "Status", status)...)
+	f.Meter.Count("requests_not_served", "outcome", outcomeLabel(status))
+}
+
+func (f *Forwarder) served(j *job, backend *wire.Announcement, status int) {
+	f.Meter.Ended(j.service, j.route.GetName(), "Served", f.Clock.Since(j.req.ReceivedAt))
+	if hash(j.about.ID)%sampleServed == 0 {
+		f.Log.Info("request", f.attributes(j, backend, "Outcome", "served", "Status", status, "SampledOneIn", sampleServed)...)
+	}
+}
+
+func (f *Forwarder) attributes(j *job, backend *wire.Announcement, more ...any) []any {
+	list := []any{
+		"RequestID", j.about.ID, "Took", f.Clock.Since(j.req.ReceivedAt).Milliseconds(),
+		"Waited", j.waited.Milliseconds(), "Sends", j.sends,
+	}
+	if j.route != nil {
+		list = append(list, "Route", j.route.GetName(), "Service", j.service, "Adapter", j.adapter)
+	}
+	if backend != nil {
+		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
+	}
+	return append(list, more...)
+}
+
+func outcomeLabel(status int) string {
+	if status == 0 {
+		return "Ended"
+	}
+	return strconv.Itoa(status)
+}
+
+// hash spreads ids evenly, so that the sampled ones are the same on all instances.
+func hash(id string) uint32 {
+	h := uint32(2166136261)
+	for i := range len(id) {
+		h = (h ^ uint32(id[i])) * 16777619
+	}
+	return h
+}
--- /dev/null
+++ b/gateway/sender/fault.go
@@ -0,0 +1,46 @@
+package sender
+
+import "github.com/pkg/errors"
+
+// Kind says what is known of a request that got no answer.
+type Kind int
+
+// The kinds of errors.
+const (
+	// KindNotSent means that nothing reached the backend server.
+	KindNotSent Kind = iota + 1
+	// KindLost means that the request may have run.
+	KindLost
+	// KindMalformed means that what came was no valid answer; the request may have run.
+	KindMalformed
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Operation string
+	Kind      Kind
+	cause     error
+}
+
+// Error returns the operation and its cause.
+func (e *Error) Error() string { return "sender: " + e.Operation + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// KindOf returns the kind of an error, or 0 of one of another package.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
+func wrap(operation string, kind Kind, err error) error {
+	return &Error{Operation: operation, Kind: kind, cause: err}
+}
+
+func fail(operation string, kind Kind, format string, args ...any) error {
+	return wrap(operation, kind, errors.Errorf(format, args...))
+}
--- /dev/null
+++ b/pkg/balancer/backend.go
@@ -0,0 +1,135 @@
+package balancer
+
+import (
+	"time"
+
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// failureMemory is the weight of the latest outcome in the share of failures.
+	failureMemory = 0.2
+	// ejectAbove is the share of failures from which a backend server is left out: at
+	// this share two failures in a row, or three of four, have been seen.
+	ejectAbove = 0.35
+	// firstEjection doubles with each ejection in a row, up to longestEjection. The first
+	// is about the time of a restart's first steps.
+	firstEjection   = 700 * time.Millisecond
+	longestEjection = 5 * time.Second
+	// maxEjectedShare is the part, as a divisor, of a service's backend servers that
+	// stays in use whatever their outcomes.
+	maxEjectedShare = 2
+	// assumedSlots is used where a backend server does not say how many it has.
+	assumedSlots = 8
+)
+
+// backend is what the gateway knows of one start of a backend server.
+type backend struct {
+	info *wire.Announcement
+	// own and others are the loads of this and the other gateways' requests there.
+	own    float64
+	others float64
+	// holds are the adapters there, with their versions.
+	holds     map[string]uint64
+	absent    map[string]time.Time
+	fullUntil time.Time
+	since     time.Time
+
+	failures     float64
+	ejectedUntil time.Time
+	ejection     time.Duration
+	// trials are requests that are under way since the last ejection ended.
+	trials      int
+	lastSuccess time.Time
+}
+
+// open reports whether the backend server itself takes requests.
+func (k *backend) open() bool { return !k.info.GetDraining() && !k.info.GetGone() }
+
+// recentSuccess is how long an answer speaks for a backend server whose announcements
+// have stopped.
+const recentSuccess = 3 * time.Second
+
+// suspect reports whether it is better to send elsewhere.
+func (k *backend) suspect(now time.Time) bool {
+	if now.Before(k.ejectedUntil) {
+		return true
+	}
+	if k.ejection > 0 && k.own > 0 {
+		// One request at a time shows whether it has recovered.
+		return true
+	}
+	return k.info.GetSilent() && now.Sub(k.lastSuccess) > recentSuccess
+}
+
+func (k *backend) slots() float64 {
+	if s := k.info.GetSlots(); s > 0 {
+		return float64(s)
+	}
+	return assumedSlots
+}
+
+func (k *backend) load() float64 { return (k.own + k.others) / k.slots() }
+
+func (k *backend) hasRoom() bool { return k.own+k.others < k.slots() }
+
+// Outcome is what became of a request that was sent to a backend server.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served means that the whole answer came.
+	Served Outcome = iota
+	// Failed means that the backend server answered with a failure of its own, or broke
+	// off.
+	Failed
+	// Unreachable means that no connection could be opened.
+	Unreachable
+	// Full means that it refused for lack of room.
+	Full
+	// Absent means that it does not hold the adapter, or not in the version.
+	Absent
+	// Abandoned means that the gateway ended the request, for its caller or its deadline.
+	Abandoned
+)
+
+// Done takes the end of a request that was sent.
+func (b *Balancer) Done(now time.Time, id, adapter string, tokens int, outcome Outcome) {
+	k := b.backends[id]
+	if k == nil {
+		return
+	}
+	k.own = max(0, k.own-Weight(tokens))
+	switch outcome {
+	case Served:
+		k.succeeded(now)
+	case Failed:
+		k.failed(now, failureMemory)
+	case Unreachable:
+		k.failed(now, 1)
+	case Full:
+		k.fullUntil = now.Add(fullFor)
+	case Absent:
+		k.absent[adapter] = now.Add(absentFor)
+	case Abandoned:
+	}
+}
+
+func (k *backend) succeeded(now time.Time) {
+	k.lastSuccess = now
+	k.failures *= 1 - failureMemory
+	if k.failures < ejectAbove/2 {
+		k.ejection = 0
+	}
+}
+
+func (k *backend) failed(now time.Time, weight float64) {
+	k.failures += (1 - k.failures) * weight
+	if k.failures < ejectAbove || now.Before(k.ejectedUntil) {
+		return
+	}
+	k.ejection = min(max(firstEjection, 2*k.ejection), longestEjection)
+	k.ejectedUntil = now.Add(k.ejection)
+	// After the pause a single success must be able to bring it back.
+	k.failures = ejectAbove / 2
+}
--- /dev/null
+++ b/pkg/balancer/balancer.go
@@ -0,0 +1,349 @@
+// Package balancer decides at a gateway which request goes to which backend server,
+// which waits, and which is refused. It is pure: what happens and the time go in,
+// decisions come out.
+//
+// The load patterns that it answers: bursts (urgent requests first, a bound on each
+// backend server), rare adapters (a request waits until the leader has loaded its
+// adapter, and does not hold up others), backend servers that fail, are slow or have
+// fallen silent (first-hand outcomes count more than announcements).
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"bronzelead.example/pkg/matcher"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// wantAgainAfter is how long the leader has to load an adapter before it is asked
+	// again: a load takes about a quarter of a second.
+	wantAgainAfter = 400 * time.Millisecond
+	// zonePenalty is the load, as a part of a backend server's slots, that another zone
+	// counts for: traffic between zones costs money and a few milliseconds.
+	zonePenalty = 0.04
+	// failurePenalty is the load that a backend server counts for which always fails.
+	failurePenalty = 1.0
+	// jitter breaks ties between gateways that see the same loads.
+	jitter = 0.02
+	// tokensPerUnit is the prompt size that counts as much as another running request:
+	// reading it takes about as long as a short answer.
+	tokensPerUnit = 4096
+	// absentFor is how long an adapter is not asked of an engine that has just said that
+	// it is not there, unless the leader says otherwise.
+	absentFor = 300 * time.Millisecond
+	// fullFor is how long a backend server that has refused for lack of room is left alone.
+	fullFor = 100 * time.Millisecond
+)
+
+// Balancer holds what one gateway knows. Set the exported fields before use.
+type Balancer struct {
+	// Zone is the gateway's own availability zone.
+	Zone string
+
+	table     *matcher.Matcher
+	backends  map[string]*backend
+	byService map[string][]*backend
+	versions  map[string]uint64
+	term      uint64
+	queue     []*Waiter
+	nextOrder uint64
+	wanted    map[string]time.Time
+}
+
+// Waiter is a request that waits for a backend server. Set the exported fields, then
+// pass it to Enqueue.
+type Waiter struct {
+	ID      string
+	Service string
+	// Adapter is MODEL/NAME, or "" where any backend server of the service will do.
+	Adapter string
+	// Urgency is the route's priority; 0 goes first.
+	Urgency uint32
+	// Tokens is the size of the prompt.
+	Tokens int
+	// GiveUp is when it is no use to wait longer.
+	GiveUp time.Time
+	// Avoid are backend servers that have failed this request.
+	Avoid []string
+
+	order uint64
+}
+
+// Weight returns how much load a request adds to a backend server.
+func Weight(tokens int) float64 { return 1 + float64(tokens)/tokensPerUnit }
+
+// Decision is what becomes of a waiter.
+type Decision struct {
+	Waiter *Waiter
+	// Backend is where to send it, or nil if it is refused.
+	Backend *wire.Announcement
+	// Version is the version that the adapter must have; 0 for any.
+	Version uint64
+	// Reason says why it is refused, and ComeBack when to try again.
+	Reason   string
+	ComeBack time.Duration
+}
+
+// The reasons of refusals.
+const (
+	ReasonNoBackend = "no backend server of the service is known"
+	ReasonTimeout   = "no backend server was free in time"
+	ReasonNoAdapter = "the adapter was not loaded in time"
+)
+
+// SetTable brings a new table into force.
+func (b *Balancer) SetTable(table *matcher.Matcher) { b.table = table }
+
+// Announce takes what is known of a backend server. Silent counts only from a
+// controller that hears the others, which is for the caller to check.
+func (b *Balancer) Announce(now time.Time, a *wire.Announcement) {
+	if b.backends == nil {
+		b.backends, b.byService = map[string]*backend{}, map[string][]*backend{}
+		b.versions, b.wanted = map[string]uint64{}, map[string]time.Time{}
+	}
+	known := b.backends[a.GetId()]
+	if known == nil {
+		if a.GetGone() || a.GetAddress() == "" {
+			return
+		}
+		known = &backend{holds: map[string]uint64{}, absent: map[string]time.Time{}, since: now}
+		b.backends[a.GetId()] = known
+		b.byService[a.GetService()] = append(b.byService[a.GetService()], known)
+	} else if a.GetSequence() < known.info.GetSequence() {
+		return
+	}
+	known.info = a
+	if a.GetGone() {
+		b.drop(known)
+	}
+}
+
+// Left takes out a backend server that turned out to be no more.
+func (b *Balancer) Left(id string) {
+	if known := b.backends[id]; known != nil {
+		b.drop(known)
+	}
+}
+
+func (b *Balancer) drop(gone *backend) {
+	delete(b.backends, gone.info.GetId())
+	service := gone.info.GetService()
+	b.byService[service] = slices.DeleteFunc(b.byService[service], func(o *backend) bool { return o == gone })
+}
+
+// SetHolding takes what the leader of a term says that an engine holds.
+func (b *Balancer) SetHolding(term uint64, h *wire.Holding) {
+	known := b.backends[h.GetBackend()]
+	if known == nil || term < b.term {
+		return
+	}
+	b.term = term
+	clear(known.holds)
+	clear(known.absent)
+	for _, qualified := range h.GetAdapters() {
+		adapter, version, _ := strings.Cut(qualified, "@")
+		// An adapter without a version counts as the first one.
+		n, _ := strconv.ParseUint(version, 10, 64)
+		known.holds[adapter] = n
+	}
+}
+
+// SetVersion takes the version that requests for an adapter must be served with.
+func (b *Balancer) SetVersion(v *wire.AdapterVersion) {
+	adapter := v.GetModel() + "/" + v.GetAdapter()
+	b.versions[adapter] = max(b.versions[adapter], v.GetVersion())
+}
+
+// SetLoads takes how many requests the other gateways have at each backend server.
+func (b *Balancer) SetLoads(loads []*wire.Load) {
+	for _, known := range b.backends {
+		known.others = 0
+	}
+	for _, l := range loads {
+		if known := b.backends[l.GetBackend()]; known != nil {
+			known.others = float64(l.GetRequests())
+		}
+	}
+}
+
+// Loads returns how many requests this gateway has at each backend server.
+func (b *Balancer) Loads() []*wire.Load {
+	var loads []*wire.Load
+	for id, known := range b.backends {
+		if known.own > 0 {
+			loads = append(loads, &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)})
+		}
+	}
+	return loads
+}
+
+// Knows reports whether a service has a backend server that takes requests.
+func (b *Balancer) Knows(service string) bool {
+	return slices.ContainsFunc(b.byService[service], func(k *backend) bool { return k.open() })
+}
+
+// Ready reports whether any backend server takes requests.
+func (b *Balancer) Ready() bool {
+	for service := range b.byService {
+		if b.Knows(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// Waiting returns the number of requests that wait.
+func (b *Balancer) Waiting() int { return len(b.queue) }
+
+// Enqueue lets a request wait for its turn.
+func (b *Balancer) Enqueue(w *Waiter) {
+	if w.order == 0 {
+		b.nextOrder++
+		w.order = b.nextOrder
+	}
+	at, _ := slices.BinarySearchFunc(b.queue, w, compare)
+	b.queue = slices.Insert(b.queue, at, w)
+}
+
+// compare puts urgent requests first, and among equals the one that came first.
+func compare(a, b *Waiter) int {
+	if a.Urgency != b.Urgency {
+		return int(a.Urgency) - int(b.Urgency)
+	}
+	if a.order < b.order {
+		return -1
+	}
+	return 1
+}
+
+// Cancel takes a request out of the queue, whose caller has left.
+func (b *Balancer) Cancel(w *Waiter) {
+	b.queue = slices.DeleteFunc(b.queue, func(o *Waiter) bool { return o == w })
+}
+
+// Next decides on the waiting requests, the most urgent first, and returns the adapters
+// that the leader is to load.
+func (b *Balancer) Next(now time.Time) (decisions []Decision, wants []*wire.Want) {
+	kept := b.queue[:0]
+	for _, w := range b.queue {
+		d, want := b.decide(now, w)
+		if want != nil {
+			wants = append(wants, want)
+		}
+		if d == nil {
+			kept = append(kept, w)
+			continue
+		}
+		decisions = append(decisions, *d)
+	}
+	clear(b.queue[len(kept):])
+	b.queue = kept
+	return decisions, wants
+}
+
+// decide returns nil when the request goes on waiting.
+func (b *Balancer) decide(now time.Time, w *Waiter) (*Decision, *wire.Want) {
+	candidates := b.candidates(now, w)
+	if len(candidates) == 0 && !b.Knows(w.Service) {
+		return &Decision{Waiter: w, Reason: ReasonNoBackend, ComeBack: comeBackWithoutBackend}, nil
+	}
+	holders := candidates
+	if w.Adapter != "" {
+		holders = b.holding(now, candidates, w.Adapter)
+	}
+	if best := b.best(now, holders, w); best != nil {
+		best.own += Weight(w.Tokens)
+		best.trials++
+		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, nil
+	}
+	if !now.Before(w.GiveUp) {
+		reason, comeBack := ReasonTimeout, comeBackWhenFull
+		if len(holders) == 0 && w.Adapter != "" {
+			reason, comeBack = ReasonNoAdapter, comeBackForAdapter
+		}
+		return &Decision{Waiter: w, Reason: reason, ComeBack: comeBack}, nil
+	}
+	if len(holders) > 0 || w.Adapter == "" {
+		return nil, nil
+	}
+	return nil, b.want(now, w, candidates)
+}
+
+// When a refused caller should come back.
+const (
+	// comeBackWithoutBackend is about the time in which a restarted one announces itself.
+	comeBackWithoutBackend = 500 * time.Millisecond
+	// comeBackWhenFull is about the time of one short answer.
+	comeBackWhenFull = 300 * time.Millisecond
+	// comeBackForAdapter is about the time of a load from the weight store.
+	comeBackForAdapter = 300 * time.Millisecond
+)
+
+// want asks for an adapter, unless it was asked for lately.
+func (b *Balancer) want(now time.Time, w *Waiter, candidates []*backend) *wire.Want {
+	if now.Sub(b.wanted[w.Adapter]) < wantAgainAfter {
+		return nil
+	}
+	b.wanted[w.Adapter] = now
+	want := &wire.Want{Adapter: w.Adapter}
+	for _, k := range b.byService[w.Service] {
+		if !slices.Contains(candidates, k) {
+			want.Avoid = append(want.Avoid, k.info.GetId())
+		}
+	}
+	return want
+}
+
+// candidates returns the backend servers that may get a request now, full or not.
+func (b *Balancer) candidates(now time.Time, w *Waiter) []*backend {
+	all := b.byService[w.Service]
+	open := make([]*backend, 0, len(all))
+	for _, k := range all {
+		if k.open() && !slices.Contains(w.Avoid, k.info.GetId()) {
+			open = append(open, k)
+		}
+	}
+	heard := slices.DeleteFunc(slices.Clone(open), func(k *backend) bool { return k.suspect(now) })
+	if len(heard)*maxEjectedShare >= len(open) {
+		return heard
+	}
+	// When most seem to have failed, the fault may be nearer than they are.
+	return open
+}
+
+// holding returns those that have the adapter in the wanted version.
+func (b *Balancer) holding(now time.Time, from []*backend, adapter string) []*backend {
+	version := b.versions[adapter]
+	var holders []*backend
+	for _, k := range from {
+		held, ok := k.holds[adapter]
+		if ok && (version == 0 || held >= version) && !now.Before(k.absent[adapter]) {
+			holders = append(holders, k)
+		}
+	}
+	return holders
+}
+
+// best returns the least loaded of those with room, or nil.
+func (b *Balancer) best(now time.Time, from []*backend, w *Waiter) *backend {
+	var best *backend
+	least := 0.0
+	for _, k := range from {
+		if now.Before(k.fullUntil) || !k.hasRoom() {
+			continue
+		}
+		score := k.load() + k.failures*failurePenalty + rand.Float64()*jitter
+		if k.info.GetZone() != b.Zone {
+			score += zonePenalty
+		}
+		if best == nil || score < least {
+			best, least = k, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/budgeter/budgeter.go
@@ -0,0 +1,59 @@
+// Package budgeter bounds how many requests are sent a second time. A failure that
+// many requests meet at once must not multiply the load on the backend servers that
+// still work. It is pure.
+package budgeter
+
+import "time"
+
+// parts is the number of parts that a window is counted in.
+const parts = 10
+
+// Budgeter bounds the repeats to one service. Set the exported fields before use.
+type Budgeter struct {
+	// Window is the span over which repeats are counted.
+	Window time.Duration
+	// Ratio is the part of the requests that may be sent again.
+	Ratio float64
+
+	counts [parts + 1]count
+	at     int64
+}
+
+type count struct{ requests, repeats int }
+
+// Request counts a request that came from a caller.
+func (b *Budgeter) Request(now time.Time) {
+	b.advance(now)
+	b.current().requests++
+}
+
+// Allow counts a repeat and reports true if the budget has room for it. Slack is this
+// gateway's share of the repeats that are allowed beside the ratio.
+func (b *Budgeter) Allow(now time.Time, slack float64) bool {
+	b.advance(now)
+	var sum count
+	for _, c := range b.counts {
+		sum.requests += c.requests
+		sum.repeats += c.repeats
+	}
+	if float64(sum.repeats+1) > b.Ratio*float64(sum.requests)+slack {
+		return false
+	}
+	b.current().repeats++
+	return true
+}
+
+func (b *Budgeter) current() *count { return &b.counts[b.at%int64(len(b.counts))] }
+
+// advance clears the parts that lie a window back.
+func (b *Budgeter) advance(now time.Time) {
+	at := now.UnixNano() / int64(b.Window/parts)
+	if at-b.at > int64(len(b.counts)) {
+		b.counts = [parts + 1]count{}
+		b.at = at
+	}
+	for b.at < at {
+		b.at++
+		*b.current() = count{}
+	}
+}
--- /dev/null
+++ b/pkg/framer/body.go
@@ -0,0 +1,213 @@
+package framer
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// Framing says where a body ends.
+type Framing int
+
+// The framings of bodies.
+const (
+	// FramingNone is for messages without a body.
+	FramingNone Framing = iota
+	// FramingLength is for bodies of a known length.
+	FramingLength
+	// FramingChunked is for chunked bodies.
+	FramingChunked
+	// FramingClose is for answers that end with their connection.
+	FramingClose
+)
+
+const (
+	maxChunkLine = 4096
+	maxTrailers  = 8192
+	maxLength    = 1 << 40
+)
+
+// Body reads a message's body. It returns io.EOF only at the body's proper end.
+type Body struct {
+	Framing Framing
+	// Length is the length of a body with FramingLength.
+	Length int64
+
+	reader *bufio.Reader
+	left   int64
+	ended  bool
+	begun  bool
+}
+
+// RequestBody returns the body of a request whose head was read from r.
+func RequestBody(r *bufio.Reader, head *RequestHead) (*Body, error) {
+	b, err := newBody(r, head.Header, head.Minor)
+	if err != nil {
+		return nil, err
+	}
+	if b.Framing == FramingClose {
+		b.Framing, b.ended = FramingNone, true
+	}
+	return b, nil
+}
+
+// ResponseBody returns the body of an answer to a request with a method.
+func ResponseBody(r *bufio.Reader, head *ResponseHead, method string) (*Body, error) {
+	if method == "HEAD" || head.Status < 200 || head.Status == 204 || head.Status == 304 {
+		return &Body{Framing: FramingNone, ended: true}, nil
+	}
+	return newBody(r, head.Header, head.Minor)
+}
+
+// newBody decides on the framing. Two lengths, a length beside an encoding, and any
+// encoding but chunked are refused: RFC 9112 section 6 leaves them open to different
+// readings by different recipients.
+func newBody(r *bufio.Reader, header Header, minor int) (*Body, error) {
+	lengths, encodings := header.count("Content-Length"), header.count("Transfer-Encoding")
+	switch {
+	case encodings > 1 || lengths > 1 || encodings == 1 && lengths == 1:
+		return nil, fail("Body", KindMalformed, "the length of the body is given more than once")
+	case encodings == 1:
+		if minor == 0 || !strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
+			return nil, fail("Body", KindMalformed, "the transfer encoding is not chunked")
+		}
+		return &Body{Framing: FramingChunked, reader: r}, nil
+	case lengths == 1:
+		n, err := parseLength(header.Get("Content-Length"))
+		if err != nil {
+			return nil, err
+		}
+		return &Body{Framing: FramingLength, Length: n, reader: r, left: n, ended: n == 0}, nil
+	}
+	return &Body{Framing: FramingClose, reader: r}, nil
+}
+
+func parseLength(s string) (int64, error) {
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return 0, fail("Body", KindMalformed, "%q is no length", clip(s))
+		}
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n > maxLength {
+		return 0, fail("Body", KindMalformed, "%q is no length", clip(s))
+	}
+	return n, nil
+}
+
+// Ended reports whether the body was read to its end.
+func (b *Body) Ended() bool { return b.ended }
+
+// Read reads a part of the body.
+func (b *Body) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	switch b.Framing {
+	case FramingClose:
+		return b.readToClose(p)
+	case FramingChunked:
+		if b.left == 0 {
+			if err := b.nextChunk(); err != nil {
+				return 0, err
+			}
+			if b.ended {
+				return 0, io.EOF
+			}
+		}
+	case FramingNone, FramingLength:
+	}
+	return b.readPart(p)
+}
+
+func (b *Body) readToClose(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err == io.EOF {
+		b.ended = true
+		return n, io.EOF
+	}
+	if err != nil {
+		return n, wrap("Body", KindCut, err)
+	}
+	return n, nil
+}
+
+func (b *Body) readPart(p []byte) (int, error) {
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.reader.Read(p)
+	b.left -= int64(n)
+	if b.left == 0 && b.Framing == FramingLength {
+		b.ended = true
+	}
+	if err != nil && b.left > 0 || err != nil && b.Framing == FramingChunked {
+		return n, wrap("Body", KindCut, err)
+	}
+	return n, nil
+}
+
+// nextChunk reads the line before a chunk, and after the last one the trailers.
+func (b *Body) nextChunk() error {
+	if b.begun {
+		if line, err := b.line(maxChunkLine); err != nil || line != "" {
+			return orMalformed(err, "a chunk is longer than its size")
+		}
+	}
+	b.begun = true
+	line, err := b.line(maxChunkLine)
+	if err != nil {
+		return err
+	}
+	size, _, _ := strings.Cut(line, ";")
+	size = strings.TrimRight(size, " \t")
+	n, convErr := strconv.ParseUint(size, 16, 40)
+	if convErr != nil || size[0] == '+' || strings.Contains(size, "_") {
+		return fail("Body", KindMalformed, "%q is no size of a chunk", clip(size))
+	}
+	b.left = int64(n)
+	if n > 0 {
+		return nil
+	}
+	return b.trailers()
+}
+
+func (b *Body) trailers() error {
+	left := maxTrailers
+	for {
+		line, err := b.line(left)
+		if err != nil {
+			return err
+		}
+		if line == "" {
+			b.ended = true
+			return nil
+		}
+		if _, err := parseField(line); err != nil {
+			return err
+		}
+		left -= len(line)
+	}
+}
+
+// line reads a line that ends with CRLF.
+func (b *Body) line(limit int) (string, error) {
+	raw, err := b.reader.ReadSlice('\n')
+	switch {
+	case err == bufio.ErrBufferFull || len(raw) > max(limit, 0)+len(lineEnd):
+		return "", fail("Body", KindTooLarge, "a line is too long")
+	case err != nil:
+		return "", wrap("Body", KindCut, err)
+	case !strings.HasSuffix(string(raw), lineEnd) || strings.ContainsAny(string(raw[:len(raw)-2]), "\r\x00"):
+		return "", fail("Body", KindMalformed, "a line ends without CR")
+	}
+	return string(raw[:len(raw)-len(lineEnd)]), nil
+}
+
+func orMalformed(err error, problem string) error {
+	if err != nil {
+		return err
+	}
+	return fail("Body", KindMalformed, "%s", problem)
+}
--- /dev/null
+++ b/pkg/framer/framer.go
@@ -0,0 +1,245 @@
+// Package framer reads and writes HTTP/1.1 messages strictly. Where two readings of
+// the same bytes are possible, as in request smuggling, a message is refused.
+//
+// The package exists because a gateway has to pass on targets and header fields as
+// they came, must see bytes that belong to no answer, and decides itself whether a
+// request may be sent again; HTTP libraries hide all three.
+package framer
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// Field is one header field, as it came.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Header holds header fields in their order.
+type Header []Field
+
+// Get returns the first value of a field, or "".
+func (h Header) Get(name string) string {
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Has reports whether a field is there.
+func (h Header) Has(name string) bool { return h.count(name) > 0 }
+
+func (h Header) count(name string) int {
+	n := 0
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// HasToken reports whether a comma-separated field lists a token.
+func (h Header) HasToken(name, token string) bool {
+	for _, f := range h {
+		if !strings.EqualFold(f.Name, name) {
+			continue
+		}
+		for _, item := range strings.Split(f.Value, ",") {
+			if strings.EqualFold(strings.TrimSpace(item), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// RequestHead is a request without its body.
+type RequestHead struct {
+	Method string
+	// Target is the request's target, byte for byte.
+	Target string
+	// Minor is the minor version: 0 or 1.
+	Minor  int
+	Header Header
+}
+
+// KeepAlive reports whether the caller wants to use the connection again.
+func (r *RequestHead) KeepAlive() bool {
+	if r.Minor == 0 {
+		return r.Header.HasToken("Connection", "keep-alive")
+	}
+	return !r.Header.HasToken("Connection", "close")
+}
+
+// ResponseHead is an answer without its body.
+type ResponseHead struct {
+	Status int
+	Reason string
+	Minor  int
+	Header Header
+}
+
+// KeepAlive reports whether the server lets the connection be used again.
+func (r *ResponseHead) KeepAlive() bool {
+	return r.Minor == 1 && !r.Header.HasToken("Connection", "close")
+}
+
+const (
+	lineEnd       = "\r\n"
+	headEnd       = "\r\n\r\n"
+	versionPrefix = "HTTP/1."
+)
+
+// ReadHead reads up to and with the empty line that ends a message's head. Empty
+// lines before a request are skipped, as RFC 9112 section 2.2 allows. Limit bounds
+// the bytes.
+func ReadHead(r *bufio.Reader, limit int) ([]byte, error) {
+	head := make([]byte, 0, 1024)
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil && err != bufio.ErrBufferFull {
+			if len(head) == 0 && len(line) == 0 {
+				return nil, wrap("ReadHead", KindClosed, err)
+			}
+			return nil, wrap("ReadHead", KindCut, err)
+		}
+		if len(head) == 0 && string(line) == lineEnd {
+			continue
+		}
+		head = append(head, line...)
+		if len(head) > limit {
+			return nil, fail("ReadHead", KindTooLarge, "the head is longer than %d bytes", limit)
+		}
+		if bytes.HasSuffix(head, []byte(headEnd)) {
+			return head, nil
+		}
+		if err == nil && len(line) == 1 {
+			return nil, fail("ReadHead", KindMalformed, "a line ends without CR")
+		}
+	}
+}
+
+// ParseRequest reads a request's head.
+func ParseRequest(raw []byte) (*RequestHead, error) {
+	first, header, err := split(raw)
+	if err != nil {
+		return nil, err
+	}
+	parts := strings.Split(first, " ")
+	if len(parts) != 3 || !isToken(parts[0]) || !isTarget(parts[1]) {
+		return nil, fail("ParseRequest", KindMalformed, "no request line: %q", clip(first))
+	}
+	minor, err := parseVersion(parts[2])
+	if err != nil {
+		return nil, err
+	}
+	head := &RequestHead{Method: parts[0], Target: parts[1], Minor: minor, Header: header}
+	if header.count("Host") != 1 || !isHost(header.Get("Host")) {
+		return nil, fail("ParseRequest", KindMalformed, "a request needs one valid Host")
+	}
+	return head, nil
+}
+
+// ParseResponse reads an answer's head.
+func ParseResponse(raw []byte) (*ResponseHead, error) {
+	first, header, err := split(raw)
+	if err != nil {
+		return nil, err
+	}
+	version, rest, _ := strings.Cut(first, " ")
+	minor, err := parseVersion(version)
+	if err != nil {
+		return nil, err
+	}
+	code, reason, _ := strings.Cut(rest, " ")
+	status, convErr := strconv.Atoi(code)
+	if convErr != nil || len(code) != 3 || status < 100 {
+		return nil, fail("ParseResponse", KindMalformed, "no status line: %q", clip(first))
+	}
+	return &ResponseHead{Status: status, Reason: reason, Minor: minor, Header: header}, nil
+}
+
+// split returns the first line and the fields of a head.
+func split(raw []byte) (string, Header, error) {
+	if !bytes.HasSuffix(raw, []byte(headEnd)) {
+		return "", nil, fail("Parse", KindMalformed, "the head has no end")
+	}
+	lines := strings.Split(string(raw[:len(raw)-len(headEnd)]), lineEnd)
+	header := make(Header, 0, len(lines)-1)
+	for i, line := range lines {
+		if strings.ContainsAny(line, "\r\n\x00") {
+			return "", nil, fail("Parse", KindMalformed, "a line holds CR, LF or NUL")
+		}
+		if i == 0 {
+			continue
+		}
+		field, err := parseField(line)
+		if err != nil {
+			return "", nil, err
+		}
+		header = append(header, field)
+	}
+	return lines[0], header, nil
+}
+
+func parseField(line string) (Field, error) {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !isToken(name) {
+		// This refuses folded lines and a space before the colon too.
+		return Field{}, fail("Parse", KindMalformed, "no header field: %q", clip(line))
+	}
+	value = strings.Trim(value, " \t")
+	for i := range len(value) {
+		if c := value[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return Field{}, fail("Parse", KindMalformed, "field %s holds a control character", name)
+		}
+	}
+	return Field{Name: name, Value: value}, nil
+}
+
+func parseVersion(s string) (int, error) {
+	switch s {
+	case versionPrefix + "0":
+		return 0, nil
+	case versionPrefix + "1":
+		return 1, nil
+	}
+	return 0, fail("Parse", KindMalformed, "no HTTP/1 version: %q", clip(s))
+}
+
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// isTarget accepts targets in origin form, and "*".
+func isTarget(s string) bool {
+	if s == "*" {
+		return true
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return strings.HasPrefix(s, "/") && !strings.Contains(s, "#")
+}
+
+func isHost(s string) bool {
+	return s != "" && !strings.ContainsAny(s, " \t,/\\@?#")
+}
+
+func clip(s string) string { return s[:min(len(s), 60)] }
--- /dev/null
+++ b/pkg/placer/placer.go
@@ -0,0 +1,436 @@
+// Package placer decides which adapters are loaded at which engines, for a leader that
+// alone gives orders. It is pure: demand, reports and the ends of orders go in, orders
+// come out.
+//
+// It answers three load patterns. Rare adapters at once: each is loaded when a request
+// waits for it, at an engine with a free place, which is kept free ahead of need. Demand
+// that moves on: popularity is forgotten within seconds, and what nobody asks for goes
+// first. A hot adapter: it gets copies in proportion to its requests.
+package placer
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// Policy holds the placer's limits.
+type Policy struct {
+	// Reserve is the number of places that are kept free at each engine, so that a load
+	// does not have to wait for an unload.
+	Reserve int
+	// MaxComing bounds the adapters on their way to one engine.
+	MaxComing int
+	// ColdLoad and WarmLoad are the expected times of loads from the weight store and
+	// from the engine's own memory.
+	ColdLoad time.Duration
+	WarmLoad time.Duration
+	// ConfirmAgain is the time between two questions whether a load has ended.
+	ConfirmAgain time.Duration
+	// Notice is the time between telling the gateways that an adapter goes and its
+	// unload, so that no request is under way to it.
+	Notice time.Duration
+	// UnknownWait is how long an engine is left alone after an order without an answer;
+	// its reports lag behind.
+	UnknownWait time.Duration
+	// DemandHalfLife is the time in which popularity is forgotten by half.
+	DemandHalfLife time.Duration
+	// RunTime is the expected time of a request at an engine.
+	RunTime time.Duration
+	// FillPerCopy is the part of an engine's slots that one adapter's requests may take
+	// before it gets another copy.
+	FillPerCopy float64
+	// WantFor is how long a wish is kept that can't be fulfilled.
+	WantFor time.Duration
+	// IdleFor is how long nobody must have asked for an adapter before it is unloaded.
+	IdleFor time.Duration
+}
+
+// DefaultPolicy returns the limits that were measured; docs/MEASURED.md has the runs.
+func DefaultPolicy() Policy {
+	return Policy{
+		Reserve: 1, MaxComing: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
+		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
+		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4,
+		WantFor: 2 * time.Second, IdleFor: 600 * time.Millisecond,
+	}
+}
+
+// Kind says what an order asks for.
+type Kind int
+
+// The kinds of orders.
+const (
+	// Report asks an engine for its state.
+	Report Kind = iota
+	// Load loads an adapter.
+	Load
+	// Confirm is a load sent again, to learn whether the adapter is there.
+	Confirm
+	// Unload gives an adapter up.
+	Unload
+)
+
+// String returns the kind's name.
+func (k Kind) String() string { return [...]string{"Report", "Load", "Confirm", "Unload"}[k] }
+
+// Order is an instruction to one engine.
+type Order struct {
+	Kind    Kind
+	Backend string
+	Address string
+	// Adapter is MODEL/NAME.
+	Adapter string
+	// Version to load; 0 is the newest.
+	Version uint64
+	// After is the number of orders that the engine has accepted so far.
+	After uint64
+}
+
+// Outcome is how an order ended.
+type Outcome int
+
+// The outcomes of orders.
+const (
+	// Unknown means that nothing was answered; the order may still be carried out.
+	Unknown Outcome = iota
+	// Accepted means that the engine carries it out.
+	Accepted
+	// Holds means that what was asked for is the case.
+	Holds
+	// Conflict means that the engine has accepted another number of orders.
+	Conflict
+	// Refused means that the engine does not carry it out.
+	Refused
+	// Gone means that the engine is another start than the one meant.
+	Gone
+)
+
+// State is what an engine reported of itself.
+type State struct {
+	Accepted uint64
+	Adapters []string
+	Coming   []string
+}
+
+// Placer holds what the leader knows. Make one with New.
+type Placer struct {
+	policy   Policy
+	limits   map[string]*wire.EngineLimits
+	engines  map[string]*engine
+	demand   map[string]*demand
+	versions map[string]uint64
+	wants    map[string]*want
+	revision uint64
+}
+
+type demand struct {
+	rate float64
+	last time.Time
+}
+
+type want struct {
+	avoid []string
+	since time.Time
+}
+
+// New returns a placer that knows nothing yet.
+func New(policy Policy) *Placer {
+	return &Placer{
+		policy: policy, limits: map[string]*wire.EngineLimits{}, engines: map[string]*engine{},
+		demand: map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{},
+	}
+}
+
+// SetTable takes the engines' limits from a table.
+func (p *Placer) SetTable(table *wire.RoutingTable) {
+	clear(p.limits)
+	for _, s := range table.GetServices() {
+		if s.GetEngine() != nil {
+			p.limits[s.GetName()] = s.GetEngine()
+		}
+	}
+}
+
+// SetEngine takes what is known of a backend server; others than engines are left out.
+func (p *Placer) SetEngine(a *wire.Announcement) {
+	if a.GetGone() {
+		delete(p.engines, a.GetId())
+		return
+	}
+	if p.limits[a.GetService()] == nil {
+		return
+	}
+	e := p.engines[a.GetId()]
+	if e == nil {
+		e = newEngine()
+		p.engines[a.GetId()] = e
+	}
+	e.info = a
+}
+
+// SetVersion takes the version that an adapter must have.
+func (p *Placer) SetVersion(v *wire.AdapterVersion) {
+	adapter := v.GetModel() + "/" + v.GetAdapter()
+	p.versions[adapter] = max(p.versions[adapter], v.GetVersion())
+}
+
+// SetLoads takes how many requests all gateways have at each engine.
+func (p *Placer) SetLoads(loads map[string]float64) {
+	for id, e := range p.engines {
+		e.load = loads[id]
+	}
+}
+
+// Demand counts requests for an adapter.
+func (p *Placer) Demand(now time.Time, adapter string, requests int) {
+	d := p.demand[adapter]
+	if d == nil {
+		d = &demand{last: now}
+		p.demand[adapter] = d
+	}
+	d.rate = d.at(now, p.policy.DemandHalfLife) + float64(requests)*ln2/p.policy.DemandHalfLife.Seconds()
+	d.last = now
+}
+
+// Want notes that requests wait for an adapter that they can't use anywhere.
+func (p *Placer) Want(now time.Time, adapter string, avoid []string) {
+	w := p.wants[adapter]
+	if w == nil {
+		p.wants[adapter] = &want{avoid: avoid, since: now}
+		return
+	}
+	w.since = now
+	for _, id := range avoid {
+		if !slices.Contains(w.avoid, id) {
+			w.avoid = append(w.avoid, id)
+		}
+	}
+}
+
+// Plan returns the orders to give now. Each engine has at most one under way.
+func (p *Placer) Plan(now time.Time) []Order {
+	p.forget(now)
+	p.assignWants(now)
+	p.assignVersions()
+	p.assignCopies(now)
+	var orders []Order
+	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+		e := p.engines[id]
+		if e.busy || now.Before(e.waitUntil) {
+			continue
+		}
+		if o, ok := p.nextOrder(now, e); ok {
+			o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
+			e.busy = true
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+func (p *Placer) forget(now time.Time) {
+	for adapter, w := range p.wants {
+		if now.Sub(w.since) > p.policy.WantFor {
+			delete(p.wants, adapter)
+		}
+	}
+	for adapter, d := range p.demand {
+		if d.at(now, p.policy.DemandHalfLife) < negligibleRate {
+			delete(p.demand, adapter)
+		}
+	}
+}
+
+// assignWants chooses an engine for each adapter that requests wait for, the longest
+// waiting first.
+func (p *Placer) assignWants(now time.Time) {
+	waiting := slices.SortedFunc(maps.Keys(p.wants), func(a, b string) int {
+		if c := p.wants[a].since.Compare(p.wants[b].since); c != 0 {
+			return c
+		}
+		return compareText(a, b)
+	})
+	for _, adapter := range waiting {
+		w := p.wants[adapter]
+		if p.usable(adapter, w.avoid) {
+			delete(p.wants, adapter)
+			continue
+		}
+		if e := p.chooseEngine(now, adapter, w.avoid); e != nil {
+			e.queue = append(e.queue, adapter)
+			delete(p.wants, adapter)
+		}
+	}
+}
+
+// usable reports whether an adapter is, or soon will be, at an engine that may be used.
+func (p *Placer) usable(adapter string, avoid []string) bool {
+	for id, e := range p.engines {
+		if slices.Contains(avoid, id) || !e.open() {
+			continue
+		}
+		held := e.places[adapter]
+		if held != nil && held.state != dropping && held.version >= p.versions[adapter] || slices.Contains(e.queue, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
+// assignVersions lets engines replace adapters of which a newer version was named.
+func (p *Placer) assignVersions() {
+	for _, e := range p.engines {
+		for adapter, held := range e.places {
+			stale := held.state == ready && held.version < p.versions[adapter]
+			if stale && !slices.Contains(e.queue, adapter) {
+				e.queue = append(e.queue, adapter)
+			}
+		}
+	}
+}
+
+// assignCopies gives hot adapters further copies.
+func (p *Placer) assignCopies(now time.Time) {
+	for adapter, d := range p.demand {
+		rate := d.at(now, p.policy.DemandHalfLife)
+		if rate < 1 {
+			continue
+		}
+		have, slots := p.copies(adapter)
+		if have == 0 || slots == 0 {
+			continue
+		}
+		running := rate * p.policy.RunTime.Seconds()
+		if running <= float64(have)*float64(slots)*p.policy.FillPerCopy {
+			continue
+		}
+		if e := p.chooseEngine(now, adapter, nil); e != nil {
+			e.queue = append(e.queue, adapter)
+		}
+	}
+}
+
+// copies counts where an adapter is or soon will be.
+func (p *Placer) copies(adapter string) (count int, slots uint32) {
+	for _, e := range p.engines {
+		if !e.open() {
+			continue
+		}
+		held := e.places[adapter]
+		if held != nil && held.state != dropping || slices.Contains(e.queue, adapter) {
+			count++
+			slots = max(slots, e.info.GetSlots())
+		}
+	}
+	return count, slots
+}
+
+// chooseEngine returns the engine that should load an adapter, or nil when none can.
+// Each adapter prefers the same few engines, which keep a copy of its weights and of
+// its prompts; among these the least loaded is taken.
+func (p *Placer) chooseEngine(now time.Time, adapter string, avoid []string) *engine {
+	var best *engine
+	least := 0.0
+	for id, e := range p.engines {
+		held := e.places[adapter]
+		if !e.open() || !e.reported || slices.Contains(avoid, id) || held != nil || slices.Contains(e.queue, adapter) {
+			continue
+		}
+		if cost := p.cost(now, e, id, adapter); best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best
+}
+
+const (
+	// homeWeight is the cost, as a part of an engine's slots, of leaving an adapter's
+	// preferred engine.
+	homeWeight = 0.5
+	// coldWeight is the cost of a load from the weight store where another engine has a
+	// copy in memory.
+	coldWeight = 0.3
+	// queueWeight is the cost of each adapter that is on its way to the engine.
+	queueWeight = 0.1
+)
+
+func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
+	cost := e.load/float64(max(1, e.info.GetSlots())) + homeWeight*distance(adapter, id)
+	if !e.warm(adapter, p.hostAdapters(e)) {
+		cost += coldWeight
+	}
+	cost += queueWeight * float64(len(e.queue)+e.coming())
+	if now.Before(e.waitUntil) {
+		cost += 1
+	}
+	return cost
+}
+
+func (p *Placer) hostAdapters(e *engine) int {
+	if limits := p.limits[e.info.GetService()]; limits != nil {
+		return int(limits.GetHostAdapters())
+	}
+	return 0
+}
+
+// distance is a number in [0, 1) that is the same at any time for an adapter and an
+// engine's address, as in rendezvous hashing.
+func distance(adapter, id string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(adapter + "|" + id))
+	x := h.Sum64()
+	// FNV mixes the last bytes poorly into the high bits.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
+
+// Revision grows with each change of what the gateways have to know.
+func (p *Placer) Revision() uint64 { return p.revision }
+
+// Since returns what the engines hold whose holdings changed after a revision.
+func (p *Placer) Since(revision uint64) []*wire.Holding {
+	var list []*wire.Holding
+	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+		e := p.engines[id]
+		if e.revision <= revision || !e.reported {
+			continue
+		}
+		h := &wire.Holding{Backend: id}
+		for adapter, held := range e.places {
+			if held.state == ready {
+				h.Adapters = append(h.Adapters, adapter+"@"+strconv.FormatUint(held.version, 10))
+			}
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+func (p *Placer) touch(e *engine) {
+	p.revision++
+	e.revision = p.revision
+}
+
+const (
+	ln2 = 0.6931
+	// negligibleRate is the requests a second below which demand is forgotten.
+	negligibleRate = 0.001
+)
+
+// at returns the rate after the time that has passed since the last request.
+func (d *demand) at(now time.Time, halfLife time.Duration) float64 {
+	return d.rate * halving(float64(now.Sub(d.last))/float64(halfLife))
+}
+
+// termShift makes the revisions of a later term higher than all of an earlier one.
+const termShift = 32
+
+// Begin starts the placer for a term.
+func (p *Placer) Begin(term uint64) { p.revision = term << termShift }
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -61,6 +61,9 @@
 	// order is that of their times.
 	released      map[string]bool
 	releasedOrder []*wire.ReleasedRequest
+	table         *wire.PutTable
+	// adapters are the versions that adapters must have, by MODEL/NAME.
+	adapters map[string]*wire.AdapterVersion
 }
 
 // New returns an empty state.
@@ -75,6 +78,7 @@
 		admitted: map[string]bool{},
 		drained:  map[string]bool{},
 		released: map[string]bool{},
+		adapters: map[string]*wire.AdapterVersion{},
 	}
 }
 
@@ -112,6 +116,10 @@
 		r.admitMember(body.AdmitMember)
 	case *wire.Command_DrainBackend:
 		setFlag(r.drained, body.DrainBackend.GetBackend(), !body.DrainBackend.GetUndo())
+	case *wire.Command_PutTable:
+		r.putTable(body.PutTable)
+	case *wire.Command_PutAdapterVersion:
+		r.putAdapterVersion(body.PutAdapterVersion)
 	}
 	return Result{}
 }
--- a/pkg/recorder/snapshot.go
+++ b/pkg/recorder/snapshot.go
@@ -27,6 +27,7 @@
 		AdmittedMembers: r.AdmittedMembers(), DrainedBackends: r.Drained(),
 		Outcomes: slices.Clone(r.aging), EndedSessions: slices.Clone(r.ended),
 		Released: slices.Clone(r.releasedOrder),
+		Table:    r.table, AdapterVersions: r.AdapterVersions(),
 	}
 	for _, customer := range slices.Sorted(maps.Keys(r.latest)) {
 		s.Latest = append(s.Latest, r.latest[customer])
@@ -75,6 +76,10 @@
 	for _, name := range s.GetDrainedBackends() {
 		r.drained[name] = true
 	}
+	r.table = s.GetTable()
+	for _, v := range s.GetAdapterVersions() {
+		r.putAdapterVersion(v)
+	}
 	return r, nil
 }
 
--- a/pkg/recruiter/recruiter.go
+++ b/pkg/recruiter/recruiter.go
@@ -22,6 +22,11 @@
 	CaughtUp func(id string) bool
 	// Leader is the id of the leader, which never removes itself.
 	Leader string
+	// MaxVoters bounds the voters; 0 makes every member a voter.
+	MaxVoters int
+	// Silent reports whether a member has not been heard for so long that a member
+	// without a vote may take its place. Nil means never.
+	Silent func(id string) bool
 }
 
 // Next returns the next configuration, which differs in one member, or nil when
@@ -29,7 +34,9 @@
 // its successor has caught up, and before the successor is promoted: two of three
 // voters then decide, never a lost one.
 func Next(f Facts) *wire.Configuration {
-	steps := []func(Facts) *wire.Configuration{removeUnadmitted, removeReplaced, promote, addLearner}
+	steps := []func(Facts) *wire.Configuration{
+		removeUnadmitted, removeReplaced, promote, removeSilent, addLearner, removeLearner,
+	}
 	for _, step := range steps {
 		if next := step(f); next != nil {
 			return next
@@ -64,6 +71,9 @@
 }
 
 func promote(f Facts) *wire.Configuration {
+	if f.MaxVoters > 0 && len(f.Configuration.GetVoters()) >= f.MaxVoters {
+		return nil
+	}
 	for _, learner := range f.Configuration.GetLearners() {
 		if !f.CaughtUp(learner.GetId()) || hasName(f.Configuration.GetVoters(), learner.GetName()) {
 			continue
@@ -75,6 +85,41 @@
 	return nil
 }
 
+// removeSilent takes the vote of a member that is silent, if another stands by to get
+// it. Without one, the silent member may still come back.
+func removeSilent(f Facts) *wire.Configuration {
+	if f.Silent == nil || !standsBy(f) {
+		return nil
+	}
+	for _, voter := range f.Configuration.GetVoters() {
+		if voter.GetId() != f.Leader && f.Silent(voter.GetId()) {
+			return without(f.Configuration, voter.GetId())
+		}
+	}
+	return nil
+}
+
+// standsBy reports whether a learner could be promoted if there were room.
+func standsBy(f Facts) bool {
+	return slices.ContainsFunc(f.Configuration.GetLearners(), func(l *wire.Member) bool {
+		return f.CaughtUp(l.GetId()) && joining(f, l.GetId()) && !f.Silent(l.GetId()) &&
+			!hasName(f.Configuration.GetVoters(), l.GetName())
+	})
+}
+
+// removeLearner takes out a learner that is silent and does not ask to join any more.
+func removeLearner(f Facts) *wire.Configuration {
+	if f.Silent == nil {
+		return nil
+	}
+	for _, l := range f.Configuration.GetLearners() {
+		if f.Silent(l.GetId()) && !joining(f, l.GetId()) {
+			return without(f.Configuration, l.GetId())
+		}
+	}
+	return nil
+}
+
 func addLearner(f Facts) *wire.Configuration {
 	for _, m := range f.Joining {
 		if !f.Admitted(m.GetName()) || hasID(members(f.Configuration), m.GetId()) {
--- a/pkg/replicator/members.go
+++ b/pkg/replicator/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -104,3 +105,13 @@
 	}
 	return config
 }
+
+// LastHeard returns when the latest message was sent that a member has answered, as a
+// leader knows it; the start of the term if it has answered none.
+func (r *Replicator) LastHeard(id string) time.Time {
+	p := r.progress[id]
+	if p == nil || p.ackedAt.Before(r.leaderSince) {
+		return r.leaderSince
+	}
+	return p.ackedAt
+}
