Placement: unload only what no request uses, count only new orders

An unload that waits for runs blocks an engine's other orders (409), and repeated loads and unloads are acknowledged without being counted, so that the expected number of orders was wrong and each conflict cost 250 ms. Engines that came back empty never got their base model again, and engines whose address another start had taken were still given orders. Ruled out: too few places, the rate of orders.

Change: gateways report the adapters in use, which are not unloaded; repeats are not counted; base models are loaded again within the store's rate; the placer follows each change among the backend servers; how many copies engines keep is learnt from the times of loads.

--- a/controller/app/carrier.go
+++ b/controller/app/carrier.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/wire"
@@ -35,11 +37,16 @@
 
 func (c *orderCarrier) report(order placer.Order) (placer.Outcome, *placer.State) {
 	report, err := c.orders.Report(context.Background(), order.Address, order.Backend)
+	if errors.Is(err, platform.ErrElsewhere) {
+		return placer.Gone, nil
+	}
 	if err != nil {
 		c.log.Info("an engine did not report", "Backend", order.Backend, "Error", err.Error())
 		return placer.Unknown, nil
 	}
-	return placer.Holds, &placer.State{Accepted: report.Accepted, Adapters: report.Adapters, Coming: report.Coming}
+	return placer.Holds, &placer.State{
+		Accepted: report.Accepted, Models: report.Models, Adapters: report.Adapters, Coming: report.Coming,
+	}
 }
 
 func (c *orderCarrier) give(order placer.Order, term uint64) placer.Outcome {
@@ -67,6 +74,8 @@
 		return placer.Conflict
 	case platform.OrderFenced, platform.OrderRefused:
 		return placer.Refused
+	case platform.OrderElsewhere:
+		return placer.Gone
 	case platform.OrderUnknown:
 	}
 	return placer.Unknown
--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -29,6 +29,8 @@
 	tickEvery = 20 * time.Millisecond
 	// gatewayLease is how long a gateway's loads count after its last call: a few calls.
 	gatewayLease = 1500 * time.Millisecond
+	// summaryEvery is the time between two log lines on the placement as a whole.
+	summaryEvery = time.Second
 	// forgetAfter is how long backend servers that left are remembered, so that late
 	// announcements don't bring them back.
 	forgetAfter = 60 * time.Second
@@ -78,13 +80,16 @@
 	logBytes   int
 	compacting atomic.Bool
 
-	tracker  *tracker.Tracker
+	tracker *tracker.Tracker
+	// taken is the revision of the tracker that the placer knows.
+	taken    uint64
 	versions uint64
 	waiters  []*waiter
 	gateways map[string]*gatewayState
 
 	term        uint64
 	ordersAfter time.Time
+	summarized  time.Time
 	placer      *placer.Placer
 }
 
@@ -217,6 +222,7 @@
 
 func (c *Curator) tick(now time.Time) {
 	c.tracker.Tick(now)
+	c.takeChanges()
 	c.follow(now)
 	if c.placer != nil {
 		c.plan(now)
@@ -268,7 +274,11 @@
 	if !c.leads(now) || now.Before(c.ordersAfter) {
 		return
 	}
-	c.placer.SetLoads(c.totalLoads())
+	c.placer.SetUse(c.uses())
+	if now.Sub(c.summarized) >= summaryEvery {
+		c.summarized = now
+		c.Log.Info("placement", "Summary", c.placer.Summary(), "Gateways", len(c.gateways))
+	}
 	for _, order := range c.placer.Plan(now) {
 		c.carry(order)
 	}
@@ -286,11 +296,20 @@
 	})
 }
 
-func (c *Curator) totalLoads() map[string]float64 {
-	total := map[string]float64{}
+// uses sums up what the gateways have at each backend server.
+func (c *Curator) uses() map[string]*placer.Use {
+	total := map[string]*placer.Use{}
 	for _, g := range c.gateways {
 		for _, l := range g.loads {
-			total[l.GetBackend()] += float64(l.GetRequests())
+			use := total[l.GetBackend()]
+			if use == nil {
+				use = &placer.Use{Adapters: map[string]bool{}}
+				total[l.GetBackend()] = use
+			}
+			use.Requests += float64(l.GetRequests())
+			for _, adapter := range l.GetAdapters() {
+				use.Adapters[adapter] = true
+			}
 		}
 	}
 	return total
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -141,27 +141,28 @@
 	return c.Call(ctx, func(now time.Time) {
 		var news []*wire.Announcement
 		for _, a := range list {
-			isNews, changed := c.tracker.Note(now, a)
+			isNews, _ := c.tracker.Note(now, a)
 			if isNews {
 				news = append(news, a)
 			}
-			if changed {
-				c.announced(a)
-			}
 		}
+		c.takeChanges()
 		if len(news) > 0 && !relayed {
 			c.Relay(news)
 		}
 	})
 }
 
-func (c *Curator) announced(a *wire.Announcement) {
-	known := c.tracker.Get(a.GetId())
-	c.Log.Info("a backend server has changed", "Backend", a.GetId(), "Service", known.GetService(),
-		"Address", known.GetAddress(), "Draining", known.GetDraining(), "Gone", known.GetGone(), "Sequence", a.GetSequence())
-	if c.placer != nil && known != nil {
-		c.placer.SetEngine(known)
+// takeChanges passes on to the placer what has changed among the backend servers.
+func (c *Curator) takeChanges() {
+	for _, a := range c.tracker.Since(c.taken) {
+		c.Log.Info("a backend server has changed", "Backend", a.GetId(), "Service", a.GetService(), "Address", a.GetAddress(),
+			"Draining", a.GetDraining(), "Gone", a.GetGone(), "Silent", a.GetSilent(), "Sequence", a.GetSequence())
+		if c.placer != nil {
+			c.placer.SetEngine(a)
+		}
 	}
+	c.taken = c.tracker.Revision()
 }
 
 // Document returns the operator's document in force here.
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -203,9 +203,11 @@
 	until time.Time
 	// patience is when the caller itself leaves; zero if it did not say.
 	patience time.Time
-	avoid    []string
-	sends    int
-	runs     int
+	// leaves is when the caller of a stream leaves before its first event; zero if never.
+	leaves time.Time
+	avoid  []string
+	sends  int
+	runs   int
 	// resume is the last event that the caller has got; empty before the first.
 	resume string
 	waited time.Duration
@@ -252,6 +254,9 @@
 			j.until = j.patience
 		}
 	}
+	if patience := milliseconds(j.route.GetPatienceMs()); patience > 0 {
+		j.leaves = j.req.ReceivedAt.Add(patience)
+	}
 	j.resume = j.about.Resumes
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -290,11 +295,14 @@
 
 // choose waits for a backend server.
 func (f *Forwarder) choose(ctx context.Context, j *job) (balancer.Decision, bool) {
-	left := j.until.Sub(j.req.ReceivedAt)
-	reserve := min(left/runReserve, maxRunReserve)
+	until := j.until
+	if !j.leaves.IsZero() && j.leaves.Before(until) {
+		until = j.leaves
+	}
+	reserve := min(until.Sub(j.req.ReceivedAt)/runReserve, maxRunReserve)
 	w := &balancer.Waiter{
 		ID: j.about.ID, Service: j.service, Adapter: j.adapter, Urgency: j.route.GetPriority(),
-		Tokens: j.about.PromptTokens, GiveUp: j.until.Add(-reserve), Avoid: j.avoid,
+		Tokens: j.about.PromptTokens, GiveUp: until.Add(-reserve), Avoid: j.avoid,
 	}
 	decided := make(chan balancer.Decision, 1)
 	began := f.Clock.Now()
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -29,6 +29,8 @@
 	// own and others are the loads of this and the other gateways' requests there.
 	own    float64
 	others float64
+	// using counts this gateway's requests for each adapter there.
+	using map[string]int
 	// holds are the adapters there, with their versions.
 	holds     map[string]uint64
 	absent    map[string]time.Time
@@ -38,9 +40,7 @@
 	failures     float64
 	ejectedUntil time.Time
 	ejection     time.Duration
-	// trials are requests that are under way since the last ejection ended.
-	trials      int
-	lastSuccess time.Time
+	lastSuccess  time.Time
 }
 
 // open reports whether the backend server itself takes requests.
@@ -100,6 +100,9 @@
 		return
 	}
 	k.own = max(0, k.own-Weight(tokens))
+	if k.using[adapter]--; k.using[adapter] <= 0 {
+		delete(k.using, adapter)
+	}
 	switch outcome {
 	case Served:
 		k.succeeded(now)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -9,6 +9,7 @@
 package balancer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -111,7 +112,7 @@
 		if a.GetGone() || a.GetAddress() == "" {
 			return
 		}
-		known = &backend{holds: map[string]uint64{}, absent: map[string]time.Time{}, since: now}
+		known = &backend{using: map[string]int{}, holds: map[string]uint64{}, absent: map[string]time.Time{}, since: now}
 		b.backends[a.GetId()] = known
 		b.byService[a.GetService()] = append(b.byService[a.GetService()], known)
 	} else if a.GetSequence() < known.info.GetSequence() {
@@ -176,7 +177,9 @@
 	var loads []*wire.Load
 	for id, known := range b.backends {
 		if known.own > 0 {
-			loads = append(loads, &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)})
+			l := &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)}
+			l.Adapters = slices.AppendSeq(l.Adapters, maps.Keys(known.using))
+			loads = append(loads, l)
 		}
 	}
 	return loads
@@ -258,7 +261,7 @@
 	}
 	if best := b.best(now, holders, w); best != nil {
 		best.own += Weight(w.Tokens)
-		best.trials++
+		best.using[w.Adapter]++
 		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, nil
 	}
 	if !now.Before(w.GiveUp) {
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -29,6 +29,12 @@
 	version uint64
 	// at is when the state is to be looked at again.
 	at time.Time
+	// begun is when the load was ordered, and depth how many adapters were held since
+	// the engine last had this one; -1 if it never had.
+	begun time.Time
+	depth int
+	// pending is set once the engine has accepted an unload that waits for runs.
+	pending bool
 	// since is when the adapter became ready.
 	since time.Time
 }
@@ -39,6 +45,10 @@
 	accepted uint64
 	reported bool
 	busy     bool
+	// model is set once the base model is there.
+	model bool
+	// modelAt is when a load of the base model is to be looked at.
+	modelAt time.Time
 	// waitUntil is when the engine may be given orders again.
 	waitUntil time.Time
 	places    map[string]*place
@@ -46,7 +56,7 @@
 	recent []string
 	// queue are adapters to be loaded.
 	queue    []string
-	load     float64
+	use      Use
 	revision uint64
 }
 
@@ -56,6 +66,9 @@
 	return !e.info.GetDraining() && !e.info.GetSilent() && !e.info.GetGone()
 }
 
+// usable reports whether adapters may be placed at the engine.
+func (e *engine) usable() bool { return e.open() && e.reported && e.model }
+
 func (e *engine) coming() int {
 	n := 0
 	for _, held := range e.places {
@@ -66,20 +79,50 @@
 	return n
 }
 
-// warm reports whether the engine probably keeps a copy of an adapter's weights.
-func (e *engine) warm(adapter string, limit int) bool {
+const (
+	// firstHostAdapters is assumed until loads have shown how many copies engines keep.
+	firstHostAdapters = 64
+	// leastHostAdapters bounds what is learnt from loads that took long for other reasons.
+	leastHostAdapters = 8
+	// maxRecent bounds the adapters that are remembered of one engine.
+	maxRecent = 2000
+)
+
+// warm reports whether an engine probably keeps a copy of an adapter's weights.
+func (p *Placer) warm(e *engine, adapter string) bool {
+	depth := e.depth(adapter)
+	return depth >= 0 && depth < p.hostAdapters
+}
+
+// depth returns how many adapters were held since the engine last had this one, or -1.
+func (e *engine) depth(adapter string) int {
 	at := slices.Index(e.recent, adapter)
-	return at >= 0 && len(e.recent)-at <= limit
+	if at < 0 {
+		return -1
+	}
+	return len(e.recent) - 1 - at
 }
 
-func (e *engine) remember(adapter string, limit int) {
+func (e *engine) remember(adapter string) {
 	e.recent = slices.DeleteFunc(e.recent, func(a string) bool { return a == adapter })
 	e.recent = append(e.recent, adapter)
-	if over := len(e.recent) - max(limit, 1); over > 0 {
+	if over := len(e.recent) - maxRecent; over > 0 {
 		e.recent = slices.Delete(e.recent, 0, over)
 	}
 }
 
+// learn takes the time of a load to see how many copies engines keep.
+func (p *Placer) learn(now time.Time, held *place) {
+	quick := now.Sub(held.begun) < p.policy.ColdLoad/2
+	switch {
+	case held.depth < 0:
+	case quick:
+		p.hostAdapters = max(p.hostAdapters, held.depth+1)
+	case held.depth < p.hostAdapters:
+		p.hostAdapters = max(leastHostAdapters, held.depth)
+	}
+}
+
 func halving(halves float64) float64 { return math.Exp2(-max(0, halves)) }
 
 func compareText(a, b string) int { return strings.Compare(a, b) }
@@ -89,6 +132,12 @@
 	if !e.reported {
 		return Order{Kind: Report}, true
 	}
+	if !e.model {
+		return p.loadModel(now, e)
+	}
+	if adapter, held := e.blocked(); held != nil {
+		return Order{Kind: Unload, Adapter: adapter}, !now.Before(held.at)
+	}
 	if o, ok := p.followUp(now, e); ok {
 		return o, true
 	}
@@ -99,6 +148,35 @@
 	return Order{}, false
 }
 
+// blocked returns the adapter whose unload waits for its runs: until these have ended
+// the engine takes no other orders.
+func (e *engine) blocked() (string, *place) {
+	for adapter, held := range e.places {
+		if held.state == dropping && held.pending {
+			return adapter, held
+		}
+	}
+	return "", nil
+}
+
+// loadModel loads the base model of an engine that has restarted empty, or asks whether
+// it is there. The weight store allows only so many loads a second.
+func (p *Placer) loadModel(now time.Time, e *engine) (Order, bool) {
+	limits := p.limits[e.info.GetService()]
+	if !e.open() || limits == nil || len(limits.GetModels()) == 0 || now.Before(e.modelAt) {
+		return Order{}, false
+	}
+	if e.modelAt.IsZero() {
+		if now.Before(p.modelLoadAt) {
+			return Order{}, false
+		}
+		if rate := limits.GetLoadsPerSecond(); rate > 0 {
+			p.modelLoadAt = now.Add(time.Duration(float64(time.Second) / rate))
+		}
+	}
+	return Order{Kind: LoadModel, Adapter: limits.GetModels()[0]}, true
+}
+
 // followUp confirms loads that should have ended and carries out unloads that were
 // announced.
 func (p *Placer) followUp(now time.Time, e *engine) (Order, bool) {
@@ -109,7 +187,16 @@
 		switch held.state {
 		case loading:
 			return Order{Kind: Confirm, Adapter: adapter, Version: held.version}, true
-		case leaving, dropping:
+		case leaving:
+			if e.use.Adapters[adapter] {
+				// A gateway has not heard yet, or its request still runs: an unload
+				// would wait for it, and meanwhile the engine takes no other orders.
+				held.at = now.Add(p.policy.ConfirmAgain)
+				continue
+			}
+			held.state = dropping
+			return Order{Kind: Unload, Adapter: adapter}, true
+		case dropping:
 			return Order{Kind: Unload, Adapter: adapter}, true
 		case ready:
 		}
@@ -140,7 +227,9 @@
 			continue
 		}
 		e.queue = slices.Delete(e.queue, i, i+1)
-		e.places[adapter] = &place{state: loading, version: p.versions[adapter], at: now.Add(p.expected(e, adapter))}
+		e.places[adapter] = &place{
+			state: loading, version: p.versions[adapter], begun: now, depth: e.depth(adapter), at: now.Add(p.expected(e, adapter)),
+		}
 		if held != nil {
 			p.touch(e)
 		}
@@ -150,7 +239,7 @@
 }
 
 func (p *Placer) expected(e *engine, adapter string) time.Duration {
-	if e.warm(adapter, p.hostAdapters(e)) {
+	if p.warm(e, adapter) {
 		return p.policy.WarmLoad
 	}
 	return p.policy.ColdLoad
@@ -178,17 +267,21 @@
 	}
 }
 
-// victim returns the adapter at an engine for which there is the least demand: one that
-// nobody has asked for lately, or, if requests wait for a place, any.
+// victim returns the adapter at an engine for which there is the least demand, of those
+// that no request uses.
 func (p *Placer) victim(now time.Time, e *engine, pressed bool) string {
+	idleFor := p.policy.IdleFor
+	if pressed {
+		idleFor = p.policy.IdleUnderPressure
+	}
 	victim, least := "", 0.0
 	for adapter, held := range e.places {
-		if held.state != ready || now.Sub(held.since) < p.policy.IdleFor {
+		if held.state != ready || now.Sub(held.since) < idleFor || e.use.Adapters[adapter] {
 			continue
 		}
 		rate := 0.0
 		if d := p.demand[adapter]; d != nil {
-			if now.Sub(d.last) < p.policy.IdleFor && !pressed {
+			if now.Sub(d.last) < idleFor {
 				continue
 			}
 			rate = d.at(now, p.policy.DemandHalfLife)
@@ -217,8 +310,12 @@
 		p.doneReport(now, e, outcome, state)
 	case outcome == Unknown || outcome == Conflict:
 		// What the engine has accepted is known only after its reports have caught up.
+		// Requests that wait for adapters here are better served elsewhere.
 		e.reported = false
+		e.queue = nil
 		e.waitUntil = now.Add(p.policy.UnknownWait)
+	case o.Kind == LoadModel:
+		p.doneModel(now, e, outcome)
 	case o.Kind == Unload:
 		p.doneUnload(now, e, o.Adapter, outcome)
 	default:
@@ -226,9 +323,26 @@
 	}
 }
 
+// modelAgain is the time between two questions whether a base model is there.
+const modelAgain = 100 * time.Millisecond
+
+func (p *Placer) doneModel(now time.Time, e *engine, outcome Outcome) {
+	switch {
+	case outcome == Holds:
+		e.model = true
+		p.touch(e)
+	case outcome == Accepted:
+		e.accepted++
+		e.modelAt = now.Add(modelAgain)
+	default:
+		e.modelAt = now.Add(modelAgain)
+	}
+}
+
 func (p *Placer) doneLoad(now time.Time, e *engine, o Order, outcome Outcome) {
 	held := e.places[o.Adapter]
-	if outcome == Accepted {
+	if outcome == Accepted && o.Kind == Load {
+		// A load that is sent again while it is under way is not counted by the engine.
 		e.accepted++
 	}
 	if held == nil || held.state != loading {
@@ -237,12 +351,16 @@
 	switch {
 	case outcome == Holds:
 		held.state, held.since = ready, now
-		e.remember(o.Adapter, p.hostAdapters(e))
+		p.learn(now, held)
+		e.remember(o.Adapter)
 		p.touch(e)
 	case outcome == Accepted && o.Kind == Load:
 		held.at = now.Add(p.expected(e, o.Adapter))
 	case outcome == Accepted:
 		held.at = now.Add(p.policy.ConfirmAgain)
+		if cold := held.begun.Add(p.policy.ColdLoad); held.at.Before(cold) {
+			held.at = cold
+		}
 	case outcome == Refused:
 		delete(e.places, o.Adapter)
 		e.waitUntil = now.Add(p.policy.UnknownWait)
@@ -255,12 +373,17 @@
 	case outcome == Refused || held == nil:
 		delete(e.places, adapter)
 	case outcome == Holds:
-		e.accepted++
+		if !held.pending {
+			// One that was accepted before has been counted.
+			e.accepted++
+		}
 		delete(e.places, adapter)
-		e.remember(adapter, p.hostAdapters(e))
+		e.remember(adapter)
 	case outcome == Accepted:
-		e.accepted++
-		held.state, held.at = dropping, now.Add(p.policy.RunTime)
+		if !held.pending {
+			e.accepted++
+		}
+		held.pending, held.at = true, now.Add(p.policy.UnloadAgain)
 	}
 }
 
@@ -271,18 +394,19 @@
 	}
 	e.reported = true
 	e.accepted = state.Accepted
+	e.model = len(state.Models) > 0
 	places := map[string]*place{}
 	for _, qualified := range state.Adapters {
 		adapter, version := splitVersion(qualified)
 		places[adapter] = &place{state: ready, version: version, since: now}
 		if held := e.places[adapter]; held != nil && held.state != loading {
-			places[adapter].state, places[adapter].at = held.state, held.at
+			places[adapter].state, places[adapter].at, places[adapter].pending = held.state, held.at, held.pending
 		}
-		e.remember(adapter, p.hostAdapters(e))
+		e.remember(adapter)
 	}
 	for _, qualified := range state.Coming {
 		adapter, version := splitVersion(qualified)
-		places[adapter] = &place{state: loading, version: version, at: now}
+		places[adapter] = &place{state: loading, version: version, at: now, begun: now, depth: -1}
 	}
 	e.places = places
 	p.touch(e)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -46,8 +46,13 @@
 	FillPerCopy float64
 	// WantFor is how long a wish is kept that can't be fulfilled.
 	WantFor time.Duration
-	// IdleFor is how long nobody must have asked for an adapter before it is unloaded.
-	IdleFor time.Duration
+	// IdleFor is how long nobody must have asked for an adapter before it is unloaded, and
+	// IdleUnderPressure the same while others wait for its place.
+	IdleFor           time.Duration
+	IdleUnderPressure time.Duration
+	// UnloadAgain is the time between two questions whether an unload has ended that
+	// waits for runs.
+	UnloadAgain time.Duration
 }
 
 // DefaultPolicy returns the limits that were measured; docs/MEASURED.md has the runs.
@@ -56,7 +61,8 @@
 		Reserve: 1, MaxComing: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
 		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
 		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4,
-		WantFor: 2 * time.Second, IdleFor: 600 * time.Millisecond,
+		WantFor: 2 * time.Second, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
+		UnloadAgain: 60 * time.Millisecond,
 	}
 }
 
@@ -73,17 +79,21 @@
 	Confirm
 	// Unload gives an adapter up.
 	Unload
+	// LoadModel loads a base model, without which an engine takes no adapters.
+	LoadModel
 )
 
 // String returns the kind's name.
-func (k Kind) String() string { return [...]string{"Report", "Load", "Confirm", "Unload"}[k] }
+func (k Kind) String() string {
+	return [...]string{"Report", "Load", "Confirm", "Unload", "LoadModel"}[k]
+}
 
 // Order is an instruction to one engine.
 type Order struct {
 	Kind    Kind
 	Backend string
 	Address string
-	// Adapter is MODEL/NAME.
+	// Adapter is MODEL/NAME, or the base model alone.
 	Adapter string
 	// Version to load; 0 is the newest.
 	Version uint64
@@ -113,6 +123,8 @@
 // State is what an engine reported of itself.
 type State struct {
 	Accepted uint64
+	// Models are the base models there.
+	Models   []string
 	Adapters []string
 	Coming   []string
 }
@@ -126,6 +138,11 @@
 	versions map[string]uint64
 	wants    map[string]*want
 	revision uint64
+	// hostAdapters is the number of adapters whose weights an engine seems to keep, as
+	// the times of loads have shown.
+	hostAdapters int
+	// modelLoadAt is when the weight store allows the next load of a base model.
+	modelLoadAt time.Time
 }
 
 type demand struct {
@@ -136,13 +153,16 @@
 type want struct {
 	avoid []string
 	since time.Time
+	// seen is when it was asked for last.
+	seen time.Time
 }
 
 // New returns a placer that knows nothing yet.
 func New(policy Policy) *Placer {
 	return &Placer{
 		policy: policy, limits: map[string]*wire.EngineLimits{}, engines: map[string]*engine{},
-		demand: map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{},
+		hostAdapters: firstHostAdapters,
+		demand:       map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{},
 	}
 }
 
@@ -179,10 +199,20 @@
 	p.versions[adapter] = max(p.versions[adapter], v.GetVersion())
 }
 
-// SetLoads takes how many requests all gateways have at each engine.
-func (p *Placer) SetLoads(loads map[string]float64) {
+// Use is what all gateways have at one engine.
+type Use struct {
+	Requests float64
+	// Adapters are those that the requests use.
+	Adapters map[string]bool
+}
+
+// SetUse takes what all gateways have at each engine.
+func (p *Placer) SetUse(uses map[string]*Use) {
 	for id, e := range p.engines {
-		e.load = loads[id]
+		e.use = Use{}
+		if use := uses[id]; use != nil {
+			e.use = *use
+		}
 	}
 }
 
@@ -201,10 +231,10 @@
 func (p *Placer) Want(now time.Time, adapter string, avoid []string) {
 	w := p.wants[adapter]
 	if w == nil {
-		p.wants[adapter] = &want{avoid: avoid, since: now}
+		p.wants[adapter] = &want{avoid: avoid, since: now, seen: now}
 		return
 	}
-	w.since = now
+	w.seen = now
 	for _, id := range avoid {
 		if !slices.Contains(w.avoid, id) {
 			w.avoid = append(w.avoid, id)
@@ -235,7 +265,7 @@
 
 func (p *Placer) forget(now time.Time) {
 	for adapter, w := range p.wants {
-		if now.Sub(w.since) > p.policy.WantFor {
+		if now.Sub(w.seen) > p.policy.WantFor {
 			delete(p.wants, adapter)
 		}
 	}
@@ -271,10 +301,15 @@
 // usable reports whether an adapter is, or soon will be, at an engine that may be used.
 func (p *Placer) usable(adapter string, avoid []string) bool {
 	for id, e := range p.engines {
-		if slices.Contains(avoid, id) || !e.open() {
+		if slices.Contains(avoid, id) || !e.usable() {
 			continue
 		}
 		held := e.places[adapter]
+		if held != nil && held.state == leaving {
+			// It has not gone yet, and may as well stay.
+			held.state = ready
+			p.touch(e)
+		}
 		if held != nil && held.state != dropping && held.version >= p.versions[adapter] || slices.Contains(e.queue, adapter) {
 			return true
 		}
@@ -318,7 +353,7 @@
 // copies counts where an adapter is or soon will be.
 func (p *Placer) copies(adapter string) (count int, slots uint32) {
 	for _, e := range p.engines {
-		if !e.open() {
+		if !e.usable() {
 			continue
 		}
 		held := e.places[adapter]
@@ -338,7 +373,7 @@
 	least := 0.0
 	for id, e := range p.engines {
 		held := e.places[adapter]
-		if !e.open() || !e.reported || slices.Contains(avoid, id) || held != nil || slices.Contains(e.queue, adapter) {
+		if !e.usable() || slices.Contains(avoid, id) || held != nil || slices.Contains(e.queue, adapter) {
 			continue
 		}
 		if cost := p.cost(now, e, id, adapter); best == nil || cost < least {
@@ -360,8 +395,8 @@
 )
 
 func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
-	cost := e.load/float64(max(1, e.info.GetSlots())) + homeWeight*distance(adapter, id)
-	if !e.warm(adapter, p.hostAdapters(e)) {
+	cost := e.use.Requests/float64(max(1, e.info.GetSlots())) + homeWeight*distance(adapter, id)
+	if !p.warm(e, adapter) {
 		cost += coldWeight
 	}
 	cost += queueWeight * float64(len(e.queue)+e.coming())
@@ -371,13 +406,6 @@
 	return cost
 }
 
-func (p *Placer) hostAdapters(e *engine) int {
-	if limits := p.limits[e.info.GetService()]; limits != nil {
-		return int(limits.GetHostAdapters())
-	}
-	return 0
-}
-
 // distance is a number in [0, 1) that is the same at any time for an adapter and an
 // engine's address, as in rendezvous hashing.
 func distance(adapter, id string) float64 {
@@ -434,3 +462,41 @@
 
 // Begin starts the placer for a term.
 func (p *Placer) Begin(term uint64) { p.revision = term << termShift }
+
+// Summary counts what the placer has in hand.
+type Summary struct {
+	// Engines may take adapters; Unusable are known but may not.
+	Engines  int
+	Unusable int
+	// Ready, Loading and Going are adapters in places, Queued those that wait for one.
+	Ready   int
+	Loading int
+	Going   int
+	Queued  int
+	// Wanted are adapters that no engine could be chosen for.
+	Wanted int
+}
+
+// Summary returns the counts of now.
+func (p *Placer) Summary() Summary {
+	s := Summary{Wanted: len(p.wants)}
+	for _, e := range p.engines {
+		if !e.usable() {
+			s.Unusable++
+			continue
+		}
+		s.Engines++
+		s.Queued += len(e.queue)
+		for _, held := range e.places {
+			switch held.state {
+			case ready:
+				s.Ready++
+			case loading:
+				s.Loading++
+			case leaving, dropping:
+				s.Going++
+			}
+		}
+	}
+	return s
+}
