Placement: decide late what is loaded next, most wanted and newest first

Change: engines queue at most three, the rest waits in one list ordered by requests and then the newest.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -61,7 +61,7 @@
 		Reserve: 1, MaxComing: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
 		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
 		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4,
-		WantFor: 2 * time.Second, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
+		WantFor: 700 * time.Millisecond, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
 		UnloadAgain: 60 * time.Millisecond,
 	}
 }
@@ -155,6 +155,8 @@
 	since time.Time
 	// seen is when it was asked for last.
 	seen time.Time
+	// requests is about how many requests wait.
+	requests int
 }
 
 // New returns a placer that knows nothing yet.
@@ -231,10 +233,11 @@
 func (p *Placer) Want(now time.Time, adapter string, avoid []string) {
 	w := p.wants[adapter]
 	if w == nil {
-		p.wants[adapter] = &want{avoid: avoid, since: now, seen: now}
+		p.wants[adapter] = &want{avoid: avoid, since: now, seen: now, requests: 1}
 		return
 	}
 	w.seen = now
+	w.requests++
 	for _, id := range avoid {
 		if !slices.Contains(w.avoid, id) {
 			w.avoid = append(w.avoid, id)
@@ -276,11 +279,20 @@
 	}
 }
 
-// assignWants chooses an engine for each adapter that requests wait for, the longest
-// waiting first.
+// maxQueue bounds the adapters that wait at one engine. What waits beyond that is kept
+// in one list, so that the choice of what is loaded next is made late.
+const maxQueue = 3
+
+// assignWants chooses engines for adapters that requests wait for. The adapter for which
+// most requests wait goes first, and among equals the one that was asked for last: when
+// not all can be loaded in time, requests that have just come can still be answered
+// within their objective, and those that have waited long can not.
 func (p *Placer) assignWants(now time.Time) {
 	waiting := slices.SortedFunc(maps.Keys(p.wants), func(a, b string) int {
-		if c := p.wants[a].since.Compare(p.wants[b].since); c != 0 {
+		if n := p.wants[b].requests - p.wants[a].requests; n != 0 {
+			return n
+		}
+		if c := p.wants[b].since.Compare(p.wants[a].since); c != 0 {
 			return c
 		}
 		return compareText(a, b)
@@ -373,7 +385,8 @@
 	least := 0.0
 	for id, e := range p.engines {
 		held := e.places[adapter]
-		if !e.usable() || slices.Contains(avoid, id) || held != nil || slices.Contains(e.queue, adapter) {
+		if !e.usable() || slices.Contains(avoid, id) || held != nil ||
+			len(e.queue) >= maxQueue || slices.Contains(e.queue, adapter) {
 			continue
 		}
 		if cost := p.cost(now, e, id, adapter); best == nil || cost < least {
