Placement: a new leader begins at once where engines check fencing numbers

Engines that check fencing numbers refuse an earlier leader's orders themselves; the pause stays for those that don't.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -161,7 +161,7 @@
 	r.curator = &curator.Curator{
 		Clock: r.Clock, Log: r.Log, Keeper: r.keeper, In: items, Carry: r.orders().carry,
 		Relay: func(list []*wire.Announcement) { r.relays.send(r.addresses(), list) }, Controllers: r.addresses,
-		Policy: r.policy(), SilentAfter: silentAnnouncements * s.Timing.Announcements, HandOver: s.Timing.HandOver,
+		Policy: r.policy(), SilentAfter: silentAnnouncements * s.Timing.Announcements, HandOver: s.handOver(),
 		SnapshotEvery: uint64(s.Data.SnapshotEvery), SnapshotBytes: snapshotBytes,
 	}
 	r.curator.Init()
--- a/controller/app/routed_settings.go
+++ b/controller/app/routed_settings.go
@@ -42,7 +42,7 @@
 	SilentMember    time.Duration `help:"Time without an answer after which a controller may lose its vote to one that stands by."`
 	PeerTimeout     time.Duration `help:"How long one call to another controller may take."`
 	Announcements   time.Duration `help:"Time between two announcements of a backend server."`
-	HandOver        time.Duration `help:"How long a new leader gives no orders, so that two never take turns at an engine."`
+	HandOver        time.Duration `help:"How long a new leader gives no orders to engines that do not check fencing numbers, so that two never take turns."`
 	OrderTimeout    time.Duration `help:"How long one call to an engine may take."`
 }
 
@@ -51,6 +51,7 @@
 	Reserve     int           `help:"Places kept free at each engine, so that loads need not wait for unloads."`
 	ColdLoad    time.Duration `help:"Expected time of a load from the weight store."`
 	WarmLoad    time.Duration `help:"Expected time of a load from an engine's own memory."`
+	Fenced      bool          `help:"Engines refuse orders of an earlier leader by their fencing numbers, so that a new one may begin at once."`
 	FillPerCopy float64       `help:"Part of an engine's slots that one adapter's requests may take before it gets another copy."`
 }
 
@@ -112,3 +113,12 @@
 	}
 	return list
 }
+
+// handOver returns how long a new leader gives no orders. Engines that check fencing
+// numbers refuse those of the leader before by themselves.
+func (s *RoutedSettings) handOver() time.Duration {
+	if s.Placement.Fenced {
+		return 0
+	}
+	return s.Timing.HandOver
+}
