Door: a connection that is being closed takes no request

The connection now says whether it was closed before its request began (test first failed for want of the answer). The drain is a second longer: the balancer in front sent new connections until 2.9 s after the stop began.

--- a/gateway/app/routed_settings.go
+++ b/gateway/app/routed_settings.go
@@ -65,7 +65,7 @@
 			Unacknowledged: 2 * time.Second,
 		},
 		Budget: BudgetSettings{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
-		Stop:   StopSettings{Grace: 8 * time.Second, Drain: 3 * time.Second},
+		Stop:   StopSettings{Grace: 8 * time.Second, Drain: 4 * time.Second},
 		Log:    LogSettings{Level: "Info"},
 	}
 }
--- a/gateway/doorkeeper/doorkeeper.go
+++ b/gateway/doorkeeper/doorkeeper.go
@@ -214,10 +214,14 @@
 	}
 }
 
-func (c *conn) setIdle(idle bool) {
+// setIdle notes whether a request has begun. It reports false when the connection was
+// closed before: a request whose bytes had come by then is not taken, so that its caller
+// can tell that it did not run.
+func (c *conn) setIdle(idle bool) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.idle = idle
-	c.mu.Unlock()
+	return !c.shut
 }
 
 // next serves one request and reports whether the connection may be used again.
@@ -249,8 +253,8 @@
 	c.setIdle(true)
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	_, err := c.reader.Peek(1)
-	c.setIdle(false)
-	return err == nil
+	open := c.setIdle(false)
+	return err == nil && open
 }
 
 func (c *conn) readBody(req *Request, limits Limits) bool {
