Placement: orders without an answer are given again; loads at once are learnt

Change: an order without an answer is given again as it was after 60 ms (each names the number of orders before it, so only one counts); questions whether a load has ended go beside other orders; the loads at once are bounded by what the store is seen to carry.

--- a/controller/app/routed_settings.go
+++ b/controller/app/routed_settings.go
@@ -64,7 +64,7 @@
 		Timing: RoutedTiming{
 			Heartbeat: 100 * time.Millisecond, ElectionTimeout: 600 * time.Millisecond, SilentMember: 1500 * time.Millisecond,
 			PeerTimeout: 500 * time.Millisecond, Announcements: 1200 * time.Millisecond,
-			HandOver: 3 * time.Second, OrderTimeout: 300 * time.Millisecond,
+			HandOver: 3 * time.Second, OrderTimeout: 60 * time.Millisecond,
 		},
 		Placement: PlacementSettings{
 			Reserve: policy.Reserve, ColdLoad: policy.ColdLoad, WarmLoad: policy.WarmLoad, FillPerCopy: policy.FillPerCopy,
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -33,6 +33,14 @@
 	// the engine last had this one; -1 if it never had.
 	begun time.Time
 	depth int
+	// warm is set if the load should come from the engine's own memory.
+	warm bool
+	// coming is how many cold loads were on their way when it began.
+	coming int
+	// repeated is set if the order was given again, so that its time says nothing.
+	repeated bool
+	// accepted is set once the engine has accepted the load.
+	accepted bool
 	// pending is set once the engine has accepted an unload that waits for runs.
 	pending bool
 	// since is when the adapter became ready.
@@ -45,10 +53,16 @@
 	accepted uint64
 	reported bool
 	busy     bool
+	// asking is set while a question whether a load has ended is under way.
+	asking bool
 	// model is set once the base model is there.
 	model bool
 	// modelAt is when a load of the base model is to be looked at.
 	modelAt time.Time
+	// unanswered is an order without an answer, which is given again as it was.
+	unanswered *Order
+	// failures counts orders in a row without an answer.
+	failures int
 	// waitUntil is when the engine may be given orders again.
 	waitUntil time.Time
 	places    map[string]*place
@@ -66,8 +80,22 @@
 	return !e.info.GetDraining() && !e.info.GetSilent() && !e.info.GetGone()
 }
 
-// usable reports whether adapters may be placed at the engine.
-func (e *engine) usable() bool { return e.open() && e.reported && e.model }
+// takesOrders reports whether adapters may be placed at the engine.
+func (e *engine) takesOrders() bool {
+	return e.open() && e.reported && e.model && e.failures < failuresToAvoid
+}
+
+// serves reports whether requests may use what the engine holds. A single order without
+// an answer says nothing about that.
+func (e *engine) serves() bool { return e.open() && e.failures < failuresToDoubt }
+
+const (
+	// failuresToAvoid is the number of orders in a row without an answer after which other
+	// engines are preferred.
+	failuresToAvoid = 4
+	// failuresToDoubt is the number after which the engine counts as lost.
+	failuresToDoubt = 8
+)
 
 func (e *engine) coming() int {
 	n := 0
@@ -83,7 +111,7 @@
 	// firstHostAdapters is assumed until loads have shown how many copies engines keep.
 	firstHostAdapters = 64
 	// leastHostAdapters bounds what is learnt from loads that took long for other reasons.
-	leastHostAdapters = 8
+	leastHostAdapters = 32
 	// maxRecent bounds the adapters that are remembered of one engine.
 	maxRecent = 2000
 )
@@ -113,13 +141,17 @@
 
 // learn takes the time of a load to see how many copies engines keep.
 func (p *Placer) learn(now time.Time, held *place) {
-	quick := now.Sub(held.begun) < p.policy.ColdLoad/2
+	took := now.Sub(held.begun)
+	quick := took < p.coldLoad/2
+	if !quick && !held.repeated {
+		p.learnCold(held, took)
+	}
 	switch {
 	case held.depth < 0:
 	case quick:
 		p.hostAdapters = max(p.hostAdapters, held.depth+1)
-	case held.depth < p.hostAdapters:
-		p.hostAdapters = max(leastHostAdapters, held.depth)
+	case held.depth < p.hostAdapters && !held.repeated:
+		p.hostAdapters = max(leastHostAdapters, p.hostAdapters-1)
 	}
 }
 
@@ -127,8 +159,63 @@
 
 func compareText(a, b string) int { return strings.Compare(a, b) }
 
+const (
+	// askEarly is the part of a usual load from the weight store after which an engine is
+	// first asked whether one has ended: asking costs little, and only early questions show
+	// that loads have become quicker.
+	askEarly = 0.92
+	// coldMemory is the weight of one load in the usual time, which stays within a factor
+	// of coldBound of the one in the policy.
+	coldMemory = 1.0 / 16
+	coldBound  = 2.0
+	// slowLoad is the time, against the usual, from which the weight store seems to
+	// have been shared by too many loads, and freeLoad the one up to which it was not.
+	slowLoad = 1.6
+	freeLoad = 1.3
+	// leastComing bounds what is learnt from loads that were slow for other reasons.
+	leastComing = 12
+	// comingMemory is the weight of one slow load in what is learnt.
+	comingMemory = 1.0 / 16
+)
+
+// learnCold takes the time of a cold load to see how long one takes and how many the
+// weight store carries at once before each takes longer. More at once would only make
+// all of them late.
+func (p *Placer) learnCold(held *place, took time.Duration) {
+	if float64(held.coming) < p.maxComing/2 {
+		usual := float64(p.coldLoad) + (float64(took)-float64(p.coldLoad))*coldMemory
+		bound := float64(p.policy.ColdLoad)
+		p.coldLoad = time.Duration(min(max(usual, bound/coldBound), bound*coldBound))
+	}
+	ratio := float64(took) / float64(p.coldLoad)
+	switch {
+	case ratio > slowLoad && float64(held.coming) >= p.maxComing/2:
+		share := max(leastComing, float64(held.coming)/ratio)
+		p.maxComing += (share - p.maxComing) * comingMemory
+	case ratio < freeLoad && float64(held.coming) >= p.maxComing-2:
+		p.maxComing++
+	}
+}
+
+// comingCold counts the cold loads on their way to all engines.
+func (p *Placer) comingCold() int {
+	n := 0
+	for _, e := range p.engines {
+		for _, held := range e.places {
+			if held.state == loading && !held.warm {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // nextOrder returns the most useful order for an engine that has none under way.
 func (p *Placer) nextOrder(now time.Time, e *engine) (Order, bool) {
+	if o := e.unanswered; o != nil {
+		e.unanswered = nil
+		return *o, true
+	}
 	if !e.reported {
 		return Order{Kind: Report}, true
 	}
@@ -177,16 +264,13 @@
 	return Order{Kind: LoadModel, Adapter: limits.GetModels()[0]}, true
 }
 
-// followUp confirms loads that should have ended and carries out unloads that were
-// announced.
+// followUp carries out unloads that were announced.
 func (p *Placer) followUp(now time.Time, e *engine) (Order, bool) {
 	for adapter, held := range e.places {
 		if now.Before(held.at) {
 			continue
 		}
 		switch held.state {
-		case loading:
-			return Order{Kind: Confirm, Adapter: adapter, Version: held.version}, true
 		case leaving:
 			if e.use.Adapters[adapter] {
 				// A gateway has not heard yet, or its request still runs: an unload
@@ -198,12 +282,30 @@
 			return Order{Kind: Unload, Adapter: adapter}, true
 		case dropping:
 			return Order{Kind: Unload, Adapter: adapter}, true
-		case ready:
+		case loading, ready:
 		}
 	}
 	return Order{}, false
 }
 
+// question asks whether the load has ended that should have ended first. It goes out
+// beside other orders, since it changes nothing.
+func (p *Placer) question(now time.Time, e *engine) (Order, bool) {
+	first := ""
+	for adapter, held := range e.places {
+		if held.state != loading || !held.accepted || now.Before(held.at) {
+			continue
+		}
+		if first == "" || held.at.Before(e.places[first].at) {
+			first = adapter
+		}
+	}
+	if first == "" {
+		return Order{}, false
+	}
+	return Order{Kind: Confirm, Adapter: first, Version: e.places[first].version}, true
+}
+
 func (p *Placer) slots(e *engine) int {
 	if limits := p.limits[e.info.GetService()]; limits != nil {
 		return int(limits.GetAdapterSlots())
@@ -226,9 +328,14 @@
 		if held == nil && len(e.places) >= p.slots(e) {
 			continue
 		}
+		warm, coming := p.warm(e, adapter), p.comingCold()
+		if !warm && float64(coming) >= p.maxComing {
+			continue
+		}
 		e.queue = slices.Delete(e.queue, i, i+1)
 		e.places[adapter] = &place{
-			state: loading, version: p.versions[adapter], begun: now, depth: e.depth(adapter), at: now.Add(p.expected(e, adapter)),
+			state: loading, version: p.versions[adapter], begun: now, depth: e.depth(adapter), warm: warm, coming: coming,
+			at: now.Add(p.expected(e, adapter)),
 		}
 		if held != nil {
 			p.touch(e)
@@ -242,7 +349,13 @@
 	if p.warm(e, adapter) {
 		return p.policy.WarmLoad
 	}
-	return p.policy.ColdLoad
+	return p.expectedCold()
+}
+
+// expectedCold returns the time after which a load from the weight store may have ended.
+func (p *Placer) expectedCold() time.Duration {
+	crowd := max(1, float64(p.comingCold())/p.maxComing)
+	return time.Duration(float64(p.coldLoad) * askEarly * crowd)
 }
 
 // makeRoom tells the gateways that the least wanted adapters go, until the queue and
@@ -302,13 +415,25 @@
 	if e == nil {
 		return
 	}
+	if o.Kind == Confirm {
+		p.doneQuestion(now, e, o, outcome)
+		return
+	}
 	e.busy = false
+	if outcome == Unknown {
+		p.doneUnanswered(now, e, o)
+		return
+	}
+	e.failures = 0
+	if o.repeated {
+		outcome = afterRepeat(o, outcome)
+	}
 	switch {
 	case outcome == Gone:
 		delete(p.engines, o.Backend)
 	case o.Kind == Report:
 		p.doneReport(now, e, outcome, state)
-	case outcome == Unknown || outcome == Conflict:
+	case outcome == Conflict && !(o.repeated && o.Kind == Unload):
 		// What the engine has accepted is known only after its reports have caught up.
 		// Requests that wait for adapters here are better served elsewhere.
 		e.reported = false
@@ -323,6 +448,38 @@
 	}
 }
 
+// doneUnanswered lets an order without an answer be given again as it was. Each order
+// names the number of those accepted before, so that only one of the two is carried out,
+// whenever the first arrives.
+func (p *Placer) doneUnanswered(now time.Time, e *engine, o Order) {
+	e.failures++
+	if e.failures >= failuresToAvoid {
+		e.queue = nil
+	}
+	if e.failures > failuresToAvoid {
+		e.waitUntil = now.Add(p.policy.UnknownWait)
+	}
+	if o.Kind == Report {
+		// It changes nothing and comes again by itself.
+		return
+	}
+	o.repeated = true
+	e.unanswered = &o
+	if held := e.places[o.Adapter]; held != nil {
+		held.repeated = true
+	}
+}
+
+// afterRepeat tells the outcome of an order that was given again after no answer: it was
+// accepted once, the first time or now, whatever the engine says of the second.
+func afterRepeat(o Order, outcome Outcome) Outcome {
+	accepted := outcome == Conflict || outcome == Holds || outcome == Accepted
+	if accepted && o.Kind != Unload {
+		return Accepted
+	}
+	return outcome
+}
+
 // modelAgain is the time between two questions whether a base model is there.
 const modelAgain = 100 * time.Millisecond
 
@@ -339,10 +496,51 @@
 	}
 }
 
+// doneQuestion takes the answer to a load that was sent again. While the load is under
+// way the engine accepts it without counting it.
+func (p *Placer) doneQuestion(now time.Time, e *engine, o Order, outcome Outcome) {
+	e.asking = false
+	held := e.places[o.Adapter]
+	switch {
+	case outcome == Gone:
+		delete(p.engines, o.Backend)
+		return
+	case outcome == Unknown:
+		e.failures++
+	default:
+		e.failures = 0
+	}
+	if held == nil || held.state != loading {
+		return
+	}
+	if outcome == Holds {
+		p.loaded(now, e, o.Adapter, held)
+		return
+	}
+	held.at = now
+	if outcome != Unknown {
+		held.at = now.Add(p.policy.ConfirmAgain)
+	}
+	if cold := held.begun.Add(p.expectedCold()); held.warm && outcome == Accepted && held.at.Before(cold) {
+		held.at = cold
+	}
+	if now.Sub(held.begun) > p.policy.LostLoad {
+		// It is not there after all; what the engine holds has to be asked.
+		e.reported = false
+	}
+}
+
+// loaded lets requests use an adapter.
+func (p *Placer) loaded(now time.Time, e *engine, adapter string, held *place) {
+	held.state, held.since = ready, now
+	p.learn(now, held)
+	e.remember(adapter)
+	p.touch(e)
+}
+
 func (p *Placer) doneLoad(now time.Time, e *engine, o Order, outcome Outcome) {
 	held := e.places[o.Adapter]
-	if outcome == Accepted && o.Kind == Load {
-		// A load that is sent again while it is under way is not counted by the engine.
+	if outcome == Accepted {
 		e.accepted++
 	}
 	if held == nil || held.state != loading {
@@ -350,17 +548,10 @@
 	}
 	switch {
 	case outcome == Holds:
-		held.state, held.since = ready, now
-		p.learn(now, held)
-		e.remember(o.Adapter)
-		p.touch(e)
-	case outcome == Accepted && o.Kind == Load:
-		held.at = now.Add(p.expected(e, o.Adapter))
+		p.loaded(now, e, o.Adapter, held)
 	case outcome == Accepted:
-		held.at = now.Add(p.policy.ConfirmAgain)
-		if cold := held.begun.Add(p.policy.ColdLoad); held.at.Before(cold) {
-			held.at = cold
-		}
+		held.accepted = true
+		held.at = now.Add(p.expected(e, o.Adapter))
 	case outcome == Refused:
 		delete(e.places, o.Adapter)
 		e.waitUntil = now.Add(p.policy.UnknownWait)
@@ -372,6 +563,10 @@
 	switch {
 	case outcome == Refused || held == nil:
 		delete(e.places, adapter)
+	case outcome == Conflict:
+		// It was given again after no answer; the first was accepted and may wait for runs.
+		e.accepted++
+		held.pending, held.at = true, now.Add(p.policy.UnloadAgain)
 	case outcome == Holds:
 		if !held.pending {
 			// One that was accepted before has been counted.
@@ -406,7 +601,7 @@
 	}
 	for _, qualified := range state.Coming {
 		adapter, version := splitVersion(qualified)
-		places[adapter] = &place{state: loading, version: version, at: now, begun: now, depth: -1}
+		places[adapter] = &place{state: loading, version: version, at: now, begun: now, depth: -1, accepted: true}
 	}
 	e.places = places
 	p.touch(e)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -50,6 +50,8 @@
 	// IdleUnderPressure the same while others wait for its place.
 	IdleFor           time.Duration
 	IdleUnderPressure time.Duration
+	// LostLoad is the time after which a load that has not ended is taken for lost.
+	LostLoad time.Duration
 	// UnloadAgain is the time between two questions whether an unload has ended that
 	// waits for runs.
 	UnloadAgain time.Duration
@@ -62,7 +64,7 @@
 		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
 		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4,
 		WantFor: 700 * time.Millisecond, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
-		UnloadAgain: 60 * time.Millisecond,
+		UnloadAgain: 60 * time.Millisecond, LostLoad: 3 * time.Second,
 	}
 }
 
@@ -99,6 +101,9 @@
 	Version uint64
 	// After is the number of orders that the engine has accepted so far.
 	After uint64
+
+	// repeated is set if the order is given again after no answer.
+	repeated bool
 }
 
 // Outcome is how an order ended.
@@ -141,6 +146,10 @@
 	// hostAdapters is the number of adapters whose weights an engine seems to keep, as
 	// the times of loads have shown.
 	hostAdapters int
+	// coldLoad is the learnt time of a load from the weight store, and maxComing the
+	// learnt number that it carries at once.
+	coldLoad  time.Duration
+	maxComing float64
 	// modelLoadAt is when the weight store allows the next load of a base model.
 	modelLoadAt time.Time
 }
@@ -159,12 +168,15 @@
 	requests int
 }
 
+// firstMaxComing is assumed until loads have shown how many the weight store carries.
+const firstMaxComing = 32
+
 // New returns a placer that knows nothing yet.
 func New(policy Policy) *Placer {
 	return &Placer{
 		policy: policy, limits: map[string]*wire.EngineLimits{}, engines: map[string]*engine{},
-		hostAdapters: firstHostAdapters,
-		demand:       map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{},
+		hostAdapters: firstHostAdapters, coldLoad: policy.ColdLoad, maxComing: firstMaxComing,
+		demand: map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{},
 	}
 }
 
@@ -245,7 +257,8 @@
 	}
 }
 
-// Plan returns the orders to give now. Each engine has at most one under way.
+// Plan returns the orders to give now. Each engine has at most one under way that
+// changes something, and one question.
 func (p *Placer) Plan(now time.Time) []Order {
 	p.forget(now)
 	p.assignWants(now)
@@ -254,11 +267,21 @@
 	var orders []Order
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
 		e := p.engines[id]
-		if e.busy || now.Before(e.waitUntil) {
+		if now.Before(e.waitUntil) {
 			continue
 		}
-		if o, ok := p.nextOrder(now, e); ok {
+		if o, ok := p.question(now, e); ok && !e.asking && e.reported {
 			o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
+			e.asking = true
+			orders = append(orders, o)
+		}
+		if e.busy {
+			continue
+		}
+		if o, ok := p.nextOrder(now, e); ok {
+			if !o.repeated {
+				o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
+			}
 			e.busy = true
 			orders = append(orders, o)
 		}
@@ -313,7 +336,7 @@
 // usable reports whether an adapter is, or soon will be, at an engine that may be used.
 func (p *Placer) usable(adapter string, avoid []string) bool {
 	for id, e := range p.engines {
-		if slices.Contains(avoid, id) || !e.usable() {
+		if slices.Contains(avoid, id) || !e.serves() {
 			continue
 		}
 		held := e.places[adapter]
@@ -365,7 +388,7 @@
 // copies counts where an adapter is or soon will be.
 func (p *Placer) copies(adapter string) (count int, slots uint32) {
 	for _, e := range p.engines {
-		if !e.usable() {
+		if !e.serves() {
 			continue
 		}
 		held := e.places[adapter]
@@ -385,7 +408,7 @@
 	least := 0.0
 	for id, e := range p.engines {
 		held := e.places[adapter]
-		if !e.usable() || slices.Contains(avoid, id) || held != nil ||
+		if !e.takesOrders() || slices.Contains(avoid, id) || held != nil ||
 			len(e.queue) >= maxQueue || slices.Contains(e.queue, adapter) {
 			continue
 		}
@@ -488,13 +511,19 @@
 	Queued  int
 	// Wanted are adapters that no engine could be chosen for.
 	Wanted int
+	// ColdLoad, MaxComing and HostAdapters are what has been learnt.
+	ColdLoad     time.Duration
+	MaxComing    int
+	HostAdapters int
 }
 
 // Summary returns the counts of now.
 func (p *Placer) Summary() Summary {
-	s := Summary{Wanted: len(p.wants)}
+	s := Summary{
+		Wanted: len(p.wants), ColdLoad: p.coldLoad, MaxComing: int(p.maxComing), HostAdapters: p.hostAdapters,
+	}
 	for _, e := range p.engines {
-		if !e.usable() {
+		if !e.takesOrders() {
 			s.Unusable++
 			continue
 		}
