--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -95,8 +95,9 @@
 
 // gatewayState is what a gateway said last.
 type gatewayState struct {
-	seen  time.Time
-	loads []*wire.Load
+	seen    time.Time
+	address string
+	loads   []*wire.Load
 }
 
 // Init prepares the curator for calls before Run.
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -42,7 +42,7 @@
 
 // hear takes in what a gateway says of its requests.
 func (c *Curator) hear(now time.Time, req *wire.SyncRequest) {
-	c.gateways[req.GetGateway()] = &gatewayState{seen: now, loads: req.GetLoads()}
+	c.gateways[req.GetGateway()] = &gatewayState{seen: now, address: req.GetAddress(), loads: req.GetLoads()}
 	if c.placer == nil {
 		return
 	}
@@ -97,6 +97,7 @@
 		HoldingRevision: req.GetHoldingRevision(), Controllers: c.Controllers(),
 		Gateways: uint32(len(c.gateways)), Leads: c.leads(c.Clock.Now()), Term: c.term,
 	}
+	res.Peers = c.peersOf(req.GetGateway())
 	since := req.GetAnnouncementRevision()
 	if req.GetEpoch() != c.epoch {
 		since = 0
@@ -119,6 +120,21 @@
 	return res
 }
 
+// maxPeers is how many other gateways a gateway is told of: one that is cut off from the
+// controllers tries them in turn.
+const maxPeers = 4
+
+// peersOf returns some other gateways, different ones from call to call.
+func (c *Curator) peersOf(gateway string) []string {
+	var peers []string
+	for name, g := range c.gateways {
+		if name != gateway && g.address != "" && len(peers) < maxPeers {
+			peers = append(peers, g.address)
+		}
+	}
+	return peers
+}
+
 func (c *Curator) loadsOfOthers(gateway string) []*wire.Load {
 	total := map[string]uint32{}
 	for name, g := range c.gateways {
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -51,6 +51,7 @@
 	forwarder *forwarder.Forwarder
 	follower  *follower.Follower
 	health    *server.Server
+	mesh      *server.Server
 	meter     *meter.Meter
 	wants     chan []*wire.Want
 }
@@ -67,8 +68,10 @@
 	if err := r.door.Start(); err != nil {
 		return errors.Wrap(err, "app")
 	}
-	if err := r.health.Start(); err != nil {
-		return errors.Wrap(err, "app")
+	for _, listening := range []*server.Server{r.health, r.mesh} {
+		if err := listening.Start(); err != nil {
+			return errors.Wrap(err, "app")
+		}
 	}
 	r.Log.Info("the gateway serves", "Address", r.door.Addr(), "Seeds", r.Settings.Controllers.Seeds)
 	for {
@@ -97,7 +100,7 @@
 	}
 	r.forwarder.Init()
 	r.follower = &follower.Follower{
-		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Seeds: func() []string { return *r.seeds.Load() },
+		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Address: s.meshAddress(), Seeds: func() []string { return *r.seeds.Load() },
 		Apply: r.forwarder.Apply, Demand: r.forwarder.Demand, Loads: r.forwarder.Loads, TableVersion: r.forwarder.TableVersion,
 	}
 	r.door = &doorkeeper.Doorkeeper{
@@ -108,6 +111,8 @@
 	mux.HandleFunc("GET /ready", r.ready)
 	mux.Handle("GET /metrics", r.meter.Handler())
 	r.health = &server.Server{Address: s.Instance.Health, Handler: mux, Log: r.Log}
+	passer := wire.NewMeshServer(&follower.Passer{Follower: r.follower})
+	r.mesh = &server.Server{Address: s.meshAddress(), Handler: passer, Log: r.Log}
 }
 
 func ownAnswer(head *framer.ResponseHead, requestID string) (bool, time.Duration) {
--- a/gateway/app/routed_settings.go
+++ b/gateway/app/routed_settings.go
@@ -32,7 +32,7 @@
 // RoutedControllers says how controllers are found.
 type RoutedControllers struct {
 	Seeds []string `required:"true" help:"Addresses of controllers; only the IP numbers count, since the port is the same everywhere."`
-	Port  int      `required:"true" help:"Port at which controllers serve the system's own processes."`
+	Port  int      `required:"true" help:"Port at which controllers and gateways serve the system's own processes."`
 }
 
 // BackendSettings bound the connections to backend servers.
@@ -100,3 +100,12 @@
 	}
 	return list
 }
+
+// meshAddress returns where other gateways reach this one.
+func (s *RoutedSettings) meshAddress() string {
+	host, _, err := net.SplitHostPort(s.Instance.Listen)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(s.Controllers.Port))
+}
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -32,15 +32,19 @@
 	// forgetAfter is how long a controller is asked that no other one lists any more.
 	forgetAfter = 30 * time.Second
 	// reviewEvery is the time between two looks at the list of controllers.
-	reviewEvery = time.Second
+	reviewEvery = 250 * time.Millisecond
+	// cutOffAfter is the time without an answer from any controller after which calls go
+	// through other gateways: longer than an election, during which controllers answer.
+	cutOffAfter = 1300 * time.Millisecond
 )
 
 // Follower asks the controllers. Set the exported fields, then call Run.
 type Follower struct {
 	Clock clockwork.Clock
 	Log   *slog.Logger
-	// Gateway names this gateway.
+	// Gateway names this gateway, and Address is where other gateways reach it.
 	Gateway string
+	Address string
 	// Seeds returns the addresses that the gateway starts from.
 	Seeds func() []string
 	// Apply takes news from a controller.
@@ -60,6 +64,10 @@
 	loops  map[string]*loop
 	leader string
 	term   uint64
+	peers  []string
+	// detour is set while calls go through another gateway, and ends that.
+	detour context.CancelFunc
+	heard  time.Time
 }
 
 // loop is what the follower knows of one controller.
@@ -76,6 +84,7 @@
 	defer ticker.Stop()
 	for {
 		f.review(ctx, f.Seeds(), false)
+		f.chooseWay(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -84,6 +93,32 @@
 	}
 }
 
+// chooseWay lets calls go through another gateway while no controller answers: a gateway
+// that is cut off from the controllers may still reach the others.
+func (f *Follower) chooseWay(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cutOff := f.Clock.Since(f.heard) > cutOffAfter && !f.heard.IsZero()
+	switch {
+	case !cutOff && f.detour != nil:
+		f.detour()
+		f.detour = nil
+		f.Log.Info("a controller is reached directly again")
+	case cutOff && f.detour == nil && len(f.peers) > 0:
+		var detourCtx context.Context
+		detourCtx, f.detour = context.WithCancel(ctx)
+		f.Log.Warn("no controller is reached; calls go through other gateways", "Gateways", f.peers)
+		go f.followAround(detourCtx, f.peers)
+	}
+}
+
+// followAround follows the leader through other gateways, one after the other.
+func (f *Follower) followAround(ctx context.Context, peers []string) {
+	for i := 0; ctx.Err() == nil; i++ {
+		f.follow(ctx, peers[i%len(peers)], true)
+	}
+}
+
 // review starts asking the listed controllers, and stops asking those that have not been
 // listed for long. Seeds count as listed only while there is nobody else to ask.
 func (f *Follower) review(ctx context.Context, listed []string, fresh bool) {
@@ -96,7 +131,7 @@
 			loopCtx, cancel := context.WithCancel(ctx)
 			known = &loop{listed: now, cancel: cancel}
 			f.loops[address] = known
-			go f.follow(loopCtx, address)
+			go f.follow(loopCtx, address, false)
 		}
 		if fresh {
 			known.listed = now
@@ -110,12 +145,14 @@
 	}
 }
 
-func (f *Follower) follow(ctx context.Context, address string) {
+// follow asks one controller for news all the time. Through another gateway it ends
+// with the first failure.
+func (f *Follower) follow(ctx context.Context, address string, detour bool) {
 	transport := connector.NewTransport(nil)
 	defer transport.CloseIdleConnections()
 	client := &connector.Client{Timeout: followerWait + callMargin, Transport: transport}
 	quick := &connector.Client{Timeout: leaderWait + callMargin, Transport: transport}
-	req := &wire.SyncRequest{Gateway: f.Gateway}
+	req := &wire.SyncRequest{Gateway: f.Gateway, Address: f.Address}
 	for ctx.Err() == nil {
 		leads := f.prepare(address, req)
 		caller := client
@@ -129,9 +166,12 @@
 			case <-ctx.Done():
 			case <-f.Clock.After(retryPause):
 			}
+			if detour {
+				return
+			}
 			continue
 		}
-		f.take(ctx, address, req, res)
+		f.take(ctx, address, req, res, detour)
 	}
 }
 
@@ -151,8 +191,14 @@
 	return leads
 }
 
-func (f *Follower) take(ctx context.Context, address string, req *wire.SyncRequest, res *wire.SyncResponse) {
+func (f *Follower) take(
+	ctx context.Context, address string, req *wire.SyncRequest, res *wire.SyncResponse, detour bool,
+) {
 	f.mu.Lock()
+	if !detour {
+		f.heard = f.Clock.Now()
+	}
+	f.peers = res.GetPeers()
 	if res.GetLeads() && res.GetTerm() >= f.term && f.leader != address {
 		f.leader, f.term = address, res.GetTerm()
 		f.Log.Info("a controller leads", "Controller", address, "Term", f.term)
@@ -173,6 +219,7 @@
 	defer f.mu.Unlock()
 	known := f.loops[address]
 	if known == nil || known.failed == (err != nil) {
+		// Other gateways are not known as controllers.
 		return
 	}
 	known.failed = err != nil
@@ -222,3 +269,58 @@
 	f.acquiringOnce.Do(func() { f.acquiring = connector.NewTransport(nil) })
 	return f.acquiring
 }
+
+// errNoLeader is what a gateway says that knows no leader itself.
+var errNoLeader = twirp.NewError(twirp.Unavailable, "this gateway reaches no leader")
+
+// Passer serves wire.Mesh for other gateways: it passes their calls on to the leader.
+type Passer struct {
+	Follower *Follower
+}
+
+// Sync passes a call on.
+func (p *Passer) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncResponse, error) {
+	client, err := p.leader()
+	if err != nil {
+		return nil, err
+	}
+	return client.Sync(ctx, req)
+}
+
+// Acquire passes a call on.
+func (p *Passer) Acquire(ctx context.Context, req *wire.AcquireRequest) (*wire.AcquireResponse, error) {
+	client, err := p.leader()
+	if err != nil {
+		return nil, err
+	}
+	return client.Acquire(ctx, req)
+}
+
+// Relay is not for gateways.
+func (p *Passer) Relay(context.Context, *wire.RelayRequest) (*wire.RelayResponse, error) {
+	return nil, errNoLeader
+}
+
+// Put is not for gateways.
+func (p *Passer) Put(context.Context, *wire.PutRequest) (*wire.PutResponse, error) {
+	return nil, errNoLeader
+}
+
+// Read is not for gateways.
+func (p *Passer) Read(context.Context, *wire.ReadRequest) (*wire.ReadResponse, error) {
+	return nil, errNoLeader
+}
+
+// leader returns a client of the leader. A gateway that is cut off itself passes nothing
+// on, or two of them could wait for each other.
+func (p *Passer) leader() (wire.Mesh, error) {
+	f := p.Follower
+	f.mu.Lock()
+	address, detour := f.leader, f.detour != nil
+	f.mu.Unlock()
+	if address == "" || detour {
+		return nil, errNoLeader
+	}
+	client := &connector.Client{Timeout: leaderWait + callMargin, Transport: f.transport()}
+	return wire.NewMeshProtobufClient("http://"+address, client), nil
+}
