Placement: adapters are loaded where their weights are kept

Change: a cold load costs as much as an engine's whole slots in the choice; warm ones may queue for longer; 128 copies are assumed at first and probed.

--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -108,8 +108,11 @@
 }
 
 const (
-	// firstHostAdapters is assumed until loads have shown how many copies engines keep.
-	firstHostAdapters = 64
+	// firstHostAdapters is assumed until loads have shown how many copies engines keep. It
+	// is high, since only loads that are expected to be quick can show that they are.
+	firstHostAdapters = 128
+	// hostProbe is how far beyond the learnt number a load is still expected to be quick.
+	hostProbe = 8
 	// leastHostAdapters bounds what is learnt from loads that took long for other reasons.
 	leastHostAdapters = 32
 	// maxRecent bounds the adapters that are remembered of one engine.
@@ -119,7 +122,7 @@
 // warm reports whether an engine probably keeps a copy of an adapter's weights.
 func (p *Placer) warm(e *engine, adapter string) bool {
 	depth := e.depth(adapter)
-	return depth >= 0 && depth < p.hostAdapters
+	return depth >= 0 && depth < p.hostAdapters+hostProbe
 }
 
 // depth returns how many adapters were held since the engine last had this one, or -1.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -306,6 +306,10 @@
 // in one list, so that the choice of what is loaded next is made late.
 const maxQueue = 3
 
+// maxWarmQueue is the bound for adapters whose weights the engine keeps: waiting for a
+// place there is shorter than a load from the weight store elsewhere.
+const maxWarmQueue = 6
+
 // assignWants chooses engines for adapters that requests wait for. The adapter for which
 // most requests wait goes first, and among equals the one that was asked for last: when
 // not all can be loaded in time, requests that have just come can still be answered
@@ -408,8 +412,14 @@
 	least := 0.0
 	for id, e := range p.engines {
 		held := e.places[adapter]
-		if !e.takesOrders() || slices.Contains(avoid, id) || held != nil ||
-			len(e.queue) >= maxQueue || slices.Contains(e.queue, adapter) {
+		if !e.takesOrders() || slices.Contains(avoid, id) || held != nil || slices.Contains(e.queue, adapter) {
+			continue
+		}
+		limit := maxQueue
+		if p.warm(e, adapter) {
+			limit = maxWarmQueue
+		}
+		if len(e.queue) >= limit {
 			continue
 		}
 		if cost := p.cost(now, e, id, adapter); best == nil || cost < least {
@@ -423,9 +433,9 @@
 	// homeWeight is the cost, as a part of an engine's slots, of leaving an adapter's
 	// preferred engine.
 	homeWeight = 0.5
-	// coldWeight is the cost of a load from the weight store where another engine has a
-	// copy in memory.
-	coldWeight = 0.3
+	// coldWeight is the cost of a load from the weight store. It takes ten times as long
+	// as one from the engine's own memory, and the store is shared by all engines.
+	coldWeight = 1.0
 	// queueWeight is the cost of each adapter that is on its way to the engine.
 	queueWeight = 0.1
 )
