--- a/controller/app/routed_settings.go
+++ b/controller/app/routed_settings.go
@@ -62,7 +62,7 @@
 		Data:    DataSettings{SnapshotEvery: 2000},
 		Members: RoutedMembers{MaxVoters: 5},
 		Timing: RoutedTiming{
-			Heartbeat: 100 * time.Millisecond, ElectionTimeout: 600 * time.Millisecond, SilentMember: 1500 * time.Millisecond,
+			Heartbeat: 100 * time.Millisecond, ElectionTimeout: 400 * time.Millisecond, SilentMember: 1500 * time.Millisecond,
 			PeerTimeout: 500 * time.Millisecond, Announcements: 1200 * time.Millisecond,
 			HandOver: 3 * time.Second, OrderTimeout: 60 * time.Millisecond,
 		},
