Controllers: no leader, no acknowledgement of announcements; dead engines asked less

Change: an announcement is acknowledged only while a leader is known; unanswered orders are counted and spaced by engine.

--- a/controller/app/carrier.go
+++ b/controller/app/carrier.go
@@ -74,6 +74,8 @@
 		return placer.Conflict
 	case platform.OrderFenced, platform.OrderRefused:
 		return placer.Refused
+	case platform.OrderUnsent:
+		return placer.Unreachable
 	case platform.OrderElsewhere:
 		return placer.Gone
 	case platform.OrderUnknown:
--- a/controller/curator/mesh.go
+++ b/controller/curator/mesh.go
@@ -133,13 +133,14 @@
 	return m.Client(leader).Read(ctx, &wire.ReadRequest{})
 }
 
-// Heard takes an announcement. One that ends something is taken only while a leader is
-// known: an instance that is cut off would vouch for what the gateways don't learn.
+// Heard takes an announcement. It is acknowledged only while a leader is known: an
+// instance that is cut off would keep to itself what the others have to learn, and the
+// backend server would go on announcing itself here.
 func (m *Mesh) Heard(ctx context.Context, a *wire.Announcement) error {
 	if err := m.Curator.Announce(ctx, []*wire.Announcement{a}, false); err != nil {
 		return err
 	}
-	if (a.GetDraining() || a.GetGone()) && m.Leader() == "" && !m.Curator.Keeper.Leads() {
+	if m.Leader() == "" && !m.Curator.Keeper.Leads() {
 		return twirp.NewError(twirp.Unavailable, "this instance knows no leader")
 	}
 	return nil
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -92,9 +92,11 @@
 const (
 	// failuresToAvoid is the number of orders in a row without an answer after which other
 	// engines are preferred.
-	failuresToAvoid = 4
+	failuresToAvoid = 6
 	// failuresToDoubt is the number after which the engine counts as lost.
-	failuresToDoubt = 8
+	failuresToDoubt = 12
+	// failuresOfRefusal is what a refused connection counts for: nothing listens there.
+	failuresOfRefusal = 3
 )
 
 func (e *engine) coming() int {
@@ -423,8 +425,8 @@
 		return
 	}
 	e.busy = false
-	if outcome == Unknown {
-		p.doneUnanswered(now, e, o)
+	if outcome == Unknown || outcome == Unreachable {
+		p.doneUnanswered(now, e, o, outcome)
 		return
 	}
 	e.failures = 0
@@ -454,14 +456,8 @@
 // doneUnanswered lets an order without an answer be given again as it was. Each order
 // names the number of those accepted before, so that only one of the two is carried out,
 // whenever the first arrives.
-func (p *Placer) doneUnanswered(now time.Time, e *engine, o Order) {
-	e.failures++
-	if e.failures >= failuresToAvoid {
-		e.queue = nil
-	}
-	if e.failures > failuresToAvoid {
-		e.waitUntil = now.Add(p.policy.UnknownWait)
-	}
+func (p *Placer) doneUnanswered(now time.Time, e *engine, o Order, outcome Outcome) {
+	p.countFailure(now, e, outcome)
 	if o.Kind == Report {
 		// It changes nothing and comes again by itself.
 		return
@@ -473,6 +469,19 @@
 	}
 }
 
+// countFailure counts an order without an answer. An engine that gives none for long is
+// asked less often, and what waits for it goes elsewhere.
+func (p *Placer) countFailure(now time.Time, e *engine, outcome Outcome) {
+	e.failures++
+	if outcome == Unreachable {
+		e.failures += failuresOfRefusal - 1
+	}
+	if e.failures >= failuresToAvoid {
+		e.queue = nil
+		e.waitUntil = now.Add(p.policy.UnknownWait)
+	}
+}
+
 // afterRepeat tells the outcome of an order that was given again after no answer: it was
 // accepted once, the first time or now, whatever the engine says of the second.
 func afterRepeat(o Order, outcome Outcome) Outcome {
@@ -508,8 +517,8 @@
 	case outcome == Gone:
 		delete(p.engines, o.Backend)
 		return
-	case outcome == Unknown:
-		e.failures++
+	case outcome == Unknown || outcome == Unreachable:
+		p.countFailure(now, e, outcome)
 	default:
 		e.failures = 0
 	}
@@ -520,10 +529,7 @@
 		p.loaded(now, e, o.Adapter, held)
 		return
 	}
-	held.at = now
-	if outcome != Unknown {
-		held.at = now.Add(p.policy.ConfirmAgain)
-	}
+	held.at = now.Add(p.policy.ConfirmAgain)
 	if cold := held.begun.Add(p.expectedCold()); held.warm && outcome == Accepted && held.at.Before(cold) {
 		held.at = cold
 	}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -113,6 +113,8 @@
 const (
 	// Unknown means that nothing was answered; the order may still be carried out.
 	Unknown Outcome = iota
+	// Unreachable means that no connection could be opened, so that nothing was sent.
+	Unreachable
 	// Accepted means that the engine carries it out.
 	Accepted
 	// Holds means that what was asked for is the case.
