Budget of repeats: no window has too many; tests of routes, discovery, budget

A property test found that requests of the last 11 parts paid for repeats of a window of 10: one repeat too many in some windows. The oldest part's requests count no more.

--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -31,10 +31,14 @@
 // gateway's share of the repeats that are allowed beside the ratio.
 func (b *Budgeter) Allow(now time.Time, slack float64) bool {
 	b.advance(now)
-	var sum count
-	for _, c := range b.counts {
-		sum.requests += c.requests
+	sum := count{}
+	for i, c := range b.counts {
 		sum.repeats += c.repeats
+		if int64(i) != (b.at+1)%int64(len(b.counts)) {
+			// The oldest part may lie outside of the window: its repeats count, and its
+			// requests don't.
+			sum.requests += c.requests
+		}
 	}
 	if float64(sum.repeats+1) > b.Ratio*float64(sum.requests)+slack {
 		return false
