Tests of forwarding; metrics can't end a request; the budget keeps a margin

A table test of failures found that a second meter in a process panics at its first counter, which closed the caller's connection: each meter now has a registry of its own.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -276,7 +276,7 @@
 func (f *Forwarder) budget(service string) *budgeter.Budgeter {
 	b := f.budgets[service]
 	if b == nil {
-		b = &budgeter.Budgeter{Window: f.Budget.Window, Ratio: f.Budget.Ratio}
+		b = &budgeter.Budgeter{Window: f.Budget.Window, Ratio: budgetMargin * f.Budget.Ratio}
 		f.budgets[service] = b
 	}
 	return b
@@ -286,10 +286,14 @@
 func (f *Forwarder) mayRepeat(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	slack := f.Budget.Slack / float64(max(minGateways, f.gateways))
+	slack := budgetMargin * f.Budget.Slack / float64(max(minGateways, f.gateways))
 	return f.budget(service).Allow(f.Clock.Now(), slack)
 }
 
+// budgetMargin is the part of the budget that is used: the gateways count by clocks of
+// their own, and a gateway that was added is not known to the others at once.
+const budgetMargin = 0.9
+
 // minGateways is the number of gateways that is assumed before the leader has told it.
 const minGateways = 9
 
--- /dev/null
+++ b/gateway/forwarder/forwarder_test.go
@@ -0,0 +1,335 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/gateway/sender"
+	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
+)
+
+// backendFake answers each request on a connection by a function that gets the request
+// and the connection to write to. It counts the requests that it ran.
+type backendFake struct {
+	id       string
+	listener net.Listener
+	runs     atomic.Int32
+	mu       sync.Mutex
+	heads    []*http.Request
+}
+
+type handler func(b *backendFake, req *http.Request, conn net.Conn) (keep bool)
+
+func newBackend(c *qt.C, id string, handle handler) *backendFake {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	b := &backendFake{id: id, listener: listener}
+	c.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn, handle)
+		}
+	}()
+	return b
+}
+
+func (b *backendFake) serve(conn net.Conn, handle handler) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.heads = append(b.heads, req)
+		b.mu.Unlock()
+		if !handle(b, req, conn) {
+			return
+		}
+	}
+}
+
+func (b *backendFake) announcement(service string) *wire.Announcement {
+	return &wire.Announcement{Id: b.id, Service: service, Address: b.listener.Addr().String(), Slots: 4, Sequence: 1}
+}
+
+func (b *backendFake) requests() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heads
+}
+
+// answer writes an answer of a backend server.
+func answer(conn net.Conn, req *http.Request, status int, body string, more ...string) {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nContent-Length: %d\r\n", status, req.Header.Get("Request-Id"), len(body))
+	_, _ = io.WriteString(conn, head+strings.Join(append(more, ""), "\r\n")+"\r\n"+body)
+}
+
+func runsAndAnswers(status int, body string) handler {
+	return func(b *backendFake, req *http.Request, conn net.Conn) bool {
+		b.runs.Add(1)
+		answer(conn, req, status, body, "Server-Stamp: "+b.id)
+		return true
+	}
+}
+
+func refuses(status int) handler {
+	return func(_ *backendFake, req *http.Request, conn net.Conn) bool {
+		answer(conn, req, status, "", "Not-Executed: 1")
+		return true
+	}
+}
+
+// runsAndBreaks runs the request and closes after having written some bytes.
+func runsAndBreaks(written string) handler {
+	return func(b *backendFake, req *http.Request, conn net.Conn) bool {
+		b.runs.Add(1)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(written, "ID", req.Header.Get("Request-Id")))
+		return false
+	}
+}
+
+func testTable() *wire.RoutingTable {
+	route := func(name string, repetition wire.Repetition, resumable bool) *wire.Route {
+		return &wire.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Repetition: repetition, TimeoutMs: 3000,
+			ObjectiveMs: 100, MaxAttempts: 2, Resumable: resumable, Shares: []*wire.Share{{Service: "s", Weight: 1}},
+		}
+	}
+	return &wire.RoutingTable{
+		Version: 3,
+		Routes: []*wire.Route{
+			route("safe", wire.Repetition_REPETITION_IDEMPOTENT, false), route("once", wire.Repetition_REPETITION_ONCE, false),
+			route("stream", wire.Repetition_REPETITION_STREAM, false), route("resumable", wire.Repetition_REPETITION_STREAM, true),
+		},
+		Services: []*wire.RoutedService{{Name: "s"}},
+	}
+}
+
+// gateway is a door with a forwarder behind it that knows some backend servers.
+func gateway(c *qt.C, backends ...*backendFake) string {
+	clock := clockwork.NewRealClock()
+	log := slog.New(slog.NewTextHandler(c.TB.Output(), nil))
+	f := &Forwarder{
+		Clock: clock, Log: log, Meter: meter.New("gateway", "test", "z"), Acquire: func([]*wire.Want) {},
+		Budget: Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 200},
+		Sender: &sender.Sender{
+			Clock: clock, DialTimeout: time.Second, MaxIdle: time.Second,
+			OwnAnswer: func(head *framer.ResponseHead, id string) (bool, time.Duration) {
+				answer := platform.DecodeAnswer(head)
+				return answer.RequestID == id || answer.RequestID == "", answer.IdleTimeout
+			},
+		},
+	}
+	f.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	go f.Run(ctx)
+	res := &wire.SyncResponse{Table: testTable(), TableVersion: 3, Leads: true, Term: 1}
+	for _, b := range backends {
+		res.Announcements = append(res.Announcements, b.announcement("s"))
+	}
+	f.Apply("controller", res)
+	door := &doorkeeper.Doorkeeper{Clock: clock, Log: log, Address: "127.0.0.1:0", Handle: f.Handle}
+	c.Assert(door.Start(), qt.IsNil)
+	c.Cleanup(func() { _ = door.Stop(ctx) })
+	return door.Addr()
+}
+
+// got is what a caller received.
+type got struct {
+	status   int
+	header   http.Header
+	body     string
+	complete bool
+}
+
+func call(c *qt.C, address, path string, header ...string) got {
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	lines := append([]string{"POST " + path + " HTTP/1.1", "Host: h", "Request-Id: r1", "Deadline-Ms: 2500", "Content-Length: 2"}, header...)
+	_, err = io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\n\r\nhi")
+	c.Assert(err, qt.IsNil)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return got{}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return got{status: res.StatusCode, header: res.Header, body: string(body), complete: err == nil}
+}
+
+func TestAnswersPassUnchanged(t *testing.T) {
+	c := qt.New(t)
+	b := newBackend(c, "b1", runsAndAnswers(http.StatusOK, "the body"))
+	g := call(c, gateway(c, b), "/once/x%2Fy?q=1", "X-Own: kept", "Connection: X-Hop", "X-Hop: dropped", "Kv-From: 1.2.3.4:5/x", "Hold: h1")
+	c.Check(g.status, qt.Equals, http.StatusOK)
+	c.Check(g.body, qt.Equals, "the body")
+	c.Check(g.header.Get("Server-Stamp"), qt.Equals, "b1")
+	c.Check(g.header.Get("Request-Id"), qt.Equals, "r1")
+	sent := b.requests()[0]
+	c.Check(sent.RequestURI, qt.Equals, "/once/x%2Fy?q=1")
+	c.Check(sent.Method, qt.Equals, "POST")
+	c.Check(sent.Header.Get("X-Own"), qt.Equals, "kept")
+	c.Check(sent.Header.Get("X-Hop"), qt.Equals, "")
+	c.Check(sent.Header.Get("Expect-Instance"), qt.Equals, "b1")
+	c.Check(sent.Header.Get("Kv-From"), qt.Equals, "")
+	c.Check(sent.Header.Get("Hold"), qt.Equals, "")
+	c.Check(sent.Header.Get("Deadline-Ms"), qt.Not(qt.Equals), "2500")
+}
+
+// How often a request may run follows from its route and from what the failure proves.
+func TestFailures(t *testing.T) {
+	ok := runsAndAnswers(http.StatusOK, "data: ok\n\n")
+	for name, test := range map[string]struct {
+		path  string
+		first handler
+		// status and runs are the caller's answer and how often the request ran in all.
+		status int
+		runs   int32
+	}{
+		"a lost answer, idempotent":        {"/safe/", runsAndBreaks(""), 200, 2},
+		"a lost answer, once":              {"/once/", runsAndBreaks(""), 502, 1},
+		"a cut answer, idempotent":         {"/safe/", runsAndBreaks("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: x\r\nContent-Length: 9\r\n\r\nhalf"), 200, 2},
+		"a cut answer, once":               {"/once/", runsAndBreaks("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: x\r\nContent-Length: 9\r\n\r\nhalf"), 502, 1},
+		"no answer in the protocol, once":  {"/once/", runsAndBreaks("rubbish\r\n\r\n"), 502, 1},
+		"no signature, once":               {"/once/", runsAndBreaks("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 2\r\n\r\nok"), 502, 1},
+		"an encoded body, once":            {"/once/", runsAndBreaks("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: x\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"), 502, 1},
+		"a failure of its own, idempotent": {"/safe/", runsAndAnswers(500, "no"), 200, 2},
+		"a failure of its own, once":       {"/once/", runsAndAnswers(500, "no"), 500, 1},
+		"full, once":                       {"/once/", refuses(503), 200, 1},
+		"another start, once":              {"/once/", refuses(421), 200, 1},
+		"a lost stream":                    {"/stream/", runsAndBreaks(""), 502, 1},
+		"a lost stream that resumes":       {"/resumable/", runsAndBreaks(""), 200, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			// Both fail their first request, so that it does not matter which one gets it.
+			var calls atomic.Int32
+			either := func(b *backendFake, req *http.Request, conn net.Conn) bool {
+				if calls.Add(1) == 1 {
+					return test.first(b, req, conn)
+				}
+				return ok(b, req, conn)
+			}
+			b1, b2 := newBackend(c, "b1", either), newBackend(c, "b2", either)
+			g := call(c, gateway(c, b1, b2), test.path)
+			c.Check(g.status, qt.Equals, test.status)
+			c.Check(b1.runs.Load()+b2.runs.Load(), qt.Equals, test.runs)
+			if g.status == http.StatusOK {
+				c.Check(g.body, qt.Equals, "data: ok\n\n")
+			}
+		})
+	}
+}
+
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	c := qt.New(t)
+	full := newBackend(c, "b1", refuses(503))
+	for name, address := range map[string]string{"no backend server": gateway(c), "all are full": gateway(c, full)} {
+		g := call(c, address, "/once/")
+		c.Check(g.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf(name))
+		c.Check(g.header.Get("Retry-After"), qt.Not(qt.Equals), "", qt.Commentf(name))
+	}
+	c.Check(call(c, gateway(c), "/none/").status, qt.Equals, http.StatusNotFound)
+}
+
+// A second answer to the request before it must not be taken for this request's.
+func TestAnswersToOthersAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	b := newBackend(c, "b1", func(b *backendFake, req *http.Request, conn net.Conn) bool {
+		b.runs.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Stamp: x\r\nContent-Length: 5\r\n\r\nother")
+		answer(conn, req, http.StatusOK, "own", "Server-Stamp: "+b.id)
+		return true
+	})
+	g := call(c, gateway(c, b), "/once/")
+	c.Check(g.body, qt.Equals, "own")
+	c.Check(b.runs.Load(), qt.Equals, int32(1))
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: b\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func TestStreams(t *testing.T) {
+	const one, two, three = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	for name, test := range map[string]struct {
+		path    string
+		written string
+		// resumed is what the second run is asked to follow on, "" for no second run.
+		resumed  string
+		body     string
+		complete bool
+	}{
+		"whole":                      {"/stream/", streamHead + chunk(one) + chunk(two+three) + "0\r\n\r\n", "", one + two + three, true},
+		"in odd pieces":              {"/stream/", streamHead + chunk(one[:4]) + chunk(one[4:]+two[:3]) + chunk(two[3:]) + "0\r\n\r\n", "", one + two, true},
+		"cut between events":         {"/stream/", streamHead + chunk(one), "", one, false},
+		"cut inside an event":        {"/stream/", streamHead + chunk(one+two[:5]), "", one, false},
+		"ended inside an event":      {"/stream/", streamHead + chunk(one+two[:5]) + "0\r\n\r\n", "", one, false},
+		"cut, and goes on elsewhere": {"/resumable/", streamHead + chunk(one+two[:5]), "1", one + two, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int32
+			either := func(b *backendFake, req *http.Request, conn net.Conn) bool {
+				written := test.written
+				if calls.Add(1) == 2 {
+					c.Check(req.Header.Get("Last-Event-Id"), qt.Equals, test.resumed)
+					written = streamHead + chunk(two) + "0\r\n\r\n"
+				}
+				return runsAndBreaks(written)(b, req, conn)
+			}
+			g := call(c, gateway(c, newBackend(c, "b1", either), newBackend(c, "b2", either)), test.path)
+			c.Check(g.status, qt.Equals, http.StatusOK)
+			c.Check(g.body, qt.Equals, test.body)
+			c.Check(g.complete, qt.Equals, test.complete)
+			c.Check(calls.Load() == 2, qt.Equals, test.resumed != "")
+		})
+	}
+}
+
+// A caller that leaves ends the run: the connection to the backend server is closed.
+func TestLeavingCallerEndsTheRun(t *testing.T) {
+	c := qt.New(t)
+	began, ended := make(chan struct{}), make(chan struct{})
+	b := newBackend(c, "b1", func(_ *backendFake, _ *http.Request, conn net.Conn) bool {
+		close(began)
+		_, _ = conn.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	conn, err := net.Dial("tcp", gateway(c, b))
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(conn, "POST /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	<-began
+	c.Assert(conn.Close(), qt.IsNil)
+	<-ended
+}
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
@@ -44,7 +45,12 @@
 
 // New returns a meter whose metrics carry the program and where it runs.
 func New(program, instance, zone string) *Meter {
-	reporter := tallyprom.NewReporter(tallyprom.Options{})
+	// A registry of its own, so that two meters in a process don't meet; and a metric
+	// that can't be registered is left out instead of ending what was being measured.
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {},
+	})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "bronzelead_" + program,
 		Tags:                   map[string]string{"instance": instance, "zone": zone},
