--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
 	"bronzelead.example/pkg/wire"
@@ -37,7 +38,10 @@
 	fullUntil time.Time
 	since     time.Time
 
+	// failures is the share of failed requests as of failedAt; it fades with time, or one
+	// that gets no requests could never show that it has recovered.
 	failures     float64
+	failedAt     time.Time
 	ejectedUntil time.Time
 	ejection     time.Duration
 	lastSuccess  time.Time
@@ -118,16 +122,25 @@
 	}
 }
 
+// failureFades is the time in which half of a share of failures is forgotten.
+const failureFades = 2 * time.Second
+
+// failing returns the share of failures as it counts now.
+func (k *backend) failing(now time.Time) float64 {
+	return k.failures * math.Exp2(-float64(now.Sub(k.failedAt))/float64(failureFades))
+}
+
 func (k *backend) succeeded(now time.Time) {
 	k.lastSuccess = now
-	k.failures *= 1 - failureMemory
+	k.failures, k.failedAt = k.failing(now)*(1-failureMemory), now
 	if k.failures < ejectAbove/2 {
 		k.ejection = 0
 	}
 }
 
 func (k *backend) failed(now time.Time, weight float64) {
-	k.failures += (1 - k.failures) * weight
+	share := k.failing(now)
+	k.failures, k.failedAt = share+(1-share)*weight, now
 	if k.failures < ejectAbove || now.Before(k.ejectedUntil) {
 		return
 	}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -340,7 +340,7 @@
 		if now.Before(k.fullUntil) || !k.hasRoom() {
 			continue
 		}
-		score := k.load() + k.failures*failurePenalty + rand.Float64()*jitter
+		score := k.load() + k.failing(now)*failurePenalty + rand.Float64()*jitter
 		if k.info.GetZone() != b.Zone {
 			score += zonePenalty
 		}
