First tries of streams wait twice the objective for a backend server

Cause: requests that waited for an adapter until just before their callers left cost their whole worth, and found nothing in the end. A refusal after two objectives says when to come back, and the second try, which has less time left than the route gives, uses all of it.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -297,12 +297,27 @@
 // minGateways is the number of gateways that is assumed before the leader has told it.
 const minGateways = 9
 
+// waitObjectives is how many times the objective a stream's first try waits for a backend
+// server. What has not come by then is mostly an adapter behind many others; the caller
+// learns at once when to come back, and finds it loaded.
+const waitObjectives = 2
+
+// fresh reports whether a request is probably a caller's first try: later ones have less
+// time left than the route gives, and use all of it.
+func (j *job) fresh() bool {
+	full := milliseconds(j.route.GetTimeoutMs())
+	return j.route.GetRepetition() == wire.Repetition_REPETITION_STREAM && j.about.Patience >= full-full/10
+}
+
 // choose waits for a backend server.
 func (f *Forwarder) choose(ctx context.Context, j *job) (balancer.Decision, bool) {
 	until := j.until
 	if !j.leaves.IsZero() && j.leaves.Before(until) {
 		until = j.leaves
 	}
+	if first := j.req.ReceivedAt.Add(waitObjectives * milliseconds(j.route.GetObjectiveMs())); j.fresh() && first.Before(until) {
+		until = first
+	}
 	reserve := min(until.Sub(j.req.ReceivedAt)/runReserve, maxRunReserve)
 	w := &balancer.Waiter{
 		ID: j.about.ID, Service: j.service, Adapter: j.adapter, Urgency: j.route.GetPriority(),
