--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -55,7 +55,7 @@
 	mesh        *curator.Mesh
 	peers       *connector.Client
 	relays      *relays
-	servers     []*server.Server
+	servers     []*server.Plain
 	meter       *meter.Meter
 }
 
@@ -168,9 +168,9 @@
 	r.mesh = &curator.Mesh{Curator: r.curator, Leader: r.leader, Client: func(address string) wire.Mesh {
 		return wire.NewMeshProtobufClient("http://"+address, &connector.Client{Timeout: operatorTimeout, Transport: transport})
 	}}
-	r.servers = []*server.Server{
-		{Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log, MaxBody: maxMessage},
-		{Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log, MaxBody: maxDocument},
+	r.servers = []*server.Plain{
+		{Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log},
+		{Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log},
 	}
 }
 
@@ -178,8 +178,6 @@
 	// operatorTimeout is just under the second after which the operator goes on to
 	// another instance.
 	operatorTimeout = 950 * time.Millisecond
-	// maxDocument bounds a table of routes as the operator sends it.
-	maxDocument = 32 << 20
 )
 
 func (r *Routed) policy() placer.Policy {
