--- a/controller/keeper/compaction.go
+++ b/controller/keeper/compaction.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzelead.example/pkg/storer"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -24,6 +25,10 @@
 		return
 	}
 	pending, err := k.Storer.PrepareSnapshot(s)
+	if storer.IsFull(err) {
+		k.Log.Warn("there is no room for a snapshot; the log stays as it is", "Error", err.Error())
+		return
+	}
 	if err != nil {
 		k.request(func(time.Time) { k.fatal = errors.Wrap(err, "keeper") })
 		return
@@ -34,7 +39,13 @@
 			pending.Drop()
 			return
 		}
-		if err := k.Storer.CommitSnapshot(pending, k.Replicator.Stored()); err != nil {
+		err := k.Storer.CommitSnapshot(pending, k.Replicator.Stored())
+		if storer.IsFull(err) {
+			// The old log still holds all that follows the snapshot.
+			k.Log.Warn("there is no room for a new log beside the snapshot", "Error", err.Error())
+			return
+		}
+		if err != nil {
 			k.fatal = errors.Wrap(err, "keeper")
 		}
 	})
--- a/controller/keeper/keeper.go
+++ b/controller/keeper/keeper.go
@@ -103,6 +103,10 @@
 	joined   map[string]joinedMember
 	// fatal is set when the disk failed outside of carryOut.
 	fatal error
+	// held is what could not be stored because the disk is full. Until it is, the member
+	// takes and sends nothing, so that it promises nothing that it does not keep.
+	held      *replicator.Ready
+	heldAgain time.Time
 }
 
 type proposal struct {
@@ -154,8 +158,7 @@
 			k.backlog = k.backlog[1:]
 			continue
 		case <-ticker.Chan():
-			k.Replicator.Tick(k.Clock.Now())
-			k.recruit()
+			k.tick()
 		case messages := <-k.messages:
 			k.step(messages)
 		case p := <-k.proposals:
@@ -166,6 +169,9 @@
 		if k.fatal != nil {
 			return k.fatal
 		}
+		if k.held != nil && k.Clock.Now().Before(k.heldAgain) {
+			continue
+		}
 		k.drain()
 		if err := k.carryOut(); err != nil {
 			return err
@@ -174,6 +180,14 @@
 	}
 }
 
+func (k *Keeper) tick() {
+	if k.held != nil {
+		return
+	}
+	k.Replicator.Tick(k.Clock.Now())
+	k.recruit()
+}
+
 // drain takes in what else waits, so that one sync serves many.
 func (k *Keeper) drain() {
 	for range maxBatch {
@@ -191,12 +205,19 @@
 }
 
 func (k *Keeper) step(messages []*wire.Message) {
+	if k.held != nil {
+		return
+	}
 	for _, m := range messages {
 		k.Replicator.Step(k.Clock.Now(), m)
 	}
 }
 
 func (k *Keeper) propose(p proposal) {
+	if k.held != nil {
+		p.done(recorder.Result{}, ErrNotLeader)
+		return
+	}
 	index, err := k.Replicator.Propose(p.data)
 	if err != nil {
 		p.done(recorder.Result{}, ErrNotLeader)
@@ -209,16 +230,43 @@
 // carryOut does what the replicator asks for until it asks for nothing more.
 func (k *Keeper) carryOut() error {
 	for {
-		rd := k.Replicator.Take()
+		rd := k.take()
 		if rd.Empty() {
 			return nil
 		}
-		if err := k.persist(&rd); err != nil {
+		err := k.persist(rd)
+		if storer.IsFull(err) {
+			k.hold(rd, err)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 		k.Send(k.Replicator.Configuration(), rd.Messages)
-		k.passOn(&rd)
+		k.passOn(rd)
+	}
+}
+
+// take returns what is to be done next: what was held first.
+func (k *Keeper) take() *replicator.Ready {
+	if rd := k.held; rd != nil {
+		k.held = nil
+		return rd
 	}
+	rd := k.Replicator.Take()
+	return &rd
+}
+
+// heldEvery is the time between two tries to store while the disk is full.
+const heldEvery = 200 * time.Millisecond
+
+func (k *Keeper) hold(rd *replicator.Ready, err error) {
+	if k.heldAgain.IsZero() {
+		k.Log.Error("the disk is full; this member waits", "Error", err.Error())
+	}
+	k.held = rd
+	k.heldAgain = k.Clock.Now().Add(heldEvery)
+	k.failWaiting()
 }
 
 func (k *Keeper) persist(rd *replicator.Ready) error {
@@ -230,6 +278,10 @@
 	if err := k.Storer.Append(rd.HardState, rd.Entries); err != nil {
 		return errors.Wrap(err, "keeper")
 	}
+	if !k.heldAgain.IsZero() {
+		k.Log.Info("the disk takes data again")
+		k.heldAgain = time.Time{}
+	}
 	if n := len(rd.Entries); n > 0 {
 		k.Replicator.Synced(rd.Entries[n-1].GetIndex())
 	}
@@ -276,6 +328,11 @@
 
 func (k *Keeper) publish() {
 	r := k.Replicator
+	if k.held != nil {
+		// A leader that waits must not lead by a lease that it can't renew.
+		k.standing.Store(&Standing{Role: replicator.Follower, Term: r.Term(), Configuration: r.Configuration()})
+		return
+	}
 	k.standing.Store(&Standing{
 		Role: r.Role(), Term: r.Term(), TermStart: r.TermStart(), Leader: r.LeaderID(),
 		LeaseUntil: r.LeaseUntil(k.Clock.Now()), Commit: r.Commit(), Last: r.LastIndex(),
--- a/pkg/storer/fault.go
+++ b/pkg/storer/fault.go
@@ -1,6 +1,10 @@
 package storer
 
-import "github.com/pkg/errors"
+import (
+	"syscall"
+
+	"github.com/pkg/errors"
+)
 
 // Kind tells errors of this package apart.
 type Kind int
@@ -11,6 +15,9 @@
 	KindDisk Kind = iota + 1
 	// KindDamaged means that data that had been synced can't be read back.
 	KindDamaged
+	// KindFull means that the disk is full. Nothing was changed, and the same may be tried
+	// again.
+	KindFull
 )
 
 // Error is the error type of this package.
@@ -32,10 +39,19 @@
 	return errors.As(err, &e) && e.Kind == KindDamaged
 }
 
+// IsFull reports whether an error tells of a full disk.
+func IsFull(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == KindFull
+}
+
 func diskFault(operation string, err error) error {
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, syscall.ENOSPC) {
+		return &Error{Operation: operation, Kind: KindFull, cause: errors.WithStack(err)}
+	}
 	return &Error{Operation: operation, Kind: KindDisk, cause: errors.WithStack(err)}
 }
 
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -10,9 +10,11 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/google/renameio/v2"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"bronzelead.example/pkg/wire"
@@ -39,11 +41,15 @@
 // Storer writes to one data folder. Set Folder, then call Open.
 type Storer struct {
 	Folder string
+	// Write writes to the log; nil is the file's own method. Tests let it fail.
+	Write func(f *os.File, b []byte) (int, error)
 
 	log  *os.File
 	lock *os.File
 	buf  []byte
 	hard *wire.HardState
+	// size is the length of the log up to which it is whole.
+	size int64
 }
 
 // Open creates the folder if need be and reads it. An error of kind damaged means
@@ -123,10 +129,31 @@
 	if len(s.buf) == 0 {
 		return nil
 	}
-	if _, err := s.log.Write(s.buf); err != nil {
-		return diskFault("Append", err)
+	write := s.Write
+	if write == nil {
+		write = (*os.File).Write
 	}
-	return diskFault("Append", s.log.Sync())
+	if _, err := write(s.log, s.buf); err != nil {
+		return s.undoAppend(err)
+	}
+	if err := s.log.Sync(); err != nil {
+		return &Error{Operation: "Append", Kind: KindDisk, cause: errors.WithStack(err)}
+	}
+	s.size += int64(len(s.buf))
+	return nil
+}
+
+// undoAppend takes back what a failed write may have left. If the disk was merely full,
+// the same may be appended again later.
+func (s *Storer) undoAppend(cause error) error {
+	if !errors.Is(cause, syscall.ENOSPC) {
+		return diskFault("Append", cause)
+	}
+	if err := s.log.Truncate(s.size); err != nil {
+		// The cause is not passed on: what the disk holds is not known now.
+		return &Error{Operation: "Append", Kind: KindDisk, cause: errors.WithStack(err)}
+	}
+	return diskFault("Append", cause)
 }
 
 // PendingSnapshot is a snapshot that is on disk but does not count yet.
@@ -262,6 +289,7 @@
 	if err := s.log.Truncate(int64(good)); err != nil {
 		return diskFault("Open", err)
 	}
+	s.size = int64(good)
 	return diskFault("Open", s.log.Sync())
 }
 
@@ -307,6 +335,11 @@
 		return diskFault("Open", err)
 	}
 	s.log = log
+	info, err := log.Stat()
+	if err != nil {
+		return diskFault("Open", err)
+	}
+	s.size = info.Size()
 	return nil
 }
 
--- a/pkg/storer/storer_test.go
+++ b/pkg/storer/storer_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -206,3 +207,35 @@
 		c.Assert(again.Entries, qt.HasLen, len(got.Entries))
 	})
 }
+
+// A full disk takes a part of a write. Nothing of it may be read back, and what is
+// appended when there is room again must follow what was stored before.
+func TestFullDisk(t *testing.T) {
+	c := qt.New(t)
+	folder := t.TempDir()
+	full := false
+	s := &storer.Storer{Folder: folder, Write: func(f *os.File, b []byte) (int, error) {
+		if !full {
+			return f.Write(b)
+		}
+		n, err := f.Write(b[:len(b)/2])
+		c.Assert(err, qt.IsNil)
+		return n, &os.PathError{Op: "write", Path: f.Name(), Err: syscall.ENOSPC}
+	}}
+	_, err := s.Open()
+	c.Assert(err, qt.IsNil)
+	entry := func(i uint64) *wire.Entry { return &wire.Entry{Index: i, Term: 1, Data: []byte("some data")} }
+	c.Assert(s.Append(&wire.HardState{Term: 1}, []*wire.Entry{entry(1)}), qt.IsNil)
+	full = true
+	err = s.Append(&wire.HardState{Term: 2}, []*wire.Entry{entry(2), entry(3)})
+	c.Assert(storer.IsFull(err), qt.IsTrue)
+	c.Assert(storer.IsDamaged(err), qt.IsFalse)
+	full = false
+	c.Assert(s.Append(nil, []*wire.Entry{entry(2)}), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	contents, err := (&storer.Storer{Folder: folder}).Open()
+	c.Assert(err, qt.IsNil)
+	c.Check(contents.Cut, qt.Equals, 0)
+	c.Check(contents.Entries, qt.HasLen, 2)
+	c.Check(contents.HardState.GetTerm(), qt.Equals, uint64(1))
+}
