--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -33,11 +33,12 @@
 		f.giveUp(j, d.Reason, d.ComeBack)
 		return false
 	}
+	j.sends++
+	j.last = d.Backend
 	in, err := f.Sender.Send(ctx, f.outgoing(j, d))
 	if err != nil {
 		return f.failed(ctx, j, d.Backend, err)
 	}
-	j.sends++
 	answer := platform.DecodeAnswer(in.Head)
 	switch {
 	case answer.NotRun:
@@ -102,7 +103,6 @@
 	}
 	if sender.KindOf(err) == sender.KindNotSent {
 		f.done(j, backend.GetId(), balancer.Unreachable)
-		j.sends++
 		j.avoid = append(j.avoid, backend.GetId())
 		f.event(j, backend, "the backend server could not be reached: "+err.Error(), 0)
 		if j.sends < maxSends {
@@ -111,7 +111,6 @@
 		f.giveUp(j, "no backend server could be reached", comeBackAfterRejection)
 		return false
 	}
-	j.sends++
 	j.runs++
 	f.done(j, backend.GetId(), balancer.Failed)
 	return f.lost(j, backend, err.Error())
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -31,6 +31,9 @@
 	if j.route != nil {
 		list = append(list, "Route", j.route.GetName(), "Service", j.service, "Adapter", j.adapter)
 	}
+	if backend == nil {
+		backend = j.last
+	}
 	if backend != nil {
 		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
 	}
