--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -206,8 +206,11 @@
 	// leaves is when the caller of a stream leaves before its first event; zero if never.
 	leaves time.Time
 	avoid  []string
-	sends  int
-	runs   int
+	// sends counts the tries, and runs those that may have run; last is where the latest
+	// went.
+	sends int
+	runs  int
+	last  *wire.Announcement
 	// resume is the last event that the caller has got; empty before the first.
 	resume string
 	waited time.Duration
