--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -216,9 +216,9 @@
 				outcome = err.Error()
 			}
 			r.Log.Info("a table was sent", "Version", table.GetVersion(), "Outcome", outcome)
-			var invalid *curator.InvalidTable
+			var invalid *curator.InvalidTableError
 			if errors.As(err, &invalid) {
-				return &platform.Invalid{Reason: invalid.Error()}
+				return &platform.InvalidError{Reason: invalid.Error()}
 			}
 			return err
 		},
--- a/controller/curator/mesh.go
+++ b/controller/curator/mesh.go
@@ -84,29 +84,29 @@
 // with all its faults.
 func (m *Mesh) PutTable(ctx context.Context, table *wire.RoutingTable, document []byte) error {
 	if faults := matcher.Faults(table); len(faults) > 0 {
-		return &InvalidTable{Faults: faults}
+		return &InvalidTableError{Faults: faults}
 	}
-	_, err := m.atLeader(ctx, &wire.PutRequest{Change: &wire.PutRequest_Table{
+	return m.atLeader(ctx, &wire.PutRequest{Change: &wire.PutRequest_Table{
 		Table: &wire.PutTable{Table: table, Document: document},
 	}})
-	return err
 }
 
 // PutVersion names the version that an adapter must have.
 func (m *Mesh) PutVersion(ctx context.Context, version *wire.AdapterVersion) error {
-	_, err := m.atLeader(ctx, &wire.PutRequest{Change: &wire.PutRequest_Version{Version: version}})
-	return err
+	return m.atLeader(ctx, &wire.PutRequest{Change: &wire.PutRequest_Version{Version: version}})
 }
 
-func (m *Mesh) atLeader(ctx context.Context, req *wire.PutRequest) (*wire.PutResponse, error) {
+func (m *Mesh) atLeader(ctx context.Context, req *wire.PutRequest) error {
 	if m.Curator.Keeper.Leads() {
-		return m.Put(ctx, req)
+		_, err := m.Put(ctx, req)
+		return err
 	}
 	leader := m.Leader()
 	if leader == "" {
-		return nil, errNotLeader
+		return errNotLeader
 	}
-	return m.Client(leader).Put(ctx, req)
+	_, err := m.Client(leader).Put(ctx, req)
+	return err
 }
 
 // Document returns the newest document, confirmed by a majority, and false if there is
@@ -146,11 +146,11 @@
 	return nil
 }
 
-// InvalidTable is returned for a table that may not come into force.
-type InvalidTable struct{ Faults []string }
+// InvalidTableError is returned for a table that may not come into force.
+type InvalidTableError struct{ Faults []string }
 
 // Error returns all faults.
-func (e *InvalidTable) Error() string {
+func (e *InvalidTableError) Error() string {
 	text := "the table is invalid"
 	for _, fault := range e.Faults {
 		text += "; " + fault
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -64,7 +64,6 @@
 	waiting  map[*balancer.Waiter]chan balancer.Decision
 	demand   map[string]uint32
 	gateways uint32
-	silent   map[string]bool
 }
 
 // Init prepares the forwarder for calls before Run.
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -134,7 +134,7 @@
 // gateway is a door with a forwarder behind it that knows some backend servers.
 func gateway(c *qt.C, backends ...*backendFake) string {
 	clock := clockwork.NewRealClock()
-	log := slog.New(slog.NewTextHandler(c.TB.Output(), nil))
+	log := slog.New(slog.NewTextHandler(c.Output(), nil))
 	f := &Forwarder{
 		Clock: clock, Log: log, Meter: meter.New("gateway", "test", "z"), Acquire: func([]*wire.Want) {},
 		Budget: Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 200},
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -259,7 +259,7 @@
 	if w.Adapter != "" {
 		holders = b.holding(now, candidates, w.Adapter)
 	}
-	if best := b.best(now, holders, w); best != nil {
+	if best := b.best(now, holders); best != nil {
 		best.own += Weight(w.Tokens)
 		best.using[w.Adapter]++
 		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, nil
@@ -333,7 +333,7 @@
 }
 
 // best returns the least loaded of those with room, or nil.
-func (b *Balancer) best(now time.Time, from []*backend, w *Waiter) *backend {
+func (b *Balancer) best(now time.Time, from []*backend) *backend {
 	var best *backend
 	least := 0.0
 	for _, k := range from {
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -438,7 +438,7 @@
 		delete(p.engines, o.Backend)
 	case o.Kind == Report:
 		p.doneReport(now, e, outcome, state)
-	case outcome == Conflict && !(o.repeated && o.Kind == Unload):
+	case outcome == Conflict && (!o.repeated || o.Kind != Unload):
 		// What the engine has accepted is known only after its reports have caught up.
 		// Requests that wait for adapters here are better served elsewhere.
 		e.reported = false
@@ -496,11 +496,11 @@
 const modelAgain = 100 * time.Millisecond
 
 func (p *Placer) doneModel(now time.Time, e *engine, outcome Outcome) {
-	switch {
-	case outcome == Holds:
+	switch outcome {
+	case Holds:
 		e.model = true
 		p.touch(e)
-	case outcome == Accepted:
+	case Accepted:
 		e.accepted++
 		e.modelAt = now.Add(modelAgain)
 	default:
@@ -513,11 +513,11 @@
 func (p *Placer) doneQuestion(now time.Time, e *engine, o Order, outcome Outcome) {
 	e.asking = false
 	held := e.places[o.Adapter]
-	switch {
-	case outcome == Gone:
+	switch outcome {
+	case Gone:
 		delete(p.engines, o.Backend)
 		return
-	case outcome == Unknown || outcome == Unreachable:
+	case Unknown, Unreachable:
 		p.countFailure(now, e, outcome)
 	default:
 		e.failures = 0
@@ -555,13 +555,13 @@
 	if held == nil || held.state != loading {
 		return
 	}
-	switch {
-	case outcome == Holds:
+	switch outcome {
+	case Holds:
 		p.loaded(now, e, o.Adapter, held)
-	case outcome == Accepted:
+	case Accepted:
 		held.accepted = true
 		held.at = now.Add(p.expected(e, o.Adapter))
-	case outcome == Refused:
+	case Refused:
 		delete(e.places, o.Adapter)
 		e.waitUntil = now.Add(p.policy.UnknownWait)
 	}
