A stopping gateway refuses new requests in time; many gateways hear less often

New requests are now refused from 2.8 s on, as not run, with when to come back; test with it.

Now all together get 400 answers a second about adapters, but those whose requests wait for one are told when it is there; tables, versions and servers go out at once as before.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -29,6 +29,10 @@
 	tickEvery = 20 * time.Millisecond
 	// gatewayLease is how long a gateway's loads count after its last call: a few calls.
 	gatewayLease = 1500 * time.Millisecond
+	// answersPerSecond bounds the answers to all gateways together that only tell where
+	// adapters are. With few gateways each is told at once; with many, bytes between zones
+	// and the leader's time go before it, but for gateways whose requests wait.
+	answersPerSecond = 400
 	// summaryEvery is the time between two log lines on the placement as a whole.
 	summaryEvery = time.Second
 	// forgetAfter is how long backend servers that left are remembered, so that late
@@ -98,8 +102,17 @@
 	seen    time.Time
 	address string
 	loads   []*wire.Load
+	// answered is when it was last told of news.
+	answered time.Time
+	// wants are the adapters that its requests wait for, and when it said so last; urgent
+	// is set once one of them is there.
+	wants  map[string]time.Time
+	urgent bool
 }
 
+// wantLease is how long a gateway is told at once of an adapter that it asked for.
+const wantLease = 3 * time.Second
+
 // Init prepares the curator for calls before Run.
 func (c *Curator) Init() {
 	c.calls = make(chan func(time.Time), callRing)
@@ -276,6 +289,7 @@
 		return
 	}
 	c.placer.SetUse(c.uses())
+	c.wake(now)
 	if now.Sub(c.summarized) >= summaryEvery {
 		c.summarized = now
 		c.Log.Info("placement", "Summary", c.placer.Summary(), "Gateways", len(c.gateways))
@@ -297,6 +311,18 @@
 	})
 }
 
+// wake marks the gateways whose requests wait for adapters that have come.
+func (c *Curator) wake(now time.Time) {
+	for _, adapter := range c.placer.TakeLoaded() {
+		for _, g := range c.gateways {
+			if said, ok := g.wants[adapter]; ok {
+				g.urgent = g.urgent || now.Sub(said) < wantLease
+				delete(g.wants, adapter)
+			}
+		}
+	}
+}
+
 // uses sums up what the gateways have at each backend server.
 func (c *Curator) uses() map[string]*placer.Use {
 	total := map[string]*placer.Use{}
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -23,8 +23,8 @@
 	err := c.Call(ctx, func(now time.Time) {
 		w.deadline = now.Add(time.Duration(req.GetWaitMs()) * time.Millisecond)
 		c.hear(now, req)
-		if c.hasNews(req) || !now.Before(w.deadline) {
-			w.answer <- c.news(req)
+		if c.isDue(now, w) {
+			c.answer(now, w)
 			return
 		}
 		c.waiters = append(c.waiters, w)
@@ -42,7 +42,12 @@
 
 // hear takes in what a gateway says of its requests.
 func (c *Curator) hear(now time.Time, req *wire.SyncRequest) {
-	c.gateways[req.GetGateway()] = &gatewayState{seen: now, address: req.GetAddress(), loads: req.GetLoads()}
+	g := c.gateways[req.GetGateway()]
+	if g == nil {
+		g = &gatewayState{wants: map[string]time.Time{}}
+		c.gateways[req.GetGateway()] = g
+	}
+	g.seen, g.address, g.loads = now, req.GetAddress(), req.GetLoads()
 	if c.placer == nil {
 		return
 	}
@@ -59,10 +64,16 @@
 		if !leads || c.placer == nil {
 			return
 		}
+		g := c.gateways[req.GetGateway()]
 		for _, w := range req.GetWants() {
 			c.placer.Want(now, w.GetAdapter(), w.GetAvoid())
+			if g != nil {
+				g.wants[w.GetAdapter()] = now
+				g.urgent = g.urgent || c.placer.Ready(w.GetAdapter())
+			}
 		}
 		c.plan(now)
+		c.answerWaiters(now)
 	})
 	if err == nil && !leads {
 		return errNotLeader
@@ -73,22 +84,43 @@
 func (c *Curator) answerWaiters(now time.Time) {
 	kept := c.waiters[:0]
 	for _, w := range c.waiters {
-		if now.Before(w.deadline) && !c.hasNews(w.request) {
+		if !c.isDue(now, w) {
 			kept = append(kept, w)
 			continue
 		}
-		w.answer <- c.news(w.request)
+		c.answer(now, w)
 	}
 	clear(c.waiters[len(kept):])
 	c.waiters = kept
 }
 
-func (c *Curator) hasNews(req *wire.SyncRequest) bool {
+// isDue reports whether a call is to be answered now.
+func (c *Curator) isDue(now time.Time, w *waiter) bool {
+	if !now.Before(w.deadline) || c.hasUrgentNews(w.request) {
+		return true
+	}
+	if c.placer == nil || w.request.GetHoldingRevision() >= c.placer.Revision() {
+		return false
+	}
+	g := c.gateways[w.request.GetGateway()]
+	interval := time.Second * time.Duration(len(c.gateways)) / answersPerSecond
+	return g == nil || g.urgent || now.Sub(g.answered) >= interval
+}
+
+func (c *Curator) answer(now time.Time, w *waiter) {
+	if g := c.gateways[w.request.GetGateway()]; g != nil {
+		g.answered = now
+		g.urgent = false
+	}
+	w.answer <- c.news(w.request)
+}
+
+// hasUrgentNews reports whether there is something that all gateways must know soon.
+func (c *Curator) hasUrgentNews(req *wire.SyncRequest) bool {
 	return req.GetEpoch() != c.epoch ||
 		req.GetAnnouncementRevision() != c.tracker.Revision() ||
 		req.GetVersionRevision() != c.versions ||
-		req.GetTableVersion() < c.state.Table().GetTable().GetVersion() ||
-		c.placer != nil && req.GetHoldingRevision() < c.placer.Revision()
+		req.GetTableVersion() < c.state.Table().GetTable().GetVersion()
 }
 
 func (c *Curator) news(req *wire.SyncRequest) *wire.SyncResponse {
--- a/gateway/app/routed_settings.go
+++ b/gateway/app/routed_settings.go
@@ -53,6 +53,7 @@
 // StopSettings bound a planned stop.
 type StopSettings struct {
 	Grace time.Duration `help:"How long a planned stop may take."`
+	Take  time.Duration `help:"How long new requests are still taken after a stop has begun, so that they can end within Grace; later ones are refused."`
 	Drain time.Duration `help:"How long new connections are still taken after a stop has begun, for the balancer in front to look elsewhere."`
 }
 
@@ -65,7 +66,7 @@
 			Unacknowledged: 2 * time.Second,
 		},
 		Budget: BudgetSettings{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
-		Stop:   StopSettings{Grace: 8 * time.Second, Drain: 4 * time.Second},
+		Stop:   StopSettings{Grace: 8 * time.Second, Take: 2800 * time.Millisecond, Drain: 4 * time.Second},
 		Log:    LogSettings{Level: "Info"},
 	}
 }
@@ -84,8 +85,10 @@
 			}
 		}
 	}
-	if s.Stop.Drain >= s.Stop.Grace {
-		faults = append(faults, configurer.Fault{File: file, Section: "Stop", Key: "Drain", Problem: "it must be shorter than Grace"})
+	if s.Stop.Drain >= s.Stop.Grace || s.Stop.Take > s.Stop.Drain {
+		faults = append(faults, configurer.Fault{
+			File: file, Section: "Stop", Key: "Drain", Problem: "it must be shorter than Grace, and not shorter than Take",
+		})
 	}
 	return s, faults
 }
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -239,7 +239,7 @@
 		return
 	}
 	client := &connector.Client{Timeout: acquireTimeout, Transport: f.transport()}
-	_, err := wire.NewMeshProtobufClient("http://"+leader, client).Acquire(ctx, &wire.AcquireRequest{Wants: wants})
+	_, err := wire.NewMeshProtobufClient("http://"+leader, client).Acquire(ctx, &wire.AcquireRequest{Wants: wants, Gateway: f.Gateway})
 	if err == nil {
 		return
 	}
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,6 +30,9 @@
 	sweepEvery = time.Second
 	// comeBackWithoutTable is when to come back to a gateway that has just started.
 	comeBackWithoutTable = 300 * time.Millisecond
+	// comeBackElsewhere is when to come back to a gateway that stops: at once, since a new
+	// connection leads to another one.
+	comeBackElsewhere = 20 * time.Millisecond
 	// maxSends bounds how often one request is sent, whatever the route allows: refusals
 	// that certainly did not run are no attempts, but must not go on for ever.
 	maxSends = 4
@@ -57,6 +61,7 @@
 	// Acquire asks the leader for adapters. It must not block.
 	Acquire func(wants []*wire.Want)
 
+	closed   atomic.Bool
 	mu       sync.Mutex
 	balancer *balancer.Balancer
 	table    *matcher.Matcher
@@ -227,8 +232,15 @@
 	}
 }
 
+// Close refuses requests from here on; those that were taken go on.
+func (f *Forwarder) Close() { f.closed.Store(true) }
+
 // admit finds the route and the time of a request, or refuses it.
 func (f *Forwarder) admit(j *job) bool {
+	if f.closed.Load() {
+		f.refuse(j, statusUnavailable, "this gateway stops", comeBackElsewhere)
+		return false
+	}
 	f.mu.Lock()
 	table := f.table
 	f.mu.Unlock()
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -133,6 +133,11 @@
 
 // gateway is a door with a forwarder behind it that knows some backend servers.
 func gateway(c *qt.C, backends ...*backendFake) string {
+	address, _ := gatewayAndForwarder(c, backends...)
+	return address
+}
+
+func gatewayAndForwarder(c *qt.C, backends ...*backendFake) (string, *Forwarder) {
 	clock := clockwork.NewRealClock()
 	log := slog.New(slog.NewTextHandler(c.Output(), nil))
 	f := &Forwarder{
@@ -158,7 +163,7 @@
 	door := &doorkeeper.Doorkeeper{Clock: clock, Log: log, Address: "127.0.0.1:0", Handle: f.Handle}
 	c.Assert(door.Start(), qt.IsNil)
 	c.Cleanup(func() { _ = door.Stop(ctx) })
-	return door.Addr()
+	return door.Addr(), f
 }
 
 // got is what a caller received.
@@ -333,3 +338,25 @@
 	c.Assert(conn.Close(), qt.IsNil)
 	<-ended
 }
+
+// A gateway that stops refuses new requests in time, and ends those that it took.
+func TestClosedForwarderRefuses(t *testing.T) {
+	c := qt.New(t)
+	began, release := make(chan struct{}), make(chan struct{})
+	b := newBackend(c, "b1", func(b *backendFake, req *http.Request, conn net.Conn) bool {
+		close(began)
+		<-release
+		answer(conn, req, http.StatusOK, "done", "Server-Stamp: "+b.id)
+		return true
+	})
+	address, f := gatewayAndForwarder(c, b)
+	taken := make(chan got, 1)
+	go func() { taken <- call(c, address, "/once/") }()
+	<-began
+	f.Close()
+	refused := call(c, address, "/once/")
+	c.Check(refused.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(refused.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	close(release)
+	c.Check((<-taken).body, qt.Equals, "done")
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -152,6 +152,8 @@
 	// learnt number that it carries at once.
 	coldLoad  time.Duration
 	maxComing float64
+	// fresh are adapters that were loaded since TakeLoaded was called last.
+	fresh []string
 	// modelLoadAt is when the weight store allows the next load of a base model.
 	modelLoadAt time.Time
 }
@@ -467,6 +469,23 @@
 	return float64(x>>11) / (1 << 53)
 }
 
+// TakeLoaded returns the adapters that were loaded since the last call.
+func (p *Placer) TakeLoaded() []string {
+	fresh := p.fresh
+	p.fresh = nil
+	return fresh
+}
+
+// Ready reports whether requests may use an adapter somewhere.
+func (p *Placer) Ready(adapter string) bool {
+	for _, e := range p.engines {
+		if held := e.places[adapter]; held != nil && held.state == ready && e.serves() {
+			return true
+		}
+	}
+	return false
+}
+
 // Revision grows with each change of what the gateways have to know.
 func (p *Placer) Revision() uint64 { return p.revision }
 
