--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -196,8 +196,10 @@
 	switch {
 	case ratio > slowLoad && float64(held.coming) >= p.maxComing/2:
 		share := max(leastComing, float64(held.coming)/ratio)
+		p.learnt = true
 		p.maxComing += (share - p.maxComing) * comingMemory
 	case ratio < freeLoad && float64(held.coming) >= p.maxComing-2:
+		p.learnt = true
 		p.maxComing++
 	}
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -152,6 +152,8 @@
 	// learnt number that it carries at once.
 	coldLoad  time.Duration
 	maxComing float64
+	// learnt is set once a load has changed maxComing.
+	learnt bool
 	// fresh are adapters that were loaded since TakeLoaded was called last.
 	fresh []string
 	// modelLoadAt is when the weight store allows the next load of a base model.
@@ -172,8 +174,12 @@
 	requests int
 }
 
-// firstMaxComing is assumed until loads have shown how many the weight store carries.
-const firstMaxComing = 32
+// Until loads have shown how many the weight store carries at once, two for each engine
+// are assumed, and at least firstMaxComing.
+const (
+	firstMaxComing  = 24
+	comingPerEngine = 2
+)
 
 // New returns a placer that knows nothing yet.
 func New(policy Policy) *Placer {
@@ -265,6 +271,9 @@
 // changes something, and one question.
 func (p *Placer) Plan(now time.Time) []Order {
 	p.forget(now)
+	if !p.learnt {
+		p.maxComing = max(firstMaxComing, float64(comingPerEngine*len(p.engines)))
+	}
 	p.assignWants(now)
 	p.assignVersions()
 	p.assignCopies(now)
