Hot adapters: a copy for each 16 requests a second, and when their engine is crowded

Engines with 64 slots were given 64 requests a second of one adapter before another copy was made, while reading its prompts alone takes 15 ms each. Ruled out: a leak of counted loads.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -260,9 +260,13 @@
 		holders = b.holding(now, candidates, w.Adapter)
 	}
 	if best := b.best(now, holders); best != nil {
+		var more *wire.Want
+		if w.Adapter != "" && b.crowded(best, candidates) {
+			more = b.want(now, w, without(candidates, holders))
+		}
 		best.own += Weight(w.Tokens)
 		best.using[w.Adapter]++
-		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, nil
+		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, more
 	}
 	if !now.Before(w.GiveUp) {
 		reason, comeBack := ReasonTimeout, comeBackWhenFull
@@ -302,6 +306,28 @@
 	return want
 }
 
+const (
+	// crowdedLoad is the part of its slots, and crowdedRatio the load against the mean of
+	// its peers, from which an engine is too busy to serve an adapter alone.
+	crowdedLoad  = 0.3
+	crowdedRatio = 1.6
+)
+
+// crowded reports whether the least busy holder of an adapter is much busier than the
+// engines on the whole. If all are busy, a further copy would help nobody.
+func (b *Balancer) crowded(best *backend, peers []*backend) bool {
+	sum := 0.0
+	for _, k := range peers {
+		sum += k.load()
+	}
+	return best.load() > crowdedLoad && best.load()*float64(len(peers)) > crowdedRatio*sum
+}
+
+// without returns the backend servers of a list that are not in another.
+func without(list, others []*backend) []*backend {
+	return slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return slices.Contains(others, k) })
+}
+
 // candidates returns the backend servers that may get a request now, full or not.
 func (b *Balancer) candidates(now time.Time, w *Waiter) []*backend {
 	all := b.byService[w.Service]
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -226,3 +226,35 @@
 	c.Check(decide(b, begin(), waiters...)["hot"], qt.Equals, "a")
 	c.Check(b.Waiting(), qt.Equals, 16)
 }
+
+// A hot adapter at one engine: when that engine is much busier than the others, a copy
+// elsewhere is asked for, and not while all are busy.
+func TestCrowdedEnginesGetHelp(t *testing.T) {
+	for name, test := range map[string]struct {
+		others map[string]uint32
+		want   int
+	}{
+		"idle":                  {nil, 0},
+		"the holder is crowded": {map[string]uint32{"a": 3}, 1},
+		"all are crowded":       {map[string]uint32{"a": 3, "b": 3, "c": 2}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b", "c")
+			hold(b, 1, "a", "m/hot@0")
+			var loads []*wire.Load
+			for id, n := range test.others {
+				loads = append(loads, &wire.Load{Backend: id, Requests: n})
+			}
+			b.SetLoads(loads)
+			b.Enqueue(waiter("w", adapter("m/hot")))
+			decisions, wants := b.Next(begin())
+			c.Assert(decisions, qt.HasLen, 1)
+			c.Check(decisions[0].Backend.GetId(), qt.Equals, "a")
+			c.Assert(wants, qt.HasLen, test.want)
+			if test.want > 0 {
+				c.Check(wants[0].GetAvoid(), qt.DeepEquals, []string{"a"})
+			}
+		})
+	}
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -42,8 +42,10 @@
 	// RunTime is the expected time of a request at an engine.
 	RunTime time.Duration
 	// FillPerCopy is the part of an engine's slots that one adapter's requests may take
-	// before it gets another copy.
+	// before it gets another copy, and RatePerCopy the requests a second: an engine with
+	// many slots is slowed down by reading prompts long before its slots are taken.
 	FillPerCopy float64
+	RatePerCopy float64
 	// WantFor is how long a wish is kept that can't be fulfilled.
 	WantFor time.Duration
 	// IdleFor is how long nobody must have asked for an adapter before it is unloaded, and
@@ -62,7 +64,7 @@
 	return Policy{
 		Reserve: 1, MaxComing: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
 		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
-		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4,
+		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4, RatePerCopy: 16,
 		WantFor: 700 * time.Millisecond, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
 		UnloadAgain: 60 * time.Millisecond, LostLoad: 3 * time.Second,
 	}
@@ -392,8 +394,8 @@
 		if have == 0 || slots == 0 {
 			continue
 		}
-		running := rate * p.policy.RunTime.Seconds()
-		if running <= float64(have)*float64(slots)*p.policy.FillPerCopy {
+		perCopy := min(p.policy.RatePerCopy, float64(slots)*p.policy.FillPerCopy/p.policy.RunTime.Seconds())
+		if rate <= float64(have)*perCopy {
 			continue
 		}
 		if e := p.chooseEngine(now, adapter, nil); e != nil {
