--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -84,6 +84,9 @@
 	logBytes   int
 	compacting atomic.Bool
 
+	// led is set once a leader was known in this life. Before that, the table of the last
+	// snapshot may be an old one.
+	led     bool
 	tracker *tracker.Tracker
 	// taken is the revision of the tracker that the placer knows.
 	taken    uint64
@@ -254,6 +257,7 @@
 func (c *Curator) follow(now time.Time) {
 	standing := c.Keeper.Standing()
 	leads := standing.Leads(now)
+	c.led = c.led || leads || standing.Leader != ""
 	switch {
 	case leads && c.term != standing.Term && c.state.Applied() >= standing.TermStart:
 		c.begin(now, standing.Term)
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -120,7 +120,15 @@
 	return req.GetEpoch() != c.epoch ||
 		req.GetAnnouncementRevision() != c.tracker.Revision() ||
 		req.GetVersionRevision() != c.versions ||
-		req.GetTableVersion() < c.state.Table().GetTable().GetVersion()
+		req.GetTableVersion() < c.table().GetVersion()
+}
+
+// table returns the table that gateways may be told of, or nil.
+func (c *Curator) table() *wire.RoutingTable {
+	if !c.led {
+		return nil
+	}
+	return c.state.Table().GetTable()
 }
 
 func (c *Curator) news(req *wire.SyncRequest) *wire.SyncResponse {
@@ -138,7 +146,7 @@
 	if req.GetVersionRevision() != c.versions {
 		res.Versions = c.state.AdapterVersions()
 	}
-	if table := c.state.Table().GetTable(); table != nil {
+	if table := c.table(); table != nil {
 		res.TableVersion = table.GetVersion()
 		if req.GetWantTable() && table.GetVersion() > req.GetTableVersion() {
 			res.Table = table
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -610,6 +610,10 @@
 			places[adapter].state, places[adapter].at, places[adapter].pending = held.state, held.at, held.pending
 		}
 		e.remember(adapter)
+		if p.demand[adapter] == nil {
+			// A leader that has just begun knows of no requests; what is there was wanted.
+			p.demand[adapter] = &demand{rate: assumedRate, last: now.Add(-p.policy.IdleFor)}
+		}
 	}
 	for _, qualified := range state.Coming {
 		adapter, version := splitVersion(qualified)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -526,6 +526,9 @@
 
 const (
 	ln2 = 0.6931
+	// assumedRate is the requests a second that are assumed for adapters which an engine
+	// held before their leader began: a few times that of one that was asked for once.
+	assumedRate = 0.5
 	// negligibleRate is the requests a second below which demand is forgotten.
 	negligibleRate = 0.001
 )
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -317,3 +317,24 @@
 		c.Check(loads[i]-loads[i-1] >= 500*time.Millisecond, qt.IsTrue)
 	}
 }
+
+// A leader that has just begun does not give up what it finds for the first rare adapter
+// that is asked for, while there are others to give up.
+func TestNewLeadersKeepWhatTheyFind(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 1, 6)
+	for i := range 5 {
+		w.fakes["e0"].held[name(i)] = 0
+	}
+	w.pass(100 * time.Millisecond)
+	for i := range 4 {
+		w.p.Demand(w.now, name(100+i), 1)
+		w.p.Want(w.now, name(100+i), nil)
+		w.pass(900 * time.Millisecond)
+	}
+	kept := 0
+	for i := range 5 {
+		kept += w.usable(name(i))
+	}
+	c.Check(kept >= 4, qt.IsTrue, qt.Commentf("%d of 5 kept", kept))
+}
