Placement: plans that do not grow with everything

Each end of an order planned anew: 700 wants times 56 engines, and for each adapter a search in lists. Orders to engines that had crashed came every 2 s instead of every 250 ms, and 40 of 56 engines counted as unusable. Change: an index of where adapters are, built once a plan; plans at ticks and at most each 5 ms for new wants; the end of an order looks at one engine only.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -33,6 +33,9 @@
 	// adapters are. With few gateways each is told at once; with many, bytes between zones
 	// and the leader's time go before it, but for gateways whose requests wait.
 	answersPerSecond = 400
+	// planSpacing is the least time between two plans: a plan looks at all engines and at
+	// all that is wanted.
+	planSpacing = 5 * time.Millisecond
 	// summaryEvery is the time between two log lines on the placement as a whole.
 	summaryEvery = time.Second
 	// forgetAfter is how long backend servers that left are remembered, so that late
@@ -97,6 +100,7 @@
 	term        uint64
 	ordersAfter time.Time
 	summarized  time.Time
+	planned     time.Time
 	placer      *placer.Placer
 }
 
@@ -242,6 +246,7 @@
 	c.takeChanges()
 	c.follow(now)
 	if c.placer != nil {
+		c.placer.SetUse(c.uses())
 		c.plan(now)
 	}
 	for name, g := range c.gateways {
@@ -292,7 +297,7 @@
 	if !c.leads(now) || now.Before(c.ordersAfter) {
 		return
 	}
-	c.placer.SetUse(c.uses())
+	c.planned = now
 	c.wake(now)
 	if now.Sub(c.summarized) >= summaryEvery {
 		c.summarized = now
@@ -303,13 +308,30 @@
 	}
 }
 
+// planSoon plans at once, unless that was done just now: then the next tick does.
+func (c *Curator) planSoon(now time.Time) {
+	if now.Sub(c.planned) >= planSpacing {
+		c.plan(now)
+	}
+}
+
+// giveNext gives an engine its next orders.
+func (c *Curator) giveNext(now time.Time, backend string) {
+	if !c.leads(now) || now.Before(c.ordersAfter) {
+		return
+	}
+	for _, order := range c.placer.Next(now, backend) {
+		c.carry(order)
+	}
+}
+
 func (c *Curator) carry(order placer.Order) {
 	term := c.term
 	c.Carry(order, term, func(outcome placer.Outcome, state *placer.State) {
 		c.calls <- func(now time.Time) {
 			if c.term == term && c.placer != nil {
 				c.placer.Done(now, order, outcome, state)
-				c.plan(now)
+				c.giveNext(now, order.Backend)
 			}
 		}
 	})
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -72,7 +72,7 @@
 				g.urgent = g.urgent || c.placer.Ready(w.GetAdapter())
 			}
 		}
-		c.plan(now)
+		c.planSoon(now)
 		c.answerWaiters(now)
 	})
 	if err == nil && !leads {
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -66,15 +66,17 @@
 	// waitUntil is when the engine may be given orders again.
 	waitUntil time.Time
 	places    map[string]*place
-	// recent are adapters that were held lately, the latest last.
-	recent []string
+	// recent are adapters that were held lately, by the number of the load or unload at
+	// which they were seen last, of those that loads counts.
+	recent map[string]int
+	loads  int
 	// queue are adapters to be loaded.
 	queue    []string
 	use      Use
 	revision uint64
 }
 
-func newEngine() *engine { return &engine{places: map[string]*place{}} }
+func newEngine() *engine { return &engine{places: map[string]*place{}, recent: map[string]int{}} }
 
 func (e *engine) open() bool {
 	return !e.info.GetDraining() && !e.info.GetSilent() && !e.info.GetGone()
@@ -118,7 +120,7 @@
 	// leastHostAdapters bounds what is learnt from loads that took long for other reasons.
 	leastHostAdapters = 32
 	// maxRecent bounds the adapters that are remembered of one engine.
-	maxRecent = 2000
+	maxRecent = 1000
 )
 
 // warm reports whether an engine probably keeps a copy of an adapter's weights.
@@ -127,20 +129,27 @@
 	return depth >= 0 && depth < p.hostAdapters+hostProbe
 }
 
-// depth returns how many adapters were held since the engine last had this one, or -1.
+// depth returns about how many adapters were held since the engine last had this one, or
+// -1 if that is not known.
 func (e *engine) depth(adapter string) int {
-	at := slices.Index(e.recent, adapter)
-	if at < 0 {
+	at, ok := e.recent[adapter]
+	if !ok {
 		return -1
 	}
-	return len(e.recent) - 1 - at
+	// Each adapter is seen twice, as it comes and as it goes.
+	return (e.loads - at) / 2
 }
 
 func (e *engine) remember(adapter string) {
-	e.recent = slices.DeleteFunc(e.recent, func(a string) bool { return a == adapter })
-	e.recent = append(e.recent, adapter)
-	if over := len(e.recent) - maxRecent; over > 0 {
-		e.recent = slices.Delete(e.recent, 0, over)
+	e.loads++
+	e.recent[adapter] = e.loads
+	if len(e.recent) <= maxRecent {
+		return
+	}
+	for old, at := range e.recent {
+		if e.loads-at > maxRecent {
+			delete(e.recent, old)
+		}
 	}
 }
 
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -154,6 +154,8 @@
 	// learnt number that it carries at once.
 	coldLoad  time.Duration
 	maxComing float64
+	// index lists the engines at which each adapter is or soon will be, as of the last plan.
+	index map[string][]string
 	// learnt is set once a load has changed maxComing.
 	learnt bool
 	// fresh are adapters that were loaded since TakeLoaded was called last.
@@ -269,39 +271,75 @@
 	}
 }
 
-// Plan returns the orders to give now. Each engine has at most one under way that
-// changes something, and one question.
+// Plan decides anew where what is wanted goes, and returns the orders to give now. Each
+// engine has at most one under way that changes something, and one question. Its time
+// grows with the engines and what is wanted; Next is enough after the end of one order.
 func (p *Placer) Plan(now time.Time) []Order {
 	p.forget(now)
 	if !p.learnt {
 		p.maxComing = max(firstMaxComing, float64(comingPerEngine*len(p.engines)))
 	}
+	p.buildIndex()
 	p.assignWants(now)
 	p.assignVersions()
 	p.assignCopies(now)
 	var orders []Order
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
-		e := p.engines[id]
-		if now.Before(e.waitUntil) {
-			continue
-		}
-		if o, ok := p.question(now, e); ok && !e.asking && e.reported {
+		orders = append(orders, p.Next(now, id)...)
+	}
+	return orders
+}
+
+// Next returns the orders to give to one engine now.
+func (p *Placer) Next(now time.Time, id string) []Order {
+	e := p.engines[id]
+	if e == nil || now.Before(e.waitUntil) {
+		return nil
+	}
+	var orders []Order
+	if o, ok := p.question(now, e); ok && !e.asking && e.reported {
+		o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
+		e.asking = true
+		orders = append(orders, o)
+	}
+	if e.busy {
+		return orders
+	}
+	if o, ok := p.nextOrder(now, e); ok {
+		if !o.repeated {
 			o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
-			e.asking = true
-			orders = append(orders, o)
 		}
-		if e.busy {
+		e.busy = true
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// buildIndex notes at which engines each adapter is or soon will be.
+func (p *Placer) buildIndex() {
+	p.index = make(map[string][]string, len(p.index))
+	for id, e := range p.engines {
+		if !e.serves() {
 			continue
 		}
-		if o, ok := p.nextOrder(now, e); ok {
-			if !o.repeated {
-				o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
+		for adapter, held := range e.places {
+			if held.state != dropping {
+				p.index[adapter] = append(p.index[adapter], id)
+			}
+		}
+		for _, adapter := range e.queue {
+			if e.places[adapter] == nil {
+				p.index[adapter] = append(p.index[adapter], id)
 			}
-			e.busy = true
-			orders = append(orders, o)
 		}
 	}
-	return orders
+}
+
+// enqueue lets an engine load an adapter next.
+func (p *Placer) enqueue(id, adapter string) {
+	e := p.engines[id]
+	e.queue = append(e.queue, adapter)
+	p.index[adapter] = append(p.index[adapter], id)
 }
 
 func (p *Placer) forget(now time.Time) {
@@ -339,39 +377,48 @@
 		}
 		return compareText(a, b)
 	})
+	misses := 0
 	for _, adapter := range waiting {
 		w := p.wants[adapter]
 		if p.usable(adapter, w.avoid) {
 			delete(p.wants, adapter)
 			continue
 		}
-		if e := p.chooseEngine(now, adapter, w.avoid); e != nil {
-			e.queue = append(e.queue, adapter)
+		if misses == maxMisses {
+			continue
+		}
+		if id := p.chooseEngine(now, adapter, w.avoid); id != "" {
+			p.enqueue(id, adapter)
 			delete(p.wants, adapter)
+			continue
 		}
+		misses++
 	}
 }
 
+// maxMisses bounds the adapters for which a plan looks for an engine in vain: when the
+// queues are full, hundreds may wait, and a plan must not take longer for it.
+const maxMisses = 32
+
 // usable reports whether an adapter is, or soon will be, at an engine that may be used.
 func (p *Placer) usable(adapter string, avoid []string) bool {
-	for id, e := range p.engines {
-		if slices.Contains(avoid, id) || !e.serves() {
+	found := false
+	for _, id := range p.index[adapter] {
+		if slices.Contains(avoid, id) {
 			continue
 		}
+		e := p.engines[id]
 		held := e.places[adapter]
 		if held != nil && held.state == leaving {
 			// It has not gone yet, and may as well stay.
 			held.state = ready
 			p.touch(e)
 		}
-		if held != nil && held.state != dropping && held.version >= p.versions[adapter] || slices.Contains(e.queue, adapter) {
-			return true
-		}
+		found = found || held == nil || held.version >= p.versions[adapter]
 	}
-	return false
+	return found
 }
 
-// assignVersions lets engines replace adapters of which a newer version was named.
 func (p *Placer) assignVersions() {
 	for _, e := range p.engines {
 		for adapter, held := range e.places {
@@ -398,20 +445,16 @@
 		if rate <= float64(have)*perCopy {
 			continue
 		}
-		if e := p.chooseEngine(now, adapter, nil); e != nil {
-			e.queue = append(e.queue, adapter)
+		if id := p.chooseEngine(now, adapter, nil); id != "" {
+			p.enqueue(id, adapter)
 		}
 	}
 }
 
-// copies counts where an adapter is or soon will be.
+// copies counts where an adapter is or soon will be, as of the last plan.
 func (p *Placer) copies(adapter string) (count int, slots uint32) {
-	for _, e := range p.engines {
-		if !e.serves() {
-			continue
-		}
-		held := e.places[adapter]
-		if held != nil && held.state != dropping || slices.Contains(e.queue, adapter) {
+	for _, id := range p.index[adapter] {
+		if e := p.engines[id]; e != nil {
 			count++
 			slots = max(slots, e.info.GetSlots())
 		}
@@ -419,26 +462,19 @@
 	return count, slots
 }
 
-// chooseEngine returns the engine that should load an adapter, or nil when none can.
+// chooseEngine returns the engine that should load an adapter, or "" when none can.
 // Each adapter prefers the same few engines, which keep a copy of its weights and of
 // its prompts; among these the least loaded is taken.
-func (p *Placer) chooseEngine(now time.Time, adapter string, avoid []string) *engine {
-	var best *engine
-	least := 0.0
+func (p *Placer) chooseEngine(now time.Time, adapter string, avoid []string) string {
+	best, least := "", 0.0
 	for id, e := range p.engines {
 		held := e.places[adapter]
-		if !e.takesOrders() || slices.Contains(avoid, id) || held != nil || slices.Contains(e.queue, adapter) {
-			continue
-		}
-		limit := maxQueue
-		if p.warm(e, adapter) {
-			limit = maxWarmQueue
-		}
-		if len(e.queue) >= limit {
+		full := len(e.queue) >= maxWarmQueue || len(e.queue) >= maxQueue && !p.warm(e, adapter)
+		if full || held != nil || !e.takesOrders() || slices.Contains(avoid, id) || slices.Contains(e.queue, adapter) {
 			continue
 		}
-		if cost := p.cost(now, e, id, adapter); best == nil || cost < least {
-			best, least = e, cost
+		if cost := p.cost(now, e, id, adapter); best == "" || cost < least {
+			best, least = id, cost
 		}
 	}
 	return best
