--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -180,7 +180,7 @@
 	askEarly = 0.92
 	// coldMemory is the weight of one load in the usual time, which stays within a factor
 	// of coldBound of the one in the policy.
-	coldMemory = 1.0 / 16
+	coldMemory = 1.0 / 8
 	coldBound  = 2.0
 	// slowLoad is the time, against the usual, from which the weight store seems to
 	// have been shared by too many loads, and freeLoad the one up to which it was not.
@@ -197,7 +197,13 @@
 // all of them late.
 func (p *Placer) learnCold(held *place, took time.Duration) {
 	if float64(held.coming) < p.maxComing/2 {
-		usual := float64(p.coldLoad) + (float64(took)-float64(p.coldLoad))*coldMemory
+		memory := coldMemory
+		if took > p.coldLoad {
+			// Late answers and lost ones make loads look longer, and nothing makes them look
+			// shorter: so it is mostly the short ones that count.
+			memory = coldMemory / 16
+		}
+		usual := float64(p.coldLoad) + (float64(took)-float64(p.coldLoad))*memory
 		bound := float64(p.policy.ColdLoad)
 		p.coldLoad = time.Duration(min(max(usual, bound/coldBound), bound*coldBound))
 	}
