--- /dev/null
+++ b/pkg/placer/assigner.go
@@ -0,0 +1,176 @@
+package placer
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// enqueue lets an engine load an adapter next.
+func (p *Placer) enqueue(id, adapter string) {
+	e := p.engines[id]
+	e.queue = append(e.queue, adapter)
+	p.index[adapter] = append(p.index[adapter], id)
+}
+
+// maxQueue bounds the adapters that wait at one engine. What waits beyond that is kept
+// in one list, so that the choice of what is loaded next is made late.
+const maxQueue = 3
+
+// maxWarmQueue is the bound for adapters whose weights the engine keeps: waiting for a
+// place there is shorter than a load from the weight store elsewhere.
+const maxWarmQueue = 6
+
+// assignWants chooses engines for adapters that requests wait for. The adapter for which
+// most requests wait goes first, and among equals the one that was asked for last: when
+// not all can be loaded in time, requests that have just come can still be answered
+// within their objective, and those that have waited long can not.
+func (p *Placer) assignWants(now time.Time) {
+	waiting := slices.SortedFunc(maps.Keys(p.wants), func(a, b string) int {
+		if n := p.wants[b].requests - p.wants[a].requests; n != 0 {
+			return n
+		}
+		if c := p.wants[b].since.Compare(p.wants[a].since); c != 0 {
+			return c
+		}
+		return compareText(a, b)
+	})
+	misses := 0
+	for _, adapter := range waiting {
+		w := p.wants[adapter]
+		if p.usable(adapter, w.avoid) {
+			delete(p.wants, adapter)
+			continue
+		}
+		if misses == maxMisses {
+			continue
+		}
+		if id := p.chooseEngine(now, adapter, w.avoid); id != "" {
+			p.enqueue(id, adapter)
+			delete(p.wants, adapter)
+			continue
+		}
+		misses++
+	}
+}
+
+// maxMisses bounds the adapters for which a plan looks for an engine in vain: when the
+// queues are full, hundreds may wait, and a plan must not take longer for it.
+const maxMisses = 32
+
+// usable reports whether an adapter is, or soon will be, at an engine that may be used.
+func (p *Placer) usable(adapter string, avoid []string) bool {
+	found := false
+	for _, id := range p.index[adapter] {
+		if slices.Contains(avoid, id) {
+			continue
+		}
+		e := p.engines[id]
+		held := e.places[adapter]
+		if held != nil && held.state == leaving {
+			// It has not gone yet, and may as well stay.
+			held.state = ready
+			p.touch(e)
+		}
+		found = found || held == nil || held.version >= p.versions[adapter]
+	}
+	return found
+}
+
+func (p *Placer) assignVersions() {
+	for _, e := range p.engines {
+		for adapter, held := range e.places {
+			stale := held.state == ready && held.version < p.versions[adapter]
+			if stale && !slices.Contains(e.queue, adapter) {
+				e.queue = append(e.queue, adapter)
+			}
+		}
+	}
+}
+
+// assignCopies gives hot adapters further copies.
+func (p *Placer) assignCopies(now time.Time) {
+	for adapter, d := range p.demand {
+		rate := d.at(now, p.policy.DemandHalfLife)
+		if rate < 1 {
+			continue
+		}
+		have, slots := p.copies(adapter)
+		if have == 0 || slots == 0 {
+			continue
+		}
+		perCopy := min(p.policy.RatePerCopy, float64(slots)*p.policy.FillPerCopy/p.policy.RunTime.Seconds())
+		if rate <= float64(have)*perCopy {
+			continue
+		}
+		if id := p.chooseEngine(now, adapter, nil); id != "" {
+			p.enqueue(id, adapter)
+		}
+	}
+}
+
+// copies counts where an adapter is or soon will be, as of the last plan.
+func (p *Placer) copies(adapter string) (count int, slots uint32) {
+	for _, id := range p.index[adapter] {
+		if e := p.engines[id]; e != nil {
+			count++
+			slots = max(slots, e.info.GetSlots())
+		}
+	}
+	return count, slots
+}
+
+// chooseEngine returns the engine that should load an adapter, or "" when none can.
+// Each adapter prefers the same few engines, which keep a copy of its weights and of
+// its prompts; among these the least loaded is taken.
+func (p *Placer) chooseEngine(now time.Time, adapter string, avoid []string) string {
+	best, least := "", 0.0
+	for id, e := range p.engines {
+		held := e.places[adapter]
+		full := len(e.queue) >= maxWarmQueue || len(e.queue) >= maxQueue && !p.warm(e, adapter)
+		if full || held != nil || !e.takesOrders() || slices.Contains(avoid, id) || slices.Contains(e.queue, adapter) {
+			continue
+		}
+		if cost := p.cost(now, e, id, adapter); best == "" || cost < least {
+			best, least = id, cost
+		}
+	}
+	return best
+}
+
+const (
+	// homeWeight is the cost, as a part of an engine's slots, of leaving an adapter's
+	// preferred engine.
+	homeWeight = 0.5
+	// coldWeight is the cost of a load from the weight store. It takes ten times as long
+	// as one from the engine's own memory, and the store is shared by all engines.
+	coldWeight = 1.0
+	// queueWeight is the cost of each adapter that is on its way to the engine.
+	queueWeight = 0.1
+)
+
+func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
+	cost := e.use.Requests/float64(max(1, e.info.GetSlots())) + homeWeight*distance(adapter, id)
+	if !p.warm(e, adapter) {
+		cost += coldWeight
+	}
+	cost += queueWeight * float64(len(e.queue)+e.coming())
+	if now.Before(e.waitUntil) {
+		cost += 1
+	}
+	return cost
+}
+
+// distance is a number in [0, 1) that is the same at any time for an adapter and an
+// engine's address, as in rendezvous hashing.
+func distance(adapter, id string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(adapter + "|" + id))
+	x := h.Sum64()
+	// FNV mixes the last bytes poorly into the high bits.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
--- /dev/null
+++ b/pkg/placer/policy.go
@@ -0,0 +1,55 @@
+package placer
+
+import "time"
+
+// Policy holds the placer's limits.
+type Policy struct {
+	// Reserve is the number of places that are kept free at each engine, so that a load
+	// does not have to wait for an unload.
+	Reserve int
+	// MaxComing bounds the adapters on their way to one engine.
+	MaxComing int
+	// ColdLoad and WarmLoad are the expected times of loads from the weight store and
+	// from the engine's own memory.
+	ColdLoad time.Duration
+	WarmLoad time.Duration
+	// ConfirmAgain is the time between two questions whether a load has ended.
+	ConfirmAgain time.Duration
+	// Notice is the time between telling the gateways that an adapter goes and its
+	// unload, so that no request is under way to it.
+	Notice time.Duration
+	// UnknownWait is how long an engine is left alone after an order without an answer;
+	// its reports lag behind.
+	UnknownWait time.Duration
+	// DemandHalfLife is the time in which popularity is forgotten by half.
+	DemandHalfLife time.Duration
+	// RunTime is the expected time of a request at an engine.
+	RunTime time.Duration
+	// FillPerCopy is the part of an engine's slots that one adapter's requests may take
+	// before it gets another copy, and RatePerCopy the requests a second: an engine with
+	// many slots is slowed down by reading prompts long before its slots are taken.
+	FillPerCopy float64
+	RatePerCopy float64
+	// WantFor is how long a wish is kept that can't be fulfilled.
+	WantFor time.Duration
+	// IdleFor is how long nobody must have asked for an adapter before it is unloaded, and
+	// IdleUnderPressure the same while others wait for its place.
+	IdleFor           time.Duration
+	IdleUnderPressure time.Duration
+	// LostLoad is the time after which a load that has not ended is taken for lost.
+	LostLoad time.Duration
+	// UnloadAgain is the time between two questions whether an unload has ended that
+	// waits for runs.
+	UnloadAgain time.Duration
+}
+
+// DefaultPolicy returns the limits that were measured; docs/MEASURED.md has the runs.
+func DefaultPolicy() Policy {
+	return Policy{
+		Reserve: 1, MaxComing: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
+		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
+		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4, RatePerCopy: 16,
+		WantFor: 700 * time.Millisecond, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
+		UnloadAgain: 60 * time.Millisecond, LostLoad: 3 * time.Second,
+	}
+}
