--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -253,18 +252,6 @@
 	}
 }
 
-// Controllers returns the addresses that are asked, sorted.
-func (f *Follower) Controllers() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := make([]string, 0, len(f.loops))
-	for address := range f.loops {
-		list = append(list, address)
-	}
-	slices.Sort(list)
-	return list
-}
-
 func (f *Follower) transport() *http.Transport {
 	f.acquiringOnce.Do(func() { f.acquiring = connector.NewTransport(nil) })
 	return f.acquiring
