--- /dev/null
+++ b/pkg/framer/framer_test.go
@@ -0,0 +1,121 @@
+package framer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestHeads(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent string
+		kind Kind
+	}{
+		"whole":                {"GET / HTTP/1.1\r\nHost: h\r\n\r\nrest", 0},
+		"nothing":              {"", KindClosed},
+		"cut":                  {"GET / HTTP/1.1\r\nHo", KindCut},
+		"too long":             {"GET / HTTP/1.1\r\nX: " + strings.Repeat("a", 9000) + "\r\n\r\n", KindTooLarge},
+		"ended by bare LFs":    {"GET / HTTP/1.1\r\nHost: h\n\n", KindMalformed},
+		"longer than a buffer": {"GET / HTTP/1.1\r\nX: " + strings.Repeat("a", 5000) + "\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := ReadHead(bufio.NewReaderSize(strings.NewReader(test.sent), 64), 8192)
+			c.Check(err == nil, qt.Equals, test.kind == 0, qt.Commentf("%v", err))
+			if test.kind != 0 {
+				c.Check(Is(err, test.kind), qt.IsTrue, qt.Commentf("%v", err))
+			}
+		})
+	}
+}
+
+func TestAnswerBodies(t *testing.T) {
+	for name, test := range map[string]struct {
+		method, sent, body string
+		framing            Framing
+		whole              bool
+	}{
+		"a length":             {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc", FramingLength, true},
+		"cut before it":        {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", "abc", FramingLength, false},
+		"chunks":               {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "abc", FramingChunked, true},
+		"no last chunk":        {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "abc", FramingChunked, false},
+		"the connection's end": {"GET", "HTTP/1.1 200 OK\r\n\r\nabc", "abc", FramingClose, true},
+		"to HEAD":              {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "", FramingNone, true},
+		"no content":           {"GET", "HTTP/1.1 204 No Content\r\n\r\n", "", FramingNone, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			reader := bufio.NewReader(strings.NewReader(test.sent))
+			raw, err := ReadHead(reader, 4096)
+			c.Assert(err, qt.IsNil)
+			head, err := ParseResponse(raw)
+			c.Assert(err, qt.IsNil)
+			body, err := ResponseBody(reader, head, test.method)
+			c.Assert(err, qt.IsNil)
+			c.Check(body.Framing, qt.Equals, test.framing)
+			got, err := io.ReadAll(body)
+			c.Check(string(got), qt.Equals, test.body)
+			c.Check(err == nil && body.Ended(), qt.Equals, test.whole)
+		})
+	}
+}
+
+// Whatever is sent: nothing panics, and a request that is taken is the same when it is
+// read again byte by byte, so that no other reader could have seen another one.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte("GET /a?b HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nT: v\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		c := qt.New(t)
+		whole, wholeLeft, wholeErr := read(bytes.NewReader(sent))
+		split, splitLeft, splitErr := read(iotestOneByte{bytes.NewReader(sent)})
+		c.Assert(wholeErr == nil, qt.Equals, splitErr == nil)
+		if wholeErr == nil {
+			c.Assert(split, qt.DeepEquals, whole)
+			c.Assert(splitLeft, qt.Equals, wholeLeft)
+		}
+	})
+}
+
+// iotestOneByte hands out one byte at a time.
+type iotestOneByte struct{ r io.Reader }
+
+func (o iotestOneByte) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	return o.r.Read(p[:1])
+}
+
+type taken struct {
+	Head *RequestHead
+	Body string
+}
+
+func read(r io.Reader) (taken, int, error) {
+	reader := bufio.NewReader(r)
+	raw, err := ReadHead(reader, 4096)
+	if err != nil {
+		return taken{}, 0, err
+	}
+	head, err := ParseRequest(raw)
+	if err != nil {
+		return taken{}, 0, err
+	}
+	body, err := RequestBody(reader, head)
+	if err != nil {
+		return taken{}, 0, err
+	}
+	content, err := io.ReadAll(body)
+	if err != nil {
+		return taken{}, 0, err
+	}
+	rest, err := io.ReadAll(reader)
+	return taken{Head: head, Body: string(content)}, len(rest), err
+}
