--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -16,7 +16,6 @@
 	"strings"
 	"time"
 
-	"bronzelead.example/pkg/matcher"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -46,7 +45,6 @@
 	// Zone is the gateway's own availability zone.
 	Zone string
 
-	table     *matcher.Matcher
 	backends  map[string]*backend
 	byService map[string][]*backend
 	versions  map[string]uint64
@@ -97,9 +95,6 @@
 	ReasonNoAdapter = "the adapter was not loaded in time"
 )
 
-// SetTable brings a new table into force.
-func (b *Balancer) SetTable(table *matcher.Matcher) { b.table = table }
-
 // Announce takes what is known of a backend server. Silent counts only from a
 // controller that hears the others, which is for the caller to check.
 func (b *Balancer) Announce(now time.Time, a *wire.Announcement) {
