The budget of repeats is shared by all gateways that were ever heard of

Cause, found by reading: before the leader had told their number, nine gateways were assumed, a site's figure, and a leader that had just begun told fewer than there are (8 of 87 in a log), so that all together could have overspent. Change: a hundred are assumed before anything is told, and the highest number counts. The test failed first.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -119,7 +119,8 @@
 			f.balancer.SetHolding(res.GetTerm(), h)
 		}
 		f.balancer.SetLoads(res.GetLoads())
-		f.gateways = res.GetGateways()
+		// A leader that has just begun has not heard from all; the highest number is safe.
+		f.gateways = max(f.gateways, res.GetGateways())
 	}
 	f.mu.Unlock()
 	f.pump()
@@ -300,7 +301,11 @@
 func (f *Forwarder) mayRepeat(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	slack := budgetMargin * f.Budget.Slack / float64(max(minGateways, f.gateways))
+	gateways := f.gateways
+	if gateways == 0 {
+		gateways = assumedGateways
+	}
+	slack := budgetMargin * f.Budget.Slack / float64(gateways)
 	return f.budget(service).Allow(f.Clock.Now(), slack)
 }
 
@@ -308,8 +313,9 @@
 // their own, and a gateway that was added is not known to the others at once.
 const budgetMargin = 0.9
 
-// minGateways is the number of gateways that is assumed before the leader has told it.
-const minGateways = 9
+// assumedGateways is the number of gateways that is assumed before a leader has told it:
+// a high one, since the budget is shared by all.
+const assumedGateways = 100
 
 // waitObjectives is how many times the objective a stream's first try waits for a backend
 // server. What has not come by then is mostly an adapter behind many others; the caller
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -180,7 +180,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	go f.Run(ctx)
-	res := &wire.SyncResponse{Table: testTable(), TableVersion: 3, Leads: true, Term: 1}
+	res := &wire.SyncResponse{Table: testTable(), TableVersion: 3, Leads: true, Term: 1, Gateways: 1}
 	for _, b := range backends {
 		res.Announcements = append(res.Announcements, b.announcement("s"))
 	}
@@ -390,3 +390,36 @@
 	close(release)
 	c.Check((<-taken).body, qt.Equals, "done")
 }
+
+// The repeats of all gateways together stay within the slack, however few a new leader
+// has heard of, and before any leader was known.
+func TestTheBudgetIsShared(t *testing.T) {
+	for name, test := range map[string]struct {
+		told []uint32
+		most int
+	}{
+		"nobody was heard":         {nil, 1},
+		"ten gateways":             {[]uint32{10}, 9},
+		"a new leader knows fewer": {[]uint32{10, 2}, 9},
+		"some were added":          {[]uint32{10, 20}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := &Forwarder{
+				Clock: clockwork.NewFakeClock(), Log: slog.New(slog.DiscardHandler),
+				Budget: Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
+			}
+			f.Init()
+			for _, n := range test.told {
+				f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: n})
+			}
+			allowed := 0
+			for range 100 {
+				if f.mayRepeat("s") {
+					allowed++
+				}
+			}
+			c.Check(allowed <= test.most && allowed >= test.most-1, qt.IsTrue, qt.Commentf("%d repeats", allowed))
+		})
+	}
+}
