--- a/pkg/server/plain.go
+++ b/pkg/server/plain.go
@@ -12,7 +12,7 @@
 
 // Plain serves HTTP with net/http. It is for long calls between processes and for large
 // bodies: with nbhttp 1.6.8, one in some thousand of such calls was decoded wrongly or
-// got no answer (docs/PLATFORM.md has the day). Set the exported fields, then call Start.
+// got no answer (docs/MEASURED.md names the day). Set the exported fields, then call Start.
 type Plain struct {
 	// Address is an IP number and port; port 0 lets the kernel choose.
 	Address string
