--- /dev/null
+++ b/pkg/server/plain_test.go
@@ -0,0 +1,110 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// echoDigest answers with the digest of the body, and with a body of its own of some size.
+func echoDigest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Digest", fmt.Sprintf("%x", sha256.Sum256(body)))
+	_, _ = w.Write(bytes.Repeat([]byte("x"), len(body)))
+}
+
+// Many calls at once on kept connections, small and of hundreds of kilobytes: each gets
+// the answer to its own body, whole.
+func TestCallsOfAllSizes(t *testing.T) {
+	c := qt.New(t)
+	p := &Plain{Address: "127.0.0.1:0", Handler: http.HandlerFunc(echoDigest), Log: slog.New(slog.DiscardHandler)}
+	c.Assert(p.Start(), qt.IsNil)
+	checkCalls(c, p.Addr())
+	c.Assert(p.Stop(context.Background()), qt.IsNil)
+}
+
+func checkCalls(c *qt.C, address string) {
+	const callers, calls = 16, 60
+	var wait sync.WaitGroup
+	faults := make(chan error, callers*calls)
+	for caller := range callers {
+		wait.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			random := rand.New(rand.NewPCG(uint64(caller), 1))
+			for range calls {
+				body := make([]byte, random.IntN(1<<random.IntN(19)+1))
+				for i := range body {
+					body[i] = byte(random.Uint32())
+				}
+				if err := checkCall(client, address, body); err != nil {
+					faults <- err
+				}
+			}
+		})
+	}
+	wait.Wait()
+	close(faults)
+	for fault := range faults {
+		c.Check(fault, qt.IsNil)
+	}
+}
+
+func checkCall(client *http.Client, address string, body []byte) error {
+	res, err := client.Post("http://"+address+"/", "application/octet-stream", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	got, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if want := fmt.Sprintf("%x", sha256.Sum256(body)); res.Header.Get("Digest") != want || len(got) != len(body) {
+		return fmt.Errorf("a call with %d bytes was answered with %d and status %d", len(body), len(got), res.StatusCode)
+	}
+	return nil
+}
+
+// A stop waits for the calls that run.
+func TestStopWaitsForCalls(t *testing.T) {
+	c := qt.New(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	p := &Plain{Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler), Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, _ *http.Request) {
+			close(entered)
+			<-release
+			w.WriteHeader(http.StatusAccepted)
+		},
+	)}
+	c.Assert(p.Start(), qt.IsNil)
+	status := make(chan int, 1)
+	go func() {
+		res, err := http.Get("http://" + p.Addr() + "/")
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = res.Body.Close()
+		status <- res.StatusCode
+	}()
+	<-entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- p.Stop(context.Background()) }()
+	close(release)
+	c.Check(<-status, qt.Equals, http.StatusAccepted)
+	c.Check(<-stopped, qt.IsNil)
+}
