The contracts' mode is served by net/http too; nbhttp is gone

Cause: nbhttp 1.6.8 panics in its reader of bodies under calls of mixed sizes on kept connections (body.go:40, index out of range), so that calls are lost. Seen again today with TestCallsOfAllSizes against pkg/server.Server before the change: the panic came within a tenth of a second. Ruled out: the handlers and the client, since the same test passes over net/http.

Change: one server type in place of two. It keeps what nbhttp's gave: contexts that end with the connection, a bound on what a stalled reader holds (now a deadline for each write), a stop that cuts no answer in use, cut answers that do not look complete. New tests: TestAbortedAnswersAreCut, TestPanickingHandlers. Abort acts after the handler has returned, so that the handler's bookkeeping is not skipped.

Before: the test fails. After: it passes, and all modules' tests with -race (224 s).

--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -66,7 +66,6 @@
 	// The settings were checked; the zero level is Info.
 	_ = level.UnmarshalText([]byte(s.Log.Level))
 	log := logger.New(os.Stderr, level, "controller", s.Instance.Name, s.Instance.Zone)
-	logger.UseForLibrary(log)
 	return log
 }
 
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -55,7 +55,7 @@
 	mesh        *curator.Mesh
 	peers       *connector.Client
 	relays      *relays
-	servers     []*server.Plain
+	servers     []*server.Server
 	meter       *meter.Meter
 }
 
@@ -168,7 +168,7 @@
 	r.mesh = &curator.Mesh{Curator: r.curator, Leader: r.leader, Client: func(address string) wire.Mesh {
 		return wire.NewMeshProtobufClient("http://"+address, &connector.Client{Timeout: operatorTimeout, Transport: transport})
 	}}
-	r.servers = []*server.Plain{
+	r.servers = []*server.Server{
 		{Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log},
 		{Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log},
 	}
--- a/gateway/app/main.go
+++ b/gateway/app/main.go
@@ -93,7 +93,6 @@
 	defer endLogging()
 	go ring.Run(logging)
 	log := logger.New(ring, level, "gateway", settings.Instance.Name, settings.Instance.Zone)
-	logger.UseForLibrary(log)
 	r := &Routed{Settings: settings, File: file, Clock: clockwork.NewRealClock(), Log: log, Reload: reloads(ctx)}
 	if err := r.Run(ctx); err != nil {
 		log.Error("the gateway ends", "Error", err.Error())
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -50,8 +50,8 @@
 	door      *doorkeeper.Doorkeeper
 	forwarder *forwarder.Forwarder
 	follower  *follower.Follower
-	health    *server.Plain
-	mesh      *server.Plain
+	health    *server.Server
+	mesh      *server.Server
 	meter     *meter.Meter
 	wants     chan []*wire.Want
 }
@@ -68,7 +68,7 @@
 	if err := r.door.Start(); err != nil {
 		return errors.Wrap(err, "app")
 	}
-	for _, listening := range []*server.Plain{r.health, r.mesh} {
+	for _, listening := range []*server.Server{r.health, r.mesh} {
 		if err := listening.Start(); err != nil {
 			return errors.Wrap(err, "app")
 		}
@@ -110,9 +110,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.ready)
 	mux.Handle("GET /metrics", r.meter.Handler())
-	r.health = &server.Plain{Address: s.Instance.Health, Handler: mux, Log: r.Log}
+	r.health = &server.Server{Address: s.Instance.Health, Handler: mux, Log: r.Log}
 	passer := wire.NewMeshServer(&follower.Passer{Follower: r.follower})
-	r.mesh = &server.Plain{Address: s.meshAddress(), Handler: passer, Log: r.Log}
+	r.mesh = &server.Server{Address: s.meshAddress(), Handler: passer, Log: r.Log}
 }
 
 func ownAnswer(head *framer.ResponseHead, requestID string) (bool, time.Duration) {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -1,6 +1,9 @@
-// Package server serves HTTP with nbhttp, the way that all of bronzelead's
-// programs need it: a request's context ends when its connection closes, handlers
-// may wait without taking a place in a pool, and a stop waits for what runs.
+// Package server serves HTTP the way that all of bronzelead's programs need it: a
+// request's context ends when its connection closes, a caller that takes no bytes is
+// given up, and a stop waits for what runs without closing connections in use.
+//
+// It is net/http. With nbhttp 1.6.8, which the house style prefers, calls with bodies
+// were decoded wrongly or got no answer: TestCallsOfAllSizes shows it.
 package server
 
 import (
@@ -13,17 +16,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 )
 
 const (
-	// Partly received headers are bounded by this.
+	// maxHeaderBytes bounds partly received heads.
 	maxHeaderBytes = 64 << 10
-	// A reader that is too slow loses its connection when this much waits for it.
-	maxUnsentBytes   = 4 << 20
-	defaultIdle      = 75 * time.Second
-	defaultBodyBytes = 32 << 20
+	// headerTimeout is how long a caller may take to send a head.
+	headerTimeout = 3 * time.Second
+	// stalledReader is how long a caller may leave written bytes untaken.
+	stalledReader = 30 * time.Second
+	defaultIdle   = 75 * time.Second
 )
 
 // Server is one listening address. Set the exported fields, then call Start.
@@ -34,13 +37,12 @@
 	Log     *slog.Logger
 	// Idle is how long a connection may take to send a request.
 	Idle time.Duration
-	// MaxBody is where a body is cut off together with its connection. Handlers
-	// refuse earlier, with a clear error.
-	MaxBody int
+	// MaxBody is the number of bytes after which a body is cut off; 0 for no bound.
+	// Handlers refuse earlier, with a clear error.
+	MaxBody int64
 
-	engine   *nbhttp.Engine
+	http     *http.Server
 	listener net.Listener
-	conns    sync.Map
 	stopping atomic.Bool
 
 	mu      sync.Mutex
@@ -49,41 +51,31 @@
 	idle chan struct{}
 }
 
-// connState is the context of one connection.
-type connState struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	if s.Idle == 0 {
 		s.Idle = defaultIdle
 	}
-	if s.MaxBody == 0 {
-		s.MaxBody = defaultBodyBytes
-	}
 	listen := net.ListenConfig{}
 	listener, err := listen.Listen(context.Background(), "tcp", s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "server: listen on %s", s.Address)
 	}
 	s.listener = listener
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network:            "tcp",
-		Addrs:              []string{s.Address},
-		Handler:            http.HandlerFunc(s.serve),
-		ServerExecutor:     s.execute,
-		KeepaliveTime:      s.Idle,
-		ReadLimit:          maxHeaderBytes + s.MaxBody,
-		MaxHTTPBodySize:    s.MaxBody,
-		MaxWriteBufferSize: maxUnsentBytes,
-		SupportServerOnly:  true,
-		Listen:             func(string, string) (net.Listener, error) { return listener, nil },
-	})
-	s.engine.OnOpen(s.opened)
-	s.engine.OnClose(s.closed)
-	return errors.Wrap(s.engine.Start(), "server: start")
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: s.Idle, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
+	}
+	go s.accept()
+	return nil
+}
+
+func (s *Server) accept() {
+	err := s.http.Serve(s.listener)
+	if s.stopping.Load() || errors.Is(err, http.ErrServerClosed) {
+		return
+	}
+	s.Log.Error("the server ends", "Address", s.Address, "Error", err.Error())
 }
 
 // Addr returns the address that the server listens on.
@@ -92,12 +84,13 @@
 // Stop takes no more connections, waits for the requests that run, and closes. It
 // gives up waiting when ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
-	_ = s.listener.Close()
 	s.Quiesce()
-	defer s.engine.Stop()
+	_ = s.listener.Close()
+	defer func() { _ = s.http.Close() }()
 	select {
 	case <-s.whenIdle():
-		return nil
+		// Shutdown waits until the last answers are written, and for nothing else now.
+		return errors.Wrap(s.http.Shutdown(ctx), "server: answers are not taken")
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "server: requests still run")
 	}
@@ -137,57 +130,62 @@
 	}
 }
 
-// execute gives each request a goroutine. The library's own pool is bounded, and
-// requests that wait in it would hold up quick ones.
-func (s *Server) execute(job func()) {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.began()
-	go func() {
-		defer s.ended()
-		defer s.recover()
-		job()
-	}()
-}
-
-func (s *Server) recover() {
-	if fault := recover(); fault != nil {
-		s.Log.Error("a handler panicked", "Fault", fault, "Stack", string(debug.Stack()))
+	defer s.ended()
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if s.MaxBody > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, s.MaxBody)
+	}
+	out := &writer{ResponseWriter: w, control: http.NewResponseController(w)}
+	s.handle(out, r)
+	if out.aborted {
+		panic(http.ErrAbortHandler)
 	}
 }
 
-func (s *Server) opened(c net.Conn) {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.conns.Store(c.RemoteAddr().String(), &connState{ctx: ctx, cancel: cancel})
+// handle logs what ends a handler unexpectedly; its caller sees a cut connection.
+func (s *Server) handle(w *writer, r *http.Request) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			s.Log.Error("a handler panicked", "Fault", fault, "Stack", string(debug.Stack()))
+			w.aborted = true
+		}
+	}()
+	s.Handler.ServeHTTP(w, r)
 }
 
-func (s *Server) closed(c net.Conn, _ error) {
-	if state, ok := s.conns.LoadAndDelete(c.RemoteAddr().String()); ok {
-		state.(*connState).cancel()
+// Abort closes the connection of an answer that can't be completed, once its handler has
+// returned, so that the caller sees it cut and does not take it for whole.
+func Abort(w http.ResponseWriter) {
+	if out, ok := w.(*writer); ok {
+		out.aborted = true
+		return
 	}
+	panic(http.ErrAbortHandler)
 }
 
-// serve hands a request to the handler under its connection's context. The
-// library's read deadline is lifted while the handler runs, or it would cut
-// answers that take longer than an idle connection may live.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	state, ok := s.conns.Load(r.RemoteAddr)
-	if !ok {
-		return
-	}
-	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil && res.Parser.Conn != nil {
-		_ = res.Parser.Conn.SetReadDeadline(time.Time{})
-	}
-	if s.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	s.Handler.ServeHTTP(w, r.WithContext(state.(*connState).ctx))
+// writer gives up a caller that takes no bytes, or its request would never end.
+type writer struct {
+	http.ResponseWriter
+
+	control *http.ResponseController
+	aborted bool
 }
 
-// Abort closes the connection of an answer that can't be completed, so that the
-// caller sees it cut and does not take it for whole.
-func Abort(w http.ResponseWriter) {
-	if res, ok := w.(*nbhttp.Response); ok && res.Parser != nil && res.Parser.Conn != nil {
-		_ = res.Parser.Conn.Close()
-		return
+// Write sends bytes of the body.
+func (w *writer) Write(b []byte) (int, error) {
+	if err := w.control.SetWriteDeadline(time.Now().Add(stalledReader)); err != nil {
+		return 0, errors.Wrap(err, "server: deadline")
 	}
-	panic(http.ErrAbortHandler)
+	n, err := w.ResponseWriter.Write(b)
+	return n, errors.WithStack(err)
 }
+
+// Flush sends what has been written.
+func (w *writer) Flush() { _ = w.control.Flush() }
+
+// Unwrap returns the writer of the library.
+func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/pkg/server/plain_test.go
+++ b/pkg/server/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -30,7 +31,7 @@
 // the answer to its own body, whole.
 func TestCallsOfAllSizes(t *testing.T) {
 	c := qt.New(t)
-	p := &Plain{Address: "127.0.0.1:0", Handler: http.HandlerFunc(echoDigest), Log: slog.New(slog.DiscardHandler)}
+	p := &Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(echoDigest), Log: slog.New(slog.DiscardHandler)}
 	c.Assert(p.Start(), qt.IsNil)
 	checkCalls(c, p.Addr())
 	c.Assert(p.Stop(context.Background()), qt.IsNil)
@@ -42,7 +43,7 @@
 	faults := make(chan error, callers*calls)
 	for caller := range callers {
 		wait.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}}
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
 			defer client.CloseIdleConnections()
 			random := rand.New(rand.NewPCG(uint64(caller), 1))
 			for range calls {
@@ -83,7 +84,7 @@
 func TestStopWaitsForCalls(t *testing.T) {
 	c := qt.New(t)
 	entered, release := make(chan struct{}), make(chan struct{})
-	p := &Plain{Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler), Handler: http.HandlerFunc(
+	p := &Server{Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler), Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, _ *http.Request) {
 			close(entered)
 			<-release
@@ -108,3 +109,49 @@
 	c.Check(<-status, qt.Equals, http.StatusAccepted)
 	c.Check(<-stopped, qt.IsNil)
 }
+
+// An answer that its handler gives up after some bytes does not look complete, with a
+// length or without one.
+func TestAbortedAnswersAreCut(t *testing.T) {
+	for name, length := range map[string]string{"chunked": "", "with a length": "100"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &Server{Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler), Handler: http.HandlerFunc(
+				func(w http.ResponseWriter, _ *http.Request) {
+					if length != "" {
+						w.Header().Set("Content-Length", length)
+					}
+					_, _ = w.Write([]byte("begun"))
+					Abort(w)
+				},
+			)}
+			c.Assert(s.Start(), qt.IsNil)
+			res, err := http.Get("http://" + s.Addr() + "/")
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+				_ = res.Body.Close()
+			}
+			c.Check(err, qt.IsNotNil)
+			c.Check(s.Stop(context.Background()), qt.IsNil)
+		})
+	}
+}
+
+// A handler that panics costs its caller the connection, and nobody else anything.
+func TestPanickingHandlers(t *testing.T) {
+	c := qt.New(t)
+	s := &Server{Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler), Handler: http.HandlerFunc(
+		func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/bad" {
+				panic("a fault")
+			}
+		},
+	)}
+	c.Assert(s.Start(), qt.IsNil)
+	_, err := http.Get("http://" + s.Addr() + "/bad")
+	c.Check(err, qt.IsNotNil)
+	res, err := http.Get("http://" + s.Addr() + "/good")
+	c.Assert(err, qt.IsNil)
+	c.Check(res.Body.Close(), qt.IsNil)
+	c.Check(s.Stop(context.Background()), qt.IsNil)
+}
--- a/standin/app/main.go
+++ b/standin/app/main.go
@@ -78,7 +78,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	log := logger.New(stderr, slog.LevelInfo, "standin", parsed.Command(), "")
-	logger.UseForLibrary(log)
 	if err := line.run(ctx, parsed.Command(), log); err != nil {
 		_, _ = fmt.Fprintln(stderr, "standin:", err)
 		return launcher.ExitFailed
