Requests wait for the first table after everything has restarted

In between the gateways refused 713 requests ("no table is known yet") with 300 ms to come back; a caller comes back once, was refused again, and was lost. Ruled out: missing announcements (none was refused for them) and the loads of adapters (engines keep theirs).

Change: a request that finds no table waits for it, at most 1.2 s and half of its caller's patience, only in a gateway's first 3 s and 512 at a time; else it is refused as before.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -59,7 +59,13 @@
 	// Acquire asks the leader for adapters. It must not block.
 	Acquire func(wants []*wire.Want)
 
-	closed   atomic.Bool
+	closed atomic.Bool
+	// startedAt is when the gateway started; tableKnown is closed by its first table, for
+	// which parked requests wait.
+	startedAt  time.Time
+	tableKnown chan struct{}
+	parked     atomic.Int32
+
 	mu       sync.Mutex
 	balancer *balancer.Balancer
 	table    *matcher.Matcher
@@ -71,6 +77,8 @@
 
 // Init prepares the forwarder for calls before Run.
 func (f *Forwarder) Init() {
+	f.startedAt = f.Clock.Now()
+	f.tableKnown = make(chan struct{})
 	f.balancer = &balancer.Balancer{Zone: f.Zone}
 	f.budgets = map[string]*budgeter.Budgeter{}
 	f.waiting = map[*balancer.Waiter]chan balancer.Decision{}
@@ -100,6 +108,9 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	if t := res.GetTable(); t != nil && (f.table == nil || t.GetVersion() > f.table.Table().GetVersion()) {
+		if f.table == nil {
+			close(f.tableKnown)
+		}
 		f.table = matcher.New(t)
 		f.Log.Info("a table is in force", "Version", t.GetVersion(), "Controller", controller, "Routes", len(t.GetRoutes()))
 	}
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -163,7 +163,13 @@
 }
 
 func gatewayAndForwarder(c *qt.C, backends ...*backendFake) (string, *Forwarder) {
-	clock := clockwork.NewRealClock()
+	address, f := newGateway(c, clockwork.NewRealClock())
+	f.Apply("controller", firstTable(backends...))
+	return address, f
+}
+
+// newGateway is a door with a forwarder behind it that has heard from no controller yet.
+func newGateway(c *qt.C, clock clockwork.Clock) (string, *Forwarder) {
 	log := slog.New(slog.NewTextHandler(c.Output(), nil))
 	f := &Forwarder{
 		Clock: clock, Log: log, Meter: meter.New("gateway", "test", "z"), Acquire: func([]*wire.Want) {},
@@ -180,11 +186,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	go f.Run(ctx)
-	res := &wire.SyncResponse{Table: testTable(), TableVersion: 3, Leads: true, Term: 1, Gateways: 1}
-	for _, b := range backends {
-		res.Announcements = append(res.Announcements, b.announcement("s"))
-	}
-	f.Apply("controller", res)
 	door := &doorkeeper.Doorkeeper{Clock: clock, Log: log, Address: "127.0.0.1:0", Handle: f.Handle}
 	c.Assert(door.Start(), qt.IsNil)
 	c.Cleanup(func() { _ = door.Stop(ctx) })
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -41,7 +41,7 @@
 // Handle answers a request.
 func (f *Forwarder) Handle(ctx context.Context, req *doorkeeper.Request, reply *doorkeeper.Reply) {
 	j := &job{req: req, reply: reply, about: platform.DecodeRequest(req.Head.Header)}
-	if !f.admit(j) {
+	if !f.awaitTable(ctx, j) || !f.admit(j) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.until.Sub(f.Clock.Now()))
