A restarted group elects as soon as a majority is back

A member refuses votes for a whole election timeout after its start, since a leader may hold a lease on its word, and asks for votes after one to two timeouts. Ruled out: disks and calls, which take 10 ms together.

Change: StartQuiet, a setting of the replicator. The contracts' mode keeps the election timeout, as its leases need; in the routed mode nothing rests on a lease that fencing or the log does not guard, and it is 50 ms. Until a leader was heard, attempts follow each other after StartQuiet and up to half a timeout. Tests: TestRestartedGroupElectsSoon, seen failing without the change in resetElection; TestRestartedMemberDeposesNobody.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -153,7 +153,7 @@
 		Clock: r.Clock, Log: r.Log, Storer: r.storer, Send: r.transporter.Send, Out: items,
 		OpenMembership: true, MaxVoters: s.Members.MaxVoters, SilentAfter: s.Timing.SilentMember,
 		Replicator: &replicator.Replicator{
-			ID: r.id, Heartbeat: s.Timing.Heartbeat, ElectionTimeout: s.Timing.ElectionTimeout, Random: mathrand.Int64N,
+			ID: r.id, Heartbeat: s.Timing.Heartbeat, ElectionTimeout: s.Timing.ElectionTimeout, StartQuiet: startQuiet, Random: mathrand.Int64N,
 		},
 	}
 	r.keeper.Init(contents)
@@ -175,6 +175,10 @@
 }
 
 const (
+	// startQuiet is short, since nothing dangerous rests on a leader's lease here: orders
+	// are fenced by its term, or a new leader waits, and reads go through the log. It lets a
+	// leader that is there be heard first, some heartbeats being lost.
+	startQuiet = 50 * time.Millisecond
 	// operatorTimeout is just under the second after which the operator goes on to
 	// another instance.
 	operatorTimeout = 950 * time.Millisecond
--- a/pkg/replicator/append.go
+++ b/pkg/replicator/append.go
@@ -144,7 +144,7 @@
 		r.becomeFollower(now, m.GetTerm(), m.GetFrom())
 	}
 	r.leader = m.GetFrom()
-	r.lastContact = now
+	r.lastContact, r.leaderMet = now, true
 	r.resetElection(now)
 	return true
 }
--- a/pkg/replicator/cluster_test.go
+++ b/pkg/replicator/cluster_test.go
@@ -29,10 +29,12 @@
 	network []delivery
 	cut     map[[2]string]bool
 	lossy   bool
-	faults  []string
-	leaders map[uint64]string
-	chosen  map[uint64]string
-	next    int
+	// startQuiet is the setting of members that start from here on.
+	startQuiet time.Duration
+	faults     []string
+	leaders    map[uint64]string
+	chosen     map[uint64]string
+	next       int
 	// waiting maps a command's id to what takes its result.
 	waiting map[string]func(recorder.Result)
 }
@@ -89,7 +91,7 @@
 // start begins a member from its disk.
 func (c *cluster) start(m *member) {
 	m.core = &replicator.Replicator{
-		ID: m.id, Heartbeat: heartbeat, ElectionTimeout: timeout, Random: c.random.Int64N, MaxEntries: 8,
+		ID: m.id, Heartbeat: heartbeat, ElectionTimeout: timeout, StartQuiet: c.startQuiet, Random: c.random.Int64N, MaxEntries: 8,
 	}
 	m.state = recorder.New()
 	if m.disk.snapshot != nil {
--- a/pkg/replicator/election.go
+++ b/pkg/replicator/election.go
@@ -38,11 +38,21 @@
 	}
 }
 
+// resetElection sets the time of the next attempt to lead. Until a leader has been heard
+// since the start there is probably none, and only the quiet time has to pass; the spread
+// keeps members apart that started together.
 func (r *Replicator) resetElection(now time.Time) {
-	spread := time.Duration(r.Random(int64(r.ElectionTimeout)))
-	r.electionAt = now.Add(r.ElectionTimeout + spread)
+	least, spread := r.ElectionTimeout, r.ElectionTimeout
+	if !r.leaderMet {
+		least, spread = r.StartQuiet, max(r.StartQuiet, r.ElectionTimeout/startSpread)
+	}
+	r.electionAt = now.Add(least + time.Duration(r.Random(int64(spread))))
 }
 
+// startSpread divides the election timeout into the spread of the first attempts after a
+// start: some ten times a round trip and a disk's sync.
+const startSpread = 2
+
 func (r *Replicator) becomeFollower(now time.Time, term uint64, leader string) {
 	if term > r.term {
 		r.term, r.vote = term, ""
@@ -173,6 +183,7 @@
 }
 
 func (r *Replicator) becomeLeader(now time.Time) {
+	r.leaderMet = true
 	r.role, r.leader = Leader, r.ID
 	r.leaderSince = now
 	r.roundSentAt = map[uint64]time.Time{}
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -82,6 +82,11 @@
 	// ElectionTimeout is the least time without a leader before an election. A
 	// member waits between one and two of them.
 	ElectionTimeout time.Duration
+	// StartQuiet is how long after its start a member gives no vote, since a leader may
+	// still hold a lease on what it said before. 0 is ElectionTimeout. Where nothing
+	// dangerous rests on a leader's lease, less of it lets a group that has restarted as a
+	// whole elect sooner.
+	StartQuiet time.Duration
 	// Random returns a number in [0, n).
 	Random func(n int64) int64
 	// MaxEntries bounds the entries of one message.
@@ -100,7 +105,10 @@
 	synced   uint64
 	unstable uint64
 
+	// lastContact is when a leader was heard last; leaderMet is set once one was heard, or
+	// a term led, since the start.
 	lastContact time.Time
+	leaderMet   bool
 	electionAt  time.Time
 	votes       map[string]bool
 
@@ -152,7 +160,8 @@
 	r.unstable = r.synced + 1
 	r.rebuildConfigs()
 	r.becomeFollower(now, r.term, "")
-	r.lastContact = now
+	// Votes are refused as if a leader had been heard StartQuiet before their time.
+	r.lastContact = now.Add(r.StartQuiet - r.ElectionTimeout)
 }
 
 func (r *Replicator) setDefaults() {
@@ -162,6 +171,9 @@
 	if r.ElectionTimeout == 0 {
 		r.ElectionTimeout = defaultElectionTimeout
 	}
+	if r.StartQuiet == 0 {
+		r.StartQuiet = r.ElectionTimeout
+	}
 	if r.MaxEntries == 0 {
 		r.MaxEntries = defaultMaxEntries
 	}
