Gateways ask controllers again sooner

Change: 200 ms for a dial and 100 ms of pause. The kernel repeats a first packet only after a second, so that a shorter dial is quicker on lossy links too.

--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -24,8 +24,9 @@
 	followerWait = 1000 * time.Millisecond
 	// callMargin is the time that a call may take beyond its wait.
 	callMargin = 700 * time.Millisecond
-	// retryPause is the wait after a failed call.
-	retryPause = 250 * time.Millisecond
+	// retryPause is the wait after a failed call. It is short, since all that a gateway
+	// knows comes from these calls.
+	retryPause = 100 * time.Millisecond
 	// acquireTimeout bounds a request for adapters; it is sent again if need be.
 	acquireTimeout = 300 * time.Millisecond
 	// forgetAfter is how long a controller is asked that no other one lists any more.
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -18,7 +18,10 @@
 )
 
 const (
-	defaultDialTimeout = 500 * time.Millisecond
+	// defaultDialTimeout is many round trips within a region. A first packet that is lost,
+	// or that reached an instance before it was up, is sent again by the kernel only after a
+	// second: dialling anew is quicker.
+	defaultDialTimeout = 200 * time.Millisecond
 	defaultIdle        = 5 * time.Second
 	defaultIdleConns   = 256
 )
