--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net/http"
 	"strconv"
 
 	"bronzelead.example/pkg/wire"
@@ -16,8 +17,14 @@
 	f.Meter.Count("requests_not_served", "outcome", outcomeLabel(status))
 }
 
+// served logs an answer that was passed on whole: all failures of backend servers, and a
+// sample of the others.
 func (f *Forwarder) served(j *job, backend *wire.Announcement, status int) {
 	f.Meter.Ended(j.service, j.route.GetName(), "Served", f.Clock.Since(j.req.ReceivedAt))
+	if status >= http.StatusInternalServerError {
+		f.event(j, backend, "the backend server failed", status)
+		return
+	}
 	if hash(j.about.ID)%sampleServed == 0 {
 		f.Log.Info("request", f.attributes(j, backend, "Outcome", "served", "Status", status, "SampledOneIn", sampleServed)...)
 	}
