Sound backend servers with room come first; the only holder is tried again

With two of three servers ejected, none was left out, and after an ejection the share of failures is set low, so that they got a part of the requests while the sound one had room. 2. A request whose answer was lost avoided that engine for good; with the only copy of its adapter there it waited for a load elsewhere (46 ended in 502 with "the adapter was not loaded in time").

Change: backend servers are asked in the order sound, sound but failed this request, suspect (those only where most are suspects, and while the others are full). Tests, the first three seen failing: TestSoundBackendsWithRoomComeFirst, TestSuspectsHelp..., TestTheOnlyHolderIsTriedAgain.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -246,18 +246,15 @@
 
 // decide returns nil when the request goes on waiting.
 func (b *Balancer) decide(now time.Time, w *Waiter) (*Decision, *wire.Want) {
-	candidates := b.candidates(now, w)
-	if len(candidates) == 0 && !b.Knows(w.Service) {
+	c := b.candidates(now, w)
+	if !b.Knows(w.Service) {
 		return &Decision{Waiter: w, Reason: ReasonNoBackend, ComeBack: comeBackWithoutBackend}, nil
 	}
-	holders := candidates
-	if w.Adapter != "" {
-		holders = b.holding(now, candidates, w.Adapter)
-	}
-	if best := b.best(now, holders); best != nil {
+	best, holders := b.choose(now, w, c)
+	if best != nil {
 		var more *wire.Want
-		if w.Adapter != "" && b.crowded(best, candidates) {
-			more = b.want(now, w, without(candidates, holders))
+		if w.Adapter != "" && b.crowded(best, c.preferred) {
+			more = b.want(now, w, without(c.preferred, holders))
 		}
 		best.own += Weight(w.Tokens)
 		best.using[w.Adapter]++
@@ -273,7 +270,27 @@
 	if len(holders) > 0 || w.Adapter == "" {
 		return nil, nil
 	}
-	return nil, b.want(now, w, candidates)
+	return nil, b.want(now, w, c.preferred)
+}
+
+// choose returns the backend server to send to, or nil, and those that could serve the
+// request if they had room.
+func (b *Balancer) choose(now time.Time, w *Waiter, c candidates) (best *backend, holders []*backend) {
+	for _, list := range [][]*backend{c.preferred, c.tried, c.suspects} {
+		able := list
+		if w.Adapter != "" {
+			able = b.holding(now, list, w.Adapter)
+		}
+		if best := b.best(now, able); best != nil {
+			return best, append(holders, able...)
+		}
+		holders = append(holders, able...)
+		if len(holders) > 0 && len(c.suspects) == 0 {
+			// It has its places full; that is no reason to go where a try has failed.
+			return nil, holders
+		}
+	}
+	return nil, holders
 }
 
 // When a refused caller should come back.
@@ -323,21 +340,36 @@
 	return slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return slices.Contains(others, k) })
 }
 
-// candidates returns the backend servers that may get a request now, full or not.
-func (b *Balancer) candidates(now time.Time, w *Waiter) []*backend {
-	all := b.byService[w.Service]
-	open := make([]*backend, 0, len(all))
-	for _, k := range all {
-		if k.open() && !slices.Contains(w.Avoid, k.info.GetId()) {
-			open = append(open, k)
+// candidates are the backend servers that may get a request, full or not, in the order in
+// which they are asked.
+type candidates struct {
+	preferred []*backend
+	// tried have failed this request, but nothing else speaks against them. With the only
+	// engine that holds an adapter among them, a repeat there is better than a load.
+	tried []*backend
+	// suspects are used while the others are full and few: when most seem to have failed,
+	// the fault may be nearer than they are.
+	suspects []*backend
+}
+
+func (b *Balancer) candidates(now time.Time, w *Waiter) candidates {
+	var c candidates
+	for _, k := range b.byService[w.Service] {
+		switch {
+		case !k.open():
+		case k.suspect(now):
+			c.suspects = append(c.suspects, k)
+		case slices.Contains(w.Avoid, k.info.GetId()):
+			c.tried = append(c.tried, k)
+		default:
+			c.preferred = append(c.preferred, k)
 		}
 	}
-	heard := slices.DeleteFunc(slices.Clone(open), func(k *backend) bool { return k.suspect(now) })
-	if len(heard)*maxEjectedShare >= len(open) {
-		return heard
+	sound := len(c.preferred) + len(c.tried)
+	if sound*maxEjectedShare >= sound+len(c.suspects) {
+		c.suspects = nil
 	}
-	// When most seem to have failed, the fault may be nearer than they are.
-	return open
+	return c
 }
 
 // holding returns those that have the adapter in the wanted version.
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -258,3 +258,67 @@
 		})
 	}
 }
+
+// Two of three servers fail all that they get, and the third has room for everything:
+// almost nothing is sent to the two, though they are more than half of the service.
+func TestSoundBackendsWithRoomComeFirst(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b", "c")
+	now := begin()
+	failed := 0
+	var running []time.Time
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		for len(running) > 0 && !now.Before(running[0]) {
+			running = running[1:]
+			b.Done(now, "c", "", 0, Served)
+		}
+		id := decide(b, now, waiter("w", func(w *Waiter) { w.GiveUp = now.Add(time.Second) }))["w"]
+		if id == "c" {
+			running = append(running, now.Add(25*time.Millisecond))
+			continue
+		}
+		failed++
+		b.Done(now, id, "", 0, Failed)
+	}
+	c.Check(failed < 15, qt.IsTrue, qt.Commentf("%d of 200", failed))
+}
+
+// While the sound ones are full and few, the others are used: the fault may be nearer.
+func TestSuspectsHelpWhenTheSoundAreFull(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b", "c")
+	b.Done(begin(), "a", "", 0, Unreachable)
+	b.Done(begin(), "b", "", 0, Unreachable)
+	result := map[string]int{}
+	for i := range 8 {
+		name := fmt.Sprint(i)
+		result[decide(b, begin(), waiter(name))[name]]++
+	}
+	c.Check(result["c"], qt.Equals, 4)
+	c.Check(result["waits"], qt.Equals, 0)
+}
+
+// The only engine with an adapter has lost an answer: the request goes there again rather
+// than wait for a load elsewhere; but not if nothing can be reached there, and not while
+// another copy is there.
+func TestTheOnlyHolderIsTriedAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(b *Balancer)
+		want    string
+	}{
+		"an answer was lost":  {func(b *Balancer) { b.Done(begin(), "a", "m/x", 0, Failed) }, "a"},
+		"it is not reached":   {func(b *Balancer) { b.Done(begin(), "a", "m/x", 0, Unreachable) }, "waits"},
+		"there is a copy":     {func(b *Balancer) { hold(b, 1, "b", "m/x@0") }, "b"},
+		"the copy is full":    {func(b *Balancer) { hold(b, 1, "b", "m/x@0"); fill(b, "b") }, "waits"},
+		"it is gone from all": {func(b *Balancer) { hold(b, 1, "a") }, "waits"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b", "c")
+			hold(b, 1, "a", "m/x@0")
+			test.prepare(b)
+			c.Check(decide(b, begin(), waiter("w", adapter("m/x"), avoid("a")))["w"], qt.Equals, test.want)
+		})
+	}
+}
