A controller with a new disk joins through the members that write to it

A joining controller asks only the addresses in its settings: of these none knew the cluster any more, so that the two never joined again, and the next loss would have cost the quorum. Ruled out: the leader, which led and wrote to their addresses all the time; its messages were refused as those of another cluster.

--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -8,6 +8,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +48,9 @@
 	Clock    clockwork.Clock
 	Log      *slog.Logger
 
-	cluster     atomic.Pointer[string]
+	cluster atomic.Pointer[string]
+	// met are members that this instance heard of before it belonged to a cluster.
+	met         acquaintances
 	clusterKey  string
 	operators   authenticator.Ring
 	storer      *storer.Storer
@@ -91,7 +94,7 @@
 	go func() { failed <- a.keeper.Run(background) }()
 	joining := &joiner{
 		clock: a.Clock, log: a.Log, peers: a.peers, self: a.member(id), keeper: a.keeper, storer: a.storer,
-		cluster: &a.cluster, addresses: func() []string { return a.Settings.Members.Addresses },
+		cluster: &a.cluster, addresses: func() []string { return slices.Concat(a.Settings.Members.Addresses, a.met.list()) },
 	}
 	go joining.run(background)
 	if err := a.server.Start(); err != nil {
@@ -180,7 +183,7 @@
 func (a *App) handler(forward *connector.Client) http.Handler {
 	cluster := authenticator.Ring{authenticator.DigestOf(a.clusterKey): authenticator.Cluster}
 	peer := &responder.Peer{
-		Keeper: a.keeper, Cluster: a.clusterID, Leader: a.responder.LeaderAddress, Heard: a.transporter.Heard,
+		Keeper: a.keeper, Cluster: a.clusterID, Leader: a.responder.LeaderAddress, Heard: a.transporter.Heard, Invited: a.met.meet,
 		Client: func(address string) wire.Peer { return wire.NewPeerProtobufClient("http://"+address, forward) },
 	}
 	mux := http.NewServeMux()
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -46,7 +46,9 @@
 	Clock    clockwork.Clock
 	Log      *slog.Logger
 
-	cluster     atomic.Pointer[string]
+	cluster atomic.Pointer[string]
+	// met are members that this instance heard of before it belonged to a cluster.
+	met         acquaintances
 	id          string
 	storer      *storer.Storer
 	keeper      *keeper.Keeper
@@ -201,7 +203,7 @@
 func (r *Routed) meshHandler() http.Handler {
 	forward := &connector.Client{Timeout: r.Settings.Timing.PeerTimeout, Transport: connector.NewTransport(nil), Forwarded: true}
 	peer := &responder.Peer{
-		Keeper: r.keeper, Cluster: r.clusterID, Leader: r.leader, Heard: r.transporter.Heard,
+		Keeper: r.keeper, Cluster: r.clusterID, Leader: r.leader, Heard: r.transporter.Heard, Invited: r.met.meet,
 		Client: func(address string) wire.Peer { return wire.NewPeerProtobufClient("http://"+address, forward) },
 	}
 	mux := http.NewServeMux()
@@ -265,7 +267,7 @@
 		clock: r.Clock, log: r.Log, peers: r.peers, keeper: r.keeper, storer: r.storer, cluster: &r.cluster,
 		self: r.transporter.Self,
 		addresses: func() []string {
-			return slices.Concat(r.addresses(), r.Settings.seedAddresses())
+			return slices.Concat(r.addresses(), r.Settings.seedAddresses(), r.met.list())
 		},
 	}
 }
--- a/proof/routed_test.go
+++ b/proof/routed_test.go
@@ -40,6 +40,27 @@
 	y.ledger.check(c)
 }
 
+// One seed is replaced at another address, and the other two lose their disks: of the
+// addresses that a controller starts from none knows the cluster any more. The members
+// that are left tell the new ones.
+func TestRoutedSeedsThatKnowNothing(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startRouted(c, 5, 1, 1)
+	y.replace(2)
+	y.operator.look()
+	eventually(c, "the new one votes", y.settled)
+	for _, n := range y.controllers[:2] {
+		n.kill()
+		y.wipe(n)
+		n.restart()
+	}
+	eventually(c, "those with new disks vote", y.settled)
+	y.operator.put()
+	y.waitServing()
+	y.ledger.check(c)
+}
+
 // Without a majority of the controllers callers are served; only changes and reads of
 // the table wait.
 func TestRoutedServingWithoutAMajority(t *testing.T) {
@@ -135,7 +156,9 @@
 )
 
 // Seeds that failed once, with the cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	102: "after a replacement and the loss of two disks no address in the settings knew the cluster, and nobody joined",
+}
 
 // Faults of all kinds, one after the other and in pairs, in an order that the seed gives.
 func TestRoutedSoak(t *testing.T) {
