--- a/bronzectl/app/main.go
+++ b/bronzectl/app/main.go
@@ -29,8 +29,8 @@
 )
 
 type commandLine struct {
-	Controllers []string      `short:"c" env:"BRONZELEAD_CONTROLLERS" required:"" help:"IP numbers and ports of the controllers."`
-	KeyFile     string        `short:"k" env:"BRONZELEAD_KEY_FILE" required:"" help:"File with the operator's key."`
+	Controllers []string      `short:"c" env:"BRONZELEAD_CONTROLLERS" help:"IP numbers and ports of the controllers."`
+	KeyFile     string        `short:"k" env:"BRONZELEAD_KEY_FILE" help:"File with the operator's key."`
 	Output      string        `short:"o" enum:"table,json" default:"table" help:"Form of the output: table or json."`
 	Timeout     time.Duration `default:"15s" help:"How long to try, and to wait with --wait."`
 
@@ -45,6 +45,7 @@
 // session is what a command works with.
 type session struct {
 	ctx         context.Context
+	in          io.Reader
 	out         io.Writer
 	json        bool
 	key         string
@@ -64,7 +65,7 @@
 // Main runs the program and returns its exit code: 0 success, 1 failure, 2 wrong
 // usage or a contract that is refused, 3 a conflict with another change, 4 not in
 // force everywhere within the time.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	line := &commandLine{}
 	program := &launcher.Program{
 		Name: "bronzectl", Line: line, Stdout: stdout, Stderr: stderr,
@@ -77,20 +78,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), line.Timeout)
 	defer cancel()
-	s, err := line.session(ctx, stdout)
+	s, err := line.session(ctx, stdin, stdout)
 	if err == nil {
 		err = parsed.Run(s)
 	}
 	return exitCode(err, stderr)
 }
 
-func (c *commandLine) session(ctx context.Context, out io.Writer) (*session, error) {
+func (c *commandLine) session(ctx context.Context, in io.Reader, out io.Writer) (*session, error) {
+	if c.Explain.offline() {
+		return &session{ctx: ctx, in: in, out: out, json: c.Output == "json"}, nil
+	}
+	if len(c.Controllers) == 0 || c.KeyFile == "" {
+		return nil, &exitError{code: launcher.ExitUsage, text: "--controllers and --key-file are required"}
+	}
 	key, err := authenticator.ReadKey(c.KeyFile)
 	if err != nil {
 		return nil, errors.Wrap(err, "bronzectl")
 	}
 	return &session{
-		ctx: ctx, out: out, json: c.Output == "json", key: key, clock: clockwork.NewRealClock(),
+		ctx: ctx, in: in, out: out, json: c.Output == "json", key: key, clock: clockwork.NewRealClock(),
 		client:      &connector.Client{Timeout: callTimeout, Key: key, Transport: connector.NewTransport(nil)},
 		controllers: &connector.Controllers{Addresses: c.Controllers},
 	}, nil
--- /dev/null
+++ b/bronzectl/app/story.go
@@ -0,0 +1,58 @@
+package app
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/narrator"
+)
+
+// standardInput is the name of a log that is read from standard input.
+const standardInput = "-"
+
+// fromLogs prints the story of a request across the processes whose logs are given.
+func (c *explainCommand) fromLogs(s *session) error {
+	var all []narrator.Line
+	for _, name := range c.Log {
+		lines, err := readLog(s, name)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	story := narrator.Story(all, c.Request)
+	if len(story) == 0 {
+		return errors.Errorf("no line of the logs names request %s; of answered requests only a sample is logged", c.Request)
+	}
+	for _, line := range story {
+		if err := printLine(s, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(s *session, name string) ([]narrator.Line, error) {
+	in := s.in
+	if name != standardInput {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open a log")
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	lines, _, err := narrator.Read(in)
+	return lines, errors.Wrapf(err, "read %s", name)
+}
+
+func printLine(s *session, line narrator.Line) error {
+	if !s.json {
+		_, err := fmt.Fprintln(s.out, line.String())
+		return errors.Wrap(err, "print")
+	}
+	return errors.Wrap(json.NewEncoder(s.out).Encode(line), "print")
+}
--- a/bronzectl/app/system.go
+++ b/bronzectl/app/system.go
@@ -89,11 +89,18 @@
 }
 
 type explainCommand struct {
-	Request string `arg:"" help:"Request id, as in the X-Request-Id of an answer."`
+	Request string   `arg:"" help:"Request id, as in the X-Request-Id of an answer."`
+	Log     []string `short:"l" placeholder:"FILE" help:"Logs of the processes to read instead of asking the gateways; - is standard input."`
 }
 
-// Run asks the gateways what they decided for a request.
+// offline reports whether the command needs no controllers.
+func (c *explainCommand) offline() bool { return len(c.Log) > 0 }
+
+// Run tells what was decided for a request, from logs or by asking the gateways.
 func (c *explainCommand) Run(s *session) error {
+	if c.offline() {
+		return c.fromLogs(s)
+	}
 	status, err := s.status()
 	if err != nil {
 		return err
--- a/bronzectl/main.go
+++ b/bronzectl/main.go
@@ -7,4 +7,4 @@
 	"bronzelead.example/bronzectl/app"
 )
 
-func main() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(app.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/pkg/narrator/narrator_test.go
@@ -0,0 +1,63 @@
+package narrator
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// day is what the processes of a bench day wrote, shortened, with a collector's stamp
+// before one of the lines, and one that is no JSON.
+const day = `{"time":"2026-07-26T17:34:00Z","level":"INFO","msg":"this instance leads","Program":"controller","Instance":"core-1","Zone":"z","Term":2}
+{"time":"2026-07-26T17:34:10.900Z","msg":"order","Instance":"core-1","Kind":"Load","Backend":"i-2","Adapter":"m/a7","Outcome":0}
+  36.0395 edge-1 {"time":"2026-07-26T17:34:11Z","msg":"this instance leads","Instance":"core-2","Term":3}
+{"time":"2026-07-26T17:34:11.100Z","msg":"order","Instance":"core-2","Kind":"Load","Backend":"i-2","Adapter":"m/a8","Outcome":2}
+panic: something else
+{"time":"2026-07-26T17:34:11.500Z","msg":"request","Instance":"edge-1","RequestID":"r1","Took":803,"Backend":"i-1","Adapter":"m/a7","Outcome":"the adapter was not loaded in time","Status":503}
+{"time":"2026-07-26T17:34:11.200Z","msg":"a controller does not answer","Instance":"edge-1","Controller":"core-1"}
+{"time":"2026-07-26T17:34:11.200Z","msg":"a controller does not answer","Instance":"edge-2","Controller":"core-1"}
+{"time":"2026-07-26T17:34:11.300Z","msg":"a backend server has changed","Instance":"core-2","Backend":"i-1","Silent":true}
+{"time":"2026-07-26T17:34:11.400Z","msg":"request","Instance":"edge-1","RequestID":"r2","Took":1,"Status":502}
+{"time":"2026-07-26T17:34:12Z","msg":"the gateway stops","Instance":"edge-1"}
+`
+
+func TestStory(t *testing.T) {
+	for name, test := range map[string]struct {
+		request string
+		want    []string
+	}{
+		"what was known and done meanwhile": {"r1", []string{
+			"17:34:10.900 core-1: order Adapter=m/a7 Backend=i-2 Kind=Load Outcome=0",
+			"17:34:11.000 core-2: this instance leads Term=3",
+			"17:34:11.200 edge-1: a controller does not answer Controller=core-1",
+			"17:34:11.300 core-2: a backend server has changed Backend=i-1 Silent=true",
+			"17:34:11.500 edge-1: request Adapter=m/a7 Backend=i-1 Outcome=the adapter was not loaded in time " +
+				"RequestID=r1 Status=503 Took=803",
+		}},
+		"nobody knows it": {"r3", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			lines, skipped, err := Read(strings.NewReader(day))
+			c.Assert(err, qt.IsNil)
+			c.Check(skipped, qt.Equals, 1)
+			var got []string
+			for _, l := range Story(lines, test.request) {
+				got = append(got, l.String())
+			}
+			c.Check(got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// What is not a log is passed over, and a line without an end is an error.
+func TestReadOfOtherThings(t *testing.T) {
+	c := qt.New(t)
+	lines, skipped, err := Read(strings.NewReader("{\n{}\n[1]\n{\"time\":\"yesterday\",\"msg\":\"x\"}\n"))
+	c.Check(err, qt.IsNil)
+	c.Check(lines, qt.HasLen, 0)
+	c.Check(skipped, qt.Equals, 4)
+	_, _, err = Read(strings.NewReader(strings.Repeat("x", maxLine+1)))
+	c.Check(err, qt.ErrorMatches, "narrator: Read: .*token too long")
+}
