Unanswered questions do not make the weight store look slow

Ruled out: the engines' own limit of four and their places.

Change: a load whose question went unanswered says nothing about the store, like one whose order was given again.

--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -33,7 +33,8 @@
 	warm bool
 	// coming is how many cold loads were on their way when it began.
 	coming int
-	// repeated is set if the order was given again, so that its time says nothing.
+	// repeated is set if the order was given again or a question went unanswered, so that
+	// the time until its end was seen says nothing.
 	repeated bool
 	// accepted is set once the engine has accepted the load.
 	accepted bool
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -111,6 +111,10 @@
 		return
 	case Unknown, Unreachable:
 		p.countFailure(now, e, outcome)
+		if held != nil {
+			// Its end will be seen late.
+			held.repeated = true
+		}
 	default:
 		e.failures = 0
 	}
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -102,8 +102,11 @@
 	// unanswered is the share of orders whose answers are lost, and late the share of
 	// these that are carried out later instead of now.
 	unanswered, late float64
-	pending          []pendingOrder
-	orders           map[Kind]int
+	// timeout is the time after which an order counts as unanswered.
+	timeout  time.Duration
+	pending  []pendingOrder
+	timeouts []pendingOrder
+	orders   map[Kind]int
 }
 
 type pendingOrder struct {
@@ -137,6 +140,13 @@
 			w.fakes[late.order.Backend].carryOut(w.now, late.order)
 			return true
 		})
+		w.timeouts = slices.DeleteFunc(w.timeouts, func(lost pendingOrder) bool {
+			if w.now.Before(lost.at) {
+				return false
+			}
+			w.p.Done(w.now, lost.order, Unknown, nil)
+			return true
+		})
 		for _, f := range w.fakes {
 			f.pass(w.now)
 		}
@@ -148,7 +158,7 @@
 				} else {
 					w.fakes[o.Backend].carryOut(w.now, o)
 				}
-				w.p.Done(w.now, o, Unknown, nil)
+				w.timeouts = append(w.timeouts, pendingOrder{order: o, at: w.now.Add(w.timeout)})
 				continue
 			}
 			outcome, state := w.fakes[o.Backend].carryOut(w.now, o)
@@ -338,3 +348,22 @@
 	}
 	c.Check(kept >= 4, qt.IsTrue, qt.Commentf("%d of 5 kept", kept))
 }
+
+// A third of all answers of engines are lost, so that the end of many loads is seen late.
+// The weight store carries as much as before, and that is what is to be learnt.
+func TestLostAnswersDoNotLookLikeASlowStore(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 30, 8)
+	w.pass(100 * time.Millisecond)
+	w.unanswered, w.timeout = 0.35, 60*time.Millisecond
+	next := 0
+	for range 40 {
+		for range 30 {
+			w.p.Demand(w.now, name(next), 1)
+			w.p.Want(w.now, name(next), nil)
+			next++
+		}
+		w.pass(100 * time.Millisecond)
+	}
+	c.Check(w.p.Summary().MaxComing >= 75, qt.IsTrue, qt.Commentf("%d at once", w.p.Summary().MaxComing))
+}
