The less loaded of two backend servers that are picked at random

Change: the less loaded of two picked at random among those with room.

No test replays it yet: the balancer's tests know one gateway.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -385,21 +385,36 @@
 	return holders
 }
 
-// best returns the least loaded of those with room, or nil.
+// best returns the less loaded of two that are picked at random among those with room, or
+// nil. What is known of the other gateways' requests is up to a few hundred milliseconds
+// old: if all took the least loaded, they would meet there.
 func (b *Balancer) best(now time.Time, from []*backend) *backend {
-	var best *backend
-	least := 0.0
+	able := make([]*backend, 0, len(from))
 	for _, k := range from {
-		if now.Before(k.fullUntil) || !k.hasRoom() {
-			continue
-		}
-		score := k.load() + k.failing(now)*failurePenalty + rand.Float64()*jitter
-		if k.info.GetZone() != b.Zone {
-			score += zonePenalty
-		}
-		if best == nil || score < least {
-			best, least = k, score
+		if !now.Before(k.fullUntil) && k.hasRoom() {
+			able = append(able, k)
 		}
 	}
+	if len(able) == 0 {
+		return nil
+	}
+	first := rand.IntN(len(able))
+	best := able[first]
+	if len(able) == 1 {
+		return best
+	}
+	other := able[(first+1+rand.IntN(len(able)-1))%len(able)]
+	if b.score(now, other) < b.score(now, best) {
+		return other
+	}
 	return best
 }
+
+// score is the load of a backend server with what else speaks against it.
+func (b *Balancer) score(now time.Time, k *backend) float64 {
+	score := k.load() + k.failing(now)*failurePenalty + rand.Float64()*jitter
+	if k.info.GetZone() != b.Zone {
+		score += zonePenalty
+	}
+	return score
+}
