Copies for adapters whose demand rises, at once

The hot adapters had too few copies: the rate by which copies are added follows with a half-life of 4 s, so that one which rises to 100 requests a second counts as 16 after one second; a1715 got its copies one after the other over two seconds.

Change: a second rate with a half-life of 0.5 s; the higher one decides on copies. Tests: TestRisingAdaptersGetCopiesAtOnce (1 copy before, 5 wanted), TestChanceMakesNoCopies.

--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -92,7 +92,7 @@
 // assignCopies gives hot adapters further copies.
 func (p *Placer) assignCopies(now time.Time) {
 	for adapter, d := range p.demand {
-		rate := d.at(now, p.policy.DemandHalfLife)
+		rate := d.peak(now, &p.policy)
 		if rate < 1 {
 			continue
 		}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -112,9 +112,12 @@
 	modelLoadAt time.Time
 }
 
+// demand is the requests a second for an adapter: rate as of the last seconds, and quick as
+// of the last moments, which shows at once what has begun to rise.
 type demand struct {
-	rate float64
-	last time.Time
+	rate  float64
+	quick float64
+	last  time.Time
 }
 
 type want struct {
@@ -199,6 +202,8 @@
 		d = &demand{last: now}
 		p.demand[adapter] = d
 	}
+	quick := d.quick * halving(float64(now.Sub(d.last))/float64(p.policy.QuickHalfLife))
+	d.quick = quick + float64(requests)*ln2/p.policy.QuickHalfLife.Seconds()
 	d.rate = d.at(now, p.policy.DemandHalfLife) + float64(requests)*ln2/p.policy.DemandHalfLife.Seconds()
 	d.last = now
 }
@@ -301,6 +306,13 @@
 	return d.rate * halving(float64(now.Sub(d.last))/float64(halfLife))
 }
 
+// peak returns the higher of the two rates: what rises gets its copies soon, and what has
+// paused for a moment keeps them.
+func (d *demand) peak(now time.Time, policy *Policy) float64 {
+	quick := d.quick * halving(float64(now.Sub(d.last))/float64(policy.QuickHalfLife))
+	return max(quick, d.at(now, policy.DemandHalfLife))
+}
+
 const (
 	ln2 = 0.6931
 	// assumedRate is the requests a second that are assumed for adapters which an engine
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -367,3 +367,30 @@
 	}
 	c.Check(w.p.Summary().MaxComing >= 75, qt.IsTrue, qt.Commentf("%d at once", w.p.Summary().MaxComing))
 }
+
+// Demand moves to an adapter that nobody asked for before: a hundred requests a second.
+// Its copies come about as fast as loads allow, not as fast as popularity is forgotten.
+func TestRisingAdaptersGetCopiesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 12, 8)
+	w.pass(200 * time.Millisecond)
+	w.p.Want(w.now, name(0), nil)
+	for range 10 {
+		w.p.Demand(w.now, name(0), 10)
+		w.pass(100 * time.Millisecond)
+	}
+	c.Check(w.usable(name(0)) >= 5, qt.IsTrue, qt.Commentf("%d copies", w.usable(name(0))))
+}
+
+// A handful of requests that happen to come together make no copies.
+func TestChanceMakesNoCopies(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 12, 8)
+	w.pass(200 * time.Millisecond)
+	w.p.Want(w.now, name(0), nil)
+	for range 10 {
+		w.p.Demand(w.now, name(0), 4)
+		w.pass(time.Second)
+	}
+	c.Check(w.usable(name(0)), qt.Equals, 1)
+}
--- a/pkg/placer/policy.go
+++ b/pkg/placer/policy.go
@@ -23,6 +23,9 @@
 	UnknownWait time.Duration
 	// DemandHalfLife is the time in which popularity is forgotten by half.
 	DemandHalfLife time.Duration
+	// QuickHalfLife is the same for the rate by which copies are added: a few times the
+	// span in which all gateways report, and longer than chance keeps requests together.
+	QuickHalfLife time.Duration
 	// RunTime is the expected time of a request at an engine.
 	RunTime time.Duration
 	// FillPerCopy is the part of an engine's slots that one adapter's requests may take
@@ -48,7 +51,7 @@
 	return Policy{
 		Reserve: 1, MaxComing: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
 		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
-		DemandHalfLife: 4 * time.Second, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4, RatePerCopy: 16,
+		DemandHalfLife: 4 * time.Second, QuickHalfLife: 500 * time.Millisecond, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4, RatePerCopy: 16,
 		WantFor: 700 * time.Millisecond, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
 		UnloadAgain: 60 * time.Millisecond, LostLoad: 3 * time.Second,
 	}
