--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -68,6 +68,8 @@
 	// detour is set while calls go through another gateway, and ends that.
 	detour context.CancelFunc
 	heard  time.Time
+	// untold counts requests for adapters in a row that failed.
+	untold int
 }
 
 // loop is what the follower knows of one controller.
@@ -240,10 +242,10 @@
 	}
 	client := &connector.Client{Timeout: acquireTimeout, Transport: f.transport()}
 	_, err := wire.NewMeshProtobufClient("http://"+leader, client).Acquire(ctx, &wire.AcquireRequest{Wants: wants, Gateway: f.Gateway})
+	f.noteAcquire(leader, err)
 	if err == nil {
 		return
 	}
-	f.Log.Info("the leader was not told of adapters that are needed", "Controller", leader, "Error", err.Error())
 	if code, ok := err.(twirp.Error); ok && code.Code() == twirp.Unavailable {
 		f.mu.Lock()
 		if f.leader == leader {
@@ -253,6 +255,23 @@
 	}
 }
 
+// noteAcquire logs the first of several requests for adapters in a row that fail, and how
+// many did once one succeeds: while there is no leader they fail dozens of times a second.
+func (f *Follower) noteAcquire(leader string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil && f.untold > 0:
+		f.Log.Info("the leader is told of adapters again", "Controller", leader, "Failed", f.untold)
+		f.untold = 0
+	case err != nil:
+		f.untold++
+		if f.untold == 1 {
+			f.Log.Info("the leader was not told of adapters that are needed", "Controller", leader, "Error", err.Error())
+		}
+	}
+}
+
 func (f *Follower) transport() *http.Transport {
 	f.acquiringOnce.Do(func() { f.acquiring = connector.NewTransport(nil) })
 	return f.acquiring
