--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -322,3 +322,74 @@
 		})
 	}
 }
+
+// Forty gateways hear of each other's requests only every 150 ms. They must not all send
+// to the backend server that was the least loaded when they heard.
+func TestGatewaysDoNotMeetAtOneBackend(t *testing.T) {
+	c := qt.New(t)
+	const (
+		gateways = 40
+		step     = 5 * time.Millisecond
+		news     = 150 * time.Millisecond
+		lasts    = 200 * time.Millisecond
+	)
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	var all []*Balancer
+	for range gateways {
+		b := &Balancer{Zone: "z"}
+		for _, id := range ids {
+			a := announcement(id)
+			a.Slots = 64
+			b.Announce(begin(), a)
+		}
+		all = append(all, b)
+	}
+	type run struct {
+		by int
+		id string
+		at time.Time
+	}
+	var running []run
+	now, peak := begin(), 0
+	for n := range 400 {
+		now = now.Add(step)
+		for len(running) > 0 && !now.Before(running[0].at.Add(lasts)) {
+			all[running[0].by].Done(now, running[0].id, "", 0, Served)
+			running = running[1:]
+		}
+		if n%int(news/step) == 0 {
+			tellLoads(all)
+		}
+		by := n * 7 % gateways
+		id := decide(all[by], now, waiter("w", func(w *Waiter) { w.GiveUp = now.Add(time.Second) }))["w"]
+		running = append(running, run{by, id, now})
+		there := 0
+		for _, r := range running {
+			if r.id == id {
+				there++
+			}
+		}
+		peak = max(peak, there)
+	}
+	// Five on average: a request every 5 ms that lasts 200 ms, at eight servers.
+	c.Check(peak <= 15, qt.IsTrue, qt.Commentf("%d requests at one backend server", peak))
+}
+
+// tellLoads tells each gateway what the others have.
+func tellLoads(all []*Balancer) {
+	for i, b := range all {
+		sums := map[string]uint32{}
+		for j, other := range all {
+			for _, l := range other.Loads() {
+				if j != i {
+					sums[l.GetBackend()] += l.GetRequests()
+				}
+			}
+		}
+		var loads []*wire.Load
+		for id, n := range sums {
+			loads = append(loads, &wire.Load{Backend: id, Requests: n})
+		}
+		b.SetLoads(loads)
+	}
+}
