--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -10,7 +10,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -273,26 +272,6 @@
 	return nil, b.want(now, w, c.preferred)
 }
 
-// choose returns the backend server to send to, or nil, and those that could serve the
-// request if they had room.
-func (b *Balancer) choose(now time.Time, w *Waiter, c candidates) (best *backend, holders []*backend) {
-	for _, list := range [][]*backend{c.preferred, c.tried, c.suspects} {
-		able := list
-		if w.Adapter != "" {
-			able = b.holding(now, list, w.Adapter)
-		}
-		if best := b.best(now, able); best != nil {
-			return best, append(holders, able...)
-		}
-		holders = append(holders, able...)
-		if len(holders) > 0 && len(c.suspects) == 0 {
-			// It has its places full; that is no reason to go where a try has failed.
-			return nil, holders
-		}
-	}
-	return nil, holders
-}
-
 // When a refused caller should come back.
 const (
 	// comeBackWithoutBackend is about the time in which a restarted one announces itself.
@@ -324,97 +303,3 @@
 	crowdedLoad  = 0.3
 	crowdedRatio = 1.6
 )
-
-// crowded reports whether the least busy holder of an adapter is much busier than the
-// engines on the whole. If all are busy, a further copy would help nobody.
-func (b *Balancer) crowded(best *backend, peers []*backend) bool {
-	sum := 0.0
-	for _, k := range peers {
-		sum += k.load()
-	}
-	return best.load() > crowdedLoad && best.load()*float64(len(peers)) > crowdedRatio*sum
-}
-
-// without returns the backend servers of a list that are not in another.
-func without(list, others []*backend) []*backend {
-	return slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return slices.Contains(others, k) })
-}
-
-// candidates are the backend servers that may get a request, full or not, in the order in
-// which they are asked.
-type candidates struct {
-	preferred []*backend
-	// tried have failed this request, but nothing else speaks against them. With the only
-	// engine that holds an adapter among them, a repeat there is better than a load.
-	tried []*backend
-	// suspects are used while the others are full and few: when most seem to have failed,
-	// the fault may be nearer than they are.
-	suspects []*backend
-}
-
-func (b *Balancer) candidates(now time.Time, w *Waiter) candidates {
-	var c candidates
-	for _, k := range b.byService[w.Service] {
-		switch {
-		case !k.open():
-		case k.suspect(now):
-			c.suspects = append(c.suspects, k)
-		case slices.Contains(w.Avoid, k.info.GetId()):
-			c.tried = append(c.tried, k)
-		default:
-			c.preferred = append(c.preferred, k)
-		}
-	}
-	sound := len(c.preferred) + len(c.tried)
-	if sound*maxEjectedShare >= sound+len(c.suspects) {
-		c.suspects = nil
-	}
-	return c
-}
-
-// holding returns those that have the adapter in the wanted version.
-func (b *Balancer) holding(now time.Time, from []*backend, adapter string) []*backend {
-	version := b.versions[adapter]
-	var holders []*backend
-	for _, k := range from {
-		held, ok := k.holds[adapter]
-		if ok && (version == 0 || held >= version) && !now.Before(k.absent[adapter]) {
-			holders = append(holders, k)
-		}
-	}
-	return holders
-}
-
-// best returns the less loaded of two that are picked at random among those with room, or
-// nil. What is known of the other gateways' requests is up to a few hundred milliseconds
-// old: if all took the least loaded, they would meet there.
-func (b *Balancer) best(now time.Time, from []*backend) *backend {
-	able := make([]*backend, 0, len(from))
-	for _, k := range from {
-		if !now.Before(k.fullUntil) && k.hasRoom() {
-			able = append(able, k)
-		}
-	}
-	if len(able) == 0 {
-		return nil
-	}
-	first := rand.IntN(len(able))
-	best := able[first]
-	if len(able) == 1 {
-		return best
-	}
-	other := able[(first+1+rand.IntN(len(able)-1))%len(able)]
-	if b.score(now, other) < b.score(now, best) {
-		return other
-	}
-	return best
-}
-
-// score is the load of a backend server with what else speaks against it.
-func (b *Balancer) score(now time.Time, k *backend) float64 {
-	score := k.load() + k.failing(now)*failurePenalty + rand.Float64()*jitter
-	if k.info.GetZone() != b.Zone {
-		score += zonePenalty
-	}
-	return score
-}
