A full holder of an adapter gets help while a request waits

Change: a request that waits for room at the holders asks for a copy elsewhere, if another engine has room. Test: TestFullHoldersGetHelp, seen failing.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -266,10 +266,16 @@
 		}
 		return &Decision{Waiter: w, Reason: reason, ComeBack: comeBack}, nil
 	}
-	if len(holders) > 0 || w.Adapter == "" {
+	if w.Adapter == "" {
 		return nil, nil
 	}
-	return nil, b.want(now, w, c.preferred)
+	others := without(c.preferred, holders)
+	if len(holders) > 0 && !slices.ContainsFunc(others, (*backend).hasRoom) {
+		return nil, nil
+	}
+	// It is nowhere, or where it is there is no room. Without a copy elsewhere the leader
+	// would even take it for idle there and give it up.
+	return nil, b.want(now, w, others)
 }
 
 // When a refused caller should come back.
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -323,6 +323,32 @@
 	}
 }
 
+// The only engine with an adapter is full, and others have room: a copy is asked for there
+// while the request waits. When all are full, a copy would help nobody.
+func TestFullHoldersGetHelp(t *testing.T) {
+	for name, test := range map[string]struct {
+		full []string
+		want int
+	}{
+		"others have room": {[]string{"a"}, 1},
+		"all are full":     {[]string{"a", "b", "c"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b", "c")
+			hold(b, 1, "a", "m/x@0")
+			fill(b, test.full...)
+			b.Enqueue(waiter("w", adapter("m/x")))
+			decisions, wants := b.Next(begin())
+			c.Check(decisions, qt.HasLen, 0)
+			c.Assert(wants, qt.HasLen, test.want)
+			if test.want > 0 {
+				c.Check(wants[0].GetAvoid(), qt.DeepEquals, []string{"a"})
+			}
+		})
+	}
+}
+
 // Forty gateways hear of each other's requests only every 150 ms. They must not all send
 // to the backend server that was the least loaded when they heard.
 func TestGatewaysDoNotMeetAtOneBackend(t *testing.T) {
