--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -105,7 +105,7 @@
 	return score
 }
 
-// crowded reports whether the least busy holder of an adapter is much busier than the
+// crowded reports whether the holder of an adapter that was chosen is much busier than the
 // engines on the whole. If all are busy, a further copy would help nobody.
 func (b *Balancer) crowded(best *backend, peers []*backend) bool {
 	sum := 0.0
