What a given-up call still writes is not read any more

Harmless as used, since the value was dropped with the error, but a race. Ruled out: the soak's own code.

Change: the value comes over a channel of one. Test: TestCallsThatAreGivenUp, seen failing under the race detector (one report in 200 calls), now passes.

--- a/controller/coordinator/reports.go
+++ b/controller/coordinator/reports.go
@@ -29,32 +29,41 @@
 	return nil
 }
 
+// readValue reads a value of the state while this instance leads. The value comes over a
+// channel: f may still run after ctx has ended, and must not write what the caller reads.
+func readValue[T any](ctx context.Context, c *Coordinator, f func() T) (T, error) {
+	value := make(chan T, 1)
+	if err := c.Read(ctx, func(time.Time) { value <- f() }); err != nil {
+		var none T
+		return none, err
+	}
+	return <-value, nil
+}
+
 // Contract returns a customer's contract, or nil.
-func (c *Coordinator) Contract(ctx context.Context, customer string) (contract *wire.Contract, err error) {
-	err = c.Read(ctx, func(time.Time) { contract = c.state.Contract(customer) })
-	return contract, err
+func (c *Coordinator) Contract(ctx context.Context, customer string) (*wire.Contract, error) {
+	return readValue(ctx, c, func() *wire.Contract { return c.state.Contract(customer) })
 }
 
 // Contracts returns all contracts.
-func (c *Coordinator) Contracts(ctx context.Context) (contracts []*wire.Contract, err error) {
-	err = c.Read(ctx, func(time.Time) { contracts = c.state.Contracts() })
-	return contracts, err
+func (c *Coordinator) Contracts(ctx context.Context) ([]*wire.Contract, error) {
+	return readValue(ctx, c, c.state.Contracts)
 }
 
 // History returns the kept changes of a customer's contract.
-func (c *Coordinator) History(ctx context.Context, customer string) (changes []*wire.ChangeRecord, err error) {
-	err = c.Read(ctx, func(time.Time) { changes = c.state.History(customer) })
-	return changes, err
+func (c *Coordinator) History(ctx context.Context, customer string) ([]*wire.ChangeRecord, error) {
+	return readValue(ctx, c, func() []*wire.ChangeRecord { return c.state.History(customer) })
 }
 
 // Claim returns a copy of a claim, or nil.
-func (c *Coordinator) Claim(ctx context.Context, key recorder.ClaimKey) (claim *wire.Claim, err error) {
-	err = c.Read(ctx, func(time.Time) {
-		if found := c.state.ClaimOf(key); found != nil {
-			claim = proto.CloneOf(found)
+func (c *Coordinator) Claim(ctx context.Context, key recorder.ClaimKey) (*wire.Claim, error) {
+	return readValue(ctx, c, func() *wire.Claim {
+		found := c.state.ClaimOf(key)
+		if found == nil {
+			return nil
 		}
+		return proto.CloneOf(found)
 	})
-	return claim, err
 }
 
 // InForce tells whether every live session has applied a revision.
@@ -70,9 +79,8 @@
 }
 
 // AdmittedMembers returns the names of instances that may become members.
-func (c *Coordinator) AdmittedMembers(ctx context.Context) (names []string, err error) {
-	err = c.Read(ctx, func(time.Time) { names = c.state.AdmittedMembers() })
-	return names, err
+func (c *Coordinator) AdmittedMembers(ctx context.Context) ([]string, error) {
+	return readValue(ctx, c, c.state.AdmittedMembers)
 }
 
 // Status returns what an operator sees of the whole system.
--- a/controller/curator/curator_test.go
+++ b/controller/curator/curator_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"bronzelead.example/controller/keeper"
@@ -133,3 +134,23 @@
 	cu.apply(keeper.Item{Applied: []keeper.Applied{k.entry(putTable(9, "t"))}})
 	c.Check(cu.isDue(now, waiters["A"]), qt.IsTrue)
 }
+
+// A call whose caller has given up may still run, while the caller goes on. The race
+// detector watches what both touch.
+func TestCallsThatAreGivenUp(t *testing.T) {
+	c := qt.New(t)
+	cu, _ := newCurator()
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 200 {
+		ran := make(chan struct{})
+		go func() {
+			call := <-cu.calls
+			call(cu.Clock.Now())
+			close(ran)
+		}()
+		_, err := cu.Document(gone)
+		c.Check(err == nil || errors.Is(err, context.Canceled), qt.IsTrue)
+		<-ran
+	}
+}
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -223,7 +223,10 @@
 
 // Document returns the operator's document in force here.
 func (c *Curator) Document(ctx context.Context) (*wire.PutTable, error) {
-	var table *wire.PutTable
-	err := c.Call(ctx, func(time.Time) { table = c.state.Table() })
-	return table, err
+	// The call may still run after ctx has ended, and must not write what is read here.
+	table := make(chan *wire.PutTable, 1)
+	if err := c.Call(ctx, func(time.Time) { table <- c.state.Table() }); err != nil {
+		return nil, err
+	}
+	return <-table, nil
 }
