Nothing but its own events goes into a stream that has begun

Cause: after a stream was cut, its request is sent to another engine. If that one answered with a failure, a refusal or anything else that is no stream, relayWhole sent this as a second answer into the reply that had begun: the caller got a head and a body in the middle of its events.

Ruled out: the stream reader itself (it passes whole events only), and the refusals (giveUp, lost and expired looked at Begun already). Left was the way from try to relayWhole, for 500, 4xx, other successes and long answers.

Change: in a reply that has begun, only a success whose content is a stream of events is taken further; everything else counts as a failure of that engine, is tried again while that is allowed, and ends the answer incomplete otherwise. The reply itself refuses a second head, logs that, and aborts. A success on a stream's route that is no stream is passed on as it is.

--- a/gateway/doorkeeper/doorkeeper.go
+++ b/gateway/doorkeeper/doorkeeper.go
@@ -308,7 +308,7 @@
 		}
 	}()
 	keep := req.Head.KeepAlive() && !c.door.stopping.Load()
-	reply := &Reply{conn: c.Conn, keep: keep, method: req.Head.Method, minor: req.Head.Minor}
+	reply := &Reply{conn: c.Conn, log: c.door.Log, keep: keep, method: req.Head.Method, minor: req.Head.Minor}
 	reply.stopping = &c.door.stopping
 	c.door.Handle(ctx, req, reply)
 	reply.finish()
@@ -334,7 +334,7 @@
 		return
 	}
 	c.door.Log.Info("a request was refused unread", "Caller", c.RemoteAddr().String(), "Status", status, "Reason", err.Error())
-	reply := &Reply{conn: c.Conn, minor: 1}
+	reply := &Reply{conn: c.Conn, log: c.door.Log, minor: 1}
 	reply.Send(status, nil, nil)
 	c.linger()
 }
--- a/gateway/doorkeeper/doorkeeper_test.go
+++ b/gateway/doorkeeper/doorkeeper_test.go
@@ -224,3 +224,36 @@
 	<-ended
 	c.Assert(door.Stop(context.Background()), qt.IsNil)
 }
+
+// Whatever the handler does, a caller never gets a second head into an answer that has
+// begun: the answer ends incomplete.
+func TestOneHeadForARequest(t *testing.T) {
+	for name, again := range map[string]func(*Reply){
+		"a whole answer": func(r *Reply) { r.Send(http.StatusBadGateway, nil, []byte("no")) },
+		"a head alone":   func(r *Reply) { r.SendHead(http.StatusNoContent, nil) },
+		"another beginning": func(r *Reply) {
+			if r.Begin(http.StatusOK, nil) == nil {
+				r.End()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			door, _ := start(c, Limits{})
+			door.Handle = func(_ context.Context, _ *Request, reply *Reply) {
+				c.Check(reply.Begin(http.StatusOK, nil), qt.IsNil)
+				c.Check(reply.Write([]byte("begun")), qt.IsNil)
+				again(reply)
+			}
+			conn, err := net.Dial("tcp", door.Addr())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			// A reset may take the first bytes with it.
+			received, _ := io.ReadAll(conn)
+			c.Check(strings.Count(string(received), "HTTP/1.1 ") <= 1, qt.IsTrue)
+			c.Check(strings.HasSuffix(string(received), "0\r\n\r\n"), qt.IsFalse)
+		})
+	}
+}
--- a/gateway/doorkeeper/reply.go
+++ b/gateway/doorkeeper/reply.go
@@ -1,6 +1,7 @@
 package doorkeeper
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,12 +20,17 @@
 	statusHeaderTooLarge = http.StatusRequestHeaderFieldsTooLarge
 )
 
-var errTooLong = framer.TooLarge("the body is too long")
+var (
+	errTooLong = framer.TooLarge("the body is too long")
+	errBegun   = errors.New("doorkeeper: the answer has begun already")
+)
 
 // Reply answers one request. Either Send is called, or Begin, then Write for each part,
-// and End or Abort.
+// and End or Abort. A second head is never written: a caller whose answer has begun would
+// take it for a part of that answer. The answer is aborted instead.
 type Reply struct {
 	conn     net.Conn
+	log      *slog.Logger
 	method   string
 	minor    int
 	keep     bool
@@ -42,7 +48,9 @@
 
 // Send sends a whole answer.
 func (r *Reply) Send(status int, header framer.Header, body []byte) {
-	r.head(status, header)
+	if r.head(status, header) != nil {
+		return
+	}
 	r.field("Content-Length", strconv.Itoa(len(body)))
 	r.buf = append(r.buf, "\r\n"...)
 	if r.method != http.MethodHead {
@@ -54,18 +62,22 @@
 // SendHead sends an answer that by its status or method has no body, with the header as
 // it is.
 func (r *Reply) SendHead(status int, header framer.Header) {
-	r.head(status, header)
+	if r.head(status, header) != nil {
+		return
+	}
 	r.buf = append(r.buf, "\r\n"...)
 	r.done = r.flush() == nil
 }
 
 // Begin sends the head of an answer whose length is not known.
 func (r *Reply) Begin(status int, header framer.Header) error {
-	r.chunked = r.minor == 1
-	if !r.chunked {
-		r.keep = false
+	if !r.begun {
+		r.chunked = r.minor == 1
+		r.keep = r.keep && r.chunked
+	}
+	if err := r.head(status, header); err != nil {
+		return err
 	}
-	r.head(status, header)
 	if r.chunked {
 		r.field("Transfer-Encoding", "chunked")
 	}
@@ -116,7 +128,13 @@
 	}
 }
 
-func (r *Reply) head(status int, header framer.Header) {
+// head prepares the head of the answer, or aborts an answer that has one.
+func (r *Reply) head(status int, header framer.Header) error {
+	if r.begun {
+		r.log.Error("a second answer to one request was held back", "Caller", r.conn.RemoteAddr().String(), "Status", status)
+		r.Abort()
+		return errBegun
+	}
 	r.begun = true
 	if r.stopping != nil && r.stopping.Load() {
 		r.keep = false
@@ -135,6 +153,7 @@
 	case r.minor == 0:
 		r.field("Connection", "keep-alive")
 	}
+	return nil
 }
 
 func (r *Reply) field(name, value string) {
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"bronzelead.example/gateway/sender"
@@ -58,9 +59,16 @@
 		return true
 	}
 	j.runs++
-	if j.route.GetRepetition() == wire.Repetition_REPETITION_STREAM && in.Head.Status == http.StatusOK {
+	if j.route.GetRepetition() == wire.Repetition_REPETITION_STREAM && in.Head.Status == http.StatusOK && answer.Events {
 		return f.relayStream(ctx, j, d.Backend, in)
 	}
+	if j.reply.Begun() {
+		// The caller would take a failure, or anything else that is not the rest of its
+		// stream, for a part of it.
+		in.Close()
+		f.done(j, d.Backend.GetId(), balancer.Failed)
+		return f.lost(j, d.Backend, "the stream can't go on with this answer, status "+strconv.Itoa(in.Head.Status))
+	}
 	return f.relayWhole(ctx, j, d.Backend, in)
 }
 
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -198,6 +199,8 @@
 	header   http.Header
 	body     string
 	complete bool
+	// heads is how many heads of answers came, also inside a body.
+	heads int
 }
 
 // patience is how long the tests' callers wait.
@@ -210,13 +213,20 @@
 	head := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n" + lines(platform.StandInRequest("r1", patience))
 	_, err = io.WriteString(conn, head+strings.Join(append(header, ""), "\r\n")+"\r\nhi")
 	c.Assert(err, qt.IsNil)
-	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	var raw bytes.Buffer
+	received := bufio.NewReader(io.TeeReader(conn, &raw))
+	res, err := http.ReadResponse(received, nil)
 	if err != nil {
 		return got{}
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	return got{status: res.StatusCode, header: res.Header, body: string(body), complete: err == nil}
+	if err != nil {
+		// What comes behind a broken body is counted too.
+		_, _ = io.Copy(io.Discard, received)
+	}
+	heads := strings.Count(raw.String(), "HTTP/1.1 ")
+	return got{status: res.StatusCode, header: res.Header, body: string(body), complete: err == nil, heads: heads}
 }
 
 func TestAnswersPassUnchanged(t *testing.T) {
