A start of a backend server is its name and when it began; what can't be read names none

Cause: the tracker told starts apart by their id alone. One that starts again under its id counts its heartbeats from 1, which were all thrown away as late; what was believed of the earlier start (draining, adapters, orders, requests on the way) outlived it.

Change: platform makes the id of a start from the name and 'born'; a later start of a name ends the earlier one in the tracker, and with it everything that is kept by its id: the placer's engine, the balancer's backend server, idle connections. Requests on their way to it are reset at once, so that they are tried again or fail in time. Late words of an earlier start change nothing, whatever their numbers; words that don't tell their start are of the latest. A report of another start ends the one that was meant.

--- a/controller/app/carrier.go
+++ b/controller/app/carrier.go
@@ -36,7 +36,7 @@
 }
 
 func (c *orderCarrier) report(order placer.Order) (placer.Outcome, *placer.State) {
-	report, err := c.orders.Report(context.Background(), order.Address, order.Backend)
+	report, err := c.orders.Report(context.Background(), order.Address, order.Name)
 	if errors.Is(err, platform.ErrElsewhere) {
 		return placer.Gone, nil
 	}
@@ -44,6 +44,14 @@
 		c.log.Info("an engine did not report", "Backend", order.Backend, "Error", err.Error())
 		return placer.Unknown, nil
 	}
+	if report.Skipped > 0 {
+		c.log.Warn("parts of an engine's report can't be read", "Backend", order.Backend, "Entries", report.Skipped)
+	}
+	if report.BornMs > 0 && order.BornMs > 0 && report.BornMs != order.BornMs {
+		// What the new start holds is asked for once it has announced itself.
+		c.log.Info("an engine has started again", "Backend", order.Backend, "BornMs", report.BornMs)
+		return placer.Gone, nil
+	}
 	return placer.Holds, &placer.State{
 		Accepted: report.Accepted, Models: report.Models, Adapters: report.Adapters, Coming: report.Coming,
 	}
@@ -56,7 +64,7 @@
 		kind = platform.OrderUnload
 	}
 	outcome, err := c.orders.Give(context.Background(), platform.Order{
-		Address: order.Address, Backend: order.Backend, Kind: kind, Model: model, Adapter: adapter,
+		Address: order.Address, Name: order.Name, Kind: kind, Model: model, Adapter: adapter,
 		Version: order.Version, After: order.After, Holder: c.holder, Fence: term,
 	})
 	reason := ""
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -231,6 +231,7 @@
 		ReadTable:  r.mesh.Document,
 		PutVersion: r.mesh.PutVersion,
 		Announce:   r.mesh.Heard,
+		Unreadable: (&complainer{clock: r.Clock, log: r.Log}).unreadable,
 	}
 }
 
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -74,7 +74,7 @@
 
 func (f *Forwarder) outgoing(j *job, d balancer.Decision) *sender.Outgoing {
 	dispatch := platform.Dispatch{
-		Backend: d.Backend.GetId(), AdapterVersion: d.Version, Urgency: -1, Resumes: j.resume,
+		Name: d.Backend.GetName(), AdapterVersion: d.Version, Urgency: -1, Resumes: j.resume,
 	}
 	if !j.patience.IsZero() {
 		dispatch.Left = j.until.Sub(f.Clock.Now())
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -116,7 +116,10 @@
 	}
 	for _, a := range res.GetAnnouncements() {
 		f.balancer.Announce(now, a)
-		if a.GetGone() {
+		switch {
+		case a.GetReplaced():
+			f.Sender.Abandon(a.GetId())
+		case a.GetGone():
 			f.Sender.Forget(a.GetId())
 		}
 	}
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -76,7 +76,7 @@
 }
 
 func (b *backendFake) announcement(service string) *wire.Announcement {
-	return &wire.Announcement{Id: b.id, Service: service, Address: b.listener.Addr().String(), Slots: 4, Sequence: 1}
+	return &wire.Announcement{Id: b.id, Name: b.id, Service: service, Address: b.listener.Addr().String(), Slots: 4, Sequence: 1}
 }
 
 func (b *backendFake) requests() []*http.Request {
@@ -244,7 +244,7 @@
 	c.Check(sent.Header.Get("X-Own"), qt.Equals, "kept")
 	c.Check(sent.Header.Get("X-Hop"), qt.Equals, "")
 	dispatch := platform.DecodeDispatch(fields(sent.Header))
-	c.Check(dispatch.Backend, qt.Equals, "b1")
+	c.Check(dispatch.Name, qt.Equals, "b1")
 	c.Check(dispatch.Left > 0 && dispatch.Left <= patience, qt.IsTrue)
 }
 
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -45,6 +45,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*link
+	// busy are the connections with a request, for each backend server.
+	busy map[string]map[*link]struct{}
 }
 
 // link is one connection to a backend server.
@@ -90,10 +92,12 @@
 	if err != nil {
 		return nil, err
 	}
+	s.begin(out.Backend, l)
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	in, err := s.exchange(l, out)
 	if err != nil {
 		stop()
+		s.end(out.Backend, l)
 		_ = l.Close()
 		return nil, err
 	}
@@ -207,6 +211,7 @@
 // came with it, and closes it otherwise.
 func (in *Incoming) Close() {
 	running := in.stop()
+	in.sender.end(in.backend, in.link)
 	reusable := running && in.Body.Ended() && in.Body.Framing != framer.FramingClose &&
 		in.Head.KeepAlive() && in.link.reader.Buffered() == 0 && in.bodyWritten()
 	if !reusable {
@@ -342,6 +347,39 @@
 	}
 }
 
+func (s *Sender) begin(backend string, l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy == nil {
+		s.busy = map[string]map[*link]struct{}{}
+	}
+	if s.busy[backend] == nil {
+		s.busy[backend] = map[*link]struct{}{}
+	}
+	s.busy[backend][l] = struct{}{}
+}
+
+func (s *Sender) end(backend string, l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy[backend], l)
+	if len(s.busy[backend]) == 0 {
+		delete(s.busy, backend)
+	}
+}
+
+// Abandon closes all connections to a start of a backend server that has ended, also those
+// with a request: nothing more comes on them, and without a reset a request would wait for
+// it until its time is over.
+func (s *Sender) Abandon(backend string) {
+	s.Forget(backend)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.busy[backend] {
+		_ = l.Close()
+	}
+}
+
 // Forget closes the idle connections to a backend server.
 func (s *Sender) Forget(backend string) {
 	s.mu.Lock()
--- /dev/null
+++ b/gateway/sender/sender_test.go
@@ -0,0 +1,69 @@
+package sender
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/pkg/framer"
+)
+
+// silentServer accepts connections, tells of each request that begins, and never answers.
+func silentServer(c *qt.C) (address string, began <-chan struct{}) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	requests := make(chan struct{}, 8)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = conn.Read(make([]byte, 1))
+				requests <- struct{}{}
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+// A start that was replaced without a word never answers. Its requests must learn so when
+// the gateway does, not when their time is over; those of other starts go on.
+func TestRequestsOfAReplacedStartEnd(t *testing.T) {
+	c := qt.New(t)
+	s := &Sender{
+		Clock: clockwork.NewRealClock(), DialTimeout: time.Minute, MaxIdle: time.Minute,
+		OwnAnswer: func(*framer.ResponseHead, string) (bool, time.Duration) { return true, 0 },
+	}
+	address, began := silentServer(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	send := func(backend string) <-chan Kind {
+		ended := make(chan Kind, 1)
+		go func() {
+			_, err := s.Send(ctx, &Outgoing{Backend: backend, Address: address, Method: "POST", Target: "/"})
+			ended <- KindOf(err)
+		}()
+		<-began
+		return ended
+	}
+	earlier, other := send("i-1~1"), send("i-2~1")
+	s.Abandon("i-1~1")
+	// It may have run; only its answer is lost for certain.
+	c.Check(<-earlier, qt.Equals, KindLost)
+	select {
+	case <-other:
+		c.Error("the request of another start has ended")
+	default:
+	}
+	cancel()
+	<-other
+	c.Check(s.busy, qt.HasLen, 0)
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -42,9 +42,12 @@
 
 // Order is an instruction to one engine.
 type Order struct {
-	Kind    Kind
+	Kind Kind
+	// Backend is the start that is meant; Address, Name and BornMs are as it announced them.
 	Backend string
 	Address string
+	Name    string
+	BornMs  uint64
 	// Adapter is MODEL/NAME, or the base model alone.
 	Adapter string
 	// Version to load; 0 is the newest.
@@ -251,7 +254,7 @@
 	}
 	var orders []Order
 	if o, ok := p.question(now, e); ok && !e.asking && e.reported {
-		o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
+		o.addressTo(e)
 		e.asking = true
 		orders = append(orders, o)
 	}
@@ -260,7 +263,7 @@
 	}
 	if o, ok := p.nextOrder(now, e); ok {
 		if !o.repeated {
-			o.Backend, o.Address, o.After = id, e.info.GetAddress(), e.accepted
+			o.addressTo(e)
 		}
 		e.busy = true
 		orders = append(orders, o)
@@ -268,6 +271,12 @@
 	return orders
 }
 
+// addressTo makes an order one to an engine, after all that this has accepted so far.
+func (o *Order) addressTo(e *engine) {
+	o.Backend, o.Address, o.Name, o.BornMs = e.info.GetId(), e.info.GetAddress(), e.info.GetName(), e.info.GetBornMs()
+	o.After = e.accepted
+}
+
 // buildIndex notes at which engines each adapter is or soon will be.
 func (p *Placer) buildIndex() {
 	p.index = make(map[string][]string, len(p.index))
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -31,7 +31,9 @@
 
 	entries   map[string]*entry
 	byAddress map[string]string
-	revision  uint64
+	// latest is the latest start of each name that tells when it began.
+	latest   map[string]*entry
+	revision uint64
 }
 
 type entry struct {
@@ -45,7 +47,11 @@
 // and whether it changes what gateways have to know.
 func (t *Tracker) Note(now time.Time, a *wire.Announcement) (news, changed bool) {
 	if t.entries == nil {
-		t.entries, t.byAddress = map[string]*entry{}, map[string]string{}
+		t.entries, t.byAddress, t.latest = map[string]*entry{}, map[string]string{}, map[string]*entry{}
+	}
+	a = t.ofStart(now, a)
+	if a == nil {
+		return false, false
 	}
 	if a.GetGone() {
 		return t.noteGone(now, a)
@@ -53,7 +59,7 @@
 	e := t.entries[a.GetId()]
 	if e == nil {
 		e = &entry{info: &wire.Announcement{}}
-		t.entries[a.GetId()] = e
+		t.enter(a, e)
 	} else if a.GetSequence() <= e.info.GetSequence() {
 		return false, false
 	}
@@ -72,12 +78,57 @@
 	return true, changed
 }
 
+// enter takes a start up that was not known.
+func (t *Tracker) enter(a *wire.Announcement, e *entry) {
+	t.entries[a.GetId()] = e
+	if a.GetBornMs() > 0 {
+		t.latest[a.GetName()] = e
+	}
+}
+
+// ofStart returns an announcement with the start that it is of, or nil if that start is
+// over. A backend server may keep its name when it starts again: the later start then
+// ends the earlier one, and what that said last, though it may come later and with a
+// higher number, changes nothing. Words that don't tell their start are of the latest.
+func (t *Tracker) ofStart(now time.Time, a *wire.Announcement) *wire.Announcement {
+	if a.GetName() == "" {
+		a = proto.CloneOf(a)
+		a.Name = a.GetId()
+	}
+	latest := t.latest[a.GetName()]
+	switch {
+	case latest == nil && a.GetBornMs() > 0:
+		// The start may have been known before it told when it began.
+		t.replace(now, t.entries[a.GetName()])
+	case latest == nil || a.GetBornMs() == latest.info.GetBornMs():
+	case a.GetBornMs() == 0:
+		a = proto.CloneOf(a)
+		a.Id, a.BornMs = latest.info.GetId(), latest.info.GetBornMs()
+	case a.GetBornMs() < latest.info.GetBornMs():
+		return nil
+	default:
+		t.replace(now, latest)
+	}
+	return a
+}
+
+// replace ends a start whose name a later one has.
+func (t *Tracker) replace(now time.Time, e *entry) {
+	if e == nil || e.info.GetReplaced() {
+		return
+	}
+	e.info = proto.CloneOf(e.info)
+	e.info.Gone, e.info.Replaced, e.info.Sequence = true, true, FinalSequence
+	e.heard = now
+	t.touch(e)
+}
+
 func (t *Tracker) noteGone(now time.Time, a *wire.Announcement) (news, changed bool) {
 	e := t.entries[a.GetId()]
 	if e == nil {
 		// Nothing is known of it; the note keeps late announcements out.
 		e = &entry{info: proto.CloneOf(a)}
-		t.entries[a.GetId()] = e
+		t.enter(a, e)
 	} else if e.info.GetGone() {
 		return false, false
 	}
@@ -137,6 +188,9 @@
 			if t.byAddress[e.info.GetAddress()] == id {
 				delete(t.byAddress, e.info.GetAddress())
 			}
+			if t.latest[e.info.GetName()] == e {
+				delete(t.latest, e.info.GetName())
+			}
 			continue
 		}
 		if silence > t.SilentAfter && !e.info.GetSilent() && !e.info.GetGone() {
--- a/pkg/tracker/tracker_test.go
+++ b/pkg/tracker/tracker_test.go
@@ -23,6 +23,16 @@
 	return a
 }
 
+// born makes an announcement that of a start of a name, which began at a time.
+func born(name string, ms uint64) func(*wire.Announcement) {
+	return func(a *wire.Announcement) { a.Name, a.BornMs = name, ms }
+}
+
+// named takes away from an announcement when its start began.
+func named(name string) func(*wire.Announcement) {
+	return func(a *wire.Announcement) { a.Id, a.Name = name, name }
+}
+
 func draining(a *wire.Announcement) { a.Draining = true }
 
 // step is one announcement, or a departure, at a time after the start.
@@ -31,6 +41,8 @@
 	a     *wire.Announcement
 }
 
+func leaving(a *wire.Announcement) { a.Gone = true }
+
 func gone(id string) *wire.Announcement { return &wire.Announcement{Id: id, Gone: true} }
 
 // state is "ready", "draining", "silent" or "gone".
@@ -92,6 +104,47 @@
 			[]step{{0, at("a", "x", 9)}, {second, at("b", "x", 6)}, {2 * second, at("b", "x", 7)}}, 2 * second,
 			map[string]string{"a": "gone", "b": "ready"},
 		},
+		"a later start of a name ends the earlier, whatever its numbers": {
+			[]step{{0, at("a~1", "x", 90, born("a", 1))}, {second, at("a~2", "x", 1, born("a", 2))}}, second,
+			map[string]string{"a~1": "gone", "a~2": "ready"},
+		},
+		"also at another address": {
+			[]step{{0, at("a~1", "x", 90, born("a", 1))}, {second, at("a~2", "y", 1, born("a", 2))}}, second,
+			map[string]string{"a~1": "gone", "a~2": "ready"},
+		},
+		"also when its first announcements were lost": {
+			[]step{{0, at("a~1", "x", 9, born("a", 1))}, {second, at("a~2", "x", 44, born("a", 2))}}, second,
+			map[string]string{"a~1": "gone", "a~2": "ready"},
+		},
+		"late words of an earlier start change nothing": {
+			[]step{
+				{0, at("a~1", "x", 9, born("a", 1))}, {second, at("a~2", "x", 1, born("a", 2))},
+				{second, at("a~1", "x", 99, born("a", 1), draining)}, {second, at("a~1", "z", 100, born("a", 1))},
+			}, second, map[string]string{"a~1": "gone", "a~2": "ready"},
+		},
+		"an unknown earlier start changes nothing": {
+			[]step{{0, at("a~2", "x", 1, born("a", 2))}, {second, at("a~1", "x", 99, born("a", 1))}}, second,
+			map[string]string{"a~1": "unknown", "a~2": "ready"},
+		},
+		"a late departure of an earlier start changes nothing": {
+			[]step{{0, at("a~2", "x", 1, born("a", 2))}, {second, at("a~1", "", 0, born("a", 1), leaving)}}, second,
+			map[string]string{"a~2": "ready"},
+		},
+		"draining ends with its start": {
+			[]step{{0, at("a~1", "x", 9, born("a", 1), draining)}, {second, at("a~2", "x", 1, born("a", 2))}}, second,
+			map[string]string{"a~2": "ready"},
+		},
+		"a start that began to tell": {
+			[]step{{0, at("a", "x", 9)}, {second, at("a~2", "x", 1, born("a", 2))}}, second,
+			map[string]string{"a": "gone", "a~2": "ready"},
+		},
+		"words that don't tell their start are of the latest": {
+			[]step{{0, at("a~2", "x", 1, born("a", 2))}, {second, at("", "x", 2, named("a"), draining)}}, second,
+			map[string]string{"a": "unknown", "a~2": "draining"},
+		},
+		"a departure that doesn't tell its start is of the latest": {
+			[]step{{0, at("a~2", "x", 1, born("a", 2))}, {second, gone("a")}}, second, map[string]string{"a~2": "gone"},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -137,3 +190,19 @@
 	c.Check(state(tr.Get("b")), qt.Equals, "ready")
 	c.Check(tr.All(), qt.HasLen, 1)
 }
+
+// What ran on a start that was replaced has ended; on one that has merely left it goes on.
+func TestReplacedStartsAreTold(t *testing.T) {
+	c := qt.New(t)
+	tr := newTracker()
+	tr.Note(start(), at("a~1", "x", 1, born("a", 1)))
+	tr.Note(start(), at("b~1", "y", 1, born("b", 1)))
+	revision := tr.Revision()
+	tr.Note(start(), at("a~2", "x", 1, born("a", 2)))
+	tr.Note(start(), gone("b"))
+	told := map[string]bool{}
+	for _, a := range tr.Since(revision) {
+		told[a.GetId()] = a.GetReplaced()
+	}
+	c.Check(told, qt.DeepEquals, map[string]bool{"a~1": true, "a~2": false, "b~1": false})
+}
--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -49,7 +49,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
 		path, body, err := platform.StandInHeartbeat(&wire.Announcement{
-			Id: b.id, Service: "s", Address: b.cable.address, Zone: "z", Slots: 16,
+			Name: b.id, Service: "s", Address: b.cable.address, Zone: "z", Slots: 16,
 			Sequence: b.sequence.Add(1), Draining: b.draining.Load(),
 		})
 		if err != nil {
@@ -82,7 +82,7 @@
 		header = append(header, framer.Field{Name: name, Value: r.Header.Get(name)})
 	}
 	id := platform.DecodeRequest(header).ID
-	if meant := platform.DecodeDispatch(header).Backend; meant != "" && meant != b.id {
+	if meant := platform.DecodeDispatch(header).Name; meant != "" && meant != b.id {
 		set(w, platform.StandInRefusal(id))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
