Orders to an engine that does not answer wait, longer each time

Cause of the red proof TestAnswersAreRightAndWhole: an engine behind a cut link goes on announcing itself. Its unload orders failed at once and were given again by the next plan, which the failure itself set off: thousands a minute. And each place that was 'being cleared' there was held to be for the next adapter that waited, so that nothing was cleared at the engines that did answer: the answers that did not come.

Ruled out: the engines' leases (the engine announces itself all the time, so it is never dropped) and the back-off of adapters (it counts failed loads only).

Change: an engine that has not answered gets the next order after a wait that doubles, with jitter and a bound, and one at a time until it answers; places at it count for nobody. The rule is pkg/retrier, which the placer of the routed mode uses too, in place of a fixed wait after the sixth failure. Outcomes of orders in the contracts' mode tell refusals from silence.

Test: TestUnreachableEnginesAreLeftAlone, which fails without either half.

--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -26,6 +26,7 @@
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/planner"
 	"bronzelead.example/pkg/replicator"
+	"bronzelead.example/pkg/retrier"
 	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/storer"
 	"bronzelead.example/pkg/translator"
@@ -168,7 +169,7 @@
 	return planner.Policy{
 		LoadsPerSecond: e.LoadsPerSecond, LoadsAtOnce: e.LoadsAtOnce, StallWeight: e.StallWeight,
 		BatchWeight: e.BatchWeight, StarveAfter: e.StarveAfter, MinResidence: e.MinResidence,
-		BackendLease: e.BackendLease, LongestOrder: e.LongestOrder, BackOff: e.BackOff, MaxBackOff: e.MaxBackOff,
+		BackendLease: e.BackendLease, LongestOrder: e.LongestOrder, AfterFailure: retrier.Backoff{First: e.BackOff, Most: e.MaxBackOff},
 	}
 }
 
--- a/controller/orderer/orderer.go
+++ b/controller/orderer/orderer.go
@@ -23,13 +23,13 @@
 }
 
 // Carry starts an order and calls done from another goroutine when it has ended.
-func (o *Orderer) Carry(order planner.Order, done func(ok bool)) {
+func (o *Orderer) Carry(order planner.Order, done func(planner.Outcome)) {
 	go func() { done(o.carry(order)) }()
 }
 
-func (o *Orderer) carry(order planner.Order) bool {
+func (o *Orderer) carry(order planner.Order) planner.Outcome {
 	if !o.Leads() {
-		return false
+		return planner.Refused
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.LongestOrder)
 	defer cancel()
@@ -40,7 +40,10 @@
 	}
 	if err := send(ctx, order.Address, order.Adapter, fencing); err != nil {
 		o.Log.Warn("an order failed", "Backend", order.Backend, "Adapter", order.Adapter, "Error", err.Error())
-		return false
+		if translator.IsKind(err, translator.KindRefused) {
+			return planner.Refused
+		}
+		return planner.Unanswered
 	}
-	return true
+	return planner.Carried
 }
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -61,8 +62,8 @@
 	}
 }
 
-// countFailure counts an order without an answer. An engine that gives none for long is
-// asked less often, and what waits for it goes elsewhere.
+// countFailure counts an order without an answer. An engine that gives none is asked less
+// often each time, and in the end what waits for it goes elsewhere.
 func (p *Placer) countFailure(now time.Time, e *engine, outcome Outcome) {
 	e.failures++
 	if outcome == Unreachable {
@@ -70,8 +71,8 @@
 	}
 	if e.failures >= failuresToAvoid {
 		e.queue = nil
-		e.waitUntil = now.Add(p.policy.UnknownWait)
 	}
+	e.waitUntil = now.Add(p.policy.Unanswered.Wait(e.failures, rand.Float64()))
 }
 
 // afterRepeat tells the outcome of an order that was given again after no answer: it was
--- a/pkg/placer/policy.go
+++ b/pkg/placer/policy.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"bronzelead.example/pkg/retrier"
+)
 
 // Policy holds the placer's limits.
 type Policy struct {
@@ -18,8 +22,10 @@
 	// Notice is the time between telling the gateways that an adapter goes and its
 	// unload, so that no request is under way to it.
 	Notice time.Duration
-	// UnknownWait is how long an engine is left alone after an order without an answer;
-	// its reports lag behind.
+	// Unanswered is the wait before the next order to an engine that has not answered.
+	Unanswered retrier.Backoff
+	// UnknownWait is how long an engine is left alone after an answer which shows that its
+	// state is not as believed; its reports lag behind.
 	UnknownWait time.Duration
 	// DemandHalfLife is the time in which popularity is forgotten by half.
 	DemandHalfLife time.Duration
@@ -51,6 +57,7 @@
 	return Policy{
 		Reserve: 1, MaxComing: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
 		ConfirmAgain: 30 * time.Millisecond, Notice: 80 * time.Millisecond, UnknownWait: 250 * time.Millisecond,
+		Unanswered:     retrier.Backoff{First: 10 * time.Millisecond, Most: time.Second},
 		DemandHalfLife: 4 * time.Second, QuickHalfLife: 500 * time.Millisecond, RunTime: 400 * time.Millisecond, FillPerCopy: 0.4, RatePerCopy: 16,
 		WantFor: 700 * time.Millisecond, IdleFor: 600 * time.Millisecond, IdleUnderPressure: 250 * time.Millisecond,
 		UnloadAgain: 60 * time.Millisecond, LostLoad: 3 * time.Second,
--- a/pkg/planner/plan.go
+++ b/pkg/planner/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,7 +15,6 @@
 	// fillTarget is the part of an engine's batch that one adapter should fill
 	// before it gets a second engine.
 	fillTarget     = 0.75
-	maxDoublings   = 8
 	forgetAdapters = 4 * popularityIn
 	forgetEvery    = 10 * time.Second
 	// roundsAhead bounds how many times the loads at once are looked at in a plan.
@@ -27,7 +27,7 @@
 	p.refill(now)
 	p.forgetIdle(now)
 	orders := p.unloads(now)
-	clearing := len(p.clearing)
+	clearing := p.clearingSoon()
 	recalls := p.Policy.LoadsAtOnce
 	for _, a := range p.wanting(now) {
 		e := p.roomFor(now, a)
@@ -73,12 +73,24 @@
 		e := p.engines[pl.Backend]
 		if pl.State == Recalling && len(pl.holders) == 0 && p.mayOrder(now, e) {
 			p.turn(now, pl, Unloading)
-			orders = append(orders, p.order(Unload, e, pl))
+			orders = append(orders, p.order(now, Unload, e, pl))
 		}
 	}
 	return orders
 }
 
+// clearingSoon counts the places that are being cleared at engines that answer. One at an
+// engine that does not may never come free, and nothing must wait for it.
+func (p *Planner) clearingSoon() int {
+	n := 0
+	for pl := range p.clearing {
+		if p.engines[pl.Backend].reachable() {
+			n++
+		}
+	}
+	return n
+}
+
 // wanting returns the adapters that need one more engine, most urgent first. No
 // more are returned than a few rounds of loads could serve.
 func (p *Planner) wanting(now time.Time) []*adapter {
@@ -187,8 +199,12 @@
 }
 
 // mayOrder keeps a new leader from ordering engines that do not check fencing
-// numbers while an order of the old leader can still arrive.
+// numbers while an order of the old leader can still arrive, and leaves engines alone
+// that have not answered.
 func (p *Planner) mayOrder(now time.Time, e *engine) bool {
+	if now.Before(e.notBefore) {
+		return false
+	}
 	return e.info.GetChecksFencing() || now.Sub(p.started) > p.Policy.LongestOrder
 }
 
@@ -285,10 +301,14 @@
 	delete(e.unloaded, a.name)
 	p.loading++
 	p.tokens--
-	return p.order(Load, e, pl)
+	return p.order(now, Load, e, pl)
 }
 
-func (p *Planner) order(kind OrderKind, e *engine, pl *Placement) Order {
+func (p *Planner) order(now time.Time, kind OrderKind, e *engine, pl *Placement) Order {
+	if !e.reachable() {
+		// One order at a time shows whether it answers again.
+		e.notBefore = now.Add(p.Policy.LongestOrder)
+	}
 	pl.order = OrderID(p.next())
 	p.orders[pl.order] = pl
 	return Order{
@@ -298,14 +318,15 @@
 }
 
 // Done takes in how an order ended.
-func (p *Planner) Done(now time.Time, id OrderID, ok bool) {
+func (p *Planner) Done(now time.Time, id OrderID, outcome Outcome) {
 	pl := p.orders[id]
 	if pl == nil {
 		return
 	}
-	kind := pl.State
+	kind, ok := pl.State, outcome == Carried
 	p.closeOrder(pl)
 	e := p.engines[pl.Backend]
+	p.noteAnswer(now, e, outcome)
 	switch {
 	case kind == Loading && ok:
 		p.turn(now, pl, Loaded)
@@ -322,6 +343,16 @@
 	}
 }
 
+// noteAnswer counts the orders in a row that an engine has not answered.
+func (p *Planner) noteAnswer(now time.Time, e *engine, outcome Outcome) {
+	if outcome != Unanswered {
+		e.unanswered, e.notBefore = 0, time.Time{}
+		return
+	}
+	e.unanswered++
+	e.notBefore = now.Add(p.Policy.AfterFailure.Wait(e.unanswered, rand.Float64()))
+}
+
 func (p *Planner) closeOrder(pl *Placement) {
 	delete(p.orders, pl.order)
 	pl.order = 0
@@ -343,9 +374,8 @@
 	if a == nil {
 		return
 	}
-	wait := p.Policy.BackOff << min(a.failures, maxDoublings)
-	wait = min(wait, p.Policy.MaxBackOff)
 	a.failures++
+	wait := p.Policy.AfterFailure.Wait(a.failures, 0)
 	a.notBefore = now.Add(wait)
 	a.avoid[pl.Backend] = now.Add(2 * wait)
 }
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bronzelead.example/pkg/limiter"
+	"bronzelead.example/pkg/retrier"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -34,6 +35,19 @@
 	Unload
 )
 
+// Outcome is how an order ended.
+type Outcome int
+
+// The outcomes of orders.
+const (
+	// Carried means that the engine has done it.
+	Carried Outcome = iota
+	// Refused means that the engine has answered that it does not.
+	Refused
+	// Unanswered means that the engine was not reached, or gave no answer.
+	Unanswered
+)
+
 // Order is an order to an engine. Term and ID together are its fencing number.
 type Order struct {
 	ID          OrderID
@@ -79,9 +93,10 @@
 	BackendLease time.Duration
 	// LongestOrder is how long an order can be under way.
 	LongestOrder time.Duration
-	// BackOff is the wait after a first failed load; it doubles to MaxBackOff.
-	BackOff    time.Duration
-	MaxBackOff time.Duration
+	// AfterFailure is the wait after failed loads of an adapter, and before the next order
+	// to an engine that has not answered. Without it a plan repeats an order each time that
+	// the one before has failed: thousands a minute to an engine behind a cut link.
+	AfterFailure retrier.Backoff
 	// Evict picks the adapter to give up. Nil takes the least popular one.
 	Evict func(candidates []*Placement) *Placement
 }
@@ -114,10 +129,18 @@
 	// unloaded tells when an order took an adapter away, since the engine's own
 	// list lags behind.
 	unloaded map[string]time.Time
+	// unanswered counts the orders in a row that it did not answer, and notBefore is when
+	// it may be given the next one.
+	unanswered int
+	notBefore  time.Time
 }
 
 func (e *engine) takesWork() bool { return !e.info.GetLeaving() && !e.drained }
 
+// reachable reports whether it has answered the last order. An engine may announce itself
+// although no order reaches it.
+func (e *engine) reachable() bool { return e.unanswered == 0 }
+
 // adapter is the demand for one adapter of all sessions together.
 type adapter struct {
 	name       string
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"bronzelead.example/pkg/planner"
+	"bronzelead.example/pkg/retrier"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -16,7 +17,7 @@
 	return planner.Policy{
 		LoadsPerSecond: 10, LoadsAtOnce: 3, StallWeight: 1, BatchWeight: 0.1,
 		StarveAfter: 500 * time.Millisecond, MinResidence: time.Second, BackendLease: 3 * time.Second,
-		LongestOrder: 5 * time.Second, BackOff: 500 * time.Millisecond, MaxBackOff: 10 * time.Second,
+		LongestOrder: 5 * time.Second, AfterFailure: retrier.Backoff{First: 500 * time.Millisecond, Most: 10 * time.Second},
 	}
 }
 
@@ -96,12 +97,19 @@
 		if o.Kind == planner.Load && current && !fail {
 			b.loaded[o.Backend][o.Adapter] = true
 		}
-		b.planner.Done(b.now, o.ID, current && !fail)
+		b.planner.Done(b.now, o.ID, ended(current && !fail))
 	}
 	b.orders = b.planner.Plan(b.now)
 	return wrong
 }
 
+func ended(ok bool) planner.Outcome {
+	if ok {
+		return planner.Carried
+	}
+	return planner.Refused
+}
+
 func (b *bench) users(o planner.Order) []string {
 	var users []string
 	for _, leases := range b.leases {
@@ -180,13 +188,46 @@
 			if ok {
 				b.loaded[o.Backend][o.Adapter] = true
 			}
-			b.planner.Done(b.now, o.ID, ok)
+			b.planner.Done(b.now, o.ID, ended(ok))
 		}
 	}
 	c.Assert(loads["fine"], qt.Equals, 1)
 	c.Assert(loads["broken"] < 8, qt.IsTrue, qt.Commentf("%d loads of what can't be loaded", loads["broken"]))
 }
 
+// An engine goes on announcing itself, but no order reaches it. It gets few of them, longer
+// apart each time, and what waits for a place is loaded where orders arrive.
+func TestUnreachableEnginesAreLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(2, 1)
+	b.loaded["engine-0"]["old-0"] = true
+	b.loaded["engine-1"]["old-1"] = true
+	b.announce()
+	b.now = b.now.Add(2 * time.Second)
+	lost := 0
+	for range 600 {
+		b.want(1, "new", 5)
+		b.announce()
+		b.now = b.now.Add(20 * time.Millisecond)
+		for _, o := range b.planner.Plan(b.now) {
+			if o.Backend == "engine-0" {
+				lost++
+				b.planner.Done(b.now, o.ID, planner.Unanswered)
+				continue
+			}
+			if o.Kind == planner.Unload {
+				delete(b.loaded[o.Backend], o.Adapter)
+			} else {
+				b.loaded[o.Backend][o.Adapter] = true
+			}
+			b.planner.Done(b.now, o.ID, planner.Carried)
+		}
+		b.handBack(1)
+	}
+	c.Check(b.loaded["engine-1"]["new"], qt.IsTrue)
+	c.Check(lost <= 12, qt.IsTrue, qt.Commentf("%d orders in 12 s to an engine that nobody reaches", lost))
+}
+
 func TestWeightStoreIsSpared(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(10, 10)
