Each stream that ends is judged, and the reasons of late ones are logged

A caller's stream is in time, or late for one reason above all: waiting for its adapter or for a place, a slow first event, a pause, a pause by another run. Counters and histograms of first events, longest pauses and waits are metrics; a log line every 5 s has the counts.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -73,6 +73,9 @@
 	waiting  map[*balancer.Waiter]chan balancer.Decision
 	demand   map[string]uint32
 	gateways uint32
+	// verdicts counts how the streams went that have ended since they were logged last.
+	verdicts  map[verdict]int
+	talliedAt time.Time
 }
 
 // Init prepares the forwarder for calls before Run.
@@ -83,6 +86,7 @@
 	f.budgets = map[string]*budgeter.Budgeter{}
 	f.waiting = map[*balancer.Waiter]chan balancer.Decision{}
 	f.demand = map[string]uint32{}
+	f.verdicts = map[verdict]int{}
 }
 
 // Run lets time pass for waiting requests until ctx ends.
@@ -99,6 +103,7 @@
 			f.pump()
 		case <-sweep.Chan():
 			f.Sender.Sweep()
+			f.logVerdicts()
 		}
 	}
 }
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -36,6 +36,7 @@
 	// resume is the last event that the caller has got; empty before the first.
 	resume string
 	waited time.Duration
+	course course
 }
 
 // Handle answers a request.
@@ -170,6 +171,7 @@
 	select {
 	case d := <-decided:
 		j.waited += f.Clock.Since(began)
+		j.course.lacked = j.course.lacked || w.Lacked()
 		return d, true
 	case <-ctx.Done():
 	}
--- a/gateway/forwarder/stream.go
+++ b/gateway/forwarder/stream.go
@@ -27,21 +27,28 @@
 // inside an event. The head waits for the first event, so that a stream which breaks off
 // before it can still be sent elsewhere or be reported as a failure.
 func (f *Forwarder) relayStream(ctx context.Context, j *job, backend *wire.Announcement, in *sender.Incoming) bool {
+	j.course.resumed = j.reply.Begun()
 	err := f.copyEvents(j, in)
 	in.Close()
 	switch {
 	case err == nil:
+		f.judged(j, j.course.judge(j.route, j.req.ReceivedAt, j.waited))
 		f.done(j, backend.GetId(), balancer.Served)
 		j.reply.End()
 		f.served(j, backend, in.Head.Status)
 		return false
 	case ctx.Err() != nil || errors.Is(err, errCaller):
 		f.done(j, backend.GetId(), balancer.Abandoned)
+		f.judged(j, unfinished)
 		f.expired(ctx, j)
 		return false
 	}
 	f.done(j, backend.GetId(), balancer.Failed)
-	return f.lost(j, backend, err.Error())
+	again := f.lost(j, backend, err.Error())
+	if !again {
+		f.judged(j, unfinished)
+	}
+	return again
 }
 
 func (f *Forwarder) copyEvents(j *job, in *sender.Incoming) error {
@@ -83,6 +90,7 @@
 	if err := j.reply.Write(events); err != nil {
 		return errCaller
 	}
+	j.course.note(f.Clock.Now())
 	for line := range bytes.Lines(events) {
 		if id := platform.EventID(line); id != "" {
 			j.resume = id
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -70,8 +70,13 @@
 	Avoid []string
 
 	order uint64
+	// lacked is set once the adapter was nowhere to be used when the request's turn came.
+	lacked bool
 }
 
+// Lacked reports whether the request has waited for its adapter, and not only for a place.
+func (w *Waiter) Lacked() bool { return w.lacked }
+
 // Weight returns how much load a request adds to a backend server.
 func Weight(tokens int) float64 { return 1 + float64(tokens)/tokensPerUnit }
 
@@ -259,6 +264,7 @@
 		best.using[w.Adapter]++
 		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, more
 	}
+	w.lacked = w.lacked || (w.Adapter != "" && len(holders) == 0)
 	if !now.Before(w.GiveUp) {
 		reason, comeBack := ReasonTimeout, comeBackWhenFull
 		if len(holders) == 0 && w.Adapter != "" {
