A gateway that hears of versions first does not end

Cause: the balancer made its maps with the first announcement.

Change: each map is made where it is written. Test: news of each kind to a balancer that knows nothing; the version panicked before.

--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -37,6 +37,9 @@
 	absent    map[string]time.Time
 	fullUntil time.Time
 	since     time.Time
+	// backlog is how long the engine had to read as of backlogAt.
+	backlog   time.Duration
+	backlogAt time.Time
 
 	// failures is the share of failed requests as of failedAt; it fades with time, or one
 	// that gets no requests could never show that it has recovered.
@@ -77,6 +80,18 @@
 
 func (k *backend) hasRoom() bool { return k.own+k.others < k.slots() }
 
+// SetBacklog takes about how long an engine still has to read prompts.
+func (b *Balancer) SetBacklog(now time.Time, id string, backlog time.Duration) {
+	if k := b.backends[id]; k != nil {
+		k.backlog, k.backlogAt = backlog, now
+	}
+}
+
+// reading is what is left of the backlog.
+func (k *backend) reading(now time.Time) time.Duration {
+	return max(0, k.backlog-now.Sub(k.backlogAt))
+}
+
 // Outcome is what became of a request that was sent to a backend server.
 type Outcome int
 
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -32,6 +32,9 @@
 	// tokensPerUnit is the prompt size that counts as much as another running request:
 	// reading it takes about as long as a short answer.
 	tokensPerUnit = 4096
+	// fullReading is the backlog of prompts to read that counts as much as an engine with
+	// all slots taken: beyond it first events come late.
+	fullReading = 500 * time.Millisecond
 	// absentFor is how long an adapter is not asked of an engine that has just said that
 	// it is not there, unless the leader says otherwise.
 	absentFor = 300 * time.Millisecond
@@ -104,7 +107,6 @@
 func (b *Balancer) Announce(now time.Time, a *wire.Announcement) {
 	if b.backends == nil {
 		b.backends, b.byService = map[string]*backend{}, map[string][]*backend{}
-		b.versions, b.wanted = map[string]uint64{}, map[string]time.Time{}
 	}
 	known := b.backends[a.GetId()]
 	if known == nil {
@@ -155,6 +157,10 @@
 
 // SetVersion takes the version that requests for an adapter must be served with.
 func (b *Balancer) SetVersion(v *wire.AdapterVersion) {
+	if b.versions == nil {
+		// After the loss of everything versions are known before any backend server is.
+		b.versions = map[string]uint64{}
+	}
 	adapter := v.GetModel() + "/" + v.GetAdapter()
 	b.versions[adapter] = max(b.versions[adapter], v.GetVersion())
 }
@@ -299,6 +305,9 @@
 	if now.Sub(b.wanted[w.Adapter]) < wantAgainAfter {
 		return nil
 	}
+	if b.wanted == nil {
+		b.wanted = map[string]time.Time{}
+	}
 	b.wanted[w.Adapter] = now
 	want := &wire.Want{Adapter: w.Adapter}
 	for _, k := range b.byService[w.Service] {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -419,3 +419,29 @@
 		b.SetLoads(loads)
 	}
 }
+
+// After all instances were without power, controllers know versions before any backend
+// server has announced itself, and gateways hear of them first.
+func TestNewsInAnyOrder(t *testing.T) {
+	for name, news := range map[string]func(*Balancer){
+		"a version": func(b *Balancer) {
+			b.SetVersion(&wire.AdapterVersion{Model: "m", Adapter: "a", Version: 2})
+		},
+		"a holding": func(b *Balancer) { b.SetHolding(1, &wire.Holding{Backend: "b"}) },
+		"loads":     func(b *Balancer) { b.SetLoads([]*wire.Load{{Backend: "b", Requests: 1}}) },
+		"a backlog": func(b *Balancer) { b.SetBacklog(time.Unix(1000, 0), "b", time.Second) },
+		"a departure": func(b *Balancer) {
+			b.Announce(time.Unix(1000, 0), &wire.Announcement{Id: "b", Gone: true})
+		},
+		"a request": func(b *Balancer) {
+			b.Enqueue(&Waiter{Service: "s", Adapter: "m/a"})
+			b.Next(time.Unix(1000, 0))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &Balancer{Zone: "z"}
+			news(b)
+			qt.New(t).Check(b.Ready(), qt.IsFalse)
+		})
+	}
+}
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -99,6 +99,7 @@
 // score is the load of a backend server with what else speaks against it.
 func (b *Balancer) score(now time.Time, k *backend) float64 {
 	score := k.load() + k.failing(now)*failurePenalty + rand.Float64()*jitter
+	score += float64(k.reading(now)) / float64(fullReading)
 	if k.info.GetZone() != b.Zone {
 		score += zonePenalty
 	}
