Prompts are paced: one gateway is in charge of each engine's reading

Cause: an engine reads prompts between the steps of all that it runs. Prompts that seven gateways send at random meet at an engine that reads for 40% of the time.

Change: before a prompt is sent, the gateway in charge of the engine (by the highest hash over the leader's list of gateways) grants it, at once if no more tokens are unread there than fit into 0.7 of the longest pause that the route allows, at the pace learnt from first events. Who can still be in time goes first, then the urgent, then who came first. After 150 ms without a grant another holder is looked for; the backlog that the answer tells weighs in the choice. A gateway in charge that does not answer is passed over: the prompt is sent.

--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -138,6 +140,11 @@
 		Gateways: uint32(len(c.gateways)), Leads: c.leads(c.Clock.Now()), Term: c.term,
 	}
 	res.Peers = c.peersOf(req.GetGateway())
+	addresses, revision := c.gatewayAddresses()
+	res.GatewaysRevision = revision
+	if res.Leads && revision != req.GetGatewaysRevision() {
+		res.GatewayAddresses = addresses
+	}
 	since := req.GetAnnouncementRevision()
 	if req.GetEpoch() != c.epoch {
 		since = 0
@@ -175,6 +182,23 @@
 	return peers
 }
 
+// gatewayAddresses returns where all gateways are reached that are heard, in order, and a
+// number that differs between two lists.
+func (c *Curator) gatewayAddresses() ([]string, uint64) {
+	list := make([]string, 0, len(c.gateways))
+	for _, g := range c.gateways {
+		if g.address != "" {
+			list = append(list, g.address)
+		}
+	}
+	slices.Sort(list)
+	sum := fnv.New64a()
+	for _, address := range list {
+		_, _ = sum.Write([]byte(address + "\n"))
+	}
+	return list, sum.Sum64()
+}
+
 func (c *Curator) loadsOfOthers(gateway string) []*wire.Load {
 	total := map[string]uint32{}
 	for name, g := range c.gateways {
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -14,6 +14,7 @@
 	"bronzelead.example/gateway/doorkeeper"
 	"bronzelead.example/gateway/follower"
 	"bronzelead.example/gateway/forwarder"
+	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
@@ -50,6 +51,7 @@
 	door      *doorkeeper.Doorkeeper
 	forwarder *forwarder.Forwarder
 	follower  *follower.Follower
+	regulator *regulator.Regulator
 	health    *server.Server
 	mesh      *server.Server
 	meter     *meter.Meter
@@ -64,6 +66,7 @@
 	r.build()
 	go r.forwarder.Run(background)
 	go r.follower.Run(background)
+	go r.regulator.Run(background)
 	go r.acquire(background)
 	if err := r.door.Start(); err != nil {
 		return errors.Wrap(err, "app")
@@ -90,8 +93,11 @@
 	r.seeds.Store(&seeds)
 	r.meter = meter.New("gateway", s.Instance.Name, s.Instance.Zone)
 	r.wants = make(chan []*wire.Want, wantRing)
+	r.regulator = &regulator.Regulator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress()}
+	r.regulator.Init()
 	r.forwarder = &forwarder.Forwarder{
-		Clock: r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want,
+		Regulator: r.regulator,
+		Clock:     r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want,
 		Budget: forwarder.Budget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
 		Sender: &sender.Sender{
 			Clock: r.Clock, DialTimeout: s.Backends.DialTimeout, MaxIdle: s.Backends.MaxIdle,
@@ -111,8 +117,10 @@
 	mux.HandleFunc("GET /ready", r.ready)
 	mux.Handle("GET /metrics", r.meter.Handler())
 	r.health = &server.Server{Address: s.Instance.Health, Handler: mux, Log: r.Log}
-	passer := wire.NewMeshServer(&follower.Passer{Follower: r.follower})
-	r.mesh = &server.Server{Address: s.meshAddress(), Handler: passer, Log: r.Log}
+	calls := http.NewServeMux()
+	calls.Handle(wire.MeshPathPrefix, wire.NewMeshServer(&follower.Passer{Follower: r.follower}))
+	calls.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
+	r.mesh = &server.Server{Address: s.meshAddress(), Handler: calls, Log: r.Log}
 }
 
 func ownAnswer(head *framer.ResponseHead, requestID string) (bool, time.Duration) {
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -34,12 +34,21 @@
 		f.giveUp(j, d.Reason, d.ComeBack)
 		return false
 	}
+	if !f.admitPrompt(ctx, j, d.Backend) {
+		return f.chooseAgain(ctx, j, d.Backend)
+	}
+	defer f.promptDropped(j)
 	j.sends++
 	j.last = d.Backend
 	in, err := f.Sender.Send(ctx, f.outgoing(j, d))
 	if err != nil {
 		return f.failed(ctx, j, d.Backend, err)
 	}
+	return f.take(ctx, j, d, in)
+}
+
+// take handles the answer to a try, and reports whether the request is to be tried again.
+func (f *Forwarder) take(ctx context.Context, j *job, d balancer.Decision, in *sender.Incoming) bool {
 	answer := platform.DecodeAnswer(in.Head)
 	switch {
 	case answer.NotRun:
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/budgeter"
@@ -56,6 +57,8 @@
 	Sender *sender.Sender
 	Meter  *meter.Meter
 	Budget Budget
+	// Regulator paces prompts; nil sends them at once.
+	Regulator *regulator.Regulator
 	// Acquire asks the leader for adapters. It must not block.
 	Acquire func(wants []*wire.Want)
 
@@ -138,6 +141,9 @@
 		f.balancer.SetLoads(res.GetLoads())
 		// A leader that has just begun has not heard from all; the highest number is safe.
 		f.gateways = max(f.gateways, res.GetGateways())
+		if list := res.GetGatewayAddresses(); len(list) > 0 && f.Regulator != nil {
+			f.Regulator.SetGateways(list)
+		}
 	}
 	f.mu.Unlock()
 	f.pump()
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -19,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
@@ -151,12 +152,18 @@
 		Version: 3,
 		Routes: []*wire.Route{
 			route("safe", wire.Repetition_REPETITION_IDEMPOTENT, false), route("once", wire.Repetition_REPETITION_ONCE, false),
+			prompts(route("prompt", wire.Repetition_REPETITION_STREAM, false)),
 			route("stream", wire.Repetition_REPETITION_STREAM, false), route("resumable", wire.Repetition_REPETITION_STREAM, true),
 		},
 		Services: []*wire.RoutedService{{Name: "s"}},
 	}
 }
 
+func prompts(r *wire.Route) *wire.Route {
+	r.Prompts, r.PauseObjectiveMs = true, 300
+	return r
+}
+
 // gateway is a door with a forwarder behind it that knows some backend servers.
 func gateway(c *qt.C, backends ...*backendFake) string {
 	address, _ := gatewayAndForwarder(c, backends...)
@@ -174,7 +181,8 @@
 	log := slog.New(slog.NewTextHandler(c.Output(), nil))
 	f := &Forwarder{
 		Clock: clock, Log: log, Meter: meter.New("gateway", "test", "z"), Acquire: func([]*wire.Want) {},
-		Budget: Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 200},
+		Budget:    Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 200},
+		Regulator: &regulator.Regulator{Clock: clock, Log: log},
 		Sender: &sender.Sender{
 			Clock: clock, DialTimeout: time.Second, MaxIdle: time.Second,
 			OwnAnswer: func(head *framer.ResponseHead, id string) (bool, time.Duration) {
@@ -184,6 +192,7 @@
 		},
 	}
 	f.Init()
+	f.Regulator.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	go f.Run(ctx)
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -37,6 +37,10 @@
 	resume string
 	waited time.Duration
 	course course
+	// sendBy is when it is no use any more to send it.
+	sendBy time.Time
+	// prompt is what its engine has to read; nil if it has none.
+	prompt *prompt
 }
 
 // Handle answers a request.
@@ -147,19 +151,24 @@
 	return j.route.GetRepetition() == wire.Repetition_REPETITION_STREAM && j.about.Patience >= full-full/10
 }
 
+// reserve is the part of a request's time until then that is kept for its run.
+func reserve(j *job, until time.Time) time.Duration {
+	return min(until.Sub(j.req.ReceivedAt)/runReserve, maxRunReserve)
+}
+
 // choose waits for a backend server.
 func (f *Forwarder) choose(ctx context.Context, j *job) (balancer.Decision, bool) {
 	until := j.until
 	if !j.leaves.IsZero() && j.leaves.Before(until) {
 		until = j.leaves
 	}
+	j.sendBy = until.Add(-reserve(j, until))
 	if first := j.req.ReceivedAt.Add(waitObjectives * milliseconds(j.route.GetObjectiveMs())); j.fresh() && first.Before(until) {
 		until = first
 	}
-	reserve := min(until.Sub(j.req.ReceivedAt)/runReserve, maxRunReserve)
 	w := &balancer.Waiter{
 		ID: j.about.ID, Service: j.service, Adapter: j.adapter, Urgency: j.route.GetPriority(),
-		Tokens: j.about.PromptTokens, GiveUp: until.Add(-reserve), Avoid: j.avoid,
+		Tokens: j.about.PromptTokens, GiveUp: until.Add(-reserve(j, until)), Avoid: j.avoid,
 	}
 	decided := make(chan balancer.Decision, 1)
 	began := f.Clock.Now()
--- /dev/null
+++ b/gateway/forwarder/prompt_test.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/platform"
+)
+
+// A prompt that does not fit beside another is sent once the other's first event has come,
+// or once the other has ended in any other way.
+func TestPromptsWaitForEachOther(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	large := strings.TrimSuffix(lines(platform.StandInPrompt(4000)), "\r\n")
+	for name, first := range map[string]string{
+		"its first event":     streamHead() + chunk(event),
+		"a failure":           whole("500 X", lines(platform.StandInAnswer("ID", "x")), "no"),
+		"a refusal":           whole("503 X", lines(platform.StandInRefusal("ID")), ""),
+		"a closed connection": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			arrived, proceed := make(chan struct{}, 16), make(chan struct{})
+			b := newBackend(c, "b1", func(_ *backendFake, req *http.Request, conn net.Conn) bool {
+				arrived <- struct{}{}
+				<-proceed
+				_, _ = io.WriteString(conn, strings.ReplaceAll(first, "ID", requestID(req)))
+				if strings.HasPrefix(first, streamHead()) {
+					<-proceed
+				}
+				return false
+			})
+			address, f := gatewayAndForwarder(c, b)
+			ended := make(chan got, 2)
+			go func() { ended <- call(c, address, "/prompt/", large) }()
+			<-arrived
+			go func() { ended <- call(c, address, "/prompt/", large) }()
+			for f.Regulator.Waiting() == 0 {
+				// The second waits for the first, and is not at the engine.
+				c.Assert(arrived, qt.HasLen, 0)
+			}
+			proceed <- struct{}{}
+			<-arrived
+			close(proceed)
+			<-ended
+			<-ended
+		})
+	}
+}
--- a/gateway/forwarder/stream.go
+++ b/gateway/forwarder/stream.go
@@ -91,6 +91,7 @@
 		return errCaller
 	}
 	j.course.note(f.Clock.Now())
+	f.promptRead(j)
 	for line := range bytes.Lines(events) {
 		if id := platform.EventID(line); id != "" {
 			j.resume = id
--- /dev/null
+++ b/gateway/regulator/peer.go
@@ -0,0 +1,134 @@
+package regulator
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"time"
+
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// endTimeout bounds the telling of prompts that were read; one that is not told is
+	// forgotten in the end.
+	endTimeout = 300 * time.Millisecond
+	// maxEnds bounds the prompts that wait to be told of.
+	maxEnds = 256
+)
+
+// peer is another gateway.
+type peer struct {
+	transport *http.Transport
+	// aloneUntil is until when it is not asked.
+	aloneUntil time.Time
+	// ends are prompts that it is to be told of, and telling is set while a call does that.
+	ends    []*wire.PromptEnd
+	telling bool
+}
+
+// inCharge returns the address of the gateway that paces an engine: of those that answer,
+// the one with the highest number of all that are made from an engine and a gateway, so
+// that each gateway is in charge of some, and the loss of one moves only its own.
+func (r *Regulator) inCharge(backend string) string {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best, highest := "", uint64(0)
+	for _, address := range r.gateways {
+		if known := r.peers[address]; known != nil && now.Before(known.aloneUntil) {
+			continue
+		}
+		if n := pairNumber(backend, address); best == "" || n > highest {
+			best, highest = address, n
+		}
+	}
+	return best
+}
+
+func pairNumber(backend, address string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(backend + " " + address))
+	// The last bytes alone would hardly change the highest bits.
+	n := sum.Sum64()
+	n ^= n >> 33
+	n *= 0xff51afd7ed558ccd
+	return n ^ n>>33
+}
+
+func (r *Regulator) peer(address string) *peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known(address)
+}
+
+// known returns a peer. The caller holds the lock.
+func (r *Regulator) known(address string) *peer {
+	p := r.peers[address]
+	if p == nil {
+		p = &peer{transport: connector.NewTransport(nil)}
+		r.peers[address] = p
+	}
+	return p
+}
+
+// forgetPeers drops those that are no longer listed. The caller holds the lock.
+func (r *Regulator) forgetPeers() {
+	for address, p := range r.peers {
+		if !slices.Contains(r.gateways, address) {
+			p.transport.CloseIdleConnections()
+			delete(r.peers, address)
+		}
+	}
+}
+
+func (r *Regulator) unanswered(ctx context.Context, address string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.known(address)
+	if now.Before(p.aloneUntil) {
+		return
+	}
+	p.aloneUntil = now.Add(leaveAloneFor)
+	r.Log.Info("a gateway in charge of engines does not answer", "Gateway", address, "Error", err.Error())
+}
+
+// tellPeer passes a note on. One call at a time takes all that has come up meanwhile.
+func (r *Regulator) tellPeer(address string, end *wire.PromptEnd) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.known(address)
+	if len(p.ends) >= maxEnds {
+		return
+	}
+	p.ends = append(p.ends, end)
+	if !p.telling {
+		p.telling = true
+		go r.tell(address, p)
+	}
+}
+
+func (r *Regulator) tell(address string, p *peer) {
+	client := &connector.Client{Timeout: endTimeout, Transport: p.transport}
+	for {
+		r.mu.Lock()
+		ends := p.ends
+		p.ends = nil
+		if len(ends) == 0 {
+			p.telling = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		_, err := wire.NewPacingProtobufClient("http://"+address, client).End(context.Background(), &wire.EndRequest{Prompts: ends})
+		if err != nil {
+			r.unanswered(context.Background(), address, err)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/regulator/regulator.go
@@ -0,0 +1,261 @@
+// Package regulator asks, before a prompt is sent to an engine, the gateway in charge of
+// that engine, and is in charge of some engines itself. Which gateway that is follows from
+// the list of gateways alone, so nobody has to be told; while two lists differ, or one is
+// lost, prompts are sent without asking, as if there were no pacing.
+package regulator
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/pacer"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// lookEvery is the time between two looks at engines when nothing happens.
+	lookEvery = 20 * time.Millisecond
+	// answerMargin is the time that a call may take beyond its wait: some round trips within
+	// a region, at an instance that is busy.
+	answerMargin = 80 * time.Millisecond
+	// leaveAloneFor is how long a gateway is not asked that has not answered.
+	leaveAloneFor = time.Second
+	// keepFor is how long an engine's pace is remembered of which nobody asks: longer than
+	// quiet spells, and short against the time in which many starts come and go.
+	keepFor = time.Minute
+)
+
+// Regulator paces prompts. Set the exported fields, call Init, then Run.
+type Regulator struct {
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	// Self is where the other gateways reach this one.
+	Self string
+
+	asks  atomic.Uint64
+	mu    sync.Mutex
+	peers map[string]*peer
+	// gateways are the addresses of all gateways.
+	gateways []string
+	engines  map[string]*engine
+}
+
+// engine is one that this gateway is in charge of, or was.
+type engine struct {
+	pacer   pacer.Pacer
+	waiting map[string]chan struct{}
+	askedAt time.Time
+}
+
+// Prompt is what is to be sent to an engine.
+type Prompt struct {
+	Backend string
+	// Ask is what its engine's pacer is asked; its key is set by Ask.
+	pacer.Ask
+}
+
+// Answer is what became of an ask.
+type Answer struct {
+	// Granted means that the prompt may be sent.
+	Granted bool
+	// Key names the prompt for End.
+	Key string
+	// Backlog is about how long the engine takes to read what it has and what waits.
+	Backlog time.Duration
+}
+
+// Init prepares the regulator for calls before Run.
+func (r *Regulator) Init() {
+	r.peers = map[string]*peer{}
+	r.engines = map[string]*engine{}
+}
+
+// SetGateways takes the addresses of all gateways, this one among them.
+func (r *Regulator) SetGateways(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gateways = addresses
+	r.forgetPeers()
+}
+
+// Run lets time pass until ctx ends.
+func (r *Regulator) Run(ctx context.Context) {
+	ticker := r.Clock.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			r.look()
+		}
+	}
+}
+
+func (r *Regulator) look() {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for backend, e := range r.engines {
+		e.grant(now)
+		if e.pacer.Idle() && now.Sub(e.askedAt) > keepFor {
+			delete(r.engines, backend)
+		}
+	}
+}
+
+// Ask waits until the prompt may be sent, or for a time at most.
+func (r *Regulator) Ask(ctx context.Context, p *Prompt, wait time.Duration) Answer {
+	// Ids of requests are the callers' to choose, and would not tell two of them apart.
+	p.Key = r.Self + "/" + strconv.FormatUint(r.asks.Add(1), 10)
+	address := r.inCharge(p.Backend)
+	var answer Answer
+	if address == r.Self || address == "" {
+		answer = r.wait(ctx, p, wait)
+	} else {
+		answer = r.askPeer(ctx, address, p, wait)
+	}
+	answer.Key = p.Key
+	return answer
+}
+
+// End notes that an engine has a prompt to read no longer: its first event has come, or it
+// has failed.
+func (r *Regulator) End(backend, key string, read bool) {
+	address := r.inCharge(backend)
+	if address == r.Self || address == "" {
+		r.end(backend, key, read)
+		return
+	}
+	r.tellPeer(address, &wire.PromptEnd{Backend: backend, Key: key, Read: read})
+}
+
+// Waiting returns the number of prompts that wait for the engines that this gateway is in
+// charge of.
+func (r *Regulator) Waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.engines {
+		n += len(e.waiting)
+	}
+	return n
+}
+
+// wait is Ask at the gateway in charge.
+func (r *Regulator) wait(ctx context.Context, p *Prompt, wait time.Duration) Answer {
+	granted := make(chan struct{})
+	r.mu.Lock()
+	e := r.engine(p.Backend)
+	e.askedAt = r.Clock.Now()
+	e.waiting[p.Key] = granted
+	e.pacer.Add(p.Ask)
+	e.grant(e.askedAt)
+	backlog := e.pacer.Backlog()
+	r.mu.Unlock()
+	select {
+	case <-granted:
+		return Answer{Granted: true, Backlog: backlog}
+	default:
+	}
+	timer := r.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-granted:
+		return Answer{Granted: true, Backlog: backlog}
+	case <-ctx.Done():
+	case <-timer.Chan():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !e.pacer.Withdraw(p.Key) {
+		// It was granted meanwhile.
+		return Answer{Granted: true, Backlog: backlog}
+	}
+	delete(e.waiting, p.Key)
+	return Answer{Backlog: e.pacer.Backlog()}
+}
+
+func (r *Regulator) end(backend, key string, read bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.engines[backend]
+	if e == nil {
+		return
+	}
+	now := r.Clock.Now()
+	if read {
+		e.pacer.Read(now, key)
+	} else {
+		e.pacer.Drop(key)
+	}
+	e.grant(now)
+}
+
+// engine returns what is known of an engine. The caller holds the lock.
+func (r *Regulator) engine(backend string) *engine {
+	e := r.engines[backend]
+	if e == nil {
+		e = &engine{waiting: map[string]chan struct{}{}}
+		r.engines[backend] = e
+	}
+	return e
+}
+
+func (e *engine) grant(now time.Time) {
+	for _, a := range e.pacer.Next(now) {
+		close(e.waiting[a.Key])
+		delete(e.waiting, a.Key)
+	}
+}
+
+// Server serves wire.Pacing for the other gateways.
+type Server struct {
+	Regulator *Regulator
+}
+
+// Admit answers as soon as the prompt may be sent.
+func (s *Server) Admit(ctx context.Context, req *wire.AdmitRequest) (*wire.AdmitResponse, error) {
+	r := s.Regulator
+	now := r.Clock.Now()
+	answer := r.wait(ctx, &Prompt{Backend: req.GetBackend(), Ask: pacer.Ask{
+		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
+		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), InTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
+		Pause: milliseconds(req.GetPauseMs()),
+	}}, milliseconds(req.GetWaitMs()))
+	return &wire.AdmitResponse{Granted: answer.Granted, BacklogMs: uint32(answer.Backlog.Milliseconds())}, nil
+}
+
+// End notes prompts that were read or given up.
+func (s *Server) End(_ context.Context, req *wire.EndRequest) (*wire.EndResponse, error) {
+	for _, p := range req.GetPrompts() {
+		s.Regulator.end(p.GetBackend(), p.GetKey(), p.GetRead())
+	}
+	return &wire.EndResponse{}, nil
+}
+
+func milliseconds[T uint32 | int32](n T) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// askPeer asks another gateway. What one that does not answer would have said is unknown:
+// the prompt is sent, and others are asked from then on.
+func (r *Regulator) askPeer(ctx context.Context, address string, p *Prompt, wait time.Duration) Answer {
+	now := r.Clock.Now()
+	client := &connector.Client{Timeout: wait + answerMargin, Transport: r.peer(address).transport}
+	res, err := wire.NewPacingProtobufClient("http://"+address, client).Admit(ctx, &wire.AdmitRequest{
+		Backend: p.Backend, Key: p.Key, Tokens: uint32(p.Tokens), Urgency: p.Urgency,
+		AgeMs: uint32(now.Sub(p.ReceivedAt).Milliseconds()), InTimeForMs: int32(p.InTimeUntil.Sub(now).Milliseconds()),
+		PauseMs: uint32(p.Pause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
+	})
+	if err != nil {
+		r.unanswered(ctx, address, err)
+		return Answer{Granted: true}
+	}
+	return Answer{Granted: res.GetGranted(), Backlog: milliseconds(res.GetBacklogMs())}
+}
--- /dev/null
+++ b/gateway/regulator/regulator_test.go
@@ -0,0 +1,155 @@
+package regulator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/pkg/pacer"
+	"bronzelead.example/pkg/wire"
+)
+
+// longWait is a wait that no test lets pass.
+const longWait = time.Minute
+
+func newRegulator(self string) *Regulator {
+	r := &Regulator{Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Self: self}
+	r.Init()
+	return r
+}
+
+// gateways returns regulators that reach each other, and all addresses.
+func gateways(c *qt.C, n int) ([]*Regulator, []string) {
+	var all []*Regulator
+	var addresses []string
+	for range n {
+		r := newRegulator("")
+		server := httptest.NewServer(wire.NewPacingServer(&Server{Regulator: r}))
+		c.Cleanup(server.Close)
+		r.Self = strings.TrimPrefix(server.URL, "http://")
+		ctx, cancel := context.WithCancel(context.Background())
+		c.Cleanup(cancel)
+		go r.Run(ctx)
+		all, addresses = append(all, r), append(addresses, r.Self)
+	}
+	for _, r := range all {
+		r.SetGateways(addresses)
+	}
+	return all, addresses
+}
+
+// engineOf returns an engine that the gateway at an address is in charge of.
+func engineOf(r *Regulator, address string) string {
+	for i := 0; ; i++ {
+		if id := fmt.Sprint("engine-", i); r.inCharge(id) == address {
+			return id
+		}
+	}
+}
+
+// large is a prompt beside which no other fits.
+func large(backend string) *Prompt {
+	now := time.Now()
+	return &Prompt{Backend: backend, Ask: pacer.Ask{
+		Tokens: 1 << 20, ReceivedAt: now, InTimeUntil: now.Add(time.Minute), Pause: 300 * time.Millisecond,
+	}}
+}
+
+func TestGatewaysAgreeOnWhoIsInCharge(t *testing.T) {
+	c := qt.New(t)
+	var addresses []string
+	for i := range 7 {
+		addresses = append(addresses, fmt.Sprintf("10.0.%d.1:80", i))
+	}
+	a, b := newRegulator(addresses[0]), newRegulator(addresses[1])
+	a.SetGateways(addresses)
+	b.SetGateways(addresses)
+	lost := newRegulator(addresses[0])
+	lost.SetGateways(addresses[:6])
+	engines := map[string]int{}
+	for i := range 700 {
+		id := fmt.Sprint("engine-", i)
+		before := a.inCharge(id)
+		engines[before]++
+		c.Assert(b.inCharge(id), qt.Equals, before)
+		if before != addresses[6] {
+			c.Assert(lost.inCharge(id), qt.Equals, before)
+		}
+	}
+	for _, address := range addresses {
+		c.Check(engines[address] > 60 && engines[address] < 140, qt.IsTrue, qt.Commentf("%s has %d of 700", address, engines[address]))
+	}
+}
+
+// Prompts of different gateways for one engine wait for each other, whoever is in charge.
+func TestGatewaysWaitForEachOther(t *testing.T) {
+	for name, read := range map[string]bool{"until it is read": true, "until it is given up": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			all, addresses := gateways(c, 3)
+			for _, address := range addresses {
+				id := engineOf(all[0], address)
+				first := all[0].Ask(context.Background(), large(id), longWait)
+				c.Assert(first.Granted, qt.IsTrue)
+				c.Assert(all[1].Ask(context.Background(), large(id), 0).Granted, qt.IsFalse)
+				granted := make(chan bool)
+				go func() { granted <- all[2].Ask(context.Background(), large(id), longWait).Granted }()
+				all[0].End(id, first.Key, read)
+				c.Check(<-granted, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// The loss of the gateway in charge stops nobody, and another takes its place.
+func TestLostGatewaysAreNotWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	all, addresses := gateways(c, 2)
+	const nobody = "127.0.0.1:1"
+	all[0].SetGateways(append(addresses, nobody))
+	id := engineOf(all[0], nobody)
+	c.Check(all[0].Ask(context.Background(), large(id), longWait).Granted, qt.IsTrue)
+	c.Check(all[0].inCharge(id), qt.Not(qt.Equals), nobody)
+	c.Check(all[0].Ask(context.Background(), large(id), longWait).Granted, qt.IsTrue)
+	c.Check(all[0].Ask(context.Background(), large(id), 0).Granted, qt.IsFalse)
+}
+
+// A caller that leaves leaves nothing behind that others wait for.
+func TestLeavingCallersAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	all, addresses := gateways(c, 2)
+	id := engineOf(all[0], addresses[1])
+	first := all[0].Ask(context.Background(), large(id), longWait)
+	c.Assert(first.Granted, qt.IsTrue)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		all[0].Ask(ctx, large(id), longWait)
+		close(ended)
+	}()
+	cancel()
+	<-ended
+	all[0].End(id, first.Key, true)
+	c.Check(all[0].Ask(context.Background(), large(id), longWait).Granted, qt.IsTrue)
+}
+
+func TestEnginesThatNobodyAsksForAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	r := newRegulator("self")
+	r.Clock = clock
+	answer := r.Ask(context.Background(), large("engine"), longWait)
+	r.End("engine", answer.Key, true)
+	r.look()
+	c.Check(r.engines, qt.HasLen, 1)
+	clock.Advance(keepFor + time.Second)
+	r.look()
+	c.Check(r.engines, qt.HasLen, 0)
+}
--- /dev/null
+++ b/pkg/pacer/pacer_test.go
@@ -0,0 +1,222 @@
+package pacer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const ms = time.Millisecond
+
+func begin() time.Time { return time.Unix(1000, 0) }
+
+func ask(key string, tokens int, change ...func(*Ask)) Ask {
+	a := Ask{Key: key, Tokens: tokens, ReceivedAt: begin(), InTimeUntil: begin().Add(time.Second), Pause: 300 * ms}
+	for _, c := range change {
+		c(&a)
+	}
+	return a
+}
+
+func urgency(u uint32) func(*Ask) { return func(a *Ask) { a.Urgency = u } }
+func received(after time.Duration) func(*Ask) {
+	return func(a *Ask) { a.ReceivedAt = begin().Add(after) }
+}
+func late(a *Ask) { a.InTimeUntil = begin().Add(-ms) }
+
+func keys(asks []Ask) []string {
+	list := []string{}
+	for _, a := range asks {
+		list = append(list, a.Key)
+	}
+	return list
+}
+
+// The pace is not known yet, so that 10 tokens are read in a ms and 2,100 may be unread.
+func TestGrants(t *testing.T) {
+	for name, test := range map[string]struct {
+		asks []Ask
+		want []string
+	}{
+		"what fits":                  {[]Ask{ask("a", 1000), ask("b", 1100)}, []string{"a", "b"}},
+		"not what doesn't":           {[]Ask{ask("a", 1000), ask("b", 1101)}, []string{"a"}},
+		"a large one, alone":         {[]Ask{ask("a", 9000), ask("b", 1)}, []string{"a"}},
+		"nothing overtakes the next": {[]Ask{ask("a", 1000), ask("b", 9000), ask("c", 1)}, []string{"a"}},
+		"urgent ones first":          {[]Ask{ask("a", 1500, urgency(1)), ask("b", 1500)}, []string{"b"}},
+		"who came first":             {[]Ask{ask("a", 1500, received(2*ms)), ask("b", 1500, received(ms))}, []string{"b"}},
+		"late ones last":             {[]Ask{ask("a", 1500, late), ask("b", 1500, urgency(3))}, []string{"b"}},
+		"late ones in the end":       {[]Ask{ask("a", 1500, late)}, []string{"a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Pacer
+			for _, a := range test.asks {
+				p.Add(a)
+			}
+			qt.New(t).Check(keys(p.Next(begin())), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func TestWhatMakesRoom(t *testing.T) {
+	for name, happens := range map[string]func(*Pacer) time.Time{
+		"its first event":            func(p *Pacer) time.Time { p.Read(begin(), "a"); return begin() },
+		"its end without one":        func(p *Pacer) time.Time { p.Drop("a"); return begin() },
+		"no word of it for long":     func(*Pacer) time.Time { return begin().Add(time.Second) },
+		"(not another's)":            func(p *Pacer) time.Time { p.Read(begin(), "x"); p.Drop("y"); return begin() },
+		"(not a word of it waiting)": func(p *Pacer) time.Time { p.Read(begin(), "b"); return begin() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var p Pacer
+			p.Add(ask("a", 2000))
+			p.Add(ask("b", 2000))
+			c.Assert(keys(p.Next(begin())), qt.DeepEquals, []string{"a"})
+			now := happens(&p)
+			want := []string{"b"}
+			if name[0] == '(' {
+				want = []string{}
+			}
+			c.Check(keys(p.Next(now)), qt.DeepEquals, want)
+		})
+	}
+}
+
+func TestWithdrawnAsksAreNotGranted(t *testing.T) {
+	c := qt.New(t)
+	var p Pacer
+	p.Add(ask("a", 10))
+	c.Check(p.Withdraw("a"), qt.IsTrue)
+	c.Check(p.Withdraw("a"), qt.IsFalse)
+	c.Check(p.Next(begin()), qt.HasLen, 0)
+	c.Check(p.Idle(), qt.IsTrue)
+}
+
+// engine works in steps: each reads what is queued of prompts, up to a bound, and makes a
+// token for all that run. It notes the longest time of three steps, which is the pause of a
+// stream whose events hold three tokens.
+type engine struct {
+	queue   []Ask
+	left    int
+	steps   [3]time.Duration
+	longest time.Duration
+}
+
+const (
+	tokensPerMs   = 19
+	tokensPerStep = 4096
+	stepTime      = 9 * ms
+)
+
+// step returns how long the next step takes, and the prompts that are read with it.
+func (e *engine) step() (took time.Duration, read []string) {
+	room := tokensPerStep
+	for len(e.queue) > 0 && room > 0 {
+		part := min(room, e.left)
+		room -= part
+		e.left -= part
+		if e.left > 0 {
+			break
+		}
+		read = append(read, e.queue[0].Key)
+		e.queue = e.queue[1:]
+		e.begin()
+	}
+	took = stepTime + time.Duration(tokensPerStep-room)*ms/tokensPerMs
+	e.steps = [3]time.Duration{e.steps[1], e.steps[2], took}
+	e.longest = max(e.longest, e.steps[0]+e.steps[1]+e.steps[2])
+	return took, read
+}
+
+func (e *engine) begin() {
+	if len(e.queue) > 0 {
+		e.left = e.queue[0].Tokens
+	}
+}
+
+func (e *engine) take(a Ask) {
+	e.queue = append(e.queue, a)
+	if len(e.queue) == 1 {
+		e.begin()
+	}
+}
+
+// A load like that of streams with prompts of 1,460 tokens on the mean, large ones among
+// them, for which an engine reads 40% of the time. Sent as they come, prompts meet and hold
+// up all streams beyond 300 ms. Paced, they don't, and wait little.
+func TestPromptsDoNotMeet(t *testing.T) {
+	for name, test := range map[string]struct {
+		paced bool
+		check func(c *qt.C, longest, wait time.Duration)
+	}{
+		"sent as they come": {false, func(c *qt.C, longest, _ time.Duration) {
+			c.Check(longest > 500*ms, qt.IsTrue, qt.Commentf("%v", longest))
+		}},
+		"paced": {true, func(c *qt.C, longest, wait time.Duration) {
+			c.Check(longest < 300*ms, qt.IsTrue, qt.Commentf("a pause of %v", longest))
+			c.Check(wait < 150*ms, qt.IsTrue, qt.Commentf("waits %v on the mean", wait))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			longest, wait := play(test.paced)
+			test.check(qt.New(t), longest, wait)
+		})
+	}
+}
+
+// play sends a minute of prompts to an engine, and returns the longest pause of a stream
+// there and the mean wait. First events come three steps after the reading.
+func play(paced bool) (longest, wait time.Duration) {
+	const perSecond = 5.3
+	random := rand.New(rand.NewPCG(1, 2))
+	var p Pacer
+	var e engine
+	var reads [3][]string
+	next, count := begin(), 0
+	for now := begin(); now.Before(begin().Add(time.Minute)); {
+		for !next.After(now) {
+			size := min(350+int(1110*random.ExpFloat64()), 4140)
+			p.Add(ask(fmt.Sprint(count), size, func(a *Ask) { a.ReceivedAt = next }))
+			count++
+			next = next.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		}
+		for _, key := range reads[0] {
+			p.Read(now, key)
+		}
+		granted := p.Next(now)
+		if !paced {
+			granted = append(granted, p.waiting...)
+			p.waiting = nil
+		}
+		for _, a := range granted {
+			wait += now.Sub(a.ReceivedAt)
+			e.take(a)
+		}
+		took, read := e.step()
+		reads = [3][]string{reads[1], reads[2], read}
+		now = now.Add(took)
+	}
+	return e.longest, wait / time.Duration(count)
+}
+
+// The pace is learnt from first events, also when it changes.
+func TestPaceIsLearnt(t *testing.T) {
+	c := qt.New(t)
+	var p pace
+	c.Check(p.perSecond(), qt.Equals, float64(firstPace))
+	for range 60 {
+		p.note(2000, 100*ms)
+	}
+	c.Check(p.perSecond() > 19500 && p.perSecond() < 20500, qt.IsTrue, qt.Commentf("%v", p.perSecond()))
+	for range 60 {
+		p.note(2000, 400*ms)
+	}
+	c.Check(p.perSecond() < 5200, qt.IsTrue, qt.Commentf("%v", p.perSecond()))
+	before := p.perSecond()
+	p.note(leastTokens-1, time.Second)
+	p.note(2000, 0)
+	c.Check(p.perSecond(), qt.Equals, before)
+	c.Check(p.time(int(before)).Round(ms), qt.Equals, time.Second)
+}
