A prompt counts until streams have had their next event; the pace is learnt from lone ones

A first event comes with the step that reads the prompt, so the next was granted and read before the streams' next events, which take two steps more.

Change: after its first event a prompt counts for the time of an event (learnt from the gaps between events, a fifth of which are shorter) and for what is read meanwhile; as both reads are bounded together, 0.8 of the longest pause may be used in place of 0.7. That needs the true pace: it comes from a line through the times of prompts, apart from what each takes whatever its size.

Only prompts that were alone count now.

--- a/gateway/forwarder/course.go
+++ b/gateway/forwarder/course.go
@@ -19,14 +19,17 @@
 	resumed bool
 }
 
-// note takes the passing on of some events.
-func (c *course) note(now time.Time) {
+// note takes the passing on of some events, and returns the time since those before; 0 for
+// the first.
+func (c *course) note(now time.Time) time.Duration {
 	if c.firstAt.IsZero() {
 		c.firstAt, c.lastAt = now, now
-		return
+		return 0
 	}
-	c.pause = max(c.pause, now.Sub(c.lastAt))
+	gap := now.Sub(c.lastAt)
+	c.pause = max(c.pause, gap)
 	c.lastAt = now
+	return gap
 }
 
 // verdict says whether a stream that has ended was in time, and if not for which reason
--- a/gateway/forwarder/prompt.go
+++ b/gateway/forwarder/prompt.go
@@ -32,10 +32,13 @@
 		return true
 	}
 	began := f.Clock.Now()
+	f.mu.Lock()
+	eventTime := f.balancer.EventTime(backend.GetId())
+	f.mu.Unlock()
 	answer := f.Regulator.Ask(ctx, &regulator.Prompt{Backend: backend.GetId(), Ask: pacer.Ask{
 		Tokens: j.about.PromptTokens, Urgency: j.route.GetPriority(), ReceivedAt: j.req.ReceivedAt,
 		InTimeUntil: j.req.ReceivedAt.Add(milliseconds(j.route.GetObjectiveMs())),
-		Pause:       milliseconds(j.route.GetPauseObjectiveMs()),
+		Pause:       milliseconds(j.route.GetPauseObjectiveMs()), EventTime: eventTime,
 	}}, min(askFor, max(0, j.sendBy.Sub(began))))
 	now := f.Clock.Now()
 	j.waited += now.Sub(began)
@@ -49,8 +52,17 @@
 	return true
 }
 
-// promptRead notes that the first event of a prompt has come.
-func (f *Forwarder) promptRead(j *job) { f.endPrompt(j, true) }
+// noteEvents notes that events of a stream have come.
+func (f *Forwarder) noteEvents(j *job) {
+	gap := j.course.note(f.Clock.Now())
+	first := j.prompt != nil
+	f.endPrompt(j, true)
+	if gap > 0 && !first && j.isPaced() {
+		f.mu.Lock()
+		f.balancer.NoteGap(j.last.GetId(), gap)
+		f.mu.Unlock()
+	}
+}
 
 // promptDropped notes that an engine does not read a prompt any more, if it still had to.
 func (f *Forwarder) promptDropped(j *job) { f.endPrompt(j, false) }
--- a/gateway/forwarder/stream.go
+++ b/gateway/forwarder/stream.go
@@ -90,8 +90,7 @@
 	if err := j.reply.Write(events); err != nil {
 		return errCaller
 	}
-	j.course.note(f.Clock.Now())
-	f.promptRead(j)
+	f.noteEvents(j)
 	for line := range bytes.Lines(events) {
 		if id := platform.EventID(line); id != "" {
 			j.resume = id
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -49,9 +49,13 @@
 
 // engine is one that this gateway is in charge of, or was.
 type engine struct {
+	// grants looks at it at a time at which a prompt may be granted though nothing happens.
+	grants  func(at time.Time)
 	pacer   pacer.Pacer
 	waiting map[string]chan struct{}
 	askedAt time.Time
+	// lookAt is when it is looked at next, whatever happens.
+	lookAt time.Time
 }
 
 // Prompt is what is to be sent to an engine.
@@ -204,12 +208,31 @@
 	e := r.engines[backend]
 	if e == nil {
 		e = &engine{waiting: map[string]chan struct{}{}}
+		e.grants = func(at time.Time) { r.grantLater(e, at) }
 		r.engines[backend] = e
 	}
 	return e
 }
 
+// grantLater looks at an engine at a time. The caller holds the lock.
+func (r *Regulator) grantLater(e *engine, at time.Time) {
+	if e.lookAt.Equal(at) {
+		return
+	}
+	e.lookAt = at
+	r.Clock.AfterFunc(at.Sub(r.Clock.Now()), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		e.grant(r.Clock.Now())
+	})
+}
+
 func (e *engine) grant(now time.Time) {
+	defer func() {
+		if at := e.pacer.LookAt(); !at.IsZero() {
+			e.grants(at)
+		}
+	}()
 	for _, a := range e.pacer.Next(now) {
 		close(e.waiting[a.Key])
 		delete(e.waiting, a.Key)
@@ -228,7 +251,7 @@
 	answer := r.wait(ctx, &Prompt{Backend: req.GetBackend(), Ask: pacer.Ask{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), InTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
-		Pause: milliseconds(req.GetPauseMs()),
+		Pause: milliseconds(req.GetPauseMs()), EventTime: time.Duration(req.GetEventUs()) * time.Microsecond,
 	}}, milliseconds(req.GetWaitMs()))
 	return &wire.AdmitResponse{Granted: answer.Granted, BacklogMs: uint32(answer.Backlog.Milliseconds())}, nil
 }
@@ -252,6 +275,7 @@
 		Backend: p.Backend, Key: p.Key, Tokens: uint32(p.Tokens), Urgency: p.Urgency,
 		AgeMs: uint32(now.Sub(p.ReceivedAt).Milliseconds()), InTimeForMs: int32(p.InTimeUntil.Sub(now).Milliseconds()),
 		PauseMs: uint32(p.Pause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
+		EventUs: uint32(p.EventTime.Microseconds()),
 	})
 	if err != nil {
 		r.unanswered(ctx, address, err)
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -40,6 +40,8 @@
 	// backlog is how long the engine had to read as of backlogAt.
 	backlog   time.Duration
 	backlogAt time.Time
+	// eventTime is about the time between two events of a stream while nothing is read.
+	eventTime time.Duration
 
 	// failures is the share of failed requests as of failedAt; it fades with time, or one
 	// that gets no requests could never show that it has recovered.
@@ -92,6 +94,39 @@
 	return max(0, k.backlog-now.Sub(k.backlogAt))
 }
 
+const (
+	// eventQuantile is the part of gaps between events that are shorter than the time of
+	// an event alone: the others have prompts read in them.
+	eventQuantile = 0.2
+	// eventStep is by how much of itself the time is changed by one gap at most.
+	eventStep = 0.05
+	// leastGap is the gap below which two events have come as one.
+	leastGap = 2 * time.Millisecond
+)
+
+// NoteGap takes the time between two events of a stream.
+func (b *Balancer) NoteGap(id string, gap time.Duration) {
+	k := b.backends[id]
+	switch {
+	case k == nil || gap < leastGap:
+	case k.eventTime == 0:
+		k.eventTime = gap
+	case gap < k.eventTime:
+		k.eventTime -= time.Duration(eventStep * (1 - eventQuantile) * float64(k.eventTime))
+	default:
+		k.eventTime += time.Duration(eventStep * eventQuantile * float64(k.eventTime))
+	}
+}
+
+// EventTime returns about the time between two events of a stream at a backend server while
+// it reads no prompt; 0 if it is not known.
+func (b *Balancer) EventTime(id string) time.Duration {
+	if k := b.backends[id]; k != nil {
+		return k.eventTime
+	}
+	return 0
+}
+
 // Outcome is what became of a request that was sent to a backend server.
 type Outcome int
 
--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -19,7 +19,9 @@
 const (
 	// pauseShare is the part of the longest pause that reading may take. The rest is for
 	// the engine's steps between two events and for prompts that were sent without asking.
-	pauseShare = 0.7
+	pauseShare = 0.8
+	// firstEventTime is assumed between two events until it is told.
+	firstEventTime = 30 * time.Millisecond
 	// forgetFactor times the expected time to read all that was ahead of a prompt, and
 	// forgetAfter at least, is how long a prompt counts as unread of which no word comes: its
 	// gateway may be lost.
@@ -41,6 +43,9 @@
 	InTimeUntil time.Time
 	// Pause is the longest pause that streams at the engine may have; 0 if there is none.
 	Pause time.Duration
+	// EventTime is the time between two events of a stream there while nothing is read; 0 if
+	// it is not known.
+	EventTime time.Duration
 }
 
 // sent is a prompt that the engine has not read yet, as far as is known.
@@ -49,16 +54,29 @@
 	// ahead are the tokens that the engine had to read when it was sent, with its own.
 	ahead int
 	at    time.Time
+	// alone is set while no other prompt has been unread since then. The time of one that
+	// was not says little: prompts that are read in one step are ready together.
+	alone bool
+}
+
+// settling is a prompt that was read, but some stream's next event was held up by it and
+// has not come yet.
+type settling struct {
+	tokens int
+	until  time.Time
 }
 
 // Pacer holds what is known of the prompts at one engine. The zero value is ready for use.
 type Pacer struct {
-	pace    pace
-	unread  map[string]sent
-	waiting []Ask
-	// tokens are those unread.
-	tokens int
-	pause  time.Duration
+	pace     pace
+	unread   map[string]sent
+	settling []settling
+	waiting  []Ask
+	// tokens are those unread, and settled those of the prompts that settle.
+	tokens    int
+	settled   int
+	pause     time.Duration
+	eventTime time.Duration
 }
 
 // Add lets a prompt wait for its grant.
@@ -67,6 +85,9 @@
 	if a.Pause > 0 {
 		p.pause = a.Pause
 	}
+	if a.EventTime > 0 {
+		p.eventTime = a.EventTime
+	}
 }
 
 // Withdraw takes back an ask that waits, and reports whether it did.
@@ -76,12 +97,42 @@
 	return len(p.waiting) < before
 }
 
-// Read notes that the first event of a prompt has come.
+// Read notes that the first event of a prompt has come. An event holds the tokens of several
+// steps, and a first one may come after a single step: for the time of an event the prompt
+// still counts. Without that the next one is read before the streams' next events, and the
+// pause is that of both: of 860 long pauses at a busy site's engines all but a few were.
 func (p *Pacer) Read(now time.Time, key string) {
-	if s, ok := p.unread[key]; ok {
-		p.pace.note(s.ahead, now.Sub(s.at))
-		p.drop(key, s)
+	s, ok := p.unread[key]
+	if !ok {
+		return
+	}
+	if s.alone {
+		p.pace.note(s.tokens, now.Sub(s.at))
+	}
+	p.drop(key, s)
+	eventTime := p.eventTime
+	if eventTime == 0 {
+		eventTime = firstEventTime
 	}
+	// What is read meanwhile comes on top of the steps that an event takes.
+	until := now.Add(eventTime + p.pace.time(p.tokens))
+	p.settling = append(p.settling, settling{tokens: s.tokens, until: until})
+	p.settled += s.tokens
+}
+
+// LookAt returns when a waiting prompt may be granted though nothing happens until then; the
+// zero time if there is none.
+func (p *Pacer) LookAt() time.Time {
+	if len(p.waiting) == 0 || len(p.settling) == 0 {
+		return time.Time{}
+	}
+	first := p.settling[0].until
+	for _, s := range p.settling[1:] {
+		if s.until.Before(first) {
+			first = s.until
+		}
+	}
+	return first
 }
 
 // Drop notes that a prompt need not be read any more.
@@ -129,7 +180,8 @@
 // fits reports whether the engine can read a prompt now without too long a pause. One that
 // is larger than that is read alone.
 func (p *Pacer) fits(a Ask) bool {
-	return len(p.unread) == 0 || p.tokens+a.Tokens <= p.limit()
+	none := len(p.unread) == 0 && len(p.settling) == 0
+	return none || p.tokens+p.settled+a.Tokens <= p.limit()
 }
 
 // limit is how many tokens the engine may have to read at once.
@@ -141,11 +193,25 @@
 	if p.unread == nil {
 		p.unread = map[string]sent{}
 	}
+	for i := range p.settling {
+		p.settling[i].until = p.settling[i].until.Add(p.pace.time(a.Tokens))
+	}
+	for key, other := range p.unread {
+		other.alone = false
+		p.unread[key] = other
+	}
 	p.tokens += a.Tokens
-	p.unread[a.Key] = sent{tokens: a.Tokens, ahead: p.tokens, at: now}
+	p.unread[a.Key] = sent{tokens: a.Tokens, ahead: p.tokens, at: now, alone: len(p.unread) == 0}
 }
 
 func (p *Pacer) forget(now time.Time) {
+	p.settling = slices.DeleteFunc(p.settling, func(s settling) bool {
+		if now.Before(s.until) {
+			return false
+		}
+		p.settled -= s.tokens
+		return true
+	})
 	for key, s := range p.unread {
 		if now.Sub(s.at) > max(forgetAfter, forgetFactor*p.pace.time(s.ahead)) {
 			p.drop(key, s)
