Before a leader is known the longest list of gateways counts

Change: controllers tell their lists whether they lead or not; the leader's counts once there is one.

--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -142,7 +142,7 @@
 	res.Peers = c.peersOf(req.GetGateway())
 	addresses, revision := c.gatewayAddresses()
 	res.GatewaysRevision = revision
-	if res.Leads && revision != req.GetGatewaysRevision() {
+	if revision != req.GetGatewaysRevision() {
 		res.GatewayAddresses = addresses
 	}
 	since := req.GetAnnouncementRevision()
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -211,11 +211,7 @@
 	req.AnnouncementRevision = res.GetAnnouncementRevision()
 	req.HoldingRevision = res.GetHoldingRevision()
 	req.VersionRevision = res.GetVersionRevision()
-	// Only a leader's list counts; that of another controller is to be told in full once it leads.
-	req.GatewaysRevision = 0
-	if res.GetLeads() {
-		req.GatewaysRevision = res.GetGatewaysRevision()
-	}
+	req.GatewaysRevision = res.GetGatewaysRevision()
 	req.WantTable = res.GetTableVersion() > f.TableVersion()
 	f.review(ctx, res.GetControllers(), true)
 }
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -141,9 +141,9 @@
 		f.balancer.SetLoads(res.GetLoads())
 		// A leader that has just begun has not heard from all; the highest number is safe.
 		f.gateways = max(f.gateways, res.GetGateways())
-		if list := res.GetGatewayAddresses(); len(list) > 0 && f.Regulator != nil {
-			f.Regulator.SetGateways(list)
-		}
+	}
+	if f.Regulator != nil {
+		f.Regulator.Hear(controller, res)
 	}
 	f.mu.Unlock()
 	f.pump()
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -42,8 +42,11 @@
 	asks  atomic.Uint64
 	mu    sync.Mutex
 	peers map[string]*peer
-	// gateways are the addresses of all gateways.
+	// gateways are the addresses of all gateways; lists are what each controller says that
+	// they are, and leader is the one that counts.
 	gateways []string
+	lists    map[string][]string
+	leader   string
 	engines  map[string]*engine
 }
 
@@ -79,13 +82,30 @@
 func (r *Regulator) Init() {
 	r.peers = map[string]*peer{}
 	r.engines = map[string]*engine{}
+	r.lists = map[string][]string{}
 }
 
-// SetGateways takes the addresses of all gateways, this one among them.
-func (r *Regulator) SetGateways(addresses []string) {
+// Hear takes a controller's list of gateways. The leader's counts. Before a leader is known
+// the longest does: after the loss of everything many requests come at once, and gateways
+// that did not know each other then would each send theirs.
+func (r *Regulator) Hear(controller string, res *wire.SyncResponse) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.gateways = addresses
+	if list := res.GetGatewayAddresses(); len(list) > 0 {
+		r.lists[controller] = list
+	}
+	if res.GetLeads() {
+		r.leader = controller
+	}
+	list := r.lists[r.leader]
+	if list == nil {
+		for _, other := range r.lists {
+			if len(other) > len(list) {
+				list = other
+			}
+		}
+	}
+	r.gateways = list
 	r.forgetPeers()
 }
 
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -40,11 +40,16 @@
 		all, addresses = append(all, r), append(addresses, r.Self)
 	}
 	for _, r := range all {
-		r.SetGateways(addresses)
+		r.Hear("controller", listOf(addresses))
 	}
 	return all, addresses
 }
 
+// listOf is a leader's list of gateways.
+func listOf(addresses []string) *wire.SyncResponse {
+	return &wire.SyncResponse{Leads: true, GatewayAddresses: addresses}
+}
+
 // engineOf returns an engine that the gateway at an address is in charge of.
 func engineOf(r *Regulator, address string) string {
 	for i := 0; ; i++ {
@@ -69,10 +74,10 @@
 		addresses = append(addresses, fmt.Sprintf("10.0.%d.1:80", i))
 	}
 	a, b := newRegulator(addresses[0]), newRegulator(addresses[1])
-	a.SetGateways(addresses)
-	b.SetGateways(addresses)
+	a.Hear("controller", listOf(addresses))
+	b.Hear("controller", listOf(addresses))
 	lost := newRegulator(addresses[0])
-	lost.SetGateways(addresses[:6])
+	lost.Hear("controller", listOf(addresses[:6]))
 	engines := map[string]int{}
 	for i := range 700 {
 		id := fmt.Sprint("engine-", i)
@@ -88,6 +93,36 @@
 	}
 }
 
+// The leader's list counts, and before one is known the longest; a list that is not sent
+// again holds.
+func TestWhoseListCounts(t *testing.T) {
+	hear := func(controller string, leads bool, addresses ...string) func(*Regulator) {
+		return func(r *Regulator) {
+			r.Hear(controller, &wire.SyncResponse{Leads: leads, GatewayAddresses: addresses})
+		}
+	}
+	for name, test := range map[string]struct {
+		news []func(*Regulator)
+		want []string
+	}{
+		"nobody's":          {nil, nil},
+		"the longest":       {[]func(*Regulator){hear("a", false, "1", "2"), hear("b", false, "3")}, []string{"1", "2"}},
+		"the leader's":      {[]func(*Regulator){hear("a", false, "1", "2"), hear("b", true, "3")}, []string{"3"}},
+		"it leads later":    {[]func(*Regulator){hear("a", true, "1"), hear("b", false, "3"), hear("b", true)}, []string{"3"}},
+		"not sent again":    {[]func(*Regulator){hear("a", true, "1"), hear("a", true)}, []string{"1"}},
+		"followers change":  {[]func(*Regulator){hear("a", true, "1"), hear("b", false, "3", "4")}, []string{"1"}},
+		"a leader, no list": {[]func(*Regulator){hear("a", false, "1"), hear("b", true)}, []string{"1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegulator("self")
+			for _, tell := range test.news {
+				tell(r)
+			}
+			qt.New(t).Check(r.gateways, qt.DeepEquals, test.want)
+		})
+	}
+}
+
 // Prompts of different gateways for one engine wait for each other, whoever is in charge.
 func TestGatewaysWaitForEachOther(t *testing.T) {
 	for name, read := range map[string]bool{"until it is read": true, "until it is given up": false} {
@@ -113,7 +148,7 @@
 	c := qt.New(t)
 	all, addresses := gateways(c, 2)
 	const nobody = "127.0.0.1:1"
-	all[0].SetGateways(append(addresses, nobody))
+	all[0].Hear("controller", listOf(append(addresses, nobody)))
 	id := engineOf(all[0], nobody)
 	c.Check(all[0].Ask(context.Background(), large(id), longWait).Granted, qt.IsTrue)
 	c.Check(all[0].inCharge(id), qt.Not(qt.Equals), nobody)
