Another gateway is asked where the one in charge does not answer; pace with caution

Changes: the slope of the line is drawn towards the pace of whole prompts until many times speak for it; a gateway that does not answer is asked again after 100 ms, doubling, and its prompt goes to the next in charge instead of being sent unasked.

--- a/gateway/regulator/peer.go
+++ b/gateway/regulator/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/retrier"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -22,7 +23,9 @@
 // peer is another gateway.
 type peer struct {
 	transport *http.Transport
-	// aloneUntil is until when it is not asked.
+	// failures counts the calls in a row that it has not answered, and aloneUntil is until
+	// when it is not asked.
+	failures   int
 	aloneUntil time.Time
 	// ends are prompts that it is to be told of, and telling is set while a call does that.
 	ends    []*wire.PromptEnd
@@ -95,10 +98,19 @@
 	if now.Before(p.aloneUntil) {
 		return
 	}
-	p.aloneUntil = now.Add(leaveAloneFor)
+	p.failures++
+	p.aloneUntil = now.Add(retrier.Backoff{First: firstAlone, Most: longestAlone}.Wait(p.failures, 0))
 	r.Log.Info("a gateway in charge of engines does not answer", "Gateway", address, "Error", err.Error())
 }
 
+func (r *Regulator) answered(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.peers[address]; p != nil {
+		p.failures = 0
+	}
+}
+
 // tellPeer passes a note on. One call at a time takes all that has come up meanwhile.
 func (r *Regulator) tellPeer(address string, end *wire.PromptEnd) {
 	r.mu.Lock()
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -1,7 +1,7 @@
 // Package regulator asks, before a prompt is sent to an engine, the gateway in charge of
 // that engine, and is in charge of some engines itself. Which gateway that is follows from
-// the list of gateways alone, so nobody has to be told; while two lists differ, or one is
-// lost, prompts are sent without asking, as if there were no pacing.
+// the list of gateways alone, so nobody has to be told. While two lists differ, or one in
+// charge does not answer, several pace the same engine, each a part of its prompts.
 package regulator
 
 import (
@@ -25,8 +25,13 @@
 	// answerMargin is the time that a call may take beyond its wait: some round trips within
 	// a region, at an instance that is busy.
 	answerMargin = 80 * time.Millisecond
-	// leaveAloneFor is how long a gateway is not asked that has not answered.
-	leaveAloneFor = time.Second
+	// firstAlone is how long a gateway is not asked that has not answered once; it doubles up
+	// to longestAlone. After the loss of everything gateways listen within some hundred ms of
+	// each other, and while they don't ask the same one, each paces for itself.
+	firstAlone   = 100 * time.Millisecond
+	longestAlone = 2 * time.Second
+	// maxAsked is how many gateways are asked for one prompt at most.
+	maxAsked = 3
 	// keepFor is how long an engine's pace is remembered of which nobody asks: longer than
 	// quiet spells, and short against the time in which many starts come and go.
 	keepFor = time.Minute
@@ -139,15 +144,16 @@
 func (r *Regulator) Ask(ctx context.Context, p *Prompt, wait time.Duration) Answer {
 	// Ids of requests are the callers' to choose, and would not tell two of them apart.
 	p.Key = r.Self + "/" + strconv.FormatUint(r.asks.Add(1), 10)
-	address := r.inCharge(p.Backend)
-	var answer Answer
-	if address == r.Self || address == "" {
-		answer = r.wait(ctx, p, wait)
-	} else {
-		answer = r.askPeer(ctx, address, p, wait)
+	for range maxAsked {
+		address := r.inCharge(p.Backend)
+		if address == r.Self || address == "" || ctx.Err() != nil {
+			break
+		}
+		if answer, ok := r.askPeer(ctx, address, p, wait); ok {
+			return answer
+		}
 	}
-	answer.Key = p.Key
-	return answer
+	return r.wait(ctx, p, wait)
 }
 
 // End notes that an engine has a prompt to read no longer: its first event has come, or it
@@ -186,14 +192,14 @@
 	r.mu.Unlock()
 	select {
 	case <-granted:
-		return Answer{Granted: true, Backlog: backlog}
+		return Answer{Granted: true, Key: p.Key, Backlog: backlog}
 	default:
 	}
 	timer := r.Clock.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-granted:
-		return Answer{Granted: true, Backlog: backlog}
+		return Answer{Granted: true, Key: p.Key, Backlog: backlog}
 	case <-ctx.Done():
 	case <-timer.Chan():
 	}
@@ -201,7 +207,7 @@
 	defer r.mu.Unlock()
 	if !e.pacer.Withdraw(p.Key) {
 		// It was granted meanwhile.
-		return Answer{Granted: true, Backlog: backlog}
+		return Answer{Granted: true, Key: p.Key, Backlog: backlog}
 	}
 	delete(e.waiting, p.Key)
 	return Answer{Backlog: e.pacer.Backlog()}
@@ -286,9 +292,8 @@
 
 func milliseconds[T uint32 | int32](n T) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// askPeer asks another gateway. What one that does not answer would have said is unknown:
-// the prompt is sent, and others are asked from then on.
-func (r *Regulator) askPeer(ctx context.Context, address string, p *Prompt, wait time.Duration) Answer {
+// askPeer asks another gateway. It reports false if that one does not answer.
+func (r *Regulator) askPeer(ctx context.Context, address string, p *Prompt, wait time.Duration) (Answer, bool) {
 	now := r.Clock.Now()
 	client := &connector.Client{Timeout: wait + answerMargin, Transport: r.peer(address).transport}
 	res, err := wire.NewPacingProtobufClient("http://"+address, client).Admit(ctx, &wire.AdmitRequest{
@@ -299,7 +304,8 @@
 	})
 	if err != nil {
 		r.unanswered(ctx, address, err)
-		return Answer{Granted: true}
+		return Answer{}, false
 	}
-	return Answer{Granted: res.GetGranted(), Backlog: milliseconds(res.GetBacklogMs())}
+	r.answered(address)
+	return Answer{Granted: res.GetGranted(), Key: p.Key, Backlog: milliseconds(res.GetBacklogMs())}, true
 }
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// The loss of the gateway in charge stops nobody, and another takes its place.
+// The loss of the gateway in charge stops nobody: another takes its place at once, and
+// paces on.
 func TestLostGatewaysAreNotWaitedFor(t *testing.T) {
 	c := qt.New(t)
 	all, addresses := gateways(c, 2)
@@ -152,10 +153,18 @@
 	id := engineOf(all[0], nobody)
 	c.Check(all[0].Ask(context.Background(), large(id), longWait).Granted, qt.IsTrue)
 	c.Check(all[0].inCharge(id), qt.Not(qt.Equals), nobody)
-	c.Check(all[0].Ask(context.Background(), large(id), longWait).Granted, qt.IsTrue)
 	c.Check(all[0].Ask(context.Background(), large(id), 0).Granted, qt.IsFalse)
 }
 
+// With nobody left to ask a gateway paces for itself.
+func TestAGatewayAloneStillPaces(t *testing.T) {
+	c := qt.New(t)
+	r := newRegulator("self")
+	r.Hear("controller", listOf([]string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"}))
+	c.Check(r.Ask(context.Background(), large("engine"), longWait).Granted, qt.IsTrue)
+	c.Check(r.Ask(context.Background(), large("engine"), 0).Granted, qt.IsFalse)
+}
+
 // A caller that leaves leaves nothing behind that others wait for.
 func TestLeavingCallersAreForgotten(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/pacer/pace.go
+++ b/pkg/pacer/pace.go
@@ -6,14 +6,15 @@
 	// firstPace is assumed until prompts have shown the engine's pace, in tokens a second.
 	// It is a low one: too low a pace costs a little waiting, too high a one long pauses.
 	firstPace = 10000
-	// paceMemory is the weight that a time keeps with each later one: a few dozen count, which
+	// paceMemory is the weight that a time keeps with each later one: some fifty count, which
 	// come within seconds at a busy engine.
-	paceMemory = 0.96
-	// leastSpread is the spread of sizes, as a part of the mean size, from which their times
-	// tell the pace from what each prompt takes whatever its size.
-	leastSpread = 0.3
+	paceMemory = 0.98
 	// leastWeight is the number of times from which they are believed.
-	leastWeight = 5
+	leastWeight = 3
+	// caution is the number of times that would have to speak for a pace above that of whole
+	// prompts: a line through few times, or through times of prompts of which an engine had
+	// kept a part, may be far too flat.
+	caution = 4
 )
 
 // pace is how fast an engine reads, learnt from the times until first events: a part that
@@ -42,23 +43,17 @@
 		return firstPace
 	}
 	meanX, meanY := p.x/p.weight, p.y/p.weight
+	whole := meanY / meanX
 	variance := p.xx/p.weight - meanX*meanX
-	whole := meanX / meanY
-	if variance < leastSpread*leastSpread*meanX*meanX {
-		return whole
-	}
-	perToken := (p.xy/p.weight - meanX*meanY) / variance
+	covariance := p.xy/p.weight - meanX*meanY
+	doubt := caution / p.weight * meanX * meanX
+	perToken := (covariance + doubt*whole) / (variance + doubt)
 	if perToken <= 0 {
-		return whole
+		perToken = whole
 	}
-	// A line through few times may be far too flat; the part of each prompt is a part only.
-	return min(1/perToken, mostSteepness*whole)
+	return 1 / perToken
 }
 
-// mostSteepness bounds the pace against tokens by time, in which small prompts are mostly
-// the way there and back.
-const mostSteepness = 2
-
 func (p *pace) time(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / p.perSecond() * float64(time.Second))
 }
--- a/pkg/pacer/pacer_test.go
+++ b/pkg/pacer/pacer_test.go
@@ -216,10 +216,10 @@
 		least     float64
 		most      float64
 	}{
-		"many sizes":          {[]int{300, 1500, 700, 4000, 2200}, []float64{20000}, 19000, 21000},
+		"many sizes":          {[]int{300, 1500, 700, 4000, 2200}, []float64{20000}, 17500, 20000},
 		"it slows down":       {[]int{300, 1500, 700, 4000, 2200}, []float64{20000, 5000}, 4700, 5500},
 		"one size, too low":   {[]int{2000}, []float64{20000}, 14000, 20000},
-		"small, not too high": {[]int{50, 60, 300}, []float64{20000}, 1000, 20500},
+		"small, not too high": {[]int{50, 60, 300}, []float64{20000}, 1000, 20000},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
