Prompts are paced only once streams pause for too long

Change: a gateway paces a service's prompts from when two of some twenty streams have paused for longer than the route allows, for a minute, doubled if they come back at once; and while two other gateways ask for what they have seen themselves, so that one that has just started need not see it again. The pace may be up to four times that of whole prompts, and a tenth of the gaps count as free of reading.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -104,6 +104,7 @@
 			IdleMargin: s.Backends.IdleMargin, Unacknowledged: s.Backends.Unacknowledged, OwnAnswer: ownAnswer,
 		},
 	}
+	r.regulator.Heard = r.forwarder.HearOfPauses
 	r.forwarder.Init()
 	r.follower = &follower.Follower{
 		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Address: s.meshAddress(), Seeds: func() []string { return *r.seeds.Load() },
--- a/gateway/forwarder/course.go
+++ b/gateway/forwarder/course.go
@@ -17,6 +17,8 @@
 	// gone on at another backend server.
 	pause   time.Duration
 	resumed bool
+	// noted is set once it was counted among those that paused for too long or did not.
+	noted bool
 }
 
 // note takes the passing on of some events, and returns the time since those before; 0 for
@@ -75,6 +77,7 @@
 
 // judged counts a stream that has ended.
 func (f *Forwarder) judged(j *job, v verdict) {
+	f.noteStream(j, false)
 	series := f.Meter.For(j.service, j.route.GetName())
 	if !j.course.firstAt.IsZero() {
 		series.FirstToken.RecordDuration(j.course.firstAt.Sub(j.req.ReceivedAt))
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"bronzelead.example/pkg/budgeter"
 	"bronzelead.example/pkg/matcher"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/pacer"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -76,6 +77,8 @@
 	waiting  map[*balancer.Waiter]chan balancer.Decision
 	demand   map[string]uint32
 	gateways uint32
+	// needs tells for each service whether its prompts are paced.
+	needs map[string]*pacer.Need
 	// verdicts counts how the streams went that have ended since they were logged last.
 	verdicts  map[verdict]int
 	talliedAt time.Time
@@ -90,6 +93,7 @@
 	f.waiting = map[*balancer.Waiter]chan balancer.Decision{}
 	f.demand = map[string]uint32{}
 	f.verdicts = map[verdict]int{}
+	f.needs = map[string]*pacer.Need{}
 }
 
 // Run lets time pass for waiting requests until ctx ends.
--- a/gateway/forwarder/prompt.go
+++ b/gateway/forwarder/prompt.go
@@ -33,9 +33,14 @@
 	}
 	began := f.Clock.Now()
 	f.mu.Lock()
+	need := f.need(j.service)
+	paced, seen := need.Paces(began), need.Seen(began)
 	eventTime := f.balancer.EventTime(backend.GetId())
 	f.mu.Unlock()
-	answer := f.Regulator.Ask(ctx, &regulator.Prompt{Backend: backend.GetId(), Ask: pacer.Ask{
+	if !paced {
+		return true
+	}
+	answer := f.Regulator.Ask(ctx, &regulator.Prompt{Backend: backend.GetId(), Seen: seen, Ask: pacer.Ask{
 		Tokens: j.about.PromptTokens, Urgency: j.route.GetPriority(), ReceivedAt: j.req.ReceivedAt,
 		InTimeUntil: j.req.ReceivedAt.Add(milliseconds(j.route.GetObjectiveMs())),
 		Pause:       milliseconds(j.route.GetPauseObjectiveMs()), EventTime: eventTime,
@@ -52,11 +57,53 @@
 	return true
 }
 
+// need tells whether prompts for a service are paced. The caller holds the lock.
+func (f *Forwarder) need(service string) *pacer.Need {
+	n := f.needs[service]
+	if n == nil {
+		n = &pacer.Need{}
+		f.needs[service] = n
+	}
+	return n
+}
+
+// HearOfPauses notes that another gateway paces prompts for an engine, since it has seen long
+// pauses itself.
+func (f *Forwarder) HearOfPauses(backend, gateway string) {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if service := f.balancer.ServiceOf(backend); service != "" {
+		f.need(service).Hear(now, gateway)
+	}
+}
+
+// noteStream takes a stream that has just paused for too long, or has ended without. A pause
+// counts as it comes: after the loss of everything it would take seconds until streams end.
+func (f *Forwarder) noteStream(j *job, paused bool) {
+	if !j.isPaced() || j.course.noted || j.course.resumed || j.course.firstAt.IsZero() {
+		return
+	}
+	j.course.noted = true
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	need := f.need(j.service)
+	before := need.Seen(now)
+	need.Note(now, paused)
+	if !before && need.Seen(now) {
+		f.Log.Info("prompts are paced, since streams pause for too long", "Service", j.service)
+	}
+}
+
 // noteEvents notes that events of a stream have come.
 func (f *Forwarder) noteEvents(j *job) {
 	gap := j.course.note(f.Clock.Now())
 	first := j.prompt != nil
 	f.endPrompt(j, true)
+	if longest := milliseconds(j.route.GetPauseObjectiveMs()); longest > 0 && gap > longest {
+		f.noteStream(j, true)
+	}
 	if gap > 0 && !first && j.isPaced() {
 		f.mu.Lock()
 		f.balancer.NoteGap(j.last.GetId(), gap)
--- a/gateway/forwarder/prompt_test.go
+++ b/gateway/forwarder/prompt_test.go
@@ -36,6 +36,10 @@
 				return false
 			})
 			address, f := gatewayAndForwarder(c, b)
+			need := f.need("s")
+			for range 100 {
+				need.Note(f.Clock.Now(), true)
+			}
 			ended := make(chan got, 2)
 			go func() { ended <- call(c, address, "/prompt/", large) }()
 			<-arrived
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -43,6 +43,9 @@
 	Log   *slog.Logger
 	// Self is where the other gateways reach this one.
 	Self string
+	// Heard notes that another gateway paces prompts for an engine for long pauses that it has
+	// seen itself.
+	Heard func(backend, gateway string)
 
 	asks  atomic.Uint64
 	mu    sync.Mutex
@@ -69,6 +72,8 @@
 // Prompt is what is to be sent to an engine.
 type Prompt struct {
 	Backend string
+	// Seen is set if this gateway has seen long pauses itself.
+	Seen bool
 	// Ask is what its engine's pacer is asked; its key is set by Ask.
 	pacer.Ask
 }
@@ -274,6 +279,9 @@
 func (s *Server) Admit(ctx context.Context, req *wire.AdmitRequest) (*wire.AdmitResponse, error) {
 	r := s.Regulator
 	now := r.Clock.Now()
+	if req.GetSeen() && r.Heard != nil {
+		r.Heard(req.GetBackend(), req.GetGateway())
+	}
 	answer := r.wait(ctx, &Prompt{Backend: req.GetBackend(), Ask: pacer.Ask{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), InTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
@@ -300,7 +308,7 @@
 		Backend: p.Backend, Key: p.Key, Tokens: uint32(p.Tokens), Urgency: p.Urgency,
 		AgeMs: uint32(now.Sub(p.ReceivedAt).Milliseconds()), InTimeForMs: int32(p.InTimeUntil.Sub(now).Milliseconds()),
 		PauseMs: uint32(p.Pause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
-		EventUs: uint32(p.EventTime.Microseconds()),
+		EventUs: uint32(p.EventTime.Microseconds()), Gateway: r.Self, Seen: p.Seen,
 	})
 	if err != nil {
 		r.unanswered(ctx, address, err)
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -97,7 +97,7 @@
 const (
 	// eventQuantile is the part of gaps between events that are shorter than the time of
 	// an event alone: the others have prompts read in them.
-	eventQuantile = 0.2
+	eventQuantile = 0.1
 	// eventStep is by how much of itself the time is changed by one gap at most.
 	eventStep = 0.05
 	// leastGap is the gap below which two events have come as one.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -195,6 +195,14 @@
 	return slices.ContainsFunc(b.byService[service], func(k *backend) bool { return k.open() })
 }
 
+// ServiceOf returns the service of a backend server that is known, or "".
+func (b *Balancer) ServiceOf(id string) string {
+	if k := b.backends[id]; k != nil {
+		return k.info.GetService()
+	}
+	return ""
+}
+
 // Ready reports whether any backend server takes requests.
 func (b *Balancer) Ready() bool {
 	for service := range b.byService {
--- a/pkg/pacer/pace.go
+++ b/pkg/pacer/pace.go
@@ -16,7 +16,7 @@
 	// caution is the number of times that would have to speak for a pace above that of whole
 	// prompts, and steepest how far above it may be: a line through few times is often flat.
 	caution  = 4
-	steepest = 1.5
+	steepest = 4
 	// keptShare is the part of the expected time below which an engine has not read a prompt
 	// but kept it, as of one that is sent again after everything was lost. Three such times
 	// made a pace of 40 tokens in a ms from one of 19, and pauses of 0.7 s.
