--- a/pkg/pacer/need_test.go
+++ b/pkg/pacer/need_test.go
@@ -7,11 +7,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// streams lets streams end in a second, one of several of them with a long pause; none if
-// one of 0.
-func streams(n *Need, now time.Time, count, oneOf int) time.Time {
-	for i := range count {
-		n.Note(now.Add(time.Duration(i)*time.Second/time.Duration(count)), oneOf > 0 && i%oneOf == 0)
+// streams lets a hundred streams end in a second, one of several of them with a long pause;
+// none if one of 0.
+func streams(n *Need, now time.Time, oneOf int) time.Time {
+	for i := range 100 {
+		n.Note(now.Add(time.Duration(i)*10*time.Millisecond), oneOf > 0 && i%oneOf == 0)
 	}
 	return now.Add(time.Second)
 }
@@ -31,7 +31,7 @@
 			var n Need
 			now := begin()
 			for range 5 {
-				now = streams(&n, now, 100, test.oneOf)
+				now = streams(&n, now, test.oneOf)
 			}
 			qt.New(t).Check(n.Paces(now), qt.Equals, test.want)
 		})
@@ -46,18 +46,18 @@
 	now := begin()
 	for _, hold := range []time.Duration{firstHold, 2 * firstHold, 4 * firstHold} {
 		for !n.Paces(now) {
-			now = streams(&n, now, 100, 3)
+			now = streams(&n, now, 3)
 		}
 		ends := 0 * time.Second
 		for n.Paces(now) {
-			now = streams(&n, now, 100, 0)
+			now = streams(&n, now, 0)
 			ends += time.Second
 		}
 		c.Check(ends <= hold+time.Second && ends >= hold-2*time.Second, qt.IsTrue, qt.Commentf("%v", ends))
 	}
 	now = now.Add(time.Hour)
 	for !n.Paces(now) {
-		now = streams(&n, now, 100, 3)
+		now = streams(&n, now, 3)
 	}
 	c.Check(n.hold <= longestHold, qt.IsTrue)
 }
