Only a refused connection makes an engine wait before its sixth silent order

Change: an order that was not answered has taken its timeout already, and waits only from the sixth in a row, as before; a refused connection takes no time and always makes the next wait.

--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -72,7 +72,10 @@
 	if e.failures >= failuresToAvoid {
 		e.queue = nil
 	}
-	e.waitUntil = now.Add(p.policy.Unanswered.Wait(e.failures, rand.Float64()))
+	if outcome == Unreachable || e.failures >= failuresToAvoid {
+		// One without an answer has taken its timeout already; a refused connection takes no time.
+		e.waitUntil = now.Add(p.policy.Unanswered.Wait(e.failures, rand.Float64()))
+	}
 }
 
 // afterRepeat tells the outcome of an order that was given again after no answer: it was
