The calls into a goroutine's state, and the keeper's jobs, have places of their own

Cause: coordinator and curator carried calls into their goroutines by the same 25 lines, and keeper.go had three jobs in 405 lines: the loop, what callers propose, and what is stored.

Change: pkg/caller has the ring, the call that waits and the one that does not, with one error for 'too many wait'; proposals.go and storing.go take their parts of the keeper, which keeps 254 lines. Nothing is decided otherwise. Tests of the caller are new; those of the coordinator, the curator and the proofs hold.

--- a/controller/coordinator/coordinator.go
+++ b/controller/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/caller"
 	"bronzelead.example/pkg/leaser"
 	"bronzelead.example/pkg/limiter"
 	"bronzelead.example/pkg/planner"
@@ -27,9 +28,6 @@
 	defaultSnapshotEvery = 20_000
 )
 
-// ErrBusy is returned when too many calls wait.
-var ErrBusy = errors.New("coordinator: too many calls wait")
-
 // Keeper is what the coordinator uses of the replicated log.
 type Keeper interface {
 	Standing() *keeper.Standing
@@ -59,7 +57,7 @@
 	LongestRequest time.Duration
 	SnapshotEvery  uint64
 
-	calls    chan func(now time.Time)
+	calls    *caller.Caller
 	admitted atomic.Pointer[keeper.Admission]
 	state    *recorder.Recorder
 	snapshot uint64
@@ -91,7 +89,7 @@
 
 // Init prepares the coordinator for calls before Run.
 func (c *Coordinator) Init() {
-	c.calls = make(chan func(time.Time), callRing)
+	c.calls = caller.New(callRing)
 	c.state = recorder.New()
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = defaultSnapshotEvery
@@ -108,7 +106,7 @@
 			return
 		case item := <-c.In:
 			c.apply(item)
-		case call := <-c.calls:
+		case call := <-c.calls.Calls():
 			c.follow()
 			call(c.Clock.Now())
 		case <-ticker.Chan():
@@ -120,22 +118,7 @@
 
 // Call runs f in the coordinator's goroutine and waits for it.
 func (c *Coordinator) Call(ctx context.Context, f func(now time.Time)) error {
-	done := make(chan struct{})
-	call := func(now time.Time) {
-		f(now)
-		close(done)
-	}
-	select {
-	case c.calls <- call:
-	default:
-		return ErrBusy
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "coordinator")
-	}
+	return errors.Wrap(c.calls.Call(ctx, f), "coordinator")
 }
 
 func (c *Coordinator) apply(item keeper.Item) {
@@ -303,10 +286,10 @@
 	term := c.term
 	c.Log.Info("order", "Kind", int(order.Kind), "Backend", order.Backend, "Adapter", order.Adapter, "Order", uint64(order.ID))
 	c.Carry(order, func(outcome planner.Outcome) {
-		c.calls <- func(now time.Time) {
+		c.calls.Post(func(now time.Time) {
 			if c.term == term {
 				c.planner.Done(now, order.ID, outcome)
 			}
-		}
+		})
 	})
 }
--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/caller"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/recorder"
 	"bronzelead.example/pkg/tracker"
@@ -43,9 +44,6 @@
 	forgetAfter = 60 * time.Second
 )
 
-// ErrBusy is returned when too many calls wait.
-var ErrBusy = errors.New("curator: too many calls wait")
-
 // Keeper is what the curator uses of the replicated log.
 type Keeper interface {
 	Standing() *keeper.Standing
@@ -80,7 +78,7 @@
 	SnapshotEvery uint64
 	SnapshotBytes int
 
-	calls      chan func(now time.Time)
+	calls      *caller.Caller
 	epoch      uint64
 	state      *recorder.Recorder
 	snapshot   uint64
@@ -122,7 +120,7 @@
 
 // Init prepares the curator for calls before Run.
 func (c *Curator) Init() {
-	c.calls = make(chan func(time.Time), callRing)
+	c.calls = caller.New(callRing)
 	c.epoch = rand.Uint64()
 	c.state = recorder.New()
 	c.tracker = &tracker.Tracker{SilentAfter: c.SilentAfter, ForgetAfter: forgetAfter}
@@ -139,7 +137,7 @@
 			return
 		case item := <-c.In:
 			c.apply(item)
-		case call := <-c.calls:
+		case call := <-c.calls.Calls():
 			call(c.Clock.Now())
 		case <-ticker.Chan():
 			c.tick(c.Clock.Now())
@@ -149,22 +147,7 @@
 
 // Call runs f in the curator's goroutine and waits for it.
 func (c *Curator) Call(ctx context.Context, f func(now time.Time)) error {
-	done := make(chan struct{})
-	call := func(now time.Time) {
-		f(now)
-		close(done)
-	}
-	select {
-	case c.calls <- call:
-	default:
-		return ErrBusy
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "curator")
-	}
+	return errors.Wrap(c.calls.Call(ctx, f), "curator")
 }
 
 func (c *Curator) apply(item keeper.Item) {
@@ -328,12 +311,12 @@
 func (c *Curator) carry(order placer.Order) {
 	term := c.term
 	c.Carry(order, term, func(outcome placer.Outcome, state *placer.State) {
-		c.calls <- func(now time.Time) {
+		c.calls.Post(func(now time.Time) {
 			if c.term == term && c.placer != nil {
 				c.placer.Done(now, order, outcome, state)
 				c.giveNext(now, order.Backend)
 			}
-		}
+		})
 	})
 }
 
--- a/controller/curator/curator_test.go
+++ b/controller/curator/curator_test.go
@@ -145,7 +145,7 @@
 	for range 200 {
 		ran := make(chan struct{})
 		go func() {
-			call := <-cu.calls
+			call := <-cu.calls.Calls()
 			call(cu.Clock.Now())
 			close(ran)
 		}()
--- a/controller/keeper/keeper.go
+++ b/controller/keeper/keeper.go
@@ -11,7 +11,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"bronzelead.example/pkg/recorder"
 	"bronzelead.example/pkg/replicator"
@@ -109,13 +108,6 @@
 	heldAgain time.Time
 }
 
-type proposal struct {
-	data []byte
-	term uint64
-	// done gets the result or the error, once. It must not block.
-	done func(recorder.Result, error)
-}
-
 type joinedMember struct {
 	member *wire.Member
 	at     time.Time
@@ -213,119 +205,6 @@
 	}
 }
 
-func (k *Keeper) propose(p proposal) {
-	if k.held != nil {
-		p.done(recorder.Result{}, ErrNotLeader)
-		return
-	}
-	index, err := k.Replicator.Propose(p.data)
-	if err != nil {
-		p.done(recorder.Result{}, ErrNotLeader)
-		return
-	}
-	p.term = k.Replicator.Term()
-	k.waiting[index] = p
-}
-
-// carryOut does what the replicator asks for until it asks for nothing more.
-func (k *Keeper) carryOut() error {
-	for {
-		rd := k.take()
-		if rd.Empty() {
-			return nil
-		}
-		err := k.persist(rd)
-		if storer.IsFull(err) {
-			k.hold(rd, err)
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		k.Send(k.Replicator.Configuration(), rd.Messages)
-		k.passOn(rd)
-	}
-}
-
-// take returns what is to be done next: what was held first.
-func (k *Keeper) take() *replicator.Ready {
-	if rd := k.held; rd != nil {
-		k.held = nil
-		return rd
-	}
-	rd := k.Replicator.Take()
-	return &rd
-}
-
-// heldEvery is the time between two tries to store while the disk is full.
-const heldEvery = 200 * time.Millisecond
-
-func (k *Keeper) hold(rd *replicator.Ready, err error) {
-	if k.heldAgain.IsZero() {
-		k.Log.Error("the disk is full; this member waits", "Error", err.Error())
-	}
-	k.held = rd
-	k.heldAgain = k.Clock.Now().Add(heldEvery)
-	k.failWaiting()
-}
-
-func (k *Keeper) persist(rd *replicator.Ready) error {
-	if rd.Snapshot != nil {
-		if err := k.Storer.SaveSnapshot(rd.Snapshot, nil); err != nil {
-			return errors.Wrap(err, "keeper")
-		}
-	}
-	if err := k.Storer.Append(rd.HardState, rd.Entries); err != nil {
-		return errors.Wrap(err, "keeper")
-	}
-	if !k.heldAgain.IsZero() {
-		k.Log.Info("the disk takes data again")
-		k.heldAgain = time.Time{}
-	}
-	if n := len(rd.Entries); n > 0 {
-		k.Replicator.Synced(rd.Entries[n-1].GetIndex())
-	}
-	return nil
-}
-
-func (k *Keeper) passOn(rd *replicator.Ready) {
-	if rd.Snapshot != nil {
-		k.backlog = append(k.backlog, Item{Restore: rd.Snapshot})
-	}
-	if len(rd.Committed) > 0 {
-		item := Item{Applied: make([]Applied, len(rd.Committed))}
-		for i, e := range rd.Committed {
-			item.Applied[i] = Applied{Entry: e, Reply: k.replyTo(e)}
-		}
-		k.backlog = append(k.backlog, item)
-	}
-	if k.Replicator.Role() != replicator.Leader {
-		k.failWaiting()
-	}
-}
-
-// replyTo finds who waits for an entry. An entry of another term in the same place
-// means that the proposal was lost.
-func (k *Keeper) replyTo(e *wire.Entry) func(recorder.Result) {
-	p, ok := k.waiting[e.GetIndex()]
-	if !ok {
-		return nil
-	}
-	delete(k.waiting, e.GetIndex())
-	if p.term != e.GetTerm() {
-		p.done(recorder.Result{}, ErrUnknown)
-		return nil
-	}
-	return func(result recorder.Result) { p.done(result, nil) }
-}
-
-func (k *Keeper) failWaiting() {
-	for index, p := range k.waiting {
-		p.done(recorder.Result{}, ErrUnknown)
-		delete(k.waiting, index)
-	}
-}
-
 func (k *Keeper) publish() {
 	r := k.Replicator
 	if k.held != nil {
@@ -355,37 +234,6 @@
 	}
 }
 
-// Start proposes a command and calls done, once, with what it led to.
-func (k *Keeper) Start(cmd *wire.Command, done func(recorder.Result, error)) {
-	cmd.AtNs = k.Clock.Now().UnixNano()
-	data, err := proto.Marshal(cmd)
-	if err != nil {
-		done(recorder.Result{}, errors.Wrap(err, "keeper"))
-		return
-	}
-	select {
-	case k.proposals <- proposal{data: data, done: done}:
-	default:
-		done(recorder.Result{}, ErrBusy)
-	}
-}
-
-// Propose proposes a command and waits for what it led to.
-func (k *Keeper) Propose(ctx context.Context, cmd *wire.Command) (recorder.Result, error) {
-	type answer struct {
-		result recorder.Result
-		err    error
-	}
-	answers := make(chan answer, 1)
-	k.Start(cmd, func(result recorder.Result, err error) { answers <- answer{result, err} })
-	select {
-	case a := <-answers:
-		return a.result, a.err
-	case <-ctx.Done():
-		return recorder.Result{}, errors.Wrap(ErrUnknown, ctx.Err().Error())
-	}
-}
-
 // Transfer hands leadership over, before a planned stop.
 func (k *Keeper) Transfer() {
 	k.request(func(now time.Time) {
--- /dev/null
+++ b/controller/keeper/proposals.go
@@ -0,0 +1,85 @@
+package keeper
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/wire"
+)
+
+type proposal struct {
+	data []byte
+	term uint64
+	// done gets the result or the error, once. It must not block.
+	done func(recorder.Result, error)
+}
+
+// Start proposes a command and calls done, once, with what it led to.
+func (k *Keeper) Start(cmd *wire.Command, done func(recorder.Result, error)) {
+	cmd.AtNs = k.Clock.Now().UnixNano()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		done(recorder.Result{}, errors.Wrap(err, "keeper"))
+		return
+	}
+	select {
+	case k.proposals <- proposal{data: data, done: done}:
+	default:
+		done(recorder.Result{}, ErrBusy)
+	}
+}
+
+// Propose proposes a command and waits for what it led to.
+func (k *Keeper) Propose(ctx context.Context, cmd *wire.Command) (recorder.Result, error) {
+	type answer struct {
+		result recorder.Result
+		err    error
+	}
+	answers := make(chan answer, 1)
+	k.Start(cmd, func(result recorder.Result, err error) { answers <- answer{result, err} })
+	select {
+	case a := <-answers:
+		return a.result, a.err
+	case <-ctx.Done():
+		return recorder.Result{}, errors.Wrap(ErrUnknown, ctx.Err().Error())
+	}
+}
+
+func (k *Keeper) propose(p proposal) {
+	if k.held != nil {
+		p.done(recorder.Result{}, ErrNotLeader)
+		return
+	}
+	index, err := k.Replicator.Propose(p.data)
+	if err != nil {
+		p.done(recorder.Result{}, ErrNotLeader)
+		return
+	}
+	p.term = k.Replicator.Term()
+	k.waiting[index] = p
+}
+
+// replyTo finds who waits for an entry. An entry of another term in the same place
+// means that the proposal was lost.
+func (k *Keeper) replyTo(e *wire.Entry) func(recorder.Result) {
+	p, ok := k.waiting[e.GetIndex()]
+	if !ok {
+		return nil
+	}
+	delete(k.waiting, e.GetIndex())
+	if p.term != e.GetTerm() {
+		p.done(recorder.Result{}, ErrUnknown)
+		return nil
+	}
+	return func(result recorder.Result) { p.done(result, nil) }
+}
+
+func (k *Keeper) failWaiting() {
+	for index, p := range k.waiting {
+		p.done(recorder.Result{}, ErrUnknown)
+		delete(k.waiting, index)
+	}
+}
--- a/controller/responder/responder.go
+++ b/controller/responder/responder.go
@@ -14,6 +14,7 @@
 	"bronzelead.example/controller/coordinator"
 	"bronzelead.example/controller/keeper"
 	"bronzelead.example/pkg/authenticator"
+	"bronzelead.example/pkg/caller"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/wire"
 )
@@ -91,7 +92,7 @@
 		return known
 	case errors.Is(err, keeper.ErrNotLeader):
 		return twirp.NewError(twirp.Unavailable, "no leader is known here")
-	case errors.Is(err, keeper.ErrBusy), errors.Is(err, coordinator.ErrBusy):
+	case errors.Is(err, keeper.ErrBusy), errors.Is(err, caller.ErrBusy):
 		return twirp.NewError(twirp.ResourceExhausted, err.Error())
 	case errors.Is(err, keeper.ErrUnknown):
 		return twirp.NewError(twirp.Aborted, err.Error())
