Both programs check settings of both modes, by one piece of code

Cause: check-settings stood twice, and knew the contracts' mode alone: a right file of run-routed was shown as full of faults, and its faults could only be seen by a start.

--- a/controller/app/main.go
+++ b/controller/app/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/launcher"
 	"bronzelead.example/pkg/logger"
 	"bronzelead.example/pkg/suspender"
@@ -27,7 +28,8 @@
 		File string `arg:"" help:"Settings file."`
 	} `cmd:"" help:"Keep a table of routes and place adapters until SIGINT or SIGTERM."`
 	CheckSettings struct {
-		File string `arg:"" help:"Settings file."`
+		File   string `arg:"" help:"Settings file."`
+		Routed bool   `help:"The file is one for run-routed."`
 	} `cmd:"" help:"Check a settings file and show all its faults."`
 }
 
@@ -45,7 +47,7 @@
 	}
 	switch parsed.Command() {
 	case "check-settings <file>":
-		return checkSettings(line.CheckSettings.File, stdout, stderr)
+		return checkSettings(line.CheckSettings.File, line.CheckSettings.Routed, stdout, stderr)
 	case "run-routed <file>":
 		return runRouted(line.RunRouted.File, stderr)
 	case "init <file>":
@@ -54,21 +56,20 @@
 	return run(line.Run.File, stderr)
 }
 
-func checkSettings(file string, stdout, stderr io.Writer) int {
-	if _, faults := Read(file); len(faults) > 0 {
-		for _, fault := range faults {
-			_, _ = fmt.Fprintln(stderr, fault)
-		}
-		return launcher.ExitUsage
+func checkSettings(file string, routed bool, stdout, stderr io.Writer) int {
+	var faults []configurer.Fault
+	if routed {
+		_, faults = ReadRouted(file)
+	} else {
+		_, faults = Read(file)
 	}
-	_, _ = fmt.Fprintln(stdout, file+": all settings are right")
-	return launcher.ExitOK
+	return launcher.CheckSettings(file, faults, stdout, stderr)
 }
 
 func initialize(file string, stdout, stderr io.Writer) int {
 	settings, faults := Read(file)
 	if len(faults) > 0 {
-		return checkSettings(file, io.Discard, stderr)
+		return launcher.Refuse(faults, stderr)
 	}
 	cluster, err := Init(settings)
 	if err != nil {
@@ -82,7 +83,7 @@
 func run(file string, stderr io.Writer) int {
 	settings, faults := Read(file)
 	if len(faults) > 0 {
-		return checkSettings(file, io.Discard, stderr)
+		return launcher.Refuse(faults, stderr)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -97,10 +98,7 @@
 func runRouted(file string, stderr io.Writer) int {
 	settings, faults := ReadRouted(file)
 	if len(faults) > 0 {
-		for _, fault := range faults {
-			_, _ = fmt.Fprintln(stderr, fault)
-		}
-		return launcher.ExitUsage
+		return launcher.Refuse(faults, stderr)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/gateway/app/main.go
+++ b/gateway/app/main.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -11,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/launcher"
 	"bronzelead.example/pkg/logger"
 )
@@ -23,7 +23,8 @@
 		File string `arg:"" help:"Settings file."`
 	} `cmd:"" help:"Serve callers by a table of routes until SIGINT or SIGTERM, then stop gracefully."`
 	CheckSettings struct {
-		File string `arg:"" help:"Settings file."`
+		File   string `arg:"" help:"Settings file."`
+		Routed bool   `help:"The file is one for run-routed."`
 	} `cmd:"" help:"Check a settings file and show all its faults."`
 }
 
@@ -40,7 +41,7 @@
 		return code
 	}
 	if parsed.Command() == "check-settings <file>" {
-		return checkSettings(line.CheckSettings.File, stdout, stderr)
+		return checkSettings(line.CheckSettings.File, line.CheckSettings.Routed, stdout, stderr)
 	}
 	if parsed.Command() == "run-routed <file>" {
 		return runRouted(line.RunRouted.File, stderr)
@@ -48,21 +49,20 @@
 	return run(line.Run.File, stderr)
 }
 
-func checkSettings(file string, stdout, stderr io.Writer) int {
-	if _, faults := Read(file); len(faults) > 0 {
-		for _, fault := range faults {
-			_, _ = fmt.Fprintln(stderr, fault)
-		}
-		return launcher.ExitUsage
+func checkSettings(file string, routed bool, stdout, stderr io.Writer) int {
+	var faults []configurer.Fault
+	if routed {
+		_, faults = ReadRouted(file)
+	} else {
+		_, faults = Read(file)
 	}
-	_, _ = fmt.Fprintln(stdout, file+": all settings are right")
-	return launcher.ExitOK
+	return launcher.CheckSettings(file, faults, stdout, stderr)
 }
 
 func run(file string, stderr io.Writer) int {
 	settings, faults := Read(file)
 	if len(faults) > 0 {
-		return checkSettings(file, io.Discard, stderr)
+		return launcher.Refuse(faults, stderr)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -77,10 +77,7 @@
 func runRouted(file string, stderr io.Writer) int {
 	settings, faults := ReadRouted(file)
 	if len(faults) > 0 {
-		for _, fault := range faults {
-			_, _ = fmt.Fprintln(stderr, fault)
-		}
-		return launcher.ExitUsage
+		return launcher.Refuse(faults, stderr)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/pkg/launcher/launcher.go
+++ b/pkg/launcher/launcher.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/alecthomas/kong"
+
+	"bronzelead.example/pkg/configurer"
 )
 
 // Exit codes of all programs.
@@ -52,3 +54,21 @@
 	}
 	return parsed, ExitOK
 }
+
+// Refuse shows the faults of settings, a line each, and returns the exit code for them.
+func Refuse(faults []configurer.Fault, stderr io.Writer) int {
+	for _, fault := range faults {
+		_, _ = fmt.Fprintln(stderr, fault)
+	}
+	return ExitUsage
+}
+
+// CheckSettings shows the faults of a settings file, or that it has none, and returns the
+// exit code.
+func CheckSettings(file string, faults []configurer.Fault, stdout, stderr io.Writer) int {
+	if len(faults) > 0 {
+		return Refuse(faults, stderr)
+	}
+	_, _ = fmt.Fprintln(stdout, file+": all settings are right")
+	return ExitOK
+}
