Tests of the forwarder and of the balancer read by their subjects; two comments are right

forwarder_test.go (450 lines) held the stand-in of a backend server, the gateway under test and streams beside its own stories; balancer_test.go (447) adapters and failures.

Two comments claimed other figures than were measured: with pacing 15% of the streams were late for want of an adapter where 12% are without, and long pauses fell from 860 to 264.

--- /dev/null
+++ b/gateway/forwarder/harness_test.go
@@ -0,0 +1,126 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/gateway/regulator"
+	"bronzelead.example/gateway/sender"
+	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
+)
+
+func testTable() *wire.RoutingTable {
+	route := func(name string, repetition wire.Repetition, resumable bool) *wire.Route {
+		return &wire.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Repetition: repetition, TimeoutMs: 3000,
+			ObjectiveMs: 100, MaxAttempts: 2, Resumable: resumable, Shares: []*wire.Share{{Service: "s", Weight: 1}},
+		}
+	}
+	return &wire.RoutingTable{
+		Version: 3,
+		Routes: []*wire.Route{
+			route("safe", wire.Repetition_REPETITION_IDEMPOTENT, false), route("once", wire.Repetition_REPETITION_ONCE, false),
+			prompts(route("prompt", wire.Repetition_REPETITION_STREAM, false)),
+			route("stream", wire.Repetition_REPETITION_STREAM, false), route("resumable", wire.Repetition_REPETITION_STREAM, true),
+		},
+		Services: []*wire.RoutedService{{Name: "s"}},
+	}
+}
+
+func prompts(r *wire.Route) *wire.Route {
+	r.Prompts, r.PauseObjectiveMs, r.TimeoutMs = true, 300, 3600_000
+	return r
+}
+
+// gateway is a door with a forwarder behind it that knows some backend servers.
+func gateway(c *qt.C, backends ...*backendFake) string {
+	address, _ := gatewayAndForwarder(c, backends...)
+	return address
+}
+
+func gatewayAndForwarder(c *qt.C, backends ...*backendFake) (string, *Forwarder) {
+	address, f := newGateway(c, clockwork.NewRealClock())
+	f.Apply("controller", firstTable(backends...))
+	return address, f
+}
+
+// newGateway is a door with a forwarder behind it that has heard from no controller yet.
+func newGateway(c *qt.C, clock clockwork.Clock) (string, *Forwarder) {
+	log := slog.New(slog.NewTextHandler(c.Output(), nil))
+	f := &Forwarder{
+		Clock: clock, Log: log, Meter: meter.New("gateway", "test", "z"), Acquire: func([]*wire.Want) {},
+		Budget:    Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 200},
+		Regulator: &regulator.Regulator{Clock: clock, Log: log},
+		Sender: &sender.Sender{
+			Clock: clock, DialTimeout: time.Second, MaxIdle: time.Second,
+			OwnAnswer: func(head *framer.ResponseHead, id string) (bool, time.Duration) {
+				answer := platform.DecodeAnswer(head)
+				return answer.RequestID == id || answer.RequestID == "", answer.IdleTimeout
+			},
+		},
+	}
+	f.Init()
+	f.Regulator.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	go f.Run(ctx)
+	door := &doorkeeper.Doorkeeper{Clock: clock, Log: log, Address: "127.0.0.1:0", Handle: f.Handle}
+	c.Assert(door.Start(), qt.IsNil)
+	c.Cleanup(func() { _ = door.Stop(ctx) })
+	return door.Addr(), f
+}
+
+// got is what a caller received.
+type got struct {
+	status   int
+	header   http.Header
+	body     string
+	complete bool
+	// heads is how many heads of answers came, also inside a body.
+	heads int
+}
+
+// patience is how long the tests' callers wait.
+const patience = 2500 * time.Millisecond
+
+func call(c *qt.C, address, path string, header ...string) got {
+	return callFor(c, patience, address, path, header...)
+}
+
+// callFor is call for a caller that waits for another time.
+func callFor(c *qt.C, patience time.Duration, address, path string, header ...string) got {
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	head := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n" + lines(platform.StandInRequest("r1", patience))
+	_, err = io.WriteString(conn, head+strings.Join(append(header, ""), "\r\n")+"\r\nhi")
+	c.Assert(err, qt.IsNil)
+	var raw bytes.Buffer
+	received := bufio.NewReader(io.TeeReader(conn, &raw))
+	res, err := http.ReadResponse(received, nil)
+	if err != nil {
+		return got{}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		// What comes behind a broken body is counted too.
+		_, _ = io.Copy(io.Discard, received)
+	}
+	heads := strings.Count(raw.String(), "HTTP/1.1 ")
+	return got{status: res.StatusCode, header: res.Header, body: string(body), complete: err == nil, heads: heads}
+}
--- /dev/null
+++ b/pkg/balancer/adapters_test.go
@@ -0,0 +1,157 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/wire"
+)
+
+func hold(b *Balancer, term uint64, id string, adapters ...string) {
+	b.SetHolding(term, &wire.Holding{Backend: id, Adapters: adapters})
+}
+
+func TestAdapters(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(b *Balancer)
+		want    string
+	}{
+		"held by one":               {func(b *Balancer) { hold(b, 1, "b", "m/x@0") }, "b"},
+		"held by nobody any more":   {func(b *Balancer) { hold(b, 1, "b", "m/x@0"); hold(b, 1, "b") }, "waits"},
+		"an earlier leader's word":  {func(b *Balancer) { hold(b, 2, "b"); hold(b, 1, "b", "m/x@0") }, "waits"},
+		"an old version":            {func(b *Balancer) { hold(b, 1, "b", "m/x@1"); version(b, 2) }, "waits"},
+		"the named version":         {func(b *Balancer) { hold(b, 1, "b", "m/x@2"); version(b, 2) }, "b"},
+		"just said not to be there": {func(b *Balancer) { hold(b, 1, "b", "m/x@0"); b.Done(begin(), "b", "m/x", 0, Absent) }, "waits"},
+		"the other copy, if one fails": {func(b *Balancer) {
+			hold(b, 1, "a", "m/x@0")
+			hold(b, 1, "b", "m/x@0")
+			b.Done(begin(), "a", "", 0, Unreachable)
+		}, "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b")
+			test.prepare(b)
+			c.Check(decide(b, begin(), waiter("w", adapter("m/x")))["w"], qt.Equals, test.want)
+		})
+	}
+}
+
+func version(b *Balancer, n uint64) {
+	b.SetVersion(&wire.AdapterVersion{Model: "m", Adapter: "x", Version: n})
+}
+
+// A missing adapter is asked for once, and again only when the load should have ended.
+func TestMissingAdaptersAreAskedForOnce(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b")
+	b.Done(begin(), "a", "", 0, Unreachable)
+	b.Enqueue(waiter("v", adapter("m/x")))
+	b.Enqueue(waiter("w", adapter("m/x")))
+	_, wants := b.Next(begin())
+	c.Assert(wants, qt.HasLen, 1)
+	c.Check(wants[0].GetAvoid(), qt.DeepEquals, []string{"a"})
+	_, wants = b.Next(begin().Add(100 * time.Millisecond))
+	c.Check(wants, qt.HasLen, 0)
+	_, wants = b.Next(begin().Add(450 * time.Millisecond))
+	c.Check(wants, qt.HasLen, 1)
+}
+
+// Sixteen rare adapters and one hot one: requests that wait for a load hold up no others.
+func TestWaitingForLoadsHoldsUpNobody(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a")
+	hold(b, 1, "a", "m/hot@0")
+	var waiters []*Waiter
+	for i := range 16 {
+		waiters = append(waiters, waiter(fmt.Sprint(i), adapter(fmt.Sprintf("m/rare%d", i))))
+	}
+	waiters = append(waiters, waiter("hot", adapter("m/hot"), urgency(5)))
+	c.Check(decide(b, begin(), waiters...)["hot"], qt.Equals, "a")
+	c.Check(b.Waiting(), qt.Equals, 16)
+}
+
+// A hot adapter at one engine: when that engine is much busier than the others, a copy
+// elsewhere is asked for, and not while all are busy.
+func TestCrowdedEnginesGetHelp(t *testing.T) {
+	for name, test := range map[string]struct {
+		others map[string]uint32
+		want   int
+	}{
+		"idle":                  {nil, 0},
+		"the holder is crowded": {map[string]uint32{"a": 3}, 1},
+		"all are crowded":       {map[string]uint32{"a": 3, "b": 3, "c": 2}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b", "c")
+			hold(b, 1, "a", "m/hot@0")
+			var loads []*wire.Load
+			for id, n := range test.others {
+				loads = append(loads, &wire.Load{Backend: id, Requests: n})
+			}
+			b.SetLoads(loads)
+			b.Enqueue(waiter("w", adapter("m/hot")))
+			decisions, wants := b.Next(begin())
+			c.Assert(decisions, qt.HasLen, 1)
+			c.Check(decisions[0].Backend.GetId(), qt.Equals, "a")
+			c.Assert(wants, qt.HasLen, test.want)
+			if test.want > 0 {
+				c.Check(wants[0].GetAvoid(), qt.DeepEquals, []string{"a"})
+			}
+		})
+	}
+}
+
+// The only engine with an adapter has lost an answer: the request goes there again rather
+// than wait for a load elsewhere; but not if nothing can be reached there, and not while
+// another copy is there.
+func TestTheOnlyHolderIsTriedAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(b *Balancer)
+		want    string
+	}{
+		"an answer was lost":  {func(b *Balancer) { b.Done(begin(), "a", "m/x", 0, Failed) }, "a"},
+		"it is not reached":   {func(b *Balancer) { b.Done(begin(), "a", "m/x", 0, Unreachable) }, "waits"},
+		"there is a copy":     {func(b *Balancer) { hold(b, 1, "b", "m/x@0") }, "b"},
+		"the copy is full":    {func(b *Balancer) { hold(b, 1, "b", "m/x@0"); fill(b, "b") }, "waits"},
+		"it is gone from all": {func(b *Balancer) { hold(b, 1, "a") }, "waits"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b", "c")
+			hold(b, 1, "a", "m/x@0")
+			test.prepare(b)
+			c.Check(decide(b, begin(), waiter("w", adapter("m/x"), avoid("a")))["w"], qt.Equals, test.want)
+		})
+	}
+}
+
+// The only engine with an adapter is full, and others have room: a copy is asked for there
+// while the request waits. When all are full, a copy would help nobody.
+func TestFullHoldersGetHelp(t *testing.T) {
+	for name, test := range map[string]struct {
+		full []string
+		want int
+	}{
+		"others have room": {[]string{"a"}, 1},
+		"all are full":     {[]string{"a", "b", "c"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b", "c")
+			hold(b, 1, "a", "m/x@0")
+			fill(b, test.full...)
+			b.Enqueue(waiter("w", adapter("m/x")))
+			decisions, wants := b.Next(begin())
+			c.Check(decisions, qt.HasLen, 0)
+			c.Assert(wants, qt.HasLen, test.want)
+			if test.want > 0 {
+				c.Check(wants[0].GetAvoid(), qt.DeepEquals, []string{"a"})
+			}
+		})
+	}
+}
--- a/pkg/pacer/need.go
+++ b/pkg/pacer/need.go
@@ -3,9 +3,10 @@
 import "time"
 
 // Pacing makes prompts wait, and where the places for adapters are what is short, a request
-// that waits with its adapter in a place makes others wait too: at engines that read 44 tokens
-// in a ms, whose streams last half a second, it made 15% of them late that had hardly ever a
-// long pause. So prompts are paced only once streams do pause for too long.
+// that waits with its adapter in a place makes others wait too: before engines that read 44
+// tokens in a ms, and whose streams hardly ever paused for long, 15% of the streams were late
+// for want of an adapter with pacing and 12% without. So prompts are paced only once streams
+// do pause for too long.
 const (
 	// pauseMemory is the weight of one stream in the share of those that paused for too long,
 	// and tooMany the share from which prompts are paced: two of the last twenty.
--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -103,7 +103,7 @@
 // Read notes that the first event of a prompt has come. An event holds the tokens of several
 // steps, and a first one may come after a single step: for the time of an event the prompt
 // still counts. Without that the next one is read before the streams' next events, and the
-// pause is that of both: of 860 long pauses at a busy site's engines all but a few were.
+// pause is that of both: long pauses fell from 860 to 264 in a minute of 3,600 streams.
 func (p *Pacer) Read(now time.Time, key string) {
 	s, ok := p.unread[key]
 	if !ok {
--- a/proof/routed_soak_test.go
+++ b/proof/routed_soak_test.go
@@ -93,9 +93,7 @@
 		first := r.IntN(len(y.controllers))
 		for i := range 2 {
 			n := y.controllers[(first+i)%len(y.controllers)]
-			n.kill()
-			y.wipe(n)
-			n.restart()
+			y.loseDisks(n)
 		}
 		return func() {}
 	}},
--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -125,6 +125,15 @@
 	n.start()
 }
 
+// loseDisks kills controllers and starts them again with empty disks.
+func (y *routedSystem) loseDisks(nodes ...*instance) {
+	for _, n := range nodes {
+		n.kill()
+		y.wipe(n)
+		n.restart()
+	}
+}
+
 // wipe lets a controller that has ended lose its disk. It then joins and founds nothing.
 func (y *routedSystem) wipe(n *instance) {
 	y.c.Assert(os.RemoveAll(n.data), qt.IsNil)
--- a/proof/routed_test.go
+++ b/proof/routed_test.go
@@ -13,11 +13,7 @@
 	c := qt.New(t)
 	y := startRouted(c, 5, 2, 2)
 	crowd := startCrowd(y, 4, 1)
-	for _, n := range y.controllers[:2] {
-		n.kill()
-		y.wipe(n)
-		n.restart()
-	}
+	y.loseDisks(y.controllers[:2]...)
 	eventually(c, "those with new disks vote", y.settled)
 	y.operator.put()
 	y.replace(2)
@@ -44,11 +40,7 @@
 	y.replace(2)
 	y.operator.look()
 	eventually(c, "the new one votes", y.settled)
-	for _, n := range y.controllers[:2] {
-		n.kill()
-		y.wipe(n)
-		n.restart()
-	}
+	y.loseDisks(y.controllers[:2]...)
 	eventually(c, "those with new disks vote", y.settled)
 	y.operator.put()
 	y.waitServing()
