Each mechanism can be switched off by a setting, with a word that admits it

A file that switches one off without Admit = MeasureOnly is refused, as is a name that the program does not have; every fault is told at once. Each start logs what is off.

Early elections, the budget's margin and pacing at the forwarder have no test of their own that shows them off.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -17,6 +17,7 @@
 	"bronzelead.example/controller/keeper"
 	"bronzelead.example/controller/responder"
 	"bronzelead.example/controller/transporter"
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/placer"
@@ -85,6 +86,9 @@
 		}
 	}
 	go r.joiner().run(background)
+	if off := r.Settings.off(); !off.Empty() {
+		r.Log.Warn("mechanisms are switched off for an experiment", "Off", off.String())
+	}
 	r.Log.Info("the controller serves", "Member", r.id, "Seeds", s.Members.Seeds, "Bootstrap", s.Members.Bootstrap)
 	select {
 	case err := <-failed:
@@ -155,7 +159,7 @@
 		Clock: r.Clock, Log: r.Log, Storer: r.storer, Send: r.transporter.Send, Out: items,
 		OpenMembership: true, MaxVoters: s.Members.MaxVoters, SilentAfter: s.Timing.SilentMember,
 		Replicator: &replicator.Replicator{
-			ID: r.id, Heartbeat: s.Timing.Heartbeat, ElectionTimeout: s.Timing.ElectionTimeout, StartQuiet: startQuiet, Random: mathrand.Int64N,
+			ID: r.id, Heartbeat: s.Timing.Heartbeat, ElectionTimeout: s.Timing.ElectionTimeout, StartQuiet: r.startQuiet(), Random: mathrand.Int64N,
 		},
 	}
 	r.keeper.Init(contents)
@@ -186,9 +190,19 @@
 	operatorTimeout = 950 * time.Millisecond
 )
 
+// startQuiet returns how long after its start a member gives no vote; 0 is the time of an
+// election.
+func (r *Routed) startQuiet() time.Duration {
+	if r.Settings.off().Has(ablator.EarlyElections) {
+		return 0
+	}
+	return startQuiet
+}
+
 func (r *Routed) policy() placer.Policy {
 	policy, s := placer.DefaultPolicy(), r.Settings.Placement
 	policy.Reserve, policy.ColdLoad, policy.WarmLoad, policy.FillPerCopy = s.Reserve, s.ColdLoad, s.WarmLoad, s.FillPerCopy
+	policy.Off = r.Settings.off()
 	return policy
 }
 
--- a/controller/app/routed_settings.go
+++ b/controller/app/routed_settings.go
@@ -5,18 +5,20 @@
 	"strconv"
 	"time"
 
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/placer"
 )
 
 // RoutedSettings are the settings of a controller that keeps a table of routes.
 type RoutedSettings struct {
-	Instance  RoutedInstance
-	Data      DataSettings
-	Members   RoutedMembers
-	Timing    RoutedTiming
-	Placement PlacementSettings
-	Log       LogSettings
+	Instance   RoutedInstance
+	Data       DataSettings
+	Members    RoutedMembers
+	Timing     RoutedTiming
+	Placement  PlacementSettings
+	Log        LogSettings
+	Experiment ablator.Settings
 }
 
 // RoutedInstance says who and where the process is.
@@ -94,6 +96,10 @@
 	if s.Timing.ElectionTimeout < minTimeoutHeartbeats*s.Timing.Heartbeat {
 		fault("Timing", "ElectionTimeout", "it must be at least three times Heartbeat")
 	}
+	_, problems := s.Experiment.Parse(ablator.Controller())
+	for _, p := range problems {
+		fault("Experiment", p.Key, p.Text)
+	}
 	return s, faults
 }
 
@@ -122,3 +128,9 @@
 	}
 	return s.Timing.HandOver
 }
+
+// off returns the mechanisms that are switched off; its problems were told by ReadRouted.
+func (s *RoutedSettings) off() ablator.Off {
+	off, _ := s.Experiment.Parse(ablator.Controller())
+	return off
+}
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -76,6 +76,9 @@
 			return errors.Wrap(err, "app")
 		}
 	}
+	if off := r.Settings.off(); !off.Empty() {
+		r.Log.Warn("mechanisms are switched off for an experiment", "Off", off.String())
+	}
 	r.Log.Info("the gateway serves", "Address", r.door.Addr(), "Seeds", r.Settings.Controllers.Seeds)
 	for {
 		select {
@@ -97,7 +100,7 @@
 	r.regulator.Init()
 	r.forwarder = &forwarder.Forwarder{
 		Regulator: r.regulator,
-		Clock:     r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want,
+		Clock:     r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want, Off: s.off(),
 		Budget: forwarder.Budget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
 		Sender: &sender.Sender{
 			Clock: r.Clock, DialTimeout: s.Backends.DialTimeout, MaxIdle: s.Backends.MaxIdle,
--- a/gateway/app/routed_settings.go
+++ b/gateway/app/routed_settings.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/configurer"
 )
 
@@ -16,6 +17,7 @@
 	Budget      BudgetSettings
 	Stop        StopSettings
 	Log         LogSettings
+	Experiment  ablator.Settings
 }
 
 // RoutedInstance says who and where the process is.
@@ -90,6 +92,10 @@
 			File: file, Section: "Stop", Key: "Drain", Problem: "it must be shorter than Grace, and not shorter than Take",
 		})
 	}
+	_, problems := s.Experiment.Parse(ablator.Gateway())
+	for _, p := range problems {
+		faults = append(faults, configurer.Fault{File: file, Section: "Experiment", Key: p.Key, Problem: p.Text})
+	}
 	return s, faults
 }
 
@@ -112,3 +118,9 @@
 	}
 	return net.JoinHostPort(host, strconv.Itoa(s.Controllers.Port))
 }
+
+// off returns the mechanisms that are switched off; its problems were told by ReadRouted.
+func (s *RoutedSettings) off() ablator.Off {
+	off, _ := s.Experiment.Parse(ablator.Gateway())
+	return off
+}
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bronzelead.example/gateway/sender"
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/wire"
@@ -88,7 +89,7 @@
 	if !j.patience.IsZero() {
 		dispatch.Left = j.until.Sub(f.Clock.Now())
 	}
-	if j.adapter != "" {
+	if j.adapter != "" && !f.Off.Has(ablator.PriorityOrder) {
 		dispatch.Urgency = min(int(j.route.GetPriority()), leastUrgent)
 	}
 	return &sender.Outgoing{
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"bronzelead.example/gateway/doorkeeper"
 	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/sender"
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/budgeter"
 	"bronzelead.example/pkg/matcher"
@@ -58,6 +59,8 @@
 	Sender *sender.Sender
 	Meter  *meter.Meter
 	Budget Budget
+	// Off are the mechanisms that an experiment does without.
+	Off ablator.Off
 	// Regulator paces prompts; nil sends them at once.
 	Regulator *regulator.Regulator
 	// Acquire asks the leader for adapters. It must not block.
@@ -88,7 +91,7 @@
 func (f *Forwarder) Init() {
 	f.startedAt = f.Clock.Now()
 	f.tableKnown = make(chan struct{})
-	f.balancer = &balancer.Balancer{Zone: f.Zone}
+	f.balancer = &balancer.Balancer{Zone: f.Zone, Off: f.Off}
 	f.budgets = map[string]*budgeter.Budgeter{}
 	f.waiting = map[*balancer.Waiter]chan balancer.Decision{}
 	f.demand = map[string]uint32{}
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/budgeter"
 	"bronzelead.example/pkg/matcher"
@@ -113,7 +114,7 @@
 func (f *Forwarder) budget(service string) *budgeter.Budgeter {
 	b := f.budgets[service]
 	if b == nil {
-		b = &budgeter.Budgeter{Window: f.Budget.Window, Ratio: budgetMargin * f.Budget.Ratio}
+		b = &budgeter.Budgeter{Window: f.Budget.Window, Ratio: f.budgetMargin() * f.Budget.Ratio}
 		f.budgets[service] = b
 	}
 	return b
@@ -127,7 +128,7 @@
 	if gateways == 0 {
 		gateways = assumedGateways
 	}
-	slack := budgetMargin * f.Budget.Slack / float64(gateways)
+	slack := f.budgetMargin() * f.Budget.Slack / float64(gateways)
 	return f.budget(service).Allow(f.Clock.Now(), slack)
 }
 
@@ -135,6 +136,13 @@
 // their own, and a gateway that was added is not known to the others at once.
 const budgetMargin = 0.9
 
+func (f *Forwarder) budgetMargin() float64 {
+	if f.Off.Has(ablator.BudgetMargin) {
+		return 1
+	}
+	return budgetMargin
+}
+
 // assumedGateways is the number of gateways that is assumed before a leader has told it:
 // a high one, since the budget is shared by all.
 const assumedGateways = 100
--- a/gateway/forwarder/prompt.go
+++ b/gateway/forwarder/prompt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bronzelead.example/gateway/regulator"
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/pacer"
 	"bronzelead.example/pkg/wire"
@@ -31,7 +32,7 @@
 // admitPrompt waits until a prompt may be sent to the engine that was chosen. It reports
 // false when it may not: then another engine may be better by now, or the time is over.
 func (f *Forwarder) admitPrompt(ctx context.Context, j *job, backend *wire.Announcement) bool {
-	if f.Regulator == nil || !j.mayBePaced() {
+	if f.Regulator == nil || !j.mayBePaced() || f.Off.Has(ablator.Pacing) {
 		return true
 	}
 	began := f.Clock.Now()
--- /dev/null
+++ b/pkg/ablator/ablator_test.go
@@ -0,0 +1,46 @@
+package ablator
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestSettings(t *testing.T) {
+	for name, test := range map[string]struct {
+		settings Settings
+		off      string
+		keys     []string
+	}{
+		"nothing is off":            {Settings{}, "", nil},
+		"one is off":                {Settings{Off: []string{"Homes"}, Admit: Admission}, "Homes", nil},
+		"two are off":               {Settings{Off: []string{"Homes", "WarmFirst"}, Admit: Admission}, "Homes, WarmFirst", nil},
+		"the word is missing":       {Settings{Off: []string{"Homes"}}, "Homes", []string{"Admit"}},
+		"another word":              {Settings{Off: []string{"Homes"}, Admit: "yes"}, "Homes", []string{"Admit"}},
+		"unknown":                   {Settings{Off: []string{"Home"}, Admit: Admission}, "", []string{"Off"}},
+		"another program's":         {Settings{Off: []string{"Pacing"}, Admit: Admission}, "", []string{"Off"}},
+		"twice":                     {Settings{Off: []string{"Homes", "Homes"}, Admit: Admission}, "Homes", []string{"Off"}},
+		"all faults are told":       {Settings{Off: []string{"x", "y"}}, "", []string{"Off", "Off", "Admit"}},
+		"the word alone is no harm": {Settings{Admit: Admission}, "", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			off, problems := test.settings.Parse(Controller())
+			var keys []string
+			for _, p := range problems {
+				keys = append(keys, p.Key)
+			}
+			c.Check(keys, qt.DeepEquals, test.keys)
+			c.Check(off.String(), qt.Equals, test.off)
+			c.Check(off.Empty(), qt.Equals, test.off == "")
+		})
+	}
+}
+
+func TestWithoutSwitchesOffOnlyWhatIsNamed(t *testing.T) {
+	c := qt.New(t)
+	off := Without(Ejection)
+	c.Check(off.Has(Ejection), qt.IsTrue)
+	c.Check(off.Has(Pacing), qt.IsFalse)
+	c.Check(Off{}.Has(Ejection), qt.IsFalse)
+}
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -59,15 +59,14 @@
 // have stopped.
 const recentSuccess = 3 * time.Second
 
-// suspect reports whether it is better to send elsewhere.
-func (k *backend) suspect(now time.Time) bool {
-	if now.Before(k.ejectedUntil) {
-		return true
-	}
-	if k.ejection > 0 && k.own > 0 {
-		// One request at a time shows whether it has recovered.
-		return true
-	}
+// ejected reports whether it is left out for its failures.
+func (k *backend) ejected(now time.Time) bool {
+	// After the pause one request at a time shows whether it has recovered.
+	return now.Before(k.ejectedUntil) || k.ejection > 0 && k.own > 0
+}
+
+// silent reports whether nothing is heard from it, and no answer speaks for it.
+func (k *backend) silent(now time.Time) bool {
 	return k.info.GetSilent() && now.Sub(k.lastSuccess) > recentSuccess
 }
 
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -46,6 +47,8 @@
 type Balancer struct {
 	// Zone is the gateway's own availability zone.
 	Zone string
+	// Off are the mechanisms that an experiment does without.
+	Off ablator.Off
 
 	backends  map[string]*backend
 	byService map[string][]*backend
@@ -222,16 +225,16 @@
 		b.nextOrder++
 		w.order = b.nextOrder
 	}
-	at, _ := slices.BinarySearchFunc(b.queue, w, compare)
+	at, _ := slices.BinarySearchFunc(b.queue, w, b.compare)
 	b.queue = slices.Insert(b.queue, at, w)
 }
 
 // compare puts urgent requests first, and among equals the one that came first.
-func compare(a, b *Waiter) int {
-	if a.Urgency != b.Urgency {
-		return int(a.Urgency) - int(b.Urgency)
+func (b *Balancer) compare(one, other *Waiter) int {
+	if one.Urgency != other.Urgency && !b.Off.Has(ablator.PriorityOrder) {
+		return int(one.Urgency) - int(other.Urgency)
 	}
-	if a.order < b.order {
+	if one.order < other.order {
 		return -1
 	}
 	return 1
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -1,9 +1,12 @@
 package balancer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"bronzelead.example/pkg/ablator"
 )
 
 // choose returns the backend server to send to, or nil, and those that could serve the
@@ -18,7 +21,7 @@
 			return best, append(holders, able...)
 		}
 		holders = append(holders, able...)
-		if len(holders) > 0 && len(c.suspects) == 0 {
+		if len(holders) > 0 && len(c.suspects) == 0 && !b.Off.Has(ablator.FullHolder) {
 			// It has its places full; that is no reason to go where a try has failed.
 			return nil, holders
 		}
@@ -43,7 +46,7 @@
 	for _, k := range b.byService[w.Service] {
 		switch {
 		case !k.open():
-		case k.suspect(now):
+		case k.silent(now), k.ejected(now) && !b.Off.Has(ablator.Ejection):
 			c.suspects = append(c.suspects, k)
 		case slices.Contains(w.Avoid, k.info.GetId()):
 			c.tried = append(c.tried, k)
@@ -84,6 +87,9 @@
 	if len(able) == 0 {
 		return nil
 	}
+	if b.Off.Has(ablator.TwoChoices) {
+		return slices.MinFunc(able, func(one, other *backend) int { return cmp.Compare(b.score(now, one), b.score(now, other)) })
+	}
 	first := rand.IntN(len(able))
 	best := able[first]
 	if len(able) == 1 {
@@ -100,7 +106,7 @@
 func (b *Balancer) score(now time.Time, k *backend) float64 {
 	score := k.load() + k.failing(now)*failurePenalty + rand.Float64()*jitter
 	score += float64(k.reading(now)) / float64(fullReading)
-	if k.info.GetZone() != b.Zone {
+	if k.info.GetZone() != b.Zone && !b.Off.Has(ablator.ZonePenalty) {
 		score += zonePenalty
 	}
 	return score
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"bronzelead.example/pkg/ablator"
 )
 
 // enqueue lets an engine load an adapter next.
@@ -151,8 +153,11 @@
 )
 
 func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
-	cost := e.use.Requests/float64(max(1, e.info.GetSlots())) + homeWeight*distance(adapter, id)
-	if !p.warm(e, adapter) {
+	cost := e.use.Requests / float64(max(1, e.info.GetSlots()))
+	if !p.policy.Off.Has(ablator.Homes) {
+		cost += homeWeight * distance(adapter, id)
+	}
+	if !p.warm(e, adapter) && !p.policy.Off.Has(ablator.WarmFirst) {
 		cost += coldWeight
 	}
 	cost += queueWeight * float64(len(e.queue)+e.coming())
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"bronzelead.example/pkg/ablator"
+)
 
 const (
 	// firstHostAdapters is assumed until loads have shown how many copies engines keep. It
@@ -24,11 +28,11 @@
 func (p *Placer) learn(now time.Time, held *place) {
 	took := now.Sub(held.begun)
 	quick := took < p.coldLoad/2
-	if !quick && !held.repeated {
+	if !quick && !held.repeated && !p.policy.Off.Has(ablator.LearntStore) {
 		p.learnCold(held, took)
 	}
 	switch {
-	case held.depth < 0:
+	case held.depth < 0 || p.policy.Off.Has(ablator.LearntHost):
 	case quick:
 		p.hostAdapters = max(p.hostAdapters, held.depth+1)
 	case held.depth < p.hostAdapters && !held.repeated:
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -318,6 +319,9 @@
 // peak returns the higher of the two rates: what rises gets its copies soon, and what has
 // paused for a moment keeps them.
 func (d *demand) peak(now time.Time, policy *Policy) float64 {
+	if policy.Off.Has(ablator.RisingCopies) {
+		return d.at(now, policy.DemandHalfLife)
+	}
 	quick := d.quick * halving(float64(now.Sub(d.last))/float64(policy.QuickHalfLife))
 	return max(quick, d.at(now, policy.DemandHalfLife))
 }
--- a/pkg/placer/policy.go
+++ b/pkg/placer/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/retrier"
 )
 
@@ -50,6 +51,8 @@
 	// UnloadAgain is the time between two questions whether an unload has ended that
 	// waits for runs.
 	UnloadAgain time.Duration
+	// Off are the mechanisms that an experiment does without.
+	Off ablator.Off
 }
 
 // DefaultPolicy returns the limits that were measured; docs/MEASURED.md has the runs.
