--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -19,6 +19,7 @@
 	"bronzelead.example/pkg/caller"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/spreader"
 	"bronzelead.example/pkg/tracker"
 	"bronzelead.example/pkg/wire"
 )
@@ -93,7 +94,12 @@
 	taken    uint64
 	versions uint64
 	waiters  []*waiter
+	// gateways are those that ask this controller, by name; loads is the sum of theirs.
 	gateways map[string]*gatewayState
+	loads    *spreader.Sum
+	roster   roster
+	// holdings are what the placer has said that engines hold.
+	holdings *spreader.Holdings
 
 	term        uint64
 	ordersAfter time.Time
@@ -104,9 +110,13 @@
 
 // gatewayState is what a gateway said last.
 type gatewayState struct {
-	seen    time.Time
-	address string
-	loads   []*wire.Load
+	seen  time.Time
+	entry *wire.GatewayEntry
+	// members are the gateways that follow it, by the list with that number.
+	members         []*wire.GatewayEntry
+	membersRevision uint64
+	// loads are its own and those of its members.
+	loads []*wire.Load
 	// answered is when it was last told of news.
 	answered time.Time
 	// wants are the adapters that its requests wait for, and when it said so last; urgent
@@ -125,6 +135,8 @@
 	c.state = recorder.New()
 	c.tracker = &tracker.Tracker{SilentAfter: c.SilentAfter, ForgetAfter: forgetAfter}
 	c.gateways = map[string]*gatewayState{}
+	c.loads = spreader.NewSum()
+	c.holdings = spreader.NewHoldings()
 }
 
 // Run works until ctx ends.
@@ -232,11 +244,7 @@
 		c.placer.SetUse(c.uses())
 		c.plan(now)
 	}
-	for name, g := range c.gateways {
-		if now.Sub(g.seen) > gatewayLease {
-			delete(c.gateways, name)
-		}
-	}
+	c.forgetGateways(now)
 	c.answerWaiters(now)
 }
 
@@ -260,6 +268,7 @@
 	c.ordersAfter = now.Add(c.HandOver)
 	c.placer = placer.New(c.Policy)
 	c.placer.Begin(term)
+	c.holdings.Begin(c.placer.Revision())
 	c.placer.SetTable(c.state.Table().GetTable())
 	for _, a := range c.tracker.All() {
 		c.placer.SetEngine(a)
@@ -284,7 +293,7 @@
 	c.wake(now)
 	if now.Sub(c.summarized) >= summaryEvery {
 		c.summarized = now
-		c.Log.Info("placement", "Summary", c.placer.Summary(), "Gateways", len(c.gateways))
+		c.Log.Info("placement", "Summary", c.placer.Summary(), "Gateways", c.roster.count(), "Asking", len(c.gateways))
 	}
 	for _, order := range c.placer.Plan(now) {
 		c.carry(order)
@@ -332,21 +341,15 @@
 	}
 }
 
-// uses sums up what the gateways have at each backend server.
+// uses returns what the gateways have at each backend server.
 func (c *Curator) uses() map[string]*placer.Use {
 	total := map[string]*placer.Use{}
-	for _, g := range c.gateways {
-		for _, l := range g.loads {
-			use := total[l.GetBackend()]
-			if use == nil {
-				use = &placer.Use{Adapters: map[string]bool{}}
-				total[l.GetBackend()] = use
-			}
-			use.Requests += float64(l.GetRequests())
-			for _, adapter := range l.GetAdapters() {
-				use.Adapters[adapter] = true
-			}
+	c.loads.Each(func(backend string, requests uint32, adapters map[string]int) {
+		use := &placer.Use{Requests: float64(requests), Adapters: make(map[string]bool, len(adapters))}
+		for adapter := range adapters {
+			use.Adapters[adapter] = true
 		}
-	}
+		total[backend] = use
+	})
 	return total
 }
--- a/controller/curator/curator_test.go
+++ b/controller/curator/curator_test.go
@@ -82,10 +82,10 @@
 		cu.apply(keeper.Item{Applied: []keeper.Applied{k.entry(putTable(change.version, document))}})
 		c.Check(string(cu.state.Table().GetDocument()), qt.Equals, change.want)
 	}
-	res := cu.news(&wire.SyncRequest{WantTable: true})
+	res := cu.news(cu.Clock.Now(), &wire.SyncRequest{WantTable: true})
 	c.Check(res.GetTable().GetVersion(), qt.Equals, uint64(7))
-	c.Check(cu.news(&wire.SyncRequest{WantTable: true, TableVersion: 7}).GetTable(), qt.IsNil)
-	c.Check(cu.news(&wire.SyncRequest{}).GetTable(), qt.IsNil)
+	c.Check(cu.news(cu.Clock.Now(), &wire.SyncRequest{WantTable: true, TableVersion: 7}).GetTable(), qt.IsNil)
+	c.Check(cu.news(cu.Clock.Now(), &wire.SyncRequest{}).GetTable(), qt.IsNil)
 }
 
 // A controller that restarts with a snapshot does not hand out its table before a leader
@@ -99,9 +99,9 @@
 	cu, k := newCurator()
 	cu.apply(keeper.Item{Restore: &wire.Snapshot{Index: 1, Term: 1, State: state}})
 	cu.tick(cu.Clock.Now())
-	c.Check(cu.news(&wire.SyncRequest{WantTable: true}).GetTableVersion(), qt.Equals, uint64(0))
+	c.Check(cu.news(cu.Clock.Now(), &wire.SyncRequest{WantTable: true}).GetTableVersion(), qt.Equals, uint64(0))
 	lead(cu, k)
-	c.Check(cu.news(&wire.SyncRequest{WantTable: true}).GetTable().GetVersion(), qt.Equals, uint64(5))
+	c.Check(cu.news(cu.Clock.Now(), &wire.SyncRequest{WantTable: true}).GetTable().GetVersion(), qt.Equals, uint64(5))
 }
 
 // Of many gateways, the one whose requests wait for an adapter is told of it at once, the
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
+	"bronzelead.example/pkg/spreader"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -42,14 +42,25 @@
 	}
 }
 
-// hear takes in what a gateway says of its requests.
+// hear takes in what a gateway says of its requests, and of those of its members.
 func (c *Curator) hear(now time.Time, req *wire.SyncRequest) {
 	g := c.gateways[req.GetGateway()]
 	if g == nil {
 		g = &gatewayState{wants: map[string]time.Time{}}
 		c.gateways[req.GetGateway()] = g
 	}
-	g.seen, g.address, g.loads = now, req.GetAddress(), req.GetLoads()
+	g.seen = now
+	c.loads.Add(g.loads, -1)
+	g.loads = req.GetLoads()
+	c.loads.Add(g.loads, 1)
+	if g.entry.GetAddress() != req.GetAddress() || g.entry.GetZone() != req.GetZone() {
+		g.entry = &wire.GatewayEntry{Address: req.GetAddress(), Zone: req.GetZone()}
+		c.roster.stale = true
+	}
+	if len(req.GetMembers()) > 0 || req.GetMembersRevision() == 0 {
+		c.roster.stale = c.roster.stale || g.membersRevision != req.GetMembersRevision()
+		g.members, g.membersRevision = req.GetMembers(), req.GetMembersRevision()
+	}
 	if c.placer == nil {
 		return
 	}
@@ -58,6 +69,17 @@
 	}
 }
 
+// forgetGateways drops those that have not called for long.
+func (c *Curator) forgetGateways(now time.Time) {
+	for name, g := range c.gateways {
+		if now.Sub(g.seen) > gatewayLease {
+			c.loads.Add(g.loads, -1)
+			delete(c.gateways, name)
+			c.roster.stale = true
+		}
+	}
+}
+
 // Acquire notes that requests wait for adapters.
 func (c *Curator) Acquire(ctx context.Context, req *wire.AcquireRequest) error {
 	leads := false
@@ -114,7 +136,7 @@
 		g.answered = now
 		g.urgent = false
 	}
-	w.answer <- c.news(w.request)
+	w.answer <- c.news(now, w.request)
 }
 
 // hasUrgentNews reports whether there is something that all gateways must know soon.
@@ -133,23 +155,27 @@
 	return c.state.Table().GetTable()
 }
 
-func (c *Curator) news(req *wire.SyncRequest) *wire.SyncResponse {
+func (c *Curator) news(now time.Time, req *wire.SyncRequest) *wire.SyncResponse {
+	c.roster.refresh(now, c.gateways)
+	controllers := c.Controllers()
 	res := &wire.SyncResponse{
 		Epoch: c.epoch, AnnouncementRevision: c.tracker.Revision(), VersionRevision: c.versions,
-		HoldingRevision: req.GetHoldingRevision(), Controllers: c.Controllers(),
-		Gateways: uint32(len(c.gateways)), Leads: c.leads(c.Clock.Now()), Term: c.term,
+		HoldingRevision: req.GetHoldingRevision(), ControllersRevision: spreader.ListRevision(controllers),
+		Gateways: c.roster.count(), GatewaysRevision: c.roster.revision, Leads: c.leads(now), Term: c.term,
+	}
+	if res.GetControllersRevision() != req.GetControllersRevision() {
+		res.Controllers = controllers
 	}
-	res.Peers = c.peersOf(req.GetGateway())
-	addresses, revision := c.gatewayAddresses()
-	res.GatewaysRevision = revision
-	if revision != req.GetGatewaysRevision() {
-		res.GatewayAddresses = addresses
+	if c.roster.revision != req.GetGatewaysRevision() {
+		res.GatewayList = c.roster.list
 	}
 	since := req.GetAnnouncementRevision()
 	if req.GetEpoch() != c.epoch {
 		since = 0
 	}
-	res.Announcements = c.tracker.Since(since)
+	for _, a := range c.tracker.Since(since) {
+		res.Announcements = append(res.Announcements, forGateways(a))
+	}
 	if req.GetVersionRevision() != c.versions {
 		res.Versions = c.state.AdapterVersions()
 	}
@@ -159,60 +185,51 @@
 			res.Table = table
 		}
 	}
+	g := c.gateways[req.GetGateway()]
+	if g != nil {
+		res.MembersRevision = g.membersRevision
+	}
 	if c.placer != nil {
-		res.HoldingRevision = c.placer.Revision()
-		res.Holdings = c.placer.Since(req.GetHoldingRevision())
-		res.Loads = c.loadsOfOthers(req.GetGateway())
+		c.takeHoldings()
+		res.HoldingRevision = max(req.GetHoldingRevision(), c.holdings.Revision())
+		res.Holdings, res.HoldingsSince = c.holdings.Since(req.GetHoldingRevision())
+		res.Loads, res.HasLoads = c.loadsWithout(g), true
 	}
 	return res
 }
 
-// maxPeers is how many other gateways a gateway is told of: one that is cut off from the
-// controllers tries them in turn.
-const maxPeers = 4
-
-// peersOf returns some other gateways, different ones from call to call.
-func (c *Curator) peersOf(gateway string) []string {
-	var peers []string
-	for name, g := range c.gateways {
-		if name != gateway && g.address != "" && len(peers) < maxPeers {
-			peers = append(peers, g.address)
-		}
+// takeHoldings takes what the placer says of engines that have changed.
+func (c *Curator) takeHoldings() {
+	for _, h := range c.placer.TakeChanged() {
+		c.holdings.Set(c.placer.Revision(), h.GetBackend(), h.GetAdapters())
 	}
-	return peers
 }
 
-// gatewayAddresses returns where all gateways are reached that are heard, in order, and a
-// number that differs between two lists.
-func (c *Curator) gatewayAddresses() ([]string, uint64) {
-	list := make([]string, 0, len(c.gateways))
-	for _, g := range c.gateways {
-		if g.address != "" {
-			list = append(list, g.address)
-		}
+// forGateways returns an announcement without what an engine says that it holds: gateways
+// hear of that from the leader.
+func forGateways(a *wire.Announcement) *wire.Announcement {
+	if len(a.GetAdapters()) == 0 && len(a.GetModels()) == 0 {
+		return a
 	}
-	slices.Sort(list)
-	sum := fnv.New64a()
-	for _, address := range list {
-		_, _ = sum.Write([]byte(address + "\n"))
-	}
-	return list, sum.Sum64()
+	a = proto.CloneOf(a)
+	a.Adapters, a.Models = nil, nil
+	return a
 }
 
-func (c *Curator) loadsOfOthers(gateway string) []*wire.Load {
-	total := map[string]uint32{}
-	for name, g := range c.gateways {
-		if name == gateway {
-			continue
-		}
+// loadsWithout returns the loads of all gateways but one and its members.
+func (c *Curator) loadsWithout(g *gatewayState) []*wire.Load {
+	own := map[string]uint32{}
+	if g != nil {
 		for _, l := range g.loads {
-			total[l.GetBackend()] += l.GetRequests()
+			own[l.GetBackend()] += l.GetRequests()
 		}
 	}
-	loads := make([]*wire.Load, 0, len(total))
-	for backend, n := range total {
-		loads = append(loads, &wire.Load{Backend: backend, Requests: n})
-	}
+	var loads []*wire.Load
+	c.loads.Each(func(backend string, requests uint32, _ map[string]int) {
+		if n := requests - own[backend]; n > 0 {
+			loads = append(loads, &wire.Load{Backend: backend, Requests: n})
+		}
+	})
 	return loads
 }
 
@@ -241,6 +258,9 @@
 		if c.placer != nil {
 			c.placer.SetEngine(a)
 		}
+		if a.GetGone() {
+			c.holdings.Drop(a.GetId())
+		}
 	}
 	c.taken = c.tracker.Revision()
 }
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -15,6 +15,7 @@
 	"bronzelead.example/gateway/follower"
 	"bronzelead.example/gateway/forwarder"
 	"bronzelead.example/gateway/regulator"
+	"bronzelead.example/gateway/relayer"
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
@@ -51,6 +52,7 @@
 	door      *doorkeeper.Doorkeeper
 	forwarder *forwarder.Forwarder
 	follower  *follower.Follower
+	relayer   *relayer.Relayer
 	regulator *regulator.Regulator
 	health    *server.Server
 	mesh      *server.Server
@@ -66,6 +68,7 @@
 	r.build()
 	go r.forwarder.Run(background)
 	go r.follower.Run(background)
+	go r.relayer.Run(background)
 	go r.regulator.Run(background)
 	go r.acquire(background)
 	if err := r.door.Start(); err != nil {
@@ -109,9 +112,16 @@
 	}
 	r.regulator.Heard = r.forwarder.HearOfPauses
 	r.forwarder.Init()
+	self := &wire.GatewayEntry{Address: s.meshAddress(), Zone: s.Instance.Zone}
+	r.relayer = &relayer.Relayer{
+		Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: self, Apply: r.forwarder.Apply, Loads: r.forwarder.Loads,
+		AddDemand: r.forwarder.AddDemand, Want: r.want,
+	}
+	r.relayer.Init()
+	r.forwarder.NewsAge = r.relayer.LeaderAge
 	r.follower = &follower.Follower{
-		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Address: s.meshAddress(), Seeds: func() []string { return *r.seeds.Load() },
-		Apply: r.forwarder.Apply, Demand: r.forwarder.Demand, Loads: r.forwarder.Loads, TableVersion: r.forwarder.TableVersion,
+		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Self: self, Seeds: func() []string { return *r.seeds.Load() },
+		Relayer: r.relayer, Demand: r.forwarder.Demand, TableVersion: r.forwarder.TableVersion,
 	}
 	r.door = &doorkeeper.Doorkeeper{
 		Clock: r.Clock, Log: r.Log, Address: s.Instance.Listen, Handle: r.forwarder.Handle,
@@ -122,7 +132,7 @@
 	mux.Handle("GET /metrics", r.meter.Handler())
 	r.health = &server.Server{Address: s.Instance.Health, Handler: mux, Log: r.Log}
 	calls := http.NewServeMux()
-	calls.Handle(wire.MeshPathPrefix, wire.NewMeshServer(&follower.Passer{Follower: r.follower}))
+	calls.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.relayer))
 	calls.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{Address: s.meshAddress(), Handler: calls, Log: r.Log}
 }
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -1,5 +1,6 @@
-// Package follower keeps a gateway in step with the controllers: one goroutine for each
-// of them asks for news all the time, so that the loss of any one delays nothing.
+// Package follower keeps a gateway in step with the controllers. Few gateways of a zone
+// ask each of the controllers all the time, so that the loss of any one delays nothing; the
+// others ask one of these few, and the controllers when none of them answers.
 package follower
 
 import (
@@ -12,18 +13,23 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/twitchtv/twirp"
 
+	"bronzelead.example/gateway/relayer"
+	"bronzelead.example/pkg/arranger"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/wire"
 )
 
 const (
-	// leaderWait is how long a call to the leader may wait for news; each call also brings
-	// the leader the gateway's demand and loads.
+	// leaderWait is how long a call to the leader or a relay may wait for news; each call
+	// also brings the gateway's demand and loads.
 	leaderWait = 150 * time.Millisecond
 	// followerWait is the same for the other controllers.
 	followerWait = 1000 * time.Millisecond
 	// callMargin is the time that a call may take beyond its wait.
 	callMargin = 700 * time.Millisecond
+	// relayMargin is the same for calls to a relay, which is in the same zone. It is short,
+	// since another relay is asked then.
+	relayMargin = 250 * time.Millisecond
 	// retryPause is the wait after a failed call. It is short, since all that a gateway
 	// knows comes from these calls.
 	retryPause = 100 * time.Millisecond
@@ -31,28 +37,37 @@
 	acquireTimeout = 300 * time.Millisecond
 	// forgetAfter is how long a controller is asked that no other one lists any more.
 	forgetAfter = 30 * time.Second
-	// reviewEvery is the time between two looks at the list of controllers.
+	// reviewEvery is the time between two looks at whom to ask.
 	reviewEvery = 250 * time.Millisecond
-	// cutOffAfter is the time without an answer from any controller after which calls go
-	// through other gateways: longer than an election, during which controllers answer.
+	// cutOffAfter is the time without an answer from any controller after which other
+	// gateways are asked: longer than an election, during which controllers answer.
 	cutOffAfter = 1300 * time.Millisecond
+	// staleNews is the age from which a relay's word is not news: another one is asked.
+	staleNews = 500 * time.Millisecond
+	// uncoveredAfter is how long relays may give no news before the controllers are asked.
+	// It leaves time to find that one is lost and to ask another.
+	uncoveredAfter = 900 * time.Millisecond
+	// homeAfter is the time after which a gateway that has changed its relay asks its first
+	// one again, so that the followers of a zone spread over its relays.
+	homeAfter = 10 * time.Second
+	// rotateEvery is the least time between two changes of a relay that itself hears no
+	// leader: perhaps another one does.
+	rotateEvery = time.Second
 )
 
-// Follower asks the controllers. Set the exported fields, then call Run.
+// Follower asks the controllers, or relays. Set the exported fields, then call Run.
 type Follower struct {
 	Clock clockwork.Clock
 	Log   *slog.Logger
-	// Gateway names this gateway, and Address is where other gateways reach it.
+	// Gateway names this gateway, and Self is where it is reached.
 	Gateway string
-	Address string
+	Self    *wire.GatewayEntry
 	// Seeds returns the addresses that the gateway starts from.
 	Seeds func() []string
-	// Apply takes news from a controller.
-	Apply func(controller string, res *wire.SyncResponse)
+	// Relayer takes the news, and knows what is told upwards.
+	Relayer *relayer.Relayer
 	// Demand returns and clears the requests taken since the last call.
 	Demand func() []*wire.Demand
-	// Loads returns the requests under way.
-	Loads func() []*wire.Load
 	// TableVersion returns the version of the table in force here.
 	TableVersion func() uint64
 
@@ -60,14 +75,22 @@
 	acquiring     *http.Transport
 	acquiringOnce sync.Once
 
-	mu     sync.Mutex
-	loops  map[string]*loop
+	mu sync.Mutex
+	// loops ask the controllers while direct is set; since directAt.
+	loops    map[string]*loop
+	direct   bool
+	directAt time.Time
+	// sources are what each instance that was asked has told up to now.
+	sources map[string]*source
+	// leader is who is asked for adapters: the leader, or a relay.
 	leader string
 	term   uint64
-	peers  []string
-	// detour is set while calls go through another gateway, and ends that.
-	detour context.CancelFunc
-	heard  time.Time
+	// heard is when a controller answered last, and covered when a relay gave news last.
+	heard   time.Time
+	covered time.Time
+	// relays are asked while stopRelays is set.
+	relays     []string
+	stopRelays context.CancelFunc
 	// untold counts requests for adapters in a row that failed.
 	untold int
 }
@@ -79,14 +102,27 @@
 	failed bool
 }
 
+// source is up to where an instance has told what it knows.
+type source struct {
+	epoch, announcements, versions, gateways, members uint64
+	tableVersion                                      uint64
+	controllers                                       []string
+	controllersRevision                               uint64
+	// gap is set if a difference of it could not be used, so that all is to be told.
+	gap bool
+}
+
 // Run works until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.loops = map[string]*loop{}
+	f.mu.Lock()
+	f.loops, f.sources = map[string]*loop{}, map[string]*source{}
+	f.mu.Unlock()
 	ticker := f.Clock.NewTicker(reviewEvery)
 	defer ticker.Stop()
 	for {
+		f.arrange(ctx)
 		f.review(ctx, f.Seeds(), false)
-		f.chooseWay(ctx)
+		f.Relayer.Measure()
 		select {
 		case <-ctx.Done():
 			return
@@ -95,29 +131,59 @@
 	}
 }
 
-// chooseWay lets calls go through another gateway while no controller answers: a gateway
-// that is cut off from the controllers may still reach the others.
-func (f *Follower) chooseWay(ctx context.Context) {
+// arrange decides whether the controllers are asked, and which relays.
+func (f *Follower) arrange(ctx context.Context) {
+	place := arranger.Arrange(f.Relayer.Gateways(), f.Self)
+	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	cutOff := f.Clock.Since(f.heard) > cutOffAfter && !f.heard.IsZero()
+	relays := place.Relays
+	if f.cutOff(now) {
+		relays = append(relays, place.Elsewhere...)
+	}
+	f.setRelays(ctx, relays)
+	f.setDirect(now, place.Direct || now.Sub(f.covered) > uncoveredAfter)
+}
+
+// cutOff reports whether the controllers are asked in vain: a gateway that is cut off from
+// them may still reach others. The caller holds the lock.
+func (f *Follower) cutOff(now time.Time) bool {
+	since := f.directAt
+	if f.heard.After(since) {
+		since = f.heard
+	}
+	return f.direct && !f.heard.IsZero() && now.Sub(since) > cutOffAfter
+}
+
+// setRelays changes the relays that are asked. The caller holds the lock.
+func (f *Follower) setRelays(ctx context.Context, relays []string) {
+	f.relays = relays
 	switch {
-	case !cutOff && f.detour != nil:
-		f.detour()
-		f.detour = nil
-		f.Log.Info("a controller is reached directly again")
-	case cutOff && f.detour == nil && len(f.peers) > 0:
-		var detourCtx context.Context
-		detourCtx, f.detour = context.WithCancel(ctx)
-		f.Log.Warn("no controller is reached; calls go through other gateways", "Gateways", f.peers)
-		go f.followAround(detourCtx, f.peers)
+	case len(relays) > 0 && f.stopRelays == nil:
+		var relayCtx context.Context
+		relayCtx, f.stopRelays = context.WithCancel(ctx)
+		f.Log.Info("other gateways are asked for news", "Gateways", relays)
+		go f.followRelays(relayCtx)
+	case len(relays) == 0 && f.stopRelays != nil:
+		f.stopRelays()
+		f.stopRelays = nil
+		f.Log.Info("other gateways are no longer asked for news")
 	}
 }
 
-// followAround follows the leader through other gateways, one after the other.
-func (f *Follower) followAround(ctx context.Context, peers []string) {
-	for i := 0; ctx.Err() == nil; i++ {
-		f.follow(ctx, peers[i%len(peers)], true)
+// setDirect begins or ends to ask the controllers. The caller holds the lock.
+func (f *Follower) setDirect(now time.Time, direct bool) {
+	if f.direct == direct {
+		return
+	}
+	f.direct, f.directAt = direct, now
+	f.Log.Info("the way of news changes", "AsksControllers", direct, "Relays", len(f.relays))
+	if direct {
+		return
+	}
+	for address, l := range f.loops {
+		l.cancel()
+		delete(f.loops, address)
 	}
 }
 
@@ -127,13 +193,16 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.direct {
+		return
+	}
 	for _, address := range listed {
 		known := f.loops[address]
 		if known == nil {
 			loopCtx, cancel := context.WithCancel(ctx)
 			known = &loop{listed: now, cancel: cancel}
 			f.loops[address] = known
-			go f.follow(loopCtx, address, false)
+			go f.follow(loopCtx, address)
 		}
 		if fresh {
 			known.listed = now
@@ -147,73 +216,160 @@
 	}
 }
 
-// follow asks one controller for news all the time. Through another gateway it ends
-// with the first failure.
-func (f *Follower) follow(ctx context.Context, address string, detour bool) {
+// follow asks one controller for news all the time.
+func (f *Follower) follow(ctx context.Context, address string) {
 	transport := connector.NewTransport(nil)
 	defer transport.CloseIdleConnections()
-	client := &connector.Client{Timeout: followerWait + callMargin, Transport: transport}
-	quick := &connector.Client{Timeout: leaderWait + callMargin, Transport: transport}
-	req := &wire.SyncRequest{Gateway: f.Gateway, Address: f.Address}
 	for ctx.Err() == nil {
-		leads := f.prepare(address, req)
-		caller := client
-		if leads {
-			caller = quick
+		wait := followerWait
+		if f.asksForAdapters(address) {
+			wait = leaderWait
+		}
+		client := &connector.Client{Timeout: wait + callMargin, Transport: transport}
+		res, err := f.ask(ctx, client, address, wait)
+		if ctx.Err() != nil {
+			return
 		}
-		res, err := wire.NewMeshProtobufClient("http://"+address, caller).Sync(ctx, req)
 		f.note(address, err)
 		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-f.Clock.After(retryPause):
-			}
-			if detour {
-				return
-			}
+			f.pause(ctx)
 			continue
 		}
-		f.take(ctx, address, req, res, detour)
+		f.mu.Lock()
+		f.heard = f.Clock.Now()
+		f.mu.Unlock()
+		f.review(ctx, f.take(address, res), true)
+	}
+}
+
+func (f *Follower) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.Clock.After(retryPause):
+	}
+}
+
+// followRelays asks one relay for news all the time, and another one as soon as it gives
+// none.
+func (f *Follower) followRelays(ctx context.Context) {
+	transport := connector.NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	r := rotation{asked: f.Clock.Now()}
+	for ctx.Err() == nil {
+		address, ok := f.relay(r.turn)
+		if !ok {
+			return
+		}
+		wait := leaderWait
+		if r.fresh {
+			// What another one knows is wanted at once.
+			wait = 0
+		}
+		client := &connector.Client{Timeout: wait + relayMargin, Transport: transport}
+		res, err := f.ask(ctx, client, address, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.Log.Info("a relay does not answer", "Gateway", address, "Error", err.Error())
+		} else {
+			f.take(address, res)
+		}
+		if r.next(f.Clock.Now(), res, len(f.relayList())) {
+			f.pause(ctx)
+		}
+		if err == nil && !isStale(res) {
+			f.mu.Lock()
+			f.covered = f.Clock.Now()
+			f.mu.Unlock()
+		}
 	}
 }
 
-// prepare fills in the next call and reports whether it goes to the leader.
-func (f *Follower) prepare(address string, req *wire.SyncRequest) bool {
+func (f *Follower) relayList() []string {
 	f.mu.Lock()
-	leads := f.leader == address
-	f.mu.Unlock()
-	wait := followerWait
-	req.Demand, req.Loads = nil, f.Loads()
-	if leads {
-		wait = leaderWait
-		req.Demand = f.Demand()
+	defer f.mu.Unlock()
+	return f.relays
+}
+
+// relay returns the relay whose turn it is.
+func (f *Follower) relay(turn int) (string, bool) {
+	relays := f.relayList()
+	if len(relays) == 0 {
+		return "", false
 	}
+	return relays[turn%len(relays)], true
+}
+
+// ask asks an instance for what it has not told yet.
+func (f *Follower) ask(ctx context.Context, client *connector.Client, address string, wait time.Duration) (*wire.SyncResponse, error) {
+	req := f.prepare(address)
 	req.WaitMs = uint32(wait.Milliseconds())
-	req.TableVersion = f.TableVersion()
-	return leads
+	return wire.NewMeshProtobufClient("http://"+address, client).Sync(ctx, req)
 }
 
-func (f *Follower) take(
-	ctx context.Context, address string, req *wire.SyncRequest, res *wire.SyncResponse, detour bool,
-) {
+// asksForAdapters reports whether an instance is the one that is asked for adapters.
+func (f *Follower) asksForAdapters(address string) bool {
 	f.mu.Lock()
-	if !detour {
-		f.heard = f.Clock.Now()
+	defer f.mu.Unlock()
+	return f.leader == address
+}
+
+// prepare returns the next call to an instance.
+func (f *Follower) prepare(address string) *wire.SyncRequest {
+	req := &wire.SyncRequest{
+		Gateway: f.Gateway, Address: f.Self.GetAddress(), Zone: f.Self.GetZone(),
+		Loads: f.Relayer.AllLoads(), TableVersion: f.TableVersion(),
+	}
+	members, membersRevision := f.Relayer.Members()
+	req.MembersRevision = membersRevision
+	if f.asksForAdapters(address) {
+		req.Demand = f.Demand()
+	}
+	holdings := f.Relayer.HoldingRevision()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.source(address)
+	req.Epoch, req.AnnouncementRevision, req.VersionRevision = s.epoch, s.announcements, s.versions
+	req.GatewaysRevision, req.ControllersRevision = s.gateways, s.controllersRevision
+	req.WantTable = s.tableVersion > req.GetTableVersion()
+	if !s.gap {
+		req.HoldingRevision = holdings
+	}
+	if s.members != membersRevision {
+		req.Members = members
+	}
+	return req
+}
+
+// source returns what an instance has told. The caller holds the lock.
+func (f *Follower) source(address string) *source {
+	s := f.sources[address]
+	if s == nil {
+		s = &source{}
+		f.sources[address] = s
 	}
-	f.peers = res.GetPeers()
+	return s
+}
+
+// take takes an answer, and returns the controllers that its sender lists.
+func (f *Follower) take(address string, res *wire.SyncResponse) []string {
+	whole := f.Relayer.Hear(address, res)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if res.GetLeads() && res.GetTerm() >= f.term && f.leader != address {
 		f.leader, f.term = address, res.GetTerm()
-		f.Log.Info("a controller leads", "Controller", address, "Term", f.term)
+		f.Log.Info("the leader is asked for adapters", "At", address, "Term", f.term)
 	}
-	f.mu.Unlock()
-	f.Apply(address, res)
-	req.Epoch = res.GetEpoch()
-	req.AnnouncementRevision = res.GetAnnouncementRevision()
-	req.HoldingRevision = res.GetHoldingRevision()
-	req.VersionRevision = res.GetVersionRevision()
-	req.GatewaysRevision = res.GetGatewaysRevision()
-	req.WantTable = res.GetTableVersion() > f.TableVersion()
-	f.review(ctx, res.GetControllers(), true)
+	s := f.source(address)
+	s.epoch, s.announcements, s.versions = res.GetEpoch(), res.GetAnnouncementRevision(), res.GetVersionRevision()
+	s.gateways, s.members, s.tableVersion = res.GetGatewaysRevision(), res.GetMembersRevision(), res.GetTableVersion()
+	s.gap = !whole
+	if list := res.GetControllers(); len(list) > 0 {
+		s.controllers = list
+	}
+	s.controllersRevision = res.GetControllersRevision()
+	return s.controllers
 }
 
 // note logs when a controller is lost or answers again.
@@ -277,58 +433,3 @@
 	f.acquiringOnce.Do(func() { f.acquiring = connector.NewTransport(nil) })
 	return f.acquiring
 }
-
-// errNoLeader is what a gateway says that knows no leader itself.
-var errNoLeader = twirp.NewError(twirp.Unavailable, "this gateway reaches no leader")
-
-// Passer serves wire.Mesh for other gateways: it passes their calls on to the leader.
-type Passer struct {
-	Follower *Follower
-}
-
-// Sync passes a call on.
-func (p *Passer) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncResponse, error) {
-	client, err := p.leader()
-	if err != nil {
-		return nil, err
-	}
-	return client.Sync(ctx, req)
-}
-
-// Acquire passes a call on.
-func (p *Passer) Acquire(ctx context.Context, req *wire.AcquireRequest) (*wire.AcquireResponse, error) {
-	client, err := p.leader()
-	if err != nil {
-		return nil, err
-	}
-	return client.Acquire(ctx, req)
-}
-
-// Relay is not for gateways.
-func (p *Passer) Relay(context.Context, *wire.RelayRequest) (*wire.RelayResponse, error) {
-	return nil, errNoLeader
-}
-
-// Put is not for gateways.
-func (p *Passer) Put(context.Context, *wire.PutRequest) (*wire.PutResponse, error) {
-	return nil, errNoLeader
-}
-
-// Read is not for gateways.
-func (p *Passer) Read(context.Context, *wire.ReadRequest) (*wire.ReadResponse, error) {
-	return nil, errNoLeader
-}
-
-// leader returns a client of the leader. A gateway that is cut off itself passes nothing
-// on, or two of them could wait for each other.
-func (p *Passer) leader() (wire.Mesh, error) {
-	f := p.Follower
-	f.mu.Lock()
-	address, detour := f.leader, f.detour != nil
-	f.mu.Unlock()
-	if address == "" || detour {
-		return nil, errNoLeader
-	}
-	client := &connector.Client{Timeout: leaderWait + callMargin, Transport: f.transport()}
-	return wire.NewMeshProtobufClient("http://"+address, client), nil
-}
--- /dev/null
+++ b/gateway/follower/tree_test.go
@@ -0,0 +1,138 @@
+package follower
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/gateway/relayer"
+	"bronzelead.example/pkg/arranger"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/wire"
+)
+
+// meshFake is a controller or a relay: it answers at once, falls silent or tells how long
+// ago it heard a controller.
+type meshFake struct {
+	wire.Mesh
+	asked  atomic.Int64
+	answer atomic.Pointer[wire.SyncResponse]
+	silent atomic.Bool
+}
+
+func (m *meshFake) Sync(ctx context.Context, _ *wire.SyncRequest) (*wire.SyncResponse, error) {
+	m.asked.Add(1)
+	if m.silent.Load() {
+		<-ctx.Done()
+	}
+	return m.answer.Load(), nil
+}
+
+func (m *meshFake) start(t *testing.T, answer *wire.SyncResponse) string {
+	m.answer.Store(answer)
+	s := httptest.NewServer(wire.NewMeshServer(m))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// system is one gateway that follows relays of its zone, which has ten gateways.
+type system struct {
+	*Follower
+	controller *meshFake
+	// relays are in the order in which the gateway asks them.
+	relays []*meshFake
+}
+
+func newSystem(t *testing.T) *system {
+	list := &wire.SyncResponse{Leads: true, Term: 1, GatewaysRevision: 1}
+	s := &system{controller: &meshFake{}}
+	byAddress := map[string]*meshFake{}
+	for range 10 {
+		m := &meshFake{}
+		address := m.start(t, &wire.SyncResponse{Leads: true, Term: 1})
+		byAddress[address] = m
+		list.GatewayList = append(list.GatewayList, &wire.GatewayEntry{Address: address, Zone: "z"})
+	}
+	controller := s.controller.start(t, list)
+	self := &wire.GatewayEntry{}
+	for _, self = range list.GetGatewayList() {
+		if !arranger.Arrange(list.GetGatewayList(), self).Direct {
+			break
+		}
+	}
+	for _, relay := range arranger.Arrange(list.GetGatewayList(), self).Relays {
+		s.relays = append(s.relays, byAddress[relay])
+	}
+	r := &relayer.Relayer{
+		Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"), Self: self,
+		Apply: func(string, *wire.SyncResponse) {}, Loads: func() []*wire.Load { return nil },
+	}
+	r.Init()
+	s.Follower = &Follower{
+		Clock: r.Clock, Log: r.Log, Gateway: "test", Self: self, Relayer: r, Seeds: func() []string { return []string{controller} },
+		Demand: func() []*wire.Demand { return nil }, TableVersion: func() uint64 { return 0 },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Run(ctx)
+	return s
+}
+
+// eventually waits until something holds; the limit is only there to end a test that fails.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	limit := time.After(30 * time.Second)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-limit:
+			t.Fatal("never seen: " + what)
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *system) asksControllers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.direct
+}
+
+// asked reports whether an instance is asked again from here on.
+func asked(m *meshFake) func() bool {
+	before := m.asked.Load()
+	return func() bool { return m.asked.Load() > before+1 }
+}
+
+// A gateway of a large zone follows a relay and leaves the controllers alone; when its relay
+// falls silent, another one; when all do, the controllers; and the relays again when they
+// are back.
+func TestAFollowerLosesItsRelays(t *testing.T) {
+	s := newSystem(t)
+	eventually(t, "the relay is asked", asked(s.relays[0]))
+	eventually(t, "the controllers are left alone", func() bool { return !s.asksControllers() })
+	s.relays[0].silent.Store(true)
+	eventually(t, "the other relay is asked", asked(s.relays[1]))
+	s.relays[1].silent.Store(true)
+	eventually(t, "the controllers are asked", s.asksControllers)
+	eventually(t, "they answer", asked(s.controller))
+	s.relays[0].silent.Store(false)
+	eventually(t, "the controllers are left alone again", func() bool { return !s.asksControllers() })
+}
+
+// A relay that itself hears no controller is no relay.
+func TestARelayThatIsCutOff(t *testing.T) {
+	s := newSystem(t)
+	eventually(t, "the relay is asked", asked(s.relays[0]))
+	s.relays[0].answer.Store(&wire.SyncResponse{ContactAgeMs: 900})
+	eventually(t, "the other relay is asked", asked(s.relays[1]))
+	s.relays[1].answer.Store(&wire.SyncResponse{ContactAgeMs: 900})
+	eventually(t, "the controllers are asked", s.asksControllers)
+}
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -65,6 +65,8 @@
 	Regulator *regulator.Regulator
 	// Acquire asks the leader for adapters. It must not block.
 	Acquire func(wants []*wire.Want)
+	// NewsAge returns how old the leader's word is that decisions rest on; nil if nobody asks.
+	NewsAge func() time.Duration
 
 	closed atomic.Bool
 	// startedAt is when the gateway started; tableKnown is closed by its first table, for
@@ -118,7 +120,7 @@
 	}
 }
 
-// Apply takes news from a controller.
+// Apply takes news of a controller, with whole holdings.
 func (f *Forwarder) Apply(controller string, res *wire.SyncResponse) {
 	now := f.Clock.Now()
 	f.mu.Lock()
@@ -141,11 +143,13 @@
 	for _, v := range res.GetVersions() {
 		f.balancer.SetVersion(v)
 	}
-	if res.GetLeads() {
-		for _, h := range res.GetHoldings() {
-			f.balancer.SetHolding(res.GetTerm(), h)
-		}
+	for _, h := range res.GetHoldings() {
+		f.balancer.SetHolding(res.GetTerm(), h)
+	}
+	if res.GetHasLoads() {
 		f.balancer.SetLoads(res.GetLoads())
+	}
+	if res.GetLeads() {
 		// A leader that has just begun has not heard from all; the highest number is safe.
 		f.gateways = max(f.gateways, res.GetGateways())
 	}
@@ -208,6 +212,15 @@
 	return list
 }
 
+// AddDemand takes the requests that other gateways have taken, to be told with this one's.
+func (f *Forwarder) AddDemand(list []*wire.Demand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range list {
+		f.demand[d.GetAdapter()] += d.GetRequests()
+	}
+}
+
 // pump hands out decisions on waiting requests.
 func (f *Forwarder) pump() {
 	f.mu.Lock()
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -35,6 +35,9 @@
 		"RequestID", j.about.ID, "Took", f.Clock.Since(j.req.ReceivedAt).Milliseconds(),
 		"Waited", j.waited.Milliseconds(), "Sends", j.sends,
 	}
+	if f.NewsAge != nil {
+		list = append(list, "NewsAge", f.NewsAge().Milliseconds())
+	}
 	if j.route != nil {
 		list = append(list, "Route", j.route.GetName(), "Service", j.service, "Adapter", j.adapter)
 	}
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -101,8 +101,8 @@
 func (r *Regulator) Hear(controller string, res *wire.SyncResponse) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if list := res.GetGatewayAddresses(); len(list) > 0 {
-		r.lists[controller] = list
+	if list := res.GetGatewayList(); len(list) > 0 {
+		r.lists[controller] = addressesOf(list)
 	}
 	if res.GetLeads() {
 		r.leader = controller
@@ -119,6 +119,14 @@
 	r.forgetPeers()
 }
 
+func addressesOf(list []*wire.GatewayEntry) []string {
+	addresses := make([]string, 0, len(list))
+	for _, g := range list {
+		addresses = append(addresses, g.GetAddress())
+	}
+	return addresses
+}
+
 // Run lets time pass until ctx ends.
 func (r *Regulator) Run(ctx context.Context) {
 	ticker := r.Clock.NewTicker(lookEvery)
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -48,7 +48,7 @@
 
 // listOf is a leader's list of gateways.
 func listOf(addresses []string) *wire.SyncResponse {
-	return &wire.SyncResponse{Leads: true, GatewayAddresses: addresses}
+	return &wire.SyncResponse{Leads: true, GatewayList: entries(addresses)}
 }
 
 // engineOf returns an engine that the gateway at an address is in charge of.
@@ -99,7 +99,7 @@
 func TestWhoseListCounts(t *testing.T) {
 	hear := func(controller string, leads bool, addresses ...string) func(*Regulator) {
 		return func(r *Regulator) {
-			r.Hear(controller, &wire.SyncResponse{Leads: leads, GatewayAddresses: addresses})
+			r.Hear(controller, &wire.SyncResponse{Leads: leads, GatewayList: entries(addresses)})
 		}
 	}
 	for name, test := range map[string]struct {
@@ -236,3 +236,11 @@
 	r.look()
 	c.Check(r.engines, qt.HasLen, 0)
 }
+
+func entries(addresses []string) []*wire.GatewayEntry {
+	var list []*wire.GatewayEntry
+	for _, address := range addresses {
+		list = append(list, &wire.GatewayEntry{Address: address})
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/arranger/arranger.go
@@ -0,0 +1,110 @@
+// Package arranger decides which gateways hear news from the controllers themselves and
+// which from other gateways of their availability zone. It is pure: the same list gives
+// each gateway the same tree, so that nobody has to be told.
+//
+// It answers the load of a system with many gateways: if all ask the controllers, the
+// leader's bytes and time grow with the gateways times all that is news, and most of the
+// bytes cross zones. In a tree each piece of news enters a zone a few times.
+package arranger
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// directPerZone is the number of gateways of a zone up to which all of them ask the
+	// controllers: with so few a further hop only makes news older.
+	directPerZone = 8
+	// followersPerRelay is how many gateways one relay is to serve. News are about 20 KB/s
+	// for each follower at 300 loads of adapters a second, so that 16 take a third of the
+	// 10 Mbit/s of the smallest instances.
+	followersPerRelay = 16
+	// leastRelays leaves a zone a relay when it loses one.
+	leastRelays = 2
+)
+
+// Place is a gateway's place in the tree.
+type Place struct {
+	// Direct means that the gateway asks the controllers itself.
+	Direct bool
+	// Relays are the addresses of the gateways that it asks else, in its own order: the
+	// followers of a zone spread over its relays.
+	Relays []string
+	// Elsewhere are other gateways, to be asked when no controller can be reached.
+	Elsewhere []string
+}
+
+// maxElsewhere bounds the gateways that are tried where no controller can be reached.
+const maxElsewhere = 8
+
+// Arrange returns the place of the gateway at an address. The list need not have it yet.
+func Arrange(list []*wire.GatewayEntry, self *wire.GatewayEntry) Place {
+	mates := []string{self.GetAddress()}
+	var others []string
+	for _, g := range list {
+		switch {
+		case g.GetAddress() == self.GetAddress():
+		case g.GetZone() == self.GetZone():
+			mates = append(mates, g.GetAddress())
+		default:
+			others = append(others, g.GetAddress())
+		}
+	}
+	relays := relaysOf(self.GetZone(), mates)
+	place := Place{Direct: relays == nil || slices.Contains(relays, self.GetAddress())}
+	// Those of other zones come first: what cuts this gateway off may cut off its zone.
+	order(others, self.GetAddress())
+	order(mates, self.GetAddress())
+	mates = slices.DeleteFunc(mates, func(address string) bool { return address == self.GetAddress() })
+	elsewhere := slices.Concat(others[:min(len(others), maxElsewhere/2)], mates)
+	place.Elsewhere = elsewhere[:min(len(elsewhere), maxElsewhere)]
+	if !place.Direct {
+		order(relays, self.GetAddress())
+		place.Relays = relays
+	}
+	return place
+}
+
+// relaysOf returns the relays of a zone, or nil if it needs none. As in rendezvous hashing
+// a gateway that comes or goes changes one of them at most, as long as their number stays.
+func relaysOf(zone string, gateways []string) []string {
+	if len(gateways) <= directPerZone {
+		return nil
+	}
+	ranked := slices.Clone(gateways)
+	order(ranked, zone)
+	n := max(leastRelays, (len(gateways)+followersPerRelay-1)/followersPerRelay)
+	return ranked[:n]
+}
+
+// order sorts addresses as one party prefers them.
+func order(addresses []string, party string) {
+	type ranked struct {
+		address    string
+		preference uint64
+	}
+	list := make([]ranked, len(addresses))
+	for i, address := range addresses {
+		list[i] = ranked{address, preference(party, address)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.preference, a.preference), cmp.Compare(a.address, b.address))
+	})
+	for i, r := range list {
+		addresses[i] = r.address
+	}
+}
+
+func preference(party, address string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(party + " " + address))
+	// FNV mixes the last bytes poorly into the high bits.
+	n := sum.Sum64()
+	n ^= n >> 33
+	n *= 0xff51afd7ed558ccd
+	return n ^ n>>33
+}
--- /dev/null
+++ b/pkg/arranger/arranger_test.go
@@ -0,0 +1,120 @@
+package arranger
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/wire"
+)
+
+func gateways(zones, each int) []*wire.GatewayEntry {
+	var list []*wire.GatewayEntry
+	for z := range zones {
+		for i := range each {
+			list = append(list, &wire.GatewayEntry{Zone: fmt.Sprint("z", z), Address: fmt.Sprintf("10.0.%d.%d:80", z, i)})
+		}
+	}
+	return list
+}
+
+func arrangeAll(list []*wire.GatewayEntry) (direct map[string]bool, followers map[string]int) {
+	direct, followers = map[string]bool{}, map[string]int{}
+	for _, self := range list {
+		place := Arrange(list, self)
+		if place.Direct {
+			direct[self.GetAddress()] = true
+			continue
+		}
+		followers[place.Relays[0]]++
+	}
+	return direct, followers
+}
+
+// Who asks the controllers, from a few gateways to the size that the system is made for.
+func TestSizes(t *testing.T) {
+	for name, test := range map[string]struct {
+		zones, each   int
+		direct        int
+		mostFollowers int
+	}{
+		"one gateway":                {1, 1, 1, 0},
+		"nine in four zones":         {4, 2, 8, 0},
+		"as many as need no relay":   {2, 8, 16, 0},
+		"one more":                   {2, 9, 4, 9},
+		"two hundred in six zones":   {6, 33, 18, 20},
+		"twelve hundred in 28 zones": {28, 43, 84, 24},
+		"one zone with all of them":  {1, 1200, 75, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			list := gateways(test.zones, test.each)
+			direct, followers := arrangeAll(list)
+			c.Check(len(direct), qt.Equals, test.direct)
+			for relay, n := range followers {
+				c.Check(direct[relay], qt.IsTrue, qt.Commentf("%s is a follower itself", relay))
+				c.Check(n <= test.mostFollowers, qt.IsTrue, qt.Commentf("%s has %d", relay, n))
+			}
+		})
+	}
+}
+
+// The loss of a relay moves its own followers and makes one other gateway a relay; all
+// others keep theirs.
+func TestALostRelayMovesOnlyItsFollowers(t *testing.T) {
+	c := qt.New(t)
+	list := gateways(1, 40)
+	before, _ := arrangeAll(list)
+	lost := ""
+	for relay := range before {
+		lost = relay
+		break
+	}
+	var rest []*wire.GatewayEntry
+	for _, g := range list {
+		if g.GetAddress() != lost {
+			rest = append(rest, g)
+		}
+	}
+	after, _ := arrangeAll(rest)
+	newRelays := 0
+	for relay := range after {
+		if !before[relay] {
+			newRelays++
+		}
+	}
+	c.Check(newRelays, qt.Equals, 1)
+	for _, self := range rest {
+		old, now := Arrange(list, self), Arrange(rest, self)
+		if old.Direct || now.Direct || old.Relays[0] == lost || !before[now.Relays[0]] {
+			continue
+		}
+		c.Check(now.Relays[0], qt.Equals, old.Relays[0])
+	}
+}
+
+// A gateway that the list does not have yet takes a place as if it were in it.
+func TestWhoIsNotListedYet(t *testing.T) {
+	c := qt.New(t)
+	list := gateways(2, 20)
+	place := Arrange(list, &wire.GatewayEntry{Zone: "z1", Address: "10.0.1.99:80"})
+	c.Check(place.Direct || len(place.Relays) == 2, qt.IsTrue)
+	c.Check(Arrange(nil, list[0]), qt.DeepEquals, Place{Direct: true})
+}
+
+// One that reaches no controller asks gateways of other zones first, and never itself.
+func TestElsewhere(t *testing.T) {
+	c := qt.New(t)
+	list := gateways(3, 5)
+	place := Arrange(list, list[0])
+	c.Assert(place.Elsewhere, qt.HasLen, 8)
+	zones := map[string]string{}
+	for _, g := range list {
+		zones[g.GetAddress()] = g.GetZone()
+	}
+	for i, address := range place.Elsewhere {
+		c.Check(address == list[0].GetAddress(), qt.IsFalse)
+		c.Check(zones[address] == "z0", qt.Equals, i >= 4)
+	}
+}
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -68,9 +68,8 @@
 	recent map[string]int
 	loads  int
 	// queue are adapters to be loaded.
-	queue    []string
-	use      Use
-	revision uint64
+	queue []string
+	use   Use
 }
 
 func newEngine() *engine { return &engine{places: map[string]*place{}, recent: map[string]int{}} }
--- a/pkg/placer/holdings.go
+++ b/pkg/placer/holdings.go
@@ -29,12 +29,13 @@
 // Revision grows with each change of what the gateways have to know.
 func (p *Placer) Revision() uint64 { return p.revision }
 
-// Since returns what the engines hold whose holdings changed after a revision.
-func (p *Placer) Since(revision uint64) []*wire.Holding {
-	var list []*wire.Holding
-	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+// TakeChanged returns all that the engines hold whose holdings changed since the last call.
+func (p *Placer) TakeChanged() []*wire.Holding {
+	list := make([]*wire.Holding, 0, len(p.changed))
+	for _, id := range slices.Sorted(maps.Keys(p.changed)) {
 		e := p.engines[id]
-		if e.revision <= revision || !e.reported {
+		if e == nil || !e.reported {
+			// One whose state has to be asked for is told of when it has answered.
 			continue
 		}
 		h := &wire.Holding{Backend: id}
@@ -45,12 +46,13 @@
 		}
 		list = append(list, h)
 	}
+	clear(p.changed)
 	return list
 }
 
 func (p *Placer) touch(e *engine) {
 	p.revision++
-	e.revision = p.revision
+	p.changed[e.info.GetId()] = true
 }
 
 // Summary counts what the placer has in hand.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -99,6 +99,8 @@
 	versions map[string]uint64
 	wants    map[string]*want
 	revision uint64
+	// changed are the engines whose holdings changed since TakeChanged was called last.
+	changed map[string]bool
 	// hostAdapters is the number of adapters whose weights an engine seems to keep, as
 	// the times of loads have shown.
 	hostAdapters int
@@ -138,7 +140,7 @@
 	return &Placer{
 		policy: policy, limits: map[string]*wire.EngineLimits{}, engines: map[string]*engine{},
 		hostAdapters: firstHostAdapters, coldLoad: policy.ColdLoad, maxComing: firstMaxComing,
-		demand: map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{},
+		demand: map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{}, changed: map[string]bool{},
 	}
 }
 
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -107,6 +107,8 @@
 	pending  []pendingOrder
 	timeouts []pendingOrder
 	orders   map[Kind]int
+	// told is what gateways were told last of each engine.
+	told map[string]*wire.Holding
 }
 
 type pendingOrder struct {
@@ -117,7 +119,7 @@
 func newWorld(c *qt.C, engines, slots int) *world {
 	w := &world{
 		c: c, p: New(DefaultPolicy()), fakes: map[string]*engineFake{}, now: begin(),
-		random: rand.New(rand.NewPCG(7, 7)), orders: map[Kind]int{},
+		random: rand.New(rand.NewPCG(7, 7)), orders: map[Kind]int{}, told: map[string]*wire.Holding{},
 	}
 	w.p.Begin(1)
 	w.p.SetTable(&wire.RoutingTable{Services: []*wire.RoutedService{{
@@ -169,8 +171,11 @@
 
 // usable counts the engines at which the gateways are told that an adapter is.
 func (w *world) usable(adapter string) int {
+	for _, h := range w.p.TakeChanged() {
+		w.told[h.GetBackend()] = h
+	}
 	n := 0
-	for _, h := range w.p.Since(0) {
+	for _, h := range w.told {
 		if slices.ContainsFunc(h.GetAdapters(), func(a string) bool { name, _ := splitVersion(a); return name == adapter }) {
 			n++
 		}
--- /dev/null
+++ b/pkg/spreader/sum.go
@@ -0,0 +1,73 @@
+package spreader
+
+import (
+	"strings"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// Sum adds up the loads of several gateways, and keeps up with each that changes at the
+// cost of that change alone. Make one with NewSum.
+type Sum struct{ backends map[string]*total }
+
+type total struct {
+	requests uint32
+	// adapters counts the gateways whose requests use each adapter.
+	adapters map[string]int
+}
+
+// NewSum returns a sum of no loads.
+func NewSum() *Sum { return &Sum{backends: map[string]*total{}} }
+
+// Add adds the loads of one gateway, or takes them off with a sign of -1.
+func (s *Sum) Add(loads []*wire.Load, sign int) {
+	for _, l := range loads {
+		t := s.backends[l.GetBackend()]
+		if t == nil {
+			t = &total{adapters: map[string]int{}}
+			s.backends[l.GetBackend()] = t
+		}
+		if sign < 0 {
+			t.requests -= l.GetRequests()
+		} else {
+			t.requests += l.GetRequests()
+		}
+		for _, adapter := range l.GetAdapters() {
+			if t.adapters[adapter] += sign; t.adapters[adapter] == 0 {
+				delete(t.adapters, adapter)
+			}
+		}
+		if t.requests == 0 && len(t.adapters) == 0 {
+			delete(s.backends, l.GetBackend())
+		}
+	}
+}
+
+// Each calls f with the requests at each backend server, and the number of gateways whose
+// requests use each adapter there.
+func (s *Sum) Each(f func(backend string, requests uint32, adapters map[string]int)) {
+	for backend, t := range s.backends {
+		f(backend, t.requests, t.adapters)
+	}
+}
+
+// With returns the sum together with one gateway's loads, as a list.
+func (s *Sum) With(own []*wire.Load) []*wire.Load {
+	s.Add(own, 1)
+	defer s.Add(own, -1)
+	loads := make([]*wire.Load, 0, len(s.backends))
+	for backend, t := range s.backends {
+		l := &wire.Load{Backend: backend, Requests: t.requests, Adapters: make([]string, 0, len(t.adapters))}
+		for adapter := range t.adapters {
+			l.Adapters = append(l.Adapters, adapter)
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// unversioned returns the adapter of MODEL/NAME@VERSION.
+func unversioned(qualified string) string {
+	adapter, _, _ := strings.Cut(qualified, "@")
+	return adapter
+}
