Adapters that can't be loaded before their requests give up are not loaded

Cause: what waited in an engine's queue was loaded in turn, whether or not anybody still waited for it. With a third of 62 engines lost, 170 adapters were queued and 45 to 240 wanted for six seconds after the engines were back, the weight store was full, and no more became ready than went: loads in vain took the places of those that were needed, whose requests gave up in turn.

Ruled out: a slow store (256 loads a second throughout), too few engines (55 to 59 of 62 in use from 9 s on).

Change: a want says how long its requests still wait; wants and queued adapters that can't be loaded by then are dropped and counted in the placement's log line. What waits at an engine that gives no answers goes back to the wants instead of being forgotten until it is asked for again. The cold loads on their way are counted once for a plan, not for each adapter that waits.

--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -90,7 +90,7 @@
 		}
 		g := c.gateways[req.GetGateway()]
 		for _, w := range req.GetWants() {
-			c.placer.Want(now, w.GetAdapter(), w.GetAvoid())
+			c.placer.Want(now, w.GetAdapter(), w.GetAvoid(), waitsUntil(now, w))
 			if g != nil {
 				g.wants[w.GetAdapter()] = now
 				g.urgent = g.urgent || c.placer.Ready(w.GetAdapter())
@@ -105,6 +105,14 @@
 	return err
 }
 
+// waitsUntil returns when the requests for an adapter give up; zero if that is not known.
+func waitsUntil(now time.Time, w *wire.Want) time.Time {
+	if w.GetLeftMs() == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(w.GetLeftMs()) * time.Millisecond)
+}
+
 func (c *Curator) answerWaiters(now time.Time) {
 	kept := c.waiters[:0]
 	for _, w := range c.waiters {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -320,7 +320,7 @@
 		b.wanted = map[string]time.Time{}
 	}
 	b.wanted[w.Adapter] = now
-	want := &wire.Want{Adapter: w.Adapter}
+	want := &wire.Want{Adapter: w.Adapter, LeftMs: uint32(max(1, w.GiveUp.Sub(now).Milliseconds()))}
 	for _, k := range b.byService[w.Service] {
 		if !slices.Contains(candidates, k) {
 			want.Avoid = append(want.Avoid, k.info.GetId())
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -10,9 +10,9 @@
 )
 
 // enqueue lets an engine load an adapter next.
-func (p *Placer) enqueue(id, adapter string) {
+func (p *Placer) enqueue(id, adapter string, until time.Time) {
 	e := p.engines[id]
-	e.queue = append(e.queue, adapter)
+	e.queue = append(e.queue, queued{adapter, until})
 	p.index[adapter] = append(p.index[adapter], id)
 }
 
@@ -41,7 +41,7 @@
 	misses := 0
 	for _, adapter := range waiting {
 		w := p.wants[adapter]
-		if p.usable(adapter, w.avoid) {
+		if p.usable(adapter, w) {
 			delete(p.wants, adapter)
 			continue
 		}
@@ -49,7 +49,7 @@
 			continue
 		}
 		if id := p.chooseEngine(now, adapter, w.avoid); id != "" {
-			p.enqueue(id, adapter)
+			p.enqueue(id, adapter, w.until)
 			delete(p.wants, adapter)
 			continue
 		}
@@ -61,14 +61,17 @@
 // queues are full, hundreds may wait, and a plan must not take longer for it.
 const maxMisses = 32
 
-// usable reports whether an adapter is, or soon will be, at an engine that may be used.
-func (p *Placer) usable(adapter string, avoid []string) bool {
+// usable reports whether a wanted adapter is, or soon will be, at an engine that may be used.
+func (p *Placer) usable(adapter string, w *want) bool {
 	found := false
 	for _, id := range p.index[adapter] {
-		if slices.Contains(avoid, id) {
+		if slices.Contains(w.avoid, id) {
 			continue
 		}
 		e := p.engines[id]
+		if i := e.waits(adapter); i >= 0 && e.queue[i].until.Before(w.until) {
+			e.queue[i].until = w.until
+		}
 		held := e.places[adapter]
 		if held != nil && held.state == leaving {
 			// It has not gone yet, and may as well stay.
@@ -84,8 +87,8 @@
 	for _, e := range p.engines {
 		for adapter, held := range e.places {
 			stale := held.state == ready && held.version < p.versions[adapter]
-			if stale && !slices.Contains(e.queue, adapter) {
-				e.queue = append(e.queue, adapter)
+			if stale && e.waits(adapter) < 0 {
+				e.queue = append(e.queue, queued{adapter: adapter})
 			}
 		}
 	}
@@ -107,7 +110,7 @@
 			continue
 		}
 		if id := p.chooseEngine(now, adapter, nil); id != "" {
-			p.enqueue(id, adapter)
+			p.enqueue(id, adapter, time.Time{})
 		}
 	}
 }
@@ -131,7 +134,7 @@
 	for id, e := range p.engines {
 		held := e.places[adapter]
 		full := len(e.queue) >= maxWarmQueue || len(e.queue) >= maxQueue && !p.warm(e, adapter)
-		if full || held != nil || !e.takesOrders() || slices.Contains(avoid, id) || slices.Contains(e.queue, adapter) {
+		if full || held != nil || !e.takesOrders() || slices.Contains(avoid, id) || e.waits(adapter) >= 0 {
 			continue
 		}
 		if cost := p.cost(now, e, id, adapter); best == "" || cost < least {
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"bronzelead.example/pkg/wire"
@@ -44,6 +45,13 @@
 	since time.Time
 }
 
+// queued is an adapter that waits for its load.
+type queued struct {
+	adapter string
+	// until is when the requests that wait for it give up; zero if none waits.
+	until time.Time
+}
+
 // engine is what the leader knows of one start of an engine.
 type engine struct {
 	info     *wire.Announcement
@@ -68,7 +76,7 @@
 	recent map[string]int
 	loads  int
 	// queue are adapters to be loaded.
-	queue []string
+	queue []queued
 	use   Use
 }
 
@@ -97,6 +105,11 @@
 	failuresOfRefusal = 3
 )
 
+// waits returns the place of an adapter in the queue, or -1.
+func (e *engine) waits(adapter string) int {
+	return slices.IndexFunc(e.queue, func(q queued) bool { return q.adapter == adapter })
+}
+
 func (e *engine) coming() int {
 	n := 0
 	for _, held := range e.places {
--- a/pkg/placer/holdings.go
+++ b/pkg/placer/holdings.go
@@ -67,6 +67,8 @@
 	Queued  int
 	// Wanted are adapters that no engine could be chosen for.
 	Wanted int
+	// Dropped are wants that could not be met in time, since the leader began.
+	Dropped int
 	// ColdLoad, MaxComing and HostAdapters are what has been learnt.
 	ColdLoad     time.Duration
 	MaxComing    int
@@ -76,7 +78,7 @@
 // Summary returns the counts of now.
 func (p *Placer) Summary() Summary {
 	s := Summary{
-		Wanted: len(p.wants), ColdLoad: p.coldLoad, MaxComing: int(p.maxComing), HostAdapters: p.hostAdapters,
+		Wanted: len(p.wants), Dropped: p.dropped, ColdLoad: p.coldLoad, MaxComing: int(p.maxComing), HostAdapters: p.hostAdapters,
 	}
 	for _, e := range p.engines {
 		if !e.takesOrders() {
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -86,8 +86,17 @@
 	}
 }
 
-// comingCold counts the cold loads on their way to all engines.
+// comingCold counts the cold loads on their way to all engines. It is asked for each adapter
+// that waits, and counts once for all orders that are given at a time.
 func (p *Placer) comingCold() int {
+	if p.coldKnown {
+		return p.cold
+	}
+	p.cold, p.coldKnown = p.countCold(), true
+	return p.cold
+}
+
+func (p *Placer) countCold() int {
 	n := 0
 	for _, e := range p.engines {
 		for _, held := range e.places {
--- a/pkg/placer/orders.go
+++ b/pkg/placer/orders.go
@@ -103,7 +103,9 @@
 	if !e.open() || e.coming() >= p.policy.MaxComing {
 		return Order{}, false
 	}
-	for i, adapter := range e.queue {
+	p.dropLate(now, e)
+	for i, waiting := range e.queue {
+		adapter := waiting.adapter
 		held := e.places[adapter]
 		if held != nil && (held.state != ready || held.version >= p.versions[adapter]) {
 			e.queue = slices.Delete(e.queue, i, i+1)
@@ -121,6 +123,9 @@
 			state: loading, version: p.versions[adapter], begun: now, depth: e.depth(adapter), warm: warm, coming: coming,
 			at: now.Add(p.expected(e, adapter)),
 		}
+		if !warm {
+			p.cold++
+		}
 		if held != nil {
 			p.touch(e)
 		}
@@ -129,6 +134,19 @@
 	return Order{}, false
 }
 
+// dropLate takes adapters out of an engine's queue that can't be loaded before the requests
+// that wait for them give up: with a third of the engines lost, loads that came too late
+// took half of the weight store's time and as many places.
+func (p *Placer) dropLate(now time.Time, e *engine) {
+	e.queue = slices.DeleteFunc(e.queue, func(q queued) bool {
+		late := !q.until.IsZero() && now.Add(p.expected(e, q.adapter)).After(q.until)
+		if late {
+			p.dropped++
+		}
+		return late
+	})
+}
+
 // makeRoom tells the gateways that the least wanted adapters go, until the queue and
 // the reserve have places.
 func (p *Placer) makeRoom(now time.Time, e *engine) {
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -35,7 +35,7 @@
 		// What the engine has accepted is known only after its reports have caught up.
 		// Requests that wait for adapters here are better served elsewhere.
 		e.reported = false
-		e.queue = nil
+		p.giveBack(now, e)
 		e.waitUntil = now.Add(p.policy.UnknownWait)
 	case o.Kind == LoadModel:
 		p.doneModel(now, e, outcome)
@@ -62,6 +62,17 @@
 	}
 }
 
+// giveBack lets what waits for loads at an engine be loaded elsewhere.
+func (p *Placer) giveBack(now time.Time, e *engine) {
+	for _, q := range e.queue {
+		if q.until.IsZero() {
+			continue
+		}
+		p.Want(now, q.adapter, []string{e.info.GetId()}, q.until)
+	}
+	e.queue = nil
+}
+
 // countFailure counts an order without an answer. An engine that gives none is asked less
 // often each time, and in the end what waits for it goes elsewhere.
 func (p *Placer) countFailure(now time.Time, e *engine, outcome Outcome) {
@@ -70,7 +81,7 @@
 		e.failures += failuresOfRefusal - 1
 	}
 	if e.failures >= failuresToAvoid {
-		e.queue = nil
+		p.giveBack(now, e)
 	}
 	if outcome == Unreachable || e.failures >= failuresToAvoid {
 		// One without an answer has taken its timeout already; a refused connection takes no time.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -114,6 +114,11 @@
 	learnt bool
 	// fresh are adapters that were loaded since TakeLoaded was called last.
 	fresh []string
+	// dropped counts wants that could not be met in time.
+	dropped int
+	// cold is the number of cold loads on their way, if coldKnown is set.
+	cold      int
+	coldKnown bool
 	// modelLoadAt is when the weight store allows the next load of a base model.
 	modelLoadAt time.Time
 }
@@ -129,8 +134,8 @@
 type want struct {
 	avoid []string
 	since time.Time
-	// seen is when it was asked for last.
-	seen time.Time
+	// until is when the last of the requests that wait gives up.
+	until time.Time
 	// requests is about how many requests wait.
 	requests int
 }
@@ -214,14 +219,20 @@
 	d.last = now
 }
 
-// Want notes that requests wait for an adapter that they can't use anywhere.
-func (p *Placer) Want(now time.Time, adapter string, avoid []string) {
+// Want notes that requests wait, until then, for an adapter that they can't use anywhere.
+// A zero until stands for the policy's time.
+func (p *Placer) Want(now time.Time, adapter string, avoid []string, until time.Time) {
+	if until.IsZero() {
+		until = now.Add(p.policy.WantFor)
+	}
 	w := p.wants[adapter]
 	if w == nil {
-		p.wants[adapter] = &want{avoid: avoid, since: now, seen: now, requests: 1}
+		p.wants[adapter] = &want{avoid: avoid, since: now, until: until, requests: 1}
 		return
 	}
-	w.seen = now
+	if w.until.Before(until) {
+		w.until = until
+	}
 	w.requests++
 	for _, id := range avoid {
 		if !slices.Contains(w.avoid, id) {
@@ -238,19 +249,25 @@
 	if !p.learnt {
 		p.maxComing = max(firstMaxComing, float64(comingPerEngine*len(p.engines)))
 	}
+	p.coldKnown = false
 	p.buildIndex()
 	p.assignWants(now)
 	p.assignVersions()
 	p.assignCopies(now)
 	var orders []Order
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
-		orders = append(orders, p.Next(now, id)...)
+		orders = append(orders, p.next(now, id)...)
 	}
 	return orders
 }
 
 // Next returns the orders to give to one engine now.
 func (p *Placer) Next(now time.Time, id string) []Order {
+	p.coldKnown = false
+	return p.next(now, id)
+}
+
+func (p *Placer) next(now time.Time, id string) []Order {
 	e := p.engines[id]
 	if e == nil || now.Before(e.waitUntil) {
 		return nil
@@ -292,9 +309,9 @@
 				p.index[adapter] = append(p.index[adapter], id)
 			}
 		}
-		for _, adapter := range e.queue {
-			if e.places[adapter] == nil {
-				p.index[adapter] = append(p.index[adapter], id)
+		for _, q := range e.queue {
+			if e.places[q.adapter] == nil {
+				p.index[q.adapter] = append(p.index[q.adapter], id)
 			}
 		}
 	}
@@ -302,7 +319,8 @@
 
 func (p *Placer) forget(now time.Time) {
 	for adapter, w := range p.wants {
-		if now.Sub(w.seen) > p.policy.WantFor {
+		if now.After(w.until) {
+			p.dropped++
 			delete(p.wants, adapter)
 		}
 	}
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -189,7 +189,7 @@
 	c := qt.New(t)
 	w := newWorld(c, 3, 8)
 	w.pass(100 * time.Millisecond)
-	w.p.Want(w.now, name(1), nil)
+	w.p.Want(w.now, name(1), nil, time.Time{})
 	w.pass(coldLoad + 60*time.Millisecond)
 	c.Assert(w.usable(name(1)), qt.Equals, 1)
 }
@@ -205,7 +205,7 @@
 		for i := range 60 {
 			if !seen[name(i)] {
 				w.p.Demand(w.now, name(i), 1)
-				w.p.Want(w.now, name(i), nil)
+				w.p.Want(w.now, name(i), nil, time.Time{})
 			}
 		}
 		w.pass(100 * time.Millisecond)
@@ -233,8 +233,8 @@
 	c := qt.New(t)
 	w := newWorld(c, 6, 8)
 	w.pass(100 * time.Millisecond)
-	w.p.Want(w.now, name(1), nil)
-	w.p.Want(w.now, name(2), nil)
+	w.p.Want(w.now, name(1), nil, time.Time{})
+	w.p.Want(w.now, name(2), nil, time.Time{})
 	for range 50 {
 		w.p.Demand(w.now, name(1), 6)
 		w.pass(100 * time.Millisecond)
@@ -248,13 +248,13 @@
 	c := qt.New(t)
 	w := newWorld(c, 1, 4)
 	w.pass(100 * time.Millisecond)
-	w.p.Want(w.now, name(0), nil)
+	w.p.Want(w.now, name(0), nil, time.Time{})
 	w.pass(400 * time.Millisecond)
 	c.Assert(w.usable(name(0)), qt.Equals, 1)
 	w.fakes["e0"].running[name(0)] = true
 	w.p.SetUse(map[string]*Use{"e0": {Requests: 1, Adapters: map[string]bool{name(0): true}}})
 	for i := 1; i < 30; i++ {
-		w.p.Want(w.now, name(i), nil)
+		w.p.Want(w.now, name(i), nil, time.Time{})
 		w.pass(200 * time.Millisecond)
 		c.Assert(w.usable(name(0)), qt.Equals, 1)
 	}
@@ -272,7 +272,7 @@
 			came := 0
 			for i := range 120 {
 				w.p.Demand(w.now, name(i%40), 1)
-				w.p.Want(w.now, name(i%40), nil)
+				w.p.Want(w.now, name(i%40), nil, time.Time{})
 				w.pass(150 * time.Millisecond)
 				if w.usable(name(i%40)) > 0 {
 					came++
@@ -291,7 +291,7 @@
 	c := qt.New(t)
 	w := newWorld(c, 2, 4)
 	w.pass(100 * time.Millisecond)
-	w.p.Want(w.now, name(1), nil)
+	w.p.Want(w.now, name(1), nil, time.Time{})
 	w.pass(400 * time.Millisecond)
 	c.Assert(w.usable(name(1)), qt.Equals, 1)
 	w.p.SetVersion(&wire.AdapterVersion{Model: "m", Adapter: "a1", Version: 5})
@@ -312,7 +312,7 @@
 	}
 	loads := []time.Duration{}
 	for now := begin(); now.Before(begin().Add(3 * time.Second)); now = now.Add(10 * time.Millisecond) {
-		p.Want(now, "m/a1", nil)
+		p.Want(now, "m/a1", nil, time.Time{})
 		for _, o := range p.Plan(now) {
 			switch o.Kind {
 			case Report:
@@ -344,7 +344,7 @@
 	w.pass(100 * time.Millisecond)
 	for i := range 4 {
 		w.p.Demand(w.now, name(100+i), 1)
-		w.p.Want(w.now, name(100+i), nil)
+		w.p.Want(w.now, name(100+i), nil, time.Time{})
 		w.pass(900 * time.Millisecond)
 	}
 	kept := 0
@@ -365,7 +365,7 @@
 	for range 40 {
 		for range 30 {
 			w.p.Demand(w.now, name(next), 1)
-			w.p.Want(w.now, name(next), nil)
+			w.p.Want(w.now, name(next), nil, time.Time{})
 			next++
 		}
 		w.pass(100 * time.Millisecond)
@@ -379,7 +379,7 @@
 	c := qt.New(t)
 	w := newWorld(c, 12, 8)
 	w.pass(200 * time.Millisecond)
-	w.p.Want(w.now, name(0), nil)
+	w.p.Want(w.now, name(0), nil, time.Time{})
 	for range 10 {
 		w.p.Demand(w.now, name(0), 10)
 		w.pass(100 * time.Millisecond)
@@ -392,7 +392,7 @@
 	c := qt.New(t)
 	w := newWorld(c, 12, 8)
 	w.pass(200 * time.Millisecond)
-	w.p.Want(w.now, name(0), nil)
+	w.p.Want(w.now, name(0), nil, time.Time{})
 	for range 10 {
 		w.p.Demand(w.now, name(0), 4)
 		w.pass(time.Second)
