Rare adapters take the places of rare ones; what can't be loaded in time is declined at once

Declined: requests for adapters that could not come were held until they gave up (0.8 s and more). When more adapters have waited than there are engines for 0.3 s, the leader tells from the pace of loads and what goes before which ones can't be in time; who asked is told with the next answer, through relays too, and refuses its callers with a time to come back.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -123,6 +123,8 @@
 	// is set once one of them is there.
 	wants  map[string]time.Time
 	urgent bool
+	// declined are adapters that it asked for and that it is to be told do not come.
+	declined []string
 }
 
 // wantLease is how long a gateway is told at once of an adapter that it asked for.
@@ -329,8 +331,18 @@
 	})
 }
 
-// wake marks the gateways whose requests wait for adapters that have come.
+// wake marks the gateways whose requests wait for adapters that have come, or do not come
+// in time.
 func (c *Curator) wake(now time.Time) {
+	for _, adapter := range c.placer.TakeDeclined() {
+		for _, g := range c.gateways {
+			if _, ok := g.wants[adapter]; ok {
+				g.declined = append(g.declined, adapter)
+				g.urgent = true
+				delete(g.wants, adapter)
+			}
+		}
+	}
 	for _, adapter := range c.placer.TakeLoaded() {
 		for _, g := range c.gateways {
 			if said, ok := g.wants[adapter]; ok {
--- a/controller/curator/roster_test.go
+++ b/controller/curator/roster_test.go
@@ -134,3 +134,25 @@
 		b.Run(name, func(b *testing.B) { benchmarkAnswers(b, size.asking, size.each) })
 	}
 }
+
+// A gateway is told at once of adapters that it asked for and that do not come in time.
+func TestDeclinedAdaptersAreToldToWhoAsked(t *testing.T) {
+	c := qt.New(t)
+	cu, k := newCurator()
+	lead(cu, k)
+	now := cu.Clock.Now()
+	waiters := map[string]*waiter{}
+	for _, name := range []string{"a", "b"} {
+		req := &wire.SyncRequest{Gateway: name, Epoch: cu.epoch, HoldingRevision: cu.placer.Revision()}
+		cu.hear(now, req)
+		waiters[name] = &waiter{request: req, deadline: now.Add(time.Hour)}
+	}
+	cu.gateways["a"].wants["m/x"] = now
+	cu.placer.Want(now, "m/x", nil, now.Add(time.Millisecond))
+	cu.placer.Plan(now.Add(2 * time.Millisecond))
+	cu.wake(now)
+	c.Check(cu.isDue(now, waiters["a"]), qt.IsTrue)
+	c.Check(cu.isDue(now, waiters["b"]), qt.IsFalse)
+	c.Check(cu.news(now, waiters["a"].request).GetDeclined(), qt.DeepEquals, []string{"m/x"})
+	c.Check(cu.isDue(now, waiters["a"]), qt.IsFalse)
+}
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -131,10 +131,13 @@
 	if !now.Before(w.deadline) || c.hasUrgentNews(w.request) {
 		return true
 	}
+	g := c.gateways[w.request.GetGateway()]
+	if g != nil && len(g.declined) > 0 {
+		return true
+	}
 	if c.placer == nil || w.request.GetHoldingRevision() >= c.placer.Revision() {
 		return false
 	}
-	g := c.gateways[w.request.GetGateway()]
 	interval := time.Second * time.Duration(len(c.gateways)) / answersPerSecond
 	return g == nil || g.urgent || now.Sub(g.answered) >= interval
 }
@@ -196,6 +199,7 @@
 	g := c.gateways[req.GetGateway()]
 	if g != nil {
 		res.MembersRevision = g.membersRevision
+		res.Declined, g.declined = g.declined, nil
 	}
 	if c.placer != nil {
 		c.takeHoldings()
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -146,6 +146,9 @@
 	for _, h := range res.GetHoldings() {
 		f.balancer.SetHolding(res.GetTerm(), h)
 	}
+	for _, adapter := range res.GetDeclined() {
+		f.balancer.Decline(adapter)
+	}
 	if res.GetHasLoads() {
 		f.balancer.SetLoads(res.GetLoads())
 	}
--- a/pkg/balancer/adapters_test.go
+++ b/pkg/balancer/adapters_test.go
@@ -155,3 +155,39 @@
 		})
 	}
 }
+
+// The leader says that an adapter does not come in time: who waits for it is refused at
+// once with a time to come back; others go on waiting, and so does who comes later.
+func TestDeclinedAdapters(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(b *Balancer)
+		want    map[string]string
+	}{
+		"it is nowhere":          {func(*Balancer) {}, map[string]string{"w": "refused", "v": "waits"}},
+		"it has come after all":  {func(b *Balancer) { hold(b, 1, "a", "m/x@0") }, map[string]string{"w": "a", "v": "waits"}},
+		"its engine has no room": {func(b *Balancer) { hold(b, 1, "a", "m/x@0"); fill(b, "a") }, map[string]string{"w": "waits", "v": "waits"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b")
+			c.Check(decide(b, begin(), waiter("w", adapter("m/x")), waiter("v", adapter("m/y"))), qt.DeepEquals, map[string]string{"w": "waits", "v": "waits"})
+			b.Decline("m/x")
+			test.prepare(b)
+			got := map[string]string{"w": "waits", "v": "waits"}
+			decisions, _ := b.Next(begin())
+			for _, d := range decisions {
+				got[d.Waiter.ID] = "refused"
+				if d.Backend != nil {
+					got[d.Waiter.ID] = d.Backend.GetId()
+					continue
+				}
+				c.Check(d.Reason, qt.Equals, ReasonDeclined)
+				c.Check(d.ComeBack >= comeBackWhenDeclined/2 && d.ComeBack <= 3*comeBackWhenDeclined/2, qt.IsTrue)
+			}
+			c.Check(got, qt.DeepEquals, test.want)
+			b.Enqueue(waiter("late", adapter("m/x")))
+			_, wants := b.Next(begin())
+			c.Check(len(wants) == 1, qt.Equals, test.want["w"] == "refused")
+		})
+	}
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -76,6 +77,8 @@
 	Avoid []string
 
 	order uint64
+	// declined is set once the leader has said that the adapter does not come in time.
+	declined bool
 	// lacked is set once the adapter was nowhere to be used when the request's turn came.
 	lacked bool
 }
@@ -103,6 +106,7 @@
 	ReasonNoBackend = "no backend server of the service is known"
 	ReasonTimeout   = "no backend server was free in time"
 	ReasonNoAdapter = "the adapter was not loaded in time"
+	ReasonDeclined  = "the adapter can't be loaded in time"
 )
 
 // Announce takes what is known of a backend server. Silent counts only from a
@@ -282,6 +286,9 @@
 		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, more
 	}
 	w.lacked = w.lacked || (w.Adapter != "" && len(holders) == 0)
+	if w.declined && len(holders) == 0 {
+		return &Decision{Waiter: w, Reason: ReasonDeclined, ComeBack: spread(comeBackWhenDeclined)}, nil
+	}
 	if !now.Before(w.GiveUp) {
 		reason, comeBack := ReasonTimeout, comeBackWhenFull
 		if len(holders) == 0 && w.Adapter != "" {
@@ -301,8 +308,27 @@
 	return nil, b.want(now, w, others)
 }
 
+// Decline takes the leader's word that an adapter can't be loaded before the requests that
+// wait for it here give up. They are refused at the next decision, unless an engine has it.
+func (b *Balancer) Decline(adapter string) {
+	for _, w := range b.queue {
+		w.declined = w.declined || w.Adapter == adapter
+	}
+	// Who comes from here on may ask anew.
+	delete(b.wanted, adapter)
+}
+
+// spread returns a time around d, so that callers who were refused together do not come
+// back together.
+func spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
 // When a refused caller should come back.
 const (
+	// comeBackWhenDeclined is about the time in which engines that were lost are back: a load
+	// of their base model.
+	comeBackWhenDeclined = time.Second
 	// comeBackWithoutBackend is about the time in which a restarted one announces itself.
 	comeBackWithoutBackend = 500 * time.Millisecond
 	// comeBackWhenFull is about the time of one short answer.
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -38,13 +38,19 @@
 		}
 		return compareText(a, b)
 	})
-	misses := 0
+	misses, ahead := 0, p.queued()
+	hopeless := p.isCrowded(now, len(waiting)+ahead)
 	for _, adapter := range waiting {
 		w := p.wants[adapter]
 		if p.usable(adapter, w) {
 			delete(p.wants, adapter)
 			continue
 		}
+		ahead++
+		if hopeless && now.Add(p.loadWait(now, ahead)).After(w.until) {
+			p.drop(adapter)
+			continue
+		}
 		if misses == maxMisses {
 			continue
 		}
@@ -151,6 +157,10 @@
 	// coldWeight is the cost of a load from the weight store. It takes ten times as long
 	// as one from the engine's own memory, and the store is shared by all engines.
 	coldWeight = 1.0
+	// roomWeight is the cost of taking the place of an adapter that is asked for at least
+	// once a second: it is soon loaded again, from the engine's own memory, and meanwhile its
+	// requests wait.
+	roomWeight = 0.5
 	// queueWeight is the cost of each adapter that is on its way to the engine.
 	queueWeight = 0.1
 )
@@ -164,6 +174,7 @@
 		cost += coldWeight
 	}
 	cost += queueWeight * float64(len(e.queue)+e.coming())
+	cost += roomWeight * e.room()
 	if now.Before(e.waitUntil) {
 		cost += 1
 	}
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -77,6 +77,8 @@
 	loads  int
 	// queue are adapters to be loaded.
 	queue []queued
+	// rooms are what places cost there, the cheapest first, as of the last plan.
+	rooms []float64
 	use   Use
 }
 
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -117,6 +117,19 @@
 
 // expectedCold returns the time after which a load from the weight store may have ended.
 func (p *Placer) expectedCold() time.Duration {
+	return time.Duration(askEarly * float64(p.coldTime()))
+}
+
+// coldTime returns about how long a load from the weight store takes.
+func (p *Placer) coldTime() time.Duration {
 	crowd := max(1, float64(p.comingCold())/p.maxComing)
-	return time.Duration(float64(p.coldLoad) * askEarly * crowd)
+	return time.Duration(float64(p.coldLoad) * crowd)
+}
+
+// loadTime returns about how long a load takes.
+func (p *Placer) loadTime(e *engine, adapter string) time.Duration {
+	if p.warm(e, adapter) {
+		return p.policy.WarmLoad
+	}
+	return p.coldTime()
 }
--- a/pkg/placer/orders.go
+++ b/pkg/placer/orders.go
@@ -139,9 +139,9 @@
 // took half of the weight store's time and as many places.
 func (p *Placer) dropLate(now time.Time, e *engine) {
 	e.queue = slices.DeleteFunc(e.queue, func(q queued) bool {
-		late := !q.until.IsZero() && now.Add(p.expected(e, q.adapter)).After(q.until)
+		late := !q.until.IsZero() && now.Add(p.loadTime(e, q.adapter)).After(q.until)
 		if late {
-			p.dropped++
+			p.drop(q.adapter)
 		}
 		return late
 	})
@@ -181,16 +181,10 @@
 		if held.state != ready || now.Sub(held.since) < idleFor || e.use.Adapters[adapter] {
 			continue
 		}
-		rate := 0.0
-		if d := p.demand[adapter]; d != nil {
-			if now.Sub(d.last) < idleFor {
-				continue
-			}
-			rate = d.at(now, p.policy.DemandHalfLife)
-			if n, _ := p.copies(adapter); n > 1 {
-				rate /= float64(n)
-			}
+		if d := p.demand[adapter]; d != nil && now.Sub(d.last) < idleFor {
+			continue
 		}
+		rate := p.rate(now, adapter)
 		if victim == "" || rate < least {
 			victim, least = adapter, rate
 		}
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -154,6 +154,7 @@
 func (p *Placer) loaded(now time.Time, e *engine, adapter string, held *place) {
 	held.state, held.since = ready, now
 	p.learn(now, held)
+	p.pace.add(now)
 	p.fresh = append(p.fresh, adapter)
 	e.remember(adapter)
 	p.touch(e)
--- a/pkg/placer/overload_test.go
+++ b/pkg/placer/overload_test.go
@@ -77,3 +77,49 @@
 		})
 	}
 }
+
+// Who can't be served hears so long before giving up, and as many are served as if all had
+// been kept waiting.
+func TestHopelessWantsAreDeclinedSoon(t *testing.T) {
+	c := qt.New(t)
+	const patience = 800 * time.Millisecond
+	w := newWorld(c, 6, 4)
+	w.pass(100 * time.Millisecond)
+	begun := map[string]time.Time{}
+	declined, soon := 0, 0
+	for i := range 400 {
+		adapter := name(i)
+		begun[adapter] = w.now
+		w.p.Demand(w.now, adapter, 1)
+		w.p.Want(w.now, adapter, nil, w.now.Add(patience))
+		w.pass(10 * time.Millisecond)
+		for _, adapter := range w.p.TakeDeclined() {
+			declined++
+			if w.now.Sub(begun[adapter]) <= patience/4 {
+				soon++
+			}
+		}
+	}
+	c.Check(w.orders[Load] >= 80, qt.IsTrue, qt.Commentf("%d loads", w.orders[Load]))
+	c.Check(float64(soon) >= 0.7*float64(declined), qt.IsTrue, qt.Commentf("%d of %d declined soon", soon, declined))
+}
+
+// A burst of a moment is no reason to decline anything, nor are a few that wait.
+func TestNobodyIsDeclinedWithoutNeed(t *testing.T) {
+	for name, test := range map[string]struct{ wants, steps int }{
+		"a burst":                    {20, 1},
+		"as many as engines, always": {3, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := placerWithout()
+			for range test.steps {
+				p.isCrowded(begin(), test.wants)
+			}
+			c.Check(p.isCrowded(begin().Add(crowdedFor-time.Millisecond), test.wants), qt.IsFalse)
+			c.Check(p.isCrowded(begin().Add(crowdedFor), test.wants), qt.Equals, test.wants > 3)
+			c.Check(p.isCrowded(begin().Add(2*crowdedFor), 1), qt.IsFalse)
+			c.Check(p.isCrowded(begin().Add(2*crowdedFor), test.wants), qt.IsFalse)
+		})
+	}
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -114,8 +114,14 @@
 	learnt bool
 	// fresh are adapters that were loaded since TakeLoaded was called last.
 	fresh []string
-	// dropped counts wants that could not be met in time.
-	dropped int
+	// dropped counts wants that could not be met in time, and declined are those since
+	// TakeDeclined was called last.
+	dropped  int
+	declined []string
+	// pace is the rate at which loads end, and crowdedSince is since when more adapters wait
+	// than there are engines; zero if that is not so.
+	pace         pace
+	crowdedSince time.Time
 	// cold is the number of cold loads on their way, if coldKnown is set.
 	cold      int
 	coldKnown bool
@@ -251,6 +257,7 @@
 	}
 	p.coldKnown = false
 	p.buildIndex()
+	p.findRooms(now)
 	p.assignWants(now)
 	p.assignVersions()
 	p.assignCopies(now)
@@ -320,8 +327,7 @@
 func (p *Placer) forget(now time.Time) {
 	for adapter, w := range p.wants {
 		if now.After(w.until) {
-			p.dropped++
-			delete(p.wants, adapter)
+			p.drop(adapter)
 		}
 	}
 	for adapter, d := range p.demand {
--- a/pkg/spreader/followers.go
+++ b/pkg/spreader/followers.go
@@ -22,6 +22,8 @@
 	// is set once one of them is there.
 	wants  map[string]time.Time
 	urgent bool
+	// declined are adapters that it asked for and that it is to be told do not come.
+	declined []string
 }
 
 // Ask takes a follower's call.
@@ -112,6 +114,18 @@
 	return s.inside.With(own)
 }
 
+// decline notes that adapters do not come in time, for the followers that asked for them.
+func (s *Spreader) decline(adapters []string) {
+	for _, adapter := range adapters {
+		for _, f := range s.followers {
+			if _, ok := f.wants[adapter]; ok {
+				f.declined = append(f.declined, adapter)
+				delete(f.wants, adapter)
+			}
+		}
+	}
+}
+
 // wake marks the followers whose requests wait for adapters that have come.
 func (s *Spreader) wake(now time.Time, engines []string) {
 	for _, f := range s.followers {
@@ -132,10 +146,10 @@
 
 // Due reports whether a follower's call is to be answered before its wait is over.
 func (s *Spreader) Due(now time.Time, req *wire.SyncRequest) bool {
-	if s.hasUrgentNews(req) {
+	f := s.followers[req.GetGateway()]
+	if s.hasUrgentNews(req) || f != nil && len(f.declined) > 0 {
 		return true
 	}
-	f := s.followers[req.GetGateway()]
 	if req.GetHoldingRevision() >= s.holdings.Revision() {
 		return false
 	}
@@ -159,6 +173,7 @@
 	if f := s.followers[req.GetGateway()]; f != nil {
 		f.answered, f.urgent = now, false
 		res.MembersRevision = f.membersRevision
+		res.Declined, f.declined = f.declined, nil
 		res.Loads, res.HasLoads = s.loadsFor(f, own), res.GetLeads()
 	}
 	since := req.GetAnnouncementRevision()
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -126,6 +126,7 @@
 		var engines []string
 		engines, whole = s.holdings.Take(res.GetHoldingRevision(), res.GetHoldingsSince(), res.GetHoldings())
 		s.wake(now, engines)
+		s.decline(res.GetDeclined())
 		changed = append(changed, engines...)
 		s.hearLoads(res)
 	} else {
@@ -141,6 +142,7 @@
 		Epoch: res.GetEpoch(), Table: res.GetTable(), TableVersion: res.GetTableVersion(), Announcements: res.GetAnnouncements(),
 		Versions: res.GetVersions(), Leads: res.GetLeads(), Term: res.GetTerm(), Loads: res.GetLoads(), HasLoads: res.GetHasLoads(),
 		Gateways: res.GetGateways(), GatewayList: res.GetGatewayList(), GatewaysRevision: res.GetGatewaysRevision(),
+		Declined: res.GetDeclined(),
 	}
 }
 
--- a/pkg/spreader/spreader_test.go
+++ b/pkg/spreader/spreader_test.go
@@ -204,3 +204,25 @@
 		s.Answer(begin(), call("a"), nil)
 	})
 }
+
+// A follower that asked for an adapter is told at once, and once, that it does not come.
+func TestDeclinedAdaptersAreToldToWhoAsked(t *testing.T) {
+	c := qt.New(t)
+	s := newSpreader()
+	s.Hear(begin(), fromLeader(1))
+	for _, name := range []string{"a", "b"} {
+		s.Ask(begin(), call(name))
+	}
+	s.Want(begin(), "a", []*wire.Want{{Adapter: "m/x"}})
+	s.Want(begin(), "b", []*wire.Want{{Adapter: "m/y"}})
+	res := fromLeader(1)
+	res.Declined = []string{"m/x"}
+	news, _ := s.Hear(begin(), res)
+	c.Check(news.GetDeclined(), qt.DeepEquals, []string{"m/x"})
+	known := call("a")
+	known.HoldingRevision = term1 + 1
+	c.Check(s.Due(begin(), known), qt.IsTrue)
+	c.Check(s.Answer(begin(), known, nil).GetDeclined(), qt.DeepEquals, []string{"m/x"})
+	c.Check(s.Due(begin(), known), qt.IsFalse)
+	c.Check(s.Answer(begin(), call("b"), nil).GetDeclined(), qt.HasLen, 0)
+}
