An engine that lacks its base model for a moment stays known to the gateway

The gateway forgot the engine, which is told of again only when something about it changes, so that it ignored its holdings for good.

Ruled out: the leader (it loaded each adapter within 0.3 s), news (the other gateways used that engine), ejection (the engine would stand among those to be avoided).

Change: only a plain service's start is forgotten for such an answer. At engines it counts as the model's absence, for 300 ms, and the request goes elsewhere.

Tests, both seen failing first: balancer TestAnEngineWithoutItsModelIsLeftAloneForAMoment, forwarder TestAnEngineWithoutItsModelStaysKnown.

--- /dev/null
+++ b/gateway/forwarder/absent_model_test.go
@@ -0,0 +1,37 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// An engine restarts and does not have its base model yet. A request for the model alone is
+// told so; that speaks of the model and not of the engine, which later serves adapters.
+func TestAnEngineWithoutItsModelStaysKnown(t *testing.T) {
+	c := qt.New(t)
+	var loaded atomic.Bool
+	serves := runsAndAnswers(http.StatusOK, "loaded")
+	engine := newBackend(c, "e", func(b *backendFake, req *http.Request, conn net.Conn) bool {
+		if loaded.Load() {
+			return serves(b, req, conn)
+		}
+		return refuses(statusMisdirected)(b, req, conn)
+	})
+	address, f := gatewayAndForwarder(c)
+	first := firstTable(engine)
+	first.Table.Services[0].Engine = &wire.EngineLimits{Models: []string{"m"}}
+	first.Table.Version++
+	f.Apply("controller", first)
+	c.Check(call(c, address, "/once/x").status, qt.Equals, statusUnavailable)
+	loaded.Store(true)
+	f.Apply("controller", &wire.SyncResponse{Leads: true, Term: 1, Holdings: []*wire.Holding{{Backend: "e", Adapters: []string{"m/x@0"}}}})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Check(f.balancer.ServiceOf("e"), qt.Equals, "s")
+}
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -161,12 +161,13 @@
 		outcome = balancer.Absent
 	}
 	f.done(j, backend.GetId(), outcome)
-	if status == statusMisdirected && j.adapter == "" {
+	isEngine := f.isEngine(j.service)
+	if status == statusMisdirected && !isEngine {
 		// Another start has this address now.
 		f.left(backend)
 	}
 	f.event(j, backend, "the backend server did not run the request", status)
-	if outcome == balancer.Full {
+	if outcome == balancer.Full || isEngine && j.adapter == "" {
 		j.avoid = append(j.avoid, backend.GetId())
 	}
 	if j.sends < maxSends && f.mayRepeat(j.service) {
@@ -180,6 +181,15 @@
 	return false
 }
 
+// isEngine reports whether a service's backend servers hold models. One that has restarted
+// answers, until its model is there, as another start would; to forget it would leave it
+// unused for good, since it is announced only when something about it changes.
+func (f *Forwarder) isEngine(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Service(service).GetEngine() != nil
+}
+
 func (f *Forwarder) left(backend *wire.Announcement) {
 	f.mu.Lock()
 	f.balancer.Left(backend.GetId())
--- a/pkg/balancer/adapters_test.go
+++ b/pkg/balancer/adapters_test.go
@@ -191,3 +191,20 @@
 		})
 	}
 }
+
+// An engine that restarts says that its base model is not there yet: requests for the model
+// go elsewhere for a moment, and the engine is still known for what it holds later.
+func TestAnEngineWithoutItsModelIsLeftAloneForAMoment(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b")
+	b.Done(begin(), "a", "", 0, Absent)
+	for i := range 20 {
+		c.Check(decide(b, begin(), waiter(fmt.Sprint("w", i)))[fmt.Sprint("w", i)], qt.Not(qt.Equals), "a")
+		b.Done(begin(), "b", "", 0, Served)
+	}
+	hold(b, 1, "a", "m/x@0")
+	c.Check(decide(b, begin(), waiter("x", adapter("m/x")))["x"], qt.Equals, "a")
+	later := begin().Add(absentFor)
+	b.Done(later, "b", "", 0, Unreachable)
+	c.Check(decide(b, later, waiter("y"))["y"], qt.Equals, "a")
+}
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -16,6 +16,8 @@
 		able := list
 		if w.Adapter != "" {
 			able = b.holding(now, list, w.Adapter)
+		} else {
+			able = withModel(now, list)
 		}
 		if best := b.best(now, able); best != nil {
 			return best, append(holders, able...)
@@ -61,6 +63,11 @@
 	return c
 }
 
+// withModel returns those that have not said just now that they lack their base model.
+func withModel(now time.Time, from []*backend) []*backend {
+	return slices.DeleteFunc(slices.Clone(from), func(k *backend) bool { return now.Before(k.absent[""]) })
+}
+
 // holding returns those that have the adapter in the wanted version.
 func (b *Balancer) holding(now time.Time, from []*backend, adapter string) []*backend {
 	version := b.versions[adapter]
