--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -191,6 +191,8 @@
 }
 
 func (f *Forwarder) left(backend *wire.Announcement) {
+	f.Log.Info("a backend server is forgotten", "Backend", backend.GetId(), "Address", backend.GetAddress(),
+		"Reason", "another start answers at its address")
 	f.mu.Lock()
 	f.balancer.Left(backend.GetId())
 	f.mu.Unlock()
