The next leader goes on from what the one before has learnt; copies wait while the store is full

Cause: a new leader knew neither what is asked for nor which weights engines keep, nor how many loads the store carries: after a change of leader at 5.8 s 311 and 215 loads of 4 s each came from the weight store though an engine kept a copy, and 185 more were further copies, while the store was full and 130 adapters waited.

Change: gateways tell all controllers what is asked for, and the others ask the leader four times a second what engines hold and what loads have shown (placer.Knowledge). While the store is full, adapters that some engine has wait behind those that none has. An adapter that is about to go comes back to the engine that keeps its weights.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -86,6 +86,7 @@
 		}
 	}
 	go r.joiner().run(background)
+	go (&standby{clock: r.Clock, log: r.Log, name: s.Instance.Name, curator: r.curator, leader: r.leader}).run(background)
 	if off := r.Settings.off(); !off.Empty() {
 		r.Log.Warn("mechanisms are switched off for an experiment", "Off", off.String())
 	}
--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -40,6 +40,9 @@
 	planSpacing = 5 * time.Millisecond
 	// summaryEvery is the time between two log lines on the placement as a whole.
 	summaryEvery = time.Second
+	// forgetEvery is the time between two looks at what counts no longer, while another
+	// instance leads.
+	forgetEvery = time.Second
 	// forgetAfter is how long backend servers that left are remembered, so that late
 	// announcements don't bring them back.
 	forgetAfter = 60 * time.Second
@@ -100,6 +103,10 @@
 	roster   roster
 	// holdings are what the placer has said that engines hold.
 	holdings *spreader.Holdings
+	// knowledge is what the leader has learnt, this one or another, whose holdings are heard.
+	knowledge *placer.Knowledge
+	heard     *spreader.Holdings
+	forgotten time.Time
 
 	term        uint64
 	ordersAfter time.Time
@@ -139,6 +146,8 @@
 	c.gateways = map[string]*gatewayState{}
 	c.loads = spreader.NewSum()
 	c.holdings = spreader.NewHoldings()
+	c.knowledge = placer.NewKnowledge(c.Policy)
+	c.heard = spreader.NewHoldings()
 }
 
 // Run works until ctx ends.
@@ -247,6 +256,10 @@
 		c.plan(now)
 	}
 	c.forgetGateways(now)
+	if c.placer == nil && now.Sub(c.forgotten) >= forgetEvery {
+		c.forgotten = now
+		c.knowledge.Forget(now)
+	}
 	c.answerWaiters(now)
 }
 
@@ -268,7 +281,7 @@
 func (c *Curator) begin(now time.Time, term uint64) {
 	c.term = term
 	c.ordersAfter = now.Add(c.HandOver)
-	c.placer = placer.New(c.Policy)
+	c.placer = placer.NewWith(c.knowledge)
 	c.placer.Begin(term)
 	c.holdings.Begin(c.placer.Revision())
 	c.placer.SetTable(c.state.Table().GetTable())
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -44,6 +44,9 @@
 
 // hear takes in what a gateway says of its requests, and of those of its members.
 func (c *Curator) hear(now time.Time, req *wire.SyncRequest) {
+	if req.GetKnowledge() {
+		return
+	}
 	g := c.gateways[req.GetGateway()]
 	if g == nil {
 		g = &gatewayState{wants: map[string]time.Time{}}
@@ -61,11 +64,8 @@
 		c.roster.stale = c.roster.stale || g.membersRevision != req.GetMembersRevision()
 		g.members, g.membersRevision = req.GetMembers(), req.GetMembersRevision()
 	}
-	if c.placer == nil {
-		return
-	}
 	for _, d := range req.GetDemand() {
-		c.placer.Demand(now, d.GetAdapter(), int(d.GetRequests()))
+		c.knowledge.Demand(now, d.GetAdapter(), int(d.GetRequests()))
 	}
 }
 
@@ -205,6 +205,10 @@
 		c.takeHoldings()
 		res.HoldingRevision = max(req.GetHoldingRevision(), c.holdings.Revision())
 		res.Holdings, res.HoldingsSince = c.holdings.Since(req.GetHoldingRevision())
+		if req.GetKnowledge() {
+			res.Learnt = c.knowledge.Learnt()
+			return res
+		}
 		res.Loads, res.HasLoads = c.loadsWithout(g), true
 	}
 	return res
@@ -272,6 +276,8 @@
 		}
 		if a.GetGone() {
 			c.holdings.Drop(a.GetId())
+			c.heard.Drop(a.GetId())
+			c.knowledge.ForgetEngine(a.GetId())
 		}
 	}
 	c.taken = c.tracker.Revision()
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,7 +83,8 @@
 	direct   bool
 	directAt time.Time
 	// sources are what each instance that was asked has told up to now.
-	sources map[string]*source
+	sources      map[string]*source
+	untoldDemand untoldDemand
 	// leader is who is asked for adapters: the leader, or a relay.
 	leader string
 	term   uint64
@@ -115,7 +118,7 @@
 // Run works until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
-	f.loops, f.sources = map[string]*loop{}, map[string]*source{}
+	f.loops, f.sources, f.untoldDemand = map[string]*loop{}, map[string]*source{}, untoldDemand{}
 	f.mu.Unlock()
 	ticker := f.Clock.NewTicker(reviewEvery)
 	defer ticker.Stop()
@@ -323,12 +326,12 @@
 	}
 	members, membersRevision := f.Relayer.Members()
 	req.MembersRevision = membersRevision
-	if f.asksForAdapters(address) {
-		req.Demand = f.Demand()
-	}
+	demand := f.Demand()
 	holdings := f.Relayer.HoldingRevision()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.untoldDemand.add(demand, f.told(address))
+	req.Demand = f.untoldDemand.take(address)
 	s := f.source(address)
 	req.Epoch, req.AnnouncementRevision, req.VersionRevision = s.epoch, s.announcements, s.versions
 	req.GatewaysRevision, req.ControllersRevision = s.gateways, s.controllersRevision
@@ -342,6 +345,15 @@
 	return req
 }
 
+// told returns who is told of requests: all controllers, or the relay that is asked, which
+// tells them. Nobody is told by both ways. The caller holds the lock.
+func (f *Follower) told(asked string) []string {
+	if !f.direct || f.cutOff(f.Clock.Now()) {
+		return []string{asked}
+	}
+	return slices.Collect(maps.Keys(f.loops))
+}
+
 // source returns what an instance has told. The caller holds the lock.
 func (f *Follower) source(address string) *source {
 	s := f.sources[address]
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -24,12 +24,17 @@
 // place there is shorter than a load from the weight store elsewhere.
 const maxWarmQueue = 6
 
-// assignWants chooses engines for adapters that requests wait for. The adapter for which
+// assignWants chooses engines for adapters that requests wait for. While the weight store is
+// full those that no engine has go first. The adapter for which
 // most requests wait goes first, and among equals the one that was asked for last: when
 // not all can be loaded in time, requests that have just come can still be answered
 // within their objective, and those that have waited long can not.
 func (p *Placer) assignWants(now time.Time) {
+	full := p.storeIsFull()
 	waiting := slices.SortedFunc(maps.Keys(p.wants), func(a, b string) int {
+		if aHeld, bHeld := len(p.index[a]) > 0, len(p.index[b]) > 0; full && aHeld != bHeld {
+			return map[bool]int{true: 1, false: -1}[aHeld]
+		}
 		if n := p.wants[b].requests - p.wants[a].requests; n != 0 {
 			return n
 		}
@@ -46,6 +51,9 @@
 			delete(p.wants, adapter)
 			continue
 		}
+		if p.comesBack(adapter, w) {
+			continue
+		}
 		ahead++
 		if hopeless && now.Add(p.loadWait(now, ahead)).After(w.until) {
 			p.drop(adapter)
@@ -89,6 +97,20 @@
 	return found
 }
 
+// comesBack reports whether a wanted adapter is about to be gone from an engine that keeps a
+// copy of its weights: it is loaded there again within a few ms, which is sooner than one
+// load from the weight store elsewhere.
+func (p *Placer) comesBack(adapter string, w *want) bool {
+	for _, id := range p.dropping[adapter] {
+		e := p.engines[id]
+		held := e.places[adapter]
+		if held != nil && held.state == dropping && !held.pending && e.takesOrders() && !slices.Contains(w.avoid, id) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Placer) assignVersions() {
 	for _, e := range p.engines {
 		for adapter, held := range e.places {
@@ -115,12 +137,21 @@
 		if rate <= float64(have)*perCopy {
 			continue
 		}
-		if id := p.chooseEngine(now, adapter, nil); id != "" {
+		id := p.chooseEngine(now, adapter, nil)
+		if id != "" && (p.warm(p.engines[id], adapter) || !p.storeIsFull()) {
 			p.enqueue(id, adapter, time.Time{})
 		}
 	}
 }
 
+// storeIsFull reports whether the weight store carries as many loads as it can without each
+// taking longer. Adapters that no engine has go before further copies then.
+func (p *Placer) storeIsFull() bool { return float64(p.comingCold()) >= fullStore*p.maxComing }
+
+// fullStore is the part of what the store carries from which copies wait: some loads end
+// before the next plan.
+const fullStore = 0.8
+
 // copies counts where an adapter is or soon will be, as of the last plan.
 func (p *Placer) copies(adapter string) (count int, slots uint32) {
 	for _, id := range p.index[adapter] {
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -71,10 +71,7 @@
 	// waitUntil is when the engine may be given orders again.
 	waitUntil time.Time
 	places    map[string]*place
-	// recent are adapters that were held lately, by the number of the load or unload at
-	// which they were seen last, of those that loads counts.
-	recent map[string]int
-	loads  int
+	*memory
 	// queue are adapters to be loaded.
 	queue []queued
 	// rooms are what places cost there, the cheapest first, as of the last plan.
@@ -82,7 +79,7 @@
 	use   Use
 }
 
-func newEngine() *engine { return &engine{places: map[string]*place{}, recent: map[string]int{}} }
+func newEngine(m *memory) *engine { return &engine{memory: m, places: map[string]*place{}} }
 
 func (e *engine) open() bool {
 	return !e.info.GetDraining() && !e.info.GetSilent() && !e.info.GetGone()
@@ -122,30 +119,6 @@
 	return n
 }
 
-// depth returns about how many adapters were held since the engine last had this one, or
-// -1 if that is not known.
-func (e *engine) depth(adapter string) int {
-	at, ok := e.recent[adapter]
-	if !ok {
-		return -1
-	}
-	// Each adapter is seen twice, as it comes and as it goes.
-	return (e.loads - at) / 2
-}
-
-func (e *engine) remember(adapter string) {
-	e.loads++
-	e.recent[adapter] = e.loads
-	if len(e.recent) <= maxRecent {
-		return
-	}
-	for old, at := range e.recent {
-		if e.loads-at > maxRecent {
-			delete(e.recent, old)
-		}
-	}
-}
-
 // blocked returns the adapter whose unload waits for its runs: until these have ended
 // the engine takes no other orders.
 func (e *engine) blocked() (string, *place) {
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -20,8 +20,7 @@
 
 // warm reports whether an engine probably keeps a copy of an adapter's weights.
 func (p *Placer) warm(e *engine, adapter string) bool {
-	depth := e.depth(adapter)
-	return depth >= 0 && depth < p.hostAdapters+hostProbe
+	return p.isWarm(e.depth(adapter))
 }
 
 // learn takes the time of a load to see how many copies engines keep.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -15,7 +15,6 @@
 	"strings"
 	"time"
 
-	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -92,26 +91,18 @@
 
 // Placer holds what the leader knows. Make one with New.
 type Placer struct {
-	policy   Policy
+	*Knowledge
 	limits   map[string]*wire.EngineLimits
 	engines  map[string]*engine
-	demand   map[string]*demand
 	versions map[string]uint64
 	wants    map[string]*want
 	revision uint64
 	// changed are the engines whose holdings changed since TakeChanged was called last.
 	changed map[string]bool
-	// hostAdapters is the number of adapters whose weights an engine seems to keep, as
-	// the times of loads have shown.
-	hostAdapters int
-	// coldLoad is the learnt time of a load from the weight store, and maxComing the
-	// learnt number that it carries at once.
-	coldLoad  time.Duration
-	maxComing float64
 	// index lists the engines at which each adapter is or soon will be, as of the last plan.
 	index map[string][]string
-	// learnt is set once a load has changed maxComing.
-	learnt bool
+	// dropping lists those from which each adapter goes, as of the last plan.
+	dropping map[string][]string
 	// fresh are adapters that were loaded since TakeLoaded was called last.
 	fresh []string
 	// dropped counts wants that could not be met in time, and declined are those since
@@ -129,14 +120,6 @@
 	modelLoadAt time.Time
 }
 
-// demand is the requests a second for an adapter: rate as of the last seconds, and quick as
-// of the last moments, which shows at once what has begun to rise.
-type demand struct {
-	rate  float64
-	quick float64
-	last  time.Time
-}
-
 type want struct {
 	avoid []string
 	since time.Time
@@ -147,11 +130,13 @@
 }
 
 // New returns a placer that knows nothing yet.
-func New(policy Policy) *Placer {
+func New(policy Policy) *Placer { return NewWith(NewKnowledge(policy)) }
+
+// NewWith returns a placer that goes on from what a leader before it has learnt.
+func NewWith(k *Knowledge) *Placer {
 	return &Placer{
-		policy: policy, limits: map[string]*wire.EngineLimits{}, engines: map[string]*engine{},
-		hostAdapters: firstHostAdapters, coldLoad: policy.ColdLoad, maxComing: firstMaxComing,
-		demand: map[string]*demand{}, versions: map[string]uint64{}, wants: map[string]*want{}, changed: map[string]bool{},
+		Knowledge: k, limits: map[string]*wire.EngineLimits{}, engines: map[string]*engine{},
+		versions: map[string]uint64{}, wants: map[string]*want{}, changed: map[string]bool{},
 	}
 }
 
@@ -183,7 +168,7 @@
 	}
 	e := p.engines[a.GetId()]
 	if e == nil {
-		e = newEngine()
+		e = newEngine(p.memory(a.GetId()))
 		p.engines[a.GetId()] = e
 	}
 	e.info = a
@@ -212,19 +197,6 @@
 	}
 }
 
-// Demand counts requests for an adapter.
-func (p *Placer) Demand(now time.Time, adapter string, requests int) {
-	d := p.demand[adapter]
-	if d == nil {
-		d = &demand{last: now}
-		p.demand[adapter] = d
-	}
-	quick := d.quick * halving(float64(now.Sub(d.last))/float64(p.policy.QuickHalfLife))
-	d.quick = quick + float64(requests)*ln2/p.policy.QuickHalfLife.Seconds()
-	d.rate = d.at(now, p.policy.DemandHalfLife) + float64(requests)*ln2/p.policy.DemandHalfLife.Seconds()
-	d.last = now
-}
-
 // Want notes that requests wait, until then, for an adapter that they can't use anywhere.
 // A zero until stands for the policy's time.
 func (p *Placer) Want(now time.Time, adapter string, avoid []string, until time.Time) {
@@ -307,14 +279,17 @@
 // buildIndex notes at which engines each adapter is or soon will be.
 func (p *Placer) buildIndex() {
 	p.index = make(map[string][]string, len(p.index))
+	p.dropping = map[string][]string{}
 	for id, e := range p.engines {
 		if !e.serves() {
 			continue
 		}
 		for adapter, held := range e.places {
-			if held.state != dropping {
-				p.index[adapter] = append(p.index[adapter], id)
+			if held.state == dropping {
+				p.dropping[adapter] = append(p.dropping[adapter], id)
+				continue
 			}
+			p.index[adapter] = append(p.index[adapter], id)
 		}
 		for _, q := range e.queue {
 			if e.places[q.adapter] == nil {
@@ -330,26 +305,7 @@
 			p.drop(adapter)
 		}
 	}
-	for adapter, d := range p.demand {
-		if d.at(now, p.policy.DemandHalfLife) < negligibleRate {
-			delete(p.demand, adapter)
-		}
-	}
-}
-
-// at returns the rate after the time that has passed since the last request.
-func (d *demand) at(now time.Time, halfLife time.Duration) float64 {
-	return d.rate * halving(float64(now.Sub(d.last))/float64(halfLife))
-}
-
-// peak returns the higher of the two rates: what rises gets its copies soon, and what has
-// paused for a moment keeps them.
-func (d *demand) peak(now time.Time, policy *Policy) float64 {
-	if policy.Off.Has(ablator.RisingCopies) {
-		return d.at(now, policy.DemandHalfLife)
-	}
-	quick := d.quick * halving(float64(now.Sub(d.last))/float64(policy.QuickHalfLife))
-	return max(quick, d.at(now, policy.DemandHalfLife))
+	p.Forget(now)
 }
 
 const (
--- a/pkg/placer/rooms.go
+++ b/pkg/placer/rooms.go
@@ -43,11 +43,7 @@
 
 // rate returns the requests a second for an adapter at each of the engines that hold it.
 func (p *Placer) rate(now time.Time, adapter string) float64 {
-	d := p.demand[adapter]
-	if d == nil {
-		return 0
-	}
-	rate := d.at(now, p.policy.DemandHalfLife)
+	rate := p.Rate(now, adapter)
 	if n, _ := p.copies(adapter); n > 1 {
 		rate /= float64(n)
 	}
