The store's width is learnt sooner; an engine that is asked for its state is no news

Width: loads counted as slowed down from 1.6 times the usual time on, so that a store which carries 64 was given 115 at once from the first second, and each load took 1.8 times as long: all come late instead of a half. Now from 1.4 times on, and at least 6 at once instead of 12, which was more than one customer's store carries.

No news: an engine whose orders met a conflict is asked for its state; changes of it until then made every waiting call due at each interval (TestAnEngineThatIsAskedIsNoNews, seen failing first).

--- a/controller/curator/roster_test.go
+++ b/controller/curator/roster_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -95,6 +96,33 @@
 	c.Check(a.GetAdapters(), qt.HasLen, 1)
 }
 
+// An engine's order met a conflict: its state has to be asked for, and until it is known
+// there is nothing to tell, and nobody is answered without need.
+func TestAnEngineThatIsAskedIsNoNews(t *testing.T) {
+	c := qt.New(t)
+	cu, k := newCurator()
+	lead(cu, k)
+	now := cu.Clock.Now()
+	withEngine(cu, "m/x@0")
+	known := cu.news(now, &wire.SyncRequest{Gateway: "a"})
+	cu.placer.Want(now, "m/y", nil, now.Add(time.Second))
+	load := cu.placer.Plan(now)[0]
+	cu.placer.Done(now, load, placer.Accepted, nil)
+	question := load
+	question.Kind = placer.Confirm
+	cu.placer.Want(now, "m/z", nil, now.Add(time.Second))
+	cu.placer.Done(now, cu.placer.Plan(now)[0], placer.Conflict, nil)
+	cu.placer.Done(now, question, placer.Holds, nil)
+	w := &waiter{deadline: now.Add(time.Hour), request: &wire.SyncRequest{
+		Gateway: "a", Epoch: known.GetEpoch(), AnnouncementRevision: known.GetAnnouncementRevision(), HoldingRevision: known.GetHoldingRevision(),
+	}}
+	for range 3 {
+		told := cu.news(now, w.request)
+		w.request.HoldingRevision = told.GetHoldingRevision()
+	}
+	c.Check(cu.isDue(now.Add(time.Second), w), qt.IsFalse)
+}
+
 func benchmarkAnswers(b *testing.B, asking, each int) {
 	cu, k := newCurator()
 	lead(cu, k)
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -219,6 +219,9 @@
 	for _, h := range c.placer.TakeChanged() {
 		c.holdings.Set(c.placer.Revision(), h.GetBackend(), h.GetAdapters())
 	}
+	// An engine whose state has to be asked for is no news; without this all gateways would
+	// be answered again and again until it is.
+	c.holdings.Advance(c.placer.Revision())
 }
 
 // forGateways returns an announcement without what an engine says that it holds: gateways
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -50,10 +50,10 @@
 	coldBound  = 2.0
 	// slowLoad is the time, against the usual, from which the weight store seems to
 	// have been shared by too many loads, and freeLoad the one up to which it was not.
-	slowLoad = 1.6
-	freeLoad = 1.3
+	slowLoad = 1.4
+	freeLoad = 1.15
 	// leastComing bounds what is learnt from loads that were slow for other reasons.
-	leastComing = 12
+	leastComing = 6
 	// comingMemory is the weight of one slow load in what is learnt.
 	comingMemory = 1.0 / 16
 )
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -27,6 +27,18 @@
 	running  map[string]bool
 	dropping string
 	known    map[string]bool
+	// store is shared by all engines; nil carries any number of loads.
+	store *storeFake
+}
+
+// storeFake is a weight store that carries so many loads at full speed; beyond that each
+// takes longer in proportion.
+type storeFake struct{ width, coming int }
+
+// begin returns how long a load takes that begins now.
+func (s *storeFake) begin(took time.Duration) time.Duration {
+	s.coming++
+	return took * time.Duration(max(s.width, s.coming)) / time.Duration(s.width)
 }
 
 func newFake(c *qt.C, slots int) *engineFake {
@@ -42,6 +54,9 @@
 	for adapter, at := range e.coming {
 		if !now.Before(at) {
 			e.held[adapter] = 0
+			if e.store != nil && !e.known[adapter] {
+				e.store.coming--
+			}
 			e.known[adapter] = true
 			delete(e.coming, adapter)
 		}
@@ -78,6 +93,8 @@
 		took := coldLoad
 		if e.known[o.Adapter] {
 			took /= 10
+		} else if e.store != nil {
+			took = e.store.begin(took)
 		}
 		e.coming[o.Adapter] = now.Add(took)
 		e.c.Assert(len(e.held)+len(e.coming) <= e.slots, qt.IsTrue, qt.Commentf("more adapters than places"))
--- a/pkg/spreader/holdings.go
+++ b/pkg/spreader/holdings.go
@@ -68,6 +68,9 @@
 	h.engines[backend] = now
 }
 
+// Advance notes that nothing else has changed up to a revision.
+func (h *Holdings) Advance(revision uint64) { h.revision = max(h.revision, revision) }
+
 // Drop forgets an engine that has left. Nobody is told: that it has left is news enough.
 func (h *Holdings) Drop(backend string) { delete(h.engines, backend) }
 
