A leader that is slow itself does not take the weight store for slow

Cause: how many loads the store carries and how many copies engines keep are learnt from the times of loads, whose ends the leader sees when a question is answered.

Ruled out: the choice of the leader, lost engines, the store itself.

Change: the time of a load counts only if its order was answered, its question asked and the answer taken within 40 ms of when they were due.

--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -34,8 +34,8 @@
 	warm bool
 	// coming is how many cold loads were on their way when it began.
 	coming int
-	// repeated is set if the order was given again or a question went unanswered, so that
-	// the time until its end was seen says nothing.
+	// repeated is set if the order was given again, a question went unanswered, or this
+	// instance was late itself, so that the time until its end was seen says nothing.
 	repeated bool
 	// accepted is set once the engine has accepted the load.
 	accepted bool
@@ -60,6 +60,8 @@
 	busy     bool
 	// asking is set while a question whether a load has ended is under way.
 	asking bool
+	// askedAt is when the last question was asked.
+	askedAt time.Time
 	// model is set once the base model is there.
 	model bool
 	// modelAt is when a load of the base model is to be looked at.
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// lateSight is how late a question may be asked, or its answer be taken, for the time of a
+// load to count: a few ticks. A leader that has too little processor time, or whose calls
+// wait, sees the end of every load late; taken for the store's slowness, that had it load
+// less and less while 770 adapters waited, for as long as there was demand.
+const lateSight = 40 * time.Millisecond
+
 const (
 	// askEarly is the part of a usual load from the weight store after which an engine is
 	// first asked whether one has ended: asking costs little, and only early questions show
--- a/pkg/placer/learner_test.go
+++ b/pkg/placer/learner_test.go
@@ -61,3 +61,34 @@
 	}
 	c.Check(took <= 300*time.Millisecond, qt.IsTrue, qt.Commentf("95 in 100 after %s", took))
 }
+
+// A leader has so little processor time that it makes five plans a second, and sees the end of
+// each load late. The weight store carries as much as before and the engines keep as many
+// copies: what is learnt of them stands, or the leader would load less and less while more and
+// more is wanted, and go on so once it has its time again.
+func TestASlowLeaderDoesNotTakeTheStoreForSlow(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 30, 8)
+	store := &storeFake{width: 70}
+	for _, f := range w.fakes {
+		f.store = store
+	}
+	w.pass(100 * time.Millisecond)
+	ask := func(d time.Duration) {
+		for end := w.now.Add(d); w.now.Before(end); {
+			for range 40 {
+				adapter := name(w.random.IntN(1500))
+				w.p.Demand(w.now, adapter, 1)
+				w.p.Want(w.now, adapter, nil, w.now.Add(time.Second))
+			}
+			w.pass(100 * time.Millisecond)
+		}
+	}
+	ask(5 * time.Second)
+	before := w.p.Summary()
+	w.planEvery = 200 * time.Millisecond
+	ask(15 * time.Second)
+	after := w.p.Summary()
+	c.Check(after.MaxComing >= before.MaxComing*3/4, qt.IsTrue, qt.Commentf("%d at once, from %d", after.MaxComing, before.MaxComing))
+	c.Check(after.HostAdapters >= before.HostAdapters*3/4, qt.IsTrue, qt.Commentf("%d copies, from %d", after.HostAdapters, before.HostAdapters))
+}
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -136,6 +136,9 @@
 	if held == nil || held.state != loading {
 		return
 	}
+	if now.Sub(e.askedAt) > lateSight {
+		held.repeated = true
+	}
 	if outcome == Holds {
 		p.loaded(now, e, o.Adapter, held)
 		return
@@ -168,6 +171,9 @@
 	if held == nil || held.state != loading {
 		return
 	}
+	if now.Sub(held.begun) > lateSight {
+		held.repeated = true
+	}
 	switch outcome {
 	case Holds:
 		p.loaded(now, e, o.Adapter, held)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -254,7 +254,10 @@
 	var orders []Order
 	if o, ok := p.question(now, e); ok && !e.asking && e.reported {
 		o.addressTo(e)
-		e.asking = true
+		e.asking, e.askedAt = true, now
+		if held := e.places[o.Adapter]; now.Sub(held.at) > lateSight {
+			held.repeated = true
+		}
 		orders = append(orders, o)
 	}
 	if e.busy {
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -124,6 +124,10 @@
 	pending  []pendingOrder
 	timeouts []pendingOrder
 	orders   map[Kind]int
+	// planEvery is the time between two plans; a leader without enough processor time makes
+	// fewer of them.
+	planEvery time.Duration
+	planned   time.Time
 	// told is what gateways were told last of each engine.
 	told map[string]*wire.Holding
 }
@@ -169,6 +173,10 @@
 		for _, f := range w.fakes {
 			f.pass(w.now)
 		}
+		if w.now.Sub(w.planned) < w.planEvery {
+			continue
+		}
+		w.planned = w.now
 		for _, o := range w.p.Plan(w.now) {
 			w.orders[o.Kind]++
 			if w.random.Float64() < w.unanswered {
