--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -13,12 +13,7 @@
 // request if they had room.
 func (b *Balancer) choose(now time.Time, w *Waiter, c candidates) (best *backend, holders []*backend) {
 	for _, list := range [][]*backend{c.preferred, c.tried, c.suspects} {
-		able := list
-		if w.Adapter != "" {
-			able = b.holding(now, list, w.Adapter)
-		} else {
-			able = withModel(now, list)
-		}
+		able := b.able(now, list, w.Adapter)
 		if best := b.best(now, able); best != nil {
 			return best, append(holders, able...)
 		}
@@ -63,6 +58,14 @@
 	return c
 }
 
+// able returns those that have what a request needs: its adapter, or the base model.
+func (b *Balancer) able(now time.Time, list []*backend, adapter string) []*backend {
+	if adapter == "" {
+		return withModel(now, list)
+	}
+	return b.holding(now, list, adapter)
+}
+
 // withModel returns those that have not said just now that they lack their base model.
 func withModel(now time.Time, from []*backend) []*backend {
 	return slices.DeleteFunc(slices.Clone(from), func(k *backend) bool { return now.Before(k.absent[""]) })
