--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -170,6 +170,8 @@
 	Message string `json:"msg"`
 	Member  string
 	Voters  []string
+	// AsksControllers is set in the lines by which a gateway says how it hears of news.
+	AsksControllers *bool
 }
 
 func (y *routedSystem) logOf(n *instance) []logLine {
@@ -221,9 +223,11 @@
 }
 
 // waitServing waits until each gateway serves by the newest table.
-func (y *routedSystem) waitServing() {
+func (y *routedSystem) waitServing() { y.waitServingAt(y.gateways) }
+
+func (y *routedSystem) waitServingAt(gateways []*instance) {
 	newest := y.operator.acknowledged.Load()
-	for _, n := range y.gateways {
+	for _, n := range gateways {
 		eventually(y.c, n.name+" serves by the newest table", func() bool {
 			caller := newCaller(y, "wait-"+n.name, n)
 			defer caller.hangUp()
