--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/twitchtv/twirp"
 
 	"bronzelead.example/gateway/relayer"
 	"bronzelead.example/pkg/arranger"
@@ -252,58 +251,6 @@
 	}
 }
 
-// followRelays asks one relay for news all the time, and another one as soon as it gives
-// none.
-func (f *Follower) followRelays(ctx context.Context) {
-	transport := connector.NewTransport(nil)
-	defer transport.CloseIdleConnections()
-	r := rotation{asked: f.Clock.Now()}
-	for ctx.Err() == nil {
-		address, ok := f.relay(r.turn)
-		if !ok {
-			return
-		}
-		wait := leaderWait
-		if r.fresh {
-			// What another one knows is wanted at once.
-			wait = 0
-		}
-		client := &connector.Client{Timeout: wait + relayMargin, Transport: transport}
-		res, err := f.ask(ctx, client, address, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			f.Log.Info("a relay does not answer", "Gateway", address, "Error", err.Error())
-		} else {
-			f.take(address, res)
-		}
-		if r.next(f.Clock.Now(), res, len(f.relayList())) {
-			f.pause(ctx)
-		}
-		if err == nil && !isStale(res) {
-			f.mu.Lock()
-			f.covered = f.Clock.Now()
-			f.mu.Unlock()
-		}
-	}
-}
-
-func (f *Follower) relayList() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.relays
-}
-
-// relay returns the relay whose turn it is.
-func (f *Follower) relay(turn int) (string, bool) {
-	relays := f.relayList()
-	if len(relays) == 0 {
-		return "", false
-	}
-	return relays[turn%len(relays)], true
-}
-
 // ask asks an instance for what it has not told yet.
 func (f *Follower) ask(ctx context.Context, client *connector.Client, address string, wait time.Duration) (*wire.SyncResponse, error) {
 	req := f.prepare(address)
@@ -400,48 +347,3 @@
 	}
 	f.Log.Info("a controller answers again", "Controller", address)
 }
-
-// Acquire asks the leader to load adapters. It does not wait for the loads.
-func (f *Follower) Acquire(ctx context.Context, wants []*wire.Want) {
-	f.mu.Lock()
-	leader := f.leader
-	f.mu.Unlock()
-	if leader == "" {
-		return
-	}
-	client := &connector.Client{Timeout: acquireTimeout, Transport: f.transport()}
-	_, err := wire.NewMeshProtobufClient("http://"+leader, client).Acquire(ctx, &wire.AcquireRequest{Wants: wants, Gateway: f.Gateway})
-	f.noteAcquire(leader, err)
-	if err == nil {
-		return
-	}
-	if code, ok := err.(twirp.Error); ok && code.Code() == twirp.Unavailable {
-		f.mu.Lock()
-		if f.leader == leader {
-			f.leader = ""
-		}
-		f.mu.Unlock()
-	}
-}
-
-// noteAcquire logs the first of several requests for adapters in a row that fail, and how
-// many did once one succeeds: while there is no leader they fail dozens of times a second.
-func (f *Follower) noteAcquire(leader string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case err == nil && f.untold > 0:
-		f.Log.Info("the leader is told of adapters again", "Controller", leader, "Failed", f.untold)
-		f.untold = 0
-	case err != nil:
-		f.untold++
-		if f.untold == 1 {
-			f.Log.Info("the leader was not told of adapters that are needed", "Controller", leader, "Error", err.Error())
-		}
-	}
-}
-
-func (f *Follower) transport() *http.Transport {
-	f.acquiringOnce.Do(func() { f.acquiring = connector.NewTransport(nil) })
-	return f.acquiring
-}
