A request that waits longer than the one that was asked for is not declined with it

Cause, found by reading: a gateway asks for an adapter at most every 400 ms, for the request that came first. Declined for the time of that one, all that waited for the adapter there were refused, also one that had come later and had 400 ms more.

Change: the gateway remembers until when it asked; those that wait longer ask anew.

Test: balancer TestWhoWaitsLongerIsNotDeclined, seen failing with the change taken back.

--- a/pkg/balancer/adapters_test.go
+++ b/pkg/balancer/adapters_test.go
@@ -208,3 +208,25 @@
 	b.Done(later, "b", "", 0, Unreachable)
 	c.Check(decide(b, later, waiter("y"))["y"], qt.Equals, "a")
 }
+
+// Two requests wait for an adapter, for which only the first was asked for. It is declined
+// for the time of the first: the second one, which has come later and waits for longer, is
+// asked for anew and not refused.
+func TestWhoWaitsLongerIsNotDeclined(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b")
+	b.Enqueue(waiter("first", adapter("m/x")))
+	_, wants := b.Next(begin())
+	c.Assert(wants, qt.HasLen, 1)
+	later := waiter("second", adapter("m/x"))
+	later.GiveUp = begin().Add(1300 * time.Millisecond)
+	b.Enqueue(later)
+	_, wants = b.Next(begin().Add(300 * time.Millisecond))
+	c.Assert(wants, qt.HasLen, 0)
+	b.Decline("m/x")
+	decisions, wants := b.Next(begin().Add(350 * time.Millisecond))
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Check(decisions[0].Waiter.ID, qt.Equals, "first")
+	c.Assert(wants, qt.HasLen, 1)
+	c.Check(wants[0].GetLeftMs(), qt.Equals, uint32(950))
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -57,7 +57,15 @@
 	term      uint64
 	queue     []*Waiter
 	nextOrder uint64
-	wanted    map[string]time.Time
+	// wanted is when the leader was asked last for each adapter, and for how long.
+	wanted map[string]asked
+}
+
+// asked is a request to the leader for an adapter.
+type asked struct {
+	at time.Time
+	// until is when the request gives up for which it was made.
+	until time.Time
 }
 
 // Waiter is a request that waits for a backend server. Set the exported fields, then
@@ -308,13 +316,16 @@
 	return nil, b.want(now, w, others)
 }
 
-// Decline takes the leader's word that an adapter can't be loaded before the requests that
-// wait for it here give up. They are refused at the next decision, unless an engine has it.
+// Decline takes the leader's word that an adapter can't be loaded before the requests give
+// up for which it was asked. They are refused at the next decision, unless an engine has it.
+// Those that have come since, and wait for longer, ask anew.
 func (b *Balancer) Decline(adapter string) {
+	last := b.wanted[adapter]
 	for _, w := range b.queue {
-		w.declined = w.declined || w.Adapter == adapter
+		if w.Adapter == adapter && !w.GiveUp.After(last.until) {
+			w.declined = true
+		}
 	}
-	// Who comes from here on may ask anew.
 	delete(b.wanted, adapter)
 }
 
@@ -339,13 +350,13 @@
 
 // want asks for an adapter, unless it was asked for lately.
 func (b *Balancer) want(now time.Time, w *Waiter, candidates []*backend) *wire.Want {
-	if now.Sub(b.wanted[w.Adapter]) < wantAgainAfter {
+	if now.Sub(b.wanted[w.Adapter].at) < wantAgainAfter {
 		return nil
 	}
 	if b.wanted == nil {
-		b.wanted = map[string]time.Time{}
+		b.wanted = map[string]asked{}
 	}
-	b.wanted[w.Adapter] = now
+	b.wanted[w.Adapter] = asked{at: now, until: w.GiveUp}
 	want := &wire.Want{Adapter: w.Adapter, LeftMs: uint32(max(1, w.GiveUp.Sub(now).Milliseconds()))}
 	for _, k := range b.byService[w.Service] {
 		if !slices.Contains(candidates, k) {
