--- a/gateway/follower/tree_test.go
+++ b/gateway/follower/tree_test.go
@@ -51,24 +51,36 @@
 
 func newSystem(t *testing.T) *system {
 	list := &wire.SyncResponse{Leads: true, Term: 1, GatewaysRevision: 1}
-	s := &system{controller: &meshFake{}}
-	byAddress := map[string]*meshFake{}
-	for range 10 {
-		m := &meshFake{}
-		address := m.start(t, &wire.SyncResponse{Leads: true, Term: 1})
-		byAddress[address] = m
-		list.GatewayList = append(list.GatewayList, &wire.GatewayEntry{Address: address, Zone: "z"})
-	}
-	controller := s.controller.start(t, list)
+	byAddress := startGateways(t, list, 10, func(int) string { return "z" })
 	self := &wire.GatewayEntry{}
 	for _, self = range list.GetGatewayList() {
 		if !arranger.Arrange(list.GetGatewayList(), self).Direct {
 			break
 		}
 	}
+	s := &system{controller: &meshFake{}}
 	for _, relay := range arranger.Arrange(list.GetGatewayList(), self).Relays {
 		s.relays = append(s.relays, byAddress[relay])
 	}
+	s.follow(t, self, list)
+	return s
+}
+
+// startGateways starts gateways in zones, and adds them to a list.
+func startGateways(t *testing.T, list *wire.SyncResponse, n int, zone func(i int) string) map[string]*meshFake {
+	byAddress := map[string]*meshFake{}
+	for i := range n {
+		m := &meshFake{}
+		address := m.start(t, &wire.SyncResponse{Leads: true, Term: 1})
+		byAddress[address] = m
+		list.GatewayList = append(list.GatewayList, &wire.GatewayEntry{Address: address, Zone: zone(i)})
+	}
+	return byAddress
+}
+
+// follow starts the gateway; the controller tells the list.
+func (s *system) follow(t *testing.T, self *wire.GatewayEntry, list *wire.SyncResponse) {
+	controller := s.controller.start(t, list)
 	r := &relayer.Relayer{
 		Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"), Self: self,
 		Apply: func(string, *wire.SyncResponse) {}, Loads: func() []*wire.Load { return nil },
@@ -81,7 +93,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go s.Run(ctx)
-	return s
 }
 
 // eventually waits until something holds; the limit is only there to end a test that fails.
@@ -136,3 +147,21 @@
 	s.relays[1].answer.Store(&wire.SyncResponse{ContactAgeMs: 900})
 	eventually(t, "the controllers are asked", s.asksControllers)
 }
+
+// A gateway of a small zone asks the controllers itself. When none answers it asks a gateway
+// of another zone, and leaves it alone once a controller answers again.
+func TestAGatewayThatIsCutOffAsksOthers(t *testing.T) {
+	list := &wire.SyncResponse{Leads: true, Term: 1, GatewaysRevision: 1}
+	byAddress := startGateways(t, list, 2, func(i int) string { return []string{"z", "other"}[i] })
+	other := byAddress[list.GetGatewayList()[1].GetAddress()]
+	s := &system{controller: &meshFake{}}
+	s.follow(t, list.GetGatewayList()[0], list)
+	eventually(t, "the controller is asked", asked(s.controller))
+	s.controller.silent.Store(true)
+	eventually(t, "the gateway of the other zone is asked", asked(other))
+	if !s.asksControllers() {
+		t.Fatal("the controllers are no longer asked")
+	}
+	s.controller.silent.Store(false)
+	eventually(t, "the other gateway is left alone", func() bool { return len(s.relayList()) == 0 })
+}
