Rendezvous hashing of gateways stands in one place

The choice of relays and that of the gateway in charge of an engine had the same function twice; pkg/ranker has it, with tests of its own.

--- a/gateway/regulator/peer.go
+++ b/gateway/regulator/peer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net/http"
 	"slices"
 	"time"
 
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/ranker"
 	"bronzelead.example/pkg/retrier"
 	"bronzelead.example/pkg/wire"
 )
@@ -44,23 +44,13 @@
 		if known := r.peers[address]; known != nil && now.Before(known.aloneUntil) {
 			continue
 		}
-		if n := pairNumber(backend, address); best == "" || n > highest {
+		if n := ranker.Preference(backend, address); best == "" || n > highest {
 			best, highest = address, n
 		}
 	}
 	return best
 }
 
-func pairNumber(backend, address string) uint64 {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(backend + " " + address))
-	// The last bytes alone would hardly change the highest bits.
-	n := sum.Sum64()
-	n ^= n >> 33
-	n *= 0xff51afd7ed558ccd
-	return n ^ n>>33
-}
-
 func (r *Regulator) peer(address string) *peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/arranger/arranger.go
+++ b/pkg/arranger/arranger.go
@@ -8,10 +8,9 @@
 package arranger
 
 import (
-	"cmp"
-	"hash/fnv"
 	"slices"
 
+	"bronzelead.example/pkg/ranker"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -57,13 +56,13 @@
 	relays := relaysOf(self.GetZone(), mates)
 	place := Place{Direct: relays == nil || slices.Contains(relays, self.GetAddress())}
 	// Those of other zones come first: what cuts this gateway off may cut off its zone.
-	order(others, self.GetAddress())
-	order(mates, self.GetAddress())
+	ranker.Sort(others, self.GetAddress())
+	ranker.Sort(mates, self.GetAddress())
 	mates = slices.DeleteFunc(mates, func(address string) bool { return address == self.GetAddress() })
 	elsewhere := slices.Concat(others[:min(len(others), maxElsewhere/2)], mates)
 	place.Elsewhere = elsewhere[:min(len(elsewhere), maxElsewhere)]
 	if !place.Direct {
-		order(relays, self.GetAddress())
+		ranker.Sort(relays, self.GetAddress())
 		place.Relays = relays
 	}
 	return place
@@ -76,35 +75,7 @@
 		return nil
 	}
 	ranked := slices.Clone(gateways)
-	order(ranked, zone)
+	ranker.Sort(ranked, zone)
 	n := max(leastRelays, (len(gateways)+followersPerRelay-1)/followersPerRelay)
 	return ranked[:n]
 }
-
-// order sorts addresses as one party prefers them.
-func order(addresses []string, party string) {
-	type ranked struct {
-		address    string
-		preference uint64
-	}
-	list := make([]ranked, len(addresses))
-	for i, address := range addresses {
-		list[i] = ranked{address, preference(party, address)}
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.preference, a.preference), cmp.Compare(a.address, b.address))
-	})
-	for i, r := range list {
-		addresses[i] = r.address
-	}
-}
-
-func preference(party, address string) uint64 {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(party + " " + address))
-	// FNV mixes the last bytes poorly into the high bits.
-	n := sum.Sum64()
-	n ^= n >> 33
-	n *= 0xff51afd7ed558ccd
-	return n ^ n>>33
-}
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -25,10 +25,10 @@
 const maxWarmQueue = 6
 
 // assignWants chooses engines for adapters that requests wait for. While the weight store is
-// full those that no engine has go first. The adapter for which
-// most requests wait goes first, and among equals the one that was asked for last: when
-// not all can be loaded in time, requests that have just come can still be answered
-// within their objective, and those that have waited long can not.
+// full those that no engine has go first; then those for which most requests wait, and among
+// equals the one that was asked for last: when not all can be loaded in time, requests that
+// have just come can still be answered within their objective, and those that have waited
+// long can not. What can't be in time behind the others is declined.
 func (p *Placer) assignWants(now time.Time) {
 	full := p.storeIsFull()
 	waiting := slices.SortedFunc(maps.Keys(p.wants), func(a, b string) int {
--- /dev/null
+++ b/pkg/ranker/ranker_test.go
@@ -0,0 +1,47 @@
+package ranker
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func names(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprint("10.0.0.", i)
+	}
+	return list
+}
+
+// Many parties that choose among a few candidates spread over them.
+func TestPartiesSpread(t *testing.T) {
+	c := qt.New(t)
+	first := map[string]int{}
+	for i := range 1000 {
+		list := names(10)
+		Sort(list, fmt.Sprint("party-", i))
+		first[list[0]]++
+	}
+	c.Check(first, qt.HasLen, 10)
+	for name, n := range first {
+		c.Check(n > 50 && n < 170, qt.IsTrue, qt.Commentf("%s: %d", name, n))
+	}
+}
+
+// The order does not depend on the order before, and the loss of a candidate leaves that of
+// the others as it was.
+func TestALostCandidateChangesNothingElse(t *testing.T) {
+	c := qt.New(t)
+	whole, reversed := names(20), names(20)
+	slices.Reverse(reversed)
+	Sort(whole, "p")
+	Sort(reversed, "p")
+	c.Check(reversed, qt.DeepEquals, whole)
+	lost := whole[3]
+	rest := slices.DeleteFunc(names(20), func(name string) bool { return name == lost })
+	Sort(rest, "p")
+	c.Check(rest, qt.DeepEquals, slices.Delete(slices.Clone(whole), 3, 4))
+}
