--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -30,19 +30,7 @@
 // have just come can still be answered within their objective, and those that have waited
 // long can not. What can't be in time behind the others is declined.
 func (p *Placer) assignWants(now time.Time) {
-	full := p.storeIsFull()
-	waiting := slices.SortedFunc(maps.Keys(p.wants), func(a, b string) int {
-		if aHeld, bHeld := len(p.index[a]) > 0, len(p.index[b]) > 0; full && aHeld != bHeld {
-			return map[bool]int{true: 1, false: -1}[aHeld]
-		}
-		if n := p.wants[b].requests - p.wants[a].requests; n != 0 {
-			return n
-		}
-		if c := p.wants[b].since.Compare(p.wants[a].since); c != 0 {
-			return c
-		}
-		return compareText(a, b)
-	})
+	waiting := p.wantsInOrder()
 	misses, ahead := 0, p.queued()
 	hopeless := p.isCrowded(now, len(waiting)+ahead)
 	for _, adapter := range waiting {
@@ -71,6 +59,25 @@
 	}
 }
 
+// wantsInOrder returns the wanted adapters, those that go first before the others.
+func (p *Placer) wantsInOrder() []string {
+	full := p.storeIsFull()
+	return slices.SortedFunc(maps.Keys(p.wants), func(a, b string) int {
+		if full {
+			if aHeld, bHeld := len(p.index[a]) > 0, len(p.index[b]) > 0; aHeld != bHeld {
+				return map[bool]int{true: 1, false: -1}[aHeld]
+			}
+		}
+		if n := p.wants[b].requests - p.wants[a].requests; n != 0 {
+			return n
+		}
+		if c := p.wants[b].since.Compare(p.wants[a].since); c != 0 {
+			return c
+		}
+		return compareText(a, b)
+	})
+}
+
 // maxMisses bounds the adapters for which a plan looks for an engine in vain: when the
 // queues are full, hundreds may wait, and a plan must not take longer for it.
 const maxMisses = 32
