--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -53,9 +53,9 @@
 		c.gateways[req.GetGateway()] = g
 	}
 	g.seen = now
-	c.loads.Add(g.loads, -1)
+	c.loads.Remove(g.loads)
 	g.loads = req.GetLoads()
-	c.loads.Add(g.loads, 1)
+	c.loads.Add(g.loads)
 	if g.entry.GetAddress() != req.GetAddress() || g.entry.GetZone() != req.GetZone() {
 		g.entry = &wire.GatewayEntry{Address: req.GetAddress(), Zone: req.GetZone()}
 		c.roster.stale = true
@@ -73,7 +73,7 @@
 func (c *Curator) forgetGateways(now time.Time) {
 	for name, g := range c.gateways {
 		if now.Sub(g.seen) > gatewayLease {
-			c.loads.Add(g.loads, -1)
+			c.loads.Remove(g.loads)
 			delete(c.gateways, name)
 			c.roster.stale = true
 		}
--- a/pkg/spreader/followers.go
+++ b/pkg/spreader/followers.go
@@ -34,9 +34,9 @@
 		s.followers[req.GetGateway()] = f
 	}
 	f.seen = now
-	s.inside.Add(f.loads, -1)
+	s.inside.Remove(f.loads)
 	f.loads = req.GetLoads()
-	s.inside.Add(f.loads, 1)
+	s.inside.Add(f.loads)
 	isNew := f.entry.GetAddress() != req.GetAddress() || f.entry.GetZone() != req.GetZone()
 	f.entry = &wire.GatewayEntry{Address: req.GetAddress(), Zone: req.GetZone()}
 	if len(req.GetMembers()) > 0 || req.GetMembersRevision() == 0 {
@@ -63,7 +63,7 @@
 func (s *Spreader) Tick(now time.Time) {
 	for name, f := range s.followers {
 		if now.Sub(f.seen) > FollowerLease {
-			s.inside.Add(f.loads, -1)
+			s.inside.Remove(f.loads)
 			delete(s.followers, name)
 			s.countMembers()
 			continue
--- a/pkg/spreader/sum.go
+++ b/pkg/spreader/sum.go
@@ -11,6 +11,8 @@
 type Sum struct{ backends map[string]*total }
 
 type total struct {
+	// entries counts the loads that were added and not removed.
+	entries  int
 	requests uint32
 	// adapters counts the gateways whose requests use each adapter.
 	adapters map[string]int
@@ -19,25 +21,33 @@
 // NewSum returns a sum of no loads.
 func NewSum() *Sum { return &Sum{backends: map[string]*total{}} }
 
-// Add adds the loads of one gateway, or takes them off with a sign of -1.
-func (s *Sum) Add(loads []*wire.Load, sign int) {
+// Add adds the loads of one gateway.
+func (s *Sum) Add(loads []*wire.Load) {
 	for _, l := range loads {
 		t := s.backends[l.GetBackend()]
 		if t == nil {
 			t = &total{adapters: map[string]int{}}
 			s.backends[l.GetBackend()] = t
 		}
-		if sign < 0 {
-			t.requests -= l.GetRequests()
-		} else {
-			t.requests += l.GetRequests()
+		t.entries++
+		t.requests += l.GetRequests()
+		for _, adapter := range l.GetAdapters() {
+			t.adapters[adapter]++
 		}
+	}
+}
+
+// Remove takes off the loads of one gateway, which must be what was added for it.
+func (s *Sum) Remove(loads []*wire.Load) {
+	for _, l := range loads {
+		t := s.backends[l.GetBackend()]
+		t.requests -= l.GetRequests()
 		for _, adapter := range l.GetAdapters() {
-			if t.adapters[adapter] += sign; t.adapters[adapter] == 0 {
+			if t.adapters[adapter]--; t.adapters[adapter] == 0 {
 				delete(t.adapters, adapter)
 			}
 		}
-		if t.requests == 0 && len(t.adapters) == 0 {
+		if t.entries--; t.entries == 0 {
 			delete(s.backends, l.GetBackend())
 		}
 	}
@@ -53,8 +63,8 @@
 
 // With returns the sum together with one gateway's loads, as a list.
 func (s *Sum) With(own []*wire.Load) []*wire.Load {
-	s.Add(own, 1)
-	defer s.Add(own, -1)
+	s.Add(own)
+	defer s.Remove(own)
 	loads := make([]*wire.Load, 0, len(s.backends))
 	for backend, t := range s.backends {
 		l := &wire.Load{Backend: backend, Requests: t.requests, Adapters: make([]string, 0, len(t.adapters))}
--- /dev/null
+++ b/pkg/spreader/sum_test.go
@@ -0,0 +1,80 @@
+package spreader
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// Whatever gateways tell one after the other, also with a backend server or an adapter twice
+// and with nothing running, the sum is that of their latest words, and nothing is left when
+// all have gone.
+func TestSumsFollowTheLatestWords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewSum()
+		latest := map[int][]*wire.Load{}
+		for range rapid.IntRange(0, 30).Draw(t, "words") {
+			gateway := rapid.IntRange(0, 3).Draw(t, "gateway")
+			var loads []*wire.Load
+			for range rapid.IntRange(0, 4).Draw(t, "loads") {
+				l := &wire.Load{
+					Backend:  fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "backend")),
+					Requests: rapid.Uint32Range(0, 3).Draw(t, "requests"),
+					Adapters: rapid.SliceOfN(rapid.SampledFrom([]string{"m/x", "m/y"}), 0, 3).Draw(t, "adapters"),
+				}
+				loads = append(loads, l)
+			}
+			s.Remove(latest[gateway])
+			latest[gateway] = loads
+			s.Add(loads)
+			check(t, s, latest)
+		}
+		for _, loads := range latest {
+			s.Remove(loads)
+		}
+		if len(s.backends) > 0 {
+			t.Fatalf("%d backend servers are left", len(s.backends))
+		}
+	})
+}
+
+// check compares a sum with one that is made anew.
+func check(t *rapid.T, s *Sum, latest map[int][]*wire.Load) {
+	requests, adapters := map[string]uint32{}, map[string]map[string]int{}
+	for _, loads := range latest {
+		for _, l := range loads {
+			requests[l.GetBackend()] += l.GetRequests()
+			if adapters[l.GetBackend()] == nil {
+				adapters[l.GetBackend()] = map[string]int{}
+			}
+			for _, adapter := range l.GetAdapters() {
+				adapters[l.GetBackend()][adapter]++
+			}
+		}
+	}
+	s.Each(func(backend string, n uint32, used map[string]int) {
+		if n != requests[backend] || fmt.Sprint(used) != fmt.Sprint(adapters[backend]) {
+			t.Fatalf("%s has %d and %v, not %d and %v", backend, n, used, requests[backend], adapters[backend])
+		}
+		delete(requests, backend)
+	})
+	for backend, n := range requests {
+		if n > 0 {
+			t.Fatalf("%s is missing", backend)
+		}
+	}
+}
+
+// A gateway's loads on top of the followers' are told without changing the sum.
+func TestOwnLoadsLeaveTheSumAlone(t *testing.T) {
+	c := qt.New(t)
+	s := NewSum()
+	s.Add([]*wire.Load{load("e", 2, "m/x")})
+	c.Check(s.With([]*wire.Load{load("e", 1, "m/y"), load("f", 1)}), qt.HasLen, 2)
+	c.Check(s.With(nil), qt.HasLen, 1)
+	c.Check(s.With(nil)[0].GetRequests(), qt.Equals, uint32(2))
+}
