The engine of the placer's tests reports what is on its way

Traced: a load is lost for over 3 s, so that the engine's state is asked for; the fake's report left out the adapters on their way, which an engine's report has, and the placer filled their places again. The numbers of orders that real reports carry are of the same moment as their lists, so that an old report leads to a conflict and not to one load too many.

Change: the fake reports what is coming. The check itself is as before.

--- a/pkg/placer/world_test.go
+++ b/pkg/placer/world_test.go
@@ -71,6 +71,10 @@
 		for adapter, version := range e.held {
 			state.Adapters = append(state.Adapters, adapter+"@"+strconv.FormatUint(version, 10))
 		}
+		for adapter := range e.coming {
+			// What is on its way counts for the places, and an engine's report has it.
+			state.Coming = append(state.Coming, adapter+"@0")
+		}
 		return Holds, state
 	}
 	_, coming := e.coming[o.Adapter]
