--- a/pkg/arranger/arranger.go
+++ b/pkg/arranger/arranger.go
@@ -18,8 +18,8 @@
 	// directPerZone is the number of gateways of a zone up to which all of them ask the
 	// controllers: with so few a further hop only makes news older.
 	directPerZone = 8
-	// followersPerRelay is how many gateways one relay is to serve. News are about 20 KB/s
-	// for each follower at 300 loads of adapters a second, so that 16 take a third of the
+	// followersPerRelay is how many gateways one relay is to serve. Of 195 gateways the
+	// busiest, a relay with some 14 followers, sent 350 KB/s in all over 10 s, 2.8 of the
 	// 10 Mbit/s of the smallest instances.
 	followersPerRelay = 16
 	// leastRelays leaves a zone a relay when it loses one.
