--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -41,8 +41,8 @@
 
 // lateSight is how late a question may be asked, or its answer be taken, for the time of a
 // load to count: a few ticks. A leader that has too little processor time, or whose calls
-// wait, sees the end of every load late; taken for the store's slowness, that had it load
-// less and less while 770 adapters waited, for as long as there was demand.
+// wait, sees the end of every load late. With five plans a second it learnt within 15 s that
+// engines keep 32 copies of weights where it had learnt 128 (virtual time).
 const lateSight = 40 * time.Millisecond
 
 const (
