--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -40,7 +40,7 @@
 	}
 	defer f.promptDropped(j)
 	j.sends++
-	j.last = d.Backend
+	j.last, j.sentAt = d.Backend, f.Clock.Now()
 	in, err := f.Sender.Send(ctx, f.outgoing(j, d))
 	if err != nil {
 		return f.failed(ctx, j, d.Backend, err)
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -30,10 +30,11 @@
 	leaves time.Time
 	avoid  []string
 	// sends counts the tries, and runs those that may have run; last is where the latest
-	// went.
-	sends int
-	runs  int
-	last  *wire.Announcement
+	// went, at sentAt.
+	sends  int
+	runs   int
+	last   *wire.Announcement
+	sentAt time.Time
 	// resume is the last event that the caller has got; empty before the first.
 	resume string
 	waited time.Duration
