A failing test: one request ends backend server after backend server

A caller sends the same request again and again, to any of three gateways, and each of four backend servers ends when it begins to run it.

--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -19,29 +19,44 @@
 
 // backendStandIn is a backend server of the test's own. It notes each run.
 type backendStandIn struct {
-	y        *routedSystem
-	id       string
-	cable    *link
+	y  *routedSystem
+	id string
+	// cable is what lies before it, if anything does.
+	cable *link
+	// address is where it announces itself.
+	address  string
 	server   *http.Server
 	draining atomic.Bool
 	sequence atomic.Uint64
 	// acknowledged counts announcements that were, and runs the requests that ran here.
 	acknowledged atomic.Int32
 	runs         atomic.Int32
+	// fatal reports whether a request ends it; nil if none does. Crash is what happens then.
+	fatal func(body string) bool
+	crash func()
+	// end stops its announcements.
+	end context.CancelFunc
 }
 
 func startBackend(y *routedSystem, id string) *backendStandIn {
 	at := freePort(y.c)
-	b := &backendStandIn{y: y, id: id, cable: newLink(y.c, at)}
+	cable := newLink(y.c, at)
+	b := &backendStandIn{y: y, id: id, cable: cable, address: cable.address}
+	b.start(at)
+	return b
+}
+
+// start serves at an address and announces the server.
+func (b *backendStandIn) start(at string) {
 	b.server = &http.Server{Addr: at, Handler: b, ReadHeaderTimeout: time.Minute}
 	go func() { _ = b.server.ListenAndServe() }()
 	ctx, cancel := context.WithCancel(context.Background())
+	b.end = cancel
 	go b.announce(ctx)
-	y.c.Cleanup(func() {
+	b.y.c.Cleanup(func() {
 		cancel()
 		_ = b.server.Close()
 	})
-	return b
 }
 
 // announce says all the time where the server is, to any controller that answers.
@@ -49,7 +64,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
 		path, body, err := platform.StandInHeartbeat(&wire.Announcement{
-			Name: b.id, Service: "s", Address: b.cable.address, Zone: "z", Slots: 16,
+			Name: b.id, Service: "s", Address: b.address, Zone: "z", Slots: 16,
 			Sequence: b.sequence.Add(1), Draining: b.draining.Load(),
 		})
 		if err != nil {
@@ -93,6 +108,10 @@
 	}
 	b.runs.Add(1)
 	b.y.ledger.ran(id, r.Method+" "+r.RequestURI+" "+string(body))
+	if b.fatal != nil && b.fatal(string(body)) {
+		b.crash()
+		return
+	}
 	select {
 	case <-r.Context().Done():
 	case <-time.After(workTime):
--- a/proof/routed_callers_test.go
+++ b/proof/routed_callers_test.go
@@ -72,11 +72,17 @@
 	complete bool
 }
 
-// ask sends one request and checks the answer.
-func (l *caller) ask(path string) seen {
+// ask sends one request of its own and checks the answer.
+func (l *caller) ask(path string) seen { return l.askWith(path, "") }
+
+// askWith sends a request with a body, which others may have too; "" makes one that no other
+// has.
+func (l *caller) askWith(path, body string) seen {
 	l.count++
 	id := fmt.Sprintf("%s-%d-%d", l.name, time.Now().UnixNano(), l.count)
-	body := "order " + id
+	if body == "" {
+		body = "order " + id
+	}
 	l.y.ledger.asked(id, "POST "+path+" "+body)
 	if l.conn == nil {
 		conn, err := net.DialTimeout("tcp", l.to.at, time.Second)
--- /dev/null
+++ b/proof/routed_crash_test.go
@@ -0,0 +1,118 @@
+package proof
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A request ended every backend server that began to run it, and its caller sent it again
+// for a minute, to any gateway. Each gateway knew only its own tries, and took each new try of
+// the caller for another request: 35 backend servers ended, 17 of them more than 3 s after
+// the third. Everything else that ran there was lost with it. The lines that a gateway wrote
+// about one of these tries name no more than the try:
+//
+//	"RequestID":"cd102a6bba0bcbca","Backend":"i-c02b92c459","Outcome":"the answer was lost; sent again: framer: Body: EOF"
+//	"RequestID":"cd102a6bba0bcbca","Backend":"i-c02b92c459","Outcome":"the backend server could not be reached: … connection refused"
+//
+// Here a caller does the same to three gateways, while others ask for what harms nobody.
+func TestRoutedARequestThatEndsBackendServersIsHeldBack(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startEmpty(c, 3, 3)
+	herd := startFragile(y, 4)
+	y.settle()
+	crowd := startCrowd(y, 4, 11)
+	y.waitServed(40)
+	y.sendFatal(herd, func() bool { return herd.ended() >= knownFatal })
+	thirdAt := time.Now()
+	// The gateways have the time to hear of it from each other.
+	y.sendFatal(herd, func() bool { return time.Since(thirdAt) > contact })
+	before := herd.ended()
+	for range 30 {
+		y.sendFatal(herd, func() bool { return true })
+	}
+	more := herd.ended() - before
+	c.Check(more <= mostRetries, qt.IsTrue, qt.Commentf("%d more backend servers ended, %d in all", more, herd.ended()))
+	served := y.ledger.servedSoFar()
+	y.waitServed(200)
+	crowd.stop()
+	c.Logf("%d backend servers ended, %d requests served before and %d after", herd.ended(), served, y.ledger.servedSoFar()-served)
+	y.ledger.check(c)
+}
+
+const (
+	// knownFatal is how many backend servers may end under a request before it counts as one
+	// that ends them; contact is how long gateways may take to hear of it, and mostRetries
+	// how often it may reach backend servers all the same.
+	knownFatal  = 3
+	contact     = 3 * time.Second
+	mostRetries = 3
+)
+
+// fatalBody is the body of the request under which fragile backend servers end.
+const fatalBody = "ends whoever runs it"
+
+// sendFatal lets one caller send the fatal request to the gateways in turn, at least once,
+// until a condition holds.
+func (y *routedSystem) sendFatal(herd *fragileHerd, enough func() bool) {
+	for {
+		herd.sent++
+		l := newCaller(y, "fatal", y.gateways[herd.sent%len(y.gateways)])
+		l.askWith(string(idempotent)+"x", fatalBody)
+		l.hangUp()
+		if enough() {
+			return
+		}
+	}
+}
+
+// fragileHerd is backend servers that end when they begin to run the fatal request, and
+// start again at their addresses.
+type fragileHerd struct {
+	y    *routedSystem
+	sent int
+
+	mu     sync.Mutex
+	ends   int
+	starts int
+}
+
+func startFragile(y *routedSystem, servers int) *fragileHerd {
+	herd := &fragileHerd{y: y}
+	for range servers {
+		herd.start(freePort(y.c))
+	}
+	return herd
+}
+
+// start starts a backend server at an address, as one that nobody knows yet.
+func (h *fragileHerd) start(at string) {
+	h.mu.Lock()
+	h.starts++
+	b := &backendStandIn{y: h.y, id: fmt.Sprintf("fragile-%d", h.starts), address: at}
+	h.mu.Unlock()
+	var once sync.Once
+	b.fatal = func(body string) bool { return body == fatalBody }
+	b.crash = func() { once.Do(func() { h.crash(b, at) }) }
+	b.start(at)
+}
+
+// crash ends a backend server with all that it runs; another start follows.
+func (h *fragileHerd) crash(b *backendStandIn, at string) {
+	h.mu.Lock()
+	h.ends++
+	h.mu.Unlock()
+	b.end()
+	_ = b.server.Close()
+	h.start(at)
+}
+
+func (h *fragileHerd) ended() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ends
+}
--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -44,6 +44,16 @@
 }
 
 func startRouted(c *qt.C, controllers, gateways, backends int) *routedSystem {
+	y := startEmpty(c, controllers, gateways)
+	for i := range backends {
+		y.backends = append(y.backends, startBackend(y, fmt.Sprintf("b%d", i)))
+	}
+	y.settle()
+	return y
+}
+
+// startEmpty starts a system without backend servers.
+func startEmpty(c *qt.C, controllers, gateways int) *routedSystem {
 	y := &routedSystem{c: c, folder: c.TempDir(), ledger: newLedger()}
 	_, y.port, _ = net.SplitHostPort(freePort(c))
 	c.Cleanup(y.end)
@@ -59,13 +69,14 @@
 		y.gateways = append(y.gateways, y.startGateway())
 	}
 	y.operator = newOperator(y)
-	for i := range backends {
-		y.backends = append(y.backends, startBackend(y, fmt.Sprintf("b%d", i)))
-	}
+	return y
+}
+
+// settle puts a first table into force and waits until all is in order.
+func (y *routedSystem) settle() {
 	y.operator.put()
-	eventually(c, "all controllers vote", y.settled)
+	eventually(y.c, "all controllers vote", y.settled)
 	y.waitServing()
-	return y
 }
 
 func (y *routedSystem) path(name string) string { return filepath.Join(y.folder, name) }
