A request is known by its content, whoever sends it, and by its content and caller

Cause: the request came from many addresses, so that the caller's address in its fingerprint made each of them another request, and none was ever blamed three times.

Change: two fingerprints. The content alone, since a backend server ends of what it runs; and content and caller, since a read without a body that many get may be fatal from one. A completed run speaks for each by itself.

--- a/controller/curator/isolation.go
+++ b/controller/curator/isolation.go
@@ -132,7 +132,7 @@
 		age := max(0, now.Sub(time.Unix(0, h.GetHeldAtNs())))
 		s := &wire.Suspect{Fingerprint: h.GetFingerprint(), Held: true, LeftS: uint32(max(1, (recorder.HoldFor - age).Seconds()))}
 		if h.GetOnTrial() {
-			s.TrialAt = c.trialAt(h.GetFingerprint())
+			s.TrialAt = c.trialAt(h.GetPlace())
 		}
 		list = append(list, s)
 	}
@@ -144,8 +144,9 @@
 	return list
 }
 
-// trialAt returns the one gateway that may try a request again, so that there are no two.
-func (c *Curator) trialAt(fingerprint string) string {
+// trialAt returns the one gateway that may try again what is asked for at a place, so that
+// there are no two, by whichever fingerprint it is held.
+func (c *Curator) trialAt(place string) string {
 	var addresses []string
 	for _, g := range c.roster.list {
 		addresses = append(addresses, g.GetAddress())
@@ -153,7 +154,7 @@
 	if len(addresses) == 0 {
 		return ""
 	}
-	ranker.Sort(addresses, fingerprint)
+	ranker.Sort(addresses, place)
 	return addresses[0]
 }
 
--- a/gateway/forwarder/isolation.go
+++ b/gateway/forwarder/isolation.go
@@ -16,13 +16,13 @@
 // maxPlace bounds the part of a path that is told to operators.
 const maxPlace = 200
 
-// fingerprint names the request whichever attempt it is. It is worked out at most once, and
-// only if it is asked for.
-func (j *job) fingerprint() string {
-	if j.print == "" {
-		j.print = fingerprint(j.req)
+// prints returns the fingerprints of the request. They are worked out at most once, and
+// only if they are asked for.
+func (j *job) prints() []string {
+	if j.fingerprints.content == "" {
+		j.fingerprints = fingerprintsOf(j.req)
 	}
-	return j.print
+	return j.fingerprints.all()
 }
 
 // place is where a request is asked for, without what its query says.
@@ -34,11 +34,11 @@
 
 // isolated refuses a request that ends backend servers, and reports whether it did.
 func (f *Forwarder) isolated(j *job) bool {
-	if j.onTrial {
+	if j.trial != "" {
 		return false
 	}
-	verdict := f.Isolator.Check(j.fingerprint)
-	j.onTrial = verdict.Trial
+	verdict := f.Isolator.Check(j.prints)
+	j.trial = verdict.Trial
 	if !verdict.Held {
 		return false
 	}
@@ -49,15 +49,15 @@
 
 // endTrial ends the trial of a request, if it was one.
 func (f *Forwarder) endTrial(j *job) {
-	if j.onTrial {
-		f.Isolator.EndTrial(j.fingerprint(), !j.completed)
+	if j.trial != "" {
+		f.Isolator.EndTrial(j.trial, !j.completed)
 	}
 }
 
 // lostRun tells of a run that ended without a whole answer.
 func (f *Forwarder) lostRun(j *job, backend *wire.Announcement) {
-	f.Isolator.Lost(&wire.RunReport{
-		Fingerprint: j.fingerprint(), Service: j.service, Model: j.about.Model, Place: j.place(), Caller: callerOf(j.req),
+	f.Isolator.Lost(j.prints, &wire.RunReport{
+		Service: j.service, Model: j.about.Model, Place: j.place(), Caller: callerOf(j.req),
 		Backend: backend.GetId(), Begun: j.begunAt == j.sends && j.sends > 0, RanMs: uint32(f.Clock.Since(j.sentAt).Milliseconds()),
 	}, backend.GetAddress())
 }
@@ -65,14 +65,14 @@
 // completedRun tells of a run that was answered whole.
 func (f *Forwarder) completedRun(j *job, backend *wire.Announcement) {
 	j.completed = true
-	f.Isolator.Completed(j.fingerprint, backend.GetId())
+	f.Isolator.Completed(j.prints, backend.GetId())
 }
 
 // mayEndMore reports whether a request is better not sent again by the gateway itself: more
 // than one backend server has ended under it. Its caller may, and is served if it was not
 // the cause.
 func (f *Forwarder) mayEndMore(j *job) bool {
-	return j.onTrial || f.Isolator.Suspected(j.fingerprint)
+	return j.trial != "" || f.Isolator.Suspected(j.prints)
 }
 
 // probeTimeout bounds the question whether anything listens at an address.
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -43,14 +43,15 @@
 	sendBy time.Time
 	// prompt is what its engine has to read; nil if it has none.
 	prompt *prompt
-	// print is its fingerprint, once that was asked for.
-	print string
+	// fingerprints name it whichever attempt it is, once that was asked for.
+	fingerprints fingerprints
 	// begunAt is the try of which a part of the answer has come last, and completed is set
 	// once the answer was whole.
 	begunAt   int
 	completed bool
-	// onTrial is set while it is held back, and runs once to see whether that is still right.
-	onTrial bool
+	// trial is the fingerprint by which it is held back, if it runs once all the same to see
+	// whether that is still right.
+	trial string
 }
 
 // Handle answers a request.
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -48,7 +48,7 @@
 		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
 	}
 	if j.sends > 0 {
-		list = append(list, "Fingerprint", j.fingerprint(), "SinceSent", f.Clock.Since(j.sentAt).Milliseconds())
+		list = append(list, "Fingerprint", j.prints()[0], "SinceSent", f.Clock.Since(j.sentAt).Milliseconds())
 	}
 	return append(list, more...)
 }
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"bronzelead.example/pkg/quarantiner"
 	"bronzelead.example/pkg/wire"
@@ -63,9 +65,9 @@
 	// Held is set if it must not be sent; Left is for how long.
 	Held bool
 	Left time.Duration
-	// Trial is set if it may be sent once, to see whether it still ends what runs it. End the
-	// trial with EndTrial.
-	Trial bool
+	// Trial is the fingerprint by which it is held, if it may be sent once to see whether it
+	// still ends what runs it. End the trial with EndTrial.
+	Trial string
 }
 
 // Init prepares the isolator for use.
@@ -115,27 +117,42 @@
 // alone reports whether this gateway has to go by what it knows itself.
 func (i *Isolator) alone() bool { return i.WordAge != nil && i.WordAge() > staleWord }
 
-// Check says what is to become of a request that is about to be sent. The fingerprint is
+// Check says what is to become of a request that is about to be sent. Its fingerprints are
 // asked for only while any request is known here.
-func (i *Isolator) Check(fingerprint func() string) Verdict {
+func (i *Isolator) Check(prints func() []string) Verdict {
 	if !i.active.Load() {
 		return Verdict{}
 	}
-	key := fingerprint()
+	list := prints()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.heldHere[key] && i.alone() {
+	verdict := Verdict{}
+	for _, fingerprint := range list {
+		if v := i.check(fingerprint); v.Held || v.Trial != "" {
+			verdict = v
+		}
+		if verdict.Held {
+			return verdict
+		}
+	}
+	if verdict.Trial != "" {
+		i.trials[verdict.Trial] = true
+	}
+	return verdict
+}
+
+func (i *Isolator) check(fingerprint string) Verdict {
+	if i.heldHere[fingerprint] && i.alone() {
 		return Verdict{Held: true, Left: heldHereFor}
 	}
-	s := i.suspects[key]
-	if !s.GetHeld() {
+	s := i.suspects[fingerprint]
+	switch {
+	case !s.GetHeld():
 		return Verdict{}
-	}
-	if s.GetTrialAt() != i.Self || i.failed[key] || i.trials[key] {
+	case s.GetTrialAt() != i.Self || i.failed[fingerprint] || i.trials[fingerprint]:
 		return Verdict{Held: true, Left: time.Duration(s.GetLeftS()) * time.Second}
 	}
-	i.trials[key] = true
-	return Verdict{Trial: true}
+	return Verdict{Trial: fingerprint}
 }
 
 // EndTrial ends the trial of a request; lost says that it was not answered whole.
@@ -147,24 +164,32 @@
 }
 
 // Suspected reports whether backend servers have ended under a request more than once.
-func (i *Isolator) Suspected(fingerprint func() string) bool {
+func (i *Isolator) Suspected(prints func() []string) bool {
 	if !i.active.Load() {
 		return false
 	}
-	key := fingerprint()
+	list := prints()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.suspects[key] != nil || i.judge.Ends(key) >= quarantiner.SuspectEnds
+	return slices.ContainsFunc(list, func(fingerprint string) bool {
+		return i.suspects[fingerprint] != nil || i.judge.Ends(fingerprint) >= quarantiner.SuspectEnds
+	})
 }
 
-// Lost notes that a run was lost, and finds out whether the process has ended.
-func (i *Isolator) Lost(report *wire.RunReport, address string) {
+// Lost notes that a run was lost, and finds out whether the process has ended. The report
+// is of each of the request's fingerprints.
+func (i *Isolator) Lost(prints func() []string, report *wire.RunReport, address string) {
+	list := prints()
 	backend := report.GetBackend()
 	now := i.Clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.active.Store(true)
-	i.witness.Lose(now, report)
+	for _, fingerprint := range list {
+		r := proto.CloneOf(report)
+		r.Fingerprint = fingerprint
+		i.witness.Lose(now, r)
+	}
 	i.feed(now)
 	if !i.witness.Waits(backend) || i.probing[backend] {
 		return
@@ -223,18 +248,20 @@
 }
 
 // Completed notes a run that was answered whole, if anything speaks against its request.
-func (i *Isolator) Completed(fingerprint func() string, backend string) {
+func (i *Isolator) Completed(prints func() []string, backend string) {
 	if !i.active.Load() {
 		return
 	}
-	key, now := fingerprint(), i.Clock.Now()
+	list, now := prints(), i.Clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.suspects[key] == nil && i.judge.Ends(key) == 0 {
-		return
+	for _, fingerprint := range list {
+		if i.suspects[fingerprint] == nil && i.judge.Ends(fingerprint) == 0 {
+			continue
+		}
+		delete(i.heldHere, fingerprint)
+		i.witness.Completed(now, &wire.RunReport{Fingerprint: fingerprint, Backend: backend})
 	}
-	delete(i.heldHere, key)
-	i.witness.Completed(now, &wire.RunReport{Fingerprint: key, Backend: backend})
 	i.feed(now)
 }
 
