Tests of what holds requests back, part by part; a new leader tells its list at once

Cause: the tests found two faults. A leader that had just begun waited up to a second before it told of what is held, since its list was not marked as one to be made anew; and a gateway that knows no address of its own took every hold for a trial of its own.

Change: begin marks the list; without an address there is no trial.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -289,6 +289,7 @@
 	c.placer = placer.NewWith(c.knowledge)
 	c.placer.Begin(term)
 	c.holdings.Begin(c.placer.Revision())
+	c.isolation.stale = true
 	c.placer.SetTable(c.state.Table().GetTable())
 	for _, a := range c.tracker.All() {
 		c.placer.SetEngine(a)
--- a/controller/curator/curator_test.go
+++ b/controller/curator/curator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	standing keeper.Standing
 	index    uint64
 	in       chan keeper.Item
+	mu       sync.Mutex
 }
 
 func (k *keeperFake) Standing() *keeper.Standing { return &k.standing }
@@ -29,11 +31,18 @@
 func (k *keeperFake) Compact(uint64, []byte)     {}
 
 func (k *keeperFake) Propose(_ context.Context, cmd *wire.Command) (recorder.Result, error) {
-	k.in <- keeper.Item{Applied: []keeper.Applied{k.entry(cmd)}}
+	k.in <- k.item(cmd)
 	return recorder.Result{}, nil
 }
 
+// item is a committed command.
+func (k *keeperFake) item(cmd *wire.Command) keeper.Item {
+	return keeper.Item{Applied: []keeper.Applied{k.entry(cmd)}}
+}
+
 func (k *keeperFake) entry(cmd *wire.Command) keeper.Applied {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.index++
 	data, err := proto.Marshal(cmd)
 	if err != nil {
--- a/gateway/forwarder/harness_test.go
+++ b/gateway/forwarder/harness_test.go
@@ -124,3 +124,11 @@
 	heads := strings.Count(raw.String(), "HTTP/1.1 ")
 	return got{status: res.StatusCode, header: res.Header, body: string(body), complete: err == nil, heads: heads}
 }
+
+// asked is the request that call sends, as the door reads it.
+func asked(target string) *doorkeeper.Request {
+	return &doorkeeper.Request{
+		Head: &framer.RequestHead{Method: "POST", Target: target, Header: framer.Header{{Name: "Host", Value: "h"}}},
+		Body: []byte("hi"), Caller: "127.0.0.1:1",
+	}
+}
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -149,7 +149,7 @@
 	switch {
 	case !s.GetHeld():
 		return Verdict{}
-	case s.GetTrialAt() != i.Self || i.failed[fingerprint] || i.trials[fingerprint]:
+	case s.GetTrialAt() == "" || s.GetTrialAt() != i.Self || i.failed[fingerprint] || i.trials[fingerprint]:
 		return Verdict{Held: true, Left: time.Duration(s.GetLeftS()) * time.Second}
 	}
 	return Verdict{Trial: fingerprint}
--- a/pkg/spreader/spreader_test.go
+++ b/pkg/spreader/spreader_test.go
@@ -226,3 +226,36 @@
 	c.Check(s.Due(begin(), known), qt.IsFalse)
 	c.Check(s.Answer(begin(), call("b"), nil).GetDeclined(), qt.HasLen, 0)
 }
+
+// The leader's list of suspects goes to all followers, soon and once; an older one, which
+// comes late by another way, changes nothing.
+func TestSuspectsArePassedOn(t *testing.T) {
+	c := qt.New(t)
+	s := newSpreader()
+	asks := func(known uint64) *wire.SyncRequest {
+		req := call("a")
+		req.SuspectsRevision = known
+		s.Ask(begin(), req)
+		return req
+	}
+	c.Check(s.hasUrgentNews(asks(0)), qt.IsFalse)
+	hear := func(revision uint64, names ...string) {
+		heard := fromLeader(0)
+		heard.SuspectsRevision = revision
+		for _, name := range names {
+			heard.Suspects = append(heard.Suspects, &wire.Suspect{Fingerprint: name, Held: true})
+		}
+		s.Hear(begin(), heard)
+	}
+	hear(5, "f", "g")
+	c.Check(s.hasUrgentNews(asks(0)), qt.IsTrue)
+	c.Check(s.Answer(begin(), asks(0), nil).GetSuspects(), qt.HasLen, 2)
+	hear(4, "f")
+	c.Check(s.SuspectsRevision(), qt.Equals, uint64(5))
+	c.Check(s.hasUrgentNews(asks(5)), qt.IsFalse)
+	c.Check(s.Answer(begin(), asks(5), nil).GetSuspects(), qt.HasLen, 0)
+	hear(6)
+	c.Check(s.hasUrgentNews(asks(5)), qt.IsTrue)
+	c.Check(s.Answer(begin(), asks(5), nil).GetSuspects(), qt.HasLen, 0)
+	c.Check(s.hasUrgentNews(asks(0)), qt.IsFalse, qt.Commentf("that there are none is no news to one that knows none"))
+}
