The controllers' judging of requests stands in a package of its own

arbiter holds what the curator had, so that the contracts' mode can use it; fingerprints stand with the isolator for the same reason. What is held back and released is counted (held_requests). Tests unchanged but for the place of fingerprints'.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -15,10 +15,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"bronzelead.example/controller/arbiter"
 	"bronzelead.example/controller/keeper"
 	"bronzelead.example/pkg/caller"
 	"bronzelead.example/pkg/placer"
-	"bronzelead.example/pkg/quarantiner"
 	"bronzelead.example/pkg/recorder"
 	"bronzelead.example/pkg/spreader"
 	"bronzelead.example/pkg/tracker"
@@ -70,6 +70,9 @@
 	Relay func(announcements []*wire.Announcement)
 	// Controllers returns the addresses of all controllers.
 	Controllers func() []string
+	// CountHeld counts requests that are held back, and those that no longer are; nil counts
+	// nothing.
+	CountHeld func(change string)
 
 	Policy placer.Policy
 	// SilentAfter is the time without an announcement after which a backend server counts
@@ -103,8 +106,8 @@
 	loads    *spreader.Sum
 	roster   roster
 	// holdings are what the placer has said that engines hold.
-	holdings  *spreader.Holdings
-	isolation isolation
+	holdings *spreader.Holdings
+	arbiter  arbiter.Arbiter
 	// knowledge is what the leader has learnt, this one or another, whose holdings are heard.
 	knowledge *placer.Knowledge
 	heard     *spreader.Holdings
@@ -148,7 +151,7 @@
 	c.gateways = map[string]*gatewayState{}
 	c.loads = spreader.NewSum()
 	c.holdings = spreader.NewHoldings()
-	c.isolation.judge = quarantiner.New()
+	c.initArbiter()
 	c.knowledge = placer.NewKnowledge(c.Policy)
 	c.heard = spreader.NewHoldings()
 }
@@ -192,7 +195,7 @@
 		}
 	}
 	c.versionsChanged()
-	c.takeHeld()
+	c.arbiter.TakeState()
 	if c.state.Applied() >= c.snapshot+c.SnapshotEvery || c.logBytes > c.SnapshotBytes {
 		c.compact()
 	}
@@ -259,7 +262,10 @@
 		c.placer.SetUse(c.uses())
 		c.plan(now)
 	}
-	c.isolate(now)
+	c.arbiter.Tick(now)
+	if c.leads(now) {
+		c.arbiter.Lead(now, c.term)
+	}
 	c.forgetGateways(now)
 	if c.placer == nil && now.Sub(c.forgotten) >= forgetEvery {
 		c.forgotten = now
@@ -289,7 +295,7 @@
 	c.placer = placer.NewWith(c.knowledge)
 	c.placer.Begin(term)
 	c.holdings.Begin(c.placer.Revision())
-	c.isolation.stale = true
+	c.arbiter.Begin()
 	c.placer.SetTable(c.state.Table().GetTable())
 	for _, a := range c.tracker.All() {
 		c.placer.SetEngine(a)
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -64,7 +64,7 @@
 		c.roster.stale = c.roster.stale || g.membersRevision != req.GetMembersRevision()
 		g.members, g.membersRevision = req.GetMembers(), req.GetMembersRevision()
 	}
-	c.hearRuns(now, req.GetRunReports())
+	c.arbiter.Hear(now, req.GetRunReports())
 	for _, d := range req.GetDemand() {
 		c.knowledge.Demand(now, d.GetAdapter(), int(d.GetRequests()))
 	}
@@ -157,7 +157,7 @@
 		req.GetAnnouncementRevision() != c.tracker.Revision() ||
 		req.GetVersionRevision() != c.versions ||
 		req.GetTableVersion() < c.table().GetVersion() ||
-		c.isolation.hasNews(c.term, req.GetSuspectsRevision())
+		c.arbiter.HasNews(c.term, req.GetSuspectsRevision())
 }
 
 // table returns the table that gateways may be told of, or nil.
@@ -198,11 +198,8 @@
 			res.Table = table
 		}
 	}
-	if res.GetLeads() && c.isolation.toldBy(c.term) {
-		res.SuspectsRevision = c.isolation.revision
-		if req.GetSuspectsRevision() < c.isolation.revision {
-			res.Suspects = c.isolation.list
-		}
+	if res.GetLeads() {
+		res.Suspects, res.SuspectsRevision = c.arbiter.Tell(c.term, req.GetSuspectsRevision())
 	}
 	g := c.gateways[req.GetGateway()]
 	if g != nil {
--- a/gateway/forwarder/isolation.go
+++ b/gateway/forwarder/isolation.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"time"
 
+	"bronzelead.example/gateway/doorkeeper"
 	"bronzelead.example/gateway/isolator"
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/pkg/wire"
@@ -19,10 +21,23 @@
 // prints returns the fingerprints of the request. They are worked out at most once, and
 // only if they are asked for.
 func (j *job) prints() []string {
-	if j.fingerprints.content == "" {
-		j.fingerprints = fingerprintsOf(j.req)
+	if j.fingerprints == nil {
+		asked := isolator.Asked{
+			Method: j.req.Head.Method, Host: j.req.Head.Header.Get("Host"), Target: j.req.Head.Target,
+			Body: j.req.Body, Caller: callerOf(j.req),
+		}
+		j.fingerprints = asked.Fingerprints()
 	}
-	return j.fingerprints.all()
+	return j.fingerprints
+}
+
+// callerOf returns a caller's address without the port, which differs for each connection.
+func callerOf(req *doorkeeper.Request) string {
+	caller, _, err := net.SplitHostPort(req.Caller)
+	if err != nil {
+		return req.Caller
+	}
+	return caller
 }
 
 // place is where a request is asked for, without what its query says.
--- a/gateway/forwarder/isolation_test.go
+++ b/gateway/forwarder/isolation_test.go
@@ -47,7 +47,7 @@
 
 // contentOf is the fingerprint of what the tests' callers ask for.
 func contentOf(target string) string {
-	return fingerprintsOf(asked(target)).content
+	return (&job{req: asked(target)}).prints()[0]
 }
 
 // A gateway tells of a run that was lost with its process, by both of its fingerprints, and
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -44,7 +44,7 @@
 	// prompt is what its engine has to read; nil if it has none.
 	prompt *prompt
 	// fingerprints name it whichever attempt it is, once that was asked for.
-	fingerprints fingerprints
+	fingerprints []string
 	// begunAt is the try of which a part of the answer has come last, and completed is set
 	// once the answer was whole.
 	begunAt   int
