--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -33,6 +33,8 @@
 	gateways    int
 	engines     int
 	slots       int
+	// endOn is a text in a request under which engines end; "" is none.
+	endOn string
 	// ignoreFencing lets engines take orders with old numbers.
 	ignoreFencing bool
 }
@@ -186,6 +188,9 @@
 	if s.ignoreFencing {
 		args = append(args, "--ignore-fencing")
 	}
+	if s.endOn != "" {
+		args = append(args, "--end-on", s.endOn)
+	}
 	y.engines = append(y.engines, y.process(fmt.Sprintf("engine-%d", i), args...))
 }
 
--- a/standin/app/main.go
+++ b/standin/app/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
@@ -51,6 +52,7 @@
 		Batch         int           `default:"16" help:"Requests in one step."`
 		Step          time.Duration `default:"5ms" help:"Time of one step."`
 		IgnoreFencing bool          `help:"Take orders with old fencing numbers."`
+		EndOn         string        `help:"Text in a request's body under which the process ends."`
 	} `cmd:"" help:"Play a model engine."`
 	Service struct {
 		Place   place  `embed:""`
@@ -102,6 +104,7 @@
 	g := &generator.Generator{
 		BaseModel: e.BaseModel, Slots: e.Slots, Batch: e.Batch, Step: e.Step,
 		ChecksFencing: !e.IgnoreFencing, Weights: func(path string) error { return fetch(client, path) },
+		EndOn: e.EndOn, End: func() { os.Exit(launcher.ExitFailed) },
 	}
 	g.Init(rand.Text())
 	go g.Run(make(chan struct{}))
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -58,6 +59,9 @@
 		refuse(w, http.StatusBadRequest, "the body is not right")
 		return
 	}
+	if g.EndOn != "" && bytes.Contains(data, []byte(g.EndOn)) {
+		g.End()
+	}
 	if g.loses() {
 		drop(w)
 		return
