The contracts' mode holds back what ends engines; only the start that got a request vouches

Cause: a completion that may run again was sent to engine after engine, six for each call, and nothing was kept of it. Beside it the test showed why the gateway even believed that it had not run: the engine's next start, which had never seen it, answered the cancel with no, so that a request that may run once could run twice.

Change: renewals bring reports and suspects; the coordinator has an arbiter; the receiver refuses with HeldBack, and does not repeat a suspect. A refusal after a try that may have run says MayHaveRun. bronzectl held works in both modes.

--- a/bronzectl/app/held.go
+++ b/bronzectl/app/held.go
@@ -17,7 +17,10 @@
 // Run lists what is held back.
 func (c *heldListCommand) Run(s *session) error {
 	res := &wire.ListHeldResponse{}
-	err := s.callMesh(func(m wire.Mesh) (err error) {
+	err := s.callEither(func(o wire.Operator) (err error) {
+		res, err = o.ListHeld(s.ctx, &wire.ListHeldRequest{})
+		return err
+	}, func(m wire.Mesh) (err error) {
 		res, err = m.ListHeld(s.ctx, &wire.ListHeldRequest{})
 		return err
 	})
@@ -48,7 +51,10 @@
 // Run releases a request.
 func (c *heldReleaseCommand) Run(s *session) error {
 	release := &wire.ReleaseHeld{Fingerprint: c.Fingerprint, Reason: "released by " + c.By}
-	err := s.callMesh(func(m wire.Mesh) error {
+	err := s.callEither(func(o wire.Operator) error {
+		_, err := o.Unhold(s.ctx, release)
+		return err
+	}, func(m wire.Mesh) error {
 		_, err := m.Put(s.ctx, &wire.PutRequest{Change: &wire.PutRequest_ReleaseHeld{ReleaseHeld: release}})
 		return err
 	})
@@ -58,10 +64,13 @@
 	return s.print(release, c.Fingerprint+" is held back no longer")
 }
 
-// callMesh tries a call of the routed mode at one controller after the other until it is
-// answered.
-func (s *session) callMesh(f func(wire.Mesh) error) error {
+// callEither makes a call to controllers of the contracts' mode, which ask for a key, or to
+// those of the routed mode, which have none.
+func (s *session) callEither(contracts func(wire.Operator) error, routed func(wire.Mesh) error) error {
+	if s.key != "" {
+		return s.call(contracts)
+	}
 	return s.controllers.Try(s.ctx, s.pause, func(address string) error {
-		return f(wire.NewMeshProtobufClient("http://"+address, s.client))
+		return routed(wire.NewMeshProtobufClient("http://"+address, s.client))
 	})
 }
--- a/bronzectl/app/main.go
+++ b/bronzectl/app/main.go
@@ -39,7 +39,7 @@
 	Status   statusCommand    `cmd:"" help:"Show the leader, sessions, backend servers and placements."`
 	Explain  explainCommand   `cmd:"" help:"Show what was decided for a request, and why."`
 	Backend  backendCommands  `cmd:"" help:"Read and drain backend servers."`
-	Held     heldCommands     `cmd:"" help:"Read and release requests that are held back, in the routed mode."`
+	Held     heldCommands     `cmd:"" help:"Read and release requests that are held back; without a key, in the routed mode."`
 	Member   memberCommands   `cmd:"" help:"Read and change the controllers."`
 	Key      keyCommands      `cmd:"" help:"Make keys."`
 }
--- a/controller/coordinator/coordinator.go
+++ b/controller/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"bronzelead.example/controller/arbiter"
 	"bronzelead.example/controller/keeper"
 	"bronzelead.example/pkg/caller"
 	"bronzelead.example/pkg/leaser"
@@ -57,6 +58,11 @@
 	LongestRequest time.Duration
 	SnapshotEvery  uint64
 
+	// CountHeld counts requests that are held back, and those that no longer are; nil counts
+	// nothing.
+	CountHeld func(change string)
+
+	arbiter  arbiter.Arbiter
 	calls    *caller.Caller
 	admitted atomic.Pointer[keeper.Admission]
 	state    *recorder.Recorder
@@ -91,6 +97,7 @@
 func (c *Coordinator) Init() {
 	c.calls = caller.New(callRing)
 	c.state = recorder.New()
+	c.initArbiter()
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = defaultSnapshotEvery
 	}
@@ -132,6 +139,7 @@
 			a.Reply(result)
 		}
 	}
+	c.arbiter.TakeState()
 	c.admitted.Store(&keeper.Admission{Names: c.state.AdmittedMembers(), Applied: c.state.Applied()})
 	if c.state.Applied() >= c.snapshot+c.SnapshotEvery {
 		c.compact()
@@ -194,6 +202,7 @@
 	c.services = map[string]*service{}
 	c.backends = newBackendList(term)
 	c.pending = nil
+	c.arbiter.Begin()
 	c.warm = now.Add(c.Policy.BackendLease)
 	for id, s := range c.state.Sessions() {
 		c.leaser.Open(now, sessionOf(s), true)
@@ -252,6 +261,7 @@
 }
 
 func (c *Coordinator) tick(now time.Time) {
+	c.arbiter.Tick(now)
 	if !c.leads(now) {
 		return
 	}
@@ -263,6 +273,7 @@
 		c.limiter.Forget(id)
 		c.planner.ForgetSession(id)
 	}
+	c.arbiter.Lead(now, c.term)
 	c.observeChanges(now)
 	c.forgetBackends(now)
 	if now.Before(c.warm) {
--- /dev/null
+++ b/controller/coordinator/isolation.go
@@ -0,0 +1,35 @@
+package coordinator
+
+import (
+	"fmt"
+
+	"bronzelead.example/pkg/recorder"
+	"bronzelead.example/pkg/wire"
+)
+
+func (c *Coordinator) initArbiter() {
+	c.arbiter.Log = c.Log
+	c.arbiter.State = func() *recorder.Recorder { return c.state }
+	c.arbiter.Propose = c.propose
+	c.arbiter.Gateways = c.gatewayAddresses
+	c.arbiter.Count = c.CountHeld
+	c.arbiter.Init()
+}
+
+// propose commits a change in the background.
+func (c *Coordinator) propose(cmd *wire.Command) {
+	c.Keeper.Start(cmd, func(_ recorder.Result, err error) {
+		if err != nil {
+			c.Log.Warn("a verdict was not committed", "Change", fmt.Sprintf("%T", cmd.GetBody()), "Error", err.Error())
+		}
+	})
+}
+
+// gatewayAddresses returns where the gateways with a session are reached.
+func (c *Coordinator) gatewayAddresses() []string {
+	var addresses []string
+	for _, s := range c.leaser.All() {
+		addresses = append(addresses, s.Address)
+	}
+	return addresses
+}
--- a/controller/coordinator/reports.go
+++ b/controller/coordinator/reports.go
@@ -66,6 +66,11 @@
 	})
 }
 
+// Held returns the requests that are held back.
+func (c *Coordinator) Held(ctx context.Context) ([]*wire.HeldRequest, error) {
+	return readValue(ctx, c, c.state.Held)
+}
+
 // InForce tells whether every live session has applied a revision.
 func (c *Coordinator) InForce(ctx context.Context, revision uint64) (*wire.InForceResponse, error) {
 	res := &wire.InForceResponse{}
--- a/controller/coordinator/sessions.go
+++ b/controller/coordinator/sessions.go
@@ -47,6 +47,7 @@
 		}
 		c.report(now, id, req, res)
 	}
+	c.arbiter.Hear(now, req.GetRunReports())
 	c.announce(now, req.GetAnnounced())
 	c.addNews(now, req, res)
 	return res
@@ -90,5 +91,6 @@
 // servers.
 func (c *Coordinator) addNews(now time.Time, req *wire.RenewRequest, res *wire.RenewResponse) {
 	res.Contracts = c.state.ChangedSince(req.GetRevision())
+	res.Suspects, res.SuspectsRevision = c.arbiter.Tell(c.term, req.GetSuspectsRevision())
 	c.backends.addTo(res, req.GetBackendsVersion(), now.Before(c.warm))
 }
--- a/controller/responder/operator.go
+++ b/controller/responder/operator.go
@@ -119,6 +119,34 @@
 	return &wire.DrainResponse{}, err
 }
 
+// ListHeld returns the requests that are held back, since engines end when they run them.
+func (r *Responder) ListHeld(ctx context.Context, req *wire.ListHeldRequest) (*wire.ListHeldResponse, error) {
+	return serve(ctx, r, req, r.listHeld, func(a string) func(context.Context, *wire.ListHeldRequest) (*wire.ListHeldResponse, error) {
+		return r.operator(a).ListHeld
+	})
+}
+
+func (r *Responder) listHeld(ctx context.Context, _ *wire.ListHeldRequest) (*wire.ListHeldResponse, error) {
+	held, err := r.Coordinator.Held(ctx)
+	return &wire.ListHeldResponse{Held: held}, err
+}
+
+// Unhold lets a request be served again that is held back.
+func (r *Responder) Unhold(ctx context.Context, req *wire.ReleaseHeld) (*wire.UnholdResponse, error) {
+	return serve(ctx, r, req, r.unhold, func(a string) func(context.Context, *wire.ReleaseHeld) (*wire.UnholdResponse, error) {
+		return r.operator(a).Unhold
+	})
+}
+
+func (r *Responder) unhold(ctx context.Context, req *wire.ReleaseHeld) (*wire.UnholdResponse, error) {
+	if req.GetFingerprint() == "" {
+		return nil, twirp.RequiredArgumentError("fingerprint")
+	}
+	r.Log.Info("a request is held back no longer", "Fingerprint", req.GetFingerprint(), "Reason", req.GetReason())
+	_, err := r.Keeper.Propose(ctx, &wire.Command{Body: &wire.Command_ReleaseHeld{ReleaseHeld: req}})
+	return &wire.UnholdResponse{}, err
+}
+
 // AddMember admits an instance as a member; it joins when it runs.
 func (r *Responder) AddMember(ctx context.Context, req *wire.MemberRequest) (*wire.MemberResponse, error) {
 	return serve(ctx, r, req, r.addMember, func(a string) func(context.Context, *wire.MemberRequest) (*wire.MemberResponse, error) {
--- a/gateway/app/app.go
+++ b/gateway/app/app.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -14,6 +16,7 @@
 	"bronzelead.example/gateway/claimer"
 	"bronzelead.example/gateway/dispatcher"
 	"bronzelead.example/gateway/explainer"
+	"bronzelead.example/gateway/isolator"
 	"bronzelead.example/gateway/receiver"
 	"bronzelead.example/gateway/registrar"
 	"bronzelead.example/gateway/renewer"
@@ -32,6 +35,8 @@
 	handBackWithin = 3 * time.Second
 	// Outcomes of requests are tried to be stored for this long at a stop.
 	storeWithin = 10 * time.Second
+	// probeTimeout bounds the question whether a backend server still listens.
+	probeTimeout = time.Second
 )
 
 // App is one gateway. Set the exported fields, then call Run.
@@ -45,6 +50,7 @@
 	scheduler *scheduler.Scheduler
 	renewer   *renewer.Renewer
 	claimer   *claimer.Claimer
+	isolator  *isolator.Isolator
 	server    *server.Server
 	leave     chan struct{}
 	stopping  chan struct{}
@@ -76,6 +82,7 @@
 	a.build()
 	go a.scheduler.Run(background)
 	go a.claimer.Run(background)
+	go a.isolator.Run(background)
 	left := make(chan struct{})
 	go func() {
 		a.renewer.Run(background)
@@ -123,12 +130,15 @@
 	if address == "" {
 		address = s.Instance.Listen
 	}
+	a.isolator = &isolator.Isolator{Clock: a.Clock, Log: a.Log, Self: address, Refuses: refuses}
+	a.isolator.Init()
 	a.renewer = &renewer.Renewer{
-		Clock: a.Clock, Log: a.Log, Scheduler: a.scheduler, Controllers: controllers, Client: client,
+		Clock: a.Clock, Log: a.Log, Scheduler: a.scheduler, Isolator: a.isolator, Controllers: controllers, Client: client,
 		Instance: s.Instance.Name, Zone: s.Instance.Zone, Address: address,
 		Every: s.Controllers.RenewEvery, Leave: a.leave,
 	}
 	a.renewer.Init()
+	a.isolator.WordAge = a.renewer.WordAge
 	a.claimer = &claimer.Claimer{Clock: a.Clock, Log: a.Log, Client: client, Controllers: &connector.Controllers{
 		Addresses: s.Controllers.Addresses,
 	}}
@@ -136,11 +146,21 @@
 	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(), Log: a.Log}
 }
 
+// refuses reports whether nothing listens any more at the address of a backend server.
+func refuses(ctx context.Context, _, address string) bool {
+	dialer := &net.Dialer{Timeout: probeTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (a *App) handler() http.Handler {
 	s := a.Settings
 	r := &receiver.Receiver{
 		Clock: a.Clock, Log: a.Log, Instance: s.Instance.Name,
-		Registrar: a.registrar, Scheduler: a.scheduler, Claimer: a.claimer,
+		Registrar: a.registrar, Scheduler: a.scheduler, Claimer: a.claimer, Isolator: a.isolator,
 		Dispatcher: a.dispatcher(), Explainer: &explainer.Explainer{Clock: a.Clock},
 		Meter:   meter.New("gateway", s.Instance.Name, s.Instance.Zone),
 		Retries: &receiver.RetryBudget{Clock: a.Clock, Share: s.Requests.RetryShare, Burst: s.Requests.RetryBurst},
--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -39,11 +39,13 @@
 type Exchange struct {
 	RequestID string
 	Address   string
-	Path      string
-	Body      []byte
-	Model     string
-	Priority  int32
-	Session   uint64
+	// Incarnation is the start of the engine that is meant.
+	Incarnation string
+	Path        string
+	Body        []byte
+	Model       string
+	Priority    int32
+	Session     uint64
 	// Emit takes each event of a streamed answer; nil asks for a whole answer.
 	Emit func(data []byte) error
 }
@@ -171,19 +173,20 @@
 
 // settle tells an engine to end a request, and learns whether it had begun.
 func (a *attempt) settle(out Outcome) Outcome {
-	ran, err := a.dispatcher.Cancel(a.exchange.Address, a.exchange.RequestID)
+	ran, err := a.dispatcher.cancel(a.exchange)
 	if err == nil && ran == RanNo && a.events == 0 {
 		out.Ran = RanNo
 	}
 	return out
 }
 
-// Cancel ends a request at an engine. The answer no means that it never started and
-// never will. It is sent even if the caller is gone.
-func (d *Dispatcher) Cancel(address, requestID string) (Ran, error) {
+// cancel ends a request at an engine. The answer no means that it never started and never
+// will; only the start that the request went to can give it. It is sent even if the caller
+// is gone.
+func (d *Dispatcher) cancel(x *Exchange) (Ran, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+translator.CancelPath(requestID), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Address+translator.CancelPath(x.RequestID), nil)
 	if err != nil {
 		return RanUnknown, errors.Wrap(err, "dispatcher: cancel")
 	}
@@ -196,7 +199,7 @@
 	if err != nil || res.StatusCode != http.StatusOK {
 		return RanUnknown, errors.Errorf("dispatcher: cancel: %s", res.Status)
 	}
-	return parseCancellation(body), nil
+	return parseCancellation(body, x.Incarnation), nil
 }
 
 func (a *attempt) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
--- /dev/null
+++ b/gateway/dispatcher/dispatcher_test.go
@@ -0,0 +1,53 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/pkg/translator"
+)
+
+// An engine ended while it ran a completion, and its next start, which had never seen it,
+// vouched that it did not run. Only the start that the request went to can know.
+func TestOnlyTheStartThatGotARequestVouchesForIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		cancelled string
+		want      Ran
+	}{
+		"the same start":        {`{"Ran":"no","Incarnation":"first"}`, RanNo},
+		"a later start":         {`{"Ran":"no","Incarnation":"second"}`, RanUnknown},
+		"one that doesn't tell": {`{"Ran":"no"}`, RanUnknown},
+		"it ran":                {`{"Ran":"partly","Incarnation":"first"}`, RanUnknown},
+		"no answer in the form": {`no`, RanUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case strings.HasSuffix(r.URL.Path, "/cancel"):
+					_, _ = w.Write([]byte(test.cancelled))
+				case r.Method == http.MethodGet:
+					w.WriteHeader(http.StatusNotFound)
+				default:
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer engine.Close()
+			d := &Dispatcher{
+				Clock: clockwork.NewRealClock(), Work: &http.Transport{}, Fresh: &http.Transport{DisableKeepAlives: true},
+				SilenceAfter: time.Minute,
+			}
+			out := d.Run(context.Background(), &Exchange{
+				RequestID: "r", Address: strings.TrimPrefix(engine.URL, "http://"), Incarnation: "first",
+				Path: translator.CompletionsPath, Body: []byte("{}"),
+			})
+			qt.New(t).Check(out.Ran, qt.Equals, test.want)
+		})
+	}
+}
--- a/gateway/dispatcher/watch.go
+++ b/gateway/dispatcher/watch.go
@@ -55,9 +55,11 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-func parseCancellation(body []byte) Ran {
+// parseCancellation returns what a start of an engine says of a request that went to another
+// one, or to itself.
+func parseCancellation(body []byte, sentTo string) Ran {
 	c := &translator.Cancellation{}
-	if err := json.Unmarshal(body, c); err == nil && c.Ran == translator.RanNo {
+	if err := json.Unmarshal(body, c); err == nil && c.Ran == translator.RanNo && c.Incarnation == sentTo {
 		return RanNo
 	}
 	return RanUnknown
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -290,6 +290,16 @@
 	return i.witness.Reports(now, after)
 }
 
+// Start names one start of a backend server that keeps its name.
+func Start(name, incarnation string) string { return name + "/" + incarnation }
+
+// Revision returns the number of the leader's list that is known, 0 for none.
+func (i *Isolator) Revision() uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.revision
+}
+
 // SetSuspects takes the leader's list.
 func (i *Isolator) SetSuspects(revision uint64, list []*wire.Suspect) {
 	i.mu.Lock()
--- a/gateway/receiver/attempts.go
+++ b/gateway/receiver/attempts.go
@@ -15,6 +15,8 @@
 	// failed blames the backend server; missing says that it lacks the adapter.
 	failed  bool
 	missing bool
+	// unsure is set if the request may have run all the same, and may run again.
+	unsure bool
 }
 
 // carry takes a request through admission, routing and as many attempts as it needs
@@ -28,22 +30,43 @@
 	ctx, cancel := context.WithDeadline(base, e.job.Deadline)
 	defer cancel()
 	e.ctx = ctx
+	if p := r.heldBack(e); p != nil {
+		return p
+	}
+	defer r.endTrial(e)
 	r.Retries.Earn()
+	unsure := false
 	candidate, refusal := r.Scheduler.Enter(ctx, e.job)
 	for n := 0; refusal == nil; n++ {
 		r.noteAssigned(e, candidate)
+		if p := r.heldBack(e); p != nil {
+			// What it waited for has shown meanwhile that it ends backend servers.
+			r.Scheduler.Leave(e.job, false)
+			return unlessRun(ctx, unsure, p)
+		}
+		e.sentAt = r.Clock.Now()
 		s := attempt(ctx, candidate, n)
+		unsure = unsure || s.unsure
 		if s.final {
 			r.Scheduler.Leave(e.job, s.failed)
 			return s.problem
 		}
 		if !r.Retries.Spend(ctx, n, e.job.Deadline) {
 			r.Scheduler.Leave(e.job, s.failed)
-			return refused(&scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault})
+			return unlessRun(ctx, unsure, refused(&scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault}))
 		}
 		candidate, refusal = r.Scheduler.Again(ctx, e.job, s.failed, s.missing)
 	}
-	return refused(refusal)
+	return unlessRun(ctx, unsure, refused(refusal))
+}
+
+// unlessRun returns a refusal, or that the request may have run if a try of it may: only what
+// certainly did not run is refused as such.
+func unlessRun(ctx context.Context, unsure bool, p *Problem) *Problem {
+	if unsure {
+		return mayHaveRun(ctx)
+	}
+	return p
 }
 
 func (r *Receiver) noteAssigned(e *entry, candidate *router.Candidate) {
--- a/gateway/receiver/completions.go
+++ b/gateway/receiver/completions.go
@@ -120,18 +120,23 @@
 	x := c.exchange(requestID, candidate)
 	out := r.Dispatcher.Run(ctx, x)
 	if out.Err == nil {
+		r.completedRun(e, candidate)
 		c.deliver(out)
 		r.store(e, requestID, c.outcome(out))
 		return step{final: true}
 	}
 	r.Explainer.Note(e.id, e.terms.Customer(), "%s: %v, ran: %s, events passed on: %d, resumed %d times",
 		candidate.Backend.GetName(), out.Err, out.Ran, out.Events, out.Resumed)
+	if out.Ran == dispatcher.RanUnknown {
+		r.lostRun(e, candidate, c.started)
+	}
 	return c.afterFailure(ctx, requestID, out)
 }
 
 func (c *call) exchange(requestID string, candidate *router.Candidate) *dispatcher.Exchange {
 	x := &dispatcher.Exchange{
-		RequestID: requestID, Address: candidate.Backend.GetAddress(), Path: c.entry.http.URL.Path,
+		RequestID: requestID, Address: candidate.Backend.GetAddress(), Incarnation: candidate.Backend.GetIncarnation(),
+		Path: c.entry.http.URL.Path,
 		Body: c.entry.body, Model: c.model, Priority: c.entry.job.Priority, Session: c.receiver.Session(),
 	}
 	if c.stream {
@@ -153,9 +158,9 @@
 		return step{failed: !out.Missing, missing: out.Missing}
 	case e.once:
 		r.store(e, requestID, &wire.Outcome{Unknown: true})
-	case !c.started && !gone && ctx.Err() == nil:
+	case !c.started && !gone && r.mayRunAgain(ctx, e):
 		// Nothing was passed on, and the request may run again.
-		return step{failed: true}
+		return step{failed: true, unsure: true}
 	}
 	if c.started {
 		server.Abort(c.writer)
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -127,7 +127,7 @@
 	old := &entry{id: e.id, terms: e.terms, key: e.key}
 	if e.job.Want.Service == "" {
 		out := r.Dispatcher.Recover(ctx, &dispatcher.Exchange{
-			RequestID: cmd.GetRequestId(), Address: cmd.GetAddress(),
+			RequestID: cmd.GetRequestId(), Address: cmd.GetAddress(), Incarnation: cmd.GetIncarnation(),
 			Path: e.http.URL.Path, Model: e.job.Want.Adapter,
 		})
 		r.Explainer.Note(e.id, e.terms.Customer(), "took up request %s of a gateway that is gone: ran: %s, %v", cmd.GetRequestId(), out.Ran, out.Err)
--- a/gateway/receiver/problem.go
+++ b/gateway/receiver/problem.go
@@ -36,6 +36,7 @@
 	kindMayHaveRun      = "MayHaveRun"
 	kindAnswerNotKept   = "AnswerNotKept"
 	kindNoKey           = "IdempotencyKeyRequired"
+	kindHeldBack        = "HeldBack"
 )
 
 type problemBody struct {
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -20,6 +20,7 @@
 	"bronzelead.example/gateway/claimer"
 	"bronzelead.example/gateway/dispatcher"
 	"bronzelead.example/gateway/explainer"
+	"bronzelead.example/gateway/isolator"
 	"bronzelead.example/gateway/registrar"
 	"bronzelead.example/gateway/scheduler"
 	"bronzelead.example/pkg/authenticator"
@@ -55,6 +56,8 @@
 	Explainer  *explainer.Explainer
 	Meter      *meter.Meter
 	Retries    *RetryBudget
+	// Isolator knows the requests that end backend servers.
+	Isolator *isolator.Isolator
 	// Session returns the gateway's present session.
 	Session func() uint64
 	// BackendKeys are the keys of backend servers; OperatorKeys those of operators.
@@ -159,6 +162,13 @@
 	key string
 	// once marks a request that may not be repeated.
 	once bool
+	// fingerprints name it whichever attempt it is, once that was asked for.
+	fingerprints []string
+	// sentAt is when it was sent last, and completed is set once its answer was whole.
+	sentAt    time.Time
+	completed bool
+	// trial is the fingerprint by which it is held back, if it runs once all the same.
+	trial string
 }
 
 // identify finds out who calls.
--- a/gateway/receiver/services.go
+++ b/gateway/receiver/services.go
@@ -118,8 +118,12 @@
 		Session: r.Session(), Once: e.once, Buffer: serviceBuffer,
 	})
 	if answer.Err == nil && answer.Ran != dispatcher.RanNo {
+		r.completedRun(e, candidate)
 		return c.deliver(requestID, answer)
 	}
+	if answer.Ran == dispatcher.RanUnknown {
+		r.lostRun(e, candidate, false)
+	}
 	r.Explainer.Note(e.id, e.terms.Customer(), "%s: status %d, %v, ran: %s", candidate.Backend.GetName(), answer.Status, answer.Err, answer.Ran)
 	return c.afterFailure(ctx, requestID, answer)
 }
@@ -134,8 +138,8 @@
 		return step{failed: true}
 	case e.once:
 		r.store(e, requestID, &wire.Outcome{Unknown: true})
-	case ctx.Err() == nil:
-		return step{failed: true}
+	case r.mayRunAgain(ctx, e):
+		return step{failed: true, unsure: true}
 	}
 	return step{final: true, failed: e.http.Context().Err() == nil, problem: mayHaveRun(ctx)}
 }
--- a/gateway/renewer/renewer.go
+++ b/gateway/renewer/renewer.go
@@ -7,10 +7,12 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/isolator"
 	"bronzelead.example/gateway/scheduler"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/wire"
@@ -27,9 +29,11 @@
 
 // Renewer renews the session. Set the exported fields, then call Run.
 type Renewer struct {
-	Clock       clockwork.Clock
-	Log         *slog.Logger
-	Scheduler   *scheduler.Scheduler
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Scheduler *scheduler.Scheduler
+	// Isolator knows the requests that end backend servers.
+	Isolator    *isolator.Isolator
 	Controllers *connector.Controllers
 	Client      *connector.Client
 	Instance    string
@@ -43,6 +47,13 @@
 
 	wake chan struct{}
 	gap  time.Duration
+	// heard is when the leader answered last, in ns of Unix time.
+	heard atomic.Int64
+	// reported is the number of the last report that the leader of a term has.
+	reported uint64
+	term     uint64
+	// starts are the incarnations of backend servers that are known, by name.
+	starts map[string]string
 }
 
 // Init prepares the renewer for Wake.
@@ -94,6 +105,7 @@
 	for {
 		sent := r.Clock.Now()
 		req := r.Scheduler.Build(full)
+		reported := r.report(req)
 		address := r.Controllers.Current()
 		res, err := r.control(address).Renew(ctx, req)
 		switch {
@@ -112,6 +124,7 @@
 			r.Scheduler.Ended()
 			return false
 		}
+		r.noteAnswer(res, reported)
 		r.Scheduler.Absorb(sent, res)
 		full = res.GetNeedFull()
 		if full {
--- a/pkg/translator/requests.go
+++ b/pkg/translator/requests.go
@@ -166,6 +166,9 @@
 type Cancellation struct {
 	// Ran is no when the request never started and never will.
 	Ran string
+	// Incarnation is the start that answers: another one than the request went to can't know
+	// whether it ran.
+	Incarnation string `json:",omitempty"`
 }
 
 // RanNo says that a request did not run.
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -140,12 +140,12 @@
 	if !req.done {
 		g.cancel(req)
 	}
-	ran := "partly"
+	ran, incarnation := "partly", g.incarnation
 	if !req.ran {
 		ran = translator.RanNo
 	}
 	g.mu.Unlock()
-	answer, _ := json.Marshal(translator.Cancellation{Ran: ran})
+	answer, _ := json.Marshal(translator.Cancellation{Ran: ran, Incarnation: incarnation})
 	_, _ = w.Write(answer)
 }
 
