A late report of a run from before a trial does not end the trial

Cause, found while another change was tried: a report that comes late or twice, of a run that was sent before its request was put on trial, counted as the trial's, so that the request was held again though it had not been tried.

Change: runs that were sent before the trial don't count (case 'a run from before the trial', red before). Tried and taken back: where as much speaks against several requests, each is put on trial instead of held.

--- a/controller/arbiter/arbiter.go
+++ b/controller/arbiter/arbiter.go
@@ -86,13 +86,13 @@
 }
 
 // TakeState lets the judge know what is held in the replicated state.
-func (a *Arbiter) TakeState() {
+func (a *Arbiter) TakeState(now time.Time) {
 	state := a.State()
 	if state == a.known && state.HeldRevision() == a.heldRevision {
 		return
 	}
 	a.known, a.heldRevision = state, state.HeldRevision()
-	a.judge.SetHeld(state.Held())
+	a.judge.SetHeld(now, state.Held())
 	a.stale = true
 	a.Log.Info("the requests that are held back have changed", "Held", len(state.Held()))
 }
--- a/controller/coordinator/coordinator.go
+++ b/controller/coordinator/coordinator.go
@@ -139,7 +139,7 @@
 			a.Reply(result)
 		}
 	}
-	c.arbiter.TakeState()
+	c.arbiter.TakeState(c.Clock.Now())
 	c.admitted.Store(&keeper.Admission{Names: c.state.AdmittedMembers(), Applied: c.state.Applied()})
 	if c.state.Applied() >= c.snapshot+c.SnapshotEvery {
 		c.compact()
--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -195,7 +195,7 @@
 		}
 	}
 	c.versionsChanged()
-	c.arbiter.TakeState()
+	c.arbiter.TakeState(c.Clock.Now())
 	if c.state.Applied() >= c.snapshot+c.SnapshotEvery || c.logBytes > c.SnapshotBytes {
 		c.compact()
 	}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -53,6 +53,8 @@
 	runs map[string]*record
 	// held are the requests that are refused, by fingerprint.
 	held map[string]*wire.HeldRequest
+	// trials is since when requests are on trial.
+	trials map[string]time.Time
 	// given is when a verdict was given that is not in force yet.
 	given map[string]time.Time
 	order []*end
@@ -88,7 +90,8 @@
 // New returns a quarantiner that knows nothing.
 func New() *Quarantiner {
 	return &Quarantiner{
-		ends: map[string]*end{}, runs: map[string]*record{}, held: map[string]*wire.HeldRequest{}, given: map[string]time.Time{},
+		ends: map[string]*end{}, runs: map[string]*record{}, held: map[string]*wire.HeldRequest{},
+		given: map[string]time.Time{}, trials: map[string]time.Time{},
 	}
 }
 
@@ -126,7 +129,7 @@
 
 func (q *Quarantiner) lose(now time.Time, r *wire.RunReport) {
 	at := now.Add(-time.Duration(r.GetAgoMs()) * time.Millisecond)
-	if now.Sub(at) > memory {
+	if now.Sub(at) > memory || q.beforeTrial(at, r) {
 		return
 	}
 	e := q.ends[r.GetBackend()]
@@ -155,6 +158,13 @@
 	}
 }
 
+// beforeTrial reports whether a run was sent before its request was put on trial: it says
+// nothing of the trial, however late it is reported.
+func (q *Quarantiner) beforeTrial(at time.Time, r *wire.RunReport) bool {
+	since, onTrial := q.trials[r.GetFingerprint()]
+	return onTrial && at.Add(-time.Duration(r.GetRanMs())*time.Millisecond).Before(since)
+}
+
 // bound forgets the oldest ends when there are too many.
 func (q *Quarantiner) bound() {
 	for len(q.order) > maxEnds {
@@ -195,14 +205,18 @@
 }
 
 // SetHeld takes the requests that are refused, as the replicated state has them.
-func (q *Quarantiner) SetHeld(list []*wire.HeldRequest) {
+func (q *Quarantiner) SetHeld(now time.Time, list []*wire.HeldRequest) {
 	before := q.held
 	defer q.released(before)
 	q.held = make(map[string]*wire.HeldRequest, len(list))
 	for _, h := range list {
 		fingerprint := h.GetFingerprint()
 		q.held[fingerprint] = h
-		if h.GetOnTrial() && !before[fingerprint].GetOnTrial() {
+		switch {
+		case !h.GetOnTrial():
+			delete(q.trials, fingerprint)
+		case !before[fingerprint].GetOnTrial():
+			q.trials[fingerprint] = now
 			q.forgetRuns(fingerprint)
 			delete(q.given, fingerprint)
 		}
@@ -219,6 +233,7 @@
 	for fingerprint := range before {
 		if q.held[fingerprint] == nil {
 			q.forgetRuns(fingerprint)
+			delete(q.trials, fingerprint)
 		}
 	}
 }
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -45,7 +45,7 @@
 	for _, fingerprint := range fingerprints {
 		list = append(list, &wire.HeldRequest{Fingerprint: fingerprint, OnTrial: onTrial})
 	}
-	s.SetHeld(list)
+	s.SetHeld(s.now, list)
 }
 
 func TestVerdicts(t *testing.T) {
@@ -68,6 +68,7 @@
 			s.lost("d", "f")
 		}, []string{"f"}},
 		"as much speaks against both": {func(s *story) { three(s, "f", "g") }, []string{"f", "g"}},
+		"a run from before the trial": {func(s *story) { s.held(true, "f"); s.Note(s.now, lostAt("f", "a")) }, nil},
 		"one had begun to answer": {func(s *story) {
 			for i := range EnoughEnds {
 				s.lost(fmt.Sprint(i), "f")
@@ -80,7 +81,7 @@
 		}, nil},
 		"what was held first": {func(s *story) {
 			three(s, "f", "g")
-			s.SetHeld([]*wire.HeldRequest{{Fingerprint: "f", Backends: []string{"0", "1", "2"}}})
+			s.SetHeld(s.now, []*wire.HeldRequest{{Fingerprint: "f", Backends: []string{"0", "1", "2"}}})
 		}, nil},
 		"the trial is lost":        {func(s *story) { s.held(true, "f"); s.lost("a", "f", "g") }, []string{"f"}},
 		"what came before a trial": {func(s *story) { three(s, "f"); s.held(false, "f"); s.held(true, "f") }, nil},
--- a/pkg/quarantiner/schedule_test.go
+++ b/pkg/quarantiner/schedule_test.go
@@ -258,7 +258,7 @@
 			list = append(list, h)
 		}
 		for _, q := range m.judges {
-			q.SetHeld(list)
+			q.SetHeld(m.now, list)
 		}
 	}
 	for _, q := range m.judges {
