What is held back is looked at only when the time of one has come

Cause: the state machine looked at all that is held for each entry of the log, up to 1,024 for each claim of the contracts' mode; and a gateway that never lost a run kept the names of all backend servers that left.

Change: the time of the next one is kept; the isolator forgets at each tick, of 200 ms in place of 100; requests that make room for others are counted.

--- a/controller/arbiter/arbiter.go
+++ b/controller/arbiter/arbiter.go
@@ -39,6 +39,8 @@
 	// known is the state that the judge knows, as of heldRevision. A snapshot brings another.
 	known        *recorder.Recorder
 	heldRevision uint64
+	// dropped is how many that state has let go for want of room.
+	dropped int
 	// list is what gateways are told, by the leader alone. The number of a later list is
 	// higher, also that of a later leader.
 	list     []*wire.Suspect
@@ -91,10 +93,26 @@
 	if state == a.known && state.HeldRevision() == a.heldRevision {
 		return
 	}
+	first := a.known == nil
+	a.countDropped(state)
 	a.known, a.heldRevision = state, state.HeldRevision()
-	a.judge.SetHeld(now, state.Held())
+	held := state.Held()
+	a.judge.SetHeld(now, held)
 	a.stale = true
-	a.Log.Info("the requests that are held back have changed", "Held", len(state.Held()))
+	if !first || len(held) > 0 {
+		a.Log.Info("the requests that are held back have changed", "Held", len(held))
+	}
+}
+
+// countDropped counts the requests that have made room for others.
+func (a *Arbiter) countDropped(state *recorder.Recorder) {
+	if state != a.known {
+		a.dropped = 0
+	}
+	for ; a.dropped < state.HeldDropped(); a.dropped++ {
+		a.count("MadeRoom")
+		a.Log.Warn("a request is held back no longer: too many are", "Most", recorder.MaxHeld)
+	}
 }
 
 // Tick lets time pass.
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// tickEvery is the time between two looks at what is too old, and at what to hold here.
-	tickEvery = 100 * time.Millisecond
+	// tickEvery is the time between two looks at what is too old, and at what to hold here: a
+	// small part of the time that a verdict waits for reports.
+	tickEvery = 200 * time.Millisecond
 	// staleWord is the age from which the leader's word is not waited for: longer than a
 	// change of leaders takes.
 	staleWord = 2 * time.Second
@@ -86,9 +87,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			if i.active.Load() {
-				i.tick()
-			}
+			i.tick()
 		}
 	}
 }
--- a/pkg/recorder/held.go
+++ b/pkg/recorder/held.go
@@ -36,9 +36,13 @@
 	r.held[h.GetFingerprint()] = h
 	for len(r.held) > MaxHeld {
 		delete(r.held, r.Held()[0].GetFingerprint())
+		r.heldDropped++
 	}
 }
 
+// HeldDropped returns how many requests have made room for others in this process.
+func (r *Recorder) HeldDropped() int { return r.heldDropped }
+
 // tryHeldAgain lets requests be tried again whose adapter or model has a new version.
 func (r *Recorder) tryHeldAgain(v *wire.AdapterVersion) {
 	for fingerprint, h := range r.held {
@@ -65,18 +69,44 @@
 	r.held[fingerprint] = h
 }
 
-// expireHeld lets requests be tried again that were held for long, and forgets older ones.
+// expireHeld lets requests be tried again that were held for long, and forgets older ones. It
+// looks at them only when the time of one has come, since it is called for each entry.
 func (r *Recorder) expireHeld() {
+	if r.dueRevision != r.heldRevision {
+		r.heldDue, r.dueRevision = r.nextHeldDue(), r.heldRevision
+	}
+	if r.heldDue == 0 || r.now < r.heldDue {
+		return
+	}
 	for fingerprint, h := range r.held {
 		switch age := time.Duration(r.now - h.GetHeldAtNs()); {
-		case age > forgetHeldAfter:
+		case age >= forgetHeldAfter:
 			r.releaseHeld(fingerprint)
-		case age > HoldFor && !h.GetOnTrial():
+		case age >= HoldFor && !h.GetOnTrial():
 			r.setOnTrial(fingerprint, h)
 		}
 	}
 }
 
+// nextHeldDue returns when the time of the next request comes, 0 if there is none.
+func (r *Recorder) nextHeldDue() int64 {
+	next := int64(0)
+	for _, h := range r.held {
+		if due := heldDue(h); next == 0 || due < next {
+			next = due
+		}
+	}
+	return next
+}
+
+// heldDue returns when a request that is held is to be tried again, or one on trial forgotten.
+func heldDue(h *wire.HeldRequest) int64 {
+	if h.GetOnTrial() {
+		return h.GetHeldAtNs() + int64(forgetHeldAfter)
+	}
+	return h.GetHeldAtNs() + int64(HoldFor)
+}
+
 func (r *Recorder) releaseHeld(fingerprint string) {
 	if r.held[fingerprint] != nil {
 		delete(r.held, fingerprint)
--- a/pkg/recorder/recorder.go
+++ b/pkg/recorder/recorder.go
@@ -67,6 +67,10 @@
 	// held are the requests that are refused, by fingerprint.
 	held         map[string]*wire.HeldRequest
 	heldRevision uint64
+	// heldDue is when the time of the next of them comes, as of dueRevision; 0 is never.
+	heldDue     int64
+	dueRevision uint64
+	heldDropped int
 }
 
 // New returns an empty state.
