Soak: no service is expected while what starts again has nobody to announce itself to

Each starts again, announces itself to nobody, and 1,055 requests are refused with 'no backend server of the service is known' until the wait gives up. Backend servers announce themselves to controllers alone, so that nothing can be known of them then; what is checked once the controllers are back is as before.

--- a/proof/routed_soak_test.go
+++ b/proof/routed_soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 
@@ -23,6 +24,7 @@
 // drawn changes what a seed plays: the case itself then needs a story of its own, as 102 has
 // in TestRoutedSeedsThatKnowNothing.
 var regressions = map[uint64]string{
+	238: "all backend servers started again while no controller ran; it was waited for in vain that requests are served",
 	102: "after a replacement and the loss of two disks no address in the settings knew the cluster, and nobody joined",
 }
 
@@ -65,7 +67,9 @@
 			// Who is away meanwhile comes back with an older table.
 			y.operator.put()
 		}
-		y.waitServed(20)
+		if !nobodyKnowsWhatStarts(first, second, len(heal)) {
+			y.waitServed(20)
+		}
 		for _, h := range heal {
 			h()
 		}
@@ -82,6 +86,18 @@
 	c.Logf("seed %d: %d backend servers ended under a request", seed, herd.ended())
 }
 
+// nobodyKnowsWhatStarts reports whether backend servers start again while all controllers are
+// gone, to which alone they announce themselves. If all of them have, nobody can be served
+// until a controller runs: 1,055 requests of one seed were refused with "no backend server of
+// the service is known" while no controller ran.
+func nobodyKnowsWhatStarts(first, second fault, begun int) bool {
+	on := []string{first.on}
+	if begun > 1 {
+		on = append(on, second.on)
+	}
+	return slices.Contains(on, "requests") && slices.Contains(on, "all controllers")
+}
+
 // fault begins something bad and returns what ends it.
 type fault struct {
 	name string
