A trial that was lost is not made again because something else has changed

Cause, found by reading: any newer list of the leader let a gateway forget that the trial of a request was lost there, also while the leader had not heard of it yet; and a trial that was never sent, for want of room, counted as lost.

Change: a lost trial is remembered for a minute, over lists; one that was not sent is none. Two cases in TestTheLeadersWord, both red before.

--- a/gateway/forwarder/isolation.go
+++ b/gateway/forwarder/isolation.go
@@ -65,7 +65,7 @@
 // endTrial ends the trial of a request, if it was one.
 func (f *Forwarder) endTrial(j *job) {
 	if j.trial != "" {
-		f.Isolator.EndTrial(j.trial, !j.completed)
+		f.Isolator.EndTrial(j.trial, j.sends > 0 && !j.completed)
 	}
 }
 
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,9 @@
 	// heldHereFor is when a caller is told to come back whose request is held by this
 	// gateway's word alone, which ends with the next word of a leader.
 	heldHereFor = 10 * time.Second
+	// trialAgainAfter is how long after a trial that was not answered whole there is no other
+	// here. If the process has ended, the leader says within that time that there is none.
+	trialAgainAfter = time.Minute
 )
 
 // Isolator is one gateway's part. Set the exported fields, call Init, then Run.
@@ -54,10 +58,9 @@
 	revision uint64
 	// heldHere are held by this gateway's word.
 	heldHere map[string]bool
-	// trials are on trial here now; failed are those whose trial was lost, until the leader
-	// has another list.
+	// trials are on trial here now, and failed is when the trial of others was lost.
 	trials  map[string]bool
-	failed  map[string]bool
+	failed  map[string]time.Time
 	probing map[string]bool
 }
 
@@ -75,7 +78,7 @@
 func (i *Isolator) Init() {
 	i.witness, i.judge = quarantiner.NewWitness(), quarantiner.New()
 	i.suspects, i.heldHere = map[string]*wire.Suspect{}, map[string]bool{}
-	i.trials, i.failed, i.probing = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	i.trials, i.failed, i.probing = map[string]bool{}, map[string]time.Time{}, map[string]bool{}
 }
 
 // Run lets time pass until ctx ends.
@@ -98,6 +101,7 @@
 	defer i.mu.Unlock()
 	i.witness.Tick(now)
 	i.judge.Tick(now)
+	maps.DeleteFunc(i.failed, func(_ string, at time.Time) bool { return now.Sub(at) >= trialAgainAfter })
 	i.active.Store(len(i.suspects) > 0 || !i.witness.Empty() || !i.judge.Empty())
 	if !i.alone() {
 		clear(i.heldHere)
@@ -148,18 +152,24 @@
 	switch {
 	case !s.GetHeld():
 		return Verdict{}
-	case s.GetTrialAt() == "" || s.GetTrialAt() != i.Self || i.failed[fingerprint] || i.trials[fingerprint]:
+	case s.GetTrialAt() == "" || s.GetTrialAt() != i.Self || i.trials[fingerprint] || i.failedLately(fingerprint):
 		return Verdict{Held: true, Left: time.Duration(s.GetLeftS()) * time.Second}
 	}
 	return Verdict{Trial: fingerprint}
 }
 
-// EndTrial ends the trial of a request; lost says that it was not answered whole.
+func (i *Isolator) failedLately(fingerprint string) bool {
+	return i.Clock.Since(i.failed[fingerprint]) < trialAgainAfter
+}
+
+// EndTrial ends the trial of a request; lost says that it was sent and not answered whole.
 func (i *Isolator) EndTrial(fingerprint string, lost bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.trials, fingerprint)
-	i.failed[fingerprint] = i.failed[fingerprint] || lost
+	if lost {
+		i.failed[fingerprint] = i.Clock.Now()
+	}
 }
 
 // Suspected reports whether backend servers have ended under a request more than once.
@@ -310,7 +320,6 @@
 	i.revision = revision
 	clear(i.suspects)
 	clear(i.heldHere)
-	clear(i.failed)
 	for _, s := range list {
 		i.suspects[s.GetFingerprint()] = s
 	}
--- a/gateway/isolator/isolator_test.go
+++ b/gateway/isolator/isolator_test.go
@@ -43,7 +43,7 @@
 func TestTheLeadersWord(t *testing.T) {
 	for name, test := range map[string]struct {
 		list    []*wire.Suspect
-		happens func(i *Isolator)
+		happens func(i *Isolator, clock *clockwork.FakeClock)
 		want    Verdict
 	}{
 		"nothing is known":          {nil, nil, Verdict{}},
@@ -53,24 +53,35 @@
 		"it is only suspected":      {[]*wire.Suspect{{Fingerprint: "f"}}, nil, Verdict{}},
 		"its trial is elsewhere":    {[]*wire.Suspect{held("f", "there")}, nil, Verdict{Held: true, Left: time.Minute}},
 		"its trial is here":         {[]*wire.Suspect{held("f", "here")}, nil, Verdict{Trial: "f"}},
-		"it is under trial already": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator) { i.Check(prints("f")) }, Verdict{Held: true, Left: time.Minute}},
-		"its trial was lost": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator) {
+		"it is under trial already": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator, _ *clockwork.FakeClock) { i.Check(prints("f")) }, Verdict{Held: true, Left: time.Minute}},
+		"its trial was lost": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator, _ *clockwork.FakeClock) {
 			i.Check(prints("f"))
 			i.EndTrial("f", true)
 		}, Verdict{Held: true, Left: time.Minute}},
-		"its trial was not sent": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator) {
+		"its trial was lost, and something else has changed": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator, _ *clockwork.FakeClock) {
+			i.Check(prints("f"))
+			i.EndTrial("f", true)
+			i.SetSuspects(8, []*wire.Suspect{held("f", "here"), held("g", "")})
+		}, Verdict{Held: true, Left: time.Minute}},
+		"its trial was lost some time ago": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator, clock *clockwork.FakeClock) {
+			i.Check(prints("f"))
+			i.EndTrial("f", true)
+			clock.Advance(trialAgainAfter)
+			i.tick()
+		}, Verdict{Trial: "f"}},
+		"its trial was not sent": {[]*wire.Suspect{held("f", "here")}, func(i *Isolator, _ *clockwork.FakeClock) {
 			i.Check(prints("f"))
 			i.EndTrial("f", false)
 		}, Verdict{Trial: "f"}},
-		"it was released":       {[]*wire.Suspect{held("f", "")}, func(i *Isolator) { i.SetSuspects(8, nil) }, Verdict{}},
-		"an older list is late": {[]*wire.Suspect{held("f", "")}, func(i *Isolator) { i.SetSuspects(6, nil) }, Verdict{Held: true, Left: time.Minute}},
+		"it was released":       {[]*wire.Suspect{held("f", "")}, func(i *Isolator, _ *clockwork.FakeClock) { i.SetSuspects(8, nil) }, Verdict{}},
+		"an older list is late": {[]*wire.Suspect{held("f", "")}, func(i *Isolator, _ *clockwork.FakeClock) { i.SetSuspects(6, nil) }, Verdict{Held: true, Left: time.Minute}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			age := time.Duration(0)
-			i, _ := newIsolator(&age, false)
+			i, clock := newIsolator(&age, false)
 			i.SetSuspects(7, test.list)
 			if test.happens != nil {
-				test.happens(i)
+				test.happens(i, clock)
 			}
 			qt.New(t).Check(i.Check(prints("f", "f2")), qt.Equals, test.want)
 		})
--- a/gateway/receiver/isolation.go
+++ b/gateway/receiver/isolation.go
@@ -42,7 +42,7 @@
 // endTrial ends the trial of a request, if it was one.
 func (r *Receiver) endTrial(e *entry) {
 	if e.trial != "" {
-		r.Isolator.EndTrial(e.trial, !e.completed)
+		r.Isolator.EndTrial(e.trial, !e.sentAt.IsZero() && !e.completed)
 	}
 }
 
