Completed runs that are told again late undo nothing

Cause, found by reading: gateways tell all that they have seen in ten minutes again to a controller that has started anew, in any order with what others tell. A completed run from before the ends then spoke against them, and one from before a hold ended the hold; and a controller that did not lead kept what had been cleared, and would have released it once more as the next leader, after it was held anew.

Change: a completed run counts against the ends before it; it ends a hold only if it is fresh; what is released is forgotten. TestOldCompletionsUndoNothing, red before in one of three cases and in both checks below them.

--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -40,6 +40,9 @@
 	// maxEnds bounds the ends that are kept. At most so many starts end in memory at the
 	// largest size, but for outages; of more the oldest are forgotten.
 	maxEnds = 4096
+	// freshCompletion is how old the report of a completed run may be that ends a hold: it comes
+	// with the next call, and runs of what is held are few.
+	freshCompletion = 2 * time.Second
 	// repeatVerdict is when a verdict is given again that has not come into force.
 	repeatVerdict = time.Second
 )
@@ -59,7 +62,7 @@
 	given map[string]time.Time
 	order []*end
 	// cleared are requests that were completed though they are held.
-	cleared []string
+	cleared map[string]bool
 	// dropped counts ends that were forgotten early.
 	dropped int
 }
@@ -91,7 +94,7 @@
 func New() *Quarantiner {
 	return &Quarantiner{
 		ends: map[string]*end{}, runs: map[string]*record{}, held: map[string]*wire.HeldRequest{},
-		given: map[string]time.Time{}, trials: map[string]time.Time{},
+		given: map[string]time.Time{}, trials: map[string]time.Time{}, cleared: map[string]bool{},
 	}
 }
 
@@ -100,19 +103,42 @@
 	switch {
 	case r.GetFingerprint() == "" || r.GetBackend() == "":
 	case r.GetCompleted():
-		q.complete(r.GetFingerprint())
+		q.complete(now, r)
 	default:
 		q.lose(now, r)
 	}
 }
 
-// complete lets a run that was answered whole speak for its request.
-func (q *Quarantiner) complete(fingerprint string) {
-	delete(q.given, fingerprint)
-	if q.held[fingerprint] != nil {
-		q.cleared = append(q.cleared, fingerprint)
+// complete lets a run that was answered whole speak for its request: against the ends before
+// it, and, if it has just been answered, against its being held. Reports are told again to
+// whoever has started anew, and old ones must not undo what was found out since.
+func (q *Quarantiner) complete(now time.Time, r *wire.RunReport) {
+	fingerprint, age := r.GetFingerprint(), time.Duration(r.GetAgoMs())*time.Millisecond
+	if q.held[fingerprint] != nil && age <= freshCompletion {
+		q.cleared[fingerprint] = true
+	}
+	q.forgetRunsUntil(fingerprint, now.Add(-age))
+}
+
+// forgetRunsUntil lets the ends until then no longer speak against a request.
+func (q *Quarantiner) forgetRunsUntil(fingerprint string, until time.Time) {
+	known := q.runs[fingerprint]
+	if known == nil {
+		return
+	}
+	for backend, e := range known.ends {
+		if !e.at.After(until) {
+			delete(e.lost, fingerprint)
+			delete(known.ends, backend)
+		}
+	}
+	switch {
+	case len(known.ends) == 0:
+		delete(q.runs, fingerprint)
+		delete(q.given, fingerprint)
+	case len(known.ends) < q.enough(fingerprint):
+		known.enoughAt = time.Time{}
 	}
-	q.forgetRuns(fingerprint)
 }
 
 // forgetRuns lets the ends so far no longer speak against a request.
@@ -234,6 +260,7 @@
 		if q.held[fingerprint] == nil {
 			q.forgetRuns(fingerprint)
 			delete(q.trials, fingerprint)
+			delete(q.cleared, fingerprint)
 		}
 	}
 }
@@ -241,8 +268,8 @@
 // TakeCleared returns the requests that were answered whole though they are held: they are
 // not the cause.
 func (q *Quarantiner) TakeCleared() []string {
-	list := q.cleared
-	q.cleared = nil
+	list := slices.Sorted(maps.Keys(q.cleared))
+	clear(q.cleared)
 	return list
 }
 
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -133,6 +133,39 @@
 	c.Check(s.TakeCleared(), qt.HasLen, 0)
 }
 
+// A gateway tells again what it has seen to a controller that has started anew, in any order
+// with what others tell. A run that was completed before the ends does not speak against them,
+// and one of long ago does not end a hold.
+func TestOldCompletionsUndoNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		ago  time.Duration
+		want int
+	}{
+		"before all ends":    {20 * time.Second, 1},
+		"after two of three": {1500 * time.Millisecond, 0},
+		"after all of them":  {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStory()
+			for i := range EnoughEnds {
+				s.lost(fmt.Sprint(i), "f")
+			}
+			s.Note(s.now, &wire.RunReport{Fingerprint: "f", Backend: "x", Completed: true, AgoMs: uint32(test.ago.Milliseconds())})
+			qt.New(t).Check(s.verdicts(), qt.HasLen, test.want)
+		})
+	}
+	c := qt.New(t)
+	s := newStory()
+	s.held(false, "f")
+	s.Note(s.now, &wire.RunReport{Fingerprint: "f", Backend: "x", Completed: true, AgoMs: 60_000})
+	c.Check(s.TakeCleared(), qt.HasLen, 0)
+	// What another leader has released is not released again once it is held anew.
+	s.completed("f")
+	s.held(false)
+	s.held(false, "f")
+	c.Check(s.TakeCleared(), qt.HasLen, 0)
+}
+
 // A read that is at three starts when they end together is completed elsewhere at once,
 // which has the time to be told; runs one after the other need not wait as long.
 func TestEndsTogetherWaitLonger(t *testing.T) {
