--- a/pkg/quarantiner/witness.go
+++ b/pkg/quarantiner/witness.go
@@ -15,7 +15,7 @@
 	// are kept; of more the oldest are forgotten.
 	maxLosses  = 4096
 	maxReports = 4096
-	// maxTold bounds the reports in one call, some 200 bytes each.
+	// maxTold bounds the reports in one call, some 130 bytes each.
 	maxTold = 256
 	// completedAgainAfter is the least time between two reports that runs of a request are
 	// completed: a caller may send it many times a second.
