Callers are known by keys, on every request

A gateway judges a key by its table before it reads a body, and again when a request is sent, with whatever table is in force then; an answer that has begun is finished. 401 is said only while the leader's word is younger than 1 s, else 503: a newer table may have the key. The customer's name replaces what a caller says of itself, and the key goes nowhere. A customer's priority goes before the route's, in the queue and at engines. Setting Keys.Strict refuses all once the word is older than StaleAfter.

Found by reading: a line that is no header field was shown in logs with its first 60 bytes, which may be a key. It is not shown any more.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -109,6 +109,7 @@
 		Regulator: r.regulator, Isolator: r.isolator,
 		Clock: r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want, Off: s.off(),
 		Budget: forwarder.Budget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
+		Keys:   forwarder.Keys{Strict: s.Keys.Strict, StaleAfter: s.Keys.StaleAfter},
 		Sender: &sender.Sender{
 			Clock: r.Clock, DialTimeout: s.Backends.DialTimeout, MaxIdle: s.Backends.MaxIdle,
 			IdleMargin: s.Backends.IdleMargin, Unacknowledged: s.Backends.Unacknowledged, OwnAnswer: ownAnswer,
@@ -129,6 +130,7 @@
 	}
 	r.door = &doorkeeper.Doorkeeper{
 		Clock: r.Clock, Log: r.Log, Address: s.Instance.Listen, Handle: r.forwarder.Handle,
+		Screen: r.forwarder.Screen,
 		Limits: r.forwarder.Limits, MaxConnections: s.Instance.MaxFiles / callerShare,
 	}
 	mux := http.NewServeMux()
--- a/gateway/app/routed_settings.go
+++ b/gateway/app/routed_settings.go
@@ -15,6 +15,7 @@
 	Controllers RoutedControllers
 	Backends    BackendSettings
 	Budget      BudgetSettings
+	Keys        CallerKeySettings
 	Stop        StopSettings
 	Log         LogSettings
 	Experiment  ablator.Settings
@@ -52,6 +53,12 @@
 	Slack  float64       `help:"Repeats in a window, over all gateways, beside the ratio."`
 }
 
+// CallerKeySettings say how callers' keys are judged while no leader is heard.
+type CallerKeySettings struct {
+	Strict     bool          `help:"Whether requests that need a key are refused once no leader has been heard for StaleAfter; otherwise the keys that are known go on to hold."`
+	StaleAfter time.Duration `help:"How long no leader may be heard before keys count as old, where Strict is set."`
+}
+
 // StopSettings bound a planned stop.
 type StopSettings struct {
 	Grace time.Duration `help:"How long a planned stop may take."`
@@ -68,6 +75,7 @@
 			Unacknowledged: 2 * time.Second,
 		},
 		Budget: BudgetSettings{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
+		Keys:   CallerKeySettings{StaleAfter: 5 * time.Second},
 		Stop:   StopSettings{Grace: 8 * time.Second, Take: 2800 * time.Millisecond, Drain: 4 * time.Second},
 		Log:    LogSettings{Level: "Info"},
 	}
--- a/gateway/doorkeeper/doorkeeper.go
+++ b/gateway/doorkeeper/doorkeeper.go
@@ -64,6 +64,9 @@
 	Address string
 	// Handle answers a request. Its context ends when the caller leaves.
 	Handle func(ctx context.Context, req *Request, reply *Reply)
+	// Screen looks at a request's head before its body is read. It answers a request that it
+	// refuses, and reports whether it did; nil lets all pass.
+	Screen func(req *Request, reply *Reply) bool
 	// Limits returns the limits in force; zero values mean the defaults.
 	Limits func() Limits
 	// MaxConnections bounds the open connections; more are closed at once.
@@ -242,12 +245,54 @@
 		return false
 	}
 	req := &Request{Head: head, ReceivedAt: c.door.Clock.Now(), Caller: c.RemoteAddr().String()}
+	if refused, keep := c.screen(req, limits); refused {
+		return keep
+	}
 	if !c.readBody(req, limits) {
 		return false
 	}
 	return c.answer(req)
 }
 
+// screen lets a request be refused by its head alone. It reports whether it was, and
+// whether the connection may be used again: the body is read and thrown away then.
+func (c *conn) screen(req *Request, limits Limits) (refused, keep bool) {
+	if c.door.Screen == nil {
+		return false, false
+	}
+	reply := c.reply(req)
+	// A caller that waits for leave to send its body may or may not send it now.
+	reply.keep = reply.keep && !req.Head.Header.Has("Expect")
+	if !c.door.Screen(req, reply) {
+		return false, false
+	}
+	if !reply.keep || !reply.done {
+		c.linger()
+		return true, false
+	}
+	return true, c.discardBody(req, limits)
+}
+
+// discardBody reads the body of a request that was answered already, and reports whether
+// the next request begins behind it.
+func (c *conn) discardBody(req *Request, limits Limits) bool {
+	body, err := framer.RequestBody(c.reader, req.Head)
+	if err != nil || body.Length > int64(limits.BodyBytes) {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_, err = io.Copy(io.Discard, io.LimitReader(body, int64(limits.BodyBytes)))
+	return err == nil && body.Ended()
+}
+
+// reply returns what a request is answered through.
+func (c *conn) reply(req *Request) *Reply {
+	keep := req.Head.KeepAlive() && !c.door.stopping.Load()
+	return &Reply{
+		conn: c.Conn, log: c.door.Log, keep: keep, method: req.Head.Method, minor: req.Head.Minor, stopping: &c.door.stopping,
+	}
+}
+
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest(limits Limits) bool {
 	c.setIdle(true)
@@ -307,9 +352,7 @@
 			cancel()
 		}
 	}()
-	keep := req.Head.KeepAlive() && !c.door.stopping.Load()
-	reply := &Reply{conn: c.Conn, log: c.door.Log, keep: keep, method: req.Head.Method, minor: req.Head.Minor}
-	reply.stopping = &c.door.stopping
+	reply := c.reply(req)
 	c.door.Handle(ctx, req, reply)
 	reply.finish()
 	_ = c.SetReadDeadline(time.Unix(1, 0))
--- a/gateway/doorkeeper/doorkeeper_test.go
+++ b/gateway/doorkeeper/doorkeeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -257,3 +258,40 @@
 		})
 	}
 }
+
+// A request that is refused by its head alone leaves its connection usable where its body
+// can be told apart from the next request.
+func TestRequestsThatAreScreened(t *testing.T) {
+	const next = "GET /b/ HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, test := range map[string]struct {
+		sent string
+		want []int
+	}{
+		"no body":               {"GET /no/ HTTP/1.1\r\nHost: h\r\n\r\n" + next, []int{401, 200}},
+		"a body":                {"POST /no/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + next, []int{401, 200}},
+		"a body in chunks":      {"POST /no/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n" + next, []int{401, 200}},
+		"a body that is asked":  {"POST /no/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n" + next, []int{401}},
+		"a body that is long":   {"POST /no/ HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n" + next, []int{401}},
+		"a body that is cut":    {"POST /no/ HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc", []int{401}},
+		"chunks that are wrong": {"POST /no/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nxy\r\n" + next, []int{401}},
+		"two":                   {"GET /no/ HTTP/1.1\r\nHost: h\r\n\r\nGET /no/ HTTP/1.1\r\nHost: h\r\n\r\n" + next, []int{401, 401, 200}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			door, seen := start(c, Limits{BodyBytes: 20})
+			door.Screen = func(req *Request, reply *Reply) bool {
+				if !strings.HasPrefix(req.Head.Target, "/no/") {
+					return false
+				}
+				reply.Send(http.StatusUnauthorized, nil, nil)
+				return true
+			}
+			var statuses []int
+			for _, res := range exchange(c, door.Addr(), test.sent) {
+				statuses = append(statuses, res.StatusCode)
+			}
+			c.Check(statuses, qt.DeepEquals, test.want)
+			c.Check(len(seen), qt.Equals, strings.Count(fmt.Sprint(statuses), "200"))
+		})
+	}
+}
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -19,6 +19,7 @@
 	statusUnavailable = http.StatusServiceUnavailable
 	statusNotFound    = http.StatusNotFound
 	statusBadRequest  = http.StatusBadRequest
+	statusNoKey       = http.StatusUnauthorized
 	statusBadGateway  = http.StatusBadGateway
 	statusTimeout     = http.StatusGatewayTimeout
 	statusMisdirected = http.StatusMisdirectedRequest
@@ -44,6 +45,10 @@
 		f.done(j, d.Backend.GetId(), balancer.Abandoned)
 		return false
 	}
+	if !f.keyHolds(j) {
+		f.done(j, d.Backend.GetId(), balancer.Abandoned)
+		return false
+	}
 	j.sends++
 	j.last, j.sentAt = d.Backend, f.Clock.Now()
 	in, err := f.Sender.Send(ctx, f.outgoing(j, d))
@@ -90,13 +95,13 @@
 
 func (f *Forwarder) outgoing(j *job, d balancer.Decision) *sender.Outgoing {
 	dispatch := platform.Dispatch{
-		Name: d.Backend.GetName(), AdapterVersion: d.Version, Urgency: -1, Resumes: j.resume,
+		Name: d.Backend.GetName(), AdapterVersion: d.Version, Urgency: -1, Resumes: j.resume, Customer: j.customer.GetName(),
 	}
 	if !j.patience.IsZero() {
 		dispatch.Left = j.until.Sub(f.Clock.Now())
 	}
 	if j.adapter != "" && !f.Off.Has(ablator.PriorityOrder) {
-		dispatch.Urgency = min(int(j.route.GetPriority()), leastUrgent)
+		dispatch.Urgency = min(int(j.urgency()), leastUrgent)
 	}
 	return &sender.Outgoing{
 		Backend: d.Backend.GetId(), Address: d.Backend.GetAddress(), RequestID: j.about.ID,
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -60,6 +60,7 @@
 	Sender *sender.Sender
 	Meter  *meter.Meter
 	Budget Budget
+	Keys   Keys
 	// Off are the mechanisms that an experiment does without.
 	Off ablator.Off
 	// Regulator paces prompts; nil sends them at once.
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -16,12 +16,15 @@
 
 // job is one request on its way.
 type job struct {
-	req     *doorkeeper.Request
-	reply   *doorkeeper.Reply
-	about   platform.Request
-	route   *wire.Route
-	service string
-	adapter string
+	req   *doorkeeper.Request
+	reply *doorkeeper.Reply
+	about platform.Request
+	route *wire.Route
+	// customer holds the request's key, by the table of the last look; nil if none does.
+	customer *wire.RoutedCustomer
+	table    *matcher.Matcher
+	service  string
+	adapter  string
 	// until is when the caller's patience or the route's timeout ends.
 	until time.Time
 	// patience is when the caller itself leaves; zero if it did not say.
@@ -92,6 +95,11 @@
 		f.refuse(j, statusBadRequest, "the request has no id", 0)
 		return false
 	}
+	j.table, j.customer = table, table.Holder(j.about.Key)
+	if j.customer == nil && table.NeedsKey(j.route) {
+		f.refuseKey(j)
+		return false
+	}
 	j.service = matcher.Pick(j.route, rand.Float64())
 	if s := table.Service(j.service); s.GetEngine() != nil && isAdapter(j.about.Model) {
 		j.adapter = j.about.Model
@@ -186,7 +194,7 @@
 		until = first
 	}
 	w := &balancer.Waiter{
-		ID: j.about.ID, Service: j.service, Adapter: j.adapter, Urgency: j.route.GetPriority(),
+		ID: j.about.ID, Service: j.service, Adapter: j.adapter, Urgency: j.urgency(),
 		Tokens: j.about.PromptTokens, GiveUp: until.Add(-reserve(j, until)), Avoid: j.avoid,
 	}
 	decided := make(chan balancer.Decision, 1)
--- a/pkg/framer/framer.go
+++ b/pkg/framer/framer.go
@@ -192,8 +192,9 @@
 func parseField(line string) (Field, error) {
 	name, value, ok := strings.Cut(line, ":")
 	if !ok || !isToken(name) {
-		// This refuses folded lines and a space before the colon too.
-		return Field{}, fail("Parse", KindMalformed, "no header field: %q", clip(line))
+		// This refuses folded lines and a space before the colon too. The line is not shown:
+		// it may hold a key.
+		return Field{}, fail("Parse", KindMalformed, "a line of %d bytes is no header field", len(line))
 	}
 	value = strings.Trim(value, " \t")
 	for i := range len(value) {
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -4,9 +4,11 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
+	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -15,12 +17,14 @@
 	table    *wire.RoutingTable
 	hosts    map[string][]*wire.Route
 	services map[string]*wire.RoutedService
+	holders  map[authenticator.Digest]*wire.RoutedCustomer
 }
 
 // New compiles a table that has no faults.
 func New(table *wire.RoutingTable) *Matcher {
 	m := &Matcher{
 		table: table, hosts: map[string][]*wire.Route{}, services: map[string]*wire.RoutedService{},
+		holders: map[authenticator.Digest]*wire.RoutedCustomer{},
 	}
 	for _, r := range table.GetRoutes() {
 		host := strings.ToLower(r.GetHost())
@@ -34,9 +38,25 @@
 	for _, s := range table.GetServices() {
 		m.services[s.GetName()] = s
 	}
+	for _, customer := range table.GetCustomers() {
+		for _, digest := range customer.GetKeyDigests() {
+			m.holders[authenticator.Digest(digest)] = customer
+		}
+	}
 	return m
 }
 
+// Holder returns the customer that holds a key, or nil.
+func (m *Matcher) Holder(key string) *wire.RoutedCustomer {
+	if key == "" || len(m.holders) == 0 {
+		return nil
+	}
+	return m.holders[authenticator.DigestOf(key)]
+}
+
+// NeedsKey reports whether requests on a route must carry the key of a customer.
+func (m *Matcher) NeedsKey(r *wire.Route) bool { return m.table.GetKeysRequired() && !r.GetOpen() }
+
 // Table returns the table itself.
 func (m *Matcher) Table() *wire.RoutingTable { return m.table }
 
@@ -101,6 +121,57 @@
 		}
 		places[place] = r.GetName()
 	}
+	return append(faults, customerFaults(table.GetCustomers())...)
+}
+
+func customerFaults(customers []*wire.RoutedCustomer) []string {
+	var faults []string
+	fault := func(c *wire.RoutedCustomer, format string, args ...any) {
+		faults = append(faults, fmt.Sprintf("customer %q: %s", c.GetName(), fmt.Sprintf(format, args...)))
+	}
+	names := map[string]bool{}
+	holders := map[string]string{}
+	for i, c := range customers {
+		if c.GetName() == "" {
+			fault(c, "number %d has no name", i+1)
+		}
+		if c.GetName() != "" && names[c.GetName()] {
+			fault(c, "it is listed twice")
+		}
+		names[c.GetName()] = true
+		for _, digest := range c.GetKeyDigests() {
+			other, taken := holders[string(digest)]
+			switch {
+			case len(digest) != len(authenticator.Digest{}):
+				fault(c, "a key is empty, or begins or ends with a space")
+			case taken && other != c.GetName():
+				fault(c, "customer %q has the same key", other)
+			}
+			holders[string(digest)] = c.GetName()
+		}
+		for _, problem := range limitFaults(c.GetLimit()) {
+			fault(c, "%s", problem)
+		}
+	}
+	return faults
+}
+
+func limitFaults(l *wire.CustomerLimit) []string {
+	if l == nil {
+		return nil
+	}
+	var faults []string
+	if l.GetUnit() == wire.LimitUnit_LIMIT_UNIT_UNSPECIFIED {
+		faults = append(faults, "the unit of its limit is not known")
+	}
+	for _, part := range []struct {
+		name  string
+		value float64
+	}{{"rate", l.GetRatePerSecond()}, {"burst", l.GetBurst()}, {"size of a plain request", l.GetPlainTokens()}} {
+		if part.value < 0 || math.IsInf(part.value, 0) || math.IsNaN(part.value) {
+			faults = append(faults, fmt.Sprintf("the %s of its limit is no number from 0 on", part.name))
+		}
+	}
 	return faults
 }
 
--- a/pkg/settingstester/settingstester.go
+++ b/pkg/settingstester/settingstester.go
@@ -41,7 +41,9 @@
 func Template(c *qt.C, template string, values map[string]string, read func(file string) []configurer.Fault) {
 	text, err := os.ReadFile(template)
 	c.Assert(err, qt.IsNil)
-	rendered := regexp.MustCompile(`{{(.*?)}}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
+	// A section is taken as present.
+	sections := regexp.MustCompile(`{{[#/](.*?)}}`).ReplaceAllString(string(text), "")
+	rendered := regexp.MustCompile(`{{(.*?)}}`).ReplaceAllStringFunc(sections, func(placeholder string) string {
 		if value, ok := values[strings.Trim(placeholder, "{}")]; ok {
 			return value
 		}
