Customers are kept to their limits by all gateways together

Change: gateway/borrower borrows credit of the leader, at once when requests wait and every 250 ms (1 s with many gateways) otherwise; relays pass calls on. A request holds its credit before it is queued, spends it with each send, gets it back where it certainly did not run; beyond the limit it hears 429 at once, with when there is room, and 503 where nobody can tell. The leader logs each second how limits stand; a refused request's line has its customer, size, credit and the age of the leader's word.

Limits are refused too early: the rule judges windows, and a bucket of rate and burst gives less than a window allows.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -19,6 +19,7 @@
 	"bronzelead.example/controller/transporter"
 	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/lender"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/recorder"
@@ -168,6 +169,7 @@
 	r.curator = &curator.Curator{
 		Clock: r.Clock, Log: r.Log, Keeper: r.keeper, In: items, Carry: r.orders().carry,
 		Relay: func(list []*wire.Announcement) { r.relays.send(r.addresses(), list) }, Controllers: r.addresses,
+		Limits: lender.Rule{Window: s.Limits.Window, Overage: s.Limits.Overage, Slack: s.Limits.Slack},
 		Policy: r.policy(), SilentAfter: silentAnnouncements * s.Timing.Announcements, HandOver: s.handOver(),
 		SnapshotEvery: uint64(s.Data.SnapshotEvery), SnapshotBytes: snapshotBytes,
 	}
@@ -225,6 +227,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.PeerPathPrefix, responder.MarkForwarded(wire.NewPeerServer(peer)))
 	mux.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.mesh))
+	mux.Handle(wire.LimitsPathPrefix, wire.NewLimitsServer(r.curator))
 	mux.Handle("GET /metrics", r.meter.Handler())
 	return mux
 }
--- a/controller/app/routed_settings.go
+++ b/controller/app/routed_settings.go
@@ -17,6 +17,7 @@
 	Members    RoutedMembers
 	Timing     RoutedTiming
 	Placement  PlacementSettings
+	Limits     LimitSettings
 	Log        LogSettings
 	Experiment ablator.Settings
 }
@@ -57,6 +58,14 @@
 	FillPerCopy float64       `help:"Part of an engine's slots that one adapter's requests may take before it gets another copy."`
 }
 
+// LimitSettings say how exactly customers are kept to their limits: in any Window, no more
+// than (rate * Window + burst) * (1 + Overage) + Slack is sent on for one.
+type LimitSettings struct {
+	Window  time.Duration `help:"Span over which a customer's limit is judged."`
+	Overage float64       `help:"Part of a limit by which it may be passed in a window, over all gateways. It pays for what gateways have borrowed and not spent."`
+	Slack   float64       `help:"What may be sent on in a window beside that, in the unit of the limit."`
+}
+
 // RoutedDefaults returns the settings of a file that names only what is required.
 func RoutedDefaults() *RoutedSettings {
 	policy := placer.DefaultPolicy()
@@ -71,7 +80,8 @@
 		Placement: PlacementSettings{
 			Reserve: policy.Reserve, ColdLoad: policy.ColdLoad, WarmLoad: policy.WarmLoad, FillPerCopy: policy.FillPerCopy,
 		},
-		Log: LogSettings{Level: "Info"},
+		Limits: LimitSettings{Window: 10 * time.Second, Overage: 0.1, Slack: 100},
+		Log:    LogSettings{Level: "Info"},
 	}
 }
 
@@ -96,6 +106,9 @@
 	if s.Timing.ElectionTimeout < minTimeoutHeartbeats*s.Timing.Heartbeat {
 		fault("Timing", "ElectionTimeout", "it must be at least three times Heartbeat")
 	}
+	if s.Limits.Window <= 0 || s.Limits.Overage < 0 || s.Limits.Slack < 0 {
+		fault("Limits", "Window", "it must be above 0, and neither Overage nor Slack below")
+	}
 	_, problems := s.Experiment.Parse(ablator.Controller())
 	for _, p := range problems {
 		fault("Experiment", p.Key, p.Text)
--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -18,6 +18,7 @@
 	"bronzelead.example/controller/arbiter"
 	"bronzelead.example/controller/keeper"
 	"bronzelead.example/pkg/caller"
+	"bronzelead.example/pkg/lender"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/recorder"
 	"bronzelead.example/pkg/spreader"
@@ -74,6 +75,8 @@
 	// nothing.
 	CountHeld func(change string)
 
+	// Limits is the rule by which customers are kept to their limits.
+	Limits lender.Rule
 	Policy placer.Policy
 	// SilentAfter is the time without an announcement after which a backend server counts
 	// as silent.
@@ -118,6 +121,8 @@
 	summarized  time.Time
 	planned     time.Time
 	placer      *placer.Placer
+	// lender lends of customers' limits while this instance leads.
+	lender *lender.Lender
 }
 
 // gatewayState is what a gateway said last.
@@ -204,6 +209,9 @@
 func (c *Curator) tableChanged() {
 	table := c.state.Table().GetTable()
 	c.Log.Info("a table is in force", "Version", table.GetVersion(), "Routes", len(table.GetRoutes()))
+	if c.lender != nil {
+		c.lender.SetCustomers(c.Clock.Now(), table.GetCustomers())
+	}
 	if c.placer != nil {
 		c.placer.SetTable(table)
 		for _, a := range c.tracker.All() {
@@ -262,6 +270,9 @@
 		c.placer.SetUse(c.uses())
 		c.plan(now)
 	}
+	if c.lender != nil {
+		c.lender.Tick(now)
+	}
 	c.arbiter.Tick(now)
 	if c.leads(now) {
 		c.arbiter.Lead(now, c.term)
@@ -285,7 +296,7 @@
 		c.begin(now, standing.Term)
 	case !leads && c.term != 0 && c.term != standing.Term:
 		c.Log.Info("this instance no longer leads", "Term", c.term)
-		c.term, c.placer = 0, nil
+		c.term, c.placer, c.lender = 0, nil, nil
 	}
 }
 
@@ -297,6 +308,8 @@
 	c.holdings.Begin(c.placer.Revision())
 	c.arbiter.Begin()
 	c.placer.SetTable(c.state.Table().GetTable())
+	c.lender = &lender.Lender{Rule: c.Limits}
+	c.lender.Begin(now, term, c.state.Table().GetTable().GetCustomers())
 	for _, a := range c.tracker.All() {
 		c.placer.SetEngine(a)
 	}
@@ -320,6 +333,9 @@
 	c.wake(now)
 	if now.Sub(c.summarized) >= summaryEvery {
 		c.summarized = now
+		if standings := c.lender.Standings(); len(standings) > 0 {
+			c.Log.Info("limits", "Customers", standings)
+		}
 		c.Log.Info("placement", "Summary", c.placer.Summary(), "Gateways", c.roster.count(), "Asking", len(c.gateways))
 	}
 	for _, order := range c.placer.Plan(now) {
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"bronzelead.example/gateway/borrower"
 	"bronzelead.example/gateway/doorkeeper"
 	"bronzelead.example/gateway/follower"
 	"bronzelead.example/gateway/forwarder"
@@ -56,6 +57,7 @@
 	relayer   *relayer.Relayer
 	regulator *regulator.Regulator
 	isolator  *isolator.Isolator
+	borrower  *borrower.Borrower
 	health    *server.Server
 	mesh      *server.Server
 	meter     *meter.Meter
@@ -73,6 +75,7 @@
 	go r.relayer.Run(background)
 	go r.regulator.Run(background)
 	go r.isolator.Run(background)
+	go r.borrower.Run(background)
 	go r.acquire(background)
 	if err := r.door.Start(); err != nil {
 		return errors.Wrap(err, "app")
@@ -105,8 +108,13 @@
 	r.regulator = &regulator.Regulator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress()}
 	r.regulator.Init()
 	r.isolator = &isolator.Isolator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), WordAge: r.wordAge}
+	r.borrower = &borrower.Borrower{
+		Clock: r.Clock, Log: r.Log, Meter: r.meter, Gateway: s.Instance.Name,
+		Upstream: func() string { return r.follower.Leader() },
+	}
+	r.borrower.Init()
 	r.forwarder = &forwarder.Forwarder{
-		Regulator: r.regulator, Isolator: r.isolator,
+		Regulator: r.regulator, Isolator: r.isolator, Borrower: r.borrower,
 		Clock: r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want, Off: s.off(),
 		Budget: forwarder.Budget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
 		Keys:   forwarder.Keys{Strict: s.Keys.Strict, StaleAfter: s.Keys.StaleAfter},
@@ -139,6 +147,7 @@
 	r.health = &server.Server{Address: s.Instance.Health, Handler: mux, Log: r.Log}
 	calls := http.NewServeMux()
 	calls.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.relayer))
+	calls.Handle(wire.LimitsPathPrefix, wire.NewLimitsServer(r.borrower))
 	calls.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{Address: s.meshAddress(), Handler: calls, Log: r.Log}
 }
--- /dev/null
+++ b/gateway/borrower/borrower.go
@@ -0,0 +1,348 @@
+// Package borrower keeps customers to their limits at one gateway: it borrows credit of the
+// leader before it is needed, asks at once for what requests wait for, and passes the calls
+// of gateways on that follow this one.
+package borrower
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/lender"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// callTimeout bounds a call to the leader, and leaves a relay's own call time to fail.
+	callTimeout = 250 * time.Millisecond
+	// pauseAfterFailure is the time between two calls while the leader does not answer.
+	pauseAfterFailure = 50 * time.Millisecond
+	// lookEvery is the time between two looks at requests that wait while no leader answers.
+	lookEvery = 20 * time.Millisecond
+	// longestWait is how long a request waits for credit: until a gateway that does not reach
+	// the leader spends its allowance.
+	longestWait = 500 * time.Millisecond
+	// firstCall is the time between two calls before the leader has said it.
+	firstCall = 250 * time.Millisecond
+)
+
+// Verdict is what becomes of a request.
+type Verdict struct {
+	// Admitted is set if its credit is held: Release or Spend ends that.
+	Admitted bool
+	// Over is set if its customer is beyond its limit; there will be room after RoomIn.
+	// If neither is set, nobody could tell.
+	Over   bool
+	RoomIn time.Duration
+}
+
+// Borrower is one gateway's part. Set the exported fields, call Init, then Run.
+type Borrower struct {
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	Meter *meter.Meter
+	// Gateway names this gateway.
+	Gateway string
+	// Upstream returns the address of the leader, or of a gateway on the way to it; "" if none
+	// is known.
+	Upstream func() string
+	// Client returns a client of the limits at an address; nil makes one over HTTP.
+	Client func(address string) wire.Limits
+
+	kick      chan struct{}
+	transport *http.Transport
+
+	mu     sync.Mutex
+	purses map[string]*purse
+	// callAt is when the leader is to be called at the latest, and called when a call was
+	// answered last; failing is set while calls fail.
+	callAt  time.Time
+	failing bool
+}
+
+// purse is what is kept of one customer.
+type purse struct {
+	lender.Purse
+	limit   *wire.CustomerLimit
+	waiters []*waiter
+}
+
+// waiter is a request that waits for credit.
+type waiter struct {
+	size  uint64
+	until time.Time
+	// verdict takes the verdict, once. It has room for it.
+	verdict chan Verdict
+}
+
+// Init prepares the borrower for use.
+func (b *Borrower) Init() {
+	b.kick = make(chan struct{}, 1)
+	b.purses = map[string]*purse{}
+	b.transport = connector.NewTransport(nil)
+	if b.Client == nil {
+		client := &connector.Client{Timeout: callTimeout, Transport: b.transport}
+		b.Client = func(address string) wire.Limits { return wire.NewLimitsProtobufClient("http://"+address, client) }
+	}
+}
+
+// SetCustomers takes the limits in force.
+func (b *Borrower) SetCustomers(customers []*wire.RoutedCustomer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limits := map[string]*wire.CustomerLimit{}
+	for _, c := range customers {
+		limits[c.GetName()] = c.GetLimit()
+	}
+	for name, p := range b.purses {
+		if !proto.Equal(p.limit, limits[name]) {
+			p.limit = limits[name]
+			p.Reset()
+		}
+	}
+}
+
+// Admit holds credit for a request of a customer that has a limit, and waits for it if
+// needed.
+func (b *Borrower) Admit(ctx context.Context, customer string, limit *wire.CustomerLimit, size uint64) Verdict {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	p := b.purses[customer]
+	if p == nil {
+		p = &purse{limit: limit}
+		b.purses[customer] = p
+	}
+	p.Ask(now, size)
+	if v, decided := p.judge(now, &waiter{size: size, until: now.Add(longestWait)}); decided && len(p.waiters) == 0 {
+		b.mu.Unlock()
+		return v
+	}
+	w := &waiter{size: size, until: now.Add(longestWait), verdict: make(chan Verdict, 1)}
+	p.waiters = append(p.waiters, w)
+	b.mu.Unlock()
+	b.wake()
+	select {
+	case v := <-w.verdict:
+		return v
+	case <-ctx.Done():
+		return b.leave(customer, w)
+	}
+}
+
+// leave takes out a request whose caller has left.
+func (b *Borrower) leave(customer string, w *waiter) Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case v := <-w.verdict:
+		return v
+	default:
+	}
+	if p := b.purses[customer]; p != nil {
+		p.drop(w)
+	}
+	return Verdict{}
+}
+
+func (p *purse) drop(gone *waiter) {
+	kept := p.waiters[:0]
+	for _, w := range p.waiters {
+		if w != gone {
+			kept = append(kept, w)
+		}
+	}
+	clear(p.waiters[len(kept):])
+	p.waiters = kept
+}
+
+// judge decides on a request, if that can be done now.
+func (p *purse) judge(now time.Time, w *waiter) (Verdict, bool) {
+	if p.Hold(now, w.size) {
+		return Verdict{Admitted: true}, true
+	}
+	if roomIn := p.RoomIn(now); roomIn > 0 {
+		return Verdict{Over: true, RoomIn: roomIn}, true
+	}
+	return Verdict{}, !now.Before(w.until)
+}
+
+// settle decides on the requests that wait, as far as that can be done now.
+func (p *purse) settle(now time.Time) {
+	kept := p.waiters[:0]
+	for _, w := range p.waiters {
+		v, decided := p.judge(now, w)
+		if !decided {
+			kept = append(kept, w)
+			continue
+		}
+		w.verdict <- v
+	}
+	clear(p.waiters[len(kept):])
+	p.waiters = kept
+}
+
+// Release gives back the credit of a request that was not sent on.
+func (b *Borrower) Release(customer string, size uint64) {
+	b.with(customer, func(p *purse) { p.Release(size) })
+}
+
+// Spend notes that a request is sent on whose credit is held.
+func (b *Borrower) Spend(customer string, size uint64) {
+	b.with(customer, func(p *purse) { p.Spend(size) })
+}
+
+// Refund notes that a request which was sent on has certainly not run. Its credit is held
+// again.
+func (b *Borrower) Refund(customer string, size uint64) {
+	b.with(customer, func(p *purse) { p.Refund(size) })
+}
+
+// Standing returns what decides on the requests of a customer now.
+func (b *Borrower) Standing(customer string) lender.Standing {
+	standing := lender.Standing{}
+	b.with(customer, func(p *purse) { standing = p.Standing(b.Clock.Now()) })
+	return standing
+}
+
+func (b *Borrower) with(customer string, f func(p *purse)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.purses[customer]; p != nil {
+		f(p)
+	}
+}
+
+func (b *Borrower) wake() {
+	select {
+	case b.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run borrows until ctx ends.
+func (b *Borrower) Run(ctx context.Context) {
+	defer b.transport.CloseIdleConnections()
+	look := b.Clock.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.kick:
+		case <-look.Chan():
+		}
+		b.round(ctx)
+	}
+}
+
+// round calls the leader if that is due, and decides on the requests that wait.
+func (b *Borrower) round(ctx context.Context) {
+	now := b.Clock.Now()
+	said := b.report(now)
+	if said == nil {
+		b.settle(now)
+		return
+	}
+	res, err := b.call(ctx, &wire.BorrowRequest{Borrowers: []*wire.Borrower{said}})
+	if err == nil && len(res.GetBorrowers()) != 1 {
+		err = errors.Errorf("borrower: %d answers to one gateway", len(res.GetBorrowers()))
+	}
+	b.hear(now, res, err)
+	b.settle(b.Clock.Now())
+}
+
+// report returns what the leader is to be told now, or nil.
+func (b *Borrower) report(now time.Time) *wire.Borrower {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	urgent := false
+	for _, p := range b.purses {
+		urgent = urgent || len(p.waiters) > 0
+	}
+	if now.Before(b.callAt) && (!urgent || b.failing) {
+		return nil
+	}
+	said := &wire.Borrower{Gateway: b.Gateway}
+	for name, p := range b.purses {
+		if len(p.waiters) == 0 && p.Idle(now) {
+			continue
+		}
+		needed := uint64(0)
+		for _, w := range p.waiters {
+			needed += w.size
+		}
+		said.Accounts = append(said.Accounts, p.Report(now, name, needed))
+	}
+	if len(said.Accounts) == 0 {
+		return nil
+	}
+	return said
+}
+
+// hear takes the end of a call that was made at a time.
+func (b *Borrower) hear(asked time.Time, res *wire.BorrowResponse, err error) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil {
+		if !b.failing {
+			b.Log.Info("no credit can be borrowed", "Upstream", b.Upstream(), "Error", err.Error())
+		}
+		b.failing, b.callAt = true, now.Add(pauseAfterFailure)
+		return
+	}
+	if b.failing {
+		b.Log.Info("credit can be borrowed again", "Upstream", b.Upstream())
+	}
+	b.failing, b.callAt = false, now.Add(firstCall)
+	if again := time.Duration(res.GetAgainInMs()) * time.Millisecond; again > 0 {
+		b.callAt = now.Add(again)
+	}
+	for _, credit := range res.GetBorrowers()[0].GetCredits() {
+		if p := b.purses[credit.GetCustomer()]; p != nil {
+			p.Hear(now, asked, credit)
+		}
+	}
+	if b.Meter != nil {
+		b.Meter.Took("borrow", now.Sub(asked))
+	}
+}
+
+func (b *Borrower) settle(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	waits := false
+	for _, p := range b.purses {
+		p.settle(now)
+		waits = waits || len(p.waiters) > 0
+	}
+	if waits && !b.failing {
+		b.wake()
+	}
+}
+
+var errNoLeader = twirp.NewError(twirp.Unavailable, "no leader is known")
+
+func (b *Borrower) call(ctx context.Context, req *wire.BorrowRequest) (*wire.BorrowResponse, error) {
+	address := b.Upstream()
+	if address == "" {
+		return nil, errNoLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return b.Client(address).Borrow(ctx, req)
+}
+
+// Borrow passes the call of a gateway on that follows this one.
+func (b *Borrower) Borrow(ctx context.Context, req *wire.BorrowRequest) (*wire.BorrowResponse, error) {
+	return b.call(ctx, req)
+}
--- a/gateway/follower/acquire.go
+++ b/gateway/follower/acquire.go
@@ -10,6 +10,14 @@
 	"bronzelead.example/pkg/wire"
 )
 
+// Leader returns the address of the leader, or of the relay that is asked in its place; ""
+// if none is known.
+func (f *Follower) Leader() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader
+}
+
 // Acquire asks the leader to load adapters. It does not wait for the loads.
 func (f *Follower) Acquire(ctx context.Context, wants []*wire.Want) {
 	f.mu.Lock()
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -45,10 +45,11 @@
 		f.done(j, d.Backend.GetId(), balancer.Abandoned)
 		return false
 	}
-	if !f.keyHolds(j) {
+	if !f.keyHolds(j) || !f.within(ctx, j) {
 		f.done(j, d.Backend.GetId(), balancer.Abandoned)
 		return false
 	}
+	f.spend(j)
 	j.sends++
 	j.last, j.sentAt = d.Backend, f.Clock.Now()
 	in, err := f.Sender.Send(ctx, f.outgoing(j, d))
@@ -64,6 +65,7 @@
 	switch {
 	case answer.NotRun:
 		in.Close()
+		f.refund(j)
 		return f.rejected(j, d.Backend, in.Head.Status)
 	case !answer.Signed || answer.Encoded:
 		in.Close()
@@ -122,6 +124,9 @@
 
 // failed handles a try that got no answer.
 func (f *Forwarder) failed(ctx context.Context, j *job, backend *wire.Announcement, err error) bool {
+	if sender.KindOf(err) == sender.KindNotSent {
+		f.refund(j)
+	}
 	if ctx.Err() != nil {
 		f.done(j, backend.GetId(), balancer.Abandoned)
 		if sender.KindOf(err) != sender.KindNotSent {
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/borrower"
 	"bronzelead.example/gateway/doorkeeper"
 	"bronzelead.example/gateway/isolator"
 	"bronzelead.example/gateway/regulator"
@@ -67,6 +68,8 @@
 	Regulator *regulator.Regulator
 	// Isolator knows the requests that end backend servers.
 	Isolator *isolator.Isolator
+	// Borrower keeps customers to their limits; nil lets all pass.
+	Borrower *borrower.Borrower
 	// Acquire asks the leader for adapters. It must not block.
 	Acquire func(wants []*wire.Want)
 	// NewsAge returns how old the leader's word is that decisions rest on; nil if nobody asks.
@@ -134,6 +137,9 @@
 			close(f.tableKnown)
 		}
 		f.table = matcher.New(t)
+		if f.Borrower != nil {
+			f.Borrower.SetCustomers(t.GetCustomers())
+		}
 		f.Log.Info("a table is in force", "Version", t.GetVersion(), "Controller", controller, "Routes", len(t.GetRoutes()))
 	}
 	f.announced(now, res.GetAnnouncements())
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -54,17 +54,23 @@
 	completed bool
 	// trial is the fingerprint by which it is held back, if it runs once all the same to see
 	// whether that is still right.
-	trial string
+	trial  string
+	charge charge
 }
 
 // Handle answers a request.
 func (f *Forwarder) Handle(ctx context.Context, req *doorkeeper.Request, reply *doorkeeper.Reply) {
 	j := &job{req: req, reply: reply, about: platform.DecodeRequest(req.Head.Header)}
-	if !f.awaitTable(ctx, j) || !f.admit(j) || f.isolated(j) {
+	if !f.awaitTable(ctx, j) || !f.admit(j) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.until.Sub(f.Clock.Now()))
 	defer cancel()
+	defer f.releaseCharge(j)
+	if !f.within(ctx, j) || f.isolated(j) {
+		return
+	}
+	f.count(j)
 	defer f.endTrial(j)
 	for f.try(ctx, j) {
 	}
@@ -115,13 +121,17 @@
 		j.leaves = j.req.ReceivedAt.Add(patience)
 	}
 	j.resume = j.about.Resumes
+	return true
+}
+
+// count counts a request that was let in.
+func (f *Forwarder) count(j *job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.budget(j.service).Request(f.Clock.Now())
 	if j.adapter != "" {
 		f.demand[j.adapter]++
 	}
-	return true
 }
 
 func isAdapter(model string) bool {
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -41,6 +41,13 @@
 	if j.route != nil {
 		list = append(list, "Route", j.route.GetName(), "Service", j.service, "Adapter", j.adapter)
 	}
+	if j.customer != nil {
+		list = append(list, "Customer", j.customer.GetName())
+	}
+	if j.charge.size > 0 && !j.charge.held && !j.charge.spent {
+		s := f.Borrower.Standing(j.charge.customer)
+		list = append(list, "Size", j.charge.size, "Credit", s.Credit, "Held", s.Held, "Allowance", s.Allowance, "CreditAge", s.Age.Milliseconds())
+	}
 	if backend == nil {
 		backend = j.last
 	}
--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -9,6 +9,8 @@
 package lender
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bronzelead.example/pkg/wire"
@@ -84,7 +86,9 @@
 	// presented is the sum of the allowances that the leader before this one gave to the
 	// gateways that were heard.
 	presented float64
-	accounts  map[string]*account
+	// missing is what gateways needed since the last look and were not lent.
+	missing  float64
+	accounts map[string]*account
 }
 
 // account is what one gateway has of a customer's limit.
@@ -184,6 +188,7 @@
 	credit := &wire.Credit{Customer: said.GetCustomer(), Account: a.id, Lent: a.lent, Allowance: uint64(a.allowance),
 		Overdraft: uint64(overdraftPart * l.Rule.fund(c.limit) / float64(max(l.Gateways, len(c.accounts))))}
 	if missing := float64(said.GetNeeded()) - granted; missing > 0 {
+		c.missing += missing
 		credit.RoomInMs = uint32(c.roomIn(missing).Milliseconds())
 	}
 	return credit
@@ -299,3 +304,30 @@
 	c.rate = max(0, c.rate-a.rate)
 	delete(c.accounts, gateway)
 }
+
+// CustomerStanding is how a customer's limit stands at the leader, in the unit of the limit.
+type CustomerStanding struct {
+	Customer string
+	// Limit is what may be sent on in a second, and Asked what is asked for.
+	Limit, Asked float64
+	// Level is what the bucket holds, and Unspent what gateways have of it.
+	Level, Unspent float64
+	// Gateways is the number of gateways that have credit.
+	Gateways int
+	// Missing is the part of what gateways needed since the last look that was not lent.
+	Missing float64
+}
+
+// Standings returns how the limits stand, by the names of their customers.
+func (l *Lender) Standings() []CustomerStanding {
+	var list []CustomerStanding
+	for name, c := range l.customers {
+		list = append(list, CustomerStanding{
+			Customer: name, Limit: c.limit.GetRatePerSecond(), Asked: c.rate, Level: c.level, Unspent: c.unspent,
+			Gateways: len(c.accounts), Missing: c.missing,
+		})
+		c.missing = 0
+	}
+	slices.SortFunc(list, func(a, b CustomerStanding) int { return cmp.Compare(a.Customer, b.Customer) })
+	return list
+}
--- a/pkg/lender/purse.go
+++ b/pkg/lender/purse.go
@@ -182,3 +182,17 @@
 func (p *Purse) Reset() {
 	*p = Purse{held: p.held, rate: p.rate, rated: p.rated, size: p.size}
 }
+
+// Standing is what decided on a request, for logs.
+type Standing struct {
+	// Credit is what could be spent, Held what is held for requests that were let in, and
+	// Allowance what may be spent in a second without the leader.
+	Credit, Held, Allowance uint64
+	// Age is how old the leader's word is.
+	Age time.Duration
+}
+
+// Standing returns what decides now.
+func (p *Purse) Standing(now time.Time) Standing {
+	return Standing{Credit: p.credit(now), Held: p.held, Allowance: uint64(p.allowance), Age: now.Sub(p.heard)}
+}
