Limits are judged by windows, as their rule does; bronzectl limits

Hypothesis: a bucket of rate and burst refuses below the limit, since the rule allows rate x window + burst in each window.

Change: the leader counts what it lent in the window. What gateways may spend while no leader can be asked is kept free of it; a new leader counts what the gateways that call have spent, and takes the rest for spent. Unspent credit may be 0.6 of the fund. Requests that wait for others to report are not refused. `bronzectl limits [CUSTOMER]` shows limit, room, shares and their age.

--- /dev/null
+++ b/bronzectl/app/limits.go
@@ -0,0 +1,70 @@
+package app
+
+import (
+	"fmt"
+	"time"
+
+	"bronzelead.example/pkg/launcher"
+	"bronzelead.example/pkg/wire"
+)
+
+type limitsCommand struct {
+	Customer string `arg:"" optional:"" help:"Shows what each gateway has of this customer's limit."`
+}
+
+// Run shows how the customers' limits stand at the leader.
+func (c *limitsCommand) Run(s *session) error {
+	res := &wire.ListLimitsResponse{}
+	err := s.controllers.Try(s.ctx, s.pause, func(address string) (err error) {
+		res, err = wire.NewLimitsProtobufClient("http://"+address, s.client).ListLimits(s.ctx, &wire.ListLimitsRequest{})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if c.Customer == "" {
+		return s.print(res, limitsTable(res.GetLimits()))
+	}
+	for _, l := range res.GetLimits() {
+		if l.GetCustomer() == c.Customer {
+			return s.print(l, sharesTable(l.GetShares()))
+		}
+	}
+	return &exitError{code: launcher.ExitFailed, text: fmt.Sprintf("customer %q has no limit", c.Customer)}
+}
+
+func limitsTable(limits []*wire.LimitStanding) string {
+	t := newTable("CUSTOMER", "UNIT", "RATE", "BURST", "ASKED", "ROOM", "RESERVED", "UNSPENT", "REFUSED", "GATEWAYS", "OLDEST")
+	for _, l := range limits {
+		unspent, oldest := uint64(0), uint32(0)
+		for _, share := range l.GetShares() {
+			unspent += share.GetUnspent()
+			oldest = max(oldest, share.GetAgeMs())
+		}
+		t.add(l.GetCustomer(), unitName(l.GetLimit().GetUnit()), whole(l.GetLimit().GetRatePerSecond()), whole(l.GetLimit().GetBurst()),
+			whole(l.GetRate()), whole(l.GetRoom()), whole(l.GetReserved()), fmt.Sprint(unspent), fmt.Sprint(l.GetRefused()),
+			fmt.Sprint(len(l.GetShares())), age(oldest))
+	}
+	return t.String()
+}
+
+func sharesTable(shares []*wire.GatewayShare) string {
+	t := newTable("GATEWAY", "UNSPENT", "ALLOWANCE", "AGE")
+	for _, share := range shares {
+		t.add(share.GetGateway(), fmt.Sprint(share.GetUnspent()), whole(share.GetAllowance()), age(share.GetAgeMs()))
+	}
+	return t.String()
+}
+
+func unitName(unit wire.LimitUnit) string {
+	if unit == wire.LimitUnit_LIMIT_UNIT_TOKENS {
+		return "Tokens"
+	}
+	return "Requests"
+}
+
+func whole(value float64) string { return fmt.Sprintf("%.0f", value) }
+
+func age(milliseconds uint32) string {
+	return (time.Duration(milliseconds) * time.Millisecond).String()
+}
--- a/bronzectl/app/main.go
+++ b/bronzectl/app/main.go
@@ -40,6 +40,7 @@
 	Explain  explainCommand   `cmd:"" help:"Show what was decided for a request, and why."`
 	Backend  backendCommands  `cmd:"" help:"Read and drain backend servers."`
 	Held     heldCommands     `cmd:"" help:"Read and release requests that are held back; without a key, in the routed mode."`
+	Limits   limitsCommand    `cmd:"" help:"Show how customers' limits stand, in the routed mode; without a key."`
 	Member   memberCommands   `cmd:"" help:"Read and change the controllers."`
 	Key      keyCommands      `cmd:"" help:"Make keys."`
 }
@@ -80,13 +81,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), line.Timeout)
 	defer cancel()
-	s, err := line.session(ctx, stdin, stdout, strings.HasPrefix(parsed.Command(), "held "))
+	s, err := line.session(ctx, stdin, stdout, isRouted(parsed.Command()))
 	if err == nil {
 		err = parsed.Run(s)
 	}
 	return exitCode(err, stderr)
 }
 
+// isRouted reports whether controllers of the routed mode serve a command, which ask for no
+// key.
+func isRouted(command string) bool {
+	return strings.HasPrefix(command, "held ") || strings.HasPrefix(command, "limits")
+}
+
 // session returns what a command works with. Controllers of the routed mode ask for no key.
 func (c *commandLine) session(ctx context.Context, in io.Reader, out io.Writer, routed bool) (*session, error) {
 	if c.Explain.offline() {
--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -210,7 +210,7 @@
 	table := c.state.Table().GetTable()
 	c.Log.Info("a table is in force", "Version", table.GetVersion(), "Routes", len(table.GetRoutes()))
 	if c.lender != nil {
-		c.lender.SetCustomers(c.Clock.Now(), table.GetCustomers())
+		c.lender.SetCustomers(table.GetCustomers())
 	}
 	if c.placer != nil {
 		c.placer.SetTable(table)
@@ -333,7 +333,7 @@
 	c.wake(now)
 	if now.Sub(c.summarized) >= summaryEvery {
 		c.summarized = now
-		if standings := c.lender.Standings(); len(standings) > 0 {
+		if standings := c.lender.Standings(now, false); len(standings) > 0 {
 			c.Log.Info("limits", "Customers", standings)
 		}
 		c.Log.Info("placement", "Summary", c.placer.Summary(), "Gateways", c.roster.count(), "Asking", len(c.gateways))
--- /dev/null
+++ b/controller/curator/limits_test.go
@@ -0,0 +1,68 @@
+package curator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/controller/keeper"
+	"bronzelead.example/pkg/lender"
+	"bronzelead.example/pkg/wire"
+)
+
+func limitedTable(version uint64, burst float64) *wire.Command {
+	cmd := putTable(version, "x")
+	cmd.GetPutTable().Table.Customers = []*wire.RoutedCustomer{{
+		Name: "a", Limit: &wire.CustomerLimit{Unit: wire.LimitUnit_LIMIT_UNIT_REQUESTS, Burst: burst},
+	}}
+	return cmd
+}
+
+// borrow asks for a number of requests, with the test's goroutine in the curator's place.
+func borrow(c *qt.C, cu *Curator, needed uint64) (*wire.BorrowResponse, error) {
+	type end struct {
+		res *wire.BorrowResponse
+		err error
+	}
+	done := make(chan end, 1)
+	go func() {
+		res, err := cu.Borrow(context.Background(), &wire.BorrowRequest{Borrowers: []*wire.Borrower{{
+			Gateway: "g", Accounts: []*wire.CreditAccount{{Customer: "a", Needed: needed, Rate: 1}},
+		}}})
+		done <- end{res, err}
+	}()
+	(<-cu.calls.Calls())(cu.Clock.Now())
+	e := <-done
+	return e.res, e.err
+}
+
+// Only a leader lends, by the table in force.
+func TestOnlyALeaderLends(t *testing.T) {
+	c := qt.New(t)
+	cu, k := newCurator()
+	cu.Limits = lender.Rule{Window: time.Nanosecond, Slack: 100}
+	cu.apply(keeper.Item{Applied: []keeper.Applied{k.entry(limitedTable(1, 3))}})
+	_, err := borrow(c, cu, 1)
+	c.Assert(err, qt.Equals, errNotLeader)
+	lead(cu, k)
+	for _, step := range []struct {
+		burst  float64
+		needed uint64
+		want   uint64
+	}{{3, 5, 3}, {7, 5, 5}} {
+		cu.apply(keeper.Item{Applied: []keeper.Applied{k.entry(limitedTable(uint64(step.burst), step.burst))}})
+		cu.lender.Begin(cu.Clock.Now().Add(-time.Hour), 1, cu.state.Table().GetTable().GetCustomers())
+		res, err := borrow(c, cu, step.needed)
+		c.Assert(err, qt.IsNil)
+		c.Check(res.GetBorrowers()[0].GetCredits()[0].GetLent(), qt.Equals, step.want)
+		c.Check(res.GetAgainInMs() > 0, qt.IsTrue)
+	}
+	standings := cu.lender.Standings(cu.Clock.Now(), true)
+	c.Check(standings[0].GetShares()[0].GetGateway(), qt.Equals, "g")
+	k.standing = keeper.Standing{}
+	cu.tick(cu.Clock.Now())
+	_, err = borrow(c, cu, 1)
+	c.Check(err, qt.Equals, errNotLeader)
+}
--- a/gateway/borrower/borrower.go
+++ b/gateway/borrower/borrower.go
@@ -13,7 +13,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
-	"google.golang.org/protobuf/proto"
 
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/lender"
@@ -26,7 +25,7 @@
 	callTimeout = 250 * time.Millisecond
 	// pauseAfterFailure is the time between two calls while the leader does not answer.
 	pauseAfterFailure = 50 * time.Millisecond
-	// lookEvery is the time between two looks at requests that wait while no leader answers.
+	// lookEvery is the time between two looks at requests that wait, if no other one comes.
 	lookEvery = 20 * time.Millisecond
 	// longestWait is how long a request waits for credit: until a gateway that does not reach
 	// the leader spends its allowance.
@@ -104,13 +103,20 @@
 		limits[c.GetName()] = c.GetLimit()
 	}
 	for name, p := range b.purses {
-		if !proto.Equal(p.limit, limits[name]) {
-			p.limit = limits[name]
+		lower := isLower(limits[name], p.limit)
+		p.limit = limits[name]
+		if lower {
 			p.Reset()
 		}
 	}
 }
 
+// isLower reports whether credit by an earlier limit may be more than the limit allows.
+func isLower(limit, earlier *wire.CustomerLimit) bool {
+	return limit.GetUnit() != earlier.GetUnit() || limit.GetRatePerSecond() < earlier.GetRatePerSecond() ||
+		limit.GetBurst() < earlier.GetBurst()
+}
+
 // Admit holds credit for a request of a customer that has a limit, and waits for it if
 // needed.
 func (b *Borrower) Admit(ctx context.Context, customer string, limit *wire.CustomerLimit, size uint64) Verdict {
@@ -122,11 +128,13 @@
 		b.purses[customer] = p
 	}
 	p.Ask(now, size)
-	if v, decided := p.judge(now, &waiter{size: size, until: now.Add(longestWait)}); decided && len(p.waiters) == 0 {
-		b.mu.Unlock()
-		return v
-	}
 	w := &waiter{size: size, until: now.Add(longestWait), verdict: make(chan Verdict, 1)}
+	if len(p.waiters) == 0 {
+		if v, decided := p.judge(now, w); decided {
+			b.mu.Unlock()
+			return v
+		}
+	}
 	p.waiters = append(p.waiters, w)
 	b.mu.Unlock()
 	b.wake()
@@ -170,9 +178,14 @@
 		return Verdict{Admitted: true}, true
 	}
 	if roomIn := p.RoomIn(now); roomIn > 0 {
+		p.Refused()
 		return Verdict{Over: true, RoomIn: roomIn}, true
 	}
-	return Verdict{}, !now.Before(w.until)
+	if now.Before(w.until) {
+		return Verdict{}, false
+	}
+	p.Refused()
+	return Verdict{}, true
 }
 
 // settle decides on the requests that wait, as far as that can be done now.
@@ -197,13 +210,13 @@
 
 // Spend notes that a request is sent on whose credit is held.
 func (b *Borrower) Spend(customer string, size uint64) {
-	b.with(customer, func(p *purse) { p.Spend(size) })
+	b.with(customer, func(p *purse) { p.Spend(b.Clock.Now(), size) })
 }
 
 // Refund notes that a request which was sent on has certainly not run. Its credit is held
 // again.
 func (b *Borrower) Refund(customer string, size uint64) {
-	b.with(customer, func(p *purse) { p.Refund(size) })
+	b.with(customer, func(p *purse) { p.Refund(b.Clock.Now(), size) })
 }
 
 // Standing returns what decides on the requests of a customer now.
@@ -320,13 +333,8 @@
 func (b *Borrower) settle(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	waits := false
 	for _, p := range b.purses {
 		p.settle(now)
-		waits = waits || len(p.waiters) > 0
-	}
-	if waits && !b.failing {
-		b.wake()
 	}
 }
 
@@ -346,3 +354,11 @@
 func (b *Borrower) Borrow(ctx context.Context, req *wire.BorrowRequest) (*wire.BorrowResponse, error) {
 	return b.call(ctx, req)
 }
+
+// errNotHere is what a gateway says of calls that only controllers serve.
+var errNotHere = twirp.NewError(twirp.Unavailable, "this is a gateway")
+
+// ListLimits is not for gateways.
+func (b *Borrower) ListLimits(context.Context, *wire.ListLimitsRequest) (*wire.ListLimitsResponse, error) {
+	return nil, errNotHere
+}
--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -1,42 +1,42 @@
 // Package lender keeps a customer's limit over all gateways together: the leader lends
-// credit out of one bucket, and each gateway spends what it was lent. It is pure: calls and
-// the time go in, credit comes out.
+// credit, and each gateway spends what it was lent. It is pure: calls and the time go in,
+// credit comes out.
 //
-// In any window no more is spent than the bucket gives in it and what gateways had unspent
-// at its begin. That, what a new leader gives without knowing what the one before it lent,
-// and what gateways may send while no leader can be asked, all come out of one fund: what
-// the limit's rule allows beyond rate and burst for lag.
+// In any window is lent no more than rate and burst allow, so that no more is spent than that
+// and what gateways had unspent when the window began. What they may send while no leader can
+// be asked is kept free for them. A new leader takes from the gateways that call what they
+// have spent and were allowed, and for the others what is left as spent. Unspent credit, and
+// what is spent beyond it, come out of one fund: what the rule allows beyond rate and burst.
 package lender
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"bronzelead.example/pkg/wire"
 )
 
 const (
-	// lentPart is the part of the fund that gateways may have unspent. Credit of two leaders
-	// may be about at once.
-	lentPart = 0.35
+	// lentPart is the part of the fund that gateways may have unspent.
+	lentPart = 0.6
 	// overdraftPart is the part of the fund that all gateways together may spend beyond their
 	// allowances, so that a request passes which is larger than the allowance of a moment.
 	overdraftPart = 0.15
 	// wishPart is the part of what may be unspent that is lent for requests to come, and
-	// fullBucket the part of the burst that must be there for it: below, all is for requests
-	// that wait.
+	// scarcePart the part of a window below which all is for requests that wait.
 	wishPart   = 0.5
-	fullBucket = 0.5
+	scarcePart = 0.05
+	// alonePart is the part of what is left in the window that gateways may spend without the
+	// leader.
+	alonePart = 0.5
 	// Lease is how long a gateway may spend credit after its last call.
 	Lease = 2 * time.Second
-	// forgetAfter is when the leader takes the credit of a silent gateway for expired.
-	forgetAfter = AloneFor + Lease
 	// AloneFor is how long a gateway spends its allowance at most.
 	AloneFor = 4 * time.Second
+	// forgetAfter is when the leader takes the credit of a silent gateway for expired.
+	forgetAfter = AloneFor + Lease
 	// leastRefill is the part of the rate that a new leader lends at least before it has
-	// heard who spends an allowance: after the loss of all gateways nobody does.
-	leastRefill = 0.5
+	// heard what others have spent: after the loss of all gateways nobody tells.
+	leastRefill = 0.6
 	// shortestWait and longestWait bound when a refused caller is told to come back.
 	shortestWait = 100 * time.Millisecond
 	longestWait  = 2 * time.Second
@@ -75,20 +75,22 @@
 
 type customer struct {
 	limit *wire.CustomerLimit
-	// level is what the bucket holds, as of filled; below 0 after gateways have spent more
-	// than they were lent.
-	level  float64
-	filled time.Time
+	// lent is what was lent and spent beyond that, by the time at which it was.
+	lent window
+	// reserved is what gateways may spend without the leader.
+	reserved float64
+	// vouched is what the gateways that were heard had spent under earlier leaders, and might
+	// have without one.
+	vouched float64
 	// unspent is the sum of what gateways were lent and have not said to have spent.
 	unspent float64
 	// rate is the sum of what gateways are asked for in a second.
 	rate float64
-	// presented is the sum of the allowances that the leader before this one gave to the
-	// gateways that were heard.
-	presented float64
-	// missing is what gateways needed since the last look and were not lent.
-	missing  float64
+	// refused counts the requests that gateways refused in this term.
+	refused  uint64
 	accounts map[string]*account
+	// met are the gateways that had an account in this term.
+	met map[string]bool
 }
 
 // account is what one gateway has of a customer's limit.
@@ -98,8 +100,6 @@
 	rate        float64
 	allowance   float64
 	heard       time.Time
-	// assumed is what was taken from the bucket for the allowance of a silent gateway.
-	assumed float64
 }
 
 func (a *account) unspent() float64 {
@@ -113,29 +113,26 @@
 func (l *Lender) Begin(now time.Time, term uint64, customers []*wire.RoutedCustomer) {
 	const termBits = 32
 	l.began, l.opened, l.customers = now, term<<termBits, map[string]*customer{}
-	l.SetCustomers(now, customers)
+	l.SetCustomers(customers)
 }
 
 // SetCustomers takes the limits in force. What was spent goes on to count.
-func (l *Lender) SetCustomers(now time.Time, customers []*wire.RoutedCustomer) {
+func (l *Lender) SetCustomers(customers []*wire.RoutedCustomer) {
 	if l.customers == nil {
 		return
 	}
 	named := map[string]bool{}
 	for _, listed := range customers {
-		limit := listed.GetLimit()
-		if limit == nil {
+		if listed.GetLimit() == nil {
 			continue
 		}
 		named[listed.GetName()] = true
 		c := l.customers[listed.GetName()]
 		if c == nil {
-			c = &customer{filled: now, accounts: map[string]*account{}, limit: limit}
+			c = &customer{accounts: map[string]*account{}, met: map[string]bool{}, lent: window{length: l.Rule.Window}}
 			l.customers[listed.GetName()] = c
 		}
-		l.fill(now, c)
-		c.limit = limit
-		c.level = min(c.level, limit.GetBurst())
+		c.limit = listed.GetLimit()
 	}
 	for name := range l.customers {
 		if !named[name] {
@@ -144,24 +141,19 @@
 	}
 }
 
-// fill lets the bucket fill up to now.
-func (l *Lender) fill(now time.Time, c *customer) {
-	passed := now.Sub(c.filled).Seconds()
-	if passed <= 0 {
-		return
-	}
-	c.filled = now
-	c.level = min(c.level+passed*l.refill(now, c), c.limit.GetBurst())
+// mostInWindow returns what may be lent in a window.
+func (l *Lender) mostInWindow(c *customer) float64 {
+	return c.limit.GetRatePerSecond()*l.Rule.Window.Seconds() + c.limit.GetBurst()
 }
 
-// refill returns what the bucket gets in a second. While the allowances of the leader before
-// may still be spent, only as much as gateways have given up by calling.
-func (l *Lender) refill(now time.Time, c *customer) float64 {
-	rate := c.limit.GetRatePerSecond()
-	if now.Sub(l.began) >= AloneFor {
-		return rate
+// room returns what may still be lent in the window that ends now. In the first window of a
+// term, what nobody has vouched for counts as spent.
+func (l *Lender) room(now time.Time, c *customer) float64 {
+	most := l.mostInWindow(c)
+	if age := now.Sub(l.began); age < l.Rule.Window {
+		most = min(most, max(c.vouched, leastRefill*c.limit.GetRatePerSecond()*age.Seconds()))
 	}
-	return min(rate, max(leastRefill*rate, c.presented))
+	return most - c.lent.sum(now)
 }
 
 // Borrow takes what a gateway says, and returns its credit.
@@ -169,7 +161,6 @@
 	res := &wire.BorrowerCredit{}
 	for _, said := range b.GetAccounts() {
 		if c := l.customers[said.GetCustomer()]; c != nil {
-			l.fill(now, c)
 			res.Credits = append(res.Credits, l.lend(now, c, b.GetGateway(), said))
 		}
 	}
@@ -178,17 +169,22 @@
 
 func (l *Lender) lend(now time.Time, c *customer, gateway string, said *wire.CreditAccount) *wire.Credit {
 	a := l.account(now, c, gateway, said)
-	c.note(a, said)
 	a.heard = now
-	granted := l.grant(c, said)
+	c.note(now, a, said)
+	c.allow(a, 0)
+	room := l.room(now, c)
+	granted := l.grant(c, room-c.reserved, said)
 	a.lent += uint64(granted)
-	c.level -= granted
+	c.lent.add(now, granted)
 	c.unspent += granted
-	a.allowance = l.allowance(now, c, a)
-	credit := &wire.Credit{Customer: said.GetCustomer(), Account: a.id, Lent: a.lent, Allowance: uint64(a.allowance),
-		Overdraft: uint64(overdraftPart * l.Rule.fund(c.limit) / float64(max(l.Gateways, len(c.accounts))))}
-	if missing := float64(said.GetNeeded()) - granted; missing > 0 {
-		c.missing += missing
+	c.allow(a, l.allowance(c, a, room-granted))
+	credit := &wire.Credit{
+		Customer: said.GetCustomer(), Account: a.id, Lent: a.lent, Allowance: a.allowance,
+		WindowMs:  uint32(l.Rule.Window.Milliseconds()),
+		Overdraft: uint64(overdraftPart * l.Rule.fund(c.limit) / float64(max(l.Gateways, len(c.accounts)))),
+	}
+	// What is missing only until others have told what they spent is asked for again.
+	if missing := float64(said.GetNeeded()) - granted; missing > 0 && room-granted-c.reserved < missing {
 		credit.RoomInMs = uint32(c.roomIn(missing).Milliseconds())
 	}
 	return credit
@@ -201,71 +197,80 @@
 		return a
 	}
 	if a != nil {
-		c.close(gateway, a)
-	} else if now.Sub(l.began) < AloneFor {
-		c.presented += float64(said.GetAllowance())
+		c.close(now, gateway, a)
 	}
+	if !c.met[gateway] && now.Sub(l.began) < l.Rule.Window {
+		c.vouched += said.GetAllowance() * AloneFor.Seconds()
+		for _, amount := range said.GetRecent() {
+			c.vouched += float64(amount)
+		}
+		c.lent.addParts(now, said.GetRecent())
+	}
+	c.met[gateway] = true
 	l.opened++
 	a = &account{id: l.opened, heard: now}
 	c.accounts[gateway] = a
 	return a
 }
 
-// note takes what a gateway has spent. What it has spent beyond its credit, by its
-// allowance, is taken from the bucket, less what was taken for it before.
-func (c *customer) note(a *account, said *wire.CreditAccount) {
+// note takes what a gateway has spent.
+func (c *customer) note(now time.Time, a *account, said *wire.CreditAccount) {
 	c.unspent -= a.unspent()
-	beyond := 0.0
 	if said.GetAccount() == a.id {
 		a.spent = said.GetSpent()
 	}
 	if said.GetRate() == 0 && said.GetNeeded() == 0 {
 		// The gateway has given up what it had and did not spend.
-		c.level += a.unspent()
-		a.lent = max(a.spent, a.lent-uint64(a.unspent()))
+		a.lent = a.spent
 	}
 	if a.spent > a.lent {
-		beyond = float64(a.spent - a.lent)
+		c.lent.add(now, float64(a.spent-a.lent))
 		a.lent = a.spent
 	}
-	c.level = min(c.level+a.assumed-beyond, c.limit.GetBurst())
-	a.assumed = 0
 	c.unspent += a.unspent()
-	c.rate += float64(said.GetRate()) - a.rate
-	a.rate = float64(said.GetRate())
+	c.rate += said.GetRate() - a.rate
+	a.rate = said.GetRate()
+	c.refused += said.GetRefused()
 }
 
 // grant returns what is lent now, in whole units.
-func (l *Lender) grant(c *customer, said *wire.CreditAccount) float64 {
-	room := lentPart * l.Rule.fund(c.limit)
-	granted := min(float64(said.GetNeeded()), c.level, room-c.unspent)
+func (l *Lender) grant(c *customer, room float64, said *wire.CreditAccount) float64 {
+	most := lentPart * l.Rule.fund(c.limit)
+	granted := min(float64(said.GetNeeded()), room, most-c.unspent)
 	if c.unspent == 0 {
 		// One request that is larger than what all may have unspent.
-		granted = min(float64(said.GetNeeded()), c.level)
+		granted = min(float64(said.GetNeeded()), room)
 	}
 	granted = max(0, granted)
-	spare := min(wishPart*room-c.unspent-granted, c.level-granted-fullBucket*c.limit.GetBurst())
+	spare := min(wishPart*most-c.unspent-granted, room-granted-scarcePart*l.mostInWindow(c))
 	granted += max(0, min(float64(said.GetWished()), spare))
 	return float64(uint64(granted))
 }
 
-// allowance returns a gateway's part of what the bucket gets, in proportion to what it is
-// asked for. What others may still have of the leader before is left out.
-func (l *Lender) allowance(now time.Time, c *customer, a *account) float64 {
+// allow keeps free what a gateway may spend in a second without the leader, in place of what
+// it might before.
+func (c *customer) allow(a *account, allowance float64) {
+	c.reserved += (allowance - a.allowance) * AloneFor.Seconds()
+	a.allowance = allowance
+}
+
+// allowance returns a gateway's part, by what it is asked for, of the rate or of what is left.
+func (l *Lender) allowance(c *customer, a *account, room float64) float64 {
 	if c.rate <= 0 {
 		return 0
 	}
-	return l.refill(now, c) * min(1, a.rate/c.rate)
+	share := min(1, a.rate/c.rate)
+	free := max(0, min(alonePart*room*share, alonePart*room-c.reserved))
+	return min(c.limit.GetRatePerSecond()*share, free/AloneFor.Seconds())
 }
 
-// roomIn returns after which time the bucket will have what is missing.
+// roomIn returns after which time there will be room for what is missing.
 func (c *customer) roomIn(missing float64) time.Duration {
 	rate := c.limit.GetRatePerSecond()
 	if rate <= 0 {
 		return longestWait
 	}
-	seconds := (missing + max(0, -c.level)) / rate
-	return min(longestWait, max(shortestWait, time.Duration(seconds*float64(time.Second))))
+	return min(longestWait, max(shortestWait, time.Duration(missing/rate*float64(time.Second))))
 }
 
 // AgainIn returns when a gateway is to call again at the latest, so that the calls of many
@@ -274,60 +279,24 @@
 	return min(latestCall, max(soonestCall, time.Second*time.Duration(l.Gateways)/callsPerSecond))
 }
 
-// Tick lets time pass for gateways that are silent: it is taken that they spend their
-// allowance, until they say what they did.
+// Tick lets time pass for gateways that are silent.
 func (l *Lender) Tick(now time.Time) {
 	for _, c := range l.customers {
-		l.fill(now, c)
 		for gateway, a := range c.accounts {
-			silent := now.Sub(a.heard)
-			if silent > aloneAfter {
-				c.assume(a, min(silent, AloneFor)-aloneAfter)
-			}
-			if silent > forgetAfter {
-				c.close(gateway, a)
+			if now.Sub(a.heard) > forgetAfter {
+				c.close(now, gateway, a)
 			}
 		}
 	}
 }
 
-// assume takes what a gateway may have sent on by its allowance from the bucket, which has
-// been alone for a time.
-func (c *customer) assume(a *account, alone time.Duration) {
-	assumed := a.allowance * alone.Seconds()
-	c.level -= assumed - a.assumed
-	a.assumed = assumed
-}
-
-func (c *customer) close(gateway string, a *account) {
+// close ends an account. It is taken that its gateway has spent its allowance since it was
+// heard.
+func (c *customer) close(now time.Time, gateway string, a *account) {
+	alone := min(AloneFor, max(0, now.Sub(a.heard)-aloneAfter))
+	c.lent.add(now, a.allowance*alone.Seconds())
+	c.allow(a, 0)
 	c.unspent -= a.unspent()
 	c.rate = max(0, c.rate-a.rate)
 	delete(c.accounts, gateway)
 }
-
-// CustomerStanding is how a customer's limit stands at the leader, in the unit of the limit.
-type CustomerStanding struct {
-	Customer string
-	// Limit is what may be sent on in a second, and Asked what is asked for.
-	Limit, Asked float64
-	// Level is what the bucket holds, and Unspent what gateways have of it.
-	Level, Unspent float64
-	// Gateways is the number of gateways that have credit.
-	Gateways int
-	// Missing is the part of what gateways needed since the last look that was not lent.
-	Missing float64
-}
-
-// Standings returns how the limits stand, by the names of their customers.
-func (l *Lender) Standings() []CustomerStanding {
-	var list []CustomerStanding
-	for name, c := range l.customers {
-		list = append(list, CustomerStanding{
-			Customer: name, Limit: c.limit.GetRatePerSecond(), Asked: c.rate, Level: c.level, Unspent: c.unspent,
-			Gateways: len(c.accounts), Missing: c.missing,
-		})
-		c.missing = 0
-	}
-	slices.SortFunc(list, func(a, b CustomerStanding) int { return cmp.Compare(a.Customer, b.Customer) })
-	return list
-}
--- a/pkg/lender/lender_test.go
+++ b/pkg/lender/lender_test.go
@@ -136,7 +136,7 @@
 }
 
 func (w *world) send(p *Purse, size uint64) {
-	p.Spend(size)
+	p.Spend(w.now, size)
 	w.sends = append(w.sends, sent{w.now, float64(size)})
 }
 
@@ -345,7 +345,7 @@
 		"the limit is set anew": func(w *world) {
 			for range 4 {
 				w.load(time.Second, 6*rate, w.anywhere)
-				w.lender.SetCustomers(w.now, w.customers())
+				w.lender.SetCustomers(w.customers())
 			}
 		},
 	} {
@@ -365,7 +365,7 @@
 	w := newWorld(c, 1, 81, testRule, tokens(274_000, 274_000))
 	w.load(10*time.Second, 150_000, w.anywhere)
 	w.limit = tokens(30_000, 30_000)
-	w.lender.SetCustomers(w.now, w.customers())
+	w.lender.SetCustomers(w.customers())
 	for _, g := range w.gateways {
 		g.purse.Reset()
 	}
@@ -385,7 +385,7 @@
 		c.Assert(g.purse.Idle(w.now), qt.IsTrue)
 	}
 	c.Check(w.lender.customers["a"].unspent, qt.Equals, 0.0)
-	c.Check(w.lender.customers["a"].level, qt.Equals, 29_000.0)
+	c.Check(w.lender.room(w.now, w.lender.customers["a"])-w.lender.customers["a"].reserved, qt.Equals, 9*29_000.0)
 }
 
 func BenchmarkHoldAndSpend(b *testing.B) {
@@ -398,7 +398,7 @@
 		if !p.Hold(now, 700) {
 			b.Fatal("there is no credit")
 		}
-		p.Spend(700)
+		p.Spend(now, 700)
 	}
 }
 
--- a/pkg/lender/purse.go
+++ b/pkg/lender/purse.go
@@ -29,6 +29,8 @@
 	heard     time.Time
 	allowance float64
 	overdraft uint64
+	// recent is what was sent on in the window of the limit's rule.
+	recent window
 	// alone is when the allowance was drawn last; zero while the leader is heard.
 	alone time.Time
 	// expired is set once what was lent and not spent has expired.
@@ -39,6 +41,8 @@
 	rate  float64
 	rated time.Time
 	size  float64
+	// refused counts the requests that were refused since the call that was answered last.
+	refused uint64
 	// roomAt is when the leader expects room, by its word of refusedAt.
 	refusedAt time.Time
 	roomAt    time.Time
@@ -82,6 +86,9 @@
 func (p *Purse) Ask(now time.Time, size uint64) {
 	p.decay(now)
 	p.rate += float64(size) / rateOver.Seconds()
+	if p.size == 0 {
+		p.size = float64(size)
+	}
 	p.size += (float64(size) - p.size) / sizeOver
 }
 
@@ -109,16 +116,18 @@
 func (p *Purse) Release(size uint64) { p.held -= min(size, p.held) }
 
 // Spend turns what was held for a request into what was sent on.
-func (p *Purse) Spend(size uint64) {
+func (p *Purse) Spend(now time.Time, size uint64) {
 	p.Release(size)
 	p.spent += size
+	p.recent.add(now, float64(size))
 }
 
 // Refund takes back that a request was sent on, which has certainly not run, and holds its
 // credit for another try.
-func (p *Purse) Refund(size uint64) {
+func (p *Purse) Refund(now time.Time, size uint64) {
 	p.spent -= min(size, p.spent)
 	p.held += size
+	p.recent.add(now, -float64(size))
 }
 
 // RoomIn returns after which time there will be room, if the leader has just said that
@@ -133,11 +142,18 @@
 // Idle reports whether the leader need not be told anything.
 func (p *Purse) Idle(now time.Time) bool {
 	p.decay(now)
-	return p.rate < leastRate && p.held == 0 && p.lent <= p.spent && p.allowance == 0
+	return !p.wanted() && p.held == 0 && p.lent <= p.spent && p.allowance == 0
 }
 
-// leastRate is the rate below which a customer counts as one that nobody asks for here.
-const leastRate = 1
+// leastRate is the rate below which a customer counts as one that nobody asks for here, in
+// requests a second.
+const leastRate = 0.02
+
+// wanted reports whether the customer is asked for here. The rate must be as of now.
+func (p *Purse) wanted() bool { return p.rate > leastRate*p.size }
+
+// Refused notes that a request was refused.
+func (p *Purse) Refused() { p.refused++ }
 
 // Report returns what the leader is told; needed is what waiting requests need. Where
 // nothing is asked for any more the credit is given up.
@@ -145,13 +161,14 @@
 	p.decay(now)
 	credit := p.credit(now)
 	said := &wire.CreditAccount{
-		Customer: customer, Account: p.account, Spent: p.spent, Rate: uint64(p.rate), Allowance: uint64(p.allowance),
+		Customer: customer, Account: p.account, Spent: p.spent, Allowance: p.allowance,
+		Refused: p.refused, Recent: p.recent.parts(now),
 	}
-	if said.GetRate() == 0 && needed == 0 && p.held == 0 {
+	if !p.wanted() && needed == 0 && p.held == 0 {
 		p.lent = p.spent
 		return said
 	}
-	said.Rate = max(said.GetRate(), 1)
+	said.Rate = max(p.rate, leastRate)
 	if needed > credit {
 		said.Needed = needed - credit
 	}
@@ -169,8 +186,12 @@
 		p.spent -= min(p.spent, p.lent)
 	}
 	p.lent = c.GetLent()
+	p.refused = 0
 	p.heard, p.alone, p.drawn, p.expired = asked, time.Time{}, 0, false
-	p.allowance, p.overdraft = float64(c.GetAllowance()), c.GetOverdraft()
+	if length := time.Duration(c.GetWindowMs()) * time.Millisecond; length != p.recent.length {
+		p.recent = window{length: length}
+	}
+	p.allowance, p.overdraft = c.GetAllowance(), c.GetOverdraft()
 	if c.GetRoomInMs() > 0 {
 		p.refusedAt = now
 		p.roomAt = now.Add(time.Duration(c.GetRoomInMs()) * time.Millisecond)
@@ -180,7 +201,7 @@
 // Reset forgets the account, as when the limit has changed: credit by another limit may be
 // more than the new one allows.
 func (p *Purse) Reset() {
-	*p = Purse{held: p.held, rate: p.rate, rated: p.rated, size: p.size}
+	*p = Purse{held: p.held, rate: p.rate, rated: p.rated, size: p.size, recent: p.recent}
 }
 
 // Standing is what decided on a request, for logs.
--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -107,6 +107,10 @@
 		return
 	}
 	b.runs.Add(1)
+	if platform.DecodeKey(header) != "" {
+		b.y.ledger.fault("%s came with its caller's key", id)
+	}
+	b.y.ledger.ranFor(platform.DecodeDispatch(header).Customer, time.Now())
 	b.y.ledger.ran(id, r.Method+" "+r.RequestURI+" "+string(body))
 	if b.fatal != nil && b.fatal(string(body)) {
 		b.crash()
--- a/proof/routed_callers_test.go
+++ b/proof/routed_callers_test.go
@@ -50,7 +50,9 @@
 	name string
 	to   *instance
 	// from is the address that it calls from; nil for any.
-	from   net.Addr
+	from net.Addr
+	// key is what it sends with its requests; empty for none.
+	key    string
 	count  int
 	conn   net.Conn
 	reader *bufio.Reader
@@ -96,7 +98,11 @@
 	}
 	_ = l.conn.SetDeadline(time.Now().Add(callerPatience))
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n", path, len(body))
-	for _, field := range platform.StandInRequest(id, callerPatience) {
+	fields := platform.StandInRequest(id, callerPatience)
+	if l.key != "" {
+		fields = append(fields, platform.StandInKey(l.key)...)
+	}
+	for _, field := range fields {
 		head += field.Name + ": " + field.Value + "\r\n"
 	}
 	if _, err := io.WriteString(l.conn, head+"\r\n"+body); err != nil {
--- a/proof/routed_ledger_test.go
+++ b/proof/routed_ledger_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -20,10 +22,12 @@
 	good   map[string]bool
 	served int
 	faults []string
+	// customers are the times at which requests of each ran.
+	customers map[string][]time.Time
 }
 
 func newLedger() *ledger {
-	return &ledger{sent: map[string]string{}, runs: map[string]int{}, refuse: map[string]int{}, whole: map[string]bool{}, good: map[string]bool{}}
+	return &ledger{sent: map[string]string{}, runs: map[string]int{}, refuse: map[string]int{}, whole: map[string]bool{}, good: map[string]bool{}, customers: map[string][]time.Time{}}
 }
 
 func (l *ledger) fault(format string, v ...any) {
@@ -38,6 +42,35 @@
 	l.sent[id] = what
 }
 
+// ranFor notes that a backend server runs a request of a customer.
+func (l *ledger) ranFor(customer string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.customers[customer] = append(l.customers[customer], at)
+}
+
+func (l *ledger) countOf(customer string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.customers[customer])
+}
+
+// mostInWindow returns the most requests of a customer that ran within a time.
+func (l *ledger) mostInWindow(customer string, window time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	times := slices.Clone(l.customers[customer])
+	slices.SortFunc(times, time.Time.Compare)
+	most, from := 0, 0
+	for i, at := range times {
+		for at.Sub(times[from]) > window {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
 // ran notes that a backend server runs a request.
 func (l *ledger) ran(id, what string) {
 	l.mu.Lock()
--- a/proof/routed_operator_test.go
+++ b/proof/routed_operator_test.go
@@ -21,6 +21,8 @@
 	client *http.Client
 	mu     sync.Mutex
 	places []string
+	// customers are those of the next tables; set while no table is sent.
+	customers []platform.StandInCustomer
 	// sent and acknowledged are the highest versions so far.
 	sent, acknowledged atomic.Uint64
 }
@@ -70,7 +72,7 @@
 // try sends the table of a version to one controller and reports whether it was
 // acknowledged.
 func (o *operatorStandIn) try(i int, version uint64) bool {
-	body, err := platform.StandInTable(table(version))
+	body, err := platform.StandInTable(table(version), o.customers...)
 	o.y.c.Assert(err, qt.IsNil)
 	res, err := o.client.Post("http://"+o.controller(i)+platform.StandInReplacePath, "application/json", bytes.NewReader(body))
 	if err != nil {
--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -112,6 +112,10 @@
 Bootstrap = %t
 [Timing]
 Announcements = %s
+[Limits]
+Window = 4s
+Overage = 0.1
+Slack = 60
 `, bootstrap, announceEvery))
 }
 
