A lowered limit binds over one window; a gateway without customers has no timer

Change: a window that began under the earlier limit may hold its part of what that allowed.

The borrower's 20 ms timer runs only while requests wait; with nothing asked for there is none, so that sites without limits pay nothing.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -210,7 +210,7 @@
 	table := c.state.Table().GetTable()
 	c.Log.Info("a table is in force", "Version", table.GetVersion(), "Routes", len(table.GetRoutes()))
 	if c.lender != nil {
-		c.lender.SetCustomers(table.GetCustomers())
+		c.lender.SetCustomers(c.Clock.Now(), table.GetCustomers())
 	}
 	if c.placer != nil {
 		c.placer.SetTable(table)
--- a/gateway/borrower/borrower.go
+++ b/gateway/borrower/borrower.go
@@ -244,19 +244,43 @@
 // Run borrows until ctx ends.
 func (b *Borrower) Run(ctx context.Context) {
 	defer b.transport.CloseIdleConnections()
-	look := b.Clock.NewTicker(lookEvery)
-	defer look.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-b.kick:
-		case <-look.Chan():
-		}
+	for b.await(ctx) {
 		b.round(ctx)
 	}
 }
 
+// await waits until there may be something to do, and reports false once ctx has ended.
+func (b *Borrower) await(ctx context.Context) bool {
+	var due <-chan time.Time
+	if wait, ok := b.nextLook(); ok {
+		timer := b.Clock.NewTimer(wait)
+		defer timer.Stop()
+		due = timer.Chan()
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-b.kick:
+	case <-due:
+	}
+	return true
+}
+
+// nextLook returns when to look again, and false if nothing is asked for.
+func (b *Borrower) nextLook() (time.Duration, bool) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	busy := false
+	for _, p := range b.purses {
+		if len(p.waiters) > 0 {
+			return lookEvery, true
+		}
+		busy = busy || !p.Idle(now)
+	}
+	return max(lookEvery, b.callAt.Sub(now)), busy
+}
+
 // round calls the leader if that is due, and decides on the requests that wait.
 func (b *Borrower) round(ctx context.Context) {
 	now := b.Clock.Now()
--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -75,6 +75,9 @@
 
 type customer struct {
 	limit *wire.CustomerLimit
+	// earlier is what a window might hold before the limit was lowered, at lowered.
+	earlier float64
+	lowered time.Time
 	// lent is what was lent and spent beyond that, by the time at which it was.
 	lent window
 	// reserved is what gateways may spend without the leader.
@@ -113,11 +116,11 @@
 func (l *Lender) Begin(now time.Time, term uint64, customers []*wire.RoutedCustomer) {
 	const termBits = 32
 	l.began, l.opened, l.customers = now, term<<termBits, map[string]*customer{}
-	l.SetCustomers(customers)
+	l.SetCustomers(now, customers)
 }
 
 // SetCustomers takes the limits in force. What was spent goes on to count.
-func (l *Lender) SetCustomers(customers []*wire.RoutedCustomer) {
+func (l *Lender) SetCustomers(now time.Time, customers []*wire.RoutedCustomer) {
 	if l.customers == nil {
 		return
 	}
@@ -132,6 +135,9 @@
 			c = &customer{accounts: map[string]*account{}, met: map[string]bool{}, lent: window{length: l.Rule.Window}}
 			l.customers[listed.GetName()] = c
 		}
+		if earlier := l.mostInWindow(now, c); l.mostOf(listed.GetLimit()) < earlier {
+			c.earlier, c.lowered = earlier, now
+		}
 		c.limit = listed.GetLimit()
 	}
 	for name := range l.customers {
@@ -141,15 +147,26 @@
 	}
 }
 
-// mostInWindow returns what may be lent in a window.
-func (l *Lender) mostInWindow(c *customer) float64 {
-	return c.limit.GetRatePerSecond()*l.Rule.Window.Seconds() + c.limit.GetBurst()
+// mostOf returns what a limit allows in a window.
+func (l *Lender) mostOf(limit *wire.CustomerLimit) float64 {
+	return limit.GetRatePerSecond()*l.Rule.Window.Seconds() + limit.GetBurst()
+}
+
+// mostInWindow returns what may be lent in the window that ends now. One that began before the
+// limit was lowered may hold its part of what that allowed; otherwise a customer would get
+// nothing until what it had been given by then is out of the window.
+func (l *Lender) mostInWindow(now time.Time, c *customer) float64 {
+	most := l.mostOf(c.limit)
+	if passed := now.Sub(c.lowered); !c.lowered.IsZero() && passed < l.Rule.Window && c.earlier > most {
+		most += (c.earlier - most) * (1 - passed.Seconds()/l.Rule.Window.Seconds())
+	}
+	return most
 }
 
 // room returns what may still be lent in the window that ends now. In the first window of a
 // term, what nobody has vouched for counts as spent.
 func (l *Lender) room(now time.Time, c *customer) float64 {
-	most := l.mostInWindow(c)
+	most := l.mostInWindow(now, c)
 	if age := now.Sub(l.began); age < l.Rule.Window {
 		most = min(most, max(c.vouched, leastRefill*c.limit.GetRatePerSecond()*age.Seconds()))
 	}
@@ -242,7 +259,7 @@
 		granted = min(float64(said.GetNeeded()), room)
 	}
 	granted = max(0, granted)
-	spare := min(wishPart*most-c.unspent-granted, room-granted-scarcePart*l.mostInWindow(c))
+	spare := min(wishPart*most-c.unspent-granted, room-granted-scarcePart*l.mostOf(c.limit))
 	granted += max(0, min(float64(said.GetWished()), spare))
 	return float64(uint64(granted))
 }
