Slots of plain services that many gateways contend for are given out by one in charge

Ways compared: what stands (two choices by reported loads, a bound by slots) and one gateway in charge of each backend server, which the regulator does for prompts already: as many under way as slots and one more, the others wait there by who can be in time, and what can't be is refused at once, at two backend servers at most. Only while more than 0.55 of a service's slots are taken; below, nothing is asked.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -27,6 +27,7 @@
 
 // try sends a request once and reports whether it is to be tried again.
 func (f *Forwarder) try(ctx context.Context, j *job) bool {
+	j.dispensed = f.dispensed(j)
 	d, decided := f.choose(ctx, j)
 	if !decided {
 		f.expired(ctx, j)
@@ -36,6 +37,9 @@
 		f.giveUp(j, d.Reason, d.ComeBack)
 		return false
 	}
+	if j.dispensed && !f.admitSlot(ctx, j, d.Backend) {
+		return f.refuseSlot(ctx, j, d.Backend)
+	}
 	if !f.admitPrompt(ctx, j, d.Backend) {
 		return f.chooseAgain(ctx, j, d.Backend)
 	}
@@ -290,6 +294,7 @@
 		outcome = balancer.Failed
 	}
 	f.done(j, backend.GetId(), outcome)
+	f.endPrompt(j, true)
 	f.completedRun(j, backend)
 	if in.Body.Framing == framer.FramingNone {
 		j.reply.SendHead(in.Head.Status, withLength(header, in.Head.Header))
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -56,6 +56,10 @@
 	// whether that is still right.
 	trial  string
 	charge charge
+	// dispensed is set if its backend server's slots are given out, and slotAsks counts those
+	// that had none for it.
+	dispensed bool
+	slotAsks  int
 }
 
 // Handle answers a request.
@@ -206,6 +210,7 @@
 	w := &balancer.Waiter{
 		ID: j.about.ID, Service: j.service, Adapter: j.adapter, Urgency: j.urgency(),
 		Tokens: j.about.PromptTokens, GiveUp: until.Add(-reserve(j, until)), Avoid: j.avoid,
+		Dispensed: j.dispensed,
 	}
 	decided := make(chan balancer.Decision, 1)
 	began := f.Clock.Now()
--- a/gateway/forwarder/key_test.go
+++ b/gateway/forwarder/key_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
@@ -150,6 +151,8 @@
 		return runsAndAnswers(200, "x")(b, req, conn)
 	})
 	address, f := keyedGateway(c, 0)
+	// It waits here, and not for a slot that is given out elsewhere.
+	f.Off = ablator.Without(ablator.Dispensing)
 	announced := b.announcement("s")
 	announced.Slots = 1
 	f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{announced}})
--- /dev/null
+++ b/gateway/forwarder/slot.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"bronzelead.example/gateway/regulator"
+	"bronzelead.example/pkg/ablator"
+	"bronzelead.example/pkg/balancer"
+	"bronzelead.example/pkg/pacer"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// assumedSlots is used where a backend server does not say how many it has.
+	assumedSlots = 8
+	// maxSlotAsks is how many backend servers are asked for a slot at most.
+	maxSlotAsks = 2
+	// reasonCrowded is what a caller hears whose request would be late at all of them.
+	reasonCrowded = "the backend servers have too much to do for an answer in time"
+	// comeBackWhenCrowded is when to come back then: later than what waits now.
+	comeBackWhenCrowded = 250 * time.Millisecond
+)
+
+// dispensed reports whether the slots of a request's backend servers are given out: gateways
+// have much work for a plain service.
+func (f *Forwarder) dispensed(j *job) bool {
+	if f.Regulator == nil || f.Off.Has(ablator.Dispensing) || f.isEngine(j.service) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.Contended(f.Clock.Now(), j.service)
+}
+
+// admitSlot waits for a slot of a plain service's backend server. It reports false where the
+// request is refused there, so that it would be late or no use.
+func (f *Forwarder) admitSlot(ctx context.Context, j *job, backend *wire.Announcement) bool {
+	began := f.Clock.Now()
+	slots := int(backend.GetSlots())
+	if slots == 0 {
+		slots = assumedSlots
+	}
+	answer := f.Regulator.Ask(ctx, &regulator.Prompt{
+		Backend: backend.GetId(), Slots: slots, GiveUp: j.sendBy, Ask: pacer.Ask{
+			Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt,
+			InTimeUntil: j.req.ReceivedAt.Add(milliseconds(j.route.GetObjectiveMs())),
+		},
+	}, max(0, j.sendBy.Sub(began)))
+	j.waited += f.Clock.Since(began)
+	if answer.Granted {
+		j.prompt = &prompt{backend: backend.GetId(), key: answer.Key}
+		return true
+	}
+	j.slotAsks++
+	j.avoid = append(j.avoid, backend.GetId())
+	return false
+}
+
+// refuseSlot gives up a choice whose backend server had no slot, and reports whether another
+// one is to be asked.
+func (f *Forwarder) refuseSlot(ctx context.Context, j *job, backend *wire.Announcement) bool {
+	if j.slotAsks < maxSlotAsks || ctx.Err() != nil {
+		return f.chooseAgain(ctx, j, backend)
+	}
+	f.done(j, backend.GetId(), balancer.Abandoned)
+	f.giveUp(j, reasonCrowded, comeBackWhenCrowded)
+	return false
+}
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -1,5 +1,6 @@
 // Package regulator asks, before a prompt is sent to an engine, the gateway in charge of
-// that engine, and is in charge of some engines itself. Which gateway that is follows from
+// that engine, and is in charge of some engines itself. It does the same for requests to the
+// backend servers of a plain service that many gateways have work for. Which gateway that is follows from
 // the list of gateways alone, so nobody has to be told. While two lists differ, or one in
 // charge does not answer, several pace the same engine, each a part of its prompts.
 package regulator
@@ -15,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/dispenser"
 	"bronzelead.example/pkg/pacer"
 	"bronzelead.example/pkg/wire"
 )
@@ -63,8 +65,10 @@
 	// grantLater has it looked at when a prompt may be granted though nothing happens.
 	grantLater func(at time.Time)
 	pacer      pacer.Pacer
-	waiting    map[string]chan struct{}
-	askedAt    time.Time
+	// dispenser gives out the slots of a plain service's backend server.
+	dispenser dispenser.Dispenser
+	waiting   map[string]chan struct{}
+	askedAt   time.Time
 	// lookAt is when it is looked at next, whatever happens.
 	lookAt time.Time
 }
@@ -76,6 +80,15 @@
 	Seen bool
 	// Ask is what its engine's pacer is asked; its key is set by Ask.
 	pacer.Ask
+	// Slots is set for a request of a plain service: the number that its backend server runs
+	// at once. GiveUp is when it is no use to wait longer.
+	Slots  int
+	GiveUp time.Time
+}
+
+// slot returns what the dispenser is asked for a request of a plain service.
+func (p *Prompt) slot() dispenser.Ask {
+	return dispenser.Ask{Key: p.Key, Urgency: p.Urgency, InTimeUntil: p.InTimeUntil, GiveUp: p.GiveUp, Slots: p.Slots}
 }
 
 // Answer is what became of an ask.
@@ -147,7 +160,7 @@
 	defer r.mu.Unlock()
 	for backend, e := range r.engines {
 		e.grant(now)
-		if e.pacer.Idle() && now.Sub(e.askedAt) > keepFor {
+		if e.pacer.Idle() && e.dispenser.Idle() && now.Sub(e.askedAt) > keepFor {
 			delete(r.engines, backend)
 		}
 	}
@@ -198,10 +211,13 @@
 	r.mu.Lock()
 	e := r.engine(p.Backend)
 	e.askedAt = r.Clock.Now()
+	if !e.add(e.askedAt, p) {
+		defer r.mu.Unlock()
+		return Answer{Backlog: e.backlog(p)}
+	}
 	e.waiting[p.Key] = granted
-	e.pacer.Add(p.Ask)
 	e.grant(e.askedAt)
-	backlog := e.pacer.Backlog()
+	backlog := e.backlog(p)
 	r.mu.Unlock()
 	select {
 	case <-granted:
@@ -218,12 +234,28 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !e.pacer.Withdraw(p.Key) {
+	if !e.pacer.Withdraw(p.Key) && !e.dispenser.Withdraw(p.Key) {
 		// It was granted meanwhile.
 		return Answer{Granted: true, Key: p.Key, Backlog: backlog}
 	}
 	delete(e.waiting, p.Key)
-	return Answer{Backlog: e.pacer.Backlog()}
+	return Answer{Backlog: e.backlog(p)}
+}
+
+// add lets a request wait, and reports whether it does.
+func (e *engine) add(now time.Time, p *Prompt) bool {
+	if p.Slots > 0 {
+		return e.dispenser.Add(now, p.slot())
+	}
+	e.pacer.Add(p.Ask)
+	return true
+}
+
+func (e *engine) backlog(p *Prompt) time.Duration {
+	if p.Slots > 0 {
+		return e.dispenser.Backlog()
+	}
+	return e.pacer.Backlog()
 }
 
 func (r *Regulator) end(backend, key string, read bool) {
@@ -234,6 +266,7 @@
 		return
 	}
 	now := r.Clock.Now()
+	e.dispenser.End(now, key, read)
 	if read {
 		e.pacer.Read(now, key)
 	} else {
@@ -273,11 +306,19 @@
 		}
 	}()
 	for _, a := range e.pacer.Next(now) {
-		// A peer's call that comes twice has one key and one waiter.
-		if granted, ok := e.waiting[a.Key]; ok {
-			close(granted)
-			delete(e.waiting, a.Key)
-		}
+		e.tell(a.Key)
+	}
+	for _, a := range e.dispenser.Next(now) {
+		e.tell(a.Key)
+	}
+}
+
+// tell lets a request know that it may be sent.
+func (e *engine) tell(key string) {
+	// A peer's call that comes twice has one key and one waiter.
+	if granted, ok := e.waiting[key]; ok {
+		close(granted)
+		delete(e.waiting, key)
 	}
 }
 
@@ -293,7 +334,7 @@
 	if req.GetSeen() && r.Heard != nil {
 		r.Heard(req.GetBackend(), req.GetGateway())
 	}
-	answer := r.wait(ctx, &Prompt{Backend: req.GetBackend(), Ask: pacer.Ask{
+	answer := r.wait(ctx, &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), GiveUp: now.Add(milliseconds(req.GetGiveUpMs())), Ask: pacer.Ask{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), InTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
 		Pause: milliseconds(req.GetPauseMs()), EventTime: time.Duration(req.GetEventUs()) * time.Microsecond,
@@ -320,6 +361,7 @@
 		AgeMs: uint32(now.Sub(p.ReceivedAt).Milliseconds()), InTimeForMs: int32(p.InTimeUntil.Sub(now).Milliseconds()),
 		PauseMs: uint32(p.Pause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		EventUs: uint32(p.EventTime.Microseconds()), Gateway: r.Self, Seen: p.Seen,
+		Slots: uint32(p.Slots), GiveUpMs: uint32(max(0, p.GiveUp.Sub(now).Milliseconds())),
 	})
 	if err != nil {
 		r.unanswered(ctx, address, err)
--- a/pkg/ablator/ablator.go
+++ b/pkg/ablator/ablator.go
@@ -29,6 +29,8 @@
 	PriorityOrder Mechanism = "PriorityOrder"
 	// Pacing holds prompts back that an engine can't read without a long pause.
 	Pacing Mechanism = "Pacing"
+	// Dispensing gives out the slots of plain services' backend servers that are contended.
+	Dispensing Mechanism = "Dispensing"
 )
 
 // The mechanisms of controllers.
@@ -51,7 +53,7 @@
 
 // Gateway returns the mechanisms of gateways, in order.
 func Gateway() []Mechanism {
-	return []Mechanism{BudgetMargin, Ejection, FullHolder, Pacing, PriorityOrder, TwoChoices, ZonePenalty}
+	return []Mechanism{BudgetMargin, Dispensing, Ejection, FullHolder, Pacing, PriorityOrder, TwoChoices, ZonePenalty}
 }
 
 // Controller returns the mechanisms of controllers, in order.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -59,6 +59,8 @@
 	nextOrder uint64
 	// wanted is when the leader was asked last for each adapter, and for how long.
 	wanted map[string]asked
+	// contended is when the slots of a service were mostly taken.
+	contended map[string]time.Time
 }
 
 // asked is a request to the leader for an adapter.
@@ -83,6 +85,9 @@
 	GiveUp time.Time
 	// Avoid are backend servers that have failed this request.
 	Avoid []string
+	// Dispensed is set if the backend server's slots are given out elsewhere, so that what is
+	// known here of its room does not count.
+	Dispensed bool
 
 	order uint64
 	// declined is set once the leader has said that the adapter does not come in time.
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -14,7 +14,7 @@
 func (b *Balancer) choose(now time.Time, w *Waiter, c candidates) (best *backend, holders []*backend) {
 	for _, list := range [][]*backend{c.preferred, c.tried, c.suspects} {
 		able := b.able(now, list, w.Adapter)
-		if best := b.best(now, able); best != nil {
+		if best := b.best(now, able, w.Dispensed); best != nil {
 			return best, append(holders, able...)
 		}
 		holders = append(holders, able...)
@@ -87,10 +87,10 @@
 // best returns the less loaded of two that are picked at random among those with room, or
 // nil. What is known of the other gateways' requests is up to a few hundred milliseconds
 // old: if all took the least loaded, they would meet there.
-func (b *Balancer) best(now time.Time, from []*backend) *backend {
+func (b *Balancer) best(now time.Time, from []*backend, dispensed bool) *backend {
 	able := make([]*backend, 0, len(from))
 	for _, k := range from {
-		if !now.Before(k.fullUntil) && k.hasRoom() {
+		if dispensed || !now.Before(k.fullUntil) && k.hasRoom() {
 			able = append(able, k)
 		}
 	}
@@ -122,6 +122,34 @@
 	return score
 }
 
+const (
+	// contendedLoad is the part of a service's slots that are taken from which its backend
+	// servers' slots are given out: below, requests rarely meet.
+	contendedLoad = 0.55
+	// contendedFor is how long a service counts as contended after that.
+	contendedFor = 2 * time.Second
+)
+
+// Contended reports whether gateways have so much work for the backend servers of a service
+// that they would meet there.
+func (b *Balancer) Contended(now time.Time, service string) bool {
+	taken, slots := 0.0, 0.0
+	for _, k := range b.byService[service] {
+		if k.open() && !k.silent(now) {
+			taken += min(k.own+k.others, k.slots())
+			slots += k.slots()
+		}
+	}
+	if b.contended == nil {
+		b.contended = map[string]time.Time{}
+	}
+	if slots > 0 && taken >= contendedLoad*slots {
+		b.contended[service] = now
+	}
+	at, ok := b.contended[service]
+	return ok && now.Sub(at) < contendedFor
+}
+
 // crowded reports whether the holder of an adapter that was chosen is much busier than the
 // engines on the whole. If all are busy, a further copy would help nobody.
 func (b *Balancer) crowded(best *backend, peers []*backend) bool {
--- /dev/null
+++ b/pkg/dispenser/dispenser.go
@@ -0,0 +1,177 @@
+// Package dispenser decides which requests get the slots of one backend server that many
+// gateways share. It is pure: asks, ends and the time go in, grants and refusals come out.
+//
+// The load pattern that it answers: a load of about what the backend servers can do, or a
+// little more. Without it each gateway sends what it has, the queue at the backend server
+// stays full, and nearly every request is late though nearly all are served. Here as many
+// are under way as there are slots, the others wait in the order in which they can be in
+// time, and what can't be is refused at once.
+package dispenser
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// extraSlots are granted beyond the slots: the word that a request has ended takes time,
+	// in which a slot would be idle.
+	extraSlots = 1
+	// firstService is the time of a request before any has ended.
+	firstService = 20 * time.Millisecond
+	// serviceMemory is the weight of the latest request in the time of one.
+	serviceMemory = 0.1
+	// lateMargin times the time of a request must be left when one is let in: requests differ,
+	// and one that gets late has used a slot for little.
+	lateMargin = 1.3
+	// forgetFactor times the time of a request, and forgetAfter at least, is how long a request
+	// counts as under way of whose end no word comes: its gateway may be lost.
+	forgetFactor = 10
+	forgetAfter  = time.Second
+)
+
+// Ask is a request that is to be sent to the backend server.
+type Ask struct {
+	// Key tells asks apart.
+	Key string
+	// Urgency is the request's priority; 0 goes first.
+	Urgency uint32
+	// InTimeUntil is until when its answer would be in time, and GiveUp when it is no use to
+	// wait longer.
+	InTimeUntil time.Time
+	GiveUp      time.Time
+	// Slots is the number of requests that the backend server runs at once.
+	Slots int
+
+	order uint64
+}
+
+// Dispenser holds what is known of the requests at one backend server. The zero value is
+// ready for use.
+type Dispenser struct {
+	slots   int
+	running map[string]time.Time
+	waiting []Ask
+	order   uint64
+	// service is about the time of a request.
+	service time.Duration
+}
+
+// Add lets a request wait for a slot, and reports whether it does: one that would be late for
+// what is ahead of it is refused at once.
+func (d *Dispenser) Add(now time.Time, a Ask) bool {
+	d.forget(now)
+	d.slots = max(1, a.Slots)
+	d.order++
+	a.order = d.order
+	ahead := 0
+	for _, other := range d.waiting {
+		if d.before(now, other, a) {
+			ahead++
+		}
+	}
+	starts := now.Add(d.wait(ahead))
+	if d.canBeInTime(now, a) {
+		if starts.Add(time.Duration(lateMargin * float64(d.serviceTime()))).After(a.InTimeUntil) {
+			return false
+		}
+	} else if !starts.Before(a.GiveUp) {
+		return false
+	}
+	d.waiting = append(d.waiting, a)
+	return true
+}
+
+// wait returns about how long a request waits that has some ahead of it.
+func (d *Dispenser) wait(ahead int) time.Duration {
+	free := d.limit() - len(d.running)
+	if ahead < free {
+		return 0
+	}
+	return d.serviceTime() * time.Duration(ahead-free+1) / time.Duration(d.limit())
+}
+
+func (d *Dispenser) limit() int { return d.slots + extraSlots }
+
+func (d *Dispenser) serviceTime() time.Duration {
+	if d.service == 0 {
+		return firstService
+	}
+	return d.service
+}
+
+// canBeInTime reports whether a request would be in time if it were sent now.
+func (d *Dispenser) canBeInTime(now time.Time, a Ask) bool {
+	return !now.Add(d.serviceTime()).After(a.InTimeUntil)
+}
+
+// before reports whether a request goes before another: those that can be in time before
+// those that can't, the urgent ones first, and among equals the one with the least time.
+func (d *Dispenser) before(now time.Time, a, other Ask) bool {
+	return d.compare(now, a, other) < 0
+}
+
+func (d *Dispenser) compare(now time.Time, a, other Ask) int {
+	if one, two := d.canBeInTime(now, a), d.canBeInTime(now, other); one != two {
+		if one {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Urgency, other.Urgency), a.InTimeUntil.Compare(other.InTimeUntil), cmp.Compare(a.order, other.order))
+}
+
+// Withdraw takes back an ask that waits, and reports whether it did.
+func (d *Dispenser) Withdraw(key string) bool {
+	before := len(d.waiting)
+	d.waiting = slices.DeleteFunc(d.waiting, func(a Ask) bool { return a.Key == key })
+	return len(d.waiting) < before
+}
+
+// End notes that a request is no longer under way; ran says that the backend server has
+// answered it.
+func (d *Dispenser) End(now time.Time, key string, ran bool) {
+	at, ok := d.running[key]
+	if !ok {
+		return
+	}
+	delete(d.running, key)
+	if ran {
+		d.service = d.serviceTime() + time.Duration(serviceMemory*float64(now.Sub(at)-d.serviceTime()))
+	}
+}
+
+// Next returns the requests that may be sent now.
+func (d *Dispenser) Next(now time.Time) []Ask {
+	d.forget(now)
+	if len(d.waiting) == 0 || len(d.running) >= d.limit() {
+		return nil
+	}
+	slices.SortFunc(d.waiting, func(a, b Ask) int { return d.compare(now, a, b) })
+	n := min(len(d.waiting), d.limit()-len(d.running))
+	granted := slices.Clone(d.waiting[:n])
+	d.waiting = slices.Delete(d.waiting, 0, n)
+	if d.running == nil {
+		d.running = map[string]time.Time{}
+	}
+	for _, a := range granted {
+		d.running[a.Key] = now
+	}
+	return granted
+}
+
+// forget drops requests of whose end no word has come.
+func (d *Dispenser) forget(now time.Time) {
+	for key, at := range d.running {
+		if now.Sub(at) > max(forgetAfter, forgetFactor*d.serviceTime()) {
+			delete(d.running, key)
+		}
+	}
+}
+
+// Backlog returns about how long a further request would wait.
+func (d *Dispenser) Backlog() time.Duration { return d.wait(len(d.waiting)) }
+
+// Idle reports whether nothing is under way and nothing waits.
+func (d *Dispenser) Idle() bool { return len(d.running) == 0 && len(d.waiting) == 0 }
