After the loss of all, a new leader lends a part of the fund at once

Cause: with nobody left who tells what was spent, a new leader lends by a rate alone, from nothing, while callers that have waited come at once.

--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -18,6 +18,11 @@
 const (
 	// lentPart is the part of the fund that gateways may have unspent.
 	lentPart = 0.6
+	// startPart is the part of the fund that a new leader lends at least in its first window,
+	// and leastRefill the part of the rate, before it has heard what others have spent: after
+	// the loss of all gateways nobody tells.
+	startPart   = 0.25
+	leastRefill = 0.6
 	// overdraftPart is the part of the fund that all gateways together may spend beyond their
 	// allowances, so that a request passes which is larger than the allowance of a moment.
 	overdraftPart = 0.15
@@ -35,9 +40,6 @@
 	AloneFor = 4 * time.Second
 	// forgetAfter is when the leader takes the credit of a silent gateway for expired.
 	forgetAfter = AloneFor + Lease
-	// leastRefill is the part of the rate that a new leader lends at least before it has
-	// heard what others have spent: after the loss of all gateways nobody tells.
-	leastRefill = 0.6
 	// shortestWait and longestWait bound when a refused caller is told to come back.
 	shortestWait = 100 * time.Millisecond
 	longestWait  = 2 * time.Second
@@ -171,7 +173,8 @@
 func (l *Lender) room(now time.Time, c *customer) float64 {
 	most := l.mostInWindow(now, c)
 	if age := now.Sub(l.began); age < l.Rule.Window {
-		most = min(most, max(c.vouched, leastRefill*c.limit.GetRatePerSecond()*age.Seconds()))
+		least := startPart*l.Rule.fund(c.limit) + leastRefill*c.limit.GetRatePerSecond()*age.Seconds()
+		most = min(most, max(c.vouched, least))
 	}
 	return most - c.lent.sum(now)
 }
--- a/pkg/lender/lender_test.go
+++ b/pkg/lender/lender_test.go
@@ -282,6 +282,28 @@
 	w.check()
 }
 
+// After the loss of all gateways and leaders the usual load is served.
+func TestTheUsualLoadIsServedAfterTheLossOfAll(t *testing.T) {
+	for name, rate := range map[string]float64{"large": 274_000, "small": 29_000} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c, 1, 81, testRule, tokens(rate, rate))
+			w.load(10*time.Second, 0.55*rate, w.anywhere)
+			w.lender = nil
+			for _, g := range w.gateways {
+				g.purse = Purse{}
+			}
+			w.now = w.now.Add(2 * time.Second)
+			w.lead()
+			asked, refused := w.asked, w.refused
+			w.load(4*time.Second, 0.55*rate, w.anywhere)
+			part := (w.refused - refused) / (w.asked - asked)
+			c.Check(part < 0.05, qt.IsTrue, qt.Commentf("%.3f were refused", part))
+			w.check()
+		})
+	}
+}
+
 // Whatever happens to leaders and gateways, no window has more than the rule allows.
 func TestNoWindowHasMoreThanTheRuleAllows(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
