--- a/controller/curator/limits_test.go
+++ b/controller/curator/limits_test.go
@@ -21,7 +21,7 @@
 }
 
 // borrow asks for a number of requests, with the test's goroutine in the curator's place.
-func borrow(c *qt.C, cu *Curator, needed uint64) (*wire.BorrowResponse, error) {
+func borrow(cu *Curator, needed uint64) (*wire.BorrowResponse, error) {
 	type end struct {
 		res *wire.BorrowResponse
 		err error
@@ -44,7 +44,7 @@
 	cu, k := newCurator()
 	cu.Limits = lender.Rule{Window: time.Nanosecond, Slack: 100}
 	cu.apply(keeper.Item{Applied: []keeper.Applied{k.entry(limitedTable(1, 3))}})
-	_, err := borrow(c, cu, 1)
+	_, err := borrow(cu, 1)
 	c.Assert(err, qt.Equals, errNotLeader)
 	lead(cu, k)
 	for _, step := range []struct {
@@ -54,7 +54,7 @@
 	}{{3, 5, 3}, {7, 5, 5}} {
 		cu.apply(keeper.Item{Applied: []keeper.Applied{k.entry(limitedTable(uint64(step.burst), step.burst))}})
 		cu.lender.Begin(cu.Clock.Now().Add(-time.Hour), 1, cu.state.Table().GetTable().GetCustomers())
-		res, err := borrow(c, cu, step.needed)
+		res, err := borrow(cu, step.needed)
 		c.Assert(err, qt.IsNil)
 		c.Check(res.GetBorrowers()[0].GetCredits()[0].GetLent(), qt.Equals, step.want)
 		c.Check(res.GetAgainInMs() > 0, qt.IsTrue)
@@ -63,6 +63,6 @@
 	c.Check(standings[0].GetShares()[0].GetGateway(), qt.Equals, "g")
 	k.standing = keeper.Standing{}
 	cu.tick(cu.Clock.Now())
-	_, err = borrow(c, cu, 1)
+	_, err = borrow(cu, 1)
 	c.Check(err, qt.Equals, errNotLeader)
 }
