A new leader that has heard all gateways lends the whole window

Change: each controller knows which gateways there were in the time that counts; once all of them have called, also those that nobody asks anything of, the leader knows what was spent. Gateways that have run for less than a window don't count as heard: they know nothing of what was sent before them.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -123,6 +123,10 @@
 	placer      *placer.Placer
 	// lender lends of customers' limits while this instance leads.
 	lender *lender.Lender
+	// startedAt is when this life began, and met when each gateway was in the roster last.
+	startedAt time.Time
+	met       map[string]time.Time
+	lookedAt  time.Time
 }
 
 // gatewayState is what a gateway said last.
@@ -154,6 +158,7 @@
 	c.state = recorder.New()
 	c.tracker = &tracker.Tracker{SilentAfter: c.SilentAfter, ForgetAfter: forgetAfter}
 	c.gateways = map[string]*gatewayState{}
+	c.startedAt, c.met = c.Clock.Now(), map[string]time.Time{}
 	c.loads = spreader.NewSum()
 	c.holdings = spreader.NewHoldings()
 	c.initArbiter()
@@ -278,6 +283,7 @@
 		c.arbiter.Lead(now, c.term)
 	}
 	c.forgetGateways(now)
+	c.meetGateways(now)
 	if c.placer == nil && now.Sub(c.forgotten) >= forgetEvery {
 		c.forgotten = now
 		c.knowledge.Forget(now)
@@ -308,7 +314,7 @@
 	c.holdings.Begin(c.placer.Revision())
 	c.arbiter.Begin()
 	c.placer.SetTable(c.state.Table().GetTable())
-	c.lender = &lender.Lender{Rule: c.Limits}
+	c.lender = &lender.Lender{Rule: c.Limits, Known: c.knownGateways(now)}
 	c.lender.Begin(now, term, c.state.Table().GetTable().GetCustomers())
 	for _, a := range c.tracker.All() {
 		c.placer.SetEngine(a)
--- a/controller/curator/limits.go
+++ b/controller/curator/limits.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"bronzelead.example/pkg/lender"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -40,6 +43,40 @@
 	return res, nil
 }
 
+// meetEvery is the time between two looks at which gateways there are.
+const meetEvery = 250 * time.Millisecond
+
+// spentFor is how long a gateway counts that is heard no more: what it sent on is in the
+// window, after it has spent what was kept for it.
+func (c *Curator) spentFor() time.Duration { return c.Limits.Window + lender.AloneFor }
+
+// meetGateways notes which gateways there are, so that a new leader knows of all that may
+// have spent.
+func (c *Curator) meetGateways(now time.Time) {
+	if now.Sub(c.lookedAt) < meetEvery {
+		return
+	}
+	c.lookedAt = now
+	c.roster.refresh(now, c.gateways)
+	for _, g := range c.roster.list {
+		c.met[g.GetAddress()] = now
+	}
+	for address, at := range c.met {
+		if now.Sub(at) > c.spentFor() {
+			delete(c.met, address)
+		}
+	}
+}
+
+// knownGateways returns all gateways that may have sent on anything in the window, or none if
+// this instance has not run for long enough to tell.
+func (c *Curator) knownGateways(now time.Time) []string {
+	if now.Sub(c.startedAt) < c.spentFor() {
+		return nil
+	}
+	return slices.Collect(maps.Keys(c.met))
+}
+
 func (c *Curator) borrow(now time.Time, req *wire.BorrowRequest) *wire.BorrowResponse {
 	c.roster.refresh(now, c.gateways)
 	c.lender.Gateways = int(c.roster.count())
--- a/controller/curator/limits_test.go
+++ b/controller/curator/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,3 +67,26 @@
 	_, err = borrow(cu, 1)
 	c.Check(err, qt.Equals, errNotLeader)
 }
+
+// A new leader knows of the gateways that may have spent anything, if it has run for longer
+// than that counts.
+func TestGatewaysThatMayHaveSpent(t *testing.T) {
+	c := qt.New(t)
+	cu, _ := newCurator()
+	cu.Limits = lender.Rule{Window: 8 * time.Second}
+	start := cu.Clock.Now()
+	at := func(after time.Duration, gateways ...string) []string {
+		now := start.Add(after)
+		for _, address := range gateways {
+			cu.hear(now, &wire.SyncRequest{Gateway: address, Address: address, Zone: "z"})
+		}
+		cu.roster.stale = true
+		cu.tick(now)
+		return slices.Sorted(slices.Values(cu.knownGateways(now)))
+	}
+	c.Check(at(time.Second, "a", "b"), qt.HasLen, 0)
+	c.Check(at(cu.spentFor()-time.Second, "a", "b"), qt.HasLen, 0)
+	c.Check(at(cu.spentFor(), "a"), qt.DeepEquals, []string{"a", "b"})
+	c.Check(at(cu.spentFor()+time.Second, "a"), qt.DeepEquals, []string{"a", "b"})
+	c.Check(at(2*cu.spentFor(), "a"), qt.DeepEquals, []string{"a"})
+}
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -109,8 +109,8 @@
 	r.regulator.Init()
 	r.isolator = &isolator.Isolator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), WordAge: r.wordAge}
 	r.borrower = &borrower.Borrower{
-		Clock: r.Clock, Log: r.Log, Meter: r.meter, Gateway: s.Instance.Name,
-		Upstream: func() string { return r.follower.Leader() },
+		Clock: r.Clock, Log: r.Log, Meter: r.meter, Gateway: s.Instance.Name, Address: s.meshAddress(),
+		Upstream: func() string { return r.follower.Leader() }, Term: func() uint64 { return r.follower.Term() },
 	}
 	r.borrower.Init()
 	r.forwarder = &forwarder.Forwarder{
--- a/gateway/borrower/borrower.go
+++ b/gateway/borrower/borrower.go
@@ -30,6 +30,8 @@
 	// longestWait is how long a request waits for credit: until a gateway that does not reach
 	// the leader spends its allowance.
 	longestWait = 500 * time.Millisecond
+	// termEvery is the time between two looks at whether there is a new leader.
+	termEvery = 250 * time.Millisecond
 	// firstCall is the time between two calls before the leader has said it.
 	firstCall = 250 * time.Millisecond
 )
@@ -49,8 +51,12 @@
 	Clock clockwork.Clock
 	Log   *slog.Logger
 	Meter *meter.Meter
-	// Gateway names this gateway.
+	// Gateway names this gateway, and Address is where other processes reach it.
 	Gateway string
+	Address string
+	// Term returns that of the leader that is heard, by which this gateway knows that a new one
+	// has to hear what it has spent; nil tells nobody unasked.
+	Term func() uint64
 	// Upstream returns the address of the leader, or of a gateway on the way to it; "" if none
 	// is known.
 	Upstream func() string
@@ -59,6 +65,7 @@
 
 	kick      chan struct{}
 	transport *http.Transport
+	startedAt time.Time
 
 	mu     sync.Mutex
 	purses map[string]*purse
@@ -66,6 +73,12 @@
 	// answered last; failing is set while calls fail.
 	callAt  time.Time
 	failing bool
+	// limited is set while any customer has a limit, and told is the term of the leader that
+	// was told last what was spent.
+	limited bool
+	told    uint64
+	// telling is the term of the leader that the call under way tells, or 0.
+	telling uint64
 }
 
 // purse is what is kept of one customer.
@@ -86,6 +99,7 @@
 // Init prepares the borrower for use.
 func (b *Borrower) Init() {
 	b.kick = make(chan struct{}, 1)
+	b.startedAt = b.Clock.Now()
 	b.purses = map[string]*purse{}
 	b.transport = connector.NewTransport(nil)
 	if b.Client == nil {
@@ -99,8 +113,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limits := map[string]*wire.CustomerLimit{}
+	b.limited = false
 	for _, c := range customers {
 		limits[c.GetName()] = c.GetLimit()
+		b.limited = b.limited || c.GetLimit() != nil
+	}
+	if b.limited {
+		b.wake()
 	}
 	for name, p := range b.purses {
 		lower := isLower(limits[name], p.limit)
@@ -278,9 +297,23 @@
 		}
 		busy = busy || !p.Idle(now)
 	}
+	if b.limited && !busy {
+		return termEvery, true
+	}
 	return max(lookEvery, b.callAt.Sub(now)), busy
 }
 
+// newLeader returns the term of a leader that has not been told what was spent, or 0.
+func (b *Borrower) newLeader() uint64 {
+	if b.Term == nil || !b.limited {
+		return 0
+	}
+	if term := b.Term(); term != b.told {
+		return term
+	}
+	return 0
+}
+
 // round calls the leader if that is due, and decides on the requests that wait.
 func (b *Borrower) round(ctx context.Context) {
 	now := b.Clock.Now()
@@ -305,10 +338,13 @@
 	for _, p := range b.purses {
 		urgent = urgent || len(p.waiters) > 0
 	}
-	if now.Before(b.callAt) && (!urgent || b.failing) {
+	fresh := b.newLeader()
+	if now.Before(b.callAt) && (!urgent && fresh == 0 || b.failing) {
 		return nil
 	}
-	said := &wire.Borrower{Gateway: b.Gateway}
+	said := &wire.Borrower{
+		Gateway: b.Gateway, Address: b.Address, RunningMs: uint32(min(now.Sub(b.startedAt), time.Hour).Milliseconds()),
+	}
 	for name, p := range b.purses {
 		if len(p.waiters) == 0 && p.Idle(now) {
 			continue
@@ -319,9 +355,10 @@
 		}
 		said.Accounts = append(said.Accounts, p.Report(now, name, needed))
 	}
-	if len(said.Accounts) == 0 {
+	if len(said.Accounts) == 0 && fresh == 0 {
 		return nil
 	}
+	b.telling = fresh
 	return said
 }
 
@@ -340,6 +377,9 @@
 	if b.failing {
 		b.Log.Info("credit can be borrowed again", "Upstream", b.Upstream())
 	}
+	if b.telling != 0 {
+		b.told = b.telling
+	}
 	b.failing, b.callAt = false, now.Add(firstCall)
 	if again := time.Duration(res.GetAgainInMs()) * time.Millisecond; again > 0 {
 		b.callAt = now.Add(again)
--- a/gateway/follower/acquire.go
+++ b/gateway/follower/acquire.go
@@ -18,6 +18,13 @@
 	return f.leader
 }
 
+// Term returns the term of the leader that was heard last.
+func (f *Follower) Term() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term
+}
+
 // Acquire asks the leader to load adapters. It does not wait for the loads.
 func (f *Follower) Acquire(ctx context.Context, wants []*wire.Want) {
 	f.mu.Lock()
--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -68,12 +68,17 @@
 	Rule Rule
 	// Gateways is the number of gateways that may serve.
 	Gateways int
+	// Known are the addresses of all gateways that may have sent on anything in the window
+	// before the term; empty if nobody can tell.
+	Known []string
 
 	began     time.Time
 	customers map[string]*customer
 	// opened numbers the accounts; it begins with the term, so that no two leaders give the
 	// same number.
 	opened uint64
+	// unheard are those of Known that have not called yet.
+	unheard map[string]bool
 }
 
 type customer struct {
@@ -121,6 +126,10 @@
 func (l *Lender) Begin(now time.Time, term uint64, customers []*wire.RoutedCustomer) {
 	const termBits = 32
 	l.began, l.opened, l.customers = now, term<<termBits, map[string]*customer{}
+	l.unheard = map[string]bool{}
+	for _, address := range l.Known {
+		l.unheard[address] = true
+	}
 	l.SetCustomers(now, customers)
 }
 
@@ -168,11 +177,14 @@
 	return most
 }
 
+// allHeard reports whether all gateways have told this leader what they have spent.
+func (l *Lender) allHeard() bool { return len(l.Known) > 0 && len(l.unheard) == 0 }
+
 // room returns what may still be lent in the window that ends now. In the first window of a
-// term, what nobody has vouched for counts as spent.
+// term, what nobody has vouched for counts as spent until all gateways have called.
 func (l *Lender) room(now time.Time, c *customer) float64 {
 	most := l.mostInWindow(now, c)
-	if age := now.Sub(l.began); age < l.Rule.Window {
+	if age := now.Sub(l.began); age < l.Rule.Window && !l.allHeard() {
 		least := startPart*l.Rule.fund(c.limit) + leastRefill*c.limit.GetRatePerSecond()*age.Seconds()
 		most = min(most, max(c.vouched, least))
 	}
@@ -182,6 +194,9 @@
 // Borrow takes what a gateway says, and returns its credit.
 func (l *Lender) Borrow(now time.Time, b *wire.Borrower) *wire.BorrowerCredit {
 	res := &wire.BorrowerCredit{}
+	if time.Duration(b.GetRunningMs())*time.Millisecond >= l.Rule.Window {
+		defer delete(l.unheard, b.GetAddress())
+	}
 	for _, said := range b.GetAccounts() {
 		if c := l.customers[said.GetCustomer()]; c != nil {
 			res.Credits = append(res.Credits, l.lend(now, c, b.GetGateway(), said))
--- a/pkg/lender/lender_test.go
+++ b/pkg/lender/lender_test.go
@@ -44,6 +44,9 @@
 	// cut and frozen are until when no call passes, and nothing happens at all.
 	cut, frozen time.Time
 	called      time.Time
+	started     time.Time
+	// term is that of the leader that it has called last.
+	term uint64
 }
 
 type sent struct {
@@ -55,8 +58,9 @@
 
 func newWorld(c failer, seed uint64, gateways int, rule Rule, limit *wire.CustomerLimit) *world {
 	w := &world{c: c, random: rand.New(rand.NewPCG(seed, 0)), rule: rule, limit: limit, now: time.Unix(1e9, 0)}
+	started := w.now.Add(-time.Minute)
 	for i := range gateways {
-		w.gateways = append(w.gateways, &gateway{name: fmt.Sprint("g", i)})
+		w.gateways = append(w.gateways, &gateway{name: fmt.Sprint("g", i), started: started})
 	}
 	w.lead()
 	return w
@@ -70,6 +74,9 @@
 func (w *world) lead() {
 	w.term++
 	w.lender = &Lender{Rule: w.rule, Gateways: len(w.gateways)}
+	for _, g := range w.gateways {
+		w.lender.Known = append(w.lender.Known, g.name)
+	}
 	w.lender.Begin(w.now, w.term, w.customers())
 }
 
@@ -80,8 +87,11 @@
 		return false
 	}
 	said := g.purse.Report(w.now, "a", needed)
-	res := w.lender.Borrow(w.now, &wire.Borrower{Gateway: g.name, Accounts: []*wire.CreditAccount{said}})
+	res := w.lender.Borrow(w.now, &wire.Borrower{
+		Gateway: g.name, Address: g.name, RunningMs: uint32(w.now.Sub(g.started).Milliseconds()), Accounts: []*wire.CreditAccount{said},
+	})
 	g.purse.Hear(w.now, w.now, res.GetCredits()[0])
+	g.term = w.term
 	return true
 }
 
@@ -155,7 +165,8 @@
 	}
 	w.waiting = slices.DeleteFunc(w.waiting, func(r waiting) bool { return !w.now.Before(r.gateway.frozen) && w.try(r) })
 	for _, g := range w.gateways {
-		if !w.now.Before(g.frozen) && w.now.Sub(g.called) >= soonestCall && !g.purse.Idle(w.now) {
+		idle := g.purse.Idle(w.now) && g.term == w.term
+		if !w.now.Before(g.frozen) && w.now.Sub(g.called) >= soonestCall && !idle {
 			w.call(g, 0)
 		}
 	}
@@ -282,6 +293,23 @@
 	w.check()
 }
 
+// A new leader that has heard all gateways knows all that was spent, however little was kept
+// for them: a burst that comes soon after is let in up to the limit.
+func TestANewLeaderThatHasHeardAllLendsTheWholeWindow(t *testing.T) {
+	c := qt.New(t)
+	const rate = 176_000
+	w := newWorld(c, 1, 81, testRule, tokens(rate, rate))
+	w.load(2500*time.Millisecond, 0.3*rate, w.anywhere)
+	w.lead()
+	w.load(time.Second, 0.3*rate, w.anywhere)
+	asked, refused := w.asked, w.refused
+	w.load(2*time.Second, 3.3*rate, w.anywhere)
+	part := (w.refused - refused) / (w.asked - asked)
+	c.Check(part < 0.05, qt.IsTrue, qt.Commentf("%.3f were refused", part))
+	w.load(8*time.Second, 3.3*rate, w.anywhere)
+	w.check()
+}
+
 // After the loss of all gateways and leaders the usual load is served.
 func TestTheUsualLoadIsServedAfterTheLossOfAll(t *testing.T) {
 	for name, rate := range map[string]float64{"large": 274_000, "small": 29_000} {
@@ -291,7 +319,7 @@
 			w.load(10*time.Second, 0.55*rate, w.anywhere)
 			w.lender = nil
 			for _, g := range w.gateways {
-				g.purse = Purse{}
+				g.purse, g.started = Purse{}, w.now
 			}
 			w.now = w.now.Add(2 * time.Second)
 			w.lead()
@@ -336,7 +364,7 @@
 			case "restart":
 				g := some()
 				w.queued = slices.DeleteFunc(w.queued, func(q queued) bool { return q.purse == &g.purse })
-				g.purse = Purse{}
+				g.purse, g.started = Purse{}, w.now
 			}
 			w.load(span, rate*rapid.Float64Range(0.2, 6).Draw(r, "load"), w.anywhere)
 		}
--- a/pkg/lender/purse.go
+++ b/pkg/lender/purse.go
@@ -143,7 +143,7 @@
 // Idle reports whether the leader need not be told anything.
 func (p *Purse) Idle(now time.Time) bool {
 	p.decay(now)
-	return !p.wanted() && p.held == 0 && p.lent <= p.spent && p.allowance == 0
+	return !p.wanted() && p.held == 0 && p.lent <= p.spent && p.allowance == 0 && p.recent.sum(now) <= 0
 }
 
 // leastRate is the rate below which a customer counts as one that nobody asks for here, in
