--- a/pkg/lender/lender_test.go
+++ b/pkg/lender/lender_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"bronzelead.example/pkg/wire"
@@ -496,3 +497,28 @@
 		l.Borrow(now, said)
 	}
 }
+
+// The bytes of a call for one customer, and of its answer.
+func BenchmarkBytes(b *testing.B) {
+	now := time.Unix(1e9, 0)
+	l := &Lender{Rule: testRule, Gateways: 81}
+	l.Begin(now.Add(-time.Hour), 1, []*wire.RoutedCustomer{{Name: "customer-17", Limit: tokens(274_000, 274_000)}})
+	p := &Purse{}
+	var said *wire.Borrower
+	var res *wire.BorrowerCredit
+	for range 400 {
+		now = now.Add(25 * time.Millisecond)
+		p.Ask(now, 700)
+		said = &wire.Borrower{Gateway: "edge-bergen-a-17", Accounts: []*wire.CreditAccount{p.Report(now, "customer-17", 700)}}
+		res = l.Borrow(now, said)
+		p.Hear(now, now, res.GetCredits()[0])
+		if p.Hold(now, 700) {
+			p.Spend(now, 700)
+		}
+	}
+	for b.Loop() {
+		_ = proto.Size(said)
+	}
+	b.ReportMetric(float64(proto.Size(said.GetAccounts()[0])), "B/account")
+	b.ReportMetric(float64(proto.Size(res.GetCredits()[0])), "B/credit")
+}
