Connections that announce nothing are closed after three announcements

A backend server that goes on to another controller left its connection open for 75 s, so that each controller held one of all 3,001.

Change: the address for backend servers closes a connection after three times the announcements' interval.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -34,6 +34,10 @@
 	// silentAnnouncements is the number of announcements that may be missing before a
 	// backend server counts as silent.
 	silentAnnouncements = 3
+	// idleAnnouncements is the number of announcements for which a backend server's connection is
+	// kept without one. One that goes on to another controller leaves its connection behind:
+	// thousands of these use up a controller's file descriptors, and nobody reaches it any more.
+	idleAnnouncements = 3
 	// snapshotBytes bounds the log between two snapshots: a disk holds 128 MB, and a
 	// snapshot is written beside the log that it replaces.
 	snapshotBytes = 16 << 20
@@ -180,7 +184,10 @@
 	}}
 	r.servers = []*server.Server{
 		{Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log},
-		{Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log},
+		{
+			Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log,
+			Idle: idleAnnouncements * s.Timing.Announcements,
+		},
 	}
 }
 
