Lint: a call that is passed on outlives the one that brought it

gosec took the goroutine for one of its caller's; it stands in a method of its own now, which says why it outlives it. The borrower's tests pass with the race detector.

--- a/gateway/borrower/followers.go
+++ b/gateway/borrower/followers.go
@@ -33,20 +33,25 @@
 // Borrow passes the call of a gateway on that follows this one.
 func (b *Borrower) Borrow(ctx context.Context, req *wire.BorrowRequest) (*wire.BorrowResponse, error) {
 	call := &followerCall{borrowers: req.GetBorrowers(), end: make(chan followerEnd, 1)}
+	b.enter(call)
+	select {
+	case end := <-call.end:
+		return end.res, end.err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "borrower: pass a call on")
+	}
+}
+
+// enter lets a call wait to be passed on, which outlives it: others wait for the same answer.
+func (b *Borrower) enter(call *followerCall) {
 	f := &b.followers
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.waiting = append(f.waiting, call)
 	if !f.passing {
 		f.passing = true
 		go b.passOn()
 	}
-	f.mu.Unlock()
-	select {
-	case end := <-call.end:
-		return end.res, end.err
-	case <-ctx.Done():
-		return nil, errors.Wrap(ctx.Err(), "borrower: pass a call on")
-	}
 }
 
 // passOn passes calls on until none waits.
