--- a/gateway/borrower/borrower.go
+++ b/gateway/borrower/borrower.go
@@ -70,8 +70,7 @@
 
 	mu     sync.Mutex
 	purses map[string]*purse
-	// callAt is when the leader is to be called at the latest, and called when a call was
-	// answered last; failing is set while calls fail.
+	// callAt is when the leader is to be called at the latest; failing is set while calls fail.
 	callAt  time.Time
 	failing bool
 	// limited is set while any customer has a limit, and told is the term of the leader that
