--- a/gateway/borrower/borrower.go
+++ b/gateway/borrower/borrower.go
@@ -65,7 +65,6 @@
 
 	kick      chan struct{}
 	transport *http.Transport
-	followers followers
 	startedAt time.Time
 
 	mu     sync.Mutex
@@ -414,6 +413,11 @@
 	return b.Client(address).Borrow(ctx, req)
 }
 
+// Borrow passes the call of a gateway on that follows this one.
+func (b *Borrower) Borrow(ctx context.Context, req *wire.BorrowRequest) (*wire.BorrowResponse, error) {
+	return b.call(ctx, req)
+}
+
 // errNotHere is what a gateway says of calls that only controllers serve.
 var errNotHere = twirp.NewError(twirp.Unavailable, "this is a gateway")
 
