Log the request limits that backend servers announce

A gateway's log could not tell whether it had read an announced limit, when, and what it sent to the server afterwards, so the hypotheses of the incident could not be told apart. Gateways now decode the limit and log its start, changes and end, with the time since the request whose answer named it, and each second what was sent there, by first tries, repeats and resumed streams. Nothing decides by it yet.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -56,6 +56,7 @@
 	f.spend(j)
 	j.sends++
 	j.last, j.sentAt = d.Backend, f.Clock.Now()
+	f.noteSent(j)
 	in, err := f.Sender.Send(ctx, f.outgoing(j, d))
 	if err != nil {
 		return f.failed(ctx, j, d.Backend, err)
@@ -66,6 +67,7 @@
 // take handles the answer to a try, and reports whether the request is to be tried again.
 func (f *Forwarder) take(ctx context.Context, j *job, d balancer.Decision, in *sender.Incoming) bool {
 	answer := platform.DecodeAnswer(in.Head)
+	f.observeLimit(j, in.Head.Status, answer)
 	switch {
 	case answer.NotRun:
 		in.Close()
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"bronzelead.example/pkg/matcher"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/pacer"
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -84,11 +85,13 @@
 
 	mu       sync.Mutex
 	balancer *balancer.Balancer
-	table    *matcher.Matcher
-	budgets  map[string]*budgeter.Budgeter
-	waiting  map[*balancer.Waiter]chan balancer.Decision
-	demand   map[string]uint32
-	gateways uint32
+	// throttler knows the request limits that backend servers announce.
+	throttler throttler.Throttler
+	table     *matcher.Matcher
+	budgets   map[string]*budgeter.Budgeter
+	waiting   map[*balancer.Waiter]chan balancer.Decision
+	demand    map[string]uint32
+	gateways  uint32
 	// needs tells for each service whether its prompts are paced.
 	needs map[string]*pacer.Need
 	// verdicts counts how the streams went that have ended since they were logged last.
@@ -124,6 +127,7 @@
 		case <-sweep.Chan():
 			f.Sender.Sweep()
 			f.logVerdicts()
+			f.logUsage()
 		}
 	}
 }
@@ -177,8 +181,10 @@
 		switch {
 		case a.GetReplaced():
 			f.Sender.Abandon(a.GetId())
+			f.throttler.Forget(a.GetId())
 		case a.GetGone():
 			f.Sender.Forget(a.GetId())
+			f.throttler.Forget(a.GetId())
 		}
 	}
 }
