Add a failing test: a backend server's request limit over all gateways

One of three backend servers announces 6 requests a second while callers ask three gateways for 60. It gets 95 in 4 s, allowed (6 x 4) x 1.5 + 5 = 41.

--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
@@ -36,6 +39,33 @@
 	crash func()
 	// end stops its announcements.
 	end context.CancelFunc
+
+	mu sync.Mutex
+	// limit is what it names in its answers, and arrived is when requests reached it.
+	limit   throttler.RequestRate
+	arrived []time.Time
+}
+
+// setLimit lets the server name a limit in its answers; 0 ends that.
+func (b *backendStandIn) setLimit(limit throttler.RequestRate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+// arrivals returns when requests reached the server.
+func (b *backendStandIn) arrivals() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.arrived)
+}
+
+// arrives notes a request, and returns the limit that its answer names.
+func (b *backendStandIn) arrives() throttler.RequestRate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrived = append(b.arrived, time.Now())
+	return b.limit
 }
 
 func startBackend(y *routedSystem, id string) *backendStandIn {
@@ -92,6 +122,10 @@
 
 // ServeHTTP runs a request and answers with what only this request can get.
 func (b *backendStandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limit := b.arrives()
+	if limit > 0 {
+		set(w, framer.Header{platform.StandInRequestLimit(limit)})
+	}
 	var header framer.Header
 	for name := range r.Header {
 		header = append(header, framer.Field{Name: name, Value: r.Header.Get(name)})
