--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"bronzelead.example/pkg/windower"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -87,7 +88,7 @@
 	earlier float64
 	lowered time.Time
 	// lent is what was lent and spent beyond that, by the time at which it was.
-	lent window
+	lent windower.Window
 	// reserved is what is kept for gateways.
 	reserved float64
 	// vouched is what the gateways that were heard had spent under earlier leaders, and what
@@ -146,7 +147,7 @@
 		named[listed.GetName()] = true
 		c := l.customers[listed.GetName()]
 		if c == nil {
-			c = &customer{accounts: map[string]*account{}, met: map[string]bool{}, lent: window{length: l.Rule.Window}}
+			c = &customer{accounts: map[string]*account{}, met: map[string]bool{}, lent: windower.Window{Length: l.Rule.Window}}
 			l.customers[listed.GetName()] = c
 		}
 		if earlier := l.mostInWindow(now, c); l.mostOf(listed.GetLimit()) < earlier {
@@ -188,7 +189,7 @@
 		least := startPart*l.Rule.fund(c.limit) + leastRefill*c.limit.GetRatePerSecond()*age.Seconds()
 		most = min(most, max(c.vouched, least))
 	}
-	return most - c.lent.sum(now)
+	return most - c.lent.Sum(now)
 }
 
 // Borrow takes what a gateway says, and returns its credit.
@@ -213,7 +214,7 @@
 	room := l.room(now, c)
 	granted := l.grant(c, room-c.reserved, said)
 	a.lent += uint64(granted)
-	c.lent.add(now, granted)
+	c.lent.Add(now, granted)
 	c.unspent += granted
 	c.keep(a, l.part(c, a, room-granted))
 	a.allowance = min(a.kept/AloneFor.Seconds(), c.limit.GetRatePerSecond()*c.share(a))
@@ -243,7 +244,7 @@
 		for _, amount := range said.GetRecent() {
 			c.vouched += float64(amount)
 		}
-		c.lent.addParts(now, said.GetRecent())
+		c.lent.AddParts(now, said.GetRecent())
 	}
 	c.met[gateway] = true
 	l.opened++
@@ -263,7 +264,7 @@
 		a.lent = a.spent
 	}
 	if a.spent > a.lent {
-		c.lent.add(now, float64(a.spent-a.lent))
+		c.lent.Add(now, float64(a.spent-a.lent))
 		a.lent = a.spent
 	}
 	c.unspent += a.unspent()
@@ -335,7 +336,7 @@
 // heard.
 func (c *customer) close(now time.Time, gateway string, a *account) {
 	alone := min(AloneFor, max(0, now.Sub(a.heard)-aloneAfter))
-	c.lent.add(now, a.allowance*alone.Seconds())
+	c.lent.Add(now, a.allowance*alone.Seconds())
 	c.keep(a, 0)
 	c.unspent -= a.unspent()
 	c.rate = max(0, c.rate-a.rate)
--- a/pkg/lender/purse.go
+++ b/pkg/lender/purse.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"bronzelead.example/pkg/windower"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -31,7 +32,7 @@
 	kept      float64
 	overdraft uint64
 	// recent is what was sent on in the window of the limit's rule.
-	recent window
+	recent windower.Window
 	// alone is when the allowance was drawn last; zero while the leader is heard.
 	alone time.Time
 	// expired is set once what was lent and not spent has expired.
@@ -120,7 +121,7 @@
 func (p *Purse) Spend(now time.Time, size uint64) {
 	p.Release(size)
 	p.spent += size
-	p.recent.add(now, float64(size))
+	p.recent.Add(now, float64(size))
 }
 
 // Refund takes back that a request was sent on, which has certainly not run, and holds its
@@ -128,7 +129,7 @@
 func (p *Purse) Refund(now time.Time, size uint64) {
 	p.spent -= min(size, p.spent)
 	p.held += size
-	p.recent.add(now, -float64(size))
+	p.recent.Add(now, -float64(size))
 }
 
 // RoomIn returns after which time there will be room, if the leader has just said that
@@ -143,7 +144,7 @@
 // Idle reports whether the leader need not be told anything.
 func (p *Purse) Idle(now time.Time) bool {
 	p.decay(now)
-	return !p.wanted() && p.held == 0 && p.lent <= p.spent && p.allowance == 0 && p.recent.sum(now) <= 0
+	return !p.wanted() && p.held == 0 && p.lent <= p.spent && p.allowance == 0 && p.recent.Sum(now) <= 0
 }
 
 // leastRate is the rate below which a customer counts as one that nobody asks for here, in
@@ -163,7 +164,7 @@
 	credit := p.credit(now)
 	said := &wire.CreditAccount{
 		Customer: customer, Account: p.account, Spent: p.spent, Kept: p.kept,
-		Refused: p.refused, Recent: p.recent.parts(now),
+		Refused: p.refused, Recent: p.recent.Parts(now),
 	}
 	if !p.wanted() && needed == 0 && p.held == 0 {
 		p.lent = p.spent
@@ -189,8 +190,8 @@
 	p.lent = c.GetLent()
 	p.refused = 0
 	p.heard, p.alone, p.drawn, p.expired = asked, time.Time{}, 0, false
-	if length := time.Duration(c.GetWindowMs()) * time.Millisecond; length != p.recent.length {
-		p.recent = window{length: length}
+	if length := time.Duration(c.GetWindowMs()) * time.Millisecond; length != p.recent.Length {
+		p.recent = windower.Window{Length: length}
 	}
 	p.allowance, p.overdraft, p.kept = c.GetAllowance(), c.GetOverdraft(), c.GetKept()
 	if c.GetRoomInMs() > 0 {
