Share a backend server's request limit across gateways

Two model engines announced 6.3 and 4.5 requests a second and got 77 and 65 in 4 s, allowed 43 and 32; callers saw nothing yet.

Cause: the limit is for all gateways together, but comes in an answer to one of them. No gateway read the field, and nothing told the others or shared the limit out.

- Limits spread with the news: gateways report what they read in answers, and controllers and relays pass changes on.
What was said later counts, not what arrives later.
Nothing is sent while no server names a limit.
- One gateway, by rendezvous hashing, owns each limit and grants the requests of all: a token bucket, and a window that counts what was sent before the limit was known, which each gateway reports with its asks.
Equal parts would keep the bound too, but leave most of it unused where few gateways have the requests.
While the owner does not answer, a deputy grants a fifth more.
- A request without a grant goes to another server at once; only if there is none does it wait, by priority, or is refused with the time of the next grant.
Limited engines are the last choice for copies of adapters.
- A limit ends with a signed answer without it, and the rate then doubles each half second for 3 s.
A limit of 0 still gets a probe every two seconds.

TestRoutedARequestLimitHoldsOverAllGateways failed before with 95 requests in 4 s, allowed 41.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -22,6 +22,7 @@
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/recorder"
 	"bronzelead.example/pkg/spreader"
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/tracker"
 	"bronzelead.example/pkg/wire"
 )
@@ -111,6 +112,8 @@
 	// holdings are what the placer has said that engines hold.
 	holdings *spreader.Holdings
 	arbiter  arbiter.Arbiter
+	// requestLimits are those that backend servers have named to any gateway.
+	requestLimits throttler.Book
 	// knowledge is what the leader has learnt, this one or another, whose holdings are heard.
 	knowledge *placer.Knowledge
 	heard     *spreader.Holdings
@@ -283,6 +286,7 @@
 		c.arbiter.Lead(now, c.term)
 	}
 	c.forgetGateways(now)
+	c.forgetLimits(now)
 	c.meetGateways(now)
 	if c.placer == nil && now.Sub(c.forgotten) >= forgetEvery {
 		c.forgotten = now
@@ -318,6 +322,7 @@
 	c.lender.Begin(now, term, c.state.Table().GetTable().GetCustomers())
 	for _, a := range c.tracker.All() {
 		c.placer.SetEngine(a)
+		c.placer.SetLimited(a.GetId(), c.isLimited(a.GetId()))
 	}
 	for _, v := range c.state.AdapterVersions() {
 		c.placer.SetVersion(v)
--- a/controller/curator/sync.go
+++ b/controller/curator/sync.go
@@ -64,6 +64,7 @@
 		c.roster.stale = c.roster.stale || g.membersRevision != req.GetMembersRevision()
 		g.members, g.membersRevision = req.GetMembers(), req.GetMembersRevision()
 	}
+	c.hearLimits(now, req.GetRequestLimits())
 	c.arbiter.Hear(now, req.GetRunReports())
 	for _, d := range req.GetDemand() {
 		c.knowledge.Demand(now, d.GetAdapter(), int(d.GetRequests()))
@@ -157,6 +158,7 @@
 		req.GetAnnouncementRevision() != c.tracker.Revision() ||
 		req.GetVersionRevision() != c.versions ||
 		req.GetTableVersion() < c.table().GetVersion() ||
+		req.GetRequestLimitsRevision() != c.requestLimits.Revision() ||
 		c.arbiter.HasNews(c.term, req.GetSuspectsRevision())
 }
 
@@ -198,6 +200,7 @@
 			res.Table = table
 		}
 	}
+	c.tellLimits(now, req, res)
 	if res.GetLeads() {
 		res.Suspects, res.SuspectsRevision = c.arbiter.Tell(c.term, req.GetSuspectsRevision())
 	}
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -15,6 +15,7 @@
 	"bronzelead.example/gateway/doorkeeper"
 	"bronzelead.example/gateway/follower"
 	"bronzelead.example/gateway/forwarder"
+	"bronzelead.example/gateway/granter"
 	"bronzelead.example/gateway/isolator"
 	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/relayer"
@@ -56,6 +57,7 @@
 	follower  *follower.Follower
 	relayer   *relayer.Relayer
 	regulator *regulator.Regulator
+	granter   *granter.Granter
 	isolator  *isolator.Isolator
 	borrower  *borrower.Borrower
 	health    *server.Server
@@ -74,6 +76,7 @@
 	go r.follower.Run(background)
 	go r.relayer.Run(background)
 	go r.regulator.Run(background)
+	go r.granter.Run(background)
 	go r.isolator.Run(background)
 	go r.borrower.Run(background)
 	go r.acquire(background)
@@ -107,6 +110,8 @@
 	r.wants = make(chan []*wire.Want, wantRing)
 	r.regulator = &regulator.Regulator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress()}
 	r.regulator.Init()
+	r.granter = &granter.Granter{Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: s.meshAddress(), Ranked: r.regulator.Ranked}
+	r.granter.Init()
 	r.isolator = &isolator.Isolator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), WordAge: r.wordAge}
 	r.borrower = &borrower.Borrower{
 		Clock: r.Clock, Log: r.Log, Meter: r.meter, Gateway: s.Instance.Name, Address: s.meshAddress(),
@@ -114,7 +119,7 @@
 	}
 	r.borrower.Init()
 	r.forwarder = &forwarder.Forwarder{
-		Regulator: r.regulator, Isolator: r.isolator, Borrower: r.borrower,
+		Regulator: r.regulator, Granter: r.granter, Isolator: r.isolator, Borrower: r.borrower,
 		Clock: r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, Acquire: r.want, Off: s.off(),
 		Budget: forwarder.Budget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
 		Keys:   forwarder.Keys{Strict: s.Keys.Strict, StaleAfter: s.Keys.StaleAfter},
@@ -129,12 +134,14 @@
 	r.relayer = &relayer.Relayer{
 		Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: self, Apply: r.forwarder.Apply, Loads: r.forwarder.Loads,
 		AddDemand: r.forwarder.AddDemand, Want: r.want, HearRuns: r.isolator.Hear,
+		Granter: r.granter,
 	}
 	r.relayer.Init()
 	r.forwarder.NewsAge = r.relayer.LeaderAge
 	r.follower = &follower.Follower{
 		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Self: self, Seeds: func() []string { return *r.seeds.Load() },
 		Relayer: r.relayer, Demand: r.forwarder.Demand, TableVersion: r.forwarder.TableVersion, RunReports: r.isolator.Reports,
+		Granter: r.granter,
 	}
 	r.door = &doorkeeper.Doorkeeper{
 		Clock: r.Clock, Log: r.Log, Address: s.Instance.Listen, Handle: r.forwarder.Handle,
@@ -148,6 +155,7 @@
 	calls := http.NewServeMux()
 	calls.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.relayer))
 	calls.Handle(wire.LimitsPathPrefix, wire.NewLimitsServer(r.borrower))
+	calls.Handle(wire.ThrottlingPathPrefix, wire.NewThrottlingServer(&granter.Server{Granter: r.granter}))
 	calls.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{Address: s.meshAddress(), Handler: calls, Log: r.Log}
 }
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/granter"
 	"bronzelead.example/gateway/relayer"
 	"bronzelead.example/pkg/arranger"
 	"bronzelead.example/pkg/connector"
@@ -72,6 +73,8 @@
 	// RunReports returns what has ended after the report with a number, and the number of the
 	// last report.
 	RunReports func(after uint64) ([]*wire.RunReport, uint64)
+	// Granter knows the request limits of backend servers.
+	Granter *granter.Granter
 	// TableVersion returns the version of the table in force here.
 	TableVersion func() uint64
 
@@ -110,6 +113,7 @@
 // source is up to where an instance has told what it knows.
 type source struct {
 	epoch, announcements, versions, gateways, members uint64
+	requestLimits                                     uint64
 	tableVersion                                      uint64
 	controllers                                       []string
 	controllersRevision                               uint64
@@ -291,6 +295,7 @@
 		Gateway: f.Gateway, Address: f.Self.GetAddress(), Zone: f.Self.GetZone(),
 		Loads: f.Relayer.AllLoads(), TableVersion: f.TableVersion(),
 	}
+	req.RequestLimits = f.Granter.Report()
 	members, membersRevision := f.Relayer.Members()
 	req.MembersRevision = membersRevision
 	demand := f.Demand()
@@ -302,6 +307,7 @@
 	req.Demand = f.untoldDemand.take(address)
 	s := f.source(address)
 	req.Epoch, req.AnnouncementRevision, req.VersionRevision = s.epoch, s.announcements, s.versions
+	req.RequestLimitsRevision = s.requestLimits
 	req.GatewaysRevision, req.ControllersRevision = s.gateways, s.controllersRevision
 	req.WantTable = s.tableVersion > req.GetTableVersion()
 	if !s.gap {
@@ -346,6 +352,7 @@
 	s := f.source(address)
 	s.epoch, s.announcements, s.versions = res.GetEpoch(), res.GetAnnouncementRevision(), res.GetVersionRevision()
 	s.gateways, s.members, s.tableVersion = res.GetGatewaysRevision(), res.GetMembersRevision(), res.GetTableVersion()
+	s.requestLimits = res.GetRequestLimitsRevision()
 	s.gap = !whole
 	if list := res.GetControllers(); len(list) > 0 {
 		s.controllers = list
--- a/gateway/follower/tree_test.go
+++ b/gateway/follower/tree_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/granter"
 	"bronzelead.example/gateway/relayer"
 	"bronzelead.example/pkg/arranger"
 	"bronzelead.example/pkg/meter"
@@ -81,13 +82,17 @@
 // follow starts the gateway; the controller tells the list.
 func (s *system) follow(t *testing.T, self *wire.GatewayEntry, list *wire.SyncResponse) {
 	controller := s.controller.start(t, list)
+	g := &granter.Granter{Clock: clockwork.NewRealClock()}
+	g.Init()
 	r := &relayer.Relayer{
-		Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"), Self: self,
+		Granter: g,
+		Clock:   clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"), Self: self,
 		Apply: func(string, *wire.SyncResponse) {}, Loads: func() []*wire.Load { return nil },
 	}
 	r.Init()
 	s.Follower = &Follower{
-		Clock: r.Clock, Log: r.Log, Gateway: "test", Self: self, Relayer: r, Seeds: func() []string { return []string{controller} },
+		Granter: g,
+		Clock:   r.Clock, Log: r.Log, Gateway: "test", Self: self, Relayer: r, Seeds: func() []string { return []string{controller} },
 		Demand: func() []*wire.Demand { return nil }, TableVersion: func() uint64 { return 0 },
 		RunReports: func(uint64) ([]*wire.RunReport, uint64) { return nil, 0 },
 	}
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -53,6 +53,9 @@
 		f.done(j, d.Backend.GetId(), balancer.Abandoned)
 		return false
 	}
+	if !f.throttle(ctx, j, d.Backend) {
+		return f.chooseAgain(ctx, j, d.Backend)
+	}
 	f.spend(j)
 	j.sends++
 	j.last, j.sentAt = d.Backend, f.Clock.Now()
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"bronzelead.example/gateway/borrower"
 	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/gateway/granter"
 	"bronzelead.example/gateway/isolator"
 	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/sender"
@@ -69,6 +70,8 @@
 	Regulator *regulator.Regulator
 	// Isolator knows the requests that end backend servers.
 	Isolator *isolator.Isolator
+	// Granter keeps backend servers to the request limits that they announce.
+	Granter *granter.Granter
 	// Borrower keeps customers to their limits; nil lets all pass.
 	Borrower *borrower.Borrower
 	// Acquire asks the leader for adapters. It must not block.
@@ -85,18 +88,18 @@
 
 	mu       sync.Mutex
 	balancer *balancer.Balancer
-	// throttler knows the request limits that backend servers announce.
-	throttler throttler.Throttler
-	table     *matcher.Matcher
-	budgets   map[string]*budgeter.Budgeter
-	waiting   map[*balancer.Waiter]chan balancer.Decision
-	demand    map[string]uint32
-	gateways  uint32
+	table    *matcher.Matcher
+	budgets  map[string]*budgeter.Budgeter
+	waiting  map[*balancer.Waiter]chan balancer.Decision
+	demand   map[string]uint32
+	gateways uint32
 	// needs tells for each service whether its prompts are paced.
 	needs map[string]*pacer.Need
 	// verdicts counts how the streams went that have ended since they were logged last.
 	verdicts  map[verdict]int
 	talliedAt time.Time
+	// limitFaultAt is when a limit that can't be read was logged last.
+	limitFaultAt time.Time
 }
 
 // Init prepares the forwarder for calls before Run.
@@ -110,6 +113,16 @@
 	f.verdicts = map[verdict]int{}
 	f.needs = map[string]*pacer.Need{}
 	f.initIsolator()
+	f.initGranter()
+}
+
+// initGranter makes a granter without other gateways if none is set.
+func (f *Forwarder) initGranter() {
+	if f.Granter == nil {
+		f.Granter = &granter.Granter{Clock: f.Clock, Log: f.Log, Meter: f.Meter}
+		f.Granter.Init()
+	}
+	f.Granter.Changed = f.limitChanged
 }
 
 // Run lets time pass for waiting requests until ctx ends.
@@ -127,7 +140,6 @@
 		case <-sweep.Chan():
 			f.Sender.Sweep()
 			f.logVerdicts()
-			f.logUsage()
 		}
 	}
 }
@@ -170,6 +182,7 @@
 		f.Regulator.Hear(controller, res)
 	}
 	f.mu.Unlock()
+	f.Granter.Hear(res.GetRequestLimits(), throttler.News)
 	f.pump()
 }
 
@@ -181,10 +194,10 @@
 		switch {
 		case a.GetReplaced():
 			f.Sender.Abandon(a.GetId())
-			f.throttler.Forget(a.GetId())
+			f.Granter.Forget(a.GetId())
 		case a.GetGone():
 			f.Sender.Forget(a.GetId())
-			f.throttler.Forget(a.GetId())
+			f.Granter.Forget(a.GetId())
 		}
 	}
 }
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -56,6 +56,7 @@
 	// whether that is still right.
 	trial  string
 	charge charge
+	grant  grant
 	// dispensed is set if its backend server's slots are given out, and slotAsks counts those
 	// that had none for it.
 	dispensed bool
--- a/gateway/forwarder/throttle.go
+++ b/gateway/forwarder/throttle.go
@@ -1,52 +1,109 @@
 package forwarder
 
 import (
-	"bronzelead.example/pkg/throttler"
+	"context"
+	"time"
+
+	"bronzelead.example/gateway/granter"
+	"bronzelead.example/pkg/balancer"
+	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
 
-// observeLimit takes the request limit that an answer of the job's last try names. Only a
+// limitFaultEvery is the least time between two log lines on limits that can't be read.
+const limitFaultEvery = 10 * time.Second
+
+// grant is how the latest try of a request stands with its backend server's limit.
+type grant struct {
+	// by is the gateway that granted the try; empty if it needed no grant.
+	by string
+	// denials counts the tries of the request that were not granted.
+	denials int
+}
+
+// throttle waits for a grant, if the backend server that was chosen has a request limit. It
+// reports false if there is none: then another backend server may be better. It comes last
+// before a try is sent, so that no other wait lies between a grant and its use.
+func (f *Forwarder) throttle(ctx context.Context, j *job, backend *wire.Announcement) bool {
+	id := backend.GetId()
+	j.grant.by = ""
+	if !f.Granter.Limited(id) {
+		return true
+	}
+	began := f.Clock.Now()
+	wait := min(askFor, max(0, j.sendBy.Sub(began)))
+	if f.hasOther(began, j, id) {
+		wait = 0
+	}
+	answer := f.Granter.Ask(ctx, granter.Request{
+		Backend: id, Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt, GiveUp: j.sendBy, Wait: wait,
+	})
+	now := f.Clock.Now()
+	j.waited += now.Sub(began)
+	if answer.Granted {
+		j.grant.by = answer.By
+		return true
+	}
+	j.grant.denials++
+	f.Granter.Denied(id)
+	f.mu.Lock()
+	f.balancer.Pause(id, now.Add(answer.RetryIn))
+	f.mu.Unlock()
+	return false
+}
+
+// hasOther reports whether a request can go to another backend server than the one chosen.
+func (f *Forwarder) hasOther(now time.Time, j *job, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancer.HasOther(now, &balancer.Waiter{Service: j.service, Adapter: j.adapter, Avoid: j.avoid}, id)
+}
+
+// observeLimit takes the request limit that an answer to the job's last try names. Only a
 // signed answer without a limit lifts one: a rejection may come from another start at the
 // same address.
 func (f *Forwarder) observeLimit(j *job, status int, answer platform.Answer) {
-	rejects := answer.NotRun && status != statusMisdirected
-	if !answer.Signed && (!rejects || answer.RequestLimit == 0) {
+	if answer.LimitFault != "" {
+		f.limitFault(j, answer.LimitFault)
 		return
 	}
+	rejects := answer.NotRun && status != statusMisdirected
+	if answer.Signed || rejects && answer.RequestLimit.Named {
+		f.Granter.Observe(j.last.GetId(), answer.RequestLimit, j.about.ID, f.Clock.Since(j.sentAt))
+	}
+}
+
+// limitFault counts a limit that can't be read. What was known before stands.
+func (f *Forwarder) limitFault(j *job, fault string) {
+	f.Meter.Count("request_limits_unreadable", "fault", fault)
+	now := f.Clock.Now()
 	f.mu.Lock()
-	before := f.throttler.Observe(j.last.GetId(), answer.RequestLimit)
-	f.mu.Unlock()
-	if before == answer.RequestLimit {
-		return
+	due := now.Sub(f.limitFaultAt) >= limitFaultEvery
+	if due {
+		f.limitFaultAt = now
 	}
-	event := "backend server limits its request rate"
-	if answer.RequestLimit == 0 {
-		event = "backend server lifts its request limit"
+	f.mu.Unlock()
+	if due {
+		f.Log.Warn("request limit of a backend server can't be read", "Backend", j.last.GetId(), "Fault", fault, "RequestID", j.about.ID)
 	}
-	f.Log.Info(event, "Backend", j.last.GetId(), "Limit", answer.RequestLimit, "Before", before,
-		"RequestID", j.about.ID, "SinceSent", f.Clock.Since(j.sentAt).Milliseconds())
 }
 
-// noteSent counts a try towards the usage of its backend server's limit.
+// noteSent counts a try towards its backend server's limit.
 func (f *Forwarder) noteSent(j *job) {
-	kind := throttler.First
+	kind := granter.First
 	switch {
 	case j.resume != "":
-		kind = throttler.Resumed
+		kind = granter.Resumed
 	case j.sends > 1:
-		kind = throttler.Repeat
+		kind = granter.Repeat
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.throttler.Sent(j.last.GetId(), kind)
+	f.Granter.Sent(j.last.GetId(), kind, j.grant.by)
 }
 
-// logUsage logs what was sent to backend servers that limit their request rate.
-func (f *Forwarder) logUsage() {
+// limitChanged notes that a backend server begins or ends to limit its request rate.
+func (f *Forwarder) limitChanged(backend string, limited bool) {
 	f.mu.Lock()
-	list := f.throttler.TakeUsage()
+	f.balancer.SetLimited(backend, limited)
 	f.mu.Unlock()
-	for _, u := range list {
-		f.Log.Info("requests to a limited backend server", "Backend", u.Backend, "Limit", u.Limit, "Sent", u.Sent)
-	}
+	f.pump()
 }
--- a/gateway/regulator/peer.go
+++ b/gateway/regulator/peer.go
@@ -51,6 +51,25 @@
 	return best
 }
 
+// Ranked returns the first two gateways in the order of inCharge, whether they answer or not;
+// "" where there is none.
+func (r *Regulator) Ranked(backend string) (first, second string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	highest, next := uint64(0), uint64(0)
+	for _, address := range r.gateways {
+		n := ranker.Preference(backend, address)
+		switch {
+		case first == "" || n > highest:
+			second, next = first, highest
+			first, highest = address, n
+		case second == "" || n > next:
+			second, next = address, n
+		}
+	}
+	return first, second
+}
+
 func (r *Regulator) peer(address string) *peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/relayer/relayer.go
+++ b/gateway/relayer/relayer.go
@@ -15,8 +15,10 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"bronzelead.example/gateway/granter"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/spreader"
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -43,6 +45,8 @@
 	AddDemand func(list []*wire.Demand)
 	// HearRuns takes the runs of followers' requests that ended.
 	HearRuns func(reports []*wire.RunReport)
+	// Granter knows the request limits of backend servers.
+	Granter *granter.Granter
 	// Want asks the leader for adapters. It must not block.
 	Want func(wants []*wire.Want)
 
@@ -123,6 +127,9 @@
 	if len(req.GetRunReports()) > 0 {
 		r.HearRuns(req.GetRunReports())
 	}
+	if len(req.GetRequestLimits()) > 0 {
+		r.Granter.Hear(req.GetRequestLimits(), throttler.Follower)
+	}
 	w, err := r.enter(req)
 	if err != nil {
 		return nil, err
@@ -185,11 +192,22 @@
 }
 
 func (r *Relayer) isDue(now time.Time, w *waiter) bool {
-	return !now.Before(w.deadline) || r.spreader.Due(now, w.request)
+	return !now.Before(w.deadline) || w.request.GetRequestLimitsRevision() != r.Granter.Revision() || r.spreader.Due(now, w.request)
 }
 
 func (r *Relayer) answer(now time.Time, w *waiter) {
-	w.answer <- r.spreader.Answer(now, w.request, r.own)
+	res := r.spreader.Answer(now, w.request, r.own)
+	r.tellLimits(w.request, res)
+	w.answer <- res
+}
+
+// tellLimits adds the request limits to an answer, if the follower knows another list.
+func (r *Relayer) tellLimits(req *wire.SyncRequest, res *wire.SyncResponse) {
+	list, revision := r.Granter.News()
+	res.RequestLimitsRevision = revision
+	if req.GetEpoch() != res.GetEpoch() || req.GetRequestLimitsRevision() != revision {
+		res.RequestLimits = list
+	}
 }
 
 // Acquire passes a follower's request for adapters on to the leader.
--- a/gateway/relayer/relayer_test.go
+++ b/gateway/relayer/relayer_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/granter"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/wire"
 )
@@ -24,8 +25,11 @@
 
 func newBench() *bench {
 	b := &bench{clock: clockwork.NewFakeClock()}
+	g := &granter.Granter{Clock: b.clock}
+	g.Init()
 	b.Relayer = &Relayer{
-		Clock: b.clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
+		Granter: g,
+		Clock:   b.clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
 		Self:      &wire.GatewayEntry{Address: "relay", Zone: "z"},
 		Apply:     func(_ string, news *wire.SyncResponse) { b.applied = append(b.applied, news) },
 		Loads:     func() []*wire.Load { return []*wire.Load{{Backend: "e", Requests: 5}} },
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -37,6 +37,10 @@
 	absent    map[string]time.Time
 	fullUntil time.Time
 	since     time.Time
+	// limited is set while it limits its request rate, and pausedUntil is when its limit has
+	// room again.
+	limited     bool
+	pausedUntil time.Time
 	// backlog is how long the engine had to read as of backlogAt.
 	backlog   time.Duration
 	backlogAt time.Time
@@ -81,6 +85,25 @@
 
 func (k *backend) hasRoom() bool { return k.own+k.others < k.slots() }
 
+// SetLimited notes whether a backend server limits its request rate.
+func (b *Balancer) SetLimited(id string, limited bool) {
+	if k := b.backends[id]; k != nil {
+		k.limited = limited
+		if !limited {
+			k.pausedUntil = time.Time{}
+		}
+	}
+}
+
+// Pause leaves a backend server alone whose request limit has no room until a time.
+func (b *Balancer) Pause(id string, until time.Time) {
+	if k := b.backends[id]; k != nil {
+		k.pausedUntil = until
+	}
+}
+
+func (k *backend) paused(now time.Time) bool { return now.Before(k.pausedUntil) }
+
 // SetBacklog takes about how long an engine still has to read prompts.
 func (b *Balancer) SetBacklog(now time.Time, id string, backlog time.Duration) {
 	if k := b.backends[id]; k != nil {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -120,6 +120,7 @@
 	ReasonTimeout   = "no backend server was free in time"
 	ReasonNoAdapter = "the adapter was not loaded in time"
 	ReasonDeclined  = "the adapter can't be loaded in time"
+	ReasonLimited   = "the backend servers' request limits have no room in time"
 )
 
 // Announce takes what is known of a backend server. Silent counts only from a
@@ -292,7 +293,7 @@
 	if best != nil {
 		var more *wire.Want
 		if w.Adapter != "" && b.crowded(best, c.preferred) {
-			more = b.want(now, w, without(c.preferred, holders))
+			more = b.want(now, w, unlimited(without(c.preferred, holders)))
 		}
 		best.own += Weight(w.Tokens)
 		best.using[w.Adapter]++
@@ -309,10 +310,13 @@
 		}
 		return &Decision{Waiter: w, Reason: reason, ComeBack: comeBack}, nil
 	}
+	others := unlimited(without(c.preferred, holders))
+	if at, limited := roomAgain(now, holders); limited && !at.Before(w.GiveUp) && (w.Adapter == "" || len(others) == 0) {
+		return &Decision{Waiter: w, Reason: ReasonLimited, ComeBack: at.Sub(now)}, nil
+	}
 	if w.Adapter == "" {
 		return nil, nil
 	}
-	others := without(c.preferred, holders)
 	if len(holders) > 0 && !slices.ContainsFunc(others, (*backend).hasRoom) {
 		return nil, nil
 	}
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -90,7 +90,7 @@
 func (b *Balancer) best(now time.Time, from []*backend, dispensed bool) *backend {
 	able := make([]*backend, 0, len(from))
 	for _, k := range from {
-		if dispensed || !now.Before(k.fullUntil) && k.hasRoom() {
+		if !k.paused(now) && (dispensed || !now.Before(k.fullUntil) && k.hasRoom()) {
 			able = append(able, k)
 		}
 	}
@@ -164,3 +164,37 @@
 func without(list, others []*backend) []*backend {
 	return slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return slices.Contains(others, k) })
 }
+
+// HasOther reports whether a request could go to another backend server than the one with an
+// id at once.
+func (b *Balancer) HasOther(now time.Time, w *Waiter, id string) bool {
+	able := b.able(now, b.candidates(now, w).preferred, w.Adapter)
+	return slices.ContainsFunc(able, func(k *backend) bool {
+		return k.info.GetId() != id && !k.paused(now) && !now.Before(k.fullUntil) && k.hasRoom()
+	})
+}
+
+// roomAgain returns when the first of some backend servers has room in its request limit
+// again, and false if one of them is not held back by its limit.
+func roomAgain(now time.Time, list []*backend) (time.Time, bool) {
+	var first time.Time
+	for _, k := range list {
+		if !k.paused(now) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || k.pausedUntil.Before(first) {
+			first = k.pausedUntil
+		}
+	}
+	return first, len(list) > 0
+}
+
+// unlimited returns the backend servers of a list that do not limit their request rate, or
+// all if there are none.
+func unlimited(list []*backend) []*backend {
+	rest := slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return k.limited })
+	if len(rest) == 0 {
+		return list
+	}
+	return rest
+}
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -201,6 +201,9 @@
 	roomWeight = 0.5
 	// queueWeight is the cost of each adapter that is on its way to the engine.
 	queueWeight = 0.1
+	// limitedWeight is the cost of an engine that limits its request rate: more than all others
+	// together, so that it is taken only if no other can be.
+	limitedWeight = 10
 )
 
 func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
@@ -216,6 +219,9 @@
 	if now.Before(e.waitUntil) {
 		cost += 1
 	}
+	if e.limited {
+		cost += limitedWeight
+	}
 	return cost
 }
 
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -58,6 +58,8 @@
 	accepted uint64
 	reported bool
 	busy     bool
+	// limited is set while it limits its request rate.
+	limited bool
 	// asking is set while a question whether a load has ended is under way.
 	asking bool
 	// askedAt is when the last question was asked.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -174,6 +174,13 @@
 	e.info = a
 }
 
+// SetLimited notes whether an engine limits its request rate.
+func (p *Placer) SetLimited(id string, limited bool) {
+	if e := p.engines[id]; e != nil {
+		e.limited = limited
+	}
+}
+
 // SetVersion takes the version that an adapter must have.
 func (p *Placer) SetVersion(v *wire.AdapterVersion) {
 	adapter := v.GetModel() + "/" + v.GetAdapter()
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -156,6 +156,7 @@
 		Versions: res.GetVersions(), Leads: res.GetLeads(), Term: res.GetTerm(), Loads: res.GetLoads(), HasLoads: res.GetHasLoads(),
 		Gateways: res.GetGateways(), GatewayList: res.GetGatewayList(), GatewaysRevision: res.GetGatewaysRevision(),
 		Declined: res.GetDeclined(), Suspects: res.GetSuspects(), SuspectsRevision: res.GetSuspectsRevision(),
+		RequestLimits: res.GetRequestLimits(),
 	}
 }
 
--- a/proof/routed_throttle_test.go
+++ b/proof/routed_throttle_test.go
@@ -67,6 +67,9 @@
 // named, and before it was lifted.
 func (b *backendStandIn) checkLimit(named, lifted time.Time) {
 	most := b.mostInWindow(named.Add(contact), lifted)
+	used := b.arrivedBetween(named.Add(contact), lifted)
+	b.y.c.Logf("at most %d requests in %s, allowed %d; %.2f a second under a limit of %v", most, limitWindow,
+		allowedInWindow(announcedLimit), float64(used)/lifted.Sub(named.Add(contact)).Seconds(), announcedLimit)
 	b.y.c.Check(most <= allowedInWindow(announcedLimit), qt.IsTrue,
 		qt.Commentf("%d requests in %s, allowed %d", most, limitWindow, allowedInWindow(announcedLimit)))
 }
