--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -299,20 +299,16 @@
 		best.using[w.Adapter]++
 		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, more
 	}
+	return b.hold(now, w, c, holders)
+}
+
+// hold decides on a request that no backend server can take now. Holders are those that
+// could if they had room.
+func (b *Balancer) hold(now time.Time, w *Waiter, c candidates, holders []*backend) (*Decision, *wire.Want) {
 	w.lacked = w.lacked || (w.Adapter != "" && len(holders) == 0)
-	if w.declined && len(holders) == 0 {
-		return &Decision{Waiter: w, Reason: ReasonDeclined, ComeBack: spread(comeBackWhenDeclined)}, nil
-	}
-	if !now.Before(w.GiveUp) {
-		reason, comeBack := ReasonTimeout, comeBackWhenFull
-		if len(holders) == 0 && w.Adapter != "" {
-			reason, comeBack = ReasonNoAdapter, comeBackForAdapter
-		}
-		return &Decision{Waiter: w, Reason: reason, ComeBack: comeBack}, nil
-	}
 	others := unlimited(without(c.preferred, holders))
-	if at, limited := roomAgain(now, holders); limited && !at.Before(w.GiveUp) && (w.Adapter == "" || len(others) == 0) {
-		return &Decision{Waiter: w, Reason: ReasonLimited, ComeBack: at.Sub(now)}, nil
+	if d := b.refuse(now, w, holders, others); d != nil {
+		return d, nil
 	}
 	if w.Adapter == "" {
 		return nil, nil
@@ -325,6 +321,25 @@
 	return nil, b.want(now, w, others)
 }
 
+// refuse returns the refusal of a request that waits in vain, or nil.
+func (b *Balancer) refuse(now time.Time, w *Waiter, holders, others []*backend) *Decision {
+	if w.declined && len(holders) == 0 {
+		return &Decision{Waiter: w, Reason: ReasonDeclined, ComeBack: spread(comeBackWhenDeclined)}
+	}
+	over := !now.Before(w.GiveUp)
+	at, limited := roomAgain(now, holders)
+	elsewhere := w.Adapter != "" && len(others) > 0
+	switch {
+	case limited && (over || !elsewhere && !at.Before(w.GiveUp)):
+		return &Decision{Waiter: w, Reason: ReasonLimited, ComeBack: at.Sub(now)}
+	case over && len(holders) == 0 && w.Adapter != "":
+		return &Decision{Waiter: w, Reason: ReasonNoAdapter, ComeBack: comeBackForAdapter}
+	case over:
+		return &Decision{Waiter: w, Reason: ReasonTimeout, ComeBack: comeBackWhenFull}
+	}
+	return nil
+}
+
 // Decline takes the leader's word that an adapter can't be loaded before the requests give
 // up for which it was asked. They are refused at the next decision, unless an engine has it.
 // Those that have come since, and wait for longer, ask anew.
--- a/pkg/throttler/allocator.go
+++ b/pkg/throttler/allocator.go
@@ -31,6 +31,8 @@
 	capSlack     = 3
 	// shortestRetry is the least time after which a request that was denied is tried again.
 	shortestRetry = 20 * time.Millisecond
+	// deputyRetry bounds that time at the deputy: the owner may answer again by then.
+	deputyRetry = 100 * time.Millisecond
 	// cappedRetry is that time while earlier sends fill the window.
 	cappedRetry = 250 * time.Millisecond
 )
@@ -145,6 +147,9 @@
 		wait = max(wait, cappedRetry)
 	}
 	if !ask.Waits || !now.Add(wait).Before(ask.GiveUp) {
+		if a.Role == Deputy {
+			wait = min(wait, deputyRetry)
+		}
 		return Verdict{RetryIn: wait}
 	}
 	a.waiting = append(a.waiting, ask)
--- /dev/null
+++ b/pkg/throttler/allocator_test.go
@@ -0,0 +1,94 @@
+package throttler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Requests that wait are granted by priority, then by age, and those are refused at once whose
+// turn would come too late.
+func TestGrantsGoByPriority(t *testing.T) {
+	c := qt.New(t)
+	var a Allocator
+	a.SetRate(at(0), 10)
+	ask := func(key string, urgency uint32, received, giveUp int) Ask {
+		return Ask{Key: key, Urgency: urgency, ReceivedAt: at(received), GiveUp: at(giveUp), Waits: true}
+	}
+	c.Check(a.Add(at(0), ask("late", 1, 5, 2000)).Waiting, qt.IsTrue)
+	c.Check(a.Add(at(0), ask("early", 1, 0, 2000)).Waiting, qt.IsTrue)
+	c.Check(a.Add(at(0), ask("urgent", 0, 9, 2000)).Waiting, qt.IsTrue)
+	c.Check(a.Add(at(0), ask("gone", 0, 9, 2000)).Waiting, qt.IsTrue)
+	c.Check(a.Withdraw("gone"), qt.IsTrue)
+	c.Check(a.Add(at(0), ask("hopeless", 2, 0, 250)), qt.Equals, Verdict{RetryIn: 400 * time.Millisecond})
+	c.Check(a.Add(at(0), Ask{Key: "at once", ReceivedAt: at(9)}).RetryIn > 0, qt.IsTrue)
+	wait, ok := a.NextIn(at(0))
+	c.Check(ok, qt.IsTrue)
+	c.Check(wait, qt.Equals, 100*time.Millisecond)
+	c.Check(a.Next(at(99)), qt.HasLen, 0)
+	var order []string
+	for ms := 100; ms <= 300; ms += 100 {
+		order = append(order, a.Next(at(ms))...)
+	}
+	c.Check(order, qt.DeepEquals, []string{"urgent", "early", "late"})
+	_, ok = a.NextIn(at(300))
+	c.Check(ok, qt.IsFalse)
+}
+
+// What gateways sent before they knew of the limit fills the window, once for each gateway.
+func TestEarlierSendsFillTheWindow(t *testing.T) {
+	c := qt.New(t)
+	var a Allocator
+	a.SetRate(at(0), 10)
+	var before Sends
+	for range 60 {
+		before.Add(at(0), "")
+	}
+	for range 3 {
+		a.Report(at(0), "gateway", before.Without(at(0), "owner"))
+	}
+	v := a.Add(at(1000), Ask{Key: "k", ReceivedAt: at(1000), GiveUp: at(9000)})
+	c.Check(v, qt.Equals, Verdict{RetryIn: cappedRetry})
+	c.Check(a.Add(at(4500), Ask{Key: "k", ReceivedAt: at(4500), GiveUp: at(9000)}).Granted, qt.IsTrue)
+	c.Check(a.Idle(at(4500)), qt.IsFalse)
+	c.Check(a.Idle(at(9000)), qt.IsTrue)
+}
+
+// A gateway tells a granter what others have granted, and only that.
+func TestSendsAreToldWithoutOwnGrants(t *testing.T) {
+	c := qt.New(t)
+	var s Sends
+	sum := func(granter string) (n uint64) {
+		for _, part := range s.Without(at(100), granter) {
+			n += part
+		}
+		return n
+	}
+	for _, granter := range []string{"", "owner", "deputy", "owner", "third", "fourth", "fifth", "owner"} {
+		s.Add(at(0), granter)
+	}
+	c.Check(sum("owner"), qt.Equals, uint64(5))
+	c.Check(sum("fifth"), qt.Equals, uint64(7))
+	c.Check(sum("nobody"), qt.Equals, uint64(8))
+	c.Check(s.Sum(at(100)), qt.Equals, 8.0)
+	c.Check(s.Sum(at(4200)), qt.Equals, 0.0)
+}
+
+func BenchmarkRateWithoutLimits(b *testing.B) {
+	var book Book
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Rate(now, "b")
+	}
+}
+
+func BenchmarkSends(b *testing.B) {
+	var s Sends
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Add(now, "")
+	}
+}
--- /dev/null
+++ b/pkg/throttler/ways_test.go
@@ -0,0 +1,116 @@
+package throttler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/lender"
+	"bronzelead.example/pkg/wire"
+)
+
+// equalParts lets each gateway send its part of the limit.
+type equalParts struct{ limit RequestRate }
+
+func (e equalParts) mayBeSent(w *world, g *gatewayModel) (granted bool, by string, retryIn time.Duration) {
+	a := g.owned[Owner]
+	if a == nil {
+		a = &Allocator{}
+		g.owned[Owner] = a
+	}
+	a.SetRate(w.now, e.limit/RequestRate(len(w.gateways)))
+	v := a.Add(w.now, Ask{ReceivedAt: w.now, GiveUp: w.now.Add(time.Second)})
+	return v.Granted, g.address, v.RetryIn
+}
+
+func (equalParts) tick(*world) {}
+
+// byLeases lets a leader lend of the limit, as it does of customers' limits.
+type byLeases struct {
+	lender *lender.Lender
+	purses map[string]*lender.Purse
+	calls  map[string]time.Time
+}
+
+func newLeases(now time.Time, limit RequestRate) *byLeases {
+	l := &byLeases{
+		lender: &lender.Lender{Rule: lender.Rule{Window: Window, Overage: tolerance - 1, Slack: slack}},
+		purses: map[string]*lender.Purse{}, calls: map[string]time.Time{},
+	}
+	l.lender.Begin(now.Add(-time.Hour), 1, []*wire.RoutedCustomer{
+		{Name: backendID, Limit: &wire.CustomerLimit{Unit: wire.LimitUnit_LIMIT_UNIT_REQUESTS, RatePerSecond: float64(limit)}},
+	})
+	return l
+}
+
+func (l *byLeases) mayBeSent(w *world, g *gatewayModel) (granted bool, by string, retryIn time.Duration) {
+	p := l.purses[g.address]
+	if p == nil {
+		p = &lender.Purse{}
+		l.purses[g.address] = p
+	}
+	p.Ask(w.now, 1)
+	if !p.Hold(w.now, 1) {
+		l.call(w, g.address, p, 1)
+		if !p.Hold(w.now, 1) {
+			return false, "", max(shortestRetry, p.RoomIn(w.now))
+		}
+	}
+	p.Spend(w.now, 1)
+	return true, "leader", 0
+}
+
+func (l *byLeases) call(w *world, gateway string, p *lender.Purse, needed uint64) {
+	l.lender.Gateways = len(w.gateways)
+	l.calls[gateway] = w.now
+	res := l.lender.Borrow(w.now, &wire.Borrower{
+		Gateway: gateway, Address: gateway, RunningMs: uint32(time.Hour.Milliseconds()),
+		Accounts: []*wire.CreditAccount{p.Report(w.now, backendID, needed)},
+	})
+	p.Hear(w.now, w.now, res.GetCredits()[0])
+}
+
+// tick lets the gateways call that have not for a while.
+func (l *byLeases) tick(w *world) {
+	l.lender.Tick(w.now)
+	for gateway, p := range l.purses {
+		if !p.Idle(w.now) && w.now.Sub(l.calls[gateway]) >= l.lender.AgainIn() {
+			l.call(w, gateway, p, 0)
+		}
+	}
+}
+
+// Three ways of sharing a limit out, on the same schedules: the owner's grants use it whole,
+// and do so with any number of gateways.
+func TestTheOwnersGrantsUseMoreThanOtherWays(t *testing.T) {
+	const limit, demand, seeds = 6, 15, 10
+	for _, gateways := range []int{9, 81, 300} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			c := qt.New(t)
+			used, worst := map[string]float64{}, map[string]int{}
+			for seed := range uint64(seeds) {
+				for name, make := range map[string]func(now time.Time) way{
+					"equal parts": func(time.Time) way { return equalParts{limit} },
+					"leases":      func(now time.Time) way { return newLeases(now, limit) },
+					"owner":       func(time.Time) way { return byOwner{} },
+				} {
+					w := newWorld(seed, gateways, nil)
+					w.way = make(w.now)
+					w.limit = LimitOf(limit)
+					w.run(10*time.Second, demand)
+					from := w.now
+					w.run(20*time.Second, demand)
+					used[name] += float64(w.sentBetween(from, w.now)) / (limit * 20) / seeds
+					worst[name] = max(worst[name], w.worst(from, w.now))
+				}
+			}
+			c.Logf("parts of the limit used: %v; most in a window, %d allowed: %v", used, allowed(limit), worst)
+			c.Check(worst["owner"] <= allowed(limit), qt.IsTrue)
+			c.Check(used["owner"] >= leastUsed, qt.IsTrue)
+			c.Check(used["owner"] >= used["equal parts"]-0.02, qt.IsTrue)
+			c.Check(used["owner"] >= used["leases"]-0.02, qt.IsTrue)
+		})
+	}
+}
