Fill limited engines with the adapters that their limits allow

The leader now adds up the demand for what an engine holds, and avoids it only where a further adapter would exceed its limit; gateways ask for copies elsewhere while the limit has no room, not as long as one is named. A request that waits for a grant is refused at once if its turn comes too late.

--- a/controller/curator/curator.go
+++ b/controller/curator/curator.go
@@ -322,7 +322,7 @@
 	c.lender.Begin(now, term, c.state.Table().GetTable().GetCustomers())
 	for _, a := range c.tracker.All() {
 		c.placer.SetEngine(a)
-		c.placer.SetLimited(a.GetId(), c.isLimited(a.GetId()))
+		c.placer.SetLimit(a.GetId(), c.limitOf(a.GetId()))
 	}
 	for _, v := range c.state.AdapterVersions() {
 		c.placer.SetVersion(v)
--- a/controller/curator/requestlimits.go
+++ b/controller/curator/requestlimits.go
@@ -22,7 +22,7 @@
 		c.Log.Info("request limit of a backend server", "Backend", o.Backend, "Named", o.Limit.Named,
 			"Limit", o.Limit.Rate, "Before", change.Before.Rate)
 		if c.placer != nil {
-			c.placer.SetLimited(o.Backend, o.Limit.Named)
+			c.placer.SetLimit(o.Backend, o.Limit)
 		}
 	}
 }
@@ -35,10 +35,10 @@
 	}
 }
 
-// isLimited reports whether a backend server names a request limit.
-func (c *Curator) isLimited(id string) bool {
-	standing, known := c.requestLimits.Standing(id)
-	return known && standing.Limit.Named
+// limitOf returns the request limit of a backend server.
+func (c *Curator) limitOf(id string) throttler.Limit {
+	standing, _ := c.requestLimits.Standing(id)
+	return standing.Limit
 }
 
 // forgetLimits drops the limits of backend servers that are not known any more.
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -122,7 +122,6 @@
 		f.Granter = &granter.Granter{Clock: f.Clock, Log: f.Log, Meter: f.Meter}
 		f.Granter.Init()
 	}
-	f.Granter.Changed = f.limitChanged
 }
 
 // Run lets time pass for waiting requests until ctx ends.
--- a/gateway/forwarder/throttle.go
+++ b/gateway/forwarder/throttle.go
@@ -36,7 +36,7 @@
 		wait = 0
 	}
 	answer := f.Granter.Ask(ctx, granter.Request{
-		Backend: id, Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt, GiveUp: j.sendBy, Wait: wait,
+		Backend: id, Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt, GiveUp: began.Add(wait), Wait: wait,
 	})
 	now := f.Clock.Now()
 	j.waited += now.Sub(began)
@@ -99,11 +99,3 @@
 	}
 	f.Granter.Sent(j.last.GetId(), kind, j.grant.by)
 }
-
-// limitChanged notes that a backend server begins or ends to limit its request rate.
-func (f *Forwarder) limitChanged(backend string, limited bool) {
-	f.mu.Lock()
-	f.balancer.SetLimited(backend, limited)
-	f.mu.Unlock()
-	f.pump()
-}
--- a/gateway/granter/granter.go
+++ b/gateway/granter/granter.go
@@ -46,9 +46,6 @@
 	Ranked func(backend string) (owner, deputy string)
 	// Client returns a client of another gateway; nil makes one over HTTP.
 	Client func(address string, timeout time.Duration) wire.Throttling
-	// Changed is told when a backend server begins or ends to limit its request rate; nil
-	// tells nobody.
-	Changed func(backend string, limited bool)
 
 	keys atomic.Uint64
 
--- a/gateway/granter/limits.go
+++ b/gateway/granter/limits.go
@@ -97,9 +97,6 @@
 		"Backend", o.Backend, "Limit", o.Limit.Rate, "Before", change.Before.Rate, "Source", o.Source,
 	}, more...)...)
 	g.Meter.Count("request_limit_changes", "source", string(o.Source))
-	if g.Changed != nil {
-		g.Changed(o.Backend, o.Limit.Named)
-	}
 	if o.Limit.Named && !change.Before.Named {
 		go g.report(o.Backend)
 	}
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -37,9 +37,7 @@
 	absent    map[string]time.Time
 	fullUntil time.Time
 	since     time.Time
-	// limited is set while it limits its request rate, and pausedUntil is when its limit has
-	// room again.
-	limited     bool
+	// pausedUntil is when its request limit has room again.
 	pausedUntil time.Time
 	// backlog is how long the engine had to read as of backlogAt.
 	backlog   time.Duration
@@ -85,16 +83,6 @@
 
 func (k *backend) hasRoom() bool { return k.own+k.others < k.slots() }
 
-// SetLimited notes whether a backend server limits its request rate.
-func (b *Balancer) SetLimited(id string, limited bool) {
-	if k := b.backends[id]; k != nil {
-		k.limited = limited
-		if !limited {
-			k.pausedUntil = time.Time{}
-		}
-	}
-}
-
 // Pause leaves a backend server alone whose request limit has no room until a time.
 func (b *Balancer) Pause(id string, until time.Time) {
 	if k := b.backends[id]; k != nil {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -293,7 +293,7 @@
 	if best != nil {
 		var more *wire.Want
 		if w.Adapter != "" && b.crowded(best, c.preferred) {
-			more = b.want(now, w, unlimited(without(c.preferred, holders)))
+			more = b.want(now, w, unpaused(now, without(c.preferred, holders)))
 		}
 		best.own += Weight(w.Tokens)
 		best.using[w.Adapter]++
@@ -306,7 +306,7 @@
 // could if they had room.
 func (b *Balancer) hold(now time.Time, w *Waiter, c candidates, holders []*backend) (*Decision, *wire.Want) {
 	w.lacked = w.lacked || (w.Adapter != "" && len(holders) == 0)
-	others := unlimited(without(c.preferred, holders))
+	others := unpaused(now, without(c.preferred, holders))
 	if d := b.refuse(now, w, holders, others); d != nil {
 		return d, nil
 	}
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -189,10 +189,10 @@
 	return first, len(list) > 0
 }
 
-// unlimited returns the backend servers of a list that do not limit their request rate, or
-// all if there are none.
-func unlimited(list []*backend) []*backend {
-	rest := slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return k.limited })
+// unpaused returns the backend servers of a list whose request limits do not hold them back,
+// or all if there are none.
+func unpaused(now time.Time, list []*backend) []*backend {
+	rest := slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return k.paused(now) })
 	if len(rest) == 0 {
 		return list
 	}
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -201,9 +201,9 @@
 	roomWeight = 0.5
 	// queueWeight is the cost of each adapter that is on its way to the engine.
 	queueWeight = 0.1
-	// limitedWeight is the cost of an engine that limits its request rate: more than all others
-	// together, so that it is taken only if no other can be.
-	limitedWeight = 10
+	// limitWeight is the cost of an engine whose request limit would not suffice: more than all
+	// others together, so that it is taken only if no other can be.
+	limitWeight = 10
 )
 
 func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
@@ -219,12 +219,36 @@
 	if now.Before(e.waitUntil) {
 		cost += 1
 	}
-	if e.limited {
-		cost += limitedWeight
+	if !p.limitSuffices(now, e, adapter) {
+		cost += limitWeight
 	}
 	return cost
 }
 
+// limitSuffices reports whether an engine's request limit has room for the requests of a
+// further adapter.
+func (p *Placer) limitSuffices(now time.Time, e *engine, adapter string) bool {
+	if !e.limit.Named {
+		return true
+	}
+	rate := p.demandAt(now, adapter)
+	for held := range e.places {
+		rate += p.demandAt(now, held) / float64(max(1, len(p.index[held])))
+	}
+	for _, q := range e.queue {
+		rate += p.demandAt(now, q.adapter) / float64(max(1, len(p.index[q.adapter])))
+	}
+	return rate <= float64(e.limit.Rate)
+}
+
+// demandAt returns the requests per second for an adapter.
+func (p *Placer) demandAt(now time.Time, adapter string) float64 {
+	if d := p.demand[adapter]; d != nil {
+		return d.at(now, p.policy.DemandHalfLife)
+	}
+	return 0
+}
+
 // distance is a number in [0, 1) that is the same at any time for an adapter and an
 // engine's address, as in rendezvous hashing.
 func distance(adapter, id string) float64 {
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -58,8 +59,8 @@
 	accepted uint64
 	reported bool
 	busy     bool
-	// limited is set while it limits its request rate.
-	limited bool
+	// limit is its request limit.
+	limit throttler.Limit
 	// asking is set while a question whether a load has ended is under way.
 	asking bool
 	// askedAt is when the last question was asked.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -174,10 +175,10 @@
 	e.info = a
 }
 
-// SetLimited notes whether an engine limits its request rate.
-func (p *Placer) SetLimited(id string, limited bool) {
+// SetLimit takes the request limit of an engine.
+func (p *Placer) SetLimit(id string, limit throttler.Limit) {
 	if e := p.engines[id]; e != nil {
-		e.limited = limited
+		e.limit = limit
 	}
 }
 
