--- a/bronzectl/app/limits.go
+++ b/bronzectl/app/limits.go
@@ -1,7 +1,9 @@
 package app
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"bronzelead.example/pkg/launcher"
@@ -10,9 +12,10 @@
 
 type limitsCommand struct {
 	Customer string `arg:"" optional:"" help:"Shows what each gateway has of this customer's limit."`
+	Backends bool   `help:"Shows the request limits that backend servers announce."`
 }
 
-// Run shows how the customers' limits stand at the leader.
+// Run shows how the customers' limits stand at the leader, or those of backend servers.
 func (c *limitsCommand) Run(s *session) error {
 	res := &wire.ListLimitsResponse{}
 	err := s.controllers.Try(s.ctx, s.pause, func(address string) (err error) {
@@ -22,6 +25,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Backends {
+		return s.print(res, requestLimitsTable(res.GetRequestLimits()))
+	}
 	if c.Customer == "" {
 		return s.print(res, limitsTable(res.GetLimits()))
 	}
@@ -48,6 +54,19 @@
 	return t.String()
 }
 
+func requestLimitsTable(limits []*wire.RequestLimit) string {
+	slices.SortFunc(limits, func(a, b *wire.RequestLimit) int { return cmp.Compare(a.GetBackend(), b.GetBackend()) })
+	t := newTable("BACKEND", "RATE", "STATE", "AGE")
+	for _, l := range limits {
+		state := "InForce"
+		if l.GetLifted() {
+			state = "Lifted"
+		}
+		t.add(l.GetBackend(), fmt.Sprintf("%.2f", l.GetRequestsPerSecond()), state, age(l.GetAgeMs()))
+	}
+	return t.String()
+}
+
 func sharesTable(shares []*wire.GatewayShare) string {
 	t := newTable("GATEWAY", "UNSPENT", "ALLOWANCE", "AGE")
 	for _, share := range shares {
--- /dev/null
+++ b/gateway/granter/granter_test.go
@@ -0,0 +1,244 @@
+package granter
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/throttler"
+	"bronzelead.example/pkg/wire"
+)
+
+// fleet is gateways that reach each other; the first owns all limits, the second is their
+// deputy.
+type fleet struct {
+	c        *qt.C
+	clock    *clockwork.FakeClock
+	granters []*Granter
+	// down are addresses that do not answer, and calls counts the calls to the owner.
+	down  map[string]bool
+	calls atomic.Int32
+}
+
+func newFleet(c *qt.C, gateways int) *fleet {
+	y := &fleet{c: c, clock: clockwork.NewFakeClock(), down: map[string]bool{}}
+	for range gateways {
+		g := &Granter{Clock: y.clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z")}
+		server := httptest.NewServer(wire.NewThrottlingServer(&Server{Granter: g}))
+		c.Cleanup(server.Close)
+		g.Self = strings.TrimPrefix(server.URL, "http://")
+		g.Ranked = func(string) (string, string) { return y.granters[0].Self, y.granters[1].Self }
+		g.Client = func(address string, _ time.Duration) wire.Throttling { return y.client(address) }
+		g.Init()
+		y.granters = append(y.granters, g)
+	}
+	return y
+}
+
+// client calls another gateway without a timeout, so that no verdict depends on time.
+func (y *fleet) client(address string) wire.Throttling {
+	if address == y.granters[0].Self {
+		y.calls.Add(1)
+	}
+	if y.down[address] {
+		return lost{}
+	}
+	return wire.NewThrottlingProtobufClient("http://"+address, &http.Client{})
+}
+
+// lost is a gateway that does not answer.
+type lost struct{}
+
+func (lost) Grant(context.Context, *wire.GrantRequest) (*wire.GrantResponse, error) {
+	return nil, errors.New("no answer")
+}
+
+func (y *fleet) ask(gateway int) Answer {
+	now := y.clock.Now()
+	return y.granters[gateway].Ask(context.Background(), Request{Backend: "b", ReceivedAt: now, GiveUp: now.Add(time.Second)})
+}
+
+// name lets all gateways read a limit in an answer.
+func (y *fleet) name(limit throttler.Limit) {
+	for _, g := range y.granters {
+		g.Observe("b", limit, "r", 0)
+	}
+}
+
+// granted asks at all gateways in turn, and returns how many requests were granted.
+func (y *fleet) granted(asks int) int {
+	n := 0
+	for i := range asks {
+		if y.ask(i % len(y.granters)).Granted {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRequestsWithoutALimitNeedNoGrant(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 3)
+	c.Check(y.granters[2].Limited("b"), qt.IsFalse)
+	y.name(throttler.LimitOf(2))
+	c.Check(y.granters[2].Limited("b"), qt.IsTrue)
+	c.Check(y.granters[2].Limited("other"), qt.IsFalse)
+	y.clock.Advance(time.Second)
+	y.name(throttler.Limit{})
+	y.clock.Advance(5 * time.Second)
+	c.Check(y.granters[2].Limited("b"), qt.IsFalse)
+}
+
+// The owner grants no more to all gateways together than the limit allows.
+func TestTheOwnerGrantsForAllGateways(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 3)
+	y.name(throttler.LimitOf(2))
+	denied := y.ask(2)
+	c.Check(denied.Granted, qt.IsFalse)
+	sum := 0
+	for range 40 {
+		y.clock.Advance(500 * time.Millisecond)
+		sum += y.granted(9)
+	}
+	c.Check(sum, qt.Equals, 40)
+	y.clock.Advance(denied.RetryIn)
+	c.Check(y.ask(1).Granted, qt.IsTrue)
+	c.Check(y.ask(0), qt.Equals, Answer{By: y.granters[0].Self, RetryIn: 500 * time.Millisecond})
+}
+
+// Without an owner its deputy grants a part of the limit, and the owner is not asked at every
+// request.
+func TestTheDeputyGrantsWhileTheOwnerIsLost(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 3)
+	y.name(throttler.LimitOf(10))
+	y.down[y.granters[0].Self] = true
+	y.ask(2)
+	before := y.calls.Load()
+	y.ask(2)
+	c.Check(y.calls.Load(), qt.Equals, before)
+	sum := 0
+	for range 20 {
+		y.clock.Advance(500 * time.Millisecond)
+		if answer := y.ask(2); answer.Granted {
+			c.Check(answer.By, qt.Equals, y.granters[1].Self)
+			sum++
+		}
+	}
+	// 20% of 10 a second, for 10 s; the grant of the first moment was not there yet.
+	c.Check(sum, qt.Equals, 20)
+	y.down[y.granters[1].Self] = true
+	y.clock.Advance(time.Second)
+	c.Check(y.ask(2), qt.Equals, Answer{RetryIn: unreachableRetry})
+	clear(y.down)
+	y.clock.Advance(longestBackoff)
+	c.Check(y.ask(2).By, qt.Equals, y.granters[0].Self)
+}
+
+// A request without another backend server waits for its turn at the owner.
+func TestRequestsWaitForTheirGrant(t *testing.T) {
+	const grantAfter = 500 * time.Millisecond
+	for name, test := range map[string]struct {
+		wait, pass time.Duration
+		leaves     bool
+		granted    bool
+	}{
+		"until it comes":        {time.Second, grantAfter, false, true},
+		"until they give up":    {grantAfter + time.Millisecond, 0, true, false},
+		"and not if it is late": {grantAfter / 2, 0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			y := newFleet(c, 2)
+			y.name(throttler.LimitOf(2))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			now := y.clock.Now()
+			done := make(chan Answer, 1)
+			go func() {
+				done <- y.granters[0].Ask(ctx, Request{Backend: "b", ReceivedAt: now, GiveUp: now.Add(test.wait), Wait: test.wait})
+			}()
+			if test.leaves || test.pass > 0 {
+				// The timers of the next grant and of the wait.
+				c.Assert(y.clock.BlockUntilContext(context.Background(), 2), qt.IsNil)
+			}
+			if test.leaves {
+				cancel()
+			}
+			y.clock.Advance(test.pass)
+			answer := <-done
+			c.Check(answer.Granted, qt.Equals, test.granted)
+			g := y.granters[0]
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			c.Check(g.pools[poolKey{"b", throttler.Owner}].waiting, qt.HasLen, 0)
+		})
+	}
+}
+
+// Whoever asks the owner learns what it knows of the limit.
+func TestGatewaysLearnLimitsFromTheOwner(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 3)
+	y.granters[2].Observe("b", throttler.LimitOf(2), "r", 0)
+	y.clock.Advance(time.Second)
+	y.granters[0].Observe("b", throttler.LimitOf(2), "r", 0)
+	y.granters[0].Observe("b", throttler.LimitOf(1), "r", 0)
+	y.clock.Advance(time.Second)
+	y.granters[0].Observe("b", throttler.Limit{}, "r", 0)
+	y.ask(2)
+	standing, _ := y.granters[2].Standing("b")
+	c.Check(standing.Limit.Named, qt.IsFalse)
+	c.Check(standing.Source, qt.Equals, throttler.News)
+	c.Check(y.granters[2].Report(), qt.HasLen, 0)
+	list, revision := y.granters[0].News()
+	c.Check(list, qt.HasLen, 1)
+	c.Check(revision, qt.Equals, y.granters[0].Revision())
+}
+
+// What gateways sent before they knew of a limit counts at the owner.
+func TestEarlierSendsAreReported(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 3)
+	for range 30 {
+		y.granters[2].Sent("b", First, "")
+	}
+	y.granters[0].Observe("b", throttler.LimitOf(4), "r", 0)
+	y.granters[2].Observe("b", throttler.LimitOf(4), "r", 0)
+	y.granters[2].report("b")
+	y.clock.Advance(time.Second)
+	c.Check(y.granted(9), qt.Equals, 0)
+	y.clock.Advance(3200 * time.Millisecond)
+	c.Check(y.granted(9), qt.Equals, 3)
+	y.granters[2].Forget("b")
+	c.Check(y.granters[2].Limited("b"), qt.IsFalse)
+}
+
+func TestUsageIsCountedWhileALimitIsKnown(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 2)
+	g := y.granters[1]
+	g.Sent("b", First, "")
+	c.Check(g.takeUsage(), qt.HasLen, 0)
+	g.Observe("b", throttler.LimitOf(4), "r", 0)
+	g.Sent("b", First, "")
+	g.Sent("b", Repeat, "")
+	g.Denied("b")
+	c.Check(fmt.Sprint(g.takeUsage()), qt.Equals, "[{b 4 map[First:1 Repeat:1] 1}]")
+	c.Check(g.takeUsage(), qt.HasLen, 0)
+	y.clock.Advance(5 * time.Second)
+	g.sweep()
+	c.Check(g.sends, qt.HasLen, 0)
+}
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -117,6 +117,9 @@
 	c.Inc(1)
 }
 
+// Level records a number that rises and falls.
+func (m *Meter) Level(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
 // BatchFill records how full an engine's steps run, as a part of its batch.
 func (m *Meter) BatchFill(part float64) {
 	m.scope.Histogram("batch_fill", tally.MustMakeLinearValueBuckets(0, 0.1, 11)).RecordValue(part)
--- a/pkg/throttler/book.go
+++ b/pkg/throttler/book.go
@@ -54,6 +54,17 @@
 // Empty reports whether no limit is known, nor one that has ended lately.
 func (b *Book) Empty() bool { return len(b.records) == 0 }
 
+// InForce returns the number of limits that are named.
+func (b *Book) InForce() int {
+	n := 0
+	for _, known := range b.records {
+		if known.limit.Named {
+			n++
+		}
+	}
+	return n
+}
+
 // Revision returns a number that differs between two lists.
 func (b *Book) Revision() uint64 { return b.revision }
 
