Keep adapters off engines whose request limits are used up

While the other engines had three adapters in their queues, further ones went to an engine whose limit was exceeded already, where their requests wait for grants. They now wait for an engine whose limit suffices, if there is one; TestALimitedEngineTakesWhatItsLimitAllows failed before for limits of 0 and 0.01.

--- /dev/null
+++ b/gateway/forwarder/throttle_test.go
@@ -0,0 +1,96 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/throttler"
+	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
+)
+
+// limits runs requests and names a limit in its answers.
+func limits(status int, field framer.Field) handler {
+	return func(b *backendFake, req *http.Request, conn net.Conn) bool {
+		b.runs.Add(1)
+		answer(conn, status, "x", append(platform.StandInAnswer(requestID(req), b.id), field))
+		return true
+	}
+}
+
+// A backend server that takes no requests for now gets none while another one can serve them,
+// whatever kind of answer has said so.
+func TestRequestsGoElsewhereWithoutAGrant(t *testing.T) {
+	for name, handle := range map[string]handler{
+		"an answer":            limits(200, platform.StandInRequestLimit(0)),
+		"a failure of its own": limits(500, platform.StandInRequestLimit(0)),
+		"a refusal": func(_ *backendFake, req *http.Request, conn net.Conn) bool {
+			answer(conn, 503, "", append(platform.StandInRefusal(requestID(req)), platform.StandInRequestLimit(0)))
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			limited, other := newBackend(c, "limited", handle), newBackend(c, "other", runsAndAnswers(200, "y"))
+			address, f := gatewayAndForwarder(c, limited, other)
+			eventually(c, func() bool {
+				call(c, address, "/safe/")
+				return f.Granter.Limited("limited")
+			})
+			before := len(limited.requests())
+			for range 20 {
+				res := call(c, address, "/once/")
+				c.Check(res.status, qt.Equals, 200)
+				c.Check(res.body, qt.Equals, "y")
+			}
+			c.Check(len(limited.requests()), qt.Equals, before)
+		})
+	}
+}
+
+// Where nobody else can serve it, a request is refused at once, and told when to come again.
+func TestRequestsBeyondTheLimitOfAllAreRefused(t *testing.T) {
+	c := qt.New(t)
+	b := newBackend(c, "b", limits(200, platform.StandInRequestLimit(0)))
+	address, f := gatewayAndForwarder(c, b)
+	f.Granter.Self = "self"
+	f.Granter.Ranked = func(string) (owner, deputy string) { return "self", "" }
+	c.Assert(call(c, address, "/once/").status, qt.Equals, 200)
+	c.Assert(f.Granter.Limited("b"), qt.IsTrue)
+	// The next request is granted after two seconds.
+	res := callFor(c, 500*time.Millisecond, address, "/once/")
+	c.Check(res.status, qt.Equals, 503)
+	c.Check(platform.ComeBack(fields(res.header)) > 0, qt.IsTrue)
+	c.Check(len(b.requests()), qt.Equals, 1)
+}
+
+// What can't be read changes nothing, and what another start answers neither.
+func TestWhichAnswersNameALimit(t *testing.T) {
+	for name, test := range map[string]struct {
+		status int
+		answer platform.Answer
+		want   throttler.Limit
+	}{
+		"signed, another value": {200, platform.Answer{Signed: true, RequestLimit: throttler.LimitOf(7)}, throttler.LimitOf(7)},
+		"signed, none":          {200, platform.Answer{Signed: true}, throttler.Limit{}},
+		"signed, unreadable":    {200, platform.Answer{Signed: true, LimitFault: "NotDecimal"}, throttler.LimitOf(5)},
+		"a refusal with one":    {503, platform.Answer{NotRun: true, RequestLimit: throttler.LimitOf(7)}, throttler.LimitOf(7)},
+		"a refusal without":     {503, platform.Answer{NotRun: true}, throttler.LimitOf(5)},
+		"of another start":      {421, platform.Answer{NotRun: true, RequestLimit: throttler.LimitOf(7)}, throttler.LimitOf(5)},
+		"not signed":            {200, platform.Answer{RequestLimit: throttler.LimitOf(7)}, throttler.LimitOf(5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, f := gatewayAndForwarder(c)
+			f.Granter.Observe("b", throttler.LimitOf(5), "r", 0)
+			f.observeLimit(&job{last: &wire.Announcement{Id: "b"}}, test.status, test.answer)
+			standing, _ := f.Granter.Standing("b")
+			c.Check(standing.Limit, qt.Equals, test.want)
+		})
+	}
+}
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -208,3 +208,48 @@
 		})
 	}
 }
+
+// A backend server whose request limit has no room is passed over, and a request that nobody
+// else can serve is refused at once if there will be none in time.
+func TestRequestLimitsHoldRequestsBack(t *testing.T) {
+	soon, late := 100*time.Millisecond, 2*time.Second
+	for name, test := range map[string]struct {
+		paused map[string]time.Duration
+		w      *Waiter
+		at     time.Duration
+		want   string
+		other  bool
+	}{
+		"another has room":       {map[string]time.Duration{"a": late}, waiter("w"), 0, "b", true},
+		"all, but not for long":  {map[string]time.Duration{"a": late, "b": soon}, waiter("w"), 0, "waits", false},
+		"the pause is over":      {map[string]time.Duration{"a": late, "b": soon}, waiter("w"), soon, "b", true},
+		"all for too long":       {map[string]time.Duration{"a": late, "b": late}, waiter("w"), 0, "refused", false},
+		"the holder, not others": {map[string]time.Duration{"a": late}, waiter("w", adapter("m/x")), 0, "waits", false},
+		"an idle slot is given":  {map[string]time.Duration{"a": late}, waiter("w", func(w *Waiter) { w.Dispensed = true }), 0, "b", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b")
+			b.SetHolding(1, &wire.Holding{Backend: "a", Adapters: []string{"m/x@1"}})
+			for id, pause := range test.paused {
+				b.Pause(id, begin().Add(pause))
+			}
+			now := begin().Add(test.at)
+			c.Check(b.HasOther(now, test.w, "a"), qt.Equals, test.other)
+			c.Check(decide(b, now, test.w)["w"], qt.Equals, test.want)
+		})
+	}
+}
+
+// The leader is not asked to load an adapter where the request limit has no room.
+func TestCopiesAreWantedWhereThereIsRoom(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b", "d")
+	b.SetHolding(1, &wire.Holding{Backend: "a", Adapters: []string{"m/x@1"}})
+	b.Pause("a", begin().Add(time.Second))
+	b.Pause("b", begin().Add(time.Second))
+	b.Enqueue(waiter("w", adapter("m/x")))
+	_, wants := b.Next(begin())
+	c.Assert(wants, qt.HasLen, 1)
+	c.Check(wants[0].GetAvoid(), qt.ContentEquals, []string{"a", "b"})
+}
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -172,13 +172,22 @@
 
 // chooseEngine returns the engine that should load an adapter, or "" when none can.
 // Each adapter prefers the same few engines, which keep a copy of its weights and of
-// its prompts; among these the least loaded is taken.
+// its prompts; among these the least loaded is taken. Engines whose request limits would not
+// suffice are taken only if that is so of all.
 func (p *Placer) chooseEngine(now time.Time, adapter string, avoid []string) string {
-	best, least := "", 0.0
+	best, least, suffices := "", 0.0, false
 	for id, e := range p.engines {
-		held := e.places[adapter]
-		full := len(e.queue) >= maxWarmQueue || len(e.queue) >= maxQueue && !p.warm(e, adapter)
-		if full || held != nil || !e.takesOrders() || slices.Contains(avoid, id) || e.waits(adapter) >= 0 {
+		if e.places[adapter] != nil || !e.takesOrders() || slices.Contains(avoid, id) || e.waits(adapter) >= 0 {
+			continue
+		}
+		enough := p.limitSuffices(now, e, adapter)
+		if !enough && suffices {
+			continue
+		}
+		if enough && !suffices {
+			best, suffices = "", true
+		}
+		if len(e.queue) >= maxWarmQueue || len(e.queue) >= maxQueue && !p.warm(e, adapter) {
 			continue
 		}
 		if cost := p.cost(now, e, id, adapter); best == "" || cost < least {
@@ -201,9 +210,6 @@
 	roomWeight = 0.5
 	// queueWeight is the cost of each adapter that is on its way to the engine.
 	queueWeight = 0.1
-	// limitWeight is the cost of an engine whose request limit would not suffice: more than all
-	// others together, so that it is taken only if no other can be.
-	limitWeight = 10
 )
 
 func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
@@ -219,9 +225,6 @@
 	if now.Before(e.waitUntil) {
 		cost += 1
 	}
-	if !p.limitSuffices(now, e, adapter) {
-		cost += limitWeight
-	}
 	return cost
 }
 
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -229,3 +230,33 @@
 	}
 	c.Check(w.usable(name(0)), qt.Equals, 1)
 }
+
+// An engine that limits its request rate takes adapters as far as the limit allows; the others
+// take the rest.
+func TestALimitedEngineTakesWhatItsLimitAllows(t *testing.T) {
+	for title, test := range map[string]struct {
+		limit throttler.Limit
+		held  bool
+	}{
+		"no limit":        {throttler.Limit{}, true},
+		"a limit of much": {throttler.LimitOf(100), true},
+		"a limit of few":  {throttler.LimitOf(0.01), false},
+		"a limit of zero": {throttler.LimitOf(0), false},
+	} {
+		t.Run(title, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c, 2, 8)
+			w.pass(100 * time.Millisecond)
+			w.p.SetLimit("e1", test.limit)
+			for i := range 6 {
+				w.p.Demand(w.now, name(i), 1)
+				w.p.Want(w.now, name(i), nil, time.Time{})
+			}
+			w.pass(time.Second)
+			c.Check(len(w.fakes["e1"].held) > 0, qt.Equals, test.held)
+			for i := range 6 {
+				c.Check(w.usable(name(i)), qt.Equals, 1)
+			}
+		})
+	}
+}
