--- a/proof/routed_soak_test.go
+++ b/proof/routed_soak_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/throttler"
 )
 
 // soakSeeds is how many seeds TestRoutedSoak plays, and soakFirst the first of them:
@@ -45,6 +47,9 @@
 	}
 }
 
+// soakLimits is the stream of random numbers that limits are drawn from.
+const soakLimits = 33
+
 func soak(c *qt.C, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, seed))
 	y := startEmpty(c, 5, 2)
@@ -55,7 +60,10 @@
 	y.herd = herd
 	y.settle()
 	crowd := startCrowd(y, 5, seed)
+	// Limits are drawn apart, so that each seed goes on playing the same faults.
+	limits := rand.New(rand.NewPCG(seed, soakLimits))
 	for range *soakSteps {
+		y.backends[0].setLimit(throttler.RequestRate(limits.IntN(3) * 10))
 		first, second := faults[random.IntN(len(faults))], faults[random.IntN(len(faults))]
 		c.Logf("seed %d: %s", seed, first.name)
 		heal := []func(){first.begin(y, random)}
@@ -112,9 +120,7 @@
 	{"a controller is frozen", "controllers", func(y *routedSystem, r *rand.Rand) func() { return frozen(oneOf(r, y.controllers)) }},
 	{"a gateway is frozen", "gateways", func(y *routedSystem, r *rand.Rand) func() { return frozen(oneOf(r, y.gateways)) }},
 	{"a gateway is stopped", "gateways", func(y *routedSystem, r *rand.Rand) func() {
-		n := oneOf(r, y.gateways)
-		n.stop()
-		return n.restart
+		return stopped(oneOf(r, y.gateways))
 	}},
 	{"two controllers lose their disks", "controllers", func(y *routedSystem, r *rand.Rand) func() {
 		first := r.IntN(len(y.controllers))
--- a/proof/routed_throttle_test.go
+++ b/proof/routed_throttle_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -48,6 +49,45 @@
 	y.ledger.check(c)
 }
 
+// The limit holds while gateways are killed, frozen and stopped in turn, the owner of the limit
+// among them, and while there is no leader; an operator sees it. Here no gateway is excused.
+func TestRoutedARequestLimitHoldsWhileGatewaysAreLost(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startRouted(c, 3, 4, 3)
+	load := startSteadyLoad(y, 15)
+	limited := y.backends[0]
+	y.waitServed(120)
+	named := time.Now()
+	limited.setLimit(announcedLimit)
+	y.keepServing(named.Add(contact))
+	eventually(c, "the operator sees the limit", func() bool {
+		return strings.Contains(y.control("limits", "--backends"), "b0       6.00  InForce")
+	})
+	for i, n := range y.gateways {
+		heal := []func(*instance) func(){killed, frozen, stopped, killed}[i](n)
+		y.keepServing(time.Now().Add(1500 * time.Millisecond))
+		heal()
+		y.keepServing(time.Now().Add(time.Second))
+	}
+	for _, n := range y.controllers {
+		n.freeze()
+	}
+	y.keepServing(time.Now().Add(2 * time.Second))
+	for _, n := range y.controllers {
+		n.thaw()
+	}
+	y.keepServing(time.Now().Add(time.Second))
+	limited.checkLimit(named, time.Now())
+	load.stop()
+	y.ledger.check(c)
+}
+
+func stopped(n *instance) func() {
+	n.stop()
+	return n.restart
+}
+
 const (
 	// announcedLimit is what the limited server takes in a second.
 	announcedLimit = 6
