--- a/gateway/relayer/relayer_test.go
+++ b/gateway/relayer/relayer_test.go
@@ -11,6 +11,7 @@
 
 	"bronzelead.example/gateway/granter"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -25,7 +26,7 @@
 
 func newBench() *bench {
 	b := &bench{clock: clockwork.NewFakeClock()}
-	g := &granter.Granter{Clock: b.clock}
+	g := &granter.Granter{Clock: b.clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z")}
 	g.Init()
 	b.Relayer = &Relayer{
 		Granter: g,
@@ -94,6 +95,29 @@
 	}
 }
 
+// What one follower has read of a request limit is told to the others, once, and goes on
+// upwards; what came from upwards does not.
+func TestRequestLimitsGoBothWays(t *testing.T) {
+	c := qt.New(t)
+	b := newBench()
+	ask := b.known(c, "a")
+	answer := b.sync(context.Background(), c, ask)
+	limit := &wire.RequestLimit{Backend: "e", RequestsPerSecond: 5}
+	_, err := b.Sync(context.Background(), &wire.SyncRequest{Gateway: "other", RequestLimits: []*wire.RequestLimit{limit}})
+	c.Assert(err, qt.IsNil)
+	b.look()
+	res := <-answer
+	c.Assert(res.GetRequestLimits(), qt.HasLen, 1)
+	c.Check(res.GetRequestLimits()[0].GetRequestsPerSecond(), qt.Equals, 5.0)
+	ask.RequestLimitsRevision = res.GetRequestLimitsRevision()
+	answer = b.sync(context.Background(), c, ask)
+	c.Check(b.waiters, qt.HasLen, 1)
+	b.Granter.Hear([]*wire.RequestLimit{{Backend: "told", RequestsPerSecond: 6}}, throttler.News)
+	b.look()
+	c.Check((<-answer).GetRequestLimits(), qt.HasLen, 2)
+	c.Check(b.Granter.Report(), qt.HasLen, 1)
+}
+
 // A call whose caller has gone waits here no longer.
 func TestCallsThatAreGivenUp(t *testing.T) {
 	c := qt.New(t)
