Name the retry times of refused callers as such

comeBack, ComeBack and RoomIn become retry times (RetryAfter, RetryIn), the term of the protocol. No behavior changes; tests as before but for the names.

--- a/gateway/borrower/borrower.go
+++ b/gateway/borrower/borrower.go
@@ -40,10 +40,10 @@
 type Verdict struct {
 	// Admitted is set if its credit is held: Release or Spend ends that.
 	Admitted bool
-	// Over is set if its customer is beyond its limit; there will be room after RoomIn.
+	// Over is set if its customer is beyond its limit; there will be room after RetryIn.
 	// If neither is set, nobody could tell.
-	Over   bool
-	RoomIn time.Duration
+	Over    bool
+	RetryIn time.Duration
 }
 
 // Borrower is one gateway's part. Set the exported fields, call Init, then Run.
@@ -195,9 +195,9 @@
 	if p.Hold(now, w.size) {
 		return Verdict{Admitted: true}, true
 	}
-	if roomIn := p.RoomIn(now); roomIn > 0 {
+	if retryIn := p.RetryIn(now); retryIn > 0 {
 		p.Refused()
-		return Verdict{Over: true, RoomIn: roomIn}, true
+		return Verdict{Over: true, RetryIn: retryIn}, true
 	}
 	if now.Before(w.until) {
 		return Verdict{}, false
--- a/gateway/borrower/borrower_test.go
+++ b/gateway/borrower/borrower_test.go
@@ -91,7 +91,7 @@
 	}
 	v := b.Admit(context.Background(), "a", limit, 1)
 	c.Check(v.Over, qt.IsTrue)
-	c.Check(v.RoomIn > 0, qt.IsTrue)
+	c.Check(v.RetryIn > 0, qt.IsTrue)
 	c.Check(b.Standing("a").Credit, qt.Equals, uint64(0))
 	clock.Advance(9 * time.Second)
 	c.Check(admit(context.Background(), b, clock).Admitted, qt.IsTrue)
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -34,7 +34,7 @@
 		return false
 	}
 	if d.Backend == nil {
-		f.giveUp(j, d.Reason, d.ComeBack)
+		f.giveUp(j, d.Reason, d.RetryAfter)
 		return false
 	}
 	if j.dispensed && !f.admitSlot(ctx, j, d.Backend) {
@@ -154,7 +154,7 @@
 		if j.sends < maxSends {
 			return true
 		}
-		f.giveUp(j, "no backend server could be reached", comeBackAfterRejection)
+		f.giveUp(j, "no backend server could be reached", retryAfterRejection)
 		return false
 	}
 	j.runs++
@@ -179,9 +179,9 @@
 	return false
 }
 
-// comeBackAfterRejection is when to come back after backend servers have refused: about
+// retryAfterRejection is the retry time after backend servers have rejected a request: about
 // the time of one short answer.
-const comeBackAfterRejection = 300 * time.Millisecond
+const retryAfterRejection = 300 * time.Millisecond
 
 // rejected handles an answer which vouches that the request did not run.
 func (f *Forwarder) rejected(j *job, backend *wire.Announcement, status int) bool {
@@ -206,7 +206,7 @@
 		j.reply.Abort()
 		return false
 	}
-	f.giveUp(j, "backend servers refused", comeBackAfterRejection)
+	f.giveUp(j, "backend servers refused", retryAfterRejection)
 	return false
 }
 
@@ -243,12 +243,12 @@
 		f.event(j, nil, "the time is over", statusTimeout)
 		f.fail(j, statusTimeout)
 	default:
-		f.giveUp(j, balancer.ReasonTimeout, comeBackAfterRejection)
+		f.giveUp(j, balancer.ReasonTimeout, retryAfterRejection)
 	}
 }
 
 // giveUp refuses a request. If no try of it may have run, the refusal says so.
-func (f *Forwarder) giveUp(j *job, reason string, comeBack time.Duration) {
+func (f *Forwarder) giveUp(j *job, reason string, retryAfter time.Duration) {
 	switch {
 	case j.reply.Begun():
 		f.event(j, nil, reason, 0)
@@ -257,13 +257,13 @@
 		f.event(j, nil, reason, statusBadGateway)
 		f.fail(j, statusBadGateway)
 	default:
-		f.refuse(j, statusUnavailable, reason, comeBack)
+		f.refuse(j, statusUnavailable, reason, retryAfter)
 	}
 }
 
-func (f *Forwarder) refuse(j *job, status int, reason string, comeBack time.Duration) {
+func (f *Forwarder) refuse(j *job, status int, reason string, retryAfter time.Duration) {
 	f.event(j, nil, reason, status)
-	j.reply.Send(status, platform.EncodeRefusal(j.about.ID, comeBack), []byte(reason+"\n"))
+	j.reply.Send(status, platform.EncodeRefusal(j.about.ID, retryAfter), []byte(reason+"\n"))
 }
 
 func (f *Forwarder) fail(j *job, status int) {
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -33,11 +33,11 @@
 	pumpEvery = 20 * time.Millisecond
 	// sweepEvery is the time between two closings of idle connections.
 	sweepEvery = time.Second
-	// comeBackWithoutTable is when to come back to a gateway that has just started.
-	comeBackWithoutTable = 300 * time.Millisecond
-	// comeBackElsewhere is when to come back to a gateway that stops: at once, since a new
+	// retryWithoutTable is the retry time at a gateway that has just started.
+	retryWithoutTable = 300 * time.Millisecond
+	// retryElsewhere is the retry time at a gateway that stops: at once, since a new
 	// connection leads to another one.
-	comeBackElsewhere = 20 * time.Millisecond
+	retryElsewhere = 20 * time.Millisecond
 	// maxSends bounds how often one request is sent, whatever the route allows: refusals
 	// that certainly did not run are no attempts, but must not go on for ever.
 	maxSends = 4
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -81,13 +81,13 @@
 	}
 }
 
-func TestRefusalsSayWhenToComeBack(t *testing.T) {
+func TestRefusalsNameARetryTime(t *testing.T) {
 	c := qt.New(t)
 	full := newBackend(c, "b1", refuses(503))
 	for name, address := range map[string]string{"no backend server": gateway(c), "all are full": gateway(c, full)} {
 		g := call(c, address, "/once/")
 		c.Check(g.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf(name))
-		c.Check(platform.ComeBack(fields(g.header)) > 0, qt.IsTrue, qt.Commentf(name))
+		c.Check(platform.RetryAfter(fields(g.header)) > 0, qt.IsTrue, qt.Commentf(name))
 	}
 	c.Check(call(c, gateway(c), "/none/").status, qt.Equals, http.StatusNotFound)
 }
@@ -123,7 +123,7 @@
 	f.Close()
 	refused := call(c, address, "/once/")
 	c.Check(refused.status, qt.Equals, http.StatusServiceUnavailable)
-	c.Check(platform.ComeBack(fields(refused.header)) > 0, qt.IsTrue)
+	c.Check(platform.RetryAfter(fields(refused.header)) > 0, qt.IsTrue)
 	close(release)
 	c.Check((<-taken).body, qt.Equals, "done")
 }
--- a/gateway/forwarder/isolation_test.go
+++ b/gateway/forwarder/isolation_test.go
@@ -40,7 +40,7 @@
 	refused := call(c, address, "/safe/x")
 	c.Check(refused.status, qt.Equals, http.StatusServiceUnavailable)
 	c.Check(refused.body, qt.Equals, reasonHeld+"\n")
-	c.Check(platform.ComeBack(fields(refused.header)), qt.Equals, time.Hour)
+	c.Check(platform.RetryAfter(fields(refused.header)), qt.Equals, time.Hour)
 	c.Check(b.runs.Load(), qt.Equals, int32(1))
 	c.Check(call(c, address, "/safe/y").status, qt.Equals, http.StatusOK)
 }
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -87,14 +87,14 @@
 // admit finds the route and the time of a request, or refuses it.
 func (f *Forwarder) admit(j *job) bool {
 	if f.closed.Load() {
-		f.refuse(j, statusUnavailable, "this gateway stops", comeBackElsewhere)
+		f.refuse(j, statusUnavailable, "this gateway stops", retryElsewhere)
 		return false
 	}
 	f.mu.Lock()
 	table := f.table
 	f.mu.Unlock()
 	if table == nil {
-		f.refuse(j, statusUnavailable, "no table is known yet", comeBackWithoutTable)
+		f.refuse(j, statusUnavailable, "no table is known yet", retryWithoutTable)
 		return false
 	}
 	j.route = table.Match(j.req.Head.Header.Get("Host"), j.req.Head.Target)
@@ -183,7 +183,7 @@
 
 // waitObjectives is how many times the objective a stream's first try waits for a backend
 // server. What has not come by then is mostly an adapter behind many others; the caller
-// learns at once when to come back, and finds it loaded.
+// learns at once when to retry, and finds it loaded.
 const waitObjectives = 2
 
 // fresh reports whether a request is probably a caller's first try: later ones have less
--- a/gateway/forwarder/key.go
+++ b/gateway/forwarder/key.go
@@ -11,9 +11,9 @@
 	// certainFor is the age of the leader's word up to which a key that the table does not
 	// have counts as unknown. Behind an older word a newer table may have it.
 	certainFor = time.Second
-	// comeBackForKey is when to come back to a gateway that can't tell: about the time in
+	// retryForKey is the retry time at a gateway that can't tell: about the time in
 	// which it hears of a table.
-	comeBackForKey = 300 * time.Millisecond
+	retryForKey = 300 * time.Millisecond
 )
 
 const (
@@ -54,9 +54,9 @@
 func (f *Forwarder) refuseKey(j *job) {
 	switch {
 	case f.keysAreOld():
-		f.giveUp(j, reasonKeysOld, comeBackForKey)
+		f.giveUp(j, reasonKeysOld, retryForKey)
 	case f.wordAge() > certainFor:
-		f.giveUp(j, reasonKeyUncertain, comeBackForKey)
+		f.giveUp(j, reasonKeyUncertain, retryForKey)
 	default:
 		f.refuse(j, statusNoKey, reasonNoKey, 0)
 	}
--- a/gateway/forwarder/limit.go
+++ b/gateway/forwarder/limit.go
@@ -10,9 +10,9 @@
 
 const (
 	statusTooMany = http.StatusTooManyRequests
-	// comeBackWithoutWord is when to come back to a gateway that can't tell whether a customer
+	// retryWithoutLeader is the retry time at a gateway that can't tell whether a customer
 	// has room: about the time of a change of leaders.
-	comeBackWithoutWord = time.Second
+	retryWithoutLeader = time.Second
 )
 
 const (
@@ -58,11 +58,11 @@
 	case ctx.Err() != nil:
 		f.expired(ctx, j)
 	case !verdict.Over:
-		f.giveUp(j, reasonLimitUnknown, comeBackWithoutWord)
+		f.giveUp(j, reasonLimitUnknown, retryWithoutLeader)
 	case j.runs > 0 || j.reply.Begun():
 		f.giveUp(j, reasonOverLimit, 0)
 	default:
-		f.refuse(j, statusTooMany, reasonOverLimit, verdict.RoomIn)
+		f.refuse(j, statusTooMany, reasonOverLimit, verdict.RetryIn)
 	}
 	return false
 }
--- a/gateway/forwarder/limit_test.go
+++ b/gateway/forwarder/limit_test.go
@@ -53,7 +53,7 @@
 	for n := range 1000 {
 		res := call(c, address, path, append(header, withKey("k1"))...)
 		if res.status == 429 {
-			c.Check(platform.ComeBack(fields(res.header)) > 0, qt.IsTrue)
+			c.Check(platform.RetryAfter(fields(res.header)) > 0, qt.IsTrue)
 			return n
 		}
 		c.Assert(res.status, qt.Equals, 200)
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -18,8 +18,8 @@
 	maxSlotAsks = 2
 	// reasonCrowded is what a caller hears whose request would be late at all of them.
 	reasonCrowded = "the backend servers have too much to do for an answer in time"
-	// comeBackWhenCrowded is when to come back then: later than what waits now.
-	comeBackWhenCrowded = 250 * time.Millisecond
+	// retryWhenCrowded is the retry time then: later than what waits now.
+	retryWhenCrowded = 250 * time.Millisecond
 )
 
 // dispensed reports whether the slots of a request's backend servers are given out: gateways
@@ -64,6 +64,6 @@
 		return f.chooseAgain(ctx, j, backend)
 	}
 	f.done(j, backend.GetId(), balancer.Abandoned)
-	f.giveUp(j, reasonCrowded, comeBackWhenCrowded)
+	f.giveUp(j, reasonCrowded, retryWhenCrowded)
 	return false
 }
--- a/gateway/forwarder/throttle_test.go
+++ b/gateway/forwarder/throttle_test.go
@@ -65,7 +65,7 @@
 	// The next request is granted after two seconds.
 	res := callFor(c, 500*time.Millisecond, address, "/once/")
 	c.Check(res.status, qt.Equals, 503)
-	c.Check(platform.ComeBack(fields(res.header)) > 0, qt.IsTrue)
+	c.Check(platform.RetryAfter(fields(res.header)) > 0, qt.IsTrue)
 	c.Check(len(b.requests()), qt.Equals, 1)
 }
 
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -26,7 +26,7 @@
 	// staleWord is the age from which the leader's word is not waited for: longer than a
 	// change of leaders takes.
 	staleWord = 2 * time.Second
-	// heldHereFor is when a caller is told to come back whose request is held by this
+	// heldHereFor is the retry time of a caller whose request is held by this
 	// gateway's word alone, which ends with the next word of a leader.
 	heldHereFor = 10 * time.Second
 	// trialAgainAfter is how long after a trial that was not answered whole there is no other
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -1,6 +1,6 @@
 // Package admitter decides which requests of a customer may go on: as many at once
 // as the gateway's share of the customer's limit, the rest in queues by priority,
-// and those that can't be served in time refused at once with when to come back.
+// and those that can't be served in time refused at once with a retry time.
 //
 // It is pure and not safe for concurrent use.
 package admitter
--- a/pkg/balancer/adapters_test.go
+++ b/pkg/balancer/adapters_test.go
@@ -182,7 +182,7 @@
 					continue
 				}
 				c.Check(d.Reason, qt.Equals, ReasonDeclined)
-				c.Check(d.ComeBack >= comeBackWhenDeclined/2 && d.ComeBack <= 3*comeBackWhenDeclined/2, qt.IsTrue)
+				c.Check(d.RetryAfter >= retryWhenDeclined/2 && d.RetryAfter <= 3*retryWhenDeclined/2, qt.IsTrue)
 			}
 			c.Check(got, qt.DeepEquals, test.want)
 			b.Enqueue(waiter("late", adapter("m/x")))
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -109,9 +109,9 @@
 	Backend *wire.Announcement
 	// Version is the version that the adapter must have; 0 for any.
 	Version uint64
-	// Reason says why it is refused, and ComeBack when to try again.
-	Reason   string
-	ComeBack time.Duration
+	// Reason says why it is refused, and RetryAfter when to try again.
+	Reason     string
+	RetryAfter time.Duration
 }
 
 // The reasons of refusals.
@@ -287,7 +287,7 @@
 func (b *Balancer) decide(now time.Time, w *Waiter) (*Decision, *wire.Want) {
 	c := b.candidates(now, w)
 	if !b.Knows(w.Service) {
-		return &Decision{Waiter: w, Reason: ReasonNoBackend, ComeBack: comeBackWithoutBackend}, nil
+		return &Decision{Waiter: w, Reason: ReasonNoBackend, RetryAfter: retryWithoutBackend}, nil
 	}
 	best, holders := b.choose(now, w, c)
 	if best != nil {
@@ -324,18 +324,18 @@
 // refuse returns the refusal of a request that waits in vain, or nil.
 func (b *Balancer) refuse(now time.Time, w *Waiter, holders, others []*backend) *Decision {
 	if w.declined && len(holders) == 0 {
-		return &Decision{Waiter: w, Reason: ReasonDeclined, ComeBack: spread(comeBackWhenDeclined)}
+		return &Decision{Waiter: w, Reason: ReasonDeclined, RetryAfter: spread(retryWhenDeclined)}
 	}
 	over := !now.Before(w.GiveUp)
 	at, limited := roomAgain(now, holders)
 	elsewhere := w.Adapter != "" && len(others) > 0
 	switch {
 	case limited && (over || !elsewhere && !at.Before(w.GiveUp)):
-		return &Decision{Waiter: w, Reason: ReasonLimited, ComeBack: at.Sub(now)}
+		return &Decision{Waiter: w, Reason: ReasonLimited, RetryAfter: at.Sub(now)}
 	case over && len(holders) == 0 && w.Adapter != "":
-		return &Decision{Waiter: w, Reason: ReasonNoAdapter, ComeBack: comeBackForAdapter}
+		return &Decision{Waiter: w, Reason: ReasonNoAdapter, RetryAfter: retryForAdapter}
 	case over:
-		return &Decision{Waiter: w, Reason: ReasonTimeout, ComeBack: comeBackWhenFull}
+		return &Decision{Waiter: w, Reason: ReasonTimeout, RetryAfter: retryWhenFull}
 	}
 	return nil
 }
@@ -359,17 +359,17 @@
 	return d/2 + rand.N(d)
 }
 
-// When a refused caller should come back.
+// Retry times of refused callers.
 const (
-	// comeBackWhenDeclined is about the time in which engines that were lost are back: a load
+	// retryWhenDeclined is about the time in which engines that were lost are back: a load
 	// of their base model.
-	comeBackWhenDeclined = time.Second
-	// comeBackWithoutBackend is about the time in which a restarted one announces itself.
-	comeBackWithoutBackend = 500 * time.Millisecond
-	// comeBackWhenFull is about the time of one short answer.
-	comeBackWhenFull = 300 * time.Millisecond
-	// comeBackForAdapter is about the time of a load from the weight store.
-	comeBackForAdapter = 300 * time.Millisecond
+	retryWhenDeclined = time.Second
+	// retryWithoutBackend is about the time in which a restarted one announces itself.
+	retryWithoutBackend = 500 * time.Millisecond
+	// retryWhenFull is about the time of one short answer.
+	retryWhenFull = 300 * time.Millisecond
+	// retryForAdapter is about the time of a load from the weight store.
+	retryForAdapter = 300 * time.Millisecond
 )
 
 // want asks for an adapter, unless it was asked for lately.
--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -41,7 +41,7 @@
 	AloneFor = 4 * time.Second
 	// forgetAfter is when the leader takes the credit of a silent gateway for expired.
 	forgetAfter = AloneFor + Lease
-	// shortestWait and longestWait bound when a refused caller is told to come back.
+	// shortestWait and longestWait bound the retry time of a refused caller.
 	shortestWait = 100 * time.Millisecond
 	longestWait  = 2 * time.Second
 	// callsPerSecond bounds the calls of all gateways together that only tell what was spent,
@@ -225,7 +225,7 @@
 	}
 	// What is missing only until others have told what they spent is asked for again.
 	if missing := float64(said.GetNeeded()) - granted; missing > 0 && room-granted-c.reserved < missing {
-		credit.RoomInMs = uint32(c.roomIn(missing).Milliseconds())
+		credit.RoomInMs = uint32(c.retryIn(missing).Milliseconds())
 	}
 	return credit
 }
@@ -306,8 +306,8 @@
 	return max(0, min(keptPart*room*c.share(a), keptPart*room-c.reserved))
 }
 
-// roomIn returns after which time there will be room for what is missing.
-func (c *customer) roomIn(missing float64) time.Duration {
+// retryIn returns after which time there will be room for what is missing.
+func (c *customer) retryIn(missing float64) time.Duration {
 	rate := c.limit.GetRatePerSecond()
 	if rate <= 0 {
 		return longestWait
--- a/pkg/lender/lender_test.go
+++ b/pkg/lender/lender_test.go
@@ -130,7 +130,7 @@
 	p := &r.gateway.purse
 	ok := p.Hold(w.now, r.size)
 	for range 2 {
-		if !ok && p.RoomIn(w.now) == 0 && w.call(r.gateway, r.size) {
+		if !ok && p.RetryIn(w.now) == 0 && w.call(r.gateway, r.size) {
 			ok = p.Hold(w.now, r.size)
 		}
 	}
@@ -139,7 +139,7 @@
 		w.queued = append(w.queued, queued{p, r.size, w.now.Add(w.delay)})
 	case ok:
 		w.send(p, r.size)
-	case p.RoomIn(w.now) > 0 || !w.now.Before(r.until):
+	case p.RetryIn(w.now) > 0 || !w.now.Before(r.until):
 		w.refused += float64(r.size)
 	default:
 		return false
--- a/pkg/lender/purse.go
+++ b/pkg/lender/purse.go
@@ -45,9 +45,9 @@
 	size  float64
 	// refused counts the requests that were refused since the call that was answered last.
 	refused uint64
-	// roomAt is when the leader expects room, by its word of refusedAt.
+	// retryAt is when the leader expects room, by its word of refusedAt.
 	refusedAt time.Time
-	roomAt    time.Time
+	retryAt   time.Time
 }
 
 // credit returns what may be spent now.
@@ -132,13 +132,13 @@
 	p.recent.Add(now, -float64(size))
 }
 
-// RoomIn returns after which time there will be room, if the leader has just said that
+// RetryIn returns after which time there will be room, if the leader has just said that
 // there is none, or 0.
-func (p *Purse) RoomIn(now time.Time) time.Duration {
+func (p *Purse) RetryIn(now time.Time) time.Duration {
 	if now.Sub(p.refusedAt) >= trustFor {
 		return 0
 	}
-	return max(p.roomAt.Sub(now), shortestWait)
+	return max(p.retryAt.Sub(now), shortestWait)
 }
 
 // Idle reports whether the leader need not be told anything.
@@ -196,7 +196,7 @@
 	p.allowance, p.overdraft, p.kept = c.GetAllowance(), c.GetOverdraft(), c.GetKept()
 	if c.GetRoomInMs() > 0 {
 		p.refusedAt = now
-		p.roomAt = now.Add(time.Duration(c.GetRoomInMs()) * time.Millisecond)
+		p.retryAt = now.Add(time.Duration(c.GetRoomInMs()) * time.Millisecond)
 	}
 }
 
--- a/pkg/placer/outlook.go
+++ b/pkg/placer/outlook.go
@@ -56,7 +56,7 @@
 }
 
 // drop gives up a want. Callers hear at once that their adapter does not come in time, and
-// when to come back, and the loads that are possible serve others.
+// when to retry, and the loads that are possible serve others.
 func (p *Placer) drop(adapter string) {
 	delete(p.wants, adapter)
 	p.dropped++
--- a/pkg/throttler/ways_test.go
+++ b/pkg/throttler/ways_test.go
@@ -55,7 +55,7 @@
 	if !p.Hold(w.now, 1) {
 		l.call(w, g.address, p, 1)
 		if !p.Hold(w.now, 1) {
-			return false, "", max(shortestRetry, p.RoomIn(w.now))
+			return false, "", max(shortestRetry, p.RetryIn(w.now))
 		}
 	}
 	p.Spend(w.now, 1)
