Explain a refusal by a request limit from the request's id

A request that was never sent named no backend server in its log line, so that its story had nothing of the limit that held it back. The line has the server that had no grant, its limit, how old that is and how it became known, and the story the server's lines. The line on a new limit no longer counts as another request's.

--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -54,11 +54,7 @@
 	if backend != nil {
 		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
 	}
-	if standing, limited := f.Granter.Standing(backend.GetId()); limited || j.grant.denials > 0 {
-		list = append(list, "RequestLimit", standing.Limit.Rate, "LimitNamed", standing.Limit.Named,
-			"LimitAge", f.Clock.Since(standing.Since).Milliseconds(), "LimitSource", standing.Source,
-			"GrantedBy", j.grant.by, "Denials", j.grant.denials)
-	}
+	list = append(list, f.limitAttributes(j, backend.GetId())...)
 	if j.sends > 0 {
 		list = append(list, "Fingerprint", j.prints()[0], "SinceSent", f.Clock.Since(j.sentAt).Milliseconds())
 	}
--- a/gateway/forwarder/throttle.go
+++ b/gateway/forwarder/throttle.go
@@ -17,8 +17,10 @@
 type grant struct {
 	// by is the gateway that granted the try; empty if it needed no grant.
 	by string
-	// denials counts the tries of the request that were not granted.
+	// denials counts the tries of the request that were not granted, and denied is the backend
+	// server of the latest.
 	denials int
+	denied  string
 }
 
 // throttle waits for a grant, if the backend server that was chosen has a request limit. It
@@ -45,6 +47,7 @@
 		return true
 	}
 	j.grant.denials++
+	j.grant.denied = id
 	f.Granter.Denied(id)
 	f.mu.Lock()
 	f.balancer.Pause(id, now.Add(answer.RetryIn))
@@ -52,6 +55,23 @@
 	return false
 }
 
+// limitAttributes returns what a log line says of the request limit that a job has met, if
+// any: that of the backend server it went to, or else the latest that had no grant for it.
+func (f *Forwarder) limitAttributes(j *job, backend string) []any {
+	standing, known := f.Granter.Standing(backend)
+	if !known && j.grant.denials == 0 {
+		return nil
+	}
+	if !known {
+		standing, _ = f.Granter.Standing(j.grant.denied)
+	}
+	return []any{
+		"RequestLimit", standing.Limit.Rate, "LimitNamed", standing.Limit.Named,
+		"LimitAge", f.Clock.Since(standing.Since).Milliseconds(), "LimitSource", standing.Source,
+		"GrantedBy", j.grant.by, "Denials", j.grant.denials, "DeniedBackend", j.grant.denied,
+	}
+}
+
 // hasOther reports whether a request can go to another backend server than the one chosen.
 func (f *Forwarder) hasOther(now time.Time, j *job, id string) bool {
 	f.mu.Lock()
--- a/gateway/granter/limits.go
+++ b/gateway/granter/limits.go
@@ -57,10 +57,11 @@
 }
 
 // Observe takes what an answer to this gateway says of a limit. SinceSent is the time since
-// the request that was answered.
+// the request that was answered. Its id is not logged as RequestID: the line belongs to the
+// stories of all requests to the backend server.
 func (g *Granter) Observe(backend string, limit throttler.Limit, requestID string, sinceSent time.Duration) {
 	g.observe(throttler.Observation{Backend: backend, Limit: limit, At: g.Clock.Now(), Source: throttler.Answer},
-		"RequestID", requestID, "SinceSent", sinceSent.Milliseconds())
+		"AnswerTo", requestID, "SinceSent", sinceSent.Milliseconds())
 }
 
 // Hear takes limits that other instances know.
--- a/pkg/narrator/narrator.go
+++ b/pkg/narrator/narrator.go
@@ -134,6 +134,7 @@
 		}
 		s.instances[l.Instance] = true
 		s.backends[l.text("Backend")] = true
+		s.backends[l.text("DeniedBackend")] = true
 		s.adapters[l.text("Adapter")] = true
 	}
 	delete(s.backends, "")
--- a/pkg/narrator/narrator_test.go
+++ b/pkg/narrator/narrator_test.go
@@ -20,6 +20,8 @@
 {"time":"2026-07-26T17:34:11.300Z","msg":"a backend server has changed","Instance":"core-2","Backend":"i-1","Silent":true}
 {"time":"2026-07-26T17:34:11.400Z","msg":"request","Instance":"edge-1","RequestID":"r2","Took":1,"Status":502}
 {"time":"2026-07-26T17:34:12Z","msg":"the gateway stops","Instance":"edge-1"}
+{"time":"2026-07-26T17:35:00.100Z","msg":"backend server limits its request rate","Instance":"edge-3","Backend":"i-3","Limit":5,"AnswerTo":"r4"}
+{"time":"2026-07-26T17:35:00.300Z","msg":"request","Instance":"edge-1","RequestID":"r5","Took":20,"Denials":2,"DeniedBackend":"i-3","Status":503}
 `
 
 func TestStory(t *testing.T) {
@@ -35,6 +37,10 @@
 			"17:34:11.500 edge-1: request Adapter=m/a7 Backend=i-1 Outcome=the adapter was not loaded in time " +
 				"RequestID=r1 Status=503 Took=803",
 		}},
+		"a limit that had no grant": {"r5", []string{
+			"17:35:00.100 edge-3: backend server limits its request rate AnswerTo=r4 Backend=i-3 Limit=5",
+			"17:35:00.300 edge-1: request Denials=2 DeniedBackend=i-3 RequestID=r5 Status=503 Took=20",
+		}},
 		"nobody knows it": {"r3", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
