Name the lender's parts by the field's terms

The leader grants quota leases, gateways keep accounts, and what the rule allows beyond rate and burst is the tolerance; comments say one fact each. Names and comments alone change.

--- a/gateway/borrower/borrower.go
+++ b/gateway/borrower/borrower.go
@@ -67,8 +67,8 @@
 	transport *http.Transport
 	startedAt time.Time
 
-	mu     sync.Mutex
-	purses map[string]*purse
+	mu       sync.Mutex
+	accounts map[string]*account
 	// callAt is when the leader is to be called at the latest; failing is set while calls fail.
 	callAt  time.Time
 	failing bool
@@ -80,9 +80,9 @@
 	telling uint64
 }
 
-// purse is what is kept of one customer.
-type purse struct {
-	lender.Purse
+// account is what is kept of one customer.
+type account struct {
+	lender.Account
 	limit   *wire.CustomerLimit
 	waiters []*waiter
 }
@@ -99,7 +99,7 @@
 func (b *Borrower) Init() {
 	b.kick = make(chan struct{}, 1)
 	b.startedAt = b.Clock.Now()
-	b.purses = map[string]*purse{}
+	b.accounts = map[string]*account{}
 	b.transport = connector.NewTransport(nil)
 	if b.Client == nil {
 		client := &connector.Client{Timeout: callTimeout, Transport: b.transport}
@@ -120,7 +120,7 @@
 	if b.limited {
 		b.wake()
 	}
-	for name, p := range b.purses {
+	for name, p := range b.accounts {
 		lower := isLower(limits[name], p.limit)
 		p.limit = limits[name]
 		if lower {
@@ -140,10 +140,10 @@
 func (b *Borrower) Admit(ctx context.Context, customer string, limit *wire.CustomerLimit, size uint64) Verdict {
 	now := b.Clock.Now()
 	b.mu.Lock()
-	p := b.purses[customer]
+	p := b.accounts[customer]
 	if p == nil {
-		p = &purse{limit: limit}
-		b.purses[customer] = p
+		p = &account{limit: limit}
+		b.accounts[customer] = p
 	}
 	p.Ask(now, size)
 	w := &waiter{size: size, until: now.Add(longestWait), verdict: make(chan Verdict, 1)}
@@ -173,13 +173,13 @@
 		return v
 	default:
 	}
-	if p := b.purses[customer]; p != nil {
+	if p := b.accounts[customer]; p != nil {
 		p.drop(w)
 	}
 	return Verdict{}
 }
 
-func (p *purse) drop(gone *waiter) {
+func (p *account) drop(gone *waiter) {
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
 		if w != gone {
@@ -191,7 +191,7 @@
 }
 
 // judge decides on a request, if that can be done now.
-func (p *purse) judge(now time.Time, w *waiter) (Verdict, bool) {
+func (p *account) judge(now time.Time, w *waiter) (Verdict, bool) {
 	if p.Hold(now, w.size) {
 		return Verdict{Admitted: true}, true
 	}
@@ -207,7 +207,7 @@
 }
 
 // settle decides on the requests that wait, as far as that can be done now.
-func (p *purse) settle(now time.Time) {
+func (p *account) settle(now time.Time) {
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
 		v, decided := p.judge(now, w)
@@ -223,31 +223,31 @@
 
 // Release gives back the credit of a request that was not sent on.
 func (b *Borrower) Release(customer string, size uint64) {
-	b.with(customer, func(p *purse) { p.Release(size) })
+	b.with(customer, func(p *account) { p.Release(size) })
 }
 
 // Spend notes that a request is sent on whose credit is held.
 func (b *Borrower) Spend(customer string, size uint64) {
-	b.with(customer, func(p *purse) { p.Spend(b.Clock.Now(), size) })
+	b.with(customer, func(p *account) { p.Spend(b.Clock.Now(), size) })
 }
 
 // Refund notes that a request which was sent on has certainly not run. Its credit is held
 // again.
 func (b *Borrower) Refund(customer string, size uint64) {
-	b.with(customer, func(p *purse) { p.Refund(b.Clock.Now(), size) })
+	b.with(customer, func(p *account) { p.Refund(b.Clock.Now(), size) })
 }
 
 // Standing returns what decides on the requests of a customer now.
 func (b *Borrower) Standing(customer string) lender.Standing {
 	standing := lender.Standing{}
-	b.with(customer, func(p *purse) { standing = p.Standing(b.Clock.Now()) })
+	b.with(customer, func(p *account) { standing = p.Standing(b.Clock.Now()) })
 	return standing
 }
 
-func (b *Borrower) with(customer string, f func(p *purse)) {
+func (b *Borrower) with(customer string, f func(p *account)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p := b.purses[customer]; p != nil {
+	if p := b.accounts[customer]; p != nil {
 		f(p)
 	}
 }
@@ -290,7 +290,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	busy := false
-	for _, p := range b.purses {
+	for _, p := range b.accounts {
 		if len(p.waiters) > 0 {
 			return lookEvery, true
 		}
@@ -334,7 +334,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	urgent := false
-	for _, p := range b.purses {
+	for _, p := range b.accounts {
 		urgent = urgent || len(p.waiters) > 0
 	}
 	fresh := b.newLeader()
@@ -344,7 +344,7 @@
 	said := &wire.Borrower{
 		Gateway: b.Gateway, Address: b.Address, RunningMs: uint32(min(now.Sub(b.startedAt), time.Hour).Milliseconds()),
 	}
-	for name, p := range b.purses {
+	for name, p := range b.accounts {
 		if len(p.waiters) == 0 && p.Idle(now) {
 			continue
 		}
@@ -384,7 +384,7 @@
 		b.callAt = now.Add(again)
 	}
 	for _, credit := range res.GetBorrowers()[0].GetCredits() {
-		if p := b.purses[credit.GetCustomer()]; p != nil {
+		if p := b.accounts[credit.GetCustomer()]; p != nil {
 			p.Hear(now, asked, credit)
 		}
 	}
@@ -396,7 +396,7 @@
 func (b *Borrower) settle(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, p := range b.purses {
+	for _, p := range b.accounts {
 		p.settle(now)
 	}
 }
--- a/gateway/borrower/borrower_test.go
+++ b/gateway/borrower/borrower_test.go
@@ -151,7 +151,7 @@
 	go func() { done <- b.Admit(ctx, "a", limit, 1) }()
 	cancel()
 	c.Check(<-done, qt.DeepEquals, Verdict{})
-	b.with("a", func(p *purse) { c.Check(p.waiters, qt.HasLen, 0) })
+	b.with("a", func(p *account) { c.Check(p.waiters, qt.HasLen, 0) })
 }
 
 // A lower limit ends the credit by the one before; a higher one does not.
--- a/pkg/lender/purse.go
+++ b/pkg/lender/account.go
@@ -20,8 +20,8 @@
 	trustFor = 100 * time.Millisecond
 )
 
-// Purse is a gateway's side of one customer's limit. The zero value has nothing.
-type Purse struct {
+// Account is a gateway's side of one customer's limit. The zero value has nothing.
+type Account struct {
 	account     uint64
 	lent, spent uint64
 	// held is for requests that were let in and are not sent yet.
@@ -51,7 +51,7 @@
 }
 
 // credit returns what may be spent now.
-func (p *Purse) credit(now time.Time) uint64 {
+func (p *Account) credit(now time.Time) uint64 {
 	p.draw(now)
 	if p.lent <= p.spent+p.held {
 		return 0
@@ -60,7 +60,7 @@
 }
 
 // draw adds the allowance of the time without the leader's word.
-func (p *Purse) draw(now time.Time) {
+func (p *Account) draw(now time.Time) {
 	if p.heard.IsZero() || now.Sub(p.heard) < aloneAfter {
 		return
 	}
@@ -85,7 +85,7 @@
 }
 
 // Ask notes that a request of a size is asked for.
-func (p *Purse) Ask(now time.Time, size uint64) {
+func (p *Account) Ask(now time.Time, size uint64) {
 	p.decay(now)
 	p.rate += float64(size) / rateOver.Seconds()
 	if p.size == 0 {
@@ -97,7 +97,7 @@
 // sizeOver is the number of requests over which their size is taken.
 const sizeOver = 8
 
-func (p *Purse) decay(now time.Time) {
+func (p *Account) decay(now time.Time) {
 	if passed := now.Sub(p.rated).Seconds(); passed > 0 {
 		p.rate *= math.Exp(-passed / rateOver.Seconds())
 		p.rated = now
@@ -105,7 +105,7 @@
 }
 
 // Hold takes credit for a request, and reports whether there was enough.
-func (p *Purse) Hold(now time.Time, size uint64) bool {
+func (p *Account) Hold(now time.Time, size uint64) bool {
 	credit := p.credit(now)
 	if credit < size && (p.alone.IsZero() || now.Sub(p.heard) > AloneFor || p.lent+p.overdraft < p.spent+p.held+size) {
 		return false
@@ -115,10 +115,10 @@
 }
 
 // Release gives back what was held for a request that has certainly not run.
-func (p *Purse) Release(size uint64) { p.held -= min(size, p.held) }
+func (p *Account) Release(size uint64) { p.held -= min(size, p.held) }
 
 // Spend turns what was held for a request into what was sent on.
-func (p *Purse) Spend(now time.Time, size uint64) {
+func (p *Account) Spend(now time.Time, size uint64) {
 	p.Release(size)
 	p.spent += size
 	p.recent.Add(now, float64(size))
@@ -126,7 +126,7 @@
 
 // Refund takes back that a request was sent on, which has certainly not run, and holds its
 // credit for another try.
-func (p *Purse) Refund(now time.Time, size uint64) {
+func (p *Account) Refund(now time.Time, size uint64) {
 	p.spent -= min(size, p.spent)
 	p.held += size
 	p.recent.Add(now, -float64(size))
@@ -134,7 +134,7 @@
 
 // RetryIn returns after which time there will be room, if the leader has just said that
 // there is none, or 0.
-func (p *Purse) RetryIn(now time.Time) time.Duration {
+func (p *Account) RetryIn(now time.Time) time.Duration {
 	if now.Sub(p.refusedAt) >= trustFor {
 		return 0
 	}
@@ -142,7 +142,7 @@
 }
 
 // Idle reports whether the leader need not be told anything.
-func (p *Purse) Idle(now time.Time) bool {
+func (p *Account) Idle(now time.Time) bool {
 	p.decay(now)
 	return !p.wanted() && p.held == 0 && p.lent <= p.spent && p.allowance == 0 && p.recent.Sum(now) <= 0
 }
@@ -152,14 +152,14 @@
 const leastRate = 0.02
 
 // wanted reports whether the customer is asked for here. The rate must be as of now.
-func (p *Purse) wanted() bool { return p.rate > leastRate*p.size }
+func (p *Account) wanted() bool { return p.rate > leastRate*p.size }
 
 // Refused notes that a request was refused.
-func (p *Purse) Refused() { p.refused++ }
+func (p *Account) Refused() { p.refused++ }
 
 // Report returns what the leader is told; needed is what waiting requests need. Where
 // nothing is asked for any more the credit is given up.
-func (p *Purse) Report(now time.Time, customer string, needed uint64) *wire.CreditAccount {
+func (p *Account) Report(now time.Time, customer string, needed uint64) *wire.CreditAccount {
 	p.decay(now)
 	credit := p.credit(now)
 	said := &wire.CreditAccount{
@@ -180,7 +180,7 @@
 }
 
 // Hear takes the leader's word on a report that was made at a time.
-func (p *Purse) Hear(now, asked time.Time, c *wire.Credit) {
+func (p *Account) Hear(now, asked time.Time, c *wire.Credit) {
 	if c.GetAccount() != p.account {
 		// Another leader, or this one has forgotten the account. What was spent beyond the
 		// credit counts for the new one, as what is held does.
@@ -202,8 +202,8 @@
 
 // Reset forgets the account, as when the limit has changed: credit by another limit may be
 // more than the new one allows.
-func (p *Purse) Reset() {
-	*p = Purse{held: p.held, rate: p.rate, rated: p.rated, size: p.size, recent: p.recent}
+func (p *Account) Reset() {
+	*p = Account{held: p.held, rate: p.rate, rated: p.rated, size: p.size, recent: p.recent}
 }
 
 // Standing is what decided on a request, for logs.
@@ -216,6 +216,6 @@
 }
 
 // Standing returns what decides now.
-func (p *Purse) Standing(now time.Time) Standing {
+func (p *Account) Standing(now time.Time) Standing {
 	return Standing{Credit: p.credit(now), Held: p.held, Allowance: uint64(p.allowance), Age: now.Sub(p.heard)}
 }
--- a/pkg/lender/lender.go
+++ b/pkg/lender/lender.go
@@ -1,12 +1,9 @@
-// Package lender keeps a customer's limit over all gateways together: the leader lends
-// credit, and each gateway spends what it was lent. It is pure: calls and the time go in,
-// credit comes out.
+// Package lender enforces a customer's limit over all gateways together. The leader grants
+// quota leases, and each gateway sends requests from its lease. It is pure: calls and the time
+// go in, leases come out. The curator calls it on the leader, the borrower on gateways.
 //
-// In any window is lent no more than rate and burst allow, so that no more is spent than that
-// and what gateways had unspent when the window began. What they may send while no leader can
-// be asked is kept free for them. A new leader takes from the gateways that call what they
-// have spent and were allowed, and for the others what is left as spent. Unspent credit, and
-// what is spent beyond it, come out of one fund: what the rule allows beyond rate and burst.
+// In any window the leader grants no more than rate and burst allow. Quota that was granted
+// before the window and is still unspent comes out of the rule's tolerance.
 package lender
 
 import (
@@ -17,35 +14,35 @@
 )
 
 const (
-	// lentPart is the part of the fund that gateways may have unspent.
-	lentPart = 0.6
-	// startPart is the part of the fund that a new leader lends at least in its first window,
-	// and leastRefill the part of the rate, before it has heard what others have spent: after
-	// the loss of all gateways nobody tells.
-	startPart   = 0.25
+	// unspentShare is the share of the tolerance that gateways may hold unspent.
+	unspentShare = 0.6
+	// startShare is the minimum share of the tolerance that a new leader grants during its first
+	// window, and leastRefill the minimum share of the rate. Until all gateways have reported,
+	// their earlier usage is unknown.
+	startShare  = 0.25
 	leastRefill = 0.6
-	// overdraftPart is the part of the fund that all gateways together may spend beyond their
-	// allowances, so that a request passes which is larger than the allowance of a moment.
-	overdraftPart = 0.15
-	// wishPart is the part of what may be unspent that is lent for requests to come, and
-	// scarcePart the part of a window below which all is for requests that wait.
-	wishPart   = 0.5
-	scarcePart = 0.05
-	// keptPart is the part of what is left in the window that is kept for the gateways: they
-	// may spend of it without the leader, and it is theirs again with the next one. The rest
-	// goes to whoever asks first, until all have called again.
-	keptPart = 0.8
-	// Lease is how long a gateway may spend credit after its last call.
+	// overdraftShare is the share of the tolerance that all gateways together may spend beyond
+	// their allowances. A request may be larger than the allowance at one moment.
+	overdraftShare = 0.15
+	// prefetchShare is the share of the unspent quota that is granted for future requests. Below
+	// scarceShare of a window, quota is granted to waiting requests only.
+	prefetchShare = 0.5
+	scarceShare   = 0.05
+	// keptShare is the share of the window's remaining quota that is reserved for the gateways
+	// while they can't reach the leader, and with the next leader. The rest is granted to
+	// whoever asks first.
+	keptShare = 0.8
+	// Lease is how long a gateway may spend its quota after its last call.
 	Lease = 2 * time.Second
-	// AloneFor is how long a gateway spends its allowance at most.
+	// AloneFor is how long a gateway spends its allowance at most without the leader.
 	AloneFor = 4 * time.Second
-	// forgetAfter is when the leader takes the credit of a silent gateway for expired.
+	// forgetAfter is when the lease of a gateway expires at the leader after its last call.
 	forgetAfter = AloneFor + Lease
 	// shortestWait and longestWait bound the retry time of a refused caller.
 	shortestWait = 100 * time.Millisecond
 	longestWait  = 2 * time.Second
-	// callsPerSecond bounds the calls of all gateways together that only tell what was spent,
-	// where soonestCall and latestCall allow it.
+	// callsPerSecond bounds the usage reports of all gateways together. Each gateway reports
+	// between soonestCall and latestCall after its last call.
 	callsPerSecond = 330
 	soonestCall    = 250 * time.Millisecond
 	latestCall     = time.Second
@@ -60,7 +57,7 @@
 	Slack float64
 }
 
-func (r Rule) fund(l *wire.CustomerLimit) float64 {
+func (r Rule) tolerance(l *wire.CustomerLimit) float64 {
 	return r.Overage*(l.GetRatePerSecond()*r.Window.Seconds()+l.GetBurst()) + r.Slack
 }
 
@@ -69,17 +66,17 @@
 	Rule Rule
 	// Gateways is the number of gateways that may serve.
 	Gateways int
-	// Known are the addresses of all gateways that may have sent on anything in the window
-	// before the term; empty if nobody can tell.
+	// Known are the addresses of all gateways that may have sent requests in the window before
+	// the term; empty if they are not known.
 	Known []string
 
 	began     time.Time
 	customers map[string]*customer
-	// opened numbers the accounts; it begins with the term, so that no two leaders give the
-	// same number.
+	// opened numbers the leases. It begins with the term, so that no two leaders use the same
+	// number.
 	opened uint64
-	// unheard are those of Known that have not called yet.
-	unheard map[string]bool
+	// unreported are those of Known that have not reported their usage yet.
+	unreported map[string]bool
 }
 
 type customer struct {
@@ -91,45 +88,45 @@
 	lent windower.Window
 	// reserved is what is kept for gateways.
 	reserved float64
-	// vouched is what the gateways that were heard had spent under earlier leaders, and what
-	// was kept for them.
-	vouched float64
-	// unspent is the sum of what gateways were lent and have not said to have spent.
+	// reported is the usage under earlier leaders, and the reserves, of the gateways that have
+	// reported.
+	reported float64
+	// unspent is the granted quota that no gateway has reported as spent.
 	unspent float64
 	// rate is the sum of what gateways are asked for in a second.
 	rate float64
 	// refused counts the requests that gateways refused in this term.
-	refused  uint64
-	accounts map[string]*account
-	// met are the gateways that had an account in this term.
-	met map[string]bool
+	refused uint64
+	leases  map[string]*lease
+	// seen are the gateways that had a lease in this term.
+	seen map[string]bool
 }
 
-// account is what one gateway has of a customer's limit.
-type account struct {
+// lease is what one gateway has of a customer's limit.
+type lease struct {
 	id          uint64
 	lent, spent uint64
 	rate        float64
-	// kept is what is kept for it, and allowance what it may spend of that in a second.
+	// kept is its reserve, and allowance what it may spend of that per second without the leader.
 	kept      float64
 	allowance float64
 	heard     time.Time
 }
 
-func (a *account) unspent() float64 {
+func (a *lease) unspent() float64 {
 	if a.spent >= a.lent {
 		return 0
 	}
 	return float64(a.lent - a.spent)
 }
 
-// Begin begins a term as leader, with nothing known of what others have lent.
+// Begin begins a term as leader. Earlier grants are not known.
 func (l *Lender) Begin(now time.Time, term uint64, customers []*wire.RoutedCustomer) {
 	const termBits = 32
 	l.began, l.opened, l.customers = now, term<<termBits, map[string]*customer{}
-	l.unheard = map[string]bool{}
+	l.unreported = map[string]bool{}
 	for _, address := range l.Known {
-		l.unheard[address] = true
+		l.unreported[address] = true
 	}
 	l.SetCustomers(now, customers)
 }
@@ -147,7 +144,7 @@
 		named[listed.GetName()] = true
 		c := l.customers[listed.GetName()]
 		if c == nil {
-			c = &customer{accounts: map[string]*account{}, met: map[string]bool{}, lent: windower.Window{Length: l.Rule.Window}}
+			c = &customer{leases: map[string]*lease{}, seen: map[string]bool{}, lent: windower.Window{Length: l.Rule.Window}}
 			l.customers[listed.GetName()] = c
 		}
 		if earlier := l.mostInWindow(now, c); l.mostOf(listed.GetLimit()) < earlier {
@@ -178,16 +175,16 @@
 	return most
 }
 
-// allHeard reports whether all gateways have told this leader what they have spent.
-func (l *Lender) allHeard() bool { return len(l.Known) > 0 && len(l.unheard) == 0 }
+// allReported reports whether all gateways have told this leader what they have spent.
+func (l *Lender) allReported() bool { return len(l.Known) > 0 && len(l.unreported) == 0 }
 
 // room returns what may still be lent in the window that ends now. In the first window of a
-// term, what nobody has vouched for counts as spent until all gateways have called.
+// term, what nobody has reported for counts as spent until all gateways have called.
 func (l *Lender) room(now time.Time, c *customer) float64 {
 	most := l.mostInWindow(now, c)
-	if age := now.Sub(l.began); age < l.Rule.Window && !l.allHeard() {
-		least := startPart*l.Rule.fund(c.limit) + leastRefill*c.limit.GetRatePerSecond()*age.Seconds()
-		most = min(most, max(c.vouched, least))
+	if age := now.Sub(l.began); age < l.Rule.Window && !l.allReported() {
+		least := startShare*l.Rule.tolerance(c.limit) + leastRefill*c.limit.GetRatePerSecond()*age.Seconds()
+		most = min(most, max(c.reported, least))
 	}
 	return most - c.lent.Sum(now)
 }
@@ -196,7 +193,7 @@
 func (l *Lender) Borrow(now time.Time, b *wire.Borrower) *wire.BorrowerCredit {
 	res := &wire.BorrowerCredit{}
 	if time.Duration(b.GetRunningMs())*time.Millisecond >= l.Rule.Window {
-		defer delete(l.unheard, b.GetAddress())
+		defer delete(l.unreported, b.GetAddress())
 	}
 	for _, said := range b.GetAccounts() {
 		if c := l.customers[said.GetCustomer()]; c != nil {
@@ -207,7 +204,7 @@
 }
 
 func (l *Lender) lend(now time.Time, c *customer, gateway string, said *wire.CreditAccount) *wire.Credit {
-	a := l.account(now, c, gateway, said)
+	a := l.lease(now, c, gateway, said)
 	a.heard = now
 	c.note(now, a, said)
 	c.keep(a, 0)
@@ -221,7 +218,7 @@
 	credit := &wire.Credit{
 		Customer: said.GetCustomer(), Account: a.id, Lent: a.lent, Allowance: a.allowance, Kept: a.kept,
 		WindowMs:  uint32(l.Rule.Window.Milliseconds()),
-		Overdraft: uint64(overdraftPart * l.Rule.fund(c.limit) / float64(max(l.Gateways, len(c.accounts)))),
+		Overdraft: uint64(overdraftShare * l.Rule.tolerance(c.limit) / float64(max(l.Gateways, len(c.leases)))),
 	}
 	// What is missing only until others have told what they spent is asked for again.
 	if missing := float64(said.GetNeeded()) - granted; missing > 0 && room-granted-c.reserved < missing {
@@ -230,31 +227,31 @@
 	return credit
 }
 
-// account returns a gateway's account, a new one if it names none that is known.
-func (l *Lender) account(now time.Time, c *customer, gateway string, said *wire.CreditAccount) *account {
-	a := c.accounts[gateway]
+// lease returns a gateway's lease, a new one if it names none that is known.
+func (l *Lender) lease(now time.Time, c *customer, gateway string, said *wire.CreditAccount) *lease {
+	a := c.leases[gateway]
 	if a != nil && a.id == said.GetAccount() {
 		return a
 	}
 	if a != nil {
 		c.close(now, gateway, a)
 	}
-	if !c.met[gateway] && now.Sub(l.began) < l.Rule.Window {
-		c.vouched += said.GetKept()
+	if !c.seen[gateway] && now.Sub(l.began) < l.Rule.Window {
+		c.reported += said.GetKept()
 		for _, amount := range said.GetRecent() {
-			c.vouched += float64(amount)
+			c.reported += float64(amount)
 		}
 		c.lent.AddParts(now, said.GetRecent())
 	}
-	c.met[gateway] = true
+	c.seen[gateway] = true
 	l.opened++
-	a = &account{id: l.opened, heard: now}
-	c.accounts[gateway] = a
+	a = &lease{id: l.opened, heard: now}
+	c.leases[gateway] = a
 	return a
 }
 
 // note takes what a gateway has spent.
-func (c *customer) note(now time.Time, a *account, said *wire.CreditAccount) {
+func (c *customer) note(now time.Time, a *lease, said *wire.CreditAccount) {
 	c.unspent -= a.unspent()
 	if said.GetAccount() == a.id {
 		a.spent = said.GetSpent()
@@ -275,26 +272,26 @@
 
 // grant returns what is lent now, in whole units.
 func (l *Lender) grant(c *customer, room float64, said *wire.CreditAccount) float64 {
-	most := lentPart * l.Rule.fund(c.limit)
+	most := unspentShare * l.Rule.tolerance(c.limit)
 	granted := min(float64(said.GetNeeded()), room, most-c.unspent)
 	if c.unspent == 0 {
 		// One request that is larger than what all may have unspent.
 		granted = min(float64(said.GetNeeded()), room)
 	}
 	granted = max(0, granted)
-	spare := min(wishPart*most-c.unspent-granted, room-granted-scarcePart*l.mostOf(c.limit))
+	spare := min(prefetchShare*most-c.unspent-granted, room-granted-scarceShare*l.mostOf(c.limit))
 	granted += max(0, min(float64(said.GetWished()), spare))
 	return float64(uint64(granted))
 }
 
 // keep keeps an amount for a gateway, in place of the one before.
-func (c *customer) keep(a *account, amount float64) {
+func (c *customer) keep(a *lease, amount float64) {
 	c.reserved += amount - a.kept
 	a.kept = amount
 }
 
 // share returns a gateway's part of what a customer asks for.
-func (c *customer) share(a *account) float64 {
+func (c *customer) share(a *lease) float64 {
 	if c.rate <= 0 {
 		return 0
 	}
@@ -302,8 +299,8 @@
 }
 
 // part returns what is kept for a gateway of the room that is left.
-func (l *Lender) part(c *customer, a *account, room float64) float64 {
-	return max(0, min(keptPart*room*c.share(a), keptPart*room-c.reserved))
+func (l *Lender) part(c *customer, a *lease, room float64) float64 {
+	return max(0, min(keptShare*room*c.share(a), keptShare*room-c.reserved))
 }
 
 // retryIn returns after which time there will be room for what is missing.
@@ -324,7 +321,7 @@
 // Tick lets time pass for gateways that are silent.
 func (l *Lender) Tick(now time.Time) {
 	for _, c := range l.customers {
-		for gateway, a := range c.accounts {
+		for gateway, a := range c.leases {
 			if now.Sub(a.heard) > forgetAfter {
 				c.close(now, gateway, a)
 			}
@@ -334,11 +331,11 @@
 
 // close ends an account. It is taken that its gateway has spent its allowance since it was
 // heard.
-func (c *customer) close(now time.Time, gateway string, a *account) {
+func (c *customer) close(now time.Time, gateway string, a *lease) {
 	alone := min(AloneFor, max(0, now.Sub(a.heard)-aloneAfter))
 	c.lent.Add(now, a.allowance*alone.Seconds())
 	c.keep(a, 0)
 	c.unspent -= a.unspent()
 	c.rate = max(0, c.rate-a.rate)
-	delete(c.accounts, gateway)
+	delete(c.leases, gateway)
 }
--- a/pkg/lender/lender_test.go
+++ b/pkg/lender/lender_test.go
@@ -40,8 +40,8 @@
 }
 
 type gateway struct {
-	name  string
-	purse Purse
+	name    string
+	account Account
 	// cut and frozen are until when no call passes, and nothing happens at all.
 	cut, frozen time.Time
 	called      time.Time
@@ -87,11 +87,11 @@
 	if w.lender == nil || w.now.Before(g.cut) {
 		return false
 	}
-	said := g.purse.Report(w.now, "a", needed)
+	said := g.account.Report(w.now, "a", needed)
 	res := w.lender.Borrow(w.now, &wire.Borrower{
 		Gateway: g.name, Address: g.name, RunningMs: uint32(w.now.Sub(g.started).Milliseconds()), Accounts: []*wire.CreditAccount{said},
 	})
-	g.purse.Hear(w.now, w.now, res.GetCredits()[0])
+	g.account.Hear(w.now, w.now, res.GetCredits()[0])
 	g.term = w.term
 	return true
 }
@@ -104,9 +104,9 @@
 }
 
 type queued struct {
-	purse *Purse
-	size  uint64
-	due   time.Time
+	account *Account
+	size    uint64
+	due     time.Time
 }
 
 // patience is how long a request waits for the leader's word.
@@ -118,7 +118,7 @@
 		return
 	}
 	w.asked += float64(size)
-	g.purse.Ask(w.now, size)
+	g.account.Ask(w.now, size)
 	r := waiting{g, size, w.now.Add(patience)}
 	if !w.try(r) {
 		w.waiting = append(w.waiting, r)
@@ -127,7 +127,7 @@
 
 // try sends a request on if it may be, and reports whether it waits no longer.
 func (w *world) try(r waiting) bool {
-	p := &r.gateway.purse
+	p := &r.gateway.account
 	ok := p.Hold(w.now, r.size)
 	for range 2 {
 		if !ok && p.RetryIn(w.now) == 0 && w.call(r.gateway, r.size) {
@@ -147,7 +147,7 @@
 	return true
 }
 
-func (w *world) send(p *Purse, size uint64) {
+func (w *world) send(p *Account, size uint64) {
 	p.Spend(w.now, size)
 	w.sends = append(w.sends, sent{w.now, float64(size)})
 }
@@ -158,7 +158,7 @@
 		if w.now.Before(q.due) && w.delay > 0 {
 			return false
 		}
-		w.send(q.purse, q.size)
+		w.send(q.account, q.size)
 		return true
 	})
 	if w.lender != nil {
@@ -166,7 +166,7 @@
 	}
 	w.waiting = slices.DeleteFunc(w.waiting, func(r waiting) bool { return !w.now.Before(r.gateway.frozen) && w.try(r) })
 	for _, g := range w.gateways {
-		idle := g.purse.Idle(w.now) && g.term == w.term
+		idle := g.account.Idle(w.now) && g.term == w.term
 		if !w.now.Before(g.frozen) && w.now.Sub(g.called) >= soonestCall && !idle {
 			w.call(g, 0)
 		}
@@ -320,7 +320,7 @@
 			w.load(10*time.Second, 0.55*rate, w.anywhere)
 			w.lender = nil
 			for _, g := range w.gateways {
-				g.purse, g.started = Purse{}, w.now
+				g.account, g.started = Account{}, w.now
 			}
 			w.now = w.now.Add(2 * time.Second)
 			w.lead()
@@ -364,8 +364,8 @@
 				some().frozen = w.now.Add(2 * span)
 			case "restart":
 				g := some()
-				w.queued = slices.DeleteFunc(w.queued, func(q queued) bool { return q.purse == &g.purse })
-				g.purse, g.started = Purse{}, w.now
+				w.queued = slices.DeleteFunc(w.queued, func(q queued) bool { return q.account == &g.account })
+				g.account, g.started = Account{}, w.now
 			}
 			w.load(span, rate*rapid.Float64Range(0.2, 6).Draw(r, "load"), w.anywhere)
 		}
@@ -437,7 +437,7 @@
 	w.limit = tokens(30_000, 30_000)
 	w.lender.SetCustomers(w.now, w.customers())
 	for _, g := range w.gateways {
-		g.purse.Reset()
+		g.account.Reset()
 	}
 	asked, refused := w.asked, w.refused
 	w.load(testRule.Window, 45_000, w.anywhere)
@@ -456,7 +456,7 @@
 	w.load(10*time.Second, 16_000, w.anywhere)
 	w.load(40*time.Second, 0, nil)
 	for _, g := range w.gateways {
-		c.Assert(g.purse.Idle(w.now), qt.IsTrue)
+		c.Assert(g.account.Idle(w.now), qt.IsTrue)
 	}
 	c.Check(w.lender.customers["a"].unspent, qt.Equals, 0.0)
 	c.Check(math.Round(w.lender.room(w.now, w.lender.customers["a"])-w.lender.customers["a"].reserved), qt.Equals, 9*29_000.0)
@@ -464,7 +464,7 @@
 
 func BenchmarkHoldAndSpend(b *testing.B) {
 	now := time.Unix(1e9, 0)
-	p := &Purse{}
+	p := &Account{}
 	p.Hear(now, now, &wire.Credit{Account: 1, Lent: 1 << 60})
 	b.ReportAllocs()
 	for b.Loop() {
@@ -503,7 +503,7 @@
 	now := time.Unix(1e9, 0)
 	l := &Lender{Rule: testRule, Gateways: 81}
 	l.Begin(now.Add(-time.Hour), 1, []*wire.RoutedCustomer{{Name: "customer-17", Limit: tokens(274_000, 274_000)}})
-	p := &Purse{}
+	p := &Account{}
 	var said *wire.Borrower
 	var res *wire.BorrowerCredit
 	for range 400 {
--- a/pkg/lender/standing.go
+++ b/pkg/lender/standing.go
@@ -26,8 +26,8 @@
 }
 
 func (c *customer) shares(now time.Time) []*wire.GatewayShare {
-	list := make([]*wire.GatewayShare, 0, len(c.accounts))
-	for gateway, a := range c.accounts {
+	list := make([]*wire.GatewayShare, 0, len(c.leases))
+	for gateway, a := range c.leases {
 		list = append(list, &wire.GatewayShare{
 			Gateway: gateway, Unspent: uint64(a.unspent()), Allowance: a.allowance, AgeMs: uint32(now.Sub(a.heard).Milliseconds()),
 		})
--- a/pkg/throttler/ways_test.go
+++ b/pkg/throttler/ways_test.go
@@ -29,15 +29,15 @@
 
 // byLeases lets a leader lend of the limit, as it does of customers' limits.
 type byLeases struct {
-	lender *lender.Lender
-	purses map[string]*lender.Purse
-	calls  map[string]time.Time
+	lender   *lender.Lender
+	accounts map[string]*lender.Account
+	calls    map[string]time.Time
 }
 
 func newLeases(now time.Time, limit RequestRate) *byLeases {
 	l := &byLeases{
-		lender: &lender.Lender{Rule: lender.Rule{Window: Window, Overage: tolerance - 1, Slack: slack}},
-		purses: map[string]*lender.Purse{}, calls: map[string]time.Time{},
+		lender:   &lender.Lender{Rule: lender.Rule{Window: Window, Overage: tolerance - 1, Slack: slack}},
+		accounts: map[string]*lender.Account{}, calls: map[string]time.Time{},
 	}
 	l.lender.Begin(now.Add(-time.Hour), 1, []*wire.RoutedCustomer{
 		{Name: backendID, Limit: &wire.CustomerLimit{Unit: wire.LimitUnit_LIMIT_UNIT_REQUESTS, RatePerSecond: float64(limit)}},
@@ -46,10 +46,10 @@
 }
 
 func (l *byLeases) mayBeSent(w *world, g *gatewayModel) (granted bool, by string, retryIn time.Duration) {
-	p := l.purses[g.address]
+	p := l.accounts[g.address]
 	if p == nil {
-		p = &lender.Purse{}
-		l.purses[g.address] = p
+		p = &lender.Account{}
+		l.accounts[g.address] = p
 	}
 	p.Ask(w.now, 1)
 	if !p.Hold(w.now, 1) {
@@ -62,7 +62,7 @@
 	return true, "leader", 0
 }
 
-func (l *byLeases) call(w *world, gateway string, p *lender.Purse, needed uint64) {
+func (l *byLeases) call(w *world, gateway string, p *lender.Account, needed uint64) {
 	l.lender.Gateways = len(w.gateways)
 	l.calls[gateway] = w.now
 	res := l.lender.Borrow(w.now, &wire.Borrower{
@@ -75,7 +75,7 @@
 // tick lets the gateways call that have not for a while.
 func (l *byLeases) tick(w *world) {
 	l.lender.Tick(w.now)
-	for gateway, p := range l.purses {
+	for gateway, p := range l.accounts {
 		if !p.Idle(w.now) && w.now.Sub(l.calls[gateway]) >= l.lender.AgainIn() {
 			l.call(w, gateway, p, 0)
 		}
