Wait for a request's end before its credit is checked in a test

The caller gets its answer before the handler returns, which gives the credit back, so that the check could come first; the log shows the last refusal answered and nothing else under way. The check now waits until nothing is held, and fails as before if that never comes.

--- a/gateway/forwarder/limit_test.go
+++ b/gateway/forwarder/limit_test.go
@@ -103,7 +103,8 @@
 				call(c, address, test.path, withKey("k1"))
 			}
 			c.Check(int(one.runs.Load()+other.runs.Load()), qt.Equals, test.want)
-			c.Check(f.Borrower.Standing("c1").Held, qt.Equals, uint64(0))
+			// The caller has its answer before the gateway has let go of the request.
+			eventually(c, func() bool { return f.Borrower.Standing("c1").Held == 0 })
 		})
 	}
 }
