Call the gateway that grants for an engine its owner

The same term as for request limits, with rendezvous hashing named once. Names, comments and one log line ('owner of engines does not answer') change.

--- a/gateway/regulator/peer.go
+++ b/gateway/regulator/peer.go
@@ -32,10 +32,10 @@
 	telling bool
 }
 
-// inCharge returns the address of the gateway that paces an engine: of those that answer,
+// owner returns the address of the gateway that owns an engine: of those that answer,
 // the one with the highest number of all that are made from an engine and a gateway, so
-// that each gateway is in charge of some, and the loss of one moves only its own.
-func (r *Regulator) inCharge(backend string) string {
+// that each gateway owns some, and the loss of one moves only its own.
+func (r *Regulator) owner(backend string) string {
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -51,7 +51,7 @@
 	return best
 }
 
-// Ranked returns the first two gateways in the order of inCharge, whether they answer or not;
+// Ranked returns the first two gateways in the order of owner, whether they answer or not;
 // "" where there is none.
 func (r *Regulator) Ranked(backend string) (first, second string) {
 	r.mu.Lock()
@@ -109,7 +109,7 @@
 	}
 	p.failures++
 	p.aloneUntil = now.Add(retrier.Backoff{First: firstAlone, Most: longestAlone}.Wait(p.failures, 0))
-	r.Log.Info("a gateway in charge of engines does not answer", "Gateway", address, "Error", err.Error())
+	r.Log.Info("owner of engines does not answer", "Gateway", address, "Error", err.Error())
 }
 
 func (r *Regulator) answered(address string) {
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -1,8 +1,8 @@
-// Package regulator asks, before a prompt is sent to an engine, the gateway in charge of
-// that engine, and is in charge of some engines itself. It does the same for requests to the
-// backend servers of a plain service that many gateways have work for. Which gateway that is follows from
-// the list of gateways alone, so nobody has to be told. While two lists differ, or one in
-// charge does not answer, several pace the same engine, each a part of its prompts.
+// Package regulator asks the owner of an engine for a grant before it lets a prompt be sent
+// there, and grants prompts for the engines that this gateway owns. It does the same for the
+// slots of plain services that many gateways contend for. Owners follow from the list of gateways
+// by rendezvous hashing. While lists differ, or an owner does not answer, several gateways grant
+// for one engine, each a part of its prompts.
 package regulator
 
 import (
@@ -60,7 +60,7 @@
 	engines  map[string]*engine
 }
 
-// engine is one that this gateway is in charge of, or was.
+// engine is one that this gateway owns, or did.
 type engine struct {
 	// grantLater has it looked at when a prompt may be granted though nothing happens.
 	grantLater func(at time.Time)
@@ -171,7 +171,7 @@
 	// Ids of requests are the callers' to choose, and would not tell two of them apart.
 	p.Key = r.Self + "/" + strconv.FormatUint(r.asks.Add(1), 10)
 	for range maxAsked {
-		address := r.inCharge(p.Backend)
+		address := r.owner(p.Backend)
 		if address == r.Self || address == "" || ctx.Err() != nil {
 			break
 		}
@@ -185,7 +185,7 @@
 // End notes that an engine has a prompt to read no longer: its first event has come, or it
 // has failed.
 func (r *Regulator) End(backend, key string, read bool) {
-	address := r.inCharge(backend)
+	address := r.owner(backend)
 	if address == r.Self || address == "" {
 		r.end(backend, key, read)
 		return
@@ -205,7 +205,7 @@
 	return n
 }
 
-// wait is Ask at the gateway in charge.
+// wait is Ask at the owner.
 func (r *Regulator) wait(ctx context.Context, p *Prompt, wait time.Duration) Answer {
 	granted := make(chan struct{})
 	r.mu.Lock()
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -51,10 +51,10 @@
 	return &wire.SyncResponse{Leads: true, GatewayList: entries(addresses)}
 }
 
-// engineOf returns an engine that the gateway at an address is in charge of.
+// engineOf returns an engine that the gateway at an address owns.
 func engineOf(r *Regulator, address string) string {
 	for i := 0; ; i++ {
-		if id := fmt.Sprint("engine-", i); r.inCharge(id) == address {
+		if id := fmt.Sprint("engine-", i); r.owner(id) == address {
 			return id
 		}
 	}
@@ -68,7 +68,7 @@
 	}}
 }
 
-func TestGatewaysAgreeOnWhoIsInCharge(t *testing.T) {
+func TestGatewaysAgreeOnOwners(t *testing.T) {
 	c := qt.New(t)
 	var addresses []string
 	for i := range 7 {
@@ -82,11 +82,11 @@
 	engines := map[string]int{}
 	for i := range 700 {
 		id := fmt.Sprint("engine-", i)
-		before := a.inCharge(id)
+		before := a.owner(id)
 		engines[before]++
-		c.Assert(b.inCharge(id), qt.Equals, before)
+		c.Assert(b.owner(id), qt.Equals, before)
 		if before != addresses[6] {
-			c.Assert(lost.inCharge(id), qt.Equals, before)
+			c.Assert(lost.owner(id), qt.Equals, before)
 		}
 	}
 	for _, address := range addresses {
@@ -124,7 +124,7 @@
 	}
 }
 
-// Prompts of different gateways for one engine wait for each other, whoever is in charge.
+// Prompts of different gateways for one engine wait for each other, whoever owns it.
 func TestGatewaysWaitForEachOther(t *testing.T) {
 	for name, read := range map[string]bool{"until it is read": true, "until it is given up": false} {
 		t.Run(name, func(t *testing.T) {
@@ -144,7 +144,7 @@
 	}
 }
 
-// The loss of the gateway in charge stops nobody: another takes its place at once, and
+// The loss of an owner stops nobody: another takes its place at once, and
 // paces on.
 func TestLostGatewaysAreNotWaitedFor(t *testing.T) {
 	c := qt.New(t)
@@ -153,7 +153,7 @@
 	all[0].Hear("controller", listOf(append(addresses, nobody)))
 	id := engineOf(all[0], nobody)
 	c.Check(all[0].Ask(context.Background(), large(id), longWait).Granted, qt.IsTrue)
-	c.Check(all[0].inCharge(id), qt.Not(qt.Equals), nobody)
+	c.Check(all[0].owner(id), qt.Not(qt.Equals), nobody)
 	c.Check(all[0].Ask(context.Background(), large(id), 0).Granted, qt.IsFalse)
 }
 
