--- a/gateway/relayer/relayer_test.go
+++ b/gateway/relayer/relayer_test.go
@@ -100,7 +100,7 @@
 func TestRequestLimitsGoBothWays(t *testing.T) {
 	c := qt.New(t)
 	b := newBench()
-	ask := b.known(c, "a")
+	ask := b.known(c, "asks")
 	answer := b.sync(context.Background(), c, ask)
 	limit := &wire.RequestLimit{Backend: "e", RequestsPerSecond: 5}
 	_, err := b.Sync(context.Background(), &wire.SyncRequest{Gateway: "other", RequestLimits: []*wire.RequestLimit{limit}})
--- a/pkg/throttler/limit.go
+++ b/pkg/throttler/limit.go
@@ -1,9 +1,8 @@
 // Package throttler keeps the request limits that backend servers announce, over all gateways
 // together. It is pure: answers, news, asks and the time go in, limits and grants come out.
 //
-// Each limit is shared out by one gateway, its owner; another one, its deputy, shares out a
-// small part of it for those that do not reach the owner. A Book knows which limits are in
-// force, an Allocator shares one out, and Sends counts what one gateway has sent.
+// A Book knows which limits are in force. An Allocator grants requests under one limit, at the
+// gateway that owns it or at its deputy. Sends counts what one gateway has sent.
 package throttler
 
 import "time"
@@ -22,11 +21,9 @@
 func LimitOf(rate RequestRate) Limit { return Limit{Named: true, Rate: rate} }
 
 const (
-	// Window is the time over which backend servers judge their limits: in any window they
-	// accept tolerance times what the limit allows, and slack requests beyond that.
-	Window    = 4 * time.Second
-	tolerance = 1.5
-	slack     = 5
+	// Window is the time over which backend servers judge their limits. In any window they
+	// accept 1.5 times what the limit allows, and 5 requests beyond that.
+	Window = 4 * time.Second
 	// probeRate is the least rate at which requests are sent, all gateways together: without
 	// an answer nobody learns that a limit has ended.
 	probeRate RequestRate = 0.5
--- a/pkg/throttler/schedule_test.go
+++ b/pkg/throttler/schedule_test.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// tolerance and slack are what backend servers accept beyond their limits.
+	tolerance = 1.5
+	slack     = 5
 	// scheduleSeeds is the number of schedules of each kind.
 	scheduleSeeds = 60
 	// contact is the time after which a limit is judged that was named first.
