--- a/proof/routed_throttle_test.go
+++ b/proof/routed_throttle_test.go
@@ -23,30 +23,34 @@
 //	i-b884b97c85    17 15 15 19 27 20 23 16 17   limited to 6.3 from 8.0 s on
 //	i-fa5bd0184c    14 12  7 12 13 17 17 14 19   limited to 4.5 from 8.0 s on
 //
-// Here one of three backend servers announces a limit while callers ask three gateways for
-// more than that.
+// Here one of three backend servers announces a limit while callers ask all gateways together
+// for more than that. Of twelve gateways, ten hear of it through two others.
 func TestRoutedARequestLimitHoldsOverAllGateways(t *testing.T) {
-	t.Parallel()
-	c := qt.New(t)
-	y := startRouted(c, 3, 3, 3)
-	load := startSteadyLoad(y, 20)
-	limited := y.backends[0]
-	y.waitServed(120)
-	named := time.Now()
-	limited.setLimit(announcedLimit)
-	y.keepServing(named.Add(contact + 2*limitWindow))
-	limited.setLimit(0)
-	lifted := time.Now()
-	limited.checkLimit(named, lifted)
-	used := limited.arrivedBetween(named.Add(contact), lifted)
-	c.Check(float64(used) >= leastUse*announcedLimit*lifted.Sub(named.Add(contact)).Seconds(), qt.IsTrue,
-		qt.Commentf("%d requests in %s under a limit of %v a second", used, lifted.Sub(named.Add(contact)), announcedLimit))
-	eventually(c, "the server gets more once it has lifted its limit", func() bool {
-		return limited.arrivedBetween(time.Now().Add(-time.Second), time.Now()) > 2*announcedLimit
-	})
-	load.stop()
-	c.Check(load.notServed(), qt.HasLen, 0)
-	y.ledger.check(c)
+	for name, gateways := range map[string]int{"three gateways": 3, "twelve gateways": 12} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			y := startRouted(c, 3, gateways, 3)
+			load := startSteadyLoad(y, 60/gateways)
+			limited := y.backends[0]
+			y.waitServed(120)
+			named := time.Now()
+			limited.setLimit(announcedLimit)
+			y.keepServing(named.Add(contact + 2*limitWindow))
+			limited.setLimit(0)
+			lifted := time.Now()
+			limited.checkLimit(named, lifted)
+			used := limited.arrivedBetween(named.Add(contact), lifted)
+			c.Check(float64(used) >= leastUse*announcedLimit*lifted.Sub(named.Add(contact)).Seconds(), qt.IsTrue,
+				qt.Commentf("%d requests in %s under a limit of %v a second", used, lifted.Sub(named.Add(contact)), announcedLimit))
+			eventually(c, "the server gets more once it has lifted its limit", func() bool {
+				return limited.arrivedBetween(time.Now().Add(-time.Second), time.Now()) > 2*announcedLimit
+			})
+			load.stop()
+			c.Check(load.notServed(), qt.HasLen, 0)
+			y.ledger.check(c)
+		})
+	}
 }
 
 // The limit holds while gateways are killed, frozen and stopped in turn, the owner of the limit
