Log how plain requests end, what slots are granted to, and ejections

The timeline of the short cfg-pull class leaves three hypotheses that no log line tells apart: retries that compete as first tries, grants that come late, and repeats or ejections that hit one class.

Gateways now log every 5 s by route how plain requests ended (in time, late, refused at once, refused late, failed) and how many repeats the budget denied; the owner of a backend server's slots logs what it granted, how many of those could not be in time, and what it refused; an ejection is logged with the request that caused it; and each request's line has the time that its caller had left (Patience) and how many owners it asked for a slot. No decision changes.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -81,7 +81,7 @@
 		j.runs++
 		f.done(j, d.Backend.GetId(), balancer.Failed)
 		return f.lost(j, d.Backend, "the answer is not the backend server's")
-	case in.Head.Status >= http.StatusInternalServerError && f.repeatable(j) && j.runs+1 < f.attempts(j) && f.mayRepeat(j.service):
+	case in.Head.Status >= http.StatusInternalServerError && f.repeatable(j) && j.runs+1 < f.attempts(j) && f.repeats(j):
 		in.Close()
 		j.runs++
 		f.done(j, d.Backend.GetId(), balancer.Failed)
@@ -166,7 +166,7 @@
 func (f *Forwarder) lost(j *job, backend *wire.Announcement, reason string) bool {
 	j.avoid = append(j.avoid, backend.GetId())
 	f.lostRun(j, backend)
-	if f.repeatable(j) && j.runs < f.attempts(j) && !f.mayEndMore(j) && f.mayRepeat(j.service) {
+	if f.repeatable(j) && j.runs < f.attempts(j) && !f.mayEndMore(j) && f.repeats(j) {
 		f.event(j, backend, "the answer was lost; sent again: "+reason, 0)
 		return true
 	}
@@ -199,7 +199,7 @@
 	if outcome == balancer.Full || isEngine && j.adapter == "" {
 		j.avoid = append(j.avoid, backend.GetId())
 	}
-	if j.sends < maxSends && f.mayRepeat(j.service) {
+	if j.sends < maxSends && f.repeats(j) {
 		return true
 	}
 	if j.reply.Begun() {
--- a/gateway/forwarder/course.go
+++ b/gateway/forwarder/course.go
@@ -72,7 +72,7 @@
 	return waitedForPlace
 }
 
-// tallyEvery is the time between two log lines on how streams went.
+// tallyEvery is the time between two log lines on how requests ended.
 const tallyEvery = 5 * time.Second
 
 // judged counts a stream that has ended.
@@ -90,15 +90,18 @@
 	f.verdicts[v]++
 }
 
-// logVerdicts says now and then how the streams went that have ended since it did so last.
-func (f *Forwarder) logVerdicts() {
+// logTallies logs now and then how requests ended since the last time.
+func (f *Forwarder) logTallies() {
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.verdicts) == 0 || now.Sub(f.talliedAt) < tallyEvery {
+	if now.Sub(f.talliedAt) < tallyEvery {
 		return
 	}
 	f.talliedAt = now
-	f.Log.Info("streams", "Ended", f.verdicts)
-	f.verdicts = map[verdict]int{}
+	f.logEndings()
+	if len(f.verdicts) > 0 {
+		f.Log.Info("streams", "Ended", f.verdicts)
+		f.verdicts = map[verdict]int{}
+	}
 }
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -96,7 +96,9 @@
 	// needs tells for each service whether its prompts are paced.
 	needs map[string]*pacer.Need
 	// verdicts counts how the streams went that have ended since they were logged last.
-	verdicts  map[verdict]int
+	verdicts map[verdict]int
+	// endings counts, by route, how other requests ended since they were logged last.
+	endings   map[string]map[ending]int
 	talliedAt time.Time
 	// limitFaultAt is when a limit that can't be read was logged last.
 	limitFaultAt time.Time
@@ -111,6 +113,7 @@
 	f.waiting = map[*balancer.Waiter]chan balancer.Decision{}
 	f.demand = map[string]uint32{}
 	f.verdicts = map[verdict]int{}
+	f.endings = map[string]map[ending]int{}
 	f.needs = map[string]*pacer.Need{}
 	f.initIsolator()
 	f.initGranter()
@@ -138,7 +141,7 @@
 			f.pump()
 		case <-sweep.Chan():
 			f.Sender.Sweep()
-			f.logVerdicts()
+			f.logTallies()
 		}
 	}
 }
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -61,6 +61,8 @@
 	// that had none for it.
 	dispensed bool
 	slotAsks  int
+	// status is what the latest log line says that the caller gets; 0 for a connection that ends.
+	status int
 }
 
 // Handle answers a request.
@@ -77,6 +79,7 @@
 	}
 	f.count(j)
 	defer f.endTrial(j)
+	defer f.tally(j)
 	for f.try(ctx, j) {
 	}
 }
@@ -166,6 +169,17 @@
 	return f.budget(service).Allow(f.Clock.Now(), slack)
 }
 
+// repeats reports whether a request may be sent again by the budget, and counts it if not.
+func (f *Forwarder) repeats(j *job) bool {
+	if f.mayRepeat(j.service) {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addEnding(j, noRepeat)
+	return false
+}
+
 // budgetMargin is the part of the budget that is used: the gateways count by clocks of
 // their own, and a gateway that was added is not known to the others at once.
 const budgetMargin = 0.9
@@ -243,7 +257,11 @@
 
 func (f *Forwarder) done(j *job, backend string, outcome balancer.Outcome) {
 	f.mu.Lock()
-	f.balancer.Done(f.Clock.Now(), backend, j.adapter, j.about.PromptTokens, outcome)
+	ejected := f.balancer.Done(f.Clock.Now(), backend, j.adapter, j.about.PromptTokens, outcome)
 	f.mu.Unlock()
+	if ejected > 0 {
+		f.Log.Info("backend server ejected for its failures", "Backend", backend, "Service", j.service,
+			"For", ejected.Milliseconds(), "RequestID", j.about.ID)
+	}
 	f.pump()
 }
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -13,6 +13,7 @@
 
 // event logs a decision on a request that was not simply served.
 func (f *Forwarder) event(j *job, backend *wire.Announcement, outcome string, status int) {
+	j.status = status
 	f.Log.Info("request", f.attributes(j, backend, "Outcome", outcome, "Status", status)...)
 	f.Meter.Count("requests_not_served", "outcome", outcomeLabel(status))
 }
@@ -20,6 +21,7 @@
 // served logs an answer that was passed on whole: all failures of backend servers, and a
 // sample of the others.
 func (f *Forwarder) served(j *job, backend *wire.Announcement, status int) {
+	j.status = status
 	f.Meter.Ended(j.service, j.route.GetName(), "Served", f.Clock.Since(j.req.ReceivedAt))
 	if status >= http.StatusInternalServerError {
 		f.event(j, backend, "the backend server failed", status)
@@ -34,6 +36,7 @@
 	list := []any{
 		"RequestID", j.about.ID, "Took", f.Clock.Since(j.req.ReceivedAt).Milliseconds(),
 		"Waited", j.waited.Milliseconds(), "Sends", j.sends,
+		"Patience", j.about.Patience.Milliseconds(), "SlotAsks", j.slotAsks,
 	}
 	if f.NewsAge != nil {
 		list = append(list, "NewsAge", f.NewsAge().Milliseconds())
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -34,6 +34,8 @@
 	longestAlone = 2 * time.Second
 	// maxAsked is how many gateways are asked for one prompt at most.
 	maxAsked = 3
+	// logSlotsEvery is the time between two log lines on the slots of one backend server.
+	logSlotsEvery = 5 * time.Second
 	// keepFor is how long an engine's pace is remembered of which nobody asks: longer than
 	// quiet spells, and short against the time in which many starts come and go.
 	keepFor = time.Minute
@@ -71,6 +73,8 @@
 	askedAt   time.Time
 	// lookAt is when it is looked at next, whatever happens.
 	lookAt time.Time
+	// loggedAt is when the statistics of its slots were logged last.
+	loggedAt time.Time
 }
 
 // Prompt is what is to be sent to an engine.
@@ -160,12 +164,28 @@
 	defer r.mu.Unlock()
 	for backend, e := range r.engines {
 		e.grant(now)
+		r.logSlots(now, backend, e)
 		if e.pacer.Idle() && e.dispenser.Idle() && now.Sub(e.askedAt) > keepFor {
 			delete(r.engines, backend)
 		}
 	}
 }
 
+// logSlots logs now and then what became of the asks for a backend server's slots.
+func (r *Regulator) logSlots(now time.Time, backend string, e *engine) {
+	if now.Sub(e.loggedAt) < logSlotsEvery {
+		return
+	}
+	e.loggedAt = now
+	s := e.dispenser.TakeStats()
+	if s.Granted+s.Refused+s.Withdrawn == 0 {
+		return
+	}
+	r.Log.Info("slots granted", "Backend", backend, "Granted", s.Granted, "GrantedLate", s.Late, "Refused", s.Refused,
+		"Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
+		"ServiceUs", s.Service.Microseconds())
+}
+
 // Ask waits until the prompt may be sent, or for a time at most.
 func (r *Regulator) Ask(ctx context.Context, p *Prompt, wait time.Duration) Answer {
 	// Ids of requests are the callers' to choose, and would not tell two of them apart.
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -157,12 +157,14 @@
 	Abandoned
 )
 
-// Done takes the end of a request that was sent.
-func (b *Balancer) Done(now time.Time, id, adapter string, tokens int, outcome Outcome) {
+// Done takes the end of a request that was sent. It returns for how long the backend server is
+// ejected if this failure is what ejects it, or 0.
+func (b *Balancer) Done(now time.Time, id, adapter string, tokens int, outcome Outcome) time.Duration {
 	k := b.backends[id]
 	if k == nil {
-		return
+		return 0
 	}
+	before := k.ejectedUntil
 	k.own = max(0, k.own-Weight(tokens))
 	if k.using[adapter]--; k.using[adapter] <= 0 {
 		delete(k.using, adapter)
@@ -180,6 +182,10 @@
 		k.absent[adapter] = now.Add(absentFor)
 	case Abandoned:
 	}
+	if k.ejectedUntil.Equal(before) {
+		return 0
+	}
+	return k.ejection
 }
 
 // failureFades is the time in which half of a share of failures is forgotten.
--- a/pkg/dispenser/dispenser.go
+++ b/pkg/dispenser/dispenser.go
@@ -56,6 +56,29 @@
 	order   uint64
 	// service is about the time of a request.
 	service time.Duration
+	stats   Stats
+}
+
+// Stats count what became of asks since they were taken last.
+type Stats struct {
+	// Granted are asks that got a slot, and Late those of them that could not be in time.
+	Granted, Late int
+	// Refused are asks that were refused at once, and Withdrawn those that waited in vain.
+	Refused, Withdrawn int
+	// Expired are requests whose end was not reported.
+	Expired int
+	// Waiting and Running are the asks that wait and the requests that run now.
+	Waiting, Running int
+	// Service is about the time of a request.
+	Service time.Duration
+}
+
+// TakeStats returns the statistics and begins anew.
+func (d *Dispenser) TakeStats() Stats {
+	s := d.stats
+	s.Waiting, s.Running, s.Service = len(d.waiting), len(d.running), d.serviceTime()
+	d.stats = Stats{}
+	return s
 }
 
 // Add lets a request wait for a slot, and reports whether it does: one that would be late for
@@ -74,9 +97,11 @@
 	starts := now.Add(d.wait(ahead))
 	if d.canBeInTime(now, a) {
 		if starts.Add(time.Duration(lateMargin * float64(d.serviceTime()))).After(a.InTimeUntil) {
+			d.stats.Refused++
 			return false
 		}
 	} else if !starts.Before(a.GiveUp) {
+		d.stats.Refused++
 		return false
 	}
 	d.waiting = append(d.waiting, a)
@@ -126,7 +151,11 @@
 func (d *Dispenser) Withdraw(key string) bool {
 	before := len(d.waiting)
 	d.waiting = slices.DeleteFunc(d.waiting, func(a Ask) bool { return a.Key == key })
-	return len(d.waiting) < before
+	if len(d.waiting) == before {
+		return false
+	}
+	d.stats.Withdrawn++
+	return true
 }
 
 // End notes that a request is no longer under way; ran says that the backend server has
@@ -156,6 +185,10 @@
 		d.running = map[string]time.Time{}
 	}
 	for _, a := range granted {
+		d.stats.Granted++
+		if !d.canBeInTime(now, a) {
+			d.stats.Late++
+		}
 		d.running[a.Key] = now
 	}
 	return granted
@@ -166,6 +199,7 @@
 	for key, at := range d.running {
 		if now.Sub(at) > max(forgetAfter, forgetFactor*d.serviceTime()) {
 			delete(d.running, key)
+			d.stats.Expired++
 		}
 	}
 }
