Refuse late requests at once while others in time are refused

Cause: the owner of a backend server's slots let a late request wait whenever what was ahead of it would end in time, and did not count those in time that would still arrive.

Fix: for 300 ms after it has refused a request that could have been in time, an owner refuses late ones at once. The new test fails without this.

--- a/pkg/dispenser/dispenser.go
+++ b/pkg/dispenser/dispenser.go
@@ -29,6 +29,9 @@
 	// counts as under way of whose end no word comes: its gateway may be lost.
 	forgetFactor = 10
 	forgetAfter  = time.Second
+	// overloadMemory is how long requests that can't be in time are refused at once after one that
+	// could have been was refused, or one that can't has waited in vain: slots go to others.
+	overloadMemory = 300 * time.Millisecond
 )
 
 // Ask is a request that is to be sent to the backend server.
@@ -57,6 +60,8 @@
 	// service is about the time of a request.
 	service time.Duration
 	stats   Stats
+	// overloadedUntil is until when requests that can't be in time are refused at once.
+	overloadedUntil time.Time
 }
 
 // Stats count what became of asks since they were taken last.
@@ -98,9 +103,10 @@
 	if d.canBeInTime(now, a) {
 		if starts.Add(time.Duration(lateMargin * float64(d.serviceTime()))).After(a.InTimeUntil) {
 			d.stats.Refused++
+			d.overloadedUntil = now.Add(overloadMemory)
 			return false
 		}
-	} else if !starts.Before(a.GiveUp) {
+	} else if now.Before(d.overloadedUntil) || !starts.Before(a.GiveUp) {
 		d.stats.Refused++
 		return false
 	}
--- a/pkg/dispenser/dispenser_test.go
+++ b/pkg/dispenser/dispenser_test.go
@@ -234,3 +234,22 @@
 	c.Assert(d.Add(now, Ask{Key: "next", InTimeUntil: now.Add(time.Second), GiveUp: now.Add(time.Second), Slots: 1}), qt.IsTrue)
 	c.Check(d.Next(now), qt.HasLen, 1)
 }
+
+// Under overload slots go to those that can be in time, so that a late request would wait in vain.
+func TestLateRequestsAreRefusedAtOnceUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	d := &Dispenser{}
+	asked := 0
+	add := func(inTime time.Duration) bool {
+		asked++
+		return d.Add(now, Ask{Key: fmt.Sprint(asked), InTimeUntil: now.Add(inTime), GiveUp: now.Add(deadline), Slots: slots})
+	}
+	c.Check(add(-ms), qt.IsTrue, qt.Commentf("without overload"))
+	for add(objective) {
+		d.Next(now)
+	}
+	c.Check(add(-ms), qt.IsFalse, qt.Commentf("a request that could be in time was just refused"))
+	now = now.Add(overloadMemory)
+	c.Check(add(-ms), qt.IsTrue, qt.Commentf("the overload is over"))
+}
