--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -50,6 +50,8 @@
 	Zone string
 	// Off are the mechanisms that an experiment does without.
 	Off ablator.Off
+	// Rand makes choices repeatable; nil draws from the process's own source.
+	Rand *rand.Rand
 
 	backends  map[string]*backend
 	byService map[string][]*backend
@@ -324,7 +326,7 @@
 // refuse returns the refusal of a request that waits in vain, or nil.
 func (b *Balancer) refuse(now time.Time, w *Waiter, holders, others []*backend) *Decision {
 	if w.declined && len(holders) == 0 {
-		return &Decision{Waiter: w, Reason: ReasonDeclined, RetryAfter: spread(retryWhenDeclined)}
+		return &Decision{Waiter: w, Reason: ReasonDeclined, RetryAfter: b.spread(retryWhenDeclined)}
 	}
 	over := !now.Before(w.GiveUp)
 	at, limited := roomAgain(now, holders)
@@ -355,8 +357,22 @@
 
 // spread returns a time around d, so that callers who were refused together do not come
 // back together.
-func spread(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
+func (b *Balancer) spread(d time.Duration) time.Duration {
+	return d/2 + time.Duration(b.float64()*float64(d))
+}
+
+func (b *Balancer) float64() float64 {
+	if b.Rand == nil {
+		return rand.Float64()
+	}
+	return b.Rand.Float64()
+}
+
+func (b *Balancer) intN(n int) int {
+	if b.Rand == nil {
+		return rand.IntN(n)
+	}
+	return b.Rand.IntN(n)
 }
 
 // Retry times of refused callers.
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -100,12 +99,12 @@
 	if b.Off.Has(ablator.TwoChoices) {
 		return slices.MinFunc(able, func(one, other *backend) int { return cmp.Compare(b.score(now, one), b.score(now, other)) })
 	}
-	first := rand.IntN(len(able))
+	first := b.intN(len(able))
 	best := able[first]
 	if len(able) == 1 {
 		return best
 	}
-	other := able[(first+1+rand.IntN(len(able)-1))%len(able)]
+	other := able[(first+1+b.intN(len(able)-1))%len(able)]
 	if b.score(now, other) < b.score(now, best) {
 		return other
 	}
@@ -114,7 +113,7 @@
 
 // score is the load of a backend server with what else speaks against it.
 func (b *Balancer) score(now time.Time, k *backend) float64 {
-	score := k.load() + k.failing(now)*failurePenalty + rand.Float64()*jitter
+	score := k.load() + k.failing(now)*failurePenalty + b.float64()*jitter
 	score += float64(k.reading(now)) / float64(fullReading)
 	if k.info.GetZone() != b.Zone && !b.Off.Has(ablator.ZonePenalty) {
 		score += zonePenalty
