Do not count slots of ejected backend servers as free

Cause: slots are granted by their owners only while a service is contended, that is from 0.55 of its slots on. Backend servers that refuse connections counted as open until controllers call them silent, with all of their slots free, so that two full ones of four were 0.50. Gateways then send without grants, and the queues of the two that are left stand full.

Fix: an ejected backend server counts neither with its slots nor with its requests. TestSlotsOfEjectedBackendsAreNotFree failed before.

--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -134,7 +134,7 @@
 func (b *Balancer) Contended(now time.Time, service string) bool {
 	taken, slots := 0.0, 0.0
 	for _, k := range b.byService[service] {
-		if k.open() && !k.silent(now) {
+		if k.open() && !k.silent(now) && !k.ejected(now) {
 			taken += min(k.own+k.others, k.slots())
 			slots += k.slots()
 		}
--- a/pkg/balancer/failures_test.go
+++ b/pkg/balancer/failures_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/wire"
 )
 
 // A backend server that fails part of its requests while it looks healthy gets fewer,
@@ -100,3 +102,16 @@
 	c.Check(result["c"], qt.Equals, 4)
 	c.Check(result["waits"], qt.Equals, 0)
 }
+
+// Slots of backend servers that refuse connections are not free: half a service with all of its
+// slots taken is contended.
+func TestSlotsOfEjectedBackendsAreNotFree(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b", "gone 1", "gone 2")
+	b.SetLoads([]*wire.Load{{Backend: "a", Requests: 4}, {Backend: "b", Requests: 4}})
+	c.Check(b.Contended(begin(), "s"), qt.IsFalse)
+	for _, id := range []string{"gone 1", "gone 2"} {
+		b.Done(begin(), id, "", 0, Unreachable)
+	}
+	c.Check(b.Contended(begin(), "s"), qt.IsTrue)
+}
