Keep the queue for slots short while an overload persists

Cause: an owner lets in whatever can still be in time behind the queue. In an overload that lasts the queue is always that long, so that each request ends just within its objective: the runs that take longer than the mean are late, and a run that fails leaves no time for another. Slots are no busier for it than with a short queue.

Fix: once requests have been refused for longer than a burst lasts (200 ms), one is let in only if it waits for less than the time of a run. The test failed before in that the queue was as long as at first.

--- a/pkg/dispenser/dispenser.go
+++ b/pkg/dispenser/dispenser.go
@@ -32,6 +32,8 @@
 	// overloadMemory is how long requests that can't be in time are refused at once after one that
 	// could have been was refused, or one that can't has waited in vain: slots go to others.
 	overloadMemory = 300 * time.Millisecond
+	// burstTime is how long an overload may last until it counts as persistent.
+	burstTime = 200 * time.Millisecond
 )
 
 // Ask is a request that is to be sent to the backend server.
@@ -46,7 +48,6 @@
 	GiveUp      time.Time
 	// Slots is the number of requests that the backend server runs at once.
 	Slots int
-
 	order uint64
 }
 
@@ -62,6 +63,8 @@
 	stats   Stats
 	// overloadedUntil is until when requests that can't be in time are refused at once.
 	overloadedUntil time.Time
+	// overloadedSince is when that began.
+	overloadedSince time.Time
 }
 
 // Stats count what became of asks since they were taken last.
@@ -100,14 +103,7 @@
 			ahead++
 		}
 	}
-	starts := now.Add(d.wait(ahead))
-	if d.canBeInTime(now, a) {
-		if !d.canBeInTime(starts, a) {
-			d.stats.Refused++
-			d.overloadedUntil = now.Add(overloadMemory)
-			return false
-		}
-	} else if now.Before(d.overloadedUntil) || !starts.Before(a.GiveUp) {
+	if !d.hasRoom(now, a, d.wait(ahead)) {
 		d.stats.Refused++
 		return false
 	}
@@ -115,6 +111,27 @@
 	return true
 }
 
+// hasRoom reports whether a request may wait, for about a time.
+func (d *Dispenser) hasRoom(now time.Time, a Ask, wait time.Duration) bool {
+	if !d.canBeInTime(now, a) {
+		return !now.Before(d.overloadedUntil) && now.Add(wait).Before(a.GiveUp)
+	}
+	if d.canBeInTime(now.Add(wait), a) && (wait <= d.serviceTime() || !d.overloadPersists(now)) {
+		return true
+	}
+	if !now.Before(d.overloadedUntil) {
+		d.overloadedSince = now
+	}
+	d.overloadedUntil = now.Add(overloadMemory)
+	return false
+}
+
+// overloadPersists reports whether requests that could be in time are refused for longer than a
+// burst lasts. A long queue serves no more of them then, and each of them later.
+func (d *Dispenser) overloadPersists(now time.Time) bool {
+	return now.Before(d.overloadedUntil) && now.Sub(d.overloadedSince) > burstTime
+}
+
 // wait returns about how long a request waits that has some ahead of it.
 func (d *Dispenser) wait(ahead int) time.Duration {
 	free := d.limit() - len(d.running)
--- a/pkg/dispenser/dispenser_test.go
+++ b/pkg/dispenser/dispenser_test.go
@@ -276,3 +276,24 @@
 	c.Check(evicted[0].Key, qt.Equals, "less urgent")
 	c.Check(d.Withdraw("less urgent"), qt.IsFalse)
 }
+
+// In an overload that lasts, a long queue serves no more requests, and each of them later.
+func TestTheQueueIsShortWhileAnOverloadPersists(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	d := &Dispenser{}
+	asked := 0
+	fill := func() (waiting int) {
+		for asked++; d.Add(now, Ask{Key: fmt.Sprint(asked), InTimeUntil: now.Add(objective), GiveUp: now.Add(deadline), Slots: slots}); asked++ {
+			d.Next(now)
+		}
+		return len(d.waiting)
+	}
+	burst := fill()
+	now = now.Add(burstTime + ms)
+	d.waiting = nil
+	c.Check(fill() <= burst/2, qt.IsTrue, qt.Commentf("%d waited at first, %d then", burst, len(d.waiting)))
+	now = now.Add(overloadMemory)
+	d.waiting = nil
+	c.Check(fill(), qt.Equals, burst, qt.Commentf("the overload is over"))
+}
