Send requests elsewhere where a backend server is too slow for them

Cause: an owner took a request that could not be in time at its backend server for a late one, and let it wait or run there. No other owner was asked, where it would have been in time.

Fix: an ask says whether another backend server can be asked next. Where the time of a run alone makes the answer late, the owner says so at once, and two more owners may be asked for it. So that one that is fast again is noticed, a request is let in after 500 ms in which none has ended, and such a run counts for half of the time of a run. TestSlowBackendServersAreProbed does not compile without this.

--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -59,10 +59,11 @@
 	trial  string
 	charge charge
 	grant  grant
-	// dispensed is set if its backend server's slots are given out, and slotAsks counts those
-	// that had none for it.
+	// dispensed is set if its backend server's slots are given out. slotAsks counts those that
+	// had none for it, and slowAsks those that were too slow.
 	dispensed bool
 	slotAsks  int
+	slowAsks  int
 	// status is what the latest log line says that the caller gets; 0 for a connection that ends.
 	status int
 }
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -16,6 +16,8 @@
 	assumedSlots = 8
 	// maxSlotAsks is how many backend servers are asked for a slot at most.
 	maxSlotAsks = 2
+	// maxSlowAsks is how many more are asked because others are too slow.
+	maxSlowAsks = 2
 	// reasonCrowded is what a caller hears whose request would be late at all of them.
 	reasonCrowded = "the backend servers have too much to do for an answer in time"
 	// retryWhenCrowded is the retry time then: later than what waits now.
@@ -42,7 +44,7 @@
 		slots = assumedSlots
 	}
 	answer := f.Regulator.Ask(ctx, &regulator.Prompt{
-		Backend: backend.GetId(), Slots: slots, GiveUp: j.sendBy, Ask: pacer.Ask{
+		Backend: backend.GetId(), Slots: slots, GiveUp: j.sendBy, Elsewhere: f.maySlotElsewhere(j, backend.GetId(), began), Ask: pacer.Ask{
 			Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt,
 			InTimeUntil: j.inTimeUntil(),
 		},
@@ -52,11 +54,27 @@
 		j.prompt = &prompt{backend: backend.GetId(), key: answer.Key}
 		return true
 	}
-	j.slotAsks++
+	if answer.Slow {
+		j.slowAsks++
+	} else {
+		j.slotAsks++
+	}
 	j.avoid = append(j.avoid, backend.GetId())
 	return false
 }
 
+// maySlotElsewhere reports whether another backend server can be asked for a slot next, where the
+// request may be in time.
+func (f *Forwarder) maySlotElsewhere(j *job, backend string, now time.Time) bool {
+	if j.slowAsks >= maxSlowAsks || !now.Before(j.inTimeUntil()) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &balancer.Waiter{Service: j.service, Adapter: j.adapter, Avoid: j.avoid, Dispensed: true}
+	return f.balancer.HasOther(now, w, backend)
+}
+
 // refuseSlot gives up a choice whose backend server had no slot, and reports whether another
 // one is to be asked.
 func (f *Forwarder) refuseSlot(ctx context.Context, j *job, backend *wire.Announcement) bool {
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -89,11 +89,13 @@
 	// at once. GiveUp is when it is no use to wait longer.
 	Slots  int
 	GiveUp time.Time
+	// Elsewhere is set if another backend server can be asked next.
+	Elsewhere bool
 }
 
 // slot returns what the dispenser is asked for a request of a plain service.
 func (p *Prompt) slot() dispenser.Ask {
-	return dispenser.Ask{Key: p.Key, Urgency: p.Urgency, InTimeUntil: p.InTimeUntil, GiveUp: p.GiveUp, Slots: p.Slots}
+	return dispenser.Ask{Key: p.Key, Urgency: p.Urgency, InTimeUntil: p.InTimeUntil, GiveUp: p.GiveUp, Slots: p.Slots, Elsewhere: p.Elsewhere}
 }
 
 // Answer is what became of an ask.
@@ -104,6 +106,9 @@
 	Key string
 	// Backlog is about how long the engine takes to read what it has and what waits.
 	Backlog time.Duration
+	// Slow means that the backend server takes too long for an answer in time, whatever it has
+	// to do.
+	Slow bool
 }
 
 // Init prepares the regulator for calls before Run.
@@ -179,11 +184,11 @@
 	}
 	e.loggedAt = now
 	s := e.dispenser.TakeStats()
-	if s.Granted+s.Refused+s.Withdrawn == 0 {
+	if s.Granted+s.Refused+s.Slow+s.Withdrawn == 0 {
 		return
 	}
 	r.Log.Info("slots granted", "Backend", backend, "Granted", s.Granted, "GrantedLate", s.Late, "Refused", s.Refused,
-		"Evicted", s.Evicted, "Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
+		"Slow", s.Slow, "Evicted", s.Evicted, "Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
 		"ServiceUs", s.Service.Microseconds())
 }
 
@@ -234,7 +239,7 @@
 	e.askedAt = r.Clock.Now()
 	if !e.add(e.askedAt, p) {
 		defer r.mu.Unlock()
-		return Answer{Backlog: e.backlog(p)}
+		return Answer{Backlog: e.backlog(p), Slow: p.Elsewhere && e.dispenser.TooSlow(e.askedAt, p.slot())}
 	}
 	e.waiting[p.Key] = decided
 	e.grant(e.askedAt)
@@ -363,12 +368,12 @@
 	if req.GetSeen() && r.Heard != nil {
 		r.Heard(req.GetBackend(), req.GetGateway())
 	}
-	answer := r.wait(ctx, &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), GiveUp: now.Add(milliseconds(req.GetGiveUpMs())), Ask: pacer.Ask{
+	answer := r.wait(ctx, &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), GiveUp: now.Add(milliseconds(req.GetGiveUpMs())), Elsewhere: req.GetElsewhere(), Ask: pacer.Ask{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), InTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
 		Pause: milliseconds(req.GetPauseMs()), EventTime: time.Duration(req.GetEventUs()) * time.Microsecond,
 	}}, milliseconds(req.GetWaitMs()))
-	return &wire.AdmitResponse{Granted: answer.Granted, BacklogMs: uint32(answer.Backlog.Milliseconds())}, nil
+	return &wire.AdmitResponse{Granted: answer.Granted, BacklogMs: uint32(answer.Backlog.Milliseconds()), Slow: answer.Slow}, nil
 }
 
 // End notes prompts that were read or given up.
@@ -390,12 +395,12 @@
 		AgeMs: uint32(now.Sub(p.ReceivedAt).Milliseconds()), InTimeForMs: int32(p.InTimeUntil.Sub(now).Milliseconds()),
 		PauseMs: uint32(p.Pause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		EventUs: uint32(p.EventTime.Microseconds()), Gateway: r.Self, Seen: p.Seen,
-		Slots: uint32(p.Slots), GiveUpMs: uint32(max(0, p.GiveUp.Sub(now).Milliseconds())),
+		Slots: uint32(p.Slots), GiveUpMs: uint32(max(0, p.GiveUp.Sub(now).Milliseconds())), Elsewhere: p.Elsewhere,
 	})
 	if err != nil {
 		r.unanswered(ctx, address, err)
 		return Answer{}, false
 	}
 	r.answered(address)
-	return Answer{Granted: res.GetGranted(), Key: p.Key, Backlog: milliseconds(res.GetBacklogMs())}, true
+	return Answer{Granted: res.GetGranted(), Key: p.Key, Backlog: milliseconds(res.GetBacklogMs()), Slow: res.GetSlow()}, true
 }
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -180,7 +180,7 @@
 func (b *Balancer) HasOther(now time.Time, w *Waiter, id string) bool {
 	able := b.able(now, b.candidates(now, w).preferred, w.Adapter)
 	return slices.ContainsFunc(able, func(k *backend) bool {
-		return k.info.GetId() != id && !k.paused(now) && !now.Before(k.fullUntil) && k.hasRoom()
+		return k.info.GetId() != id && !k.paused(now) && (w.Dispensed || !now.Before(k.fullUntil) && k.hasRoom())
 	})
 }
 
--- a/pkg/dispenser/dispenser.go
+++ b/pkg/dispenser/dispenser.go
@@ -22,6 +22,10 @@
 	firstService = 20 * time.Millisecond
 	// serviceMemory is the weight of the latest request in the time of one.
 	serviceMemory = 0.1
+	// probeEvery is the time without an end after which a request is let in that a backend server
+	// seems too slow for, and probeMemory the weight of such a request in the time of one.
+	probeEvery  = 500 * time.Millisecond
+	probeMemory = 0.5
 	// lateMargin times the time of a request must be left for one to count as able to be in time:
 	// requests differ, and one that gets late has used a slot for little.
 	lateMargin = 1.3
@@ -48,6 +52,9 @@
 	GiveUp      time.Time
 	// Slots is the number of requests that the backend server runs at once.
 	Slots int
+	// Elsewhere is set if another backend server can be asked next.
+	Elsewhere bool
+
 	order uint64
 }
 
@@ -60,6 +67,8 @@
 	order   uint64
 	// service is about the time of a request.
 	service time.Duration
+	// endedAt is when a request ended last.
+	endedAt time.Time
 	stats   Stats
 	// overloadedUntil is until when requests that can't be in time are refused at once.
 	overloadedUntil time.Time
@@ -74,6 +83,8 @@
 	// Refused are asks that were refused at once, Evicted those that were refused once they could
 	// not be in time any more, and Withdrawn those that waited in vain.
 	Refused, Evicted, Withdrawn int
+	// Slow are asks that were sent elsewhere, since the backend server is too slow.
+	Slow int
 	// Expired are requests whose end was not reported.
 	Expired int
 	// Waiting and Running are the asks that wait and the requests that run now.
@@ -94,6 +105,10 @@
 // what is ahead of it is refused at once.
 func (d *Dispenser) Add(now time.Time, a Ask) bool {
 	d.forget(now)
+	if a.Elsewhere && d.TooSlow(now, a) {
+		d.stats.Slow++
+		return false
+	}
 	d.slots = max(1, a.Slots)
 	d.order++
 	a.order = d.order
@@ -111,6 +126,17 @@
 	return true
 }
 
+// TooSlow reports whether an answer would be late without any wait. Now and then it is false
+// whatever the time of a request: only a run shows that the backend server is fast again.
+func (d *Dispenser) TooSlow(now time.Time, a Ask) bool {
+	return !d.canBeInTime(now, a) && !d.probeDue(now)
+}
+
+// probeDue reports whether no request has ended for a while, and none is under way.
+func (d *Dispenser) probeDue(now time.Time) bool {
+	return len(d.running) == 0 && len(d.waiting) == 0 && now.Sub(d.endedAt) >= probeEvery
+}
+
 // hasRoom reports whether a request may wait, for about a time.
 func (d *Dispenser) hasRoom(now time.Time, a Ask, wait time.Duration) bool {
 	if !d.canBeInTime(now, a) {
@@ -190,9 +216,15 @@
 		return
 	}
 	delete(d.running, key)
-	if ran {
-		d.service = d.serviceTime() + time.Duration(serviceMemory*float64(now.Sub(at)-d.serviceTime()))
+	if !ran {
+		return
+	}
+	weight := serviceMemory
+	if at.Sub(d.endedAt) >= probeEvery {
+		weight = probeMemory
 	}
+	d.service = d.serviceTime() + time.Duration(weight*float64(now.Sub(at)-d.serviceTime()))
+	d.endedAt = now
 }
 
 // Evict returns the asks that have waited until they can't be in time any more, and takes them
--- a/pkg/dispenser/dispenser_test.go
+++ b/pkg/dispenser/dispenser_test.go
@@ -297,3 +297,34 @@
 	d.waiting = nil
 	c.Check(fill(), qt.Equals, burst, qt.Commentf("the overload is over"))
 }
+
+// A backend server that takes too long for an answer in time leaves requests to others, and gets
+// one now and then that shows when it is fast again.
+func TestSlowBackendServersAreProbed(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	d := &Dispenser{}
+	asked := 0
+	add := func(elsewhere bool) bool {
+		asked++
+		return d.Add(now, Ask{Key: fmt.Sprint(asked), InTimeUntil: now.Add(objective), GiveUp: now.Add(deadline), Slots: slots, Elsewhere: elsewhere})
+	}
+	run := func(took time.Duration) {
+		c.Assert(add(false), qt.IsTrue)
+		for _, a := range d.Next(now) {
+			now = now.Add(took)
+			d.End(now, a.Key, true)
+		}
+	}
+	for range 50 {
+		run(200 * ms)
+	}
+	c.Check(add(true), qt.IsFalse)
+	now = now.Add(probeEvery)
+	c.Assert(add(true), qt.IsTrue, qt.Commentf("a probe"))
+	c.Check(add(true), qt.IsFalse, qt.Commentf("one at a time"))
+	probe := d.Next(now)
+	now = now.Add(30 * ms)
+	d.End(now, probe[0].Key, true)
+	c.Check(add(true), qt.IsTrue, qt.Commentf("one fast run shows it"))
+}
--- a/pkg/dispenser/fleet_test.go
+++ b/pkg/dispenser/fleet_test.go
@@ -30,6 +30,8 @@
 	newsEvery = 50 * ms
 	// maxAsks is how many owners are asked for a slot by one try.
 	maxAsks = 2
+	// maxSlow is how many more are asked because others are too slow.
+	maxSlow = 2
 )
 
 // fleet is a plain service behind many gateways, with their real decisions, in virtual time.
@@ -83,6 +85,7 @@
 	asked    time.Time
 	avoid    []string
 	asks     int
+	slow     int
 	runs     int
 	key      string
 }
@@ -262,16 +265,19 @@
 
 // ask asks the owner of a backend server for a slot.
 func (f *fleet) ask(t *try, s *server) {
-	key := fmt.Sprint(t.key, "/", t.asks, "/", t.runs)
+	key := fmt.Sprint(t.key, "/", len(t.avoid), "/", t.runs)
 	ask := dispenser.Ask{Key: key, InTimeUntil: t.asked.Add(objective), GiveUp: t.received.Add(timeout), Slots: slots}
+	ask.Elsewhere = t.slow < maxSlow && f.now.Before(t.asked.Add(objective)) &&
+		t.gateway.balancer.HasOther(f.now, &balancer.Waiter{Service: "s", Avoid: t.avoid, Dispensed: true}, s.id)
 	if !s.dispenser.Add(f.now, ask) {
-		f.after(hop, func() { f.noSlot(t, s) })
+		slow := ask.Elsewhere && s.dispenser.TooSlow(f.now, ask)
+		f.after(hop, func() { f.noSlot(t, s, slow) })
 		return
 	}
 	s.grant[key] = func(granted bool) {
 		f.after(hop, func() {
 			if !granted {
-				f.noSlot(t, s)
+				f.noSlot(t, s, false)
 				return
 			}
 			t.key = key
@@ -281,7 +287,7 @@
 	f.after(max(0, t.received.Add(timeout).Sub(f.now)), func() {
 		if s.dispenser.Withdraw(key) {
 			delete(s.grant, key)
-			f.noSlot(t, s)
+			f.noSlot(t, s, false)
 		}
 	})
 	f.grant(s)
@@ -299,10 +305,15 @@
 	tell(s.dispenser.Next(f.now), true)
 }
 
-func (f *fleet) noSlot(t *try, s *server) {
+func (f *fleet) noSlot(t *try, s *server, slow bool) {
 	t.gateway.balancer.Done(f.now, s.id, "", 0, balancer.Abandoned)
 	t.avoid = append(t.avoid, s.id)
-	if t.asks++; t.asks < maxAsks {
+	if slow {
+		t.slow++
+	} else {
+		t.asks++
+	}
+	if t.asks < maxAsks {
 		f.choose(t)
 		return
 	}
