Wait for a slot no longer than a request can be in time

Read in the code while looking for the same cause elsewhere: a request for a granted slot waits at the owner for all the time that it has, four objectives and more.

Now a request that can be in time waits until it can't be any more, and then asks another owner. The test fails to compile without this. Not measured by itself yet.

--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -48,7 +48,7 @@
 			Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt,
 			InTimeUntil: j.inTimeUntil(),
 		},
-	}, max(0, j.sendBy.Sub(began)))
+	}, j.slotWait(began))
 	j.waited += f.Clock.Since(began)
 	if answer.Granted {
 		j.prompt = &prompt{backend: backend.GetId(), key: answer.Key}
@@ -63,6 +63,16 @@
 	return false
 }
 
+// slotWait returns how long a request waits for a slot of one backend server: while it can be in
+// time no longer than that, so that an owner which does not answer costs one objective and not
+// all of the request's time.
+func (j *job) slotWait(now time.Time) time.Duration {
+	if inTime := j.inTimeUntil(); now.Before(inTime) && inTime.Before(j.sendBy) {
+		return inTime.Sub(now)
+	}
+	return max(0, j.sendBy.Sub(now))
+}
+
 // maySlotElsewhere reports whether another backend server can be asked for a slot next, where the
 // request may be in time.
 func (f *Forwarder) maySlotElsewhere(j *job, backend string, now time.Time) bool {
--- /dev/null
+++ b/gateway/forwarder/slot_test.go
@@ -0,0 +1,36 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/gateway/doorkeeper"
+	"bronzelead.example/pkg/wire"
+)
+
+// An owner that does not answer must not hold a request beyond the time in which another
+// backend server could still answer it in time.
+func TestASilentOwnerHoldsARequestForItsObjectiveAtMost(t *testing.T) {
+	received := time.Unix(1e9, 0)
+	for name, test := range map[string]struct {
+		asked, sendBy, now time.Duration
+		want               time.Duration
+	}{
+		"a first try":                  {0, 640, 10, 140},
+		"a retry that can be in time":  {-100, 640, 10, 40},
+		"a retry that can't":           {-300, 640, 10, 630},
+		"one that is to be sent first": {0, 100, 10, 90},
+		"one whose time is over":       {-300, 640, 650, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const ms = time.Millisecond
+			j := &job{
+				req: &doorkeeper.Request{ReceivedAt: received}, route: &wire.Route{ObjectiveMs: 150},
+				askedAt: received.Add(test.asked * ms), sendBy: received.Add(test.sendBy * ms),
+			}
+			qt.New(t).Check(j.slotWait(received.Add(test.now*ms)), qt.Equals, test.want*ms)
+		})
+	}
+}
