--- a/pkg/dispenser/goodput_test.go
+++ b/pkg/dispenser/goodput_test.go
@@ -63,9 +63,17 @@
 	return min(1, x.capacity*seeds*servers*slots/meanWork.Seconds()/runs)
 }
 
-// check compares each second that counts with what is possible, for both classes.
-func (x scene) check(t *testing.T) {
-	c := qt.New(t)
+// class is an index of result: requests that may run once, or twice.
+type class int
+
+const (
+	once class = iota
+	safe
+)
+
+// check compares each second that counts with what is possible, for a class of requests.
+func (x scene) check(t *testing.T, of class) {
+	t.Parallel()
 	from := int(calm / time.Second)
 	if x.happens != nil {
 		from = int((calm + x.settles) / time.Second)
@@ -74,11 +82,9 @@
 		results := x.play(newsAge)
 		for second := from; second < int((calm+during)/time.Second); second++ {
 			r := results[second]
-			for class, name := range []string{"once", "safe"} {
-				share := float64(r.inTime[class]) / float64(r.asked[class])
-				c.Check(share >= leastGoodput*x.possible(r), qt.IsTrue,
-					qt.Commentf("%s, news %v old, second %d: %.3f in time, %.3f possible", name, newsAge, second, share, x.possible(r)))
-			}
+			share := float64(r.inTime[of]) / float64(r.asked[of])
+			qt.New(t).Check(share >= leastGoodput*x.possible(r), qt.IsTrue,
+				qt.Commentf("news %v old, second %d: %.3f in time, %.3f possible", newsAge, second, share, x.possible(r)))
 		}
 	}
 }
@@ -99,39 +105,52 @@
 	}
 }
 
-// Callers that are refused retry; what is done for them must not take the place of first tries,
-// and no slot is idle while requests wait for others.
-func TestNearlyAllThatIsPossibleIsInTime(t *testing.T) {
-	for name, x := range map[string]scene{
+func loads() map[string]scene {
+	return map[string]scene{
 		"half of the capacity":            {load: 0.5, capacity: 1},
 		"where slots begin to be granted": {load: 0.55, capacity: 1},
 		"three quarters":                  {load: 0.75, capacity: 1},
 		"nearly all":                      {load: 0.9, capacity: 1},
 		"all":                             {load: 1, capacity: 1},
 		"half more than all":              {load: 1.5, capacity: 1},
-	} {
-		t.Run(name, x.check)
 	}
 }
 
-// Backend servers that refuse connections take no more away than their own slots.
-func TestLostBackendServersCostTheirSlotsOnly(t *testing.T) {
-	for name, x := range map[string]scene{
-		"one of four":                 {load: 0.6, happens: gone(1), capacity: 0.75, settles: time.Second},
-		"two of four":                 {load: 0.52, happens: gone(2), capacity: 0.5, settles: time.Second},
-		"two of four under more load": {load: 0.7, happens: gone(2), capacity: 0.5, settles: time.Second},
-	} {
-		t.Run(name, x.check)
+func losses() map[string]scene {
+	return map[string]scene{
+		"one of four gone":                 {load: 0.6, happens: gone(1), capacity: 0.75, settles: time.Second},
+		"two of four gone":                 {load: 0.52, happens: gone(2), capacity: 0.5, settles: time.Second},
+		"two of four gone under more load": {load: 0.7, happens: gone(2), capacity: 0.5, settles: time.Second},
+	}
+}
+
+func slowdowns() map[string]scene {
+	return map[string]scene{
+		"one of four slow":                         {load: 0.6, happens: slow(1, 5), capacity: 0.75, settles: 2 * time.Second},
+		"two of four slow":                         {load: 0.4, happens: slow(2, 5), capacity: 0.5, settles: 2 * time.Second},
+		"two of four slow at all the others' load": {load: 0.52, happens: slow(2, 5), capacity: 0.5, settles: 2 * time.Second},
 	}
 }
 
+func checkAll(t *testing.T, scenes map[string]scene, of class) {
+	for name, x := range scenes {
+		t.Run(name, func(t *testing.T) { x.check(t, of) })
+	}
+}
+
+// Callers that are refused retry; what is done for them must not take the place of first tries,
+// and no slot is idle while requests wait for others.
+func TestNearlyAllThatIsPossibleIsInTime(t *testing.T) { checkAll(t, loads(), once) }
+
+// Backend servers that refuse connections take no more away than their own slots.
+func TestLostBackendServersCostTheirSlotsOnly(t *testing.T) { checkAll(t, losses(), once) }
+
 // Backend servers that are too slow for an answer in time leave requests to the others.
-func TestSlowBackendServersCostTheirSlotsOnly(t *testing.T) {
-	for name, x := range map[string]scene{
-		"one of four":                   {load: 0.6, happens: slow(1, 5), capacity: 0.75, settles: 2 * time.Second},
-		"two of four":                   {load: 0.4, happens: slow(2, 5), capacity: 0.5, settles: 2 * time.Second},
-		"two of four at all their load": {load: 0.52, happens: slow(2, 5), capacity: 0.5, settles: 2 * time.Second},
-	} {
-		t.Run(name, x.check)
+func TestSlowBackendServersCostTheirSlotsOnly(t *testing.T) { checkAll(t, slowdowns(), once) }
+
+// A request that fails and may run again needs two slots within its objective.
+func TestRepeatsAreInTimeToo(t *testing.T) {
+	for _, scenes := range []map[string]scene{loads(), losses(), slowdowns()} {
+		checkAll(t, scenes, safe)
 	}
 }
