--- a/gateway/forwarder/slot_test.go
+++ b/gateway/forwarder/slot_test.go
@@ -15,8 +15,7 @@
 func TestASilentOwnerHoldsARequestForItsObjectiveAtMost(t *testing.T) {
 	received := time.Unix(1e9, 0)
 	for name, test := range map[string]struct {
-		asked, sendBy, now time.Duration
-		want               time.Duration
+		asked, sendBy, now, want int
 	}{
 		"a first try":                  {0, 640, 10, 140},
 		"a retry that can be in time":  {-100, 640, 10, 40},
@@ -25,12 +24,12 @@
 		"one whose time is over":       {-300, 640, 650, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			const ms = time.Millisecond
+			at := func(ms int) time.Time { return received.Add(time.Duration(ms) * time.Millisecond) }
 			j := &job{
 				req: &doorkeeper.Request{ReceivedAt: received}, route: &wire.Route{ObjectiveMs: 150},
-				askedAt: received.Add(test.asked * ms), sendBy: received.Add(test.sendBy * ms),
+				askedAt: at(test.asked), sendBy: at(test.sendBy),
 			}
-			qt.New(t).Check(j.slotWait(received.Add(test.now*ms)), qt.Equals, test.want*ms)
+			qt.New(t).Check(j.slotWait(at(test.now)), qt.Equals, at(test.want).Sub(received))
 		})
 	}
 }
--- a/pkg/dispenser/fleet_test.go
+++ b/pkg/dispenser/fleet_test.go
@@ -74,7 +74,6 @@
 	patience time.Duration
 	safe     bool
 	retries  int
-	done     bool
 }
 
 // try is one try of a request at one gateway.
