--- a/pkg/dispenser/dispenser.go
+++ b/pkg/dispenser/dispenser.go
@@ -34,7 +34,7 @@
 	forgetFactor = 10
 	forgetAfter  = time.Second
 	// overloadMemory is how long requests that can't be in time are refused at once after one that
-	// could have been was refused, or one that can't has waited in vain: slots go to others.
+	// could have been was refused: they would wait in vain.
 	overloadMemory = 300 * time.Millisecond
 	// burstTime is how long an overload may last until it counts as persistent.
 	burstTime = 200 * time.Millisecond
