Do not take a conflict on a repeated load for its acceptance

The next leader's first load at an engine gets no answer and is given again with the same precondition. If the earlier leader's late load is carried out in between, the engine answers with a conflict. The placer took that for the acceptance of its own load and counted an accepted order, which happens to be the right number. The question whether the load has ended then is a load of its own, one more than the engine has places for. An order with a lower fence is refused only after the engine has seen one with the higher.

Fix: after a conflict on a repeated load the engine is asked for its state. An engine that has taken a load answers its repetition as accepted or as held, so that a conflict says nothing of it. The test fails before ('more adapters than places').

A repeated unload is judged as before.

--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -89,10 +89,11 @@
 	}
 }
 
-// afterRepeat tells the outcome of an order that was given again after no answer: it was
-// accepted once, the first time or now, whatever the engine says of the second.
+// afterRepeat tells the outcome of an order that was given again after no answer. Where the
+// engine holds or takes what was asked for, the order was accepted once, the first time or now. A
+// conflict tells nothing of it: another order may have been carried out in between.
 func afterRepeat(o Order, outcome Outcome) Outcome {
-	accepted := outcome == Conflict || outcome == Holds || outcome == Accepted
+	accepted := outcome == Holds || outcome == Accepted
 	if accepted && o.Kind != Unload {
 		return Accepted
 	}
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -260,3 +260,34 @@
 		})
 	}
 }
+
+// An order of an earlier leader may be carried out between an order without an answer and its
+// repetition. The engine holds something else then than the new leader believes, and must not be
+// given more than it has places for.
+func TestLateOrdersOfAnEarlierLeaderDoNotOverfillAnEngine(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 1, 6)
+	for i := range 5 {
+		w.fakes["e0"].held[name(i)] = 0
+	}
+	w.timeout = 60 * time.Millisecond
+	w.pass(100 * time.Millisecond)
+	w.unanswered, w.late = 1, 1
+	w.p.Demand(w.now, name(100), 1)
+	w.p.Want(w.now, name(100), nil, time.Time{})
+	for w.orders[Load] == 0 {
+		w.pass(10 * time.Millisecond)
+	}
+	w.unanswered, w.pending = 0, nil
+	earlier, _ := w.fakes["e0"].carryOut(w.now, Order{Kind: Load, Backend: "e0", Adapter: name(200)})
+	c.Assert(earlier, qt.Equals, Accepted)
+	came := false
+	for range 8 {
+		// Gateways ask again while requests wait.
+		w.p.Demand(w.now, name(100), 1)
+		w.p.Want(w.now, name(100), nil, time.Time{})
+		w.pass(400 * time.Millisecond)
+		came = came || w.usable(name(100)) > 0
+	}
+	c.Check(came, qt.IsTrue, qt.Commentf("it is loaded in the end"))
+}
