Log what backend servers announce about further requests

A 503 with Retry-After and a response with Server-Leaving were not read at all, so logs could not say whether a request was sent to a backend server that had asked for none, nor whether it was a first send, a repeat or one that had waited.

platform decodes both fields; the balancer keeps them for logs and decides nothing by them yet. Requests' lines have BackoffLeft, BackoffAge and Leaving; sends to such backend servers are counted each second by kind.

Server-Leaving stays in the gateway, like load and limit.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -71,6 +71,7 @@
 func (f *Forwarder) handleResponse(ctx context.Context, j *job, d balancer.Decision, in *sender.Response) bool {
 	answer := platform.DecodeResponse(in.Head)
 	f.observeLimit(j, in.Head.Status, answer)
+	f.observeConstraints(j, in.Head.Status, answer)
 	switch {
 	case answer.NotRun:
 		in.Close()
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -105,6 +105,10 @@
 	outcomesLoggedAt time.Time
 	// limitFaultLoggedAt is when an unreadable limit was last logged.
 	limitFaultLoggedAt time.Time
+	// backoffFaultLoggedAt is when an unreadable backoff was last logged.
+	backoffFaultLoggedAt time.Time
+	// constrainedSends counts since the last log line.
+	constrainedSends constrainedSends
 }
 
 // Init prepares the forwarder for calls before Run.
@@ -119,6 +123,7 @@
 	f.requestOutcomes = map[string]map[requestOutcome]int{}
 	f.ageEstimators = map[string]*ageestimator.Estimator{}
 	f.pacingActivations = map[string]*pacer.Activation{}
+	f.constrainedSends = constrainedSends{}
 	f.initIsolator()
 	f.initGranter()
 }
@@ -146,6 +151,7 @@
 		case <-sweep.Chan():
 			f.Sender.CloseExpired()
 			f.logOutcomes()
+			f.logConstrainedSends()
 		}
 	}
 }
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -61,6 +61,7 @@
 		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
 	}
 	list = append(list, f.limitAttributes(j, backend.GetId())...)
+	list = append(list, f.constraintAttributes(backend.GetId())...)
 	if j.sends > 0 {
 		list = append(list, "Fingerprint", j.requestFingerprints()[0], "SinceSent", f.Clock.Since(j.sentAt).Milliseconds())
 	}
--- a/gateway/forwarder/throttle.go
+++ b/gateway/forwarder/throttle.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// recordSent counts an attempt towards its backend server's limit.
+// recordSent counts an attempt towards its backend server's limit and constraint.
 func (f *Forwarder) recordSent(j *job) {
 	kind := granter.First
 	switch {
@@ -118,4 +118,5 @@
 		kind = granter.Repeat
 	}
 	f.Granter.RecordSent(j.lastBackend.GetId(), kind, j.grant.decidedBy)
+	f.countConstrainedSend(j.lastBackend.GetId(), kind)
 }
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -39,6 +39,12 @@
 	since       time.Time
 	// pausedUntil is when its request limit has room again.
 	pausedUntil time.Time
+	// backoffUntil is until when it accepts no requests of this gateway, and backoffSince when
+	// that began.
+	backoffUntil time.Time
+	backoffSince time.Time
+	// leaving is set once an answer announced that it is leaving.
+	leaving bool
 	// backlog is how long the engine needed to read its unread prompts as of backlogAt.
 	backlog   time.Duration
 	backlogAt time.Time
