Add failing tests for backend servers that accept no more requests

A backend server that answers 503 with Retry-After: 3 gets 19 requests of one gateway in that time (2 are allowed), and a request that only it can serve is sent there four times; its caller is told to retry in 300 ms. One that announces its departure in its answers gets 44 requests from gateways that it had told, while these can't reach the controllers.

--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -45,6 +45,8 @@
 	// limit is the rate limit that its answers name, arrivalTimes when requests arrived.
 	limit        throttler.RequestRate
 	arrivalTimes []time.Time
+	// constraints is what its answers announce about further requests.
+	constraints constraints
 }
 
 // setLimit sets the rate limit that the server's answers name; with 0 they name none.
@@ -132,6 +134,9 @@
 		header = append(header, framer.Field{Name: name, Value: r.Header.Get(name)})
 	}
 	id := platform.DecodeRequest(header).ID
+	if b.applyConstraints(w, id) {
+		return
+	}
 	if target := platform.DecodeDispatch(header).Name; target != "" && target != b.id {
 		setHeaders(w, platform.StandInRefusal(id))
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/proof/routed_callers_test.go
+++ b/proof/routed_callers_test.go
@@ -86,7 +86,7 @@
 	if body == "" {
 		body = "order " + id
 	}
-	l.y.history.recordSent(id, "POST "+path+" "+body)
+	l.y.history.recordSent(id, "POST "+path+" "+body, l.to)
 	if l.conn == nil {
 		dialer := net.Dialer{Timeout: time.Second, LocalAddr: l.from}
 		conn, err := dialer.Dial("tcp", l.to.address)
--- /dev/null
+++ b/proof/routed_constraints_test.go
@@ -0,0 +1,175 @@
+package proof
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/framer"
+	"bronzelead.example/platform"
+)
+
+// Three of nine model engines rejected all requests for nine seconds, each answer with
+// Retry-After: 3. Every gateway took that for a lack of room and tried the engine again 100 ms
+// later, and a request that only this engine could serve went there four times:
+//
+//	6.007 s  i-5c9400b678 turns edge-forde-1-2 away and asks for rest
+//	6.458 s  57f1af18da703736 reaches it from edge-forde-1-2: 503
+//	6.563 s  57f1af18da703736 reaches it from edge-forde-1-2: 503
+//	6.667 s  57f1af18da703736 reaches it from edge-forde-1-2: 503
+//	6.776 s  57f1af18da703736 reaches it from edge-forde-1-2: 503, the 7th request since 6.507 s
+//
+// Here one of three backend servers does the same while callers keep all gateways busy.
+func TestRoutedBackoffOfABackendServerIsKept(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startRouted(c, 3, 3, 3)
+	load := startSteadyLoad(y, 20)
+	busy := y.backends[0]
+	y.waitServed(120)
+	busy.setBackoff(rejectBackoff)
+	y.waitWhileServing(time.Now().Add(3 * rejectBackoff))
+	busy.setBackoff(0)
+	recoveredAt := time.Now()
+	eventually(c, "it serves its share again", func() bool {
+		return busy.arrivedBetween(recoveredAt.Add(rejectBackoff), time.Now()) > 40
+	})
+	load.stop()
+	c.Check(load.notServed(), qt.HasLen, 0)
+	y.history.check(c)
+	busy.checkBackoffs(c)
+}
+
+// A backend server that leaves said so in its answers. A gateway that is partitioned from the
+// controllers, which know of it, went on to send it requests until it had exited.
+func TestRoutedLeavingBackendServerGetsNoRequests(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startRouted(c, 3, 2, 2)
+	load := startSteadyLoad(y, 20)
+	y.waitServed(80)
+	for _, n := range y.controllers {
+		n.freeze()
+	}
+	leaving := y.backends[0]
+	leaving.leave()
+	y.waitWhileServing(time.Now().Add(2 * drainTime))
+	for _, n := range y.controllers {
+		n.thaw()
+	}
+	load.stop()
+	c.Check(load.notServed(), qt.HasLen, 0)
+	y.history.check(c)
+	leaving.checkDrained(c)
+}
+
+const (
+	// rejectBackoff is the backoff that a rejecting backend server asks for.
+	rejectBackoff = 3 * time.Second
+	// backoffGrace is how long after a rejection requests may still arrive, and
+	// maxDuringBackoff how many of a gateway may arrive after that.
+	backoffGrace     = 500 * time.Millisecond
+	maxDuringBackoff = 2
+	// drainTime is how long a gateway that was told of a departure may go on to send new
+	// requests.
+	drainTime = 2 * time.Second
+)
+
+// constraints is what a backend server announces about further requests, and what followed.
+type constraints struct {
+	backoff time.Duration
+	leaving bool
+	// rejections are its answers that asked for a backoff, requests what arrived, and toldAt
+	// when it first told a gateway that it is leaving.
+	rejections []rejection
+	requests   []arrival
+	toldAt     map[*instance]time.Time
+}
+
+type rejection struct {
+	gateway *instance
+	at      time.Time
+	backoff time.Duration
+}
+
+type arrival struct {
+	id     string
+	origin origin
+	at     time.Time
+}
+
+// setBackoff lets the server reject all requests and ask for a backoff; 0 ends this.
+func (b *fakeBackend) setBackoff(backoff time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.constraints.backoff = backoff
+}
+
+// leave lets the server announce in all answers that it is leaving.
+func (b *fakeBackend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.constraints.leaving = true
+}
+
+// applyConstraints records a request, sets what the answer announces, and reports whether it
+// rejected the request.
+func (b *fakeBackend) applyConstraints(w http.ResponseWriter, id string) bool {
+	from, now := b.y.history.originOf(id), time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := &b.constraints
+	s.requests = append(s.requests, arrival{id, from, now})
+	if s.leaving {
+		setHeaders(w, framer.Header{platform.StandInLeaving()})
+		if s.toldAt == nil {
+			s.toldAt = map[*instance]time.Time{}
+		}
+		if _, told := s.toldAt[from.gateway]; !told {
+			s.toldAt[from.gateway] = now
+		}
+	}
+	if s.backoff == 0 {
+		return false
+	}
+	s.rejections = append(s.rejections, rejection{from.gateway, now, s.backoff})
+	setHeaders(w, append(platform.StandInRefusal(id), platform.StandInBackoff(s.backoff)))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// checkBackoffs checks how many requests each gateway sent during each backoff.
+func (b *fakeBackend) checkBackoffs(c *qt.C) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.Check(len(b.constraints.rejections) > 0, qt.IsTrue, qt.Commentf("it rejected no request"))
+	worst := 0
+	for _, r := range b.constraints.rejections {
+		n := 0
+		for _, a := range b.constraints.requests {
+			if a.origin.gateway == r.gateway && a.at.After(r.at.Add(backoffGrace)) && a.at.Before(r.at.Add(r.backoff)) {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	c.Logf("%d requests rejected; at most %d of a gateway during a backoff, allowed %d", len(b.constraints.rejections), worst, maxDuringBackoff)
+	c.Check(worst <= maxDuringBackoff, qt.IsTrue, qt.Commentf("%d requests of a gateway during a backoff, allowed %d", worst, maxDuringBackoff))
+}
+
+// checkDrained checks that no gateway which was told of the departure sent requests that
+// callers sent later than drainTime after that.
+func (b *fakeBackend) checkDrained(c *qt.C) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.Check(len(b.constraints.toldAt) > 0, qt.IsTrue, qt.Commentf("it told no gateway"))
+	late := 0
+	for _, a := range b.constraints.requests {
+		if toldAt, told := b.constraints.toldAt[a.origin.gateway]; told && a.origin.at.After(toldAt.Add(drainTime)) {
+			late++
+		}
+	}
+	c.Check(late, qt.Equals, 0, qt.Commentf("%d requests reached it from gateways that it had told", late))
+}
--- a/proof/routed_ledger_test.go
+++ b/proof/routed_ledger_test.go
@@ -23,12 +23,20 @@
 	succeeded  map[string]bool
 	served     int
 	violations []string
+	// origins holds, for each request, the gateway that it was sent to and when.
+	origins map[string]origin
 	// customerRunTimes holds the times at which each customer's requests ran.
 	customerRunTimes map[string][]time.Time
 }
 
 func newHistory() *history {
-	return &history{sent: map[string]string{}, runs: map[string]int{}, refused: map[string]int{}, complete: map[string]bool{}, succeeded: map[string]bool{}, customerRunTimes: map[string][]time.Time{}}
+	return &history{sent: map[string]string{}, runs: map[string]int{}, refused: map[string]int{}, complete: map[string]bool{}, succeeded: map[string]bool{}, customerRunTimes: map[string][]time.Time{}, origins: map[string]origin{}}
+}
+
+// origin is where and when a caller sent a request.
+type origin struct {
+	gateway *instance
+	at      time.Time
 }
 
 func (l *history) addViolation(format string, v ...any) {
@@ -37,10 +45,17 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, v...))
 }
 
-func (l *history) recordSent(id, what string) {
+func (l *history) recordSent(id, what string, to *instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent[id] = what
+	l.origins[id] = origin{to, time.Now()}
+}
+
+func (l *history) originOf(id string) origin {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.origins[id]
 }
 
 // recordCustomerRun records that a backend server runs a customer's request.
