Send no requests to a backend server before its Retry-After is over

Callers saw requests refused after four tries at one backend server that had told their gateway not to return for three seconds: 107 to 115 ms apart, while other engines could have loaded the adapter. The backend server got up to 15 requests of a gateway in that time; two are allowed.

Cause: gateways did not read Retry-After. A rejection counted as a lack of free slots for 100 ms, whatever it said, and a fixed time took the place of the backend server's own. The only holder of an adapter was chosen again for every retry.

The balancer keeps the end of each backoff: the latest of all answers counts, and no other mechanism shortens it. It is part of what pauses a backend server, so that every path that chooses one respects it: first sends, retries, resumed streams, granted slots, suspected backend servers. The sender asks once more when the connection is open, right before the request is written, since it may have waited for a slot, a prompt's turn, a grant or a connection. A request that nobody can serve before its deadline is refused at once with the time that is left.

Ruled out by the failing test: retries alone (its sends are first ones), and requests chosen before the answer (they wait for at most 150 ms).

Backend servers in a backoff no longer count as healthy when the balancer decides whether suspected ones are a minority, nor their slots as free.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -119,6 +119,7 @@
 		Backend: d.Backend.GetId(), Address: d.Backend.GetAddress(), RequestID: j.meta.ID,
 		Method: j.req.Head.Method, Target: j.req.Head.Target,
 		Header: platform.EncodeDispatch(j.req.Head.Header, dispatch), Body: j.req.Body,
+		Permitted: func() bool { return f.permitSend(j, d.Backend.GetId()) },
 	}
 }
 
@@ -134,8 +135,12 @@
 
 // handleSendError handles an attempt without an answer.
 func (f *Forwarder) handleSendError(ctx context.Context, j *job, backend *wire.Announcement, err error) bool {
-	if sender.KindOf(err) == sender.KindNotSent {
+	switch sender.KindOf(err) {
+	case sender.KindWithdrawn:
+		return f.withdraw(ctx, j, backend)
+	case sender.KindNotSent:
 		f.refundQuota(j)
+	case sender.KindLost, sender.KindMalformed:
 	}
 	if ctx.Err() != nil {
 		f.recordOutcome(j, backend.GetId(), balancer.Abandoned)
--- a/gateway/forwarder/throttle.go
+++ b/gateway/forwarder/throttle.go
@@ -108,15 +108,18 @@
 	}
 }
 
-// recordSent counts an attempt towards its backend server's limit and constraint.
+// recordSent counts an attempt towards its backend server's limit.
 func (f *Forwarder) recordSent(j *job) {
-	kind := granter.First
+	f.Granter.RecordSent(j.lastBackend.GetId(), j.attemptKind(), j.grant.decidedBy)
+}
+
+// attemptKind returns why the latest attempt was made.
+func (j *job) attemptKind() granter.AttemptKind {
 	switch {
 	case j.lastEventID != "":
-		kind = granter.Resumed
+		return granter.Resumed
 	case j.sends > 1:
-		kind = granter.Repeat
+		return granter.Repeat
 	}
-	f.Granter.RecordSent(j.lastBackend.GetId(), kind, j.grant.decidedBy)
-	f.countConstrainedSend(j.lastBackend.GetId(), kind)
+	return granter.First
 }
--- a/gateway/sender/fault.go
+++ b/gateway/sender/fault.go
@@ -17,6 +17,8 @@
 	KindLost
 	// KindMalformed means that the answer was invalid; the request may have run.
 	KindMalformed
+	// KindWithdrawn means that the request was withdrawn before anything was sent.
+	KindWithdrawn
 )
 
 // Error is the error type of this package.
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -70,6 +70,9 @@
 	Body      []byte
 	// NewConnection forces a new connection.
 	NewConnection bool
+	// Permitted reports, once there is a connection, whether the request may still be sent; nil
+	// permits it.
+	Permitted func() bool
 }
 
 // Response is an answer whose head has been read.
@@ -92,6 +95,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if out.Permitted != nil && !out.Permitted() {
+		s.returnIdle(out.Backend, l)
+		return nil, fail(KindWithdrawn, "the request was withdrawn")
+	}
 	s.markBusy(out.Backend, l)
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	in, err := s.exchange(l, out)
@@ -292,6 +299,19 @@
 		return
 	}
 	l.idleUntil = s.Clock.Now().Add(idle)
+	s.addIdle(backend, l)
+}
+
+// returnIdle returns a connection that was not used. The time that it may stay idle goes on.
+func (s *Sender) returnIdle(backend string, l *connection) {
+	if l.idleUntil.IsZero() {
+		s.keepIdle(backend, l, 0)
+		return
+	}
+	s.addIdle(backend, l)
+}
+
+func (s *Sender) addIdle(backend string, l *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.idle == nil {
--- a/gateway/sender/sender_test.go
+++ b/gateway/sender/sender_test.go
@@ -69,3 +69,32 @@
 	<-other
 	c.Check(s.busy, qt.HasLen, 0)
 }
+
+// A request that must not be sent any more once its connection is open leaves nothing on it,
+// and the next request uses the connection.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	s := &Sender{
+		Clock: clockwork.NewRealClock(), DialTimeout: time.Minute, MaxIdle: time.Minute,
+		IsOwnResponse: func(*framer.ResponseHead, string) (bool, time.Duration) { return true, 0 },
+	}
+	address, began := newUnresponsiveServer(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, err := s.Send(ctx, &Request{Backend: "b", Address: address, Method: "POST", Target: "/", Permitted: func() bool { return false }})
+	c.Check(KindOf(err), qt.Equals, KindWithdrawn)
+	c.Assert(s.idle["b"], qt.HasLen, 1)
+	unused := s.idle["b"][0]
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.Send(ctx, &Request{Backend: "b", Address: address, Method: "POST", Target: "/", Permitted: func() bool { return true }})
+		ended <- err
+	}()
+	<-began
+	s.mu.Lock()
+	_, used := s.busy["b"][unused]
+	s.mu.Unlock()
+	c.Check(used, qt.IsTrue)
+	cancel()
+	c.Check(KindOf(<-ended), qt.Equals, KindLost)
+}
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -39,12 +39,10 @@
 	since       time.Time
 	// pausedUntil is when its request limit has room again.
 	pausedUntil time.Time
-	// backoffUntil is until when it accepts no requests of this gateway, and backoffSince when
-	// that began.
-	backoffUntil time.Time
-	backoffSince time.Time
-	// leaving is set once an answer announced that it is leaving.
-	leaving bool
+	// backoff is the time in which it accepts no requests of this gateway.
+	backoff backoff
+	// leavingSince is when an answer announced that it is leaving; zero if none did.
+	leavingSince time.Time
 	// backlog is how long the engine needed to read its unread prompts as of backlogAt.
 	backlog   time.Duration
 	backlogAt time.Time
@@ -97,7 +95,35 @@
 	}
 }
 
-func (k *backend) paused(now time.Time) bool { return now.Before(k.pausedUntil) }
+// pauseEnd returns until when it gets no requests because of its request limit or its backoff,
+// after which the first request is at nextProbe.
+func (k *backend) pauseEnd() time.Time { return later(k.pausedUntil, k.backoff.nextProbe) }
+
+// retryAt returns when a caller may retry whose request would only be served here.
+func (k *backend) retryAt(now time.Time) time.Time {
+	if end := later(k.pausedUntil, k.backoff.until); end.After(now) {
+		return end
+	}
+	return k.backoff.nextProbe
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (k *backend) paused(now time.Time) bool { return now.Before(k.pauseEnd()) }
+
+// refusePaused refuses a request that only this or other paused backend servers can serve.
+func (k *backend) refusePaused(now time.Time, w *Waiter) *Decision {
+	reason := ReasonLimited
+	if k.backoff.probing {
+		reason = ReasonBackoff
+	}
+	return &Decision{Waiter: w, Reason: reason, RetryAfter: k.retryAt(now).Sub(now)}
+}
 
 // SetBacklog sets about how long an engine still needs to read its prompts.
 func (b *Balancer) SetBacklog(now time.Time, id string, backlog time.Duration) {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -126,6 +126,7 @@
 	ReasonNoAdapter = "the adapter was not loaded in time"
 	ReasonDeclined  = "the adapter can't be loaded in time"
 	ReasonLimited   = "the backend servers' request limits have no room in time"
+	ReasonBackoff   = "the backend servers accept no requests in time"
 )
 
 // UpdateBackend applies an announcement of a backend server. The caller must ignore Silent from
@@ -300,6 +301,7 @@
 		if w.Adapter != "" && b.overloaded(best, c.preferred) {
 			extra = b.requestLoad(now, w, unpaused(now, without(c.preferred, holders)))
 		}
+		best.backoff.sent(now)
 		best.own += Weight(w.Tokens)
 		best.requestsByAdapter[w.Adapter]++
 		return &Decision{Waiter: w, Backend: best.info, Version: b.versions[w.Adapter]}, extra
@@ -328,15 +330,18 @@
 
 // refuse returns the refusal of a request that can't be served in time, or nil.
 func (b *Balancer) refuse(now time.Time, w *Waiter, holders, others []*backend) *Decision {
-	if w.declined && len(holders) == 0 {
-		return &Decision{Waiter: w, Reason: ReasonDeclined, RetryAfter: b.spread(retryWhenDeclined)}
-	}
 	expired := !now.Before(w.Deadline)
-	at, limited := earliestPauseEnd(now, holders)
-	canLoadElsewhere := w.Adapter != "" && len(others) > 0
-	switch {
-	case limited && (expired || !canLoadElsewhere && !at.Before(w.Deadline)):
-		return &Decision{Waiter: w, Reason: ReasonLimited, RetryAfter: at.Sub(now)}
+	usable := holders
+	if w.Adapter != "" && !w.declined {
+		usable = append(slices.Clone(holders), others...)
+	}
+	switch paused, late := earliestPaused(now, holders), earliestPaused(now, usable); {
+	case w.declined && len(holders) == 0:
+		return &Decision{Waiter: w, Reason: ReasonDeclined, RetryAfter: b.spread(retryWhenDeclined)}
+	case late != nil && !late.pauseEnd().Before(w.Deadline):
+		return late.refusePaused(now, w)
+	case paused != nil && expired:
+		return paused.refusePaused(now, w)
 	case expired && len(holders) == 0 && w.Adapter != "":
 		return &Decision{Waiter: w, Reason: ReasonNoAdapter, RetryAfter: retryForAdapter}
 	case expired:
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -50,13 +50,24 @@
 			c.preferred = append(c.preferred, k)
 		}
 	}
-	healthy := len(c.preferred) + len(c.alreadyTried)
-	if healthy*minInUseDivisor >= healthy+len(c.suspected) {
+	healthy := accepting(now, c.preferred) + accepting(now, c.alreadyTried)
+	if healthy*minInUseDivisor >= healthy+accepting(now, c.suspected) {
 		c.suspected = nil
 	}
 	return c
 }
 
+// accepting returns how many backend servers of a list are not in a backoff.
+func accepting(now time.Time, list []*backend) int {
+	n := 0
+	for _, k := range list {
+		if !k.backoff.active(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // eligible returns those that have what a request needs: its adapter, or the base model.
 func (b *Balancer) eligible(now time.Time, list []*backend, adapter string) []*backend {
 	if adapter == "" {
@@ -146,7 +157,7 @@
 func (b *Balancer) Contended(now time.Time, service string) bool {
 	taken, slots := 0.0, 0.0
 	for _, k := range b.byService[service] {
-		if k.accepting() && !k.silent(now) && !k.ejected(now) {
+		if k.accepting() && !k.silent(now) && !k.ejected(now) && !k.backoff.active(now) {
 			taken += min(k.own+k.others, k.slots())
 			slots += k.slots()
 		}
@@ -185,23 +196,22 @@
 	})
 }
 
-// earliestPauseEnd returns when the first of the backend servers has room in its request limit
-// again, and false if one of them is not paused.
-func earliestPauseEnd(now time.Time, list []*backend) (time.Time, bool) {
-	var first time.Time
+// earliestPaused returns the backend server whose pause ends first, or nil if one of them is not
+// paused.
+func earliestPaused(now time.Time, list []*backend) *backend {
+	var first *backend
 	for _, k := range list {
 		if !k.paused(now) {
-			return time.Time{}, false
+			return nil
 		}
-		if first.IsZero() || k.pausedUntil.Before(first) {
-			first = k.pausedUntil
+		if first == nil || k.pauseEnd().Before(first.pauseEnd()) {
+			first = k
 		}
 	}
-	return first, len(list) > 0
+	return first
 }
 
-// unpaused returns the backend servers of a list that are not paused by their request limits,
-// or all if there are none.
+// unpaused returns the backend servers of a list that are not paused, or all if there are none.
 func unpaused(now time.Time, list []*backend) []*backend {
 	rest := slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return k.paused(now) })
 	if len(rest) == 0 {
