Send no new requests to a backend server that says it is leaving

A backend server that leaves says so in its answers. A gateway that could not reach the controllers, which know of the departure from announcements, went on to send it requests until it had exited: those failed, or were lost with it.

Cause: the field was not read; only announcements of controllers decided whether a backend server takes requests.

The balancer keeps the departure for the incarnation, and no announcement that it is ready undoes it. It is observed at the head of an answer, so that a stream does not delay it. Requests that were already on their way there are sent: it still serves them.

--- a/gateway/forwarder/backoff_test.go
+++ b/gateway/forwarder/backoff_test.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -9,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
 
@@ -55,3 +58,40 @@
 	}
 	c.Check(len(busy.requests()), qt.Equals, 1)
 }
+
+// A stream's head said that its backend server was leaving, and new requests still went there
+// until the stream had ended.
+func TestLeavingIsObservedAtTheHeadOfAStream(t *testing.T) {
+	c := qt.New(t)
+	finish := make(chan struct{})
+	c.Cleanup(func() { close(finish) })
+	leaving := newBackend(c, "leaving", func(b *fakeBackend, req *http.Request, conn net.Conn) bool {
+		b.runs.Add(1)
+		head := append(platform.StandInResponse(requestID(req), b.id), platform.StandInLeaving())
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+lines(head)+"\r\nid: 1\ndata: x\n\n")
+		<-finish
+		return false
+	})
+	address, f := startGatewayAndForwarder(c, leaving)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /stream/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+lines(platform.StandInRequest("r1", clientTimeout))+"\r\n")
+	c.Assert(err, qt.IsNil)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = res.Body.Close() }()
+	c.Check(res.StatusCode, qt.Equals, 200)
+	c.Check(fields(res.Header).Has(platform.StandInLeaving().Name), qt.IsFalse)
+
+	other := newBackend(c, "other", runsAndAnswers(200, "y"))
+	f.Apply("controller", &wire.SyncResponse{
+		Announcements: []*wire.Announcement{other.announcement("s")},
+		// It would be the second choice.
+		HasLoads: true, Loads: []*wire.Load{{Backend: "other", Requests: 3}},
+	})
+	for range 20 {
+		c.Check(call(c, address, "/safe/").body, qt.Equals, "y")
+	}
+	c.Check(leaving.runs.Load(), qt.Equals, int32(1))
+}
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -58,8 +58,11 @@
 	lastSuccess      time.Time
 }
 
-// accepting reports whether the backend server takes requests by its own announcement.
-func (k *backend) accepting() bool { return !k.info.GetDraining() && !k.info.GetGone() }
+// accepting reports whether the backend server takes requests by its announcements and answers.
+// An announcement that it is ready may be older than the answer which said that it is leaving.
+func (k *backend) accepting() bool {
+	return !k.info.GetDraining() && !k.info.GetGone() && k.leavingSince.IsZero()
+}
 
 // recentSuccessWindow is how long an answer keeps a backend server in use whose announcements
 // have stopped.
--- a/pkg/balancer/backoff_test.go
+++ b/pkg/balancer/backoff_test.go
@@ -148,3 +148,54 @@
 	b.BackOff(begin(), "b", time.Second)
 	c.Check(b.Contended(begin(), "s"), qt.IsTrue)
 }
+
+// A backend server that has said in an answer that it is leaving gets no new requests, whatever
+// is announced for it. Another incarnation at its address does.
+func TestLeavingBackendsGetNoRequests(t *testing.T) {
+	announce := func(b *Balancer, change func(a *wire.Announcement)) {
+		a := announcement("a")
+		a.Sequence = 9
+		change(a)
+		b.UpdateBackend(begin(), a)
+	}
+	for name, test := range map[string]struct {
+		after func(b *Balancer)
+		w     *Waiter
+		want  string
+		loads int
+	}{
+		"another serves it":     {nil, waiter("w"), "b", 0},
+		"it is announced ready": {func(b *Balancer) { announce(b, func(*wire.Announcement) {}) }, waiter("w"), "b", 0},
+		"it is announced anew": {func(b *Balancer) {
+			announce(b, func(a *wire.Announcement) { a.Silent = true })
+			announce(b, func(*wire.Announcement) {})
+		}, waiter("w"), "b", 0},
+		"the other has failed": {func(b *Balancer) { b.Done(begin(), "b", "", 0, Unreachable) }, waiter("w"), "b", 0},
+		"the only holder":      {nil, waiter("w", adapter("m/x")), "waits", 1},
+		"the other is full":    {func(b *Balancer) { fill(b, "b") }, waiter("w"), "waits", 0},
+		"another incarnation": {func(b *Balancer) {
+			fill(b, "b")
+			announce(b, func(a *wire.Announcement) { a.Gone, a.Replaced = true, true })
+			announce(b, func(a *wire.Announcement) { a.Id, a.Sequence = "a~2", 1 })
+		}, waiter("w"), "a~2", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBalancer("a", "b")
+			hold(b, 1, "a", "m/x@1")
+			c.Check(b.Leave(begin(), "a"), qt.IsTrue)
+			c.Check(b.Leave(begin(), "a"), qt.IsFalse)
+			if test.after != nil {
+				test.after(b)
+			}
+			b.Enqueue(test.w)
+			decisions, loads := b.Next(begin())
+			got := "waits"
+			if len(decisions) > 0 {
+				got = decisions[0].Backend.GetId()
+			}
+			c.Check(got, qt.Equals, test.want)
+			c.Check(loads, qt.HasLen, test.loads)
+		})
+	}
+}
