--- a/gateway/forwarder/backoff_test.go
+++ b/gateway/forwarder/backoff_test.go
@@ -64,7 +64,6 @@
 func TestLeavingIsObservedAtTheHeadOfAStream(t *testing.T) {
 	c := qt.New(t)
 	finish := make(chan struct{})
-	c.Cleanup(func() { close(finish) })
 	leaving := newBackend(c, "leaving", func(b *fakeBackend, req *http.Request, conn net.Conn) bool {
 		b.runs.Add(1)
 		head := append(platform.StandInResponse(requestID(req), b.id), platform.StandInLeaving())
@@ -81,6 +80,7 @@
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = res.Body.Close() }()
+	defer close(finish)
 	c.Check(res.StatusCode, qt.Equals, 200)
 	c.Check(fields(res.Header).Has(platform.StandInLeaving().Name), qt.IsFalse)
 
