Tell all gateways of a departure that one of them was told

A backend server that leaves tells each gateway in its answers, and announces it to a controller. Until the announcement has reached the controllers that a gateway hears from, that gateway sent it requests, although others knew.

Gateways report it with their loads, through relays too, and controllers treat it like the backend server's own announcement: the leader places its adapters elsewhere, all gateways stop. Nothing is sent while nobody leaves.

Loads also carry how many gateways a backend server accepts no requests from, which nothing uses yet.

--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -56,6 +56,7 @@
 	c.loads.Remove(g.loads)
 	g.loads = req.GetLoads()
 	c.loads.Add(g.loads)
+	c.receiveDepartures(g.loads)
 	if g.entry.GetAddress() != req.GetAddress() || g.entry.GetZone() != req.GetZone() {
 		g.entry = &wire.GatewayEntry{Address: req.GetAddress(), Zone: req.GetZone()}
 		c.roster.stale = true
@@ -71,6 +72,17 @@
 	}
 }
 
+// receiveDepartures records the backend servers that have told gateways that they are leaving:
+// their own announcements may be late, or reach only other controllers.
+func (c *Coordinator) receiveDepartures(loads []*wire.Load) {
+	for _, l := range loads {
+		if l.GetToldLeaving() > 0 && c.tracker.ObserveLeaving(l.GetBackend()) {
+			c.Log.Info("backend server has told gateways that it is leaving", "Backend", l.GetBackend(), "Gateways", l.GetToldLeaving())
+			c.applyChanges()
+		}
+	}
+}
+
 // pruneGateways drops gateways whose lease has expired.
 func (c *Coordinator) pruneGateways(now time.Time) {
 	for name, g := range c.gateways {
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -249,11 +249,12 @@
 	return f.table != nil && f.balancer.Ready()
 }
 
-// Loads returns the number of requests in progress at each backend server.
+// Loads returns the number of requests in progress at each backend server, and what the backend
+// servers have announced in their answers.
 func (f *Forwarder) Loads() []*wire.Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.balancer.Loads()
+	return f.balancer.Loads(f.Clock.Now())
 }
 
 // TakeDemand returns and clears the number of requests for each adapter since the last call.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -204,15 +204,25 @@
 	}
 }
 
-// Loads returns how many requests this gateway has at each backend server.
-func (b *Balancer) Loads() []*wire.Load {
+// Loads returns how many requests this gateway has at each backend server, and what the backend
+// servers have announced to it in their answers.
+func (b *Balancer) Loads(now time.Time) []*wire.Load {
 	var loads []*wire.Load
 	for id, known := range b.backends {
-		if known.own > 0 {
-			l := &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)}
-			l.Adapters = slices.AppendSeq(l.Adapters, maps.Keys(known.requestsByAdapter))
-			loads = append(loads, l)
+		backingOff := known.backoff.active(now)
+		toldLeaving := !known.leavingSince.IsZero() && !known.info.GetDraining()
+		if known.own <= 0 && !backingOff && !toldLeaving {
+			continue
+		}
+		l := &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)}
+		l.Adapters = slices.AppendSeq(l.Adapters, maps.Keys(known.requestsByAdapter))
+		if backingOff {
+			l.BackingOff = 1
+		}
+		if toldLeaving {
+			l.ToldLeaving = 1
 		}
+		loads = append(loads, l)
 	}
 	return loads
 }
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -191,7 +191,7 @@
 	for i, b := range all {
 		sums := map[string]uint32{}
 		for j, other := range all {
-			for _, l := range other.Loads() {
+			for _, l := range other.Loads(begin()) {
 				if j != i {
 					sums[l.GetBackend()] += l.GetRequests()
 				}
--- a/pkg/disseminator/sum.go
+++ b/pkg/disseminator/sum.go
@@ -14,6 +14,10 @@
 	// entries counts the loads that were added and not removed.
 	entries  int
 	requests uint32
+	// backingOff counts the gateways from which the backend server accepts no requests for a
+	// time, and toldLeaving those that it has told that it is leaving.
+	backingOff  uint32
+	toldLeaving uint32
 	// adapters counts the gateways whose requests use each adapter.
 	adapters map[string]int
 }
@@ -31,6 +35,8 @@
 		}
 		t.entries++
 		t.requests += l.GetRequests()
+		t.backingOff += l.GetBackingOff()
+		t.toldLeaving += l.GetToldLeaving()
 		for _, adapter := range l.GetAdapters() {
 			t.adapters[adapter]++
 		}
@@ -42,6 +48,8 @@
 	for _, l := range loads {
 		t := s.backends[l.GetBackend()]
 		t.requests -= l.GetRequests()
+		t.backingOff -= l.GetBackingOff()
+		t.toldLeaving -= l.GetToldLeaving()
 		for _, adapter := range l.GetAdapters() {
 			if t.adapters[adapter]--; t.adapters[adapter] == 0 {
 				delete(t.adapters, adapter)
@@ -61,13 +69,21 @@
 	}
 }
 
+// BackingOff returns the number of gateways from which a backend server accepts no requests.
+func (s *LoadTotals) BackingOff(backend string) uint32 {
+	if t := s.backends[backend]; t != nil {
+		return t.backingOff
+	}
+	return 0
+}
+
 // With returns the totals including one gateway's loads, as a list.
 func (s *LoadTotals) With(own []*wire.Load) []*wire.Load {
 	s.Add(own)
 	defer s.Remove(own)
 	loads := make([]*wire.Load, 0, len(s.backends))
 	for backend, t := range s.backends {
-		l := &wire.Load{Backend: backend, Requests: t.requests, Adapters: make([]string, 0, len(t.adapters))}
+		l := &wire.Load{Backend: backend, Requests: t.requests, BackingOff: t.backingOff, ToldLeaving: t.toldLeaving, Adapters: make([]string, 0, len(t.adapters))}
 		for adapter := range t.adapters {
 			l.Adapters = append(l.Adapters, adapter)
 		}
--- a/pkg/disseminator/sum_test.go
+++ b/pkg/disseminator/sum_test.go
@@ -22,8 +22,9 @@
 			var loads []*wire.Load
 			for range rapid.IntRange(0, 4).Draw(t, "loads") {
 				l := &wire.Load{
-					Backend:  fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "backend")),
-					Requests: rapid.Uint32Range(0, 3).Draw(t, "requests"),
+					Backend:    fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "backend")),
+					Requests:   rapid.Uint32Range(0, 3).Draw(t, "requests"),
+					BackingOff: rapid.Uint32Range(0, 2).Draw(t, "backing off"), ToldLeaving: rapid.Uint32Range(0, 2).Draw(t, "told"),
 					Adapters: rapid.SliceOfN(rapid.SampledFrom([]string{"m/x", "m/y"}), 0, 3).Draw(t, "adapters"),
 				}
 				loads = append(loads, l)
@@ -45,9 +46,12 @@
 // check compares totals with freshly computed ones.
 func check(t *rapid.T, s *LoadTotals, latest map[int][]*wire.Load) {
 	requests, adapters := map[string]uint32{}, map[string]map[string]int{}
+	backingOff, told := map[string]uint32{}, map[string]uint32{}
 	for _, loads := range latest {
 		for _, l := range loads {
 			requests[l.GetBackend()] += l.GetRequests()
+			backingOff[l.GetBackend()] += l.GetBackingOff()
+			told[l.GetBackend()] += l.GetToldLeaving()
 			if adapters[l.GetBackend()] == nil {
 				adapters[l.GetBackend()] = map[string]int{}
 			}
@@ -56,6 +60,11 @@
 			}
 		}
 	}
+	for _, l := range s.With(nil) {
+		if id := l.GetBackend(); l.GetBackingOff() != backingOff[id] || l.GetToldLeaving() != told[id] || s.BackingOff(id) != backingOff[id] {
+			t.Fatalf("%v, not %d backing off and %d told", l, backingOff[id], told[id])
+		}
+	}
 	s.Each(func(backend string, n uint32, used map[string]int) {
 		if n != requests[backend] || fmt.Sprint(used) != fmt.Sprint(adapters[backend]) {
 			t.Fatalf("%s has %d and %v, not %d and %v", backend, n, used, requests[backend], adapters[backend])
--- a/pkg/slotgranter/fleet_test.go
+++ b/pkg/slotgranter/fleet_test.go
@@ -140,7 +140,7 @@
 func (f *fleet) shareLoads() {
 	sum := map[string]int{}
 	for _, g := range f.gateways {
-		for _, l := range g.balancer.Loads() {
+		for _, l := range g.balancer.Loads(f.now) {
 			sum[l.GetBackend()] += int(l.GetRequests())
 		}
 	}
@@ -149,7 +149,7 @@
 		old := f.past[len(f.past)-1-age]
 		for _, g := range f.gateways {
 			own := map[string]int{}
-			for _, l := range g.balancer.Loads() {
+			for _, l := range g.balancer.Loads(f.now) {
 				own[l.GetBackend()] = int(l.GetRequests())
 			}
 			var loads []*wire.Load
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -77,6 +77,19 @@
 	return true, changed
 }
 
+// ObserveLeaving records that an incarnation has told a gateway that it is leaving. It reports
+// whether that was not known from its announcements.
+func (t *Tracker) ObserveLeaving(id string) bool {
+	e := t.entries[id]
+	if e == nil || e.info.GetGone() || e.info.GetDraining() {
+		return false
+	}
+	e.info = proto.CloneOf(e.info)
+	e.info.Draining = true
+	t.touch(e)
+	return true
+}
+
 // addEntry adds an unknown incarnation.
 func (t *Tracker) addEntry(a *wire.Announcement, e *entry) {
 	t.entries[a.GetId()] = e
