Place no adapters at engines that accept no requests

Cause: the leader places by load, and did not know that an engine accepts none. An engine that accepts no requests from a majority of the gateways is chosen only if that is so of all, as with request limits; from fewer, it costs in proportion, so that one gateway that is turned away does not take an engine out. A replica there does not count when the leader decides whether an adapter needs another.

TestAdaptersAreNotPlacedAtEnginesInBackoff and TestReplicasInBackoffDoNotCount fail before.

--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -413,6 +413,7 @@
 	total := map[string]*placer.Usage{}
 	c.loads.Each(func(backend string, requests uint32, adapters map[string]int) {
 		use := &placer.Usage{Requests: float64(requests), Adapters: make(map[string]bool, len(adapters))}
+		use.BackingOff = min(1, float64(c.loads.BackingOff(backend))/float64(max(1, c.roster.count())))
 		for adapter := range adapters {
 			use.Adapters[adapter] = true
 		}
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		perReplica := min(p.policy.RatePerReplica, float64(slots)*p.policy.FillPerReplica/p.policy.RunTime.Seconds())
-		if rate <= float64(replicas)*perReplica {
+		if rate <= replicas*perReplica {
 			continue
 		}
 		id := p.chooseEngine(now, adapter, nil)
@@ -161,11 +161,12 @@
 // end before the next plan.
 const storeSaturation = 0.8
 
-// replicas counts where an adapter is or soon will be, as of the last plan.
-func (p *Placer) replicas(adapter string) (count int, slots uint32) {
+// replicas counts where an adapter is or soon will be, as of the last plan. An engine that accepts
+// no requests from a part of the gateways counts for the others.
+func (p *Placer) replicas(adapter string) (count float64, slots uint32) {
 	for _, id := range p.locations[adapter] {
 		if e := p.engines[id]; e != nil {
-			count++
+			count += 1 - e.usage.BackingOff
 			slots = max(slots, e.info.GetSlots())
 		}
 	}
@@ -174,22 +175,22 @@
 
 // chooseEngine returns the engine that should load an adapter, or "" if none can. Each adapter
 // prefers the same few engines, which keep a copy of its weights and of its prompts; among
-// these the least loaded is taken. Engines whose request limits would not suffice are taken
-// only if that is so of all.
+// these the least loaded is taken. Engines whose request limits would not suffice, or that accept
+// no requests from a majority of the gateways, are taken only if that is so of all.
 func (p *Placer) chooseEngine(now time.Time, adapter string, avoid []string) string {
 	best, lowest, bestFits := "", 0.0, false
 	for id, e := range p.engines {
 		if e.slots[adapter] != nil || !e.acceptsAdapters() || slices.Contains(avoid, id) || e.queueIndex(adapter) >= 0 {
 			continue
 		}
-		fits := p.fitsRateLimit(now, e, adapter)
+		fits := p.fits(now, e, adapter)
 		if !fits && bestFits {
 			continue
 		}
 		if fits && !bestFits {
 			best, bestFits = "", true
 		}
-		if len(e.queue) >= maxWarmQueue || len(e.queue) >= maxQueue && !p.isCached(e, adapter) {
+		if !p.hasQueueRoom(e, adapter) {
 			continue
 		}
 		if cost := p.cost(now, e, id, adapter); best == "" || cost < lowest {
@@ -199,6 +200,11 @@
 	return best
 }
 
+// hasQueueRoom reports whether an adapter may be queued at an engine.
+func (p *Placer) hasQueueRoom(e *engine, adapter string) bool {
+	return len(e.queue) < maxQueue || len(e.queue) < maxWarmQueue && p.isCached(e, adapter)
+}
+
 const (
 	// affinityWeight is the cost, as a part of an engine's slots, of leaving an adapter's
 	// preferred engine.
@@ -212,8 +218,15 @@
 	evictionWeight = 0.5
 	// queueWeight is the cost of each adapter that is queued or loading at the engine.
 	queueWeight = 0.1
+	// backoffWeight is the cost of an engine that accepts no requests for a time, in proportion
+	// to the gateways that it tells so: it looks idle.
+	backoffWeight = 1.0
 )
 
+// majority is the share of the gateways from which an engine must accept requests to be chosen
+// before others.
+const majority = 0.5
+
 func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
 	cost := e.usage.Requests / float64(max(1, e.info.GetSlots()))
 	if !p.policy.Disabled.Has(ablator.Homes) {
@@ -224,12 +237,18 @@
 	}
 	cost += queueWeight * float64(len(e.queue)+e.loadingCount())
 	cost += evictionWeight * e.nextSlotCost()
+	cost += backoffWeight * e.usage.BackingOff
 	if now.Before(e.backoffUntil) {
 		cost += 1
 	}
 	return cost
 }
 
+// fits reports whether an engine accepts the requests of a further adapter.
+func (p *Placer) fits(now time.Time, e *engine, adapter string) bool {
+	return e.usage.BackingOff < majority && p.fitsRateLimit(now, e, adapter)
+}
+
 // fitsRateLimit reports whether an engine's request limit has room for the requests of a
 // further adapter.
 func (p *Placer) fitsRateLimit(now time.Time, e *engine, adapter string) bool {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -194,6 +194,9 @@
 	Requests float64
 	// Adapters are those that the requests use.
 	Adapters map[string]bool
+	// BackingOff is the share of the gateways from which the engine accepts no requests for a
+	// time.
+	BackingOff float64
 }
 
 // SetUsage sets the load of all gateways at each engine.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -260,6 +260,59 @@
 	}
 }
 
+// Engines that accepted no requests looked idle and got the adapters that waited elsewhere. One
+// that turns away a few gateways still takes adapters, as do all if none accepts requests.
+func TestAdaptersAreNotPlacedAtEnginesInBackoff(t *testing.T) {
+	for title, test := range map[string]struct {
+		backingOff map[string]float64
+		held       bool
+	}{
+		"none":                         {map[string]float64{}, true},
+		"from all gateways":            {map[string]float64{"e1": 1}, false},
+		"from one gateway of nine":     {map[string]float64{"e1": 1.0 / 9}, true},
+		"both engines, from all alike": {map[string]float64{"e0": 1, "e1": 1}, true},
+	} {
+		t.Run(title, func(t *testing.T) {
+			c := qt.New(t)
+			w := newSimulation(c, 2, 8)
+			w.advance(100 * time.Millisecond)
+			usages := map[string]*Usage{"e0": {Requests: 8}, "e1": {}}
+			for id, share := range test.backingOff {
+				usages[id].BackingOff = share
+			}
+			w.p.SetUsage(usages)
+			for i := range 6 {
+				w.p.RecordRequests(w.now, name(i), 1)
+				w.p.RequestLoad(w.now, name(i), nil, time.Time{})
+			}
+			w.advance(time.Second)
+			c.Check(len(w.engines["e1"].held) > 0, qt.Equals, test.held)
+			for i := range 6 {
+				c.Check(w.readyCount(name(i)), qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// A replica at an engine that accepts no requests does not serve any.
+func TestReplicasInBackoffDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	w := newSimulation(c, 3, 8)
+	w.advance(100 * time.Millisecond)
+	w.p.RequestLoad(w.now, name(1), nil, time.Time{})
+	w.advance(time.Second)
+	c.Assert(w.readyCount(name(1)), qt.Equals, 1)
+	count, _ := w.p.replicas(name(1))
+	c.Check(count, qt.Equals, 1.0)
+	for id, f := range w.engines {
+		if len(f.held) > 0 {
+			w.p.SetUsage(map[string]*Usage{id: {BackingOff: 1}})
+		}
+	}
+	count, _ = w.p.replicas(name(1))
+	c.Check(count, qt.Equals, 0.0)
+}
+
 // An order of an earlier leader may be carried out between an order without an answer and its
 // retry. The engine then holds something else than the new leader assumes, and must not be
 // given more than it has slots for.
