Send engines no orders before their Retry-After is over

The same cause as with requests, found by reading: the leader took an order that an engine rejected with Retry-After for one that can't be carried out, and sent the next 250 ms later; an unanswered report of its state counted as a failure.

The end of the backoff is kept apart from the leader's own waits, and nothing shortens it. Adapters that were queued there are loaded elsewhere. It says nothing about the engine's requests, for which gateways have their own answers.

TestEnginesGetNoOrdersDuringBackoff fails without the new field (orders at 250 ms).

--- a/controller/app/carrier.go
+++ b/controller/app/carrier.go
@@ -21,28 +21,31 @@
 	orders *platform.OrderClient
 }
 
-func (c *orderSender) send(order placer.Order, term uint64, done func(placer.Outcome, *placer.EngineState)) {
+func (c *orderSender) send(order placer.Order, term uint64, done func(placer.Reply)) {
 	go func() {
 		if !c.leads() {
-			done(placer.Refused, nil)
+			done(placer.Reply{Outcome: placer.Refused})
 			return
 		}
 		if order.Kind == placer.Report {
 			done(c.report(order))
 			return
 		}
-		done(c.sendOrder(order, term), nil)
+		done(c.sendOrder(order, term))
 	}()
 }
 
-func (c *orderSender) report(order placer.Order) (placer.Outcome, *placer.EngineState) {
+func (c *orderSender) report(order placer.Order) placer.Reply {
 	report, err := c.orders.FetchReport(context.Background(), order.Address, order.Name)
 	if errors.Is(err, platform.ErrWrongIncarnation) {
-		return placer.WrongIncarnation, nil
+		return placer.Reply{Outcome: placer.WrongIncarnation}
 	}
 	if err != nil {
 		c.log.Info("an engine did not report", "Backend", order.Backend, "Error", err.Error())
-		return placer.Unknown, nil
+		if backoff := platform.BackoffOf(err); backoff > 0 {
+			return placer.Reply{Outcome: placer.Refused, Backoff: backoff}
+		}
+		return placer.Reply{Outcome: placer.Unknown}
 	}
 	if report.Skipped > 0 {
 		c.log.Warn("parts of an engine's report can't be read", "Backend", order.Backend, "Entries", report.Skipped)
@@ -50,14 +53,14 @@
 	if report.BornMs > 0 && order.BornMs > 0 && report.BornMs != order.BornMs {
 		// The state of the new incarnation is requested once it has announced itself.
 		c.log.Info("an engine has restarted", "Backend", order.Backend, "BornMs", report.BornMs)
-		return placer.WrongIncarnation, nil
+		return placer.Reply{Outcome: placer.WrongIncarnation}
 	}
-	return placer.Completed, &placer.EngineState{
+	return placer.Reply{Outcome: placer.Completed, State: &placer.EngineState{
 		Accepted: report.Accepted, Models: report.Models, Adapters: report.Adapters, Loading: report.Loading,
-	}
+	}}
 }
 
-func (c *orderSender) sendOrder(order placer.Order, term uint64) placer.Outcome {
+func (c *orderSender) sendOrder(order placer.Order, term uint64) placer.Reply {
 	model, adapter, _ := platform.SplitAdapter(order.Adapter)
 	kind := platform.OrderLoad
 	if order.Kind == placer.Unload {
@@ -73,6 +76,10 @@
 	}
 	c.log.Info("order", "Kind", order.Kind.String(), "Backend", order.Backend, "Adapter", order.Adapter,
 		"Version", order.Version, "After", order.After, "Term", term, "Outcome", int(outcome), "Reason", reason)
+	return placer.Reply{Outcome: placerOutcome(outcome), Backoff: platform.BackoffOf(err)}
+}
+
+func placerOutcome(outcome platform.OrderOutcome) placer.Outcome {
 	switch outcome {
 	case platform.OrderAccepted:
 		return placer.Accepted
--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -67,7 +67,7 @@
 	// Commits delivers committed entries.
 	Commits <-chan raftdriver.CommittedBatch
 	// SendOrder sends orders to engines and reports the outcome of each. It must not block.
-	SendOrder func(order placer.Order, term uint64, done func(placer.Outcome, *placer.EngineState))
+	SendOrder func(order placer.Order, term uint64, done func(placer.Reply))
 	// Relay forwards announcements to the other controllers. It must not block.
 	Relay func(announcements []*wire.Announcement)
 	// Controllers returns the addresses of all controllers.
@@ -376,10 +376,11 @@
 
 func (c *Coordinator) dispatchOrder(order placer.Order) {
 	term := c.term
-	c.SendOrder(order, term, func(outcome placer.Outcome, state *placer.EngineState) {
+	c.SendOrder(order, term, func(reply placer.Reply) {
 		c.calls.Post(func(now time.Time) {
 			if c.term == term && c.placer != nil {
-				c.placer.RecordOutcome(now, order, outcome, state)
+				c.placer.RecordOutcome(now, order, reply.Outcome, reply.State)
+				c.placer.BackOff(now, order.Backend, reply.Backoff)
 				c.sendNextOrders(now, order.Backend)
 			}
 		})
--- a/controller/routecoordinator/routecoordinator_test.go
+++ b/controller/routecoordinator/routecoordinator_test.go
@@ -63,7 +63,7 @@
 	k := &fakeRaft{in: make(chan raftdriver.CommittedBatch, 16)}
 	c := &Coordinator{
 		Clock: clockwork.NewFakeClock(), Log: slog.New(slog.DiscardHandler), Raft: k, Commits: k.in,
-		SendOrder: func(placer.Order, uint64, func(placer.Outcome, *placer.EngineState)) {}, Relay: func([]*wire.Announcement) {},
+		SendOrder: func(placer.Order, uint64, func(placer.Reply)) {}, Relay: func([]*wire.Announcement) {},
 		Controllers: func() []string { return nil }, Policy: placer.DefaultPolicy(), SilentAfter: 4 * time.Second,
 		SnapshotEntries: 1000, SnapshotBytes: 1 << 20,
 	}
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -244,9 +244,9 @@
 	return cost
 }
 
-// fits reports whether an engine accepts the requests of a further adapter.
+// fits reports whether an engine accepts a further adapter and its requests.
 func (p *Placer) fits(now time.Time, e *engine, adapter string) bool {
-	return e.usage.BackingOff < majority && p.fitsRateLimit(now, e, adapter)
+	return e.usage.BackingOff < majority && !now.Before(e.rejectsUntil) && p.fitsRateLimit(now, e, adapter)
 }
 
 // fitsRateLimit reports whether an engine's request limit has room for the requests of a
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -76,6 +76,8 @@
 	failures int
 	// backoffUntil is when the engine may be given orders again.
 	backoffUntil time.Time
+	// rejectsUntil is until when the engine accepts no orders, by its own answers.
+	rejectsUntil time.Time
 	slots        map[string]*adapterSlot
 	*weightCache
 	// queue holds the adapters to be loaded.
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// BackOff records that an engine accepts no orders for a time. A later answer may extend this and
+// never shortens it.
+func (p *Placer) BackOff(now time.Time, id string, d time.Duration) {
+	e := p.engines[id]
+	if e == nil || d <= 0 {
+		return
+	}
+	if end := now.Add(d); end.After(e.rejectsUntil) {
+		e.rejectsUntil = end
+	}
+	p.requeueElsewhere(now, e)
+}
+
 // recordNoAnswer has an order without an answer sent again unchanged. Each order names the
 // number of those accepted before, so that only one of the two is carried out, whenever the
 // first arrives.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -81,6 +81,15 @@
 	WrongIncarnation
 )
 
+// Reply is the outcome of an order with what came with it.
+type Reply struct {
+	Outcome Outcome
+	// State is set for reports that were answered.
+	State *EngineState
+	// Backoff is how long the engine accepts no calls; 0 if it does not say.
+	Backoff time.Duration
+}
+
 // EngineState is what an engine reported of itself.
 type EngineState struct {
 	Accepted uint64
@@ -260,7 +269,7 @@
 
 func (p *Placer) nextOrders(now time.Time, id string) []Order {
 	e := p.engines[id]
-	if e == nil || now.Before(e.backoffUntil) {
+	if e == nil || now.Before(e.backoffUntil) || now.Before(e.rejectsUntil) {
 		return nil
 	}
 	var orders []Order
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -294,6 +294,28 @@
 	}
 }
 
+// An engine that rejected an order until a later time got the next one after 250 ms.
+func TestEnginesGetNoOrdersDuringBackoff(t *testing.T) {
+	c := qt.New(t)
+	w := newSimulation(c, 2, 8)
+	w.advance(100 * time.Millisecond)
+	w.p.RequestLoad(w.now, name(0), []string{"e1"}, time.Time{})
+	orders := w.p.Plan(w.now)
+	c.Assert(orders, qt.HasLen, 1)
+	w.p.RecordOutcome(w.now, orders[0], Refused, nil)
+	w.p.BackOff(w.now, "e0", 3*time.Second)
+	w.p.BackOff(w.now, "e0", time.Second)
+	for range 29 {
+		w.p.RequestLoad(w.now, name(1), nil, time.Time{})
+		w.p.RequestLoad(w.now, name(2), []string{"e1"}, time.Time{})
+		w.advance(100 * time.Millisecond)
+		c.Check(w.engines["e0"].accepted, qt.Equals, uint64(0))
+	}
+	c.Check(w.engines["e1"].held, qt.HasLen, 1)
+	w.advance(time.Second)
+	c.Check(w.engines["e0"].held, qt.HasLen, 1)
+}
+
 // A replica at an engine that accepts no requests does not serve any.
 func TestReplicasInBackoffDoNotCount(t *testing.T) {
 	c := qt.New(t)
