--- a/bronzectl/app/limits.go
+++ b/bronzectl/app/limits.go
@@ -13,6 +13,7 @@
 type limitsCommand struct {
 	Customer string `arg:"" optional:"" help:"Shows what each gateway has of this customer's limit."`
 	Backends bool   `help:"Shows the request limits that backend servers announce."`
+	Backoffs bool   `help:"Shows the backend servers that accept no requests from some gateways."`
 }
 
 // Run shows the status of customers' limits at the leader, or the limits of backend servers.
@@ -28,6 +29,9 @@
 	if c.Backends {
 		return s.print(res, requestLimitsTable(res.GetRequestLimits()))
 	}
+	if c.Backoffs {
+		return s.print(res, backoffsTable(res.GetConstrained()))
+	}
 	if c.Customer == "" {
 		return s.print(res, limitsTable(res.GetLimits()))
 	}
@@ -67,6 +71,15 @@
 	return t.String()
 }
 
+func backoffsTable(list []*wire.Load) string {
+	slices.SortFunc(list, func(a, b *wire.Load) int { return cmp.Compare(a.GetBackend(), b.GetBackend()) })
+	t := newTable("BACKEND", "BACKOFF", "LEAVING", "RUNNING")
+	for _, l := range list {
+		t.add(l.GetBackend(), fmt.Sprint(l.GetBackingOff()), fmt.Sprint(l.GetToldLeaving()), fmt.Sprint(l.GetRequests()))
+	}
+	return t.String()
+}
+
 func sharesTable(shares []*wire.GatewayShare) string {
 	t := newTable("GATEWAY", "UNSPENT", "ALLOWANCE", "AGE")
 	for _, share := range shares {
--- a/controller/routecoordinator/limits.go
+++ b/controller/routecoordinator/limits.go
@@ -18,7 +18,9 @@
 // ListLimits returns the status of the limits. Only a leader knows it.
 func (c *Coordinator) ListLimits(ctx context.Context, _ *wire.ListLimitsRequest) (*wire.ListLimitsResponse, error) {
 	return asLeader(ctx, c, func(now time.Time) *wire.ListLimitsResponse {
-		return &wire.ListLimitsResponse{Limits: c.allocator.Statuses(now, true), RequestLimits: c.requestLimits.Limits(now)}
+		return &wire.ListLimitsResponse{
+			Limits: c.allocator.Statuses(now, true), RequestLimits: c.requestLimits.Limits(now), Constrained: c.loads.Constrained(),
+		}
 	})
 }
 
--- a/pkg/disseminator/sum.go
+++ b/pkg/disseminator/sum.go
@@ -77,6 +77,17 @@
 	return 0
 }
 
+// Constrained returns the backend servers that accept no requests from some gateways.
+func (s *LoadTotals) Constrained() []*wire.Load {
+	var list []*wire.Load
+	for backend, t := range s.backends {
+		if t.backingOff > 0 || t.toldLeaving > 0 {
+			list = append(list, &wire.Load{Backend: backend, Requests: t.requests, BackingOff: t.backingOff, ToldLeaving: t.toldLeaving})
+		}
+	}
+	return list
+}
+
 // With returns the totals including one gateway's loads, as a list.
 func (s *LoadTotals) With(own []*wire.Load) []*wire.Load {
 	s.Add(own)
--- a/proof/routed_constraints_test.go
+++ b/proof/routed_constraints_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +31,9 @@
 	busy := y.backends[0]
 	y.waitServed(120)
 	busy.setBackoff(rejectBackoff)
+	eventually(c, "the operator sees the backoff at all gateways", func() bool {
+		return strings.Contains(y.runBronzectl("limits", "--backoffs"), "b0       3")
+	})
 	y.waitWhileServing(time.Now().Add(3 * rejectBackoff))
 	busy.setBackoff(0)
 	recoveredAt := time.Now()
