Trace a refused request to the backoff that caused it

The line on a request that no backend server accepted in time names the one that will accept requests first, and bronzectl explain adds the gateway's line on its backoff, with the request whose answer asked for it, although it may be older than the rest of a trace.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -34,6 +34,7 @@
 		return false
 	}
 	if d.Backend == nil {
+		j.paused = d.Paused
 		f.refuseOrFail(j, d.Reason, d.RetryAfter)
 		return false
 	}
--- a/gateway/forwarder/backoff_test.go
+++ b/gateway/forwarder/backoff_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
@@ -59,6 +60,40 @@
 	c.Check(len(busy.requests()), qt.Equals, 1)
 }
 
+// Only answers that are certainly the backend server's, and of the incarnation that was asked,
+// constrain it.
+func TestWhichAnswersConstrainABackend(t *testing.T) {
+	const minute = time.Minute
+	for name, test := range map[string]struct {
+		status int
+		answer platform.Response
+		want   balancer.Constraint
+	}{
+		"a rejection":                     {503, platform.Response{NotRun: true, Backoff: minute}, balancer.BackingOff},
+		"too many":                        {429, platform.Response{NotRun: true, Backoff: minute}, balancer.BackingOff},
+		"a failure of its own":            {503, platform.Response{Signed: true, Backoff: minute}, balancer.BackingOff},
+		"a rejection without a time":      {503, platform.Response{NotRun: true}, balancer.Unconstrained},
+		"an unreadable time":              {503, platform.Response{NotRun: true, BackoffFault: "NotDecimal"}, balancer.Unconstrained},
+		"of another incarnation":          {421, platform.Response{NotRun: true, Backoff: minute, Leaving: true}, balancer.Unconstrained},
+		"not the backend server's":        {503, platform.Response{Backoff: minute, Leaving: true}, balancer.Unconstrained},
+		"it leaves":                       {200, platform.Response{Signed: true, Leaving: true}, balancer.Leaving},
+		"a rejection of one that leaves":  {503, platform.Response{NotRun: true, Backoff: minute, Leaving: true}, balancer.Leaving},
+		"a failure of one that leaves":    {500, platform.Response{Signed: true, Leaving: true}, balancer.Leaving},
+		"an answer to an earlier attempt": {200, platform.Response{Signed: true}, balancer.Unconstrained},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBackend(c, "b", refuses(503))
+			_, f := startGatewayAndForwarder(c, b)
+			f.observeConstraints(&job{lastBackend: b.announcement("s")}, test.status, test.answer)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			got, _, _ := f.balancer.ConstraintOf(f.Clock.Now(), "b")
+			c.Check(got, qt.Equals, test.want)
+		})
+	}
+}
+
 // A stream's head said that its backend server was leaving, and new requests still went there
 // until the stream had ended.
 func TestLeavingIsObservedAtTheHeadOfAStream(t *testing.T) {
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -61,6 +61,9 @@
 	trial  string
 	charge charge
 	grant  limitGrant
+	// paused is the backend server that would have accepted it first, if it was refused because
+	// none did in time.
+	paused string
 	// usesSlotGrants is set if its backend server's slots are granted. slotRequests counts the
 	// backend servers that had no slot for it, and slowSlotRequests those that were too slow.
 	usesSlotGrants   bool
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -61,7 +61,12 @@
 		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
 	}
 	list = append(list, f.limitAttributes(j, backend.GetId())...)
-	list = append(list, f.constraintAttributes(backend.GetId())...)
+	if j.paused != "" {
+		list = append(list, "PausedBackend", j.paused)
+		list = append(list, f.constraintAttributes(j.paused)...)
+	} else {
+		list = append(list, f.constraintAttributes(backend.GetId())...)
+	}
 	if j.sends > 0 {
 		list = append(list, "Fingerprint", j.requestFingerprints()[0], "SinceSent", f.Clock.Since(j.sentAt).Milliseconds())
 	}
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -125,7 +125,7 @@
 	if k.backoff.probing {
 		reason = ReasonBackoff
 	}
-	return &Decision{Waiter: w, Reason: reason, RetryAfter: k.retryAt(now).Sub(now)}
+	return &Decision{Waiter: w, Reason: reason, RetryAfter: k.retryAt(now).Sub(now), Paused: k.info.GetId()}
 }
 
 // SetBacklog sets about how long an engine still needs to read its prompts.
--- a/pkg/balancer/backoff_test.go
+++ b/pkg/balancer/backoff_test.go
@@ -130,6 +130,7 @@
 				if decisions[0].Backend == nil {
 					got = "refused"
 					c.Check(decisions[0].RetryAfter, qt.Equals, long)
+					c.Check(test.backoffs[decisions[0].Paused], qt.Equals, long)
 				}
 			}
 			c.Check(got, qt.Equals, test.want)
@@ -199,3 +200,25 @@
 		})
 	}
 }
+
+func BenchmarkConstraintOf(b *testing.B) {
+	balancer := newBalancer("a", "b", "c")
+	now := begin()
+	b.ReportAllocs()
+	for b.Loop() {
+		balancer.ConstraintOf(now, "b")
+	}
+}
+
+// BenchmarkNext decides on a request for a service without any backoff.
+func BenchmarkNext(b *testing.B) {
+	balancer := newBalancer("a", "b", "c", "d", "e", "f", "g", "h", "i")
+	now := begin()
+	b.ReportAllocs()
+	for b.Loop() {
+		w := waiter("w")
+		balancer.Enqueue(w)
+		decisions, _ := balancer.Next(now)
+		balancer.Done(now, decisions[0].Backend.GetId(), "", 0, Served)
+	}
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -117,6 +117,9 @@
 	// Reason is why it is refused, and RetryAfter when to try again.
 	Reason     string
 	RetryAfter time.Duration
+	// Paused is the backend server that will accept requests first, if it is refused because
+	// none of them does in time.
+	Paused string
 }
 
 // Reasons for refusals.
--- a/pkg/logtracer/logtracer.go
+++ b/pkg/logtracer/logtracer.go
@@ -27,6 +27,9 @@
 	// leadTime is how long before a request's start other lines may be relevant: slightly more
 	// than the interval of a backend server's announcements.
 	leadTime = 1500 * time.Millisecond
+	// backoffLeadTime is the same for the begin of a backend server's backoff, which is in force
+	// for as long as the backend server says.
+	backoffLeadTime = time.Minute
 	// maxLine limits the length of a line; a longer one is an error.
 	maxLine = 1 << 20
 )
@@ -134,6 +137,7 @@
 		s.instances[l.Instance] = true
 		s.backends[l.text("Backend")] = true
 		s.backends[l.text("DeniedBackend")] = true
+		s.backends[l.text("PausedBackend")] = true
 		s.adapters[l.text("Adapter")] = true
 	}
 	delete(s.backends, "")
@@ -148,6 +152,9 @@
 	if id := l.text("RequestID"); id != "" {
 		return id == s.request
 	}
+	if l.Message == messageBackoff && !l.At.Before(s.from.Add(-backoffLeadTime)) && !l.At.After(s.to) {
+		return s.backends[l.text("Backend")] && s.instances[l.Instance]
+	}
 	if l.At.Before(s.from.Add(-leadTime)) || l.At.After(s.to) {
 		return false
 	}
@@ -160,5 +167,9 @@
 	return s.instances[l.Instance] || l.Message == messageLeads
 }
 
-// messageLeads is what a controller logs when it becomes the leader.
-const messageLeads = "this instance leads"
+const (
+	// messageLeads is what a controller logs when it becomes the leader.
+	messageLeads = "this instance leads"
+	// messageBackoff is what a gateway logs when a backend server rejects requests for a time.
+	messageBackoff = "backend server accepts no requests for a time"
+)
--- a/pkg/logtracer/logtracer_test.go
+++ b/pkg/logtracer/logtracer_test.go
@@ -22,6 +22,9 @@
 {"time":"2026-07-26T17:34:12Z","msg":"the gateway stops","Instance":"edge-1"}
 {"time":"2026-07-26T17:35:00.100Z","msg":"backend server limits its request rate","Instance":"edge-3","Backend":"i-3","Limit":5,"AnswerTo":"r4"}
 {"time":"2026-07-26T17:35:00.300Z","msg":"request","Instance":"edge-1","RequestID":"r5","Took":20,"Denials":2,"DeniedBackend":"i-3","Status":503}
+{"time":"2026-07-26T17:36:00.100Z","msg":"backend server accepts no requests for a time","Instance":"edge-1","Backend":"i-4","For":5000,"AnswerTo":"r6"}
+{"time":"2026-07-26T17:36:00.200Z","msg":"backend server accepts no requests for a time","Instance":"edge-2","Backend":"i-4","For":5000,"AnswerTo":"r7"}
+{"time":"2026-07-26T17:36:04.300Z","msg":"request","Instance":"edge-1","RequestID":"r8","Took":1,"PausedBackend":"i-4","Status":503}
 `
 
 func TestTrace(t *testing.T) {
@@ -41,6 +44,10 @@
 			"17:35:00.100 edge-3: backend server limits its request rate AnswerTo=r4 Backend=i-3 Limit=5",
 			"17:35:00.300 edge-1: request Denials=2 DeniedBackend=i-3 RequestID=r5 Status=503 Took=20",
 		}},
+		"a backoff that began long before, at its gateway": {"r8", []string{
+			"17:36:00.100 edge-1: backend server accepts no requests for a time AnswerTo=r6 Backend=i-4 For=5000",
+			"17:36:04.300 edge-1: request PausedBackend=i-4 RequestID=r8 Status=503 Took=1",
+		}},
 		"an unknown request": {"r3", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
