--- a/gateway/forwarder/arrival_test.go
+++ b/gateway/forwarder/arrival_test.go
@@ -68,7 +68,7 @@
 func firstTable(backends ...*fakeBackend) *wire.SyncResponse {
 	res := &wire.SyncResponse{Table: testTable(), TableVersion: 3, Leads: true, Term: 1, Gateways: 1}
 	for _, b := range backends {
-		res.Announcements = append(res.Announcements, b.announcement("s"))
+		res.Announcements = append(res.Announcements, b.announcement())
 	}
 	return res
 }
--- a/gateway/forwarder/backend_fake_test.go
+++ b/gateway/forwarder/backend_fake_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-func (b *fakeBackend) announcement(service string) *wire.Announcement {
-	return &wire.Announcement{Id: b.id, Name: b.id, Service: service, Address: b.listener.Addr().String(), Slots: 4, Sequence: 1}
+func (b *fakeBackend) announcement() *wire.Announcement {
+	return &wire.Announcement{Id: b.id, Name: b.id, Service: "s", Address: b.listener.Addr().String(), Slots: 4, Sequence: 1}
 }
 
 func (b *fakeBackend) requests() []*http.Request {
--- a/gateway/forwarder/backoff_test.go
+++ b/gateway/forwarder/backoff_test.go
@@ -85,7 +85,7 @@
 			c := qt.New(t)
 			b := newBackend(c, "b", refuses(503))
 			_, f := startGatewayAndForwarder(c, b)
-			f.observeConstraints(&job{lastBackend: b.announcement("s")}, test.status, test.answer)
+			f.observeConstraints(&job{lastBackend: b.announcement()}, test.status, test.answer)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			got, _, _ := f.balancer.ConstraintOf(f.Clock.Now(), "b")
@@ -121,7 +121,7 @@
 
 	other := newBackend(c, "other", runsAndAnswers(200, "y"))
 	f.Apply("controller", &wire.SyncResponse{
-		Announcements: []*wire.Announcement{other.announcement("s")},
+		Announcements: []*wire.Announcement{other.announcement()},
 		// It would be the second choice.
 		HasLoads: true, Loads: []*wire.Load{{Backend: "other", Requests: 3}},
 	})
--- a/gateway/forwarder/key_test.go
+++ b/gateway/forwarder/key_test.go
@@ -153,7 +153,7 @@
 	address, f := keyedGateway(c, 0)
 	// Requests wait here, and not for a slot that is granted by another gateway.
 	f.Disabled = ablator.Disable(ablator.Dispensing)
-	announced := b.announcement("s")
+	announced := b.announcement()
 	announced.Slots = 1
 	f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{announced}})
 	answers := make(chan int, 64)
