Keep the backoff of a backend server that is leaving too

A backend server that had said that it was leaving, and then rejected a request with Retry-After, still got the requests that had been chosen for it before: the check before a send saw only the departure, under which these are sent.

Found by reading; TestWhichAnswersConstrainABackend fails before with a request that is permitted. The strictest constraint counts now.

--- a/gateway/forwarder/backoff_test.go
+++ b/gateway/forwarder/backoff_test.go
@@ -77,7 +77,7 @@
 		"of another incarnation":          {421, platform.Response{NotRun: true, Backoff: minute, Leaving: true}, balancer.Unconstrained},
 		"not the backend server's":        {503, platform.Response{Backoff: minute, Leaving: true}, balancer.Unconstrained},
 		"it leaves":                       {200, platform.Response{Signed: true, Leaving: true}, balancer.Leaving},
-		"a rejection of one that leaves":  {503, platform.Response{NotRun: true, Backoff: minute, Leaving: true}, balancer.Leaving},
+		"a rejection of one that leaves":  {503, platform.Response{NotRun: true, Backoff: minute, Leaving: true}, balancer.BackingOff},
 		"a failure of one that leaves":    {500, platform.Response{Signed: true, Leaving: true}, balancer.Leaving},
 		"an answer to an earlier attempt": {200, platform.Response{Signed: true}, balancer.Unconstrained},
 	} {
@@ -86,6 +86,7 @@
 			b := newBackend(c, "b", refuses(503))
 			_, f := startGatewayAndForwarder(c, b)
 			f.observeConstraints(&job{lastBackend: b.announcement()}, test.status, test.answer)
+			c.Check(f.permitSend(&job{}, "b"), qt.Equals, test.want != balancer.BackingOff)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			got, _, _ := f.balancer.ConstraintOf(f.Clock.Now(), "b")
--- a/pkg/balancer/backoff.go
+++ b/pkg/balancer/backoff.go
@@ -96,16 +96,17 @@
 	Leaving       Constraint = "Leaving"
 )
 
-// ConstraintOf returns the constraint of a backend server, since when it is in force, and how
-// long it remains; 0 if it has no end.
+// ConstraintOf returns the strictest constraint of a backend server, since when it is in force, and
+// how long it remains; 0 if it has no end. One that is leaving still serves the requests that were
+// chosen for it before; one in a backoff does not.
 func (b *Balancer) ConstraintOf(now time.Time, id string) (constraint Constraint, since time.Time, left time.Duration) {
 	k := b.backends[id]
 	switch {
 	case k == nil:
-	case !k.leavingSince.IsZero():
-		return Leaving, k.leavingSince, 0
 	case k.backoff.active(now):
 		return BackingOff, k.backoff.since, k.backoff.until.Sub(now)
+	case !k.leavingSince.IsZero():
+		return Leaving, k.leavingSince, 0
 	}
 	return Unconstrained, time.Time{}, 0
 }
