Excuse restarted gateways in the soak's check of backoffs

The rule excuses a restart. The check knew the time of the signal alone, which lay before the rejection; it now knows that of the start too.

--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -51,7 +51,7 @@
 	done chan struct{}
 
 	mu sync.Mutex
-	// disruptions are when it was killed, frozen, thawed or stopped.
+	// disruptions are when it was started, killed, frozen, thawed or stopped.
 	disruptions []time.Time
 }
 
@@ -61,6 +61,7 @@
 	p.cmd = exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
 	p.cmd.Stderr, p.cmd.Stdout = out, out
 	p.c.Assert(p.cmd.Start(), qt.IsNil)
+	p.recordDisruption()
 	p.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		_ = cmd.Wait()
@@ -71,6 +72,10 @@
 
 func (p *process) signal(s syscall.Signal) {
 	_ = p.cmd.Process.Signal(s)
+	p.recordDisruption()
+}
+
+func (p *process) recordDisruption() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.disruptions = append(p.disruptions, time.Now())
