--- a/gateway/forwarder/backoff.go
+++ b/gateway/forwarder/constraint.go
@@ -11,9 +11,6 @@
 	"bronzelead.example/platform"
 )
 
-// backoffFaultLogInterval is the minimum time between two log lines on unreadable backoffs.
-const backoffFaultLogInterval = 10 * time.Second
-
 // constrainedSends counts, by kind, the requests that were sent to backend servers which had
 // announced that they accept none.
 type constrainedSends map[string]map[granter.AttemptKind]int
@@ -25,7 +22,7 @@
 		return
 	}
 	if answer.BackoffFault != "" {
-		f.recordBackoffFault(j, answer.BackoffFault)
+		f.recordFieldFault(j, "backoffs_unreadable", answer.BackoffFault, &f.backoffFaultLoggedAt)
 	}
 	f.countConstrainedSend(j)
 	f.observeBackoff(j, status, answer)
@@ -68,21 +65,6 @@
 	}
 }
 
-// recordBackoffFault counts an unreadable backoff.
-func (f *Forwarder) recordBackoffFault(j *job, fault string) {
-	f.Meter.Increment("backoffs_unreadable", "fault", fault)
-	now := f.Clock.Now()
-	f.mu.Lock()
-	due := now.Sub(f.backoffFaultLoggedAt) >= backoffFaultLogInterval
-	if due {
-		f.backoffFaultLoggedAt = now
-	}
-	f.mu.Unlock()
-	if due {
-		f.Log.Warn("could not read how long a backend server accepts no requests", "Backend", j.lastBackend.GetId(), "Fault", fault, "RequestID", j.meta.ID)
-	}
-}
-
 // permitSend reports whether a job may still be sent to the backend server that was chosen for
 // it. It is the last step before the request is written: an answer may have arrived since.
 func (f *Forwarder) permitSend(j *job, id string) bool {
--- a/gateway/forwarder/throttle.go
+++ b/gateway/forwarder/throttle.go
@@ -10,8 +10,8 @@
 	"bronzelead.example/platform"
 )
 
-// limitFaultLogInterval is the minimum time between two log lines on unreadable limits.
-const limitFaultLogInterval = 10 * time.Second
+// fieldFaultLogInterval is the minimum time between two log lines on an unreadable field.
+const fieldFaultLogInterval = 10 * time.Second
 
 // limitGrant is the state of a request's latest attempt towards its backend server's limit.
 type limitGrant struct {
@@ -84,7 +84,7 @@
 // address.
 func (f *Forwarder) observeLimit(j *job, status int, answer platform.Response) {
 	if answer.LimitFault != "" {
-		f.recordLimitFault(j, answer.LimitFault)
+		f.recordFieldFault(j, "request_limits_unreadable", answer.LimitFault, &f.limitFaultLoggedAt)
 		return
 	}
 	rejects := answer.NotRun && status != statusMisdirected
@@ -93,18 +93,19 @@
 	}
 }
 
-// recordLimitFault counts an unreadable limit. The previous limit remains in force.
-func (f *Forwarder) recordLimitFault(j *job, fault string) {
-	f.Meter.Increment("request_limits_unreadable", "fault", fault)
+// recordFieldFault counts a field of an answer that can't be read. What it said before remains in
+// force. It logs the fault if the last line on the field, at loggedAt, is old enough.
+func (f *Forwarder) recordFieldFault(j *job, metric, fault string, loggedAt *time.Time) {
+	f.Meter.Increment(metric, "fault", fault)
 	now := f.Clock.Now()
 	f.mu.Lock()
-	due := now.Sub(f.limitFaultLoggedAt) >= limitFaultLogInterval
+	due := now.Sub(*loggedAt) >= fieldFaultLogInterval
 	if due {
-		f.limitFaultLoggedAt = now
+		*loggedAt = now
 	}
 	f.mu.Unlock()
 	if due {
-		f.Log.Warn("could not read the request limit of a backend server", "Backend", j.lastBackend.GetId(), "Fault", fault, "RequestID", j.meta.ID)
+		f.Log.Warn("could not read a field of an answer", "Backend", j.lastBackend.GetId(), "Metric", metric, "Fault", fault, "RequestID", j.meta.ID)
 	}
 }
 
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -348,7 +348,8 @@
 	if w.Adapter != "" && !w.declined {
 		usable = append(slices.Clone(holders), others...)
 	}
-	switch paused, late := earliestPaused(now, holders), earliestPaused(now, usable); {
+	paused, late := earliestPaused(now, holders), earliestPaused(now, usable)
+	switch {
 	case w.declined && len(holders) == 0:
 		return &Decision{Waiter: w, Reason: ReasonDeclined, RetryAfter: b.spread(retryWhenDeclined)}
 	case late != nil && !late.pauseEnd().Before(w.Deadline):
