Wait until the replacement's vote is committed before disks are lost

By the log the leader proposed the change that lets the replacement vote at 01.8629, and was killed with its disk at 01.87: the test takes a proposed change for one in force. Two of the four voters that were in force had then lost their disks, which is more than is tolerated.

The test now puts a table first, which is committed after the change.

--- a/proof/routed_test.go
+++ b/proof/routed_test.go
@@ -41,6 +41,8 @@
 	y.replace(2)
 	y.operator.refreshControllers()
 	eventually(c, "the replacement votes", y.allVote)
+	// The change of voters is logged when it is proposed; a later entry is committed after it.
+	y.operator.putTable()
 	y.loseDisks(y.controllers[:2]...)
 	eventually(c, "the controllers with new disks vote", y.allVote)
 	y.operator.putTable()
