--- a/controller/routecoordinator/departures_test.go
+++ b/controller/routecoordinator/departures_test.go
@@ -8,7 +8,7 @@
 	"bronzelead.example/pkg/wire"
 )
 
-// Gateways that a backend server had told that it was leaving kept this to themselves: all
+// Gateways that knew from answers that a backend server was leaving did not report it: all
 // others sent it requests until its announcement had reached a controller that they hear from.
 func TestDeparturesToldToOneGatewayReachAll(t *testing.T) {
 	c := qt.New(t)
--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// receiveDepartures records the backend servers that have told gateways that they are leaving:
+// receiveDepartures records the backend servers that have announced to gateways that they leave:
 // their own announcements may be late, or reach only other controllers.
 func (c *Coordinator) receiveDepartures(loads []*wire.Load) {
 	for _, l := range loads {
--- a/pkg/balancer/backoff_test.go
+++ b/pkg/balancer/backoff_test.go
@@ -80,7 +80,7 @@
 }
 
 // Requests wait for the end of a backoff only if it comes in time; otherwise their callers are
-// told at once when to retry. No path leads to a backend server that accepts no requests.
+// given the retry time at once. No path leads to a backend server that accepts no requests.
 func TestRequestsDuringBackoffs(t *testing.T) {
 	const short, long = 500 * time.Millisecond, 5 * time.Second
 	for name, test := range map[string]struct {
--- a/pkg/balancer/schedule_test.go
+++ b/pkg/balancer/schedule_test.go
@@ -17,7 +17,7 @@
 
 // The rules: from backoffGrace after a rejection until the end that it asked for, a server gets
 // at most maxDuringBackoff requests of that gateway; and none that a caller sent later than
-// drainTime after the gateway was told that it is leaving.
+// drainTime after the gateway learned that it is leaving.
 const (
 	backoffGrace     = 500 * time.Millisecond
 	maxDuringBackoff = 2
--- a/pkg/disseminator/sum.go
+++ b/pkg/disseminator/sum.go
@@ -15,7 +15,7 @@
 	entries  int
 	requests uint32
 	// backingOff counts the gateways from which the backend server accepts no requests for a
-	// time, and toldLeaving those that it has told that it is leaving.
+	// time, and toldLeaving those to which it has announced that it is leaving.
 	backingOff  uint32
 	toldLeaving uint32
 	// adapters counts the gateways whose requests use each adapter.
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -77,7 +77,7 @@
 	return true, changed
 }
 
-// ObserveLeaving records that an incarnation has told a gateway that it is leaving. It reports
+// ObserveLeaving records that an incarnation has announced to a gateway that it leaves. It reports
 // whether that was not known from its announcements.
 func (t *Tracker) ObserveLeaving(id string) bool {
 	e := t.entries[id]
--- a/proof/routed_constraints_test.go
+++ b/proof/routed_constraints_test.go
@@ -78,7 +78,7 @@
 	// maxDuringBackoff how many of a gateway may arrive after that.
 	backoffGrace     = 500 * time.Millisecond
 	maxDuringBackoff = 2
-	// drainTime is how long a gateway that was told of a departure may go on to send new
+	// drainTime is how long a gateway that knows of a departure may go on to send new
 	// requests.
 	drainTime = 2 * time.Second
 )
@@ -88,7 +88,7 @@
 	backoff time.Duration
 	leaving bool
 	// rejections are its answers that asked for a backoff, requests what arrived, and toldAt
-	// when it first told a gateway that it is leaving.
+	// when it first announced to a gateway that it is leaving.
 	rejections []rejection
 	requests   []arrival
 	toldAt     map[*instance]time.Time
@@ -147,7 +147,7 @@
 	return true
 }
 
-// checkBackoffs checks how many requests each gateway sent during each backoff that it was told
+// checkBackoffs checks how many requests each gateway sent during each backoff that it knew
 // of, and in which it was not disrupted.
 func (b *fakeBackend) checkBackoffs(c *qt.C) {
 	b.mu.Lock()
@@ -174,7 +174,7 @@
 		worst, worstAt.gateway.label(), b.id, maxDuringBackoff, worstAt.id, worstAt.at, worstAt.backoff))
 }
 
-// checkDrained checks that no gateway which was told of the departure, and not disrupted since,
+// checkDrained checks that no gateway which knew of the departure, and was not disrupted since,
 // sent requests that callers sent later than drainTime after that.
 func (b *fakeBackend) checkDrained(c *qt.C) {
 	b.mu.Lock()
