Estimate the store concurrency and the weight copies from windows of loads

Cause: storeConcurrency was lowered by every slow load, among them loads that were taken for warm, loads of slow engines and ends that were observed late. It fell to 42 where the store carries 104, and rose by one a load. hostAdapters fell by one a slow load, from 128 to 63 in half a minute where engines keep 46, and one outlier raised it. A warm load that took 15% longer than expected was checked again only when a cold load should have ended.

Change: both are computed from recent loads. hostAdapters is the number that contradicts the fewest of 48 loads. storeConcurrency falls only if the latest loads of most engines are slow, slow engines excepted, to what these loads show. A load at full speed raises it to what was in flight, at once. If fewer loads in flight take as long, the store is slow and not contended. Loads that last longer than a warm one count as loads from the store.

Tests: TestStoreConcurrencyConvergesFromEitherSide ended at 6 to 44 in four of six cases before, and passes. TestFullSpeedLoadsRaiseStoreConcurrency, TestSlowStoreIsNotContended and TestHostAdaptersConvergeFromEitherSide failed before and pass. TestLearningCanBeDisabled fed one load and expected a change; it now feeds a window of loads, since one load must change nothing.

--- a/pkg/placer/ablation_test.go
+++ b/pkg/placer/ablation_test.go
@@ -60,8 +60,8 @@
 	c.Check(on.demand["m/x"].peakRate(startTime(), &on.policy) > 4*off.demand["m/x"].peakRate(startTime(), &off.policy), qt.IsTrue)
 }
 
-// Slow loads change the estimates of the store and of the engines' memories, unless that is
-// disabled.
+// Slow loads at several engines change the estimates of the store and of the engines' memories,
+// unless that is disabled.
 func TestLearningCanBeDisabled(t *testing.T) {
 	for name, test := range map[string]struct {
 		off                     []ablator.Mechanism
@@ -76,7 +76,11 @@
 			c := qt.New(t)
 			p := placerWithout(test.off...)
 			concurrency, host := p.storeConcurrency, p.hostAdapters
-			p.learnLoadTime(startTime().Add(time.Second), &adapterSlot{orderedAt: startTime(), reuseDistance: 1, coldLoads: 100})
+			for range storeWindow {
+				for _, e := range p.engines {
+					p.learnLoadTime(startTime().Add(time.Second), e, &adapterSlot{orderedAt: startTime(), reuseDistance: 40, coldLoads: 100, checkedEarly: true})
+				}
+			}
 			c.Check(p.storeConcurrency != concurrency, qt.Equals, test.storeLearns)
 			c.Check(p.hostAdapters != host, qt.Equals, test.hostLearns)
 		})
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -31,10 +31,14 @@
 	// since the engine last had this one; -1 if it never had.
 	orderedAt     time.Time
 	reuseDistance int
-	// warm is set if the load should come from the engine's own memory.
-	warm bool
-	// coldLoads is the number of cold loads in flight when it was ordered.
+	// warm is set if the load should come from the engine's own memory, and checkedEarly if it
+	// is checked soon enough to observe that it does.
+	warm         bool
+	checkedEarly bool
+	// coldLoads is the number of cold loads in flight when it was ordered, and storeWork the work
+	// of the weight store until then.
 	coldLoads int
+	storeWork float64
 	// timingInvalid is set if the order was sent again, a Confirm went unanswered, or this
 	// instance was late itself, so that the observed load time means nothing.
 	timingInvalid bool
--- /dev/null
+++ b/pkg/placer/estimates_test.go
@@ -0,0 +1,127 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// requestMany requests adapters at random for a time: half of them from a small set, which
+// engines keep copies of, and half of them rare.
+func requestMany(w *simulation, d time.Duration, perStep int) {
+	next := w.random.IntN(1 << 40)
+	for end := w.now.Add(d); w.now.Before(end); {
+		for range perStep {
+			adapter := name(w.random.IntN(1500))
+			if next++; next%2 == 0 {
+				adapter = name(10000 + next)
+			}
+			w.p.RecordRequests(w.now, adapter, 1)
+			w.p.RequestLoad(w.now, adapter, nil, w.now.Add(time.Second))
+		}
+		w.advance(10 * time.Millisecond)
+	}
+}
+
+// The estimate of the store's concurrency fell to 42 where the store carried 104, so that
+// adapters were queued while the store was idle: loads from the store that were taken for warm,
+// slow engines and late answers counted as contention. It must reach the true value within two
+// seconds from either side, and stay there with such outliers.
+func TestStoreConcurrencyConvergesFromEitherSide(t *testing.T) {
+	for _, initial := range []float64{30, 180} {
+		for label, test := range map[string]struct {
+			slowEngines int
+			lostShare   float64
+			highest     float64
+		}{
+			"all alike":                 {0, 0, 165},
+			"a quarter of slow engines": {22, 0, 190},
+			// Ends of loads that are observed late make more loads seem to be in flight.
+			"a fifth of the answers lost": {0, 0.2, 270},
+		} {
+			t.Run(fmt.Sprint(initial, " with ", label), func(t *testing.T) {
+				c := qt.New(t)
+				w := newSimulation(c, 90, 8)
+				store := &fakeStore{concurrency: 104}
+				for i := range 90 {
+					f := w.engines[fmt.Sprintf("e%d", i)]
+					f.store, f.copies = store, 46
+					if i < test.slowEngines {
+						f.slowdown = 3
+					}
+				}
+				w.lostShare, w.timeout = test.lostShare, 60*time.Millisecond
+				w.advance(100 * time.Millisecond)
+				w.p.storeConcurrency, w.p.measured = initial, true
+				requestMany(w, 2*time.Second, 12)
+				lowest, highest := w.p.storeConcurrency, w.p.storeConcurrency
+				for range 40 {
+					requestMany(w, 100*time.Millisecond, 12)
+					lowest, highest = min(lowest, w.p.storeConcurrency), max(highest, w.p.storeConcurrency)
+				}
+				c.Check(lowest >= 95, qt.IsTrue, qt.Commentf("from %.0f", lowest))
+				c.Check(highest <= test.highest, qt.IsTrue, qt.Commentf("to %.0f", highest))
+			})
+		}
+	}
+}
+
+// A load that ends at full speed while many others are in flight shows that the store carries
+// them, and raises the estimate at once.
+func TestFullSpeedLoadsRaiseStoreConcurrency(t *testing.T) {
+	c := qt.New(t)
+	p := placerWithout()
+	p.storeConcurrency, p.measured = 30, true
+	p.storeMeter.set(startTime(), 80)
+	slot := &adapterSlot{state: loading, orderedAt: startTime(), reuseDistance: -1, coldLoads: 80}
+	p.learnLoadTime(startTime().Add(p.coldLoad), p.engines["b"], slot)
+	c.Check(p.storeConcurrency >= 80, qt.IsTrue, qt.Commentf("%.0f", p.storeConcurrency))
+}
+
+// Loads take twice the time of the policy however many are in flight. This is no contention, and
+// the estimate of the store's concurrency must not follow it down.
+func TestSlowStoreIsNotContended(t *testing.T) {
+	c := qt.New(t)
+	w := newSimulation(c, 30, 8)
+	store := &fakeStore{concurrency: 1000}
+	for _, f := range w.engines {
+		f.store, f.slowdown = store, 2
+	}
+	w.advance(100 * time.Millisecond)
+	requestMany(w, 5*time.Second, 4)
+	c.Check(w.p.storeConcurrency >= 50, qt.IsTrue, qt.Commentf("%.0f", w.p.storeConcurrency))
+}
+
+// The estimate of the weight copies that an engine keeps fell by one with each slow load, from
+// 128 to 63 in half a minute where engines kept 46, and one outlier raised it at once. It must
+// be close after some dozens of loads.
+func TestHostAdaptersConvergeFromEitherSide(t *testing.T) {
+	for _, test := range []struct{ initial, truth int }{{128, 46}, {32, 46}, {128, 20}, {40, 200}, {128, 128}} {
+		for _, outliers := range []float64{0, 0.1} {
+			t.Run(fmt.Sprint(test.initial, " to ", test.truth, " with ", outliers), func(t *testing.T) {
+				c := qt.New(t)
+				p := placerWithout()
+				random := rand.New(rand.NewPCG(1, 2))
+				p.hostAdapters = test.initial
+				for range 100 {
+					distance := random.IntN(2 * test.truth)
+					took := coldLoad
+					if quick := distance < test.truth; quick != (random.Float64() < outliers) {
+						took /= 10
+					}
+					slot := &adapterSlot{state: loading, orderedAt: startTime(), reuseDistance: distance}
+					slot.checkedEarly = p.mayBeWarm(distance)
+					if !slot.checkedEarly {
+						took = coldLoad
+					}
+					p.learnLoadTime(startTime().Add(took), p.engines["a"], slot)
+				}
+				c.Check(float64(p.hostAdapters) >= 0.85*float64(test.truth), qt.IsTrue, qt.Commentf("%d", p.hostAdapters))
+				c.Check(float64(p.hostAdapters) <= 1.2*float64(test.truth), qt.IsTrue, qt.Commentf("%d", p.hostAdapters))
+			})
+		}
+	}
+}
--- a/pkg/placer/knowledge.go
+++ b/pkg/placer/knowledge.go
@@ -25,6 +25,10 @@
 	storeConcurrency float64
 	// measured is set once a load has changed storeConcurrency.
 	measured bool
+	// hostLoads and store are the recent loads from which the estimates are computed. A new
+	// leader starts without them.
+	hostLoads []hostLoad
+	store     storeWatch
 }
 
 // NewLearnedState returns a state with initial estimates.
@@ -81,7 +85,12 @@
 }
 
 // RemoveEngine drops the state of an engine that was removed.
-func (s *LearnedState) RemoveEngine(id string) { delete(s.caches, id) }
+func (s *LearnedState) RemoveEngine(id string) {
+	delete(s.caches, id)
+	delete(s.store.nearLimit, id)
+	delete(s.store.baseline, id)
+	delete(s.store.fastest, id)
+}
 
 // RecordAdapters records adapters that were loaded or unloaded at an engine, as another leader
 // reports: the engine keeps their weights for a while.
@@ -110,6 +119,8 @@
 	if n := int(l.GetKeptCopies()); n >= minHostAdapters && n <= maxCacheHistory {
 		s.hostAdapters = n
 	}
+	// Loads that this instance has observed as an earlier leader are out of date.
+	s.hostLoads, s.store = nil, storeWatch{contended: s.measured}
 }
 
 // HasCachedWeights reports whether an engine probably keeps a copy of an adapter's weights.
@@ -129,7 +140,12 @@
 // isWarm reports whether an engine probably keeps the weights of what it held so many adapters
 // ago.
 func (s *LearnedState) isWarm(reuseDistance int) bool {
-	return reuseDistance >= 0 && reuseDistance < s.hostAdapters+hostProbeMargin
+	return reuseDistance >= 0 && reuseDistance < s.hostAdapters
+}
+
+// mayBeWarm is the same, in case the learned number of copies is too low.
+func (s *LearnedState) mayBeWarm(reuseDistance int) bool {
+	return reuseDistance >= 0 && reuseDistance < hostProbeFactor*s.hostAdapters
 }
 
 // maxStoreConcurrency is more loads at once than any weight store carries.
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -10,11 +10,11 @@
 	// initialHostAdapters is assumed until loads have shown how many copies engines keep. It is
 	// high, since only loads that are expected to be quick can show that they are.
 	initialHostAdapters = 128
-	// hostProbeMargin is how far beyond the learned number a load is still expected to be
-	// quick.
-	hostProbeMargin = 8
+	// hostProbeFactor bounds the distances, as a multiple of the learned number of copies, at
+	// which a load is checked early in case it was quick after all.
+	hostProbeFactor = 2
 	// minHostAdapters bounds what is learned from loads that were slow for other reasons.
-	minHostAdapters = 32
+	minHostAdapters = 16
 	// maxCacheHistory bounds the adapters that are recorded for one engine.
 	maxCacheHistory = 1000
 )
@@ -24,19 +24,23 @@
 	return p.isWarm(e.reuseDistance(adapter))
 }
 
-// learnLoadTime updates the learned estimates from the time of a load.
-func (p *Placer) learnLoadTime(now time.Time, slot *adapterSlot) {
+// learnLoadTime updates the learned estimates from the time of a load that has ended.
+func (p *Placer) learnLoadTime(now time.Time, e *engine, slot *adapterSlot) {
 	took := now.Sub(slot.orderedAt)
 	quick := took < p.coldLoad/2
-	if !quick && !slot.timingInvalid && !p.policy.Disabled.Has(ablator.LearntStore) {
-		p.learnColdLoad(slot, took)
+	// A slow engine may have loaded the weights from its own memory, and been checked again only
+	// when a load from the store should have ended.
+	ambiguous := slot.checkedEarly && took < p.coldLoad
+	if !quick && !ambiguous && !slot.timingInvalid && !p.policy.Disabled.Has(ablator.LearntStore) {
+		atStart, mean := float64(slot.coldLoads), p.storeMeter.meanSince(now, slot.orderedAt, slot.storeWork)
+		p.learnStore(e.info.GetId(), storeLoad{endedAt: now, took: took, fewest: min(atStart, mean), most: max(atStart, mean)})
 	}
-	switch {
-	case slot.reuseDistance < 0 || p.policy.Disabled.Has(ablator.LearntHost):
-	case quick:
-		p.hostAdapters = max(p.hostAdapters, slot.reuseDistance+1)
-	case slot.reuseDistance < p.hostAdapters && !slot.timingInvalid:
-		p.hostAdapters = max(minHostAdapters, p.hostAdapters-1)
+	if !slot.warm {
+		p.storeMeter.change(now, -1)
+	}
+	// A slow load shows something only if a quick one would have been observed.
+	if slot.reuseDistance >= 0 && (quick || slot.checkedEarly && !ambiguous && !slot.timingInvalid) && !p.policy.Disabled.Has(ablator.LearntHost) {
+		p.learnHostAdapters(slot.reuseDistance, quick)
 	}
 }
 
@@ -51,46 +55,18 @@
 	// engine is first asked whether it has ended: asking costs little, and only early checks
 	// show that loads have become quicker.
 	firstConfirmFraction = 0.92
-	// coldLoadGain is the weight of one load in the learned time, which stays within a factor
-	// of maxColdLoadFactor of the one in the policy.
-	coldLoadGain      = 1.0 / 8
+	// maxColdLoadFactor bounds the ratio of the learned time of a cold load to the one in the
+	// policy.
 	maxColdLoadFactor = 2.0
 	// contendedRatio is the ratio of a load's time to the learned one above which the weight
 	// store was shared by too many loads, and uncontendedRatio the one below which it was not.
-	contendedRatio   = 1.4
+	// Checks at intervals of 30 ms make a load of 288 ms look up to 1.1 times as long.
+	contendedRatio   = 1.25
 	uncontendedRatio = 1.15
 	// minStoreConcurrency bounds what is learned from loads that were slow for other reasons.
 	minStoreConcurrency = 6
-	// concurrencyGain is the weight of one slow load in the learned concurrency.
-	concurrencyGain = 1.0 / 16
 )
 
-// learnColdLoad updates the time of a cold load, and the number of loads that the weight store
-// carries at once before each takes longer. More at once would only make all of them late.
-func (p *Placer) learnColdLoad(slot *adapterSlot, took time.Duration) {
-	if float64(slot.coldLoads) < p.storeConcurrency/2 {
-		gain := coldLoadGain
-		if took > p.coldLoad {
-			// Late and lost answers make loads look longer, and nothing makes them look
-			// shorter, so that short ones count most.
-			gain = coldLoadGain / 16
-		}
-		smoothed := float64(p.coldLoad) + (float64(took)-float64(p.coldLoad))*gain
-		expected := float64(p.policy.ColdLoad)
-		p.coldLoad = time.Duration(min(max(smoothed, expected/maxColdLoadFactor), expected*maxColdLoadFactor))
-	}
-	ratio := float64(took) / float64(p.coldLoad)
-	switch {
-	case ratio > contendedRatio && float64(slot.coldLoads) >= p.storeConcurrency/2:
-		share := max(minStoreConcurrency, float64(slot.coldLoads)/ratio)
-		p.measured = true
-		p.storeConcurrency += (share - p.storeConcurrency) * concurrencyGain
-	case ratio < uncontendedRatio && float64(slot.coldLoads) >= p.storeConcurrency-2:
-		p.measured = true
-		p.storeConcurrency++
-	}
-}
-
 // coldLoadsInFlight returns the number of cold loads in flight at all engines. It is called for
 // each waiting adapter, so the count is cached for all orders that are given at a time.
 func (p *Placer) coldLoadsInFlight() int {
@@ -113,13 +89,30 @@
 	return n
 }
 
-func (p *Placer) firstConfirmDelay(e *engine, adapter string) time.Duration {
-	if p.isCached(e, adapter) {
+func (p *Placer) firstConfirmDelay(slot *adapterSlot) time.Duration {
+	if slot.checkedEarly {
 		return p.policy.WarmLoad
 	}
 	return p.firstColdConfirmDelay()
 }
 
+// warmLoadFactor is the multiple of the expected time of a warm load after which one that has
+// not ended is taken for a load from the weight store. A warm load that takes 15% longer than
+// expected must not be, or it would be checked again only when a cold load should have ended.
+const warmLoadFactor = 2
+
+// expectStoreLoad takes a load that has lasted longer than a warm one for one from the weight
+// store, which counts among the loads that share the store.
+func (p *Placer) expectStoreLoad(now time.Time, slot *adapterSlot) {
+	if slot.warm {
+		slot.warm, p.coldLoadCountValid = false, false
+		p.storeMeter.change(now, 1)
+	}
+	if coldCheck := slot.orderedAt.Add(p.firstColdConfirmDelay()); slot.nextCheck.Before(coldCheck) {
+		slot.nextCheck = coldCheck
+	}
+}
+
 // firstColdConfirmDelay returns the time after which a load from the weight store may have
 // ended.
 func (p *Placer) firstColdConfirmDelay() time.Duration {
--- a/pkg/placer/orders.go
+++ b/pkg/placer/orders.go
@@ -113,17 +113,21 @@
 		if slot == nil && len(e.slots) >= p.slotCount(e) {
 			continue
 		}
-		warm, coldLoads := p.isCached(e, adapter), p.coldLoadsInFlight()
+		distance := e.reuseDistance(adapter)
+		warm, coldLoads := p.isWarm(distance), p.coldLoadsInFlight()
 		if !warm && float64(coldLoads) >= p.storeConcurrency {
 			continue
 		}
 		e.queue = slices.Delete(e.queue, i, i+1)
-		e.slots[adapter] = &adapterSlot{
-			state: loading, version: p.versions[adapter], orderedAt: now, reuseDistance: e.reuseDistance(adapter), warm: warm, coldLoads: coldLoads,
-			nextCheck: now.Add(p.firstConfirmDelay(e, adapter)),
+		ordered := &adapterSlot{
+			state: loading, version: p.versions[adapter], orderedAt: now, reuseDistance: distance, warm: warm, coldLoads: coldLoads,
+			checkedEarly: p.mayBeWarm(distance), storeWork: p.storeMeter.workAt(now),
 		}
+		ordered.nextCheck = now.Add(p.firstConfirmDelay(ordered))
+		e.slots[adapter] = ordered
 		if !warm {
 			p.coldLoadCount++
+			p.storeMeter.change(now, 1)
 		}
 		if slot != nil {
 			p.markChanged(e)
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -160,8 +160,8 @@
 		return
 	}
 	slot.nextCheck = now.Add(p.policy.ConfirmInterval)
-	if coldCheck := slot.orderedAt.Add(p.firstColdConfirmDelay()); slot.warm && outcome == Accepted && slot.nextCheck.Before(coldCheck) {
-		slot.nextCheck = coldCheck
+	if outcome == Accepted && now.Sub(slot.orderedAt) >= warmLoadFactor*p.policy.WarmLoad {
+		p.expectStoreLoad(now, slot)
 	}
 	if now.Sub(slot.orderedAt) > p.policy.LoadTimeout {
 		// The adapter is not there after all; the engine has to report its state again.
@@ -172,7 +172,7 @@
 // markReady lets requests use an adapter.
 func (p *Placer) markReady(now time.Time, e *engine, adapter string, slot *adapterSlot) {
 	slot.state, slot.readySince = ready, now
-	p.learnLoadTime(now, slot)
+	p.learnLoadTime(now, e, slot)
 	p.loadRate.add(now)
 	p.loaded = append(p.loaded, adapter)
 	e.recordSeen(adapter)
@@ -195,7 +195,7 @@
 		p.markReady(now, e, o.Adapter, slot)
 	case Accepted:
 		slot.accepted = true
-		slot.nextCheck = now.Add(p.firstConfirmDelay(e, o.Adapter))
+		slot.nextCheck = now.Add(p.firstConfirmDelay(slot))
 	case Refused:
 		delete(e.slots, o.Adapter)
 		e.backoffUntil = now.Add(p.policy.ResyncDelay)
@@ -249,7 +249,7 @@
 	}
 	for _, qualified := range state.Loading {
 		adapter, version := splitVersion(qualified)
-		slots[adapter] = &adapterSlot{state: loading, version: version, nextCheck: now, orderedAt: now, reuseDistance: -1, accepted: true}
+		slots[adapter] = &adapterSlot{state: loading, version: version, nextCheck: now, orderedAt: now, reuseDistance: -1, accepted: true, timingInvalid: true}
 	}
 	e.slots = slots
 	p.markChanged(e)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -127,6 +127,7 @@
 	// coldLoadCount is the number of cold loads in flight, if coldLoadCountValid is set.
 	coldLoadCount      int
 	coldLoadCountValid bool
+	storeMeter         storeMeter
 	// nextModelLoad is when the weight store allows the next load of a base model.
 	nextModelLoad time.Time
 }
@@ -249,6 +250,7 @@
 		p.storeConcurrency = max(initialStoreConcurrency, float64(storeConcurrencyPerEngine*len(p.engines)))
 	}
 	p.coldLoadCountValid = false
+	p.storeMeter.set(now, p.coldLoadsInFlight())
 	p.buildLocations()
 	p.computeSlotCosts(now)
 	p.assignPendingLoads(now)
--- a/pkg/placer/world_test.go
+++ b/pkg/placer/world_test.go
@@ -23,8 +23,16 @@
 	running   map[string]bool
 	unloading string
 	cached    map[string]bool
+	// copies bounds the weight copies that it keeps, the least recently loaded of which goes
+	// first; 0 keeps all. copyOrder lists them.
+	copies    int
+	copyOrder []string
+	// slowdown multiplies the time of its loads, but not what they take from the store; 0 is 1.
+	slowdown int
 	// store is shared by all engines; nil carries any number of loads.
 	store *fakeStore
+	// fromStore are the loads in progress that come from the store.
+	fromStore map[string]bool
 }
 
 // fakeStore is a weight store that carries so many loads at full speed; beyond that each takes
@@ -40,7 +48,7 @@
 func newFakeEngine(c *qt.C, slots int) *fakeEngine {
 	return &fakeEngine{
 		c: c, slots: slots, held: map[string]uint64{}, loading: map[string]time.Time{},
-		running: map[string]bool{}, cached: map[string]bool{},
+		running: map[string]bool{}, cached: map[string]bool{}, fromStore: map[string]bool{},
 	}
 }
 
@@ -50,10 +58,11 @@
 	for adapter, at := range e.loading {
 		if !now.Before(at) {
 			e.held[adapter] = 0
-			if e.store != nil && !e.cached[adapter] {
+			if e.fromStore[adapter] {
 				e.store.loading--
+				delete(e.fromStore, adapter)
 			}
-			e.cached[adapter] = true
+			e.keepCopy(adapter)
 			delete(e.loading, adapter)
 		}
 	}
@@ -63,6 +72,16 @@
 	}
 }
 
+// keepCopy keeps a copy of an adapter's weights, in place of the oldest one.
+func (e *fakeEngine) keepCopy(adapter string) {
+	e.cached[adapter] = true
+	e.copyOrder = append(slices.DeleteFunc(e.copyOrder, func(a string) bool { return a == adapter }), adapter)
+	if e.copies > 0 && len(e.copyOrder) > e.copies {
+		delete(e.cached, e.copyOrder[0])
+		e.copyOrder = e.copyOrder[1:]
+	}
+}
+
 func (e *fakeEngine) execute(now time.Time, o Order) (Outcome, *EngineState) {
 	e.advance(now)
 	if o.Kind == Report {
@@ -95,7 +114,9 @@
 			took /= 10
 		} else if e.store != nil {
 			took = e.store.startLoad(took)
+			e.fromStore[o.Adapter] = true
 		}
+		took *= time.Duration(max(1, e.slowdown))
 		e.loading[o.Adapter] = now.Add(took)
 		e.c.Assert(len(e.held)+len(e.loading) <= e.slots, qt.IsTrue, qt.Commentf("more adapters than slots"))
 		e.c.Assert(len(e.loading) <= 4, qt.IsTrue, qt.Commentf("more than four concurrent loads"))
