Grant spare replicas of adapters by their own demand

Cause: a gateway requested a replica whenever the chosen engine was busier than 0.3 of its slots and 1.6 times the mean, which occurs by chance with 12 slots, and whenever all holders of an adapter were full for a moment.

Change: Want.spare says that no request waits for the replica. The leader grants it in the next plan only if the adapter's own demand keeps enough requests busy there and is three times that of the evicted adapter, or if its engines have been overloaded for a second (then one a second). A denied one declines nothing. A request whose holders are full requests a load as waiting only after the time of a load, or if the holders pause for longer; until then as spare. The overload must exceed the mean by two standard deviations. SpareRequests and SpareReplicas switch this off. The placement line and the metric spare_replicas count both decisions.

Tests: TestChanceIsNoOverload had 156 requests of 3,600 before, and 13 after. TestReplicaForAnOverloadedEngineIsSpare failed before. The other new tests use functions that did not exist before; with the mechanisms off they show the earlier behavior ("without this").

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -179,6 +179,7 @@
 		SnapshotEntries: uint64(s.Data.SnapshotEvery), SnapshotBytes: snapshotBytes,
 	}
 	r.coordinator.CountHeld = func(change string) { r.meter.Increment("held_requests", "change", change) }
+	r.coordinator.CountSpares = func(decision string) { r.meter.Increment("spare_replicas", "decision", decision) }
 	r.coordinator.Init()
 	r.mesh = &routecoordinator.Mesh{Coordinator: r.coordinator, Leader: r.leader, Client: func(address string) wire.Mesh {
 		return wire.NewMeshProtobufClient("http://"+address, &connector.Client{Timeout: operatorTimeout, Transport: transport})
--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -75,6 +75,8 @@
 	// CountHeld counts requests that are quarantined, and those that are released; nil counts
 	// nothing.
 	CountHeld func(change string)
+	// CountSpares counts spare replicas that were Granted or Denied; nil counts nothing.
+	CountSpares func(decision string)
 
 	// Limits is the rule that enforces the limits of customers.
 	Limits quotaallocator.Rule
@@ -355,6 +357,21 @@
 	for _, order := range c.placer.Plan(now) {
 		c.dispatchOrder(order)
 	}
+	c.countSpares()
+}
+
+// countSpares counts the decisions on spare replicas since the last plan.
+func (c *Coordinator) countSpares() {
+	granted, denied := c.placer.TakeSpares()
+	if c.CountSpares == nil {
+		return
+	}
+	for range granted {
+		c.CountSpares("Granted")
+	}
+	for range denied {
+		c.CountSpares("Denied")
+	}
 }
 
 // planSoon plans immediately, unless a plan was just made: then the next tick plans.
--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -104,6 +104,11 @@
 		}
 		g := c.gateways[req.GetGateway()]
 		for _, w := range req.GetWants() {
+			if w.GetSpare() {
+				// No request of the gateway waits for it, so that there is nothing to notify it of.
+				c.placer.RequestSpare(now, w.GetAdapter(), w.GetAvoid())
+				continue
+			}
 			c.placer.RequestLoad(now, w.GetAdapter(), w.GetAvoid(), waitDeadline(now, w))
 			if g != nil {
 				g.wants[w.GetAdapter()] = now
--- a/pkg/ablator/ablator.go
+++ b/pkg/ablator/ablator.go
@@ -25,6 +25,9 @@
 	FullHolder Mechanism = "FullHolder"
 	// BudgetMargin leaves a part of the retry budget unused.
 	BudgetMargin Mechanism = "BudgetMargin"
+	// SpareRequests distinguishes adapter requests of waiting requests from those for a replica
+	// that would only help later ones.
+	SpareRequests Mechanism = "SpareRequests"
 	// PriorityOrder serves urgent requests first.
 	PriorityOrder Mechanism = "PriorityOrder"
 	// Pacing delays prompts that an engine can't process without a long pause.
@@ -47,18 +50,20 @@
 	LearntStore Mechanism = "LearntStore"
 	// LearntHost estimates how many adapters' weights an engine keeps.
 	LearntHost Mechanism = "LearntHost"
+	// SpareReplicas grants a spare replica only if the adapter's demand justifies an adapter slot.
+	SpareReplicas Mechanism = "SpareReplicas"
 	// EarlyElections lets members vote soon after they start.
 	EarlyElections Mechanism = "EarlyElections"
 )
 
 // GatewayMechanisms returns the mechanisms of gateways in alphabetical order.
 func GatewayMechanisms() []Mechanism {
-	return []Mechanism{BudgetMargin, Dispensing, Ejection, FullHolder, Pacing, PriorityOrder, TwoChoices, ZonePenalty}
+	return []Mechanism{BudgetMargin, Dispensing, Ejection, FullHolder, Pacing, PriorityOrder, SpareRequests, TwoChoices, ZonePenalty}
 }
 
 // ControllerMechanisms returns the mechanisms of controllers in alphabetical order.
 func ControllerMechanisms() []Mechanism {
-	return []Mechanism{EarlyElections, Homes, LearntHost, LearntStore, RisingCopies, WarmFirst}
+	return []Mechanism{EarlyElections, Homes, LearntHost, LearntStore, RisingCopies, SpareReplicas, WarmFirst}
 }
 
 // Disabled is the set of mechanisms that are switched off. The zero value is the empty set.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -21,9 +21,6 @@
 )
 
 const (
-	// loadRequestInterval is how long the leader has to load an adapter before the load is
-	// requested again: a load takes about a quarter of a second.
-	loadRequestInterval = 400 * time.Millisecond
 	// zonePenalty is the load, as a fraction of a backend server's slots, that is added for
 	// another availability zone: traffic between zones costs money and a few milliseconds.
 	zonePenalty = 0.04
@@ -66,13 +63,6 @@
 	contended map[string]time.Time
 }
 
-// requestedLoad is a request to the leader to load an adapter.
-type requestedLoad struct {
-	at time.Time
-	// until is the deadline of the request that it was made for.
-	until time.Time
-}
-
 // Waiter is a request that waits for a backend server. Set the exported fields, then pass it to
 // Enqueue.
 type Waiter struct {
@@ -95,6 +85,8 @@
 	order uint64
 	// declined is set once the leader has reported that the adapter can't be loaded in time.
 	declined bool
+	// fullSince is since when those that hold the adapter have no room; zero if that was not so.
+	fullSince time.Time
 	// waitedForAdapter is set once no usable backend server held the adapter when the request
 	// was decided on.
 	waitedForAdapter bool
@@ -312,7 +304,7 @@
 	if best != nil {
 		var extra *wire.Want
 		if w.Adapter != "" && b.overloaded(best, c.preferred) {
-			extra = b.requestLoad(now, w, unpaused(now, without(c.preferred, holders)))
+			extra = b.requestLoad(now, w, unpaused(now, without(c.preferred, holders)), !b.Disabled.Has(ablator.SpareRequests))
 		}
 		best.backoff.sent(now)
 		best.own += Weight(w.Tokens)
@@ -338,7 +330,7 @@
 	}
 	// No engine has it, or those that do are full. Without a replica elsewhere the leader would
 	// even take it for idle there and unload it.
-	return nil, b.requestLoad(now, w, others)
+	return nil, b.requestLoad(now, w, others, len(holders) > 0 && !b.outlastsLoad(now, w, holders))
 }
 
 // refuse returns the refusal of a request that can't be served in time, or nil.
@@ -410,29 +402,3 @@
 	// retryForAdapter is about the time of a load from the weight store.
 	retryForAdapter = 300 * time.Millisecond
 )
-
-// requestLoad requests a load of the adapter, unless one was requested recently.
-func (b *Balancer) requestLoad(now time.Time, w *Waiter, candidates []*backend) *wire.Want {
-	if now.Sub(b.requestedLoads[w.Adapter].at) < loadRequestInterval {
-		return nil
-	}
-	if b.requestedLoads == nil {
-		b.requestedLoads = map[string]requestedLoad{}
-	}
-	b.requestedLoads[w.Adapter] = requestedLoad{at: now, until: w.Deadline}
-	pending := &wire.Want{Adapter: w.Adapter, LeftMs: uint32(max(1, w.Deadline.Sub(now).Milliseconds()))}
-	for _, k := range b.byService[w.Service] {
-		if !slices.Contains(candidates, k) {
-			pending.Avoid = append(pending.Avoid, k.info.GetId())
-		}
-	}
-	return pending
-}
-
-const (
-	// An engine is too busy to be the only one with an adapter if its load is above
-	// overloadedLoad, as a fraction of its slots, and above overloadedRatio times the mean of
-	// its peers.
-	overloadedLoad  = 0.3
-	overloadedRatio = 1.6
-)
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -172,16 +172,6 @@
 	return ok && now.Sub(at) < contendedDuration
 }
 
-// overloaded reports whether the chosen holder of an adapter is much busier than the engines on
-// average. If all are busy, another replica would not help.
-func (b *Balancer) overloaded(best *backend, peers []*backend) bool {
-	sum := 0.0
-	for _, k := range peers {
-		sum += k.load()
-	}
-	return best.load() > overloadedLoad && best.load()*float64(len(peers)) > overloadedRatio*sum
-}
-
 // without returns the backend servers of a list that are not in another.
 func without(list, others []*backend) []*backend {
 	return slices.DeleteFunc(slices.Clone(list), func(k *backend) bool { return slices.Contains(others, k) })
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -86,9 +86,13 @@
 	*weightCache
 	// queue holds the adapters to be loaded.
 	queue []queuedLoad
-	// slotCosts are the costs of taking its slots, cheapest first, as of the last plan.
+	// slotCosts are the requests per second of what its slots hold, lowest first, as of the last plan.
 	slotCosts []float64
 	usage     Usage
+	// overloadedSince is since when it has been much busier than the others, and relievedAt when
+	// a spare replica was last granted for one of its adapters.
+	overloadedSince time.Time
+	relievedAt      time.Time
 }
 
 func newEngine(cache *weightCache) *engine {
--- a/pkg/placer/holdings.go
+++ b/pkg/placer/holdings.go
@@ -70,6 +70,9 @@
 	Wanted int
 	// Dropped counts the loads that were not possible in time in this leader's term.
 	Dropped int
+	// SparesGranted and SparesDenied count the requests for spare replicas in this leader's term.
+	SparesGranted int
+	SparesDenied  int
 	// ColdLoad, MaxComing and HostAdapters are the learned estimates.
 	ColdLoad     time.Duration
 	MaxComing    int
@@ -80,6 +83,7 @@
 func (p *Placer) Summary() Summary {
 	s := Summary{
 		Wanted: len(p.pendingLoads), Dropped: p.declinedTotal, ColdLoad: p.coldLoad, MaxComing: int(p.storeConcurrency), HostAdapters: p.hostAdapters,
+		SparesGranted: p.sparesGranted, SparesDenied: p.sparesDenied,
 	}
 	for _, e := range p.engines {
 		if !e.acceptsAdapters() {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -128,6 +128,14 @@
 	coldLoadCount      int
 	coldLoadCountValid bool
 	storeMeter         storeMeter
+	// spareRequests are the spare replicas that were requested since the last plan, with the
+	// engines to avoid. sparesGranted and sparesDenied count the decisions in this leader's term,
+	// takenGranted and takenDenied those that TakeSpares has returned.
+	spareRequests map[string][]string
+	sparesGranted int
+	sparesDenied  int
+	takenGranted  int
+	takenDenied   int
 	// nextModelLoad is when the weight store allows the next load of a base model.
 	nextModelLoad time.Time
 }
@@ -148,7 +156,7 @@
 func NewWith(learned *LearnedState) *Placer {
 	return &Placer{
 		LearnedState: learned, limits: map[string]*wire.EngineLimits{}, engines: map[string]*engine{},
-		versions: map[string]uint64{}, pendingLoads: map[string]*pendingLoad{}, changed: map[string]bool{},
+		versions: map[string]uint64{}, pendingLoads: map[string]*pendingLoad{}, changed: map[string]bool{}, spareRequests: map[string][]string{},
 	}
 }
 
@@ -253,9 +261,11 @@
 	p.storeMeter.set(now, p.coldLoadsInFlight())
 	p.buildLocations()
 	p.computeSlotCosts(now)
+	p.observeOverload(now)
 	p.assignPendingLoads(now)
 	p.assignVersions()
 	p.assignReplicas(now)
+	p.assignSpares(now)
 	var orders []Order
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
 		orders = append(orders, p.nextOrders(now, id)...)
--- a/pkg/placer/rooms.go
+++ b/pkg/placer/rooms.go
@@ -24,7 +24,7 @@
 				e.slotCosts = append(e.slotCosts, 0)
 			case ready:
 				if !e.usage.Adapters[adapter] {
-					e.slotCosts = append(e.slotCosts, min(1, p.ratePerReplica(now, adapter)))
+					e.slotCosts = append(e.slotCosts, p.ratePerReplica(now, adapter))
 				}
 			case loading:
 			}
@@ -35,12 +35,21 @@
 
 // nextSlotCost returns the cost of the slot that the next queued adapter would take.
 func (e *engine) nextSlotCost() float64 {
-	if n := len(e.queue); n < len(e.slotCosts) {
-		return e.slotCosts[n]
+	if rate, ok := e.nextSlotRate(); ok {
+		return min(1, rate)
 	}
 	return 1
 }
 
+// nextSlotRate returns the requests per second for the adapter whose slot the next queued adapter
+// would take, 0 for a free slot, or false if all slots are in use.
+func (e *engine) nextSlotRate() (float64, bool) {
+	if n := len(e.queue); n < len(e.slotCosts) {
+		return e.slotCosts[n], true
+	}
+	return 0, false
+}
+
 // ratePerReplica returns the requests per second for an adapter at each engine that holds it.
 func (p *Placer) ratePerReplica(now time.Time, adapter string) float64 {
 	rate := p.Rate(now, adapter)
