Evict the adapters that are worth least, and keep slots free only if needed

Cause: each engine kept one adapter slot free, also while 129 adapters were queued for slots. The victim was the least requested adapter of the engine that was chosen for other reasons, by a rate over 4 s in which an adapter of a request every few seconds counts as one that was requested once: half of the adapters loaded again had been unloaded less than a second before. Queued loads of ended requests stayed, and took a slot, at engines with all loads in flight.

The cost of the evicted adapter counts more in the choice of the engine, so that colder ones go first. Slots are kept free only for the loads expected within 150 ms, at a tenth of the engines, or in place of cold adapters, and none while adapters are queued for slots. Queued loads move to engines with free slots. Loads that no request waits for are cancelled at all engines in each plan, and adapters that were to be unloaded for them stay. ScarceSlots switches this off.

Tests: with ScarceSlots off, TestSurplusReplicasAreEvictedFirst, TestQueuedLoadsOfEndedRequestsAreCancelled and TestQueuedLoadsMoveToFreeSlots fail; they pass now. The other two new tests have cases that show the earlier behavior with it off.

--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -12,7 +12,7 @@
 // enqueue queues an adapter for loading at an engine.
 func (p *Placer) enqueue(id, adapter string, deadline time.Time) {
 	e := p.engines[id]
-	e.queue = append(e.queue, queuedLoad{adapter, deadline})
+	e.queue = append(e.queue, queuedLoad{adapter: adapter, deadline: deadline})
 	p.locations[adapter] = append(p.locations[adapter], id)
 }
 
@@ -52,6 +52,8 @@
 		}
 		if id := p.chooseEngine(now, adapter, w.avoid); id != "" {
 			p.enqueue(id, adapter, w.deadline)
+			queue := p.engines[id].queue
+			queue[len(queue)-1].avoid = w.avoid
 			delete(p.pendingLoads, adapter)
 			continue
 		}
@@ -165,7 +167,7 @@
 // no requests from a part of the gateways counts for the others.
 func (p *Placer) replicas(adapter string) (count float64, slots uint32) {
 	for _, id := range p.locations[adapter] {
-		if e := p.engines[id]; e != nil {
+		if e := p.engines[id]; e != nil && !e.isLeaving(adapter) {
 			count += 1 - e.usage.BackingOff
 			slots = max(slots, e.info.GetSlots())
 		}
@@ -236,7 +238,7 @@
 		cost += coldWeight
 	}
 	cost += queueWeight * float64(len(e.queue)+e.loadingCount())
-	cost += evictionWeight * e.nextSlotCost()
+	cost += p.evictionCost(e)
 	cost += backoffWeight * e.usage.BackingOff
 	if now.Before(e.backoffUntil) {
 		cost += 1
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -261,11 +261,14 @@
 	p.storeMeter.set(now, p.coldLoadsInFlight())
 	p.buildLocations()
 	p.computeSlotCosts(now)
+	p.cancelQueuedLoads(now)
 	p.observeOverload(now)
 	p.assignPendingLoads(now)
 	p.assignVersions()
 	p.assignReplicas(now)
 	p.assignSpares(now)
+	p.moveQueuedLoads(now)
+	p.planReserve(now)
 	var orders []Order
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
 		orders = append(orders, p.nextOrders(now, id)...)
