--- a/pkg/placer/evictions.go
+++ b/pkg/placer/evictions.go
@@ -28,7 +28,7 @@
 	// maxEvictionCost, as a part of an engine's slots. It is that of two requests in ten seconds:
 	// in the range of the adapters that compete for slots, the cost must differ.
 	typicalEvictionLoss = 0.15
-	maxEvictionCost     = 1.0
+	maxEvictionCost     = 2.0
 )
 
 // evictionLoss returns the requests per second that would need a load if a replica of an adapter
@@ -54,7 +54,7 @@
 
 // loneFactor is the weight of the recent rate of an adapter without replicas: chance makes it
 // much higher than the rate over a longer time.
-const loneFactor = 0.3
+const loneFactor = 0.15
 
 // evictionCost returns the cost of evicting an adapter at an engine, as a part of its slots.
 func (p *Placer) evictionCost(e *engine) float64 {
