Decline loads that end too late at once, and bound the time of a plan

Cause: a load that could not end before its requests timed out was queued until its engine had a turn. Each plan visited all known demand twice, and sorted the engines several times.

Change: such a load is declined when it is assigned.

--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -42,6 +42,10 @@
 		if p.willReload(adapter, w) {
 			continue
 		}
+		if p.isTooLate(now, adapter, w) {
+			p.decline(adapter)
+			continue
+		}
 		ahead++
 		if overloaded && now.Add(p.expectedWait(now, ahead)).After(w.deadline) {
 			p.decline(adapter)
@@ -61,6 +65,20 @@
 	}
 }
 
+// isTooLate reports whether the requests that wait for an adapter time out before it can be loaded
+// anywhere.
+func (p *Placer) isTooLate(now time.Time, adapter string, w *pendingLoad) bool {
+	if p.policy.Disabled.Has(ablator.ScarceSlots) || !now.Add(p.coldLoad).After(w.deadline) {
+		return false
+	}
+	for _, e := range p.engines {
+		if e.acceptsAdapters() && p.isCached(e, adapter) {
+			return now.Add(p.policy.WarmLoad).After(w.deadline)
+		}
+	}
+	return true
+}
+
 // sortedPendingLoads returns the adapters with pending loads, in the order of assignment.
 func (p *Placer) sortedPendingLoads() []string {
 	saturated := p.storeIsSaturated()
@@ -134,6 +152,10 @@
 // assignReplicas gives hot adapters further replicas.
 func (p *Placer) assignReplicas(now time.Time) {
 	for adapter, d := range p.demand {
+		if d.rate < 1 && d.burstRate < 1 {
+			// Rates only decay, so that the current ones are not higher.
+			continue
+		}
 		rate := d.peakRate(now, &p.policy)
 		if rate < 1 {
 			continue
--- a/pkg/placer/evictions.go
+++ b/pkg/placer/evictions.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -92,7 +91,7 @@
 	var candidates []*engine
 	free, usable := 0, 0
 	contested := p.slotsAreContested()
-	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+	for _, id := range p.engineIDs {
 		e := p.engines[id]
 		e.reserve = 0
 		if p.policy.Disabled.Has(ablator.ScarceSlots) {
@@ -250,11 +249,11 @@
 // moveQueuedLoads moves loads that wait for a slot, and are not quicker where they wait, to
 // engines with free slots.
 func (p *Placer) moveQueuedLoads(now time.Time) {
-	if p.policy.Disabled.Has(ablator.ScarceSlots) {
+	if p.policy.Disabled.Has(ablator.ScarceSlots) || p.queuedLoads() == 0 {
 		return
 	}
 	var free []string
-	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+	for _, id := range p.engineIDs {
 		if e := p.engines[id]; e.acceptsAdapters() && p.vacantSlots(e) > 0 {
 			free = append(free, id)
 		}
@@ -262,7 +261,7 @@
 	if len(free) == 0 {
 		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+	for _, id := range p.engineIDs {
 		e := p.engines[id]
 		for i := len(e.queue) - 1; i >= 0 && p.vacantSlots(e) < 0; i-- {
 			if q := e.queue[i]; e.slots[q.adapter] == nil && !p.isCached(e, q.adapter) {
--- a/pkg/placer/evictions_test.go
+++ b/pkg/placer/evictions_test.go
@@ -159,3 +159,32 @@
 		})
 	}
 }
+
+// A load that ends after the requests have timed out was queued until its engine had a turn. The
+// callers are told at once.
+func TestLoadsThatEndTooLateAreDeclinedAtOnce(t *testing.T) {
+	for label, test := range map[string]struct {
+		left     time.Duration
+		cached   bool
+		declined bool
+	}{
+		"enough time":                         {300 * time.Millisecond, false, false},
+		"not enough time":                     {200 * time.Millisecond, false, true},
+		"enough time for a load from memory":  {200 * time.Millisecond, true, false},
+		"not enough for a load from anywhere": {10 * time.Millisecond, true, true},
+	} {
+		t.Run(label, func(t *testing.T) {
+			c := qt.New(t)
+			p := placerWithout()
+			for _, id := range []string{"a", "b", "c"} {
+				p.engines[id].queue = []queuedLoad{{adapter: "m/1"}, {adapter: "m/2"}, {adapter: "m/3"}}
+			}
+			if test.cached {
+				p.engines["b"].recordSeen("m/new")
+			}
+			p.RequestLoad(startTime(), "m/new", nil, startTime().Add(test.left))
+			assign(p)
+			c.Check(len(p.TakeDeclined()) > 0, qt.Equals, test.declined)
+		})
+	}
+}
