--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -31,10 +31,14 @@
 	// since the engine last had this one; -1 if it never had.
 	orderedAt     time.Time
 	reuseDistance int
-	// warm is set if the load should come from the engine's own memory.
-	warm bool
-	// coldLoads is the number of cold loads in flight when it was ordered.
+	// warm is set if the load should come from the engine's own memory, and checkedEarly if it
+	// is checked soon enough to observe that it does.
+	warm         bool
+	checkedEarly bool
+	// coldLoads is the number of cold loads in flight when it was ordered, and storeWork the work
+	// of the weight store until then.
 	coldLoads int
+	storeWork float64
 	// timingInvalid is set if the order was sent again, a Confirm went unanswered, or this
 	// instance was late itself, so that the observed load time means nothing.
 	timingInvalid bool
@@ -52,6 +56,8 @@
 	adapter string
 	// deadline is when the requests that wait for it time out; zero if none waits.
 	deadline time.Time
+	// avoid are the engines at which those requests can't be served.
+	avoid []string
 }
 
 // engine is the leader's view of one incarnation of an engine.
@@ -82,9 +88,15 @@
 	*weightCache
 	// queue holds the adapters to be loaded.
 	queue []queuedLoad
-	// slotCosts are the costs of taking its slots, cheapest first, as of the last plan.
+	// slotCosts are the requests per second of what its slots hold, lowest first, as of the last plan.
 	slotCosts []float64
 	usage     Usage
+	// reserve is the number of slots to be kept free, as of the last plan.
+	reserve int
+	// overloadedSince is since when it has been much busier than the others, and relievedAt when
+	// a spare replica was last granted for one of its adapters.
+	overloadedSince time.Time
+	relievedAt      time.Time
 }
 
 func newEngine(cache *weightCache) *engine {
--- a/pkg/placer/knowledge.go
+++ b/pkg/placer/knowledge.go
@@ -25,6 +25,10 @@
 	storeConcurrency float64
 	// measured is set once a load has changed storeConcurrency.
 	measured bool
+	// hostLoads and store are the recent loads from which the estimates are computed. A new
+	// leader starts without them.
+	hostLoads []hostLoad
+	store     storeWatch
 }
 
 // NewLearnedState returns a state with initial estimates.
@@ -38,9 +42,12 @@
 // demand is the requests per second for an adapter: rate over the last seconds, and burstRate
 // over the last moments, which shows a rise at once.
 type demand struct {
-	rate        float64
-	burstRate   float64
-	lastRequest time.Time
+	rate      float64
+	burstRate float64
+	// evictionRate is the rate over a longer time, by which adapters are evicted: a rare adapter
+	// that is requested again and again is worth more than one that was requested once.
+	evictionRate float64
+	lastRequest  time.Time
 }
 
 // RecordRequests counts requests for an adapter.
@@ -52,6 +59,7 @@
 	}
 	burst := d.burstRate * decayFactor(float64(now.Sub(d.lastRequest))/float64(s.policy.BurstHalfLife))
 	d.burstRate = burst + float64(requests)*ln2/s.policy.BurstHalfLife.Seconds()
+	d.evictionRate = d.evictionRateAt(now, s.policy.EvictionHalfLife) + float64(requests)*ln2/s.policy.EvictionHalfLife.Seconds()
 	d.rate = d.rateAt(now, s.policy.DemandHalfLife) + float64(requests)*ln2/s.policy.DemandHalfLife.Seconds()
 	d.lastRequest = now
 }
@@ -61,6 +69,10 @@
 	return d.rate * decayFactor(float64(now.Sub(d.lastRequest))/float64(halfLife))
 }
 
+func (d *demand) evictionRateAt(now time.Time, halfLife time.Duration) float64 {
+	return d.evictionRate * decayFactor(float64(now.Sub(d.lastRequest))/float64(halfLife))
+}
+
 // peakRate returns the higher of the two rates: rising demand gets its replicas soon, and
 // demand that has paused for a moment keeps them.
 func (d *demand) peakRate(now time.Time, policy *Policy) float64 {
@@ -74,14 +86,19 @@
 // PruneDemand drops adapters with a negligible rate.
 func (s *LearnedState) PruneDemand(now time.Time) {
 	for adapter, d := range s.demand {
-		if d.rateAt(now, s.policy.DemandHalfLife) < negligibleRate {
+		if d.evictionRateAt(now, s.policy.EvictionHalfLife) < negligibleRate && d.rateAt(now, s.policy.DemandHalfLife) < negligibleRate {
 			delete(s.demand, adapter)
 		}
 	}
 }
 
 // RemoveEngine drops the state of an engine that was removed.
-func (s *LearnedState) RemoveEngine(id string) { delete(s.caches, id) }
+func (s *LearnedState) RemoveEngine(id string) {
+	delete(s.caches, id)
+	delete(s.store.nearLimit, id)
+	delete(s.store.baseline, id)
+	delete(s.store.fastest, id)
+}
 
 // RecordAdapters records adapters that were loaded or unloaded at an engine, as another leader
 // reports: the engine keeps their weights for a while.
@@ -110,6 +127,8 @@
 	if n := int(l.GetKeptCopies()); n >= minHostAdapters && n <= maxCacheHistory {
 		s.hostAdapters = n
 	}
+	// Loads that this instance has observed as an earlier leader are out of date.
+	s.hostLoads, s.store = nil, storeWatch{contended: s.measured}
 }
 
 // HasCachedWeights reports whether an engine probably keeps a copy of an adapter's weights.
@@ -129,7 +148,12 @@
 // isWarm reports whether an engine probably keeps the weights of what it held so many adapters
 // ago.
 func (s *LearnedState) isWarm(reuseDistance int) bool {
-	return reuseDistance >= 0 && reuseDistance < s.hostAdapters+hostProbeMargin
+	return reuseDistance >= 0 && reuseDistance < s.hostAdapters
+}
+
+// mayBeWarm is the same, in case the learned number of copies is too low.
+func (s *LearnedState) mayBeWarm(reuseDistance int) bool {
+	return reuseDistance >= 0 && reuseDistance < hostProbeFactor*s.hostAdapters
 }
 
 // maxStoreConcurrency is more loads at once than any weight store carries.
--- a/pkg/placer/rooms.go
+++ b/pkg/placer/rooms.go
@@ -23,8 +23,8 @@
 			case draining, unloading:
 				e.slotCosts = append(e.slotCosts, 0)
 			case ready:
-				if !e.usage.Adapters[adapter] {
-					e.slotCosts = append(e.slotCosts, min(1, p.ratePerReplica(now, adapter)))
+				if p.isEvictable(now, e, adapter, slot, p.policy.MinIdleUnderPressure) {
+					e.slotCosts = append(e.slotCosts, p.evictionLoss(now, adapter))
 				}
 			case loading:
 			}
@@ -35,17 +35,17 @@
 
 // nextSlotCost returns the cost of the slot that the next queued adapter would take.
 func (e *engine) nextSlotCost() float64 {
-	if n := len(e.queue); n < len(e.slotCosts) {
-		return e.slotCosts[n]
+	if rate, ok := e.nextSlotRate(); ok {
+		return min(1, rate)
 	}
 	return 1
 }
 
-// ratePerReplica returns the requests per second for an adapter at each engine that holds it.
-func (p *Placer) ratePerReplica(now time.Time, adapter string) float64 {
-	rate := p.Rate(now, adapter)
-	if n, _ := p.replicas(adapter); n > 1 {
-		rate /= float64(n)
+// nextSlotRate returns the requests per second for the adapter whose slot the next queued adapter
+// would take, 0 for a free slot, or false if all slots are in use.
+func (e *engine) nextSlotRate() (float64, bool) {
+	if n := len(e.queue); n < len(e.slotCosts) {
+		return e.slotCosts[n], true
 	}
-	return rate
+	return 0, false
 }
