Keep the store's concurrency where loads take longer than the policy says

Cause: loads take 290 to 330 ms by the leader's checks where the policy says 250 ms, and the store is busy from the first moment on. Each window then counted as contended, and each reduction left as many loads in flight as the new estimate allows, so that no uncontended load was seen.

Change: a load counts as contended from 1.35 times the expected time. A window lowers the estimate to 0.35 of it at most. The first contended window of a series is kept until fewer loads in flight take less time, so that a store that is slow and not contended is found.

--- a/pkg/placer/estimates.go
+++ b/pkg/placer/estimates.go
@@ -273,10 +273,18 @@
 		s.store.contendedAt, s.store.baseline = 0, nil
 		return
 	}
-	s.store.contended, s.store.contendedAt, s.store.contendedLoad = true, at, took
-	s.storeConcurrency = max(minStoreConcurrency, proven, quantile(shares, shareQuantile))
+	s.store.contended = true
+	if s.store.contendedAt == 0 || float64(took) < independentTimeRatio*float64(s.store.contendedLoad) {
+		s.store.contendedAt, s.store.contendedLoad = at, took
+	}
+	s.storeConcurrency = max(minStoreConcurrency, proven, maxReduction*s.storeConcurrency, quantile(shares, shareQuantile))
 }
 
+// maxReduction is the factor by which one window of loads lowers storeConcurrency at most: a store
+// that is slow and not contended must show that fewer loads in flight take as long before few are
+// left.
+const maxReduction = 0.35
+
 // If at most independentRatio of the loads in flight still take at least independentTimeRatio of
 // the time, the time does not depend on their number.
 const (
--- a/pkg/placer/estimates_test.go
+++ b/pkg/placer/estimates_test.go
@@ -95,6 +95,30 @@
 	c.Check(w.p.storeConcurrency >= 50, qt.IsTrue, qt.Commentf("%.0f", w.p.storeConcurrency))
 }
 
+// Each load takes a quarter longer than the policy says, as messages and checks take their time, and
+// the store is busy from the first moment on. The estimate fell from 180 to 7 within half a minute,
+// since each reduction left too many loads in flight to show how long an uncontended one takes.
+func TestStoreConcurrencyDoesNotCollapse(t *testing.T) {
+	for name, slowdown := range map[string]float64{"a quarter": 1.25, "two fifths": 1.4, "twice": 2} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newSimulation(c, 90, 8)
+			store := &fakeStore{concurrency: 104}
+			for _, f := range w.engines {
+				f.store, f.copies = store, 46
+			}
+			w.p.policy.ColdLoad = time.Duration(float64(coldLoad) / slowdown)
+			w.p.coldLoad = w.p.policy.ColdLoad
+			w.advance(100 * time.Millisecond)
+			requestMany(w, 2*time.Second, 12)
+			for range 8 {
+				requestMany(w, time.Second, 12)
+				c.Check(w.p.storeConcurrency >= 0.8*104, qt.IsTrue, qt.Commentf("%.0f", w.p.storeConcurrency))
+			}
+		})
+	}
+}
+
 // The estimate of the weight copies that an engine keeps fell by one with each slow load, from
 // 128 to 63 in half a minute where engines kept 46, and one outlier raised it at once. It must
 // be close after some dozens of loads.
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -60,8 +60,10 @@
 	maxColdLoadFactor = 2.0
 	// contendedRatio is the ratio of a load's time to the learned one above which the weight
 	// store was shared by too many loads, and uncontendedRatio the one below which it was not.
-	// Checks at intervals of 30 ms make a load of 288 ms look up to 1.1 times as long.
-	contendedRatio   = 1.25
+	// Messages and checks at intervals of 30 ms make a load of 288 ms look up to 1.28 times as
+	// long as the 250 ms of the policy, which is all that is known of a store that is busy from
+	// the start.
+	contendedRatio   = 1.35
 	uncontendedRatio = 1.15
 	// minStoreConcurrency bounds what is learned from loads that were slow for other reasons.
 	minStoreConcurrency = 6
