Keep slots of contended plain services in use while messages take long

Cause: an owner granted one request more than a backend server has slots, whatever the message latency, and counted the way of the grant and of the completion as service time. Slots were idle, and requests that could have been on time were refused. A late retry was redirected as if the backend server were slow, and asked four owners. A completion waited for the lock behind new requests, and a request whose gateway was gone held its slot for a second.

Change: a gateway reports with its next slot request how long its latest run took from sending to the answer (event_us, which plain services do not use). The owner compares that with the time from its grant to the completion. The difference is the message latency: it is no service time, and as many slots more are granted as are idle in it. The answer's way is taken to be half of it. Reported completions are handled by whoever takes the lock next. A request that many others have overtaken counts as lost after four times the usual time. A request with less than half of its objective left is not redirected.

The tests of completions, of the reported run and of overtaken requests use what is new, so that they could not run before.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -307,6 +307,7 @@
 		outcome = balancer.Failed
 	}
 	f.recordOutcome(j, backend.GetId(), outcome)
+	f.recordSlotRun(j)
 	f.endPrompt(j, true)
 	f.reportCompletedRun(j, backend)
 	if in.Body.Framing == framer.FramingNone {
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -63,6 +63,13 @@
 	return false
 }
 
+// recordSlotRun records how long the answer to a request took whose slot was granted.
+func (f *Forwarder) recordSlotRun(j *job) {
+	if j.prompt != nil && j.usesSlotGrants {
+		f.Regulator.RecordRun(j.prompt.backend, f.Clock.Since(j.sentAt))
+	}
+}
+
 // slotWait returns how long a request waits for a slot of one backend server: while it can be
 // on time, no longer than that, so that an unresponsive owner costs one objective and not all
 // of the request's time.
@@ -74,9 +81,11 @@
 }
 
 // hasAlternativeSlot reports whether another backend server can be asked for a slot next, where
-// the request may be on time.
+// the request may be on time. A request with less than half of its objective left is late itself:
+// backend servers that appear too slow for it are no slower than others, and its caller would wait
+// for the refusals of several owners.
 func (f *Forwarder) hasAlternativeSlot(j *job, backend string, now time.Time) bool {
-	if j.slowSlotRequests >= maxSlowSlotRequests || !now.Before(j.onTimeUntil()) {
+	if j.slowSlotRequests >= maxSlowSlotRequests || j.onTimeUntil().Sub(now) < milliseconds(j.route.GetObjectiveMs())/2 {
 		return false
 	}
 	f.mu.Lock()
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -61,6 +61,20 @@
 	lists    map[string][]string
 	leader   string
 	engines  map[string]*engine
+	// lastRuns are the durations of the latest requests of this gateway at the backend servers of
+	// plain services, until they are reported with the next one there.
+	lastRuns map[string]lastRun
+
+	// completionsMu guards completions, which were reported and not handled yet. It is held for a
+	// moment only, so that a completion never waits for the requests that compete for mu.
+	completionsMu sync.Mutex
+	completions   []*wire.PromptEnd
+}
+
+// lastRun is how long a request took at a backend server, and when it completed.
+type lastRun struct {
+	took time.Duration
+	at   time.Time
 }
 
 // engine is an engine or backend server that this gateway owns, or did.
@@ -92,11 +106,18 @@
 	Deadline time.Time
 	// HasAlternative is set if another backend server can be tried next.
 	HasAlternative bool
+	// Gateway is the gateway that sends it, and LastRun how long its latest request there took;
+	// Acquire sets both.
+	Gateway string
+	LastRun time.Duration
 }
 
 // slotRequest returns the slot request for a request of a plain service.
 func (p *Prompt) slotRequest() slotgranter.GrantRequest {
-	return slotgranter.GrantRequest{Key: p.Key, Urgency: p.Urgency, OnTimeUntil: p.OnTimeUntil, Deadline: p.Deadline, Slots: p.Slots, HasAlternative: p.HasAlternative}
+	return slotgranter.GrantRequest{
+		Key: p.Key, Urgency: p.Urgency, OnTimeUntil: p.OnTimeUntil, Deadline: p.Deadline, Slots: p.Slots, HasAlternative: p.HasAlternative,
+		Gateway: p.Gateway, LastRun: p.LastRun,
+	}
 }
 
 // Result is the outcome of a grant request.
@@ -117,6 +138,7 @@
 	r.peers = map[string]*peer{}
 	r.engines = map[string]*engine{}
 	r.lists = map[string][]string{}
+	r.lastRuns = map[string]lastRun{}
 }
 
 // UpdateGateways receives a controller's list of gateways. The leader's is used. Before a
@@ -169,6 +191,12 @@
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.handleCompletions(now)
+	for backend, last := range r.lastRuns {
+		if now.Sub(last.at) > engineTTL {
+			delete(r.lastRuns, backend)
+		}
+	}
 	for backend, e := range r.engines {
 		e.grant(now)
 		r.logSlots(now, backend, e)
@@ -190,13 +218,17 @@
 	}
 	r.Log.Info("slots granted", "Backend", backend, "Granted", s.Granted, "GrantedLate", s.Late, "Refused", s.Refused,
 		"Slow", s.Slow, "Evicted", s.Evicted, "Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
-		"ServiceUs", s.ServiceTime.Microseconds())
+		"ServiceUs", s.ServiceTime.Microseconds(), "LatencyUs", s.Latency.Microseconds())
 }
 
 // Acquire waits until the prompt may be sent, or for a time at most.
 func (r *Regulator) Acquire(ctx context.Context, p *Prompt, wait time.Duration) Result {
 	// Callers choose request ids, which need not be unique.
 	p.Key = r.Self + "/" + strconv.FormatUint(r.requestCount.Add(1), 10)
+	p.Gateway = r.Self
+	if p.Slots > 0 {
+		p.LastRun = r.takeLastRun(p.Backend)
+	}
 	for range maxAttempts {
 		address := r.owner(p.Backend)
 		if address == r.Self || address == "" || ctx.Err() != nil {
@@ -209,12 +241,30 @@
 	return r.acquireLocally(ctx, p, wait)
 }
 
+// RecordRun records how long a request of a plain service took at its backend server, from its
+// sending to the answer. Owners tell by it how much of the time until the completion is reported
+// is due to messages.
+func (r *Regulator) RecordRun(backend string, took time.Duration) {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastRuns[backend] = lastRun{took: took, at: now}
+}
+
+func (r *Regulator) takeLastRun(backend string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	took := r.lastRuns[backend].took
+	delete(r.lastRuns, backend)
+	return took
+}
+
 // Release reports that an engine does not have to read a prompt any more: its first event has
 // been received, or it has failed.
 func (r *Regulator) Release(backend, key string, read bool) {
 	address := r.owner(backend)
 	if address == r.Self || address == "" {
-		r.release(backend, key, read)
+		r.complete([]*wire.PromptEnd{{Backend: backend, Key: key, Read: read}})
 		return
 	}
 	r.queueRelease(address, &wire.PromptEnd{Backend: backend, Key: key, Read: read})
@@ -237,6 +287,7 @@
 	r.mu.Lock()
 	e := r.engine(p.Backend)
 	e.lastRequestAt = r.Clock.Now()
+	r.handleCompletions(e.lastRequestAt)
 	if !e.add(e.lastRequestAt, p) {
 		defer r.mu.Unlock()
 		return Result{Backlog: e.backlog(p), Slow: p.HasAlternative && e.granter.TooSlow(e.lastRequestAt, p.slotRequest())}
@@ -289,21 +340,35 @@
 	return e.pacer.Backlog()
 }
 
-func (r *Regulator) release(backend, key string, read bool) {
+// complete handles completed requests, before the requests that compete for the lock.
+func (r *Regulator) complete(list []*wire.PromptEnd) {
+	r.completionsMu.Lock()
+	r.completions = append(r.completions, list...)
+	r.completionsMu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.engines[backend]
-	if e == nil {
-		return
-	}
-	now := r.Clock.Now()
-	e.granter.Release(now, key, read)
-	if read {
-		e.pacer.MarkRead(now, key)
-	} else {
-		e.pacer.Drop(key)
+	r.handleCompletions(r.Clock.Now())
+}
+
+// handleCompletions handles all reported completions. The caller holds the lock.
+func (r *Regulator) handleCompletions(now time.Time) {
+	r.completionsMu.Lock()
+	list := r.completions
+	r.completions = nil
+	r.completionsMu.Unlock()
+	for _, p := range list {
+		e := r.engines[p.GetBackend()]
+		if e == nil {
+			continue
+		}
+		e.granter.Release(now, p.GetKey(), p.GetRead())
+		if p.GetRead() {
+			e.pacer.MarkRead(now, p.GetKey())
+		} else {
+			e.pacer.Drop(p.GetKey())
+		}
+		e.grant(now)
 	}
-	e.grant(now)
 }
 
 // engine returns the state of an engine. The caller holds the lock.
@@ -368,19 +433,22 @@
 	if req.GetSeen() && r.OnPeerPauses != nil {
 		r.OnPeerPauses(req.GetBackend(), req.GetGateway())
 	}
-	result := r.acquireLocally(ctx, &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), GrantRequest: pacer.GrantRequest{
+	p := &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), Gateway: req.GetGateway(), GrantRequest: pacer.GrantRequest{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), OnTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
 		MaxPause: milliseconds(req.GetPauseMs()), EventInterval: time.Duration(req.GetEventUs()) * time.Microsecond,
-	}}, milliseconds(req.GetWaitMs()))
+	}}
+	if p.Slots > 0 {
+		// A plain service has no events; the field holds the duration of the latest run.
+		p.LastRun, p.EventInterval = p.EventInterval, 0
+	}
+	result := r.acquireLocally(ctx, p, milliseconds(req.GetWaitMs()))
 	return &wire.AdmitResponse{Granted: result.Granted, BacklogMs: uint32(result.Backlog.Milliseconds()), Slow: result.Slow}, nil
 }
 
 // End releases prompts that were read or abandoned.
 func (s *Server) End(_ context.Context, req *wire.EndRequest) (*wire.EndResponse, error) {
-	for _, p := range req.GetPrompts() {
-		s.Regulator.release(p.GetBackend(), p.GetKey(), p.GetRead())
-	}
+	s.Regulator.complete(req.GetPrompts())
 	return &wire.EndResponse{}, nil
 }
 
@@ -389,12 +457,16 @@
 // acquireFromPeer requests a grant from another gateway. It returns false if the call failed.
 func (r *Regulator) acquireFromPeer(ctx context.Context, address string, p *Prompt, wait time.Duration) (Result, bool) {
 	now := r.Clock.Now()
+	eventTime := p.EventInterval
+	if p.Slots > 0 {
+		eventTime = p.LastRun
+	}
 	client := &connector.Client{Timeout: wait + answerMargin, Transport: r.peer(address).transport}
 	res, err := wire.NewPacingProtobufClient("http://"+address, client).Admit(ctx, &wire.AdmitRequest{
 		Backend: p.Backend, Key: p.Key, Tokens: uint32(p.Tokens), Urgency: p.Urgency,
 		AgeMs: uint32(now.Sub(p.ReceivedAt).Milliseconds()), InTimeForMs: int32(p.OnTimeUntil.Sub(now).Milliseconds()),
 		PauseMs: uint32(p.MaxPause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
-		EventUs: uint32(p.EventInterval.Microseconds()), Gateway: r.Self, Seen: p.PausesObserved,
+		EventUs: uint32(eventTime.Microseconds()), Gateway: r.Self, Seen: p.PausesObserved,
 		Slots: uint32(p.Slots), GiveUpMs: uint32(max(0, p.Deadline.Sub(now).Milliseconds())), Elsewhere: p.HasAlternative,
 	})
 	if err != nil {
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -184,8 +184,7 @@
 	for r.waitingPrompts("engine") < 2 {
 		runtime.Gosched()
 	}
-	r.release("engine", "first", true)
-	r.release("engine", "twice", false)
+	r.complete([]*wire.PromptEnd{{Backend: "engine", Key: "first", Read: true}, {Backend: "engine", Key: "twice"}})
 	c.Check(<-ended, qt.IsTrue)
 	c.Check(<-ended, qt.IsTrue)
 }
@@ -291,3 +290,77 @@
 	r.checkEngines()
 	c.Check((<-answers).Granted, qt.IsFalse)
 }
+
+// A completion that has been reported must free its slot for a request that holds the lock first.
+func TestCompletionsAreHandledBeforeNewRequests(t *testing.T) {
+	c := qt.New(t)
+	r := newRegulator("self")
+	slot := func() Result {
+		now := time.Now()
+		return r.Acquire(context.Background(), &Prompt{Backend: "b", Slots: 1, Deadline: now.Add(time.Hour), GrantRequest: pacer.GrantRequest{
+			ReceivedAt: now, OnTimeUntil: now.Add(time.Hour),
+		}}, 0)
+	}
+	first := slot()
+	for slot().Granted {
+	}
+	r.mu.Lock()
+	completed := make(chan struct{})
+	go func() {
+		r.complete([]*wire.PromptEnd{{Backend: "b", Key: first.Key, Read: true}})
+		close(completed)
+	}()
+	for {
+		r.completionsMu.Lock()
+		reported := len(r.completions)
+		r.completionsMu.Unlock()
+		if reported > 0 {
+			break
+		}
+		runtime.Gosched()
+	}
+	e := r.engine("b")
+	r.handleCompletions(r.Clock.Now())
+	c.Check(e.granter.TakeStats().Running, qt.Equals, 1)
+	r.mu.Unlock()
+	<-completed
+	c.Check(slot().Granted, qt.IsTrue)
+}
+
+// The owner is told how long the latest run took, once, so that message latency does not count as
+// service time.
+func TestLastRunIsReportedToTheOwner(t *testing.T) {
+	c := qt.New(t)
+	all, addresses := gateways(c, 2)
+	id := engineOf(all[0], addresses[1])
+	slot := func() Result {
+		now := time.Now()
+		return all[0].Acquire(context.Background(), &Prompt{Backend: id, Slots: 1, Deadline: now.Add(time.Hour), GrantRequest: pacer.GrantRequest{
+			ReceivedAt: now, OnTimeUntil: now.Add(time.Hour),
+		}}, longWait)
+	}
+	latency := func() time.Duration {
+		all[1].mu.Lock()
+		defer all[1].mu.Unlock()
+		return all[1].engine(id).granter.TakeStats().Latency
+	}
+	first := slot()
+	time.Sleep(20 * time.Millisecond)
+	all[0].RecordRun(id, time.Microsecond)
+	all[0].Release(id, first.Key, true)
+	for all[1].runningSlots(id) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(latency(), qt.Equals, time.Duration(0))
+	second := slot()
+	c.Assert(second.Granted, qt.IsTrue)
+	c.Check(latency() > time.Millisecond, qt.IsTrue, qt.Commentf("%v", latency()))
+	c.Check(all[0].takeLastRun(id), qt.Equals, time.Duration(0))
+}
+
+// runningSlots returns how many requests run at a backend server.
+func (r *Regulator) runningSlots(backend string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.engine(backend).granter.TakeStats().Running
+}
--- a/pkg/slotgranter/fleet_test.go
+++ b/pkg/slotgranter/fleet_test.go
@@ -14,17 +14,11 @@
 )
 
 const (
-	ms        = time.Millisecond
-	objective = 150 * ms
-	timeout   = 640 * ms
-	retryTime = 250 * ms
-	slots     = 6
-	queue     = 24
-	// hop is the latency of a message between two instances.
-	hop      = ms
-	meanWork = 30 * ms
-	// idempotentShare is the share of requests that may run twice, of which failShare fail in a
-	// run.
+	ms    = time.Millisecond
+	slots = 6
+	queue = 24
+	// meanWork, idempotentShare and failShare are those of sharedWorkload.
+	meanWork                   = 30 * ms
 	idempotentShare, failShare = 0.18, 0.14
 	// reusedShare is the share of first attempts over connections that callers keep open.
 	reusedShare  = 0.85
@@ -35,9 +29,35 @@
 	maxSlow = 2
 )
 
+// workload describes the requests and messages of a fleet.
+type workload struct {
+	objective, timeout, work time.Duration
+	// retryTime is the retry time of a refusal.
+	retryTime time.Duration
+	// clientTimeout is the least time that a caller waits, which varies by clientTimeoutRange.
+	clientTimeout, clientTimeoutRange time.Duration
+	// idempotentShare is the share of requests that may run twice, of which failShare fail in a
+	// run.
+	idempotentShare, failShare float64
+	// hop is the least latency of a message between two instances, and delay the mean time that
+	// a busy gateway takes in addition until it reads one.
+	hop, delay time.Duration
+	// processing is the time that an owner takes for each message, one after the other.
+	processing time.Duration
+}
+
+// sharedWorkload is a plain service with short objectives behind gateways that are not busy.
+func sharedWorkload() workload {
+	return workload{
+		objective: 150 * ms, timeout: 640 * ms, work: meanWork, retryTime: 250 * ms, clientTimeout: 1275 * ms, clientTimeoutRange: 225 * ms,
+		idempotentShare: idempotentShare, failShare: failShare, hop: ms,
+	}
+}
+
 // fleet simulates a plain service behind many gateways, with their real decisions, in virtual
 // time.
 type fleet struct {
+	workload
 	random   *rand.Rand
 	now      time.Time
 	events   events
@@ -53,11 +73,22 @@
 
 // result counts the requests that were first sent within one second, by class: those that may
 // run once, and those that may run twice.
-type result struct{ sent, onTime [2]int }
+type result struct {
+	sent, onTime [2]int
+	// refusals counts responses with 503, and waited those of them that took more than an eighth
+	// of the objective. unserved counts the requests that ended without an answer.
+	refusals, waited, unserved int
+	// messages counts the messages between gateways.
+	messages int
+}
 
 type gateway struct {
+	id        string
 	balancer  *balancer.Balancer
 	estimator ageestimator.Estimator
+	// lastRuns are the durations of the latest runs by backend server, from send to answer.
+	lastRuns map[string]time.Duration
+	removed  bool
 }
 
 type server struct {
@@ -68,6 +99,13 @@
 	slowness float64
 	removed  bool
 	grant    map[string]func(bool)
+	// completions and requests are the messages that its owner has yet to process.
+	completions, requests []func()
+	processing            bool
+	// busy is the time that its slots were in use, by second, and asked the number of grant
+	// requests, by tenth of a second.
+	busy  map[int]time.Duration
+	asked map[int]int
 }
 
 // request is a request of one caller, with all its attempts.
@@ -89,6 +127,7 @@
 	slow          int
 	runs          int
 	key           string
+	reachedAt     time.Time
 }
 
 type event struct {
@@ -114,14 +153,14 @@
 	return last
 }
 
-func newFleet(seed uint64, gateways, servers int, loadAge time.Duration) *fleet {
+func newFleet(w workload, seed uint64, gateways, servers int, loadAge time.Duration) *fleet {
 	startedAt := time.Unix(1e9, 0)
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: startedAt, startedAt: startedAt, loadAge: loadAge, results: map[int]*result{}}
+	f := &fleet{workload: w, random: rand.New(rand.NewPCG(seed, 1)), now: startedAt, startedAt: startedAt, loadAge: loadAge, results: map[int]*result{}}
 	for i := range servers {
-		f.servers = append(f.servers, &server{id: fmt.Sprint("b", i), slowness: 1, grant: map[string]func(bool){}})
+		f.servers = append(f.servers, &server{id: fmt.Sprint("b", i), slowness: 1, grant: map[string]func(bool){}, busy: map[int]time.Duration{}, asked: map[int]int{}})
 	}
-	for range gateways {
-		g := &gateway{balancer: &balancer.Balancer{Zone: "z", Rand: f.random}}
+	for i := range gateways {
+		g := &gateway{id: fmt.Sprint("g", i), balancer: &balancer.Balancer{Zone: "z", Rand: f.random}, lastRuns: map[string]time.Duration{}}
 		for _, s := range f.servers {
 			g.balancer.UpdateBackend(startedAt, &wire.Announcement{Id: s.id, Service: "s", Address: s.id, Zone: "z", Slots: slots, Sequence: 1})
 		}
@@ -136,6 +175,58 @@
 	heap.Push(&f.events, event{at: f.now.Add(d), order: f.order, run: run})
 }
 
+// message delivers a message between two instances.
+func (f *fleet) message(run func()) { f.after(f.latency(), run) }
+
+func (f *fleet) latency() time.Duration {
+	if f.delay == 0 {
+		return f.hop
+	}
+	return f.hop + time.Duration(f.random.ExpFloat64()*float64(f.delay))
+}
+
+// toOwner delivers a message of a request to the owner of a backend server, which processes
+// completions before new requests.
+func (f *fleet) toOwner(t *attempt, s *server, completion bool, run func()) {
+	f.result(t.request).messages++
+	f.message(func() {
+		if f.processing == 0 {
+			run()
+			return
+		}
+		if completion {
+			s.completions = append(s.completions, run)
+		} else {
+			s.requests = append(s.requests, run)
+		}
+		f.process(s)
+	})
+}
+
+func (f *fleet) process(s *server) {
+	list := &s.completions
+	if len(*list) == 0 {
+		list = &s.requests
+	}
+	if s.processing || len(*list) == 0 {
+		return
+	}
+	next := (*list)[0]
+	*list = (*list)[1:]
+	s.processing = true
+	f.after(f.processing, func() {
+		s.processing = false
+		next()
+		f.process(s)
+	})
+}
+
+// fromOwner delivers an owner's answer.
+func (f *fleet) fromOwner(t *attempt, run func()) {
+	f.result(t.request).messages++
+	f.message(run)
+}
+
 // shareLoads sends each gateway the loads of the others as of a while ago.
 func (f *fleet) shareLoads() {
 	sum := map[string]int{}
@@ -164,7 +255,7 @@
 
 // load sends requests for a time, at a share of the capacity of the given number of servers.
 func (f *fleet) load(d time.Duration, share float64, servers int) {
-	perSecond := share * float64(servers*slots) / meanWork.Seconds()
+	perSecond := share * float64(servers*slots) / f.work.Seconds()
 	end := f.now.Add(d)
 	var next func()
 	next = func() {
@@ -187,7 +278,7 @@
 }
 
 func (f *fleet) arrive() {
-	r := &request{first: f.now, clientTimeout: 1275*ms + time.Duration(f.random.Int64N(int64(225*ms))), idempotent: f.random.Float64() < idempotentShare}
+	r := &request{first: f.now, clientTimeout: f.clientTimeout + time.Duration(f.random.Int64N(int64(f.clientTimeoutRange))), idempotent: f.random.Float64() < f.idempotentShare}
 	f.result(r).sent[r.class()]++
 	f.send(r, f.random.Float64() < reusedShare)
 }
@@ -210,6 +301,9 @@
 // send makes one attempt of a caller.
 func (f *fleet) send(r *request, reused bool) {
 	g := f.gateways[f.random.IntN(len(f.gateways))]
+	for g.removed {
+		g = f.gateways[f.random.IntN(len(f.gateways))]
+	}
 	left := r.clientTimeout - f.now.Sub(r.first)
 	f.order++
 	t := &attempt{request: r, gateway: g, received: f.now, sentAt: f.now, key: fmt.Sprint(f.order)}
@@ -223,7 +317,7 @@
 
 func (f *fleet) choose(t *attempt) {
 	usesSlotGrants := t.gateway.balancer.Contended(f.now, "s")
-	w := &balancer.Waiter{ID: t.key, Service: "s", Deadline: t.received.Add(timeout), Avoid: t.avoid, UsesSlotGrants: usesSlotGrants}
+	w := &balancer.Waiter{ID: t.key, Service: "s", Deadline: t.received.Add(f.timeout), Avoid: t.avoid, UsesSlotGrants: usesSlotGrants}
 	t.gateway.balancer.Enqueue(w)
 	f.decide(t, w)
 }
@@ -240,10 +334,10 @@
 		}
 		s := f.server(d.Backend.GetId())
 		if w.UsesSlotGrants {
-			f.after(hop, func() { f.requestSlot(t, s) })
+			f.toOwner(t, s, false, func() { f.requestSlot(t, s) })
 			return
 		}
-		f.after(hop, func() { f.reach(t, s) })
+		f.message(func() { f.reach(t, s) })
 		return
 	}
 	// The request is alone in its gateway's queue, or nearly: it is decided on again after a
@@ -267,25 +361,31 @@
 // requestSlot requests a slot from the owner of a backend server.
 func (f *fleet) requestSlot(t *attempt, s *server) {
 	key := fmt.Sprint(t.key, "/", len(t.avoid), "/", t.runs)
-	grantRequest := slotgranter.GrantRequest{Key: key, OnTimeUntil: t.sentAt.Add(objective), Deadline: t.received.Add(timeout), Slots: slots}
-	grantRequest.HasAlternative = t.slow < maxSlow && f.now.Before(t.sentAt.Add(objective)) &&
+	grantRequest := slotgranter.GrantRequest{Key: key, OnTimeUntil: t.sentAt.Add(f.objective), Deadline: t.received.Add(f.timeout), Slots: slots, Gateway: t.gateway.id, LastRun: t.gateway.lastRuns[s.id]}
+	delete(t.gateway.lastRuns, s.id)
+	grantRequest.HasAlternative = t.slow < maxSlow && t.sentAt.Add(f.objective).Sub(f.now) >= f.objective/2 &&
 		t.gateway.balancer.HasAlternative(f.now, &balancer.Waiter{Service: "s", Avoid: t.avoid, UsesSlotGrants: true}, s.id)
+	s.asked[int(f.now.Sub(f.startedAt)/(100*ms))]++
 	if !s.granter.Add(f.now, grantRequest) {
 		slow := grantRequest.HasAlternative && s.granter.TooSlow(f.now, grantRequest)
-		f.after(hop, func() { f.noSlot(t, s, slow) })
+		f.fromOwner(t, func() { f.noSlot(t, s, slow) })
 		return
 	}
 	s.grant[key] = func(granted bool) {
-		f.after(hop, func() {
+		f.fromOwner(t, func() {
+			if t.gateway.removed {
+				return
+			}
 			if !granted {
 				f.noSlot(t, s, false)
 				return
 			}
 			t.key = key
-			f.after(hop, func() { f.reach(t, s) })
+			t.reachedAt = f.now
+			f.message(func() { f.reach(t, s) })
 		})
 	}
-	f.after(max(0, t.received.Add(timeout).Sub(f.now)), func() {
+	f.after(max(0, t.received.Add(f.timeout).Sub(f.now)), func() {
 		if s.granter.Withdraw(key) {
 			delete(s.grant, key)
 			f.noSlot(t, s, false)
@@ -325,24 +425,25 @@
 func (f *fleet) reach(t *attempt, s *server) {
 	switch {
 	case s.removed:
-		f.after(hop, func() { f.complete(t, s, balancer.Unreachable, false) })
+		f.message(func() { f.complete(t, s, balancer.Unreachable, false) })
 	case s.running < slots:
 		f.run(t, s)
 	case len(s.queued) < queue:
 		s.queued = append(s.queued, func() { f.run(t, s) })
 	default:
-		f.after(hop, func() { f.complete(t, s, balancer.Full, false) })
+		f.message(func() { f.complete(t, s, balancer.Full, false) })
 	}
 }
 
 func (f *fleet) run(t *attempt, s *server) {
 	s.running++
 	t.runs++
-	work := float64(meanWork) * s.slowness * math.Exp(0.5*f.random.NormFloat64()-0.125)
+	work := float64(f.work) * s.slowness * math.Exp(0.5*f.random.NormFloat64()-0.125)
 	if f.random.Float64() < 0.01 {
 		work *= 5
 	}
-	fails := t.idempotent && f.random.Float64() < failShare
+	f.recordBusy(s, time.Duration(work))
+	fails := t.idempotent && f.random.Float64() < f.failShare
 	f.after(time.Duration(work), func() {
 		s.running--
 		if len(s.queued) > 0 {
@@ -354,20 +455,39 @@
 		if fails {
 			outcome = balancer.Failed
 		}
-		f.after(hop, func() { f.complete(t, s, outcome, true) })
+		f.message(func() { f.complete(t, s, outcome, true) })
 	})
 }
 
+// recordBusy records that a slot is in use from now on for a time.
+func (f *fleet) recordBusy(s *server, work time.Duration) {
+	for from, end := f.now, f.now.Add(work); from.Before(end); {
+		second := int(from.Sub(f.startedAt) / time.Second)
+		until := f.startedAt.Add(time.Duration(second+1) * time.Second)
+		if end.Before(until) {
+			until = end
+		}
+		s.busy[second] += until.Sub(from)
+		from = until
+	}
+}
+
 func (f *fleet) complete(t *attempt, s *server, outcome balancer.Outcome, ran bool) {
+	if t.gateway.removed {
+		return
+	}
 	t.gateway.balancer.Done(f.now, s.id, "", 0, outcome)
+	if ran && outcome == balancer.Served {
+		t.gateway.lastRuns[s.id] = f.now.Sub(t.reachedAt)
+	}
 	key := t.key
-	f.after(hop, func() {
+	f.toOwner(t, s, true, func() {
 		s.granter.Release(f.now, key, ran)
 		f.grant(s)
 	})
 	switch {
 	case outcome == balancer.Served:
-		if f.now.Sub(t.first) <= objective {
+		if f.now.Sub(t.first) <= f.objective {
 			f.result(t.request).onTime[t.class()]++
 		}
 	case outcome == balancer.Failed && t.runs >= 2:
@@ -378,12 +498,20 @@
 	}
 }
 
-func (f *fleet) refuse(t *attempt) { f.retry(t.request) }
+func (f *fleet) refuse(t *attempt) {
+	r := f.result(t.request)
+	r.refusals++
+	if f.now.Sub(t.received) > f.objective/8 {
+		r.waited++
+	}
+	f.retry(t.request)
+}
 
 // retry lets a caller send its request once more.
 func (f *fleet) retry(r *request) {
 	if r.retries++; r.retries > 1 {
+		f.result(r).unserved++
 		return
 	}
-	f.after(retryTime, func() { f.send(r, false) })
+	f.after(f.retryTime, func() { f.send(r, false) })
 }
--- a/pkg/slotgranter/goodput_test.go
+++ b/pkg/slotgranter/goodput_test.go
@@ -36,7 +36,7 @@
 func (x scenario) simulate(loadAge time.Duration) map[int]*result {
 	sum := map[int]*result{}
 	for seed := range uint64(seeds) {
-		f := newFleet(seed, gateways, servers, loadAge)
+		f := newFleet(sharedWorkload(), seed, gateways, servers, loadAge)
 		f.load(warmUp, x.load, servers)
 		if x.change != nil {
 			x.change(f)
--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -16,9 +16,22 @@
 )
 
 const (
-	// extraSlots are granted beyond the slots: a slot would be idle until the completion of its
-	// request is reported.
+	// extraSlots are granted beyond the slots, and those that cover the message latency: runs
+	// differ in length, so that several may end within one latency.
 	extraSlots = 1
+	// latencyWeight is the weight of the latest observation in the mean message latency, and
+	// pathFactor relates the latency that a request sees to the measured one. The latter covers
+	// the grant and the report of the completion. The request and its answer pass between the
+	// gateway and the backend server too, which the gateway can't tell from the run; the answer
+	// waits for the gateway like a grant does, so that it takes about half of the measured time.
+	latencyWeight = 0.1
+	pathFactor    = 1.5
+	// maxPathShare bounds the part of the time from a grant to its completion that counts as
+	// latency: one wrong report must not make a server appear fast.
+	maxPathShare = 0.6
+	// maxReportAge is how long the duration between grant and completion is kept to be compared
+	// with the gateway's report of the same run.
+	maxReportAge = 5 * time.Second
 	// initialServiceTime is assumed for a request before any has completed.
 	initialServiceTime = 20 * time.Millisecond
 	// serviceTimeWeight is the weight of the latest request in the mean service time.
@@ -35,6 +48,11 @@
 	// service time, and for minExpiry at least: its gateway may be lost.
 	expiryFactor = 10
 	minExpiry    = time.Second
+	// A request also counts as lost after lostFactor times the service time if its backend server
+	// has completed lostOvertakes times its slots since: it is responsive, and few runs take as
+	// long.
+	lostFactor    = 4
+	lostOvertakes = 4
 	// overloadDuration is how long requests that can't be on time are refused at once after one
 	// that could have been was refused: they would wait in vain.
 	overloadDuration = 300 * time.Millisecond
@@ -56,6 +74,11 @@
 	Slots int
 	// HasAlternative is set if another backend server can be tried next.
 	HasAlternative bool
+	// Gateway is the gateway that sends the request, and LastRun is how long the latest request
+	// that it completed there took at the backend server, from its sending to the answer; 0 if it
+	// was reported before, or is unknown.
+	Gateway string
+	LastRun time.Duration
 
 	order uint64
 }
@@ -64,11 +87,17 @@
 // use.
 type Granter struct {
 	slots   int
-	running map[string]time.Time
+	running map[string]run
 	waiting []GrantRequest
 	order   uint64
-	// meanServiceTime is about the time that a request takes.
-	meanServiceTime time.Duration
+	// meanGrantTime is about the time from a grant until its completion is reported, and
+	// meanLatency the part of it in which the grant and the report were on their way.
+	meanGrantTime time.Duration
+	meanLatency   time.Duration
+	// completions counts the requests that have run, and latest holds the latest of each gateway
+	// until the gateway reports how long it took at the backend server.
+	completions uint64
+	latest      map[string]completion
 	// lastCompletedAt is when a request last completed.
 	lastCompletedAt time.Time
 	stats           Stats
@@ -78,6 +107,20 @@
 	overloadedSince time.Time
 }
 
+// run is a request that was granted and has not completed.
+type run struct {
+	grantedAt time.Time
+	gateway   string
+	// completions is the number of completed requests when it was granted.
+	completions uint64
+}
+
+// completion is a completed request.
+type completion struct {
+	at   time.Time
+	took time.Duration
+}
+
 // Stats counts the outcomes of grant requests since the last call of TakeStats.
 type Stats struct {
 	// Granted counts those that got a slot, and Late those of them that could not be on time.
@@ -91,14 +134,15 @@
 	Expired int
 	// Waiting and Running are the current numbers of waiting and running requests.
 	Waiting, Running int
-	// ServiceTime is about the time that a request takes.
-	ServiceTime time.Duration
+	// ServiceTime is about the time that a request takes, and Latency about the time that its
+	// messages take in addition.
+	ServiceTime, Latency time.Duration
 }
 
 // TakeStats returns the statistics and resets them.
 func (g *Granter) TakeStats() Stats {
 	s := g.stats
-	s.Waiting, s.Running, s.ServiceTime = len(g.waiting), len(g.running), g.serviceTime()
+	s.Waiting, s.Running, s.ServiceTime, s.Latency = len(g.waiting), len(g.running), g.serviceTime(), g.latency()
 	g.stats = Stats{}
 	return s
 }
@@ -107,6 +151,7 @@
 // because of those ahead of it is refused at once.
 func (g *Granter) Add(now time.Time, a GrantRequest) bool {
 	g.expire(now)
+	g.observeRun(now, a)
 	if a.HasAlternative && g.TooSlow(now, a) {
 		g.stats.Slow++
 		return false
@@ -171,18 +216,45 @@
 	return g.serviceTime() * time.Duration(ahead-free+1) / time.Duration(g.limit())
 }
 
-func (g *Granter) limit() int { return g.slots + extraSlots }
+// limit returns how many requests may be granted and not completed. The slots of those whose
+// messages are on their way would be idle otherwise.
+func (g *Granter) limit() int {
+	latency, service := g.latency(), g.serviceTime()
+	return g.slots + extraSlots + int((time.Duration(g.slots)*latency+service-1)/service)
+}
 
-func (g *Granter) serviceTime() time.Duration {
-	if g.meanServiceTime == 0 {
+// grantTime returns about how long it takes from a grant until its completion is reported.
+func (g *Granter) grantTime() time.Duration {
+	if g.meanGrantTime == 0 {
 		return initialServiceTime
 	}
-	return g.meanServiceTime
+	return g.meanGrantTime
+}
+
+// latency returns the part of the grant time in which messages are on their way.
+func (g *Granter) latency() time.Duration {
+	return min(time.Duration(pathFactor*float64(g.meanLatency)), time.Duration(maxPathShare*float64(g.grantTime())))
+}
+
+// serviceTime returns about how long the backend server takes for a request.
+func (g *Granter) serviceTime() time.Duration { return g.grantTime() - g.latency() }
+
+// observeRun compares a gateway's report of its latest run with the time that passed here. The
+// difference is the latency, whatever the work of the request.
+func (g *Granter) observeRun(now time.Time, a GrantRequest) {
+	latest, ok := g.latest[a.Gateway]
+	if a.LastRun <= 0 || !ok {
+		return
+	}
+	delete(g.latest, a.Gateway)
+	if now.Sub(latest.at) < maxReportAge {
+		g.meanLatency += time.Duration(latencyWeight * float64(max(0, latest.took-a.LastRun)-g.meanLatency))
+	}
 }
 
 // canBeOnTime reports whether a request sent at the given time would probably be on time.
 func (g *Granter) canBeOnTime(sent time.Time, a GrantRequest) bool {
-	return !sent.Add(time.Duration(onTimeMargin * float64(g.serviceTime()))).After(a.OnTimeUntil)
+	return !sent.Add(time.Duration(onTimeMargin*float64(g.serviceTime())) + g.latency()/2).After(a.OnTimeUntil)
 }
 
 // before reports whether a request goes before another: first those that can be on time, then
@@ -214,7 +286,7 @@
 
 // Release frees the slot of a request; ran is set if the backend server has answered it.
 func (g *Granter) Release(now time.Time, key string, ran bool) {
-	grantedAt, ok := g.running[key]
+	r, ok := g.running[key]
 	if !ok {
 		return
 	}
@@ -223,11 +295,19 @@
 		return
 	}
 	weight := serviceTimeWeight
-	if grantedAt.Sub(g.lastCompletedAt) >= probeInterval {
+	if r.grantedAt.Sub(g.lastCompletedAt) >= probeInterval {
 		weight = probeWeight
 	}
-	g.meanServiceTime = g.serviceTime() + time.Duration(weight*float64(now.Sub(grantedAt)-g.serviceTime()))
+	took := now.Sub(r.grantedAt)
+	g.meanGrantTime = g.grantTime() + time.Duration(weight*float64(took-g.grantTime()))
 	g.lastCompletedAt = now
+	g.completions++
+	if r.gateway != "" {
+		if g.latest == nil {
+			g.latest = map[string]completion{}
+		}
+		g.latest[r.gateway] = completion{at: now, took: took}
+	}
 }
 
 // Evict removes and returns the waiting grant requests that can no longer be on time, while
@@ -259,22 +339,24 @@
 	granted := slices.Clone(g.waiting[:n])
 	g.waiting = slices.Delete(g.waiting, 0, n)
 	if g.running == nil {
-		g.running = map[string]time.Time{}
+		g.running = map[string]run{}
 	}
 	for _, a := range granted {
 		g.stats.Granted++
 		if !g.canBeOnTime(now, a) {
 			g.stats.Late++
 		}
-		g.running[a.Key] = now
+		g.running[a.Key] = run{grantedAt: now, gateway: a.Gateway, completions: g.completions}
 	}
 	return granted
 }
 
 // expire drops running requests whose completion was not reported in time.
 func (g *Granter) expire(now time.Time) {
-	for key, at := range g.running {
-		if now.Sub(at) > max(minExpiry, expiryFactor*g.serviceTime()) {
+	for key, r := range g.running {
+		age := now.Sub(r.grantedAt)
+		overtaken := g.completions-r.completions >= uint64(lostOvertakes*g.slots)
+		if age > max(minExpiry, expiryFactor*g.grantTime()) || overtaken && age > lostFactor*g.grantTime() {
 			delete(g.running, key)
 			g.stats.Expired++
 		}
--- a/pkg/slotgranter/slotgranter_test.go
+++ b/pkg/slotgranter/slotgranter_test.go
@@ -217,7 +217,7 @@
 		c.Assert(granted, qt.HasLen, 1)
 		c.Check(granted[0].Key, qt.Equals, want)
 		g.Release(now, want, false)
-		g.running["x"] = now
+		g.running["x"] = run{grantedAt: now}
 	}
 }
 
@@ -236,6 +236,54 @@
 	c.Check(g.Next(now), qt.HasLen, 1)
 }
 
+// A request whose gateway is gone doesn't hold its slot while the backend server completes others.
+func TestOvertakenRequestsReleaseTheirSlots(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	grant := func(key string) []GrantRequest {
+		c.Assert(g.Add(now, GrantRequest{Key: key, OnTimeUntil: now.Add(time.Second), Deadline: now.Add(time.Second), Slots: 1}), qt.IsTrue)
+		return g.Next(now)
+	}
+	c.Assert(grant("lost"), qt.HasLen, 1)
+	for i := range 2 * lostFactor {
+		key := fmt.Sprint("run ", i)
+		c.Assert(grant(key), qt.HasLen, 1)
+		now = now.Add(initialServiceTime)
+		g.Release(now, key, true)
+	}
+	g.Next(now)
+	grant("one")
+	c.Check(g.running, qt.HasLen, 1)
+	c.Check(g.TakeStats().Expired, qt.Equals, 1)
+}
+
+// The time that grants and completions are on their way neither makes the backend server appear
+// slower nor leaves its slots idle, and one wrong report doesn't make it appear much faster.
+func TestMessageLatencyIsNotServiceTime(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	const work, latency = 60 * ms, 20 * ms
+	run := func(i int, lastRun time.Duration) {
+		key := fmt.Sprint(i)
+		c.Assert(g.Add(now, GrantRequest{Key: key, OnTimeUntil: now.Add(time.Second), Deadline: now.Add(time.Second), Slots: slots, Gateway: "g", LastRun: lastRun}), qt.IsTrue)
+		g.Next(now)
+		now = now.Add(work + latency)
+		g.Release(now, key, true)
+	}
+	for i := range 100 {
+		run(i, work)
+	}
+	c.Check(g.serviceTime() > 45*ms && g.serviceTime() < 55*ms, qt.IsTrue, qt.Commentf("%v", g.serviceTime()))
+	c.Check(g.limit() > slots+2 && g.limit() <= slots+5, qt.IsTrue, qt.Commentf("%d granted", g.limit()))
+	for i := range 100 {
+		run(i, time.Microsecond)
+	}
+	c.Check(g.serviceTime() >= (work+latency)*3/10, qt.IsTrue, qt.Commentf("%v", g.serviceTime()))
+	c.Check(g.limit() <= 3*slots, qt.IsTrue, qt.Commentf("%d granted", g.limit()))
+}
+
 // Under overload slots go to requests that can be on time, so that a late one would wait in
 // vain.
 func TestLateRequestsAreRefusedAtOnceUnderOverload(t *testing.T) {
