Let the retry time of refused requests follow the owners' wait

Cause: a request refused because of an overload was told to return after 250 ms, whatever the wait, its objective and its caller's remaining time, and requests that were refused together returned together.

Change: the retry time is the shortest known wait of the backend servers that are too busy, 300 ms at least while an overload persists, and not before the request is late, with a jitter of a quarter. It is at most a third of the caller's remaining time, which callers follow, and leaves two service times. Owners keep refusing late requests for longer while gateways hold requests back, as none arrives then that shows the overload.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -29,7 +29,7 @@
 func (f *Forwarder) attempt(ctx context.Context, j *job) bool {
 	j.usesSlotGrants = f.needsSlotGrant(j)
 	if f.allBusy(j) {
-		f.refuseOrFail(j, reasonOverloaded, retryAfterOverload)
+		f.refuseOverloaded(j)
 		return false
 	}
 	d, decided := f.choose(ctx, j)
--- a/gateway/forwarder/overload_test.go
+++ b/gateway/forwarder/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -46,7 +47,10 @@
 				return
 			}
 			c.Check(response.status, qt.Equals, http.StatusServiceUnavailable)
-			c.Check(response.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			// The wait is 1 s; callers follow up to a third of their 2.5 s.
+			seconds, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+			c.Assert(err, qt.IsNil)
+			c.Check(seconds > 0.5 && seconds < 2.5/3, qt.IsTrue, qt.Commentf("%v", seconds))
 			c.Check(b.runs.Load(), qt.Equals, int32(0))
 		})
 	}
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -22,8 +22,6 @@
 	maxSlowSlotRequests = 2
 	// reasonOverloaded is sent to a caller whose request would be late at all of them.
 	reasonOverloaded = "the backend servers have too much to do for an answer in time"
-	// retryAfterOverload is the retry time then: later than the requests that wait now.
-	retryAfterOverload = 250 * time.Millisecond
 )
 
 // needsSlotGrant reports whether the slots of a request's backend servers are granted: gateways
@@ -45,9 +43,7 @@
 		return false
 	}
 	now := f.Clock.Now()
-	j.busy = f.Regulator.AppendBusy(j.busy, waitestimator.Request{
-		Urgency: j.urgency(), Left: j.onTimeUntil().Sub(now), Returned: j.firstSentAt.Before(j.req.ReceivedAt),
-	})
+	j.busy = f.Regulator.AppendBusy(j.busy, j.waitRequest(now))
 	if len(j.busy) == 0 {
 		return false
 	}
@@ -65,6 +61,22 @@
 	return true
 }
 
+// waitRequest returns a request as the waits at its backend servers concern it.
+func (j *job) waitRequest(now time.Time) waitestimator.Request {
+	return waitestimator.Request{Urgency: j.urgency(), Left: j.onTimeUntil().Sub(now), Returned: j.firstSentAt.Before(j.req.ReceivedAt)}
+}
+
+// refuseOverloaded refuses a request that its backend servers are too busy for.
+func (f *Forwarder) refuseOverloaded(j *job) {
+	now := f.Clock.Now()
+	leaves := j.deadline
+	if !j.clientDeadline.IsZero() {
+		leaves = j.clientDeadline
+	}
+	backends := slices.Concat(j.busy, j.avoid)
+	f.refuseOrFail(j, reasonOverloaded, f.Regulator.RetryAfter(backends, j.waitRequest(now), leaves.Sub(now)))
+}
+
 // acquireSlot waits for a slot of a plain service's backend server. It reports false where the
 // request is refused there, because it would be late or of no use.
 func (f *Forwarder) acquireSlot(ctx context.Context, j *job, backend *wire.Announcement) bool {
@@ -134,6 +146,6 @@
 		return f.chooseAgain(ctx, j, backend)
 	}
 	f.recordOutcome(j, backend.GetId(), balancer.Abandoned)
-	f.refuseOrFail(j, reasonOverloaded, retryAfterOverload)
+	f.refuseOverloaded(j)
 	return false
 }
--- a/gateway/regulator/waits.go
+++ b/gateway/regulator/waits.go
@@ -1,6 +1,7 @@
 package regulator
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -53,6 +54,15 @@
 	return r.waits.TakeProbe(now)
 }
 
+// RetryAfter returns when a request shall return that some backend servers are too busy for, whose
+// caller leaves after the given time.
+func (r *Regulator) RetryAfter(backends []string, request waitestimator.Request, remaining time.Duration) time.Duration {
+	now := r.Clock.Now()
+	r.waitsMu.Lock()
+	defer r.waitsMu.Unlock()
+	return r.waits.RetryAfter(now, backends, request, remaining, rand.Float64())
+}
+
 // ReceiveLoads receives the waits at backend servers that other gateways report.
 func (r *Regulator) ReceiveLoads(loads []*wire.Load) {
 	now := r.Clock.Now()
--- a/pkg/slotgranter/fleet_test.go
+++ b/pkg/slotgranter/fleet_test.go
@@ -334,7 +334,7 @@
 	usesSlotGrants := t.gateway.balancer.Contended(f.now, "s")
 	avoid := t.avoid
 	if usesSlotGrants && f.localRefusals {
-		busy := t.gateway.waits.AppendBusy(nil, f.now, waitestimator.Request{Left: t.sentAt.Add(f.objective).Sub(f.now), Returned: t.sentAt.Before(t.received)})
+		busy := t.gateway.waits.AppendBusy(nil, f.now, f.waitRequest(t))
 		avoid = slices.Concat(busy, t.avoid)
 		known := &balancer.Waiter{Service: "s", Avoid: avoid, UsesSlotGrants: true}
 		if len(busy) > 0 && !t.gateway.balancer.HasAlternative(f.now, known, "") {
@@ -529,7 +529,7 @@
 			f.result(t.request).onTime[t.class()]++
 		}
 	case outcome == balancer.Failed && t.runs >= 2:
-		f.retry(t.request)
+		f.retry(t)
 	default:
 		t.avoid = append(t.avoid, s.id)
 		f.choose(t)
@@ -542,14 +542,30 @@
 	if f.now.Sub(t.received) > f.objective/8 {
 		r.waited++
 	}
-	f.retry(t.request)
+	f.retry(t)
 }
 
 // retry lets a caller send its request once more.
-func (f *fleet) retry(r *request) {
+func (f *fleet) retry(t *attempt) {
+	r := t.request
 	if r.retries++; r.retries > 1 {
 		f.result(r).unserved++
 		return
 	}
-	f.after(f.retryTime, func() { f.send(r, false) })
+	f.after(f.retryAfter(t), func() { f.send(r, false) })
+}
+
+// retryAfter returns the retry time of a refusal.
+func (f *fleet) retryAfter(t *attempt) time.Duration {
+	if !f.localRefusals {
+		return f.retryTime
+	}
+	r := f.waitRequest(t)
+	backends := t.gateway.waits.AppendBusy(slices.Clone(t.avoid), f.now, r)
+	return t.gateway.waits.RetryAfter(f.now, backends, r, t.clientTimeout-f.now.Sub(t.first), f.random.Float64())
+}
+
+// waitRequest returns an attempt as its gateway knows it.
+func (f *fleet) waitRequest(t *attempt) waitestimator.Request {
+	return waitestimator.Request{Left: t.sentAt.Add(f.objective).Sub(f.now), Returned: t.sentAt.Before(t.received)}
 }
--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -210,7 +210,8 @@
 	if !now.Before(g.overloadedUntil) {
 		g.overloadedSince = now
 	}
-	g.overloadedUntil = now.Add(overloadDuration)
+	// While gateways hold back requests, none arrives that could be refused.
+	g.overloadedUntil = now.Add(overloadDuration + g.refusedFor)
 	g.lastRefused++
 	return false
 }
--- a/pkg/slotgranter/slotgranter_test.go
+++ b/pkg/slotgranter/slotgranter_test.go
@@ -378,3 +378,33 @@
 	g.Release(now, probe[0].Key, true)
 	c.Check(add(true), qt.IsTrue, qt.Commentf("one fast run shows it"))
 }
+
+// While an overload persists, a request that returns and can be on time must not be refused because
+// of the wait for which later ones are, and must be served before them.
+func TestReturningRequestsGoBeforeLaterOnes(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	requests := 0
+	add := func(key string, left time.Duration) bool {
+		return g.Add(now, GrantRequest{Key: key, OnTimeUntil: now.Add(left), Deadline: now.Add(deadline), Slots: slots})
+	}
+	fill := func() {
+		for requests++; add(fmt.Sprint(requests), objective); requests++ {
+			g.Next(now)
+		}
+	}
+	fill()
+	now = now.Add(maxBurst + ms)
+	g.waiting = nil
+	fill()
+	c.Assert(g.overloadPersists(now), qt.IsTrue)
+	c.Check(add("new", objective), qt.IsFalse)
+	c.Check(add("returns", objective-60*ms), qt.IsTrue)
+	for key := range g.running {
+		g.Release(now, key, false)
+	}
+	granted := g.Next(now)
+	c.Assert(len(granted) > 0, qt.IsTrue)
+	c.Check(granted[0].Key, qt.Equals, "returns")
+}
