Log refusals of contended plain services together, and count slot requests

Cause: each request that was refused because of an overload had a log line of its own, beyond the capacity more lines than requests that were served.

Change: a gateway logs the number of these refusals by service and reason each second. The counter slot_requests has the outcomes: granted, refused by an owner, too slow, refused locally, asked as a probe.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -29,7 +29,8 @@
 func (f *Forwarder) attempt(ctx context.Context, j *job) bool {
 	j.usesSlotGrants = f.needsSlotGrant(j)
 	if f.allBusy(j) {
-		f.refuseOverloaded(j)
+		f.countSlotOutcome(slotRefusedLocally)
+		f.refuseOverloaded(j, slotRefusedLocally)
 		return false
 	}
 	d, decided := f.choose(ctx, j)
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -32,7 +32,8 @@
 const (
 	// pumpInterval is the time between two checks of waiting requests when nothing happens.
 	pumpInterval = 20 * time.Millisecond
-	// sweepInterval is the time between two closings of idle connections.
+	// sweepInterval is the time between two closings of idle connections, and between two log
+	// lines on refusals for the same reason.
 	sweepInterval = time.Second
 	// retryAfterNoTable is the retry time at a gateway that has just started.
 	retryAfterNoTable = 300 * time.Millisecond
@@ -109,6 +110,8 @@
 	backoffFaultLoggedAt time.Time
 	// constrainedSends counts since the last log line.
 	constrainedSends constrainedSends
+	// overloadRefusals counts since the last log line.
+	overloadRefusals map[overloadRefusal]int
 }
 
 // Init prepares the forwarder for calls before Run.
@@ -124,6 +127,7 @@
 	f.ageEstimators = map[string]*ageestimator.Estimator{}
 	f.pacingActivations = map[string]*pacer.Activation{}
 	f.constrainedSends = constrainedSends{}
+	f.overloadRefusals = map[overloadRefusal]int{}
 	f.initIsolator()
 	f.initGranter()
 }
@@ -152,6 +156,7 @@
 			f.Sender.CloseExpired()
 			f.logOutcomes()
 			f.logConstrainedSends()
+			f.logOverloadRefusals()
 		}
 	}
 }
--- a/gateway/forwarder/harness_test.go
+++ b/gateway/forwarder/harness_test.go
@@ -60,7 +60,12 @@
 
 // newGateway starts an HTTP frontend and a forwarder without any controller state.
 func newGateway(c *qt.C, clock clockwork.Clock) (string, *Forwarder) {
-	log := slog.New(slog.NewTextHandler(c.Output(), nil))
+	return newLoggingGateway(c, clock, c.Output())
+}
+
+// newLoggingGateway is newGateway with the writer of its log.
+func newLoggingGateway(c *qt.C, clock clockwork.Clock, out io.Writer) (string, *Forwarder) {
+	log := slog.New(slog.NewTextHandler(out, nil))
 	f := &Forwarder{
 		Clock: clock, Log: log, Meter: meter.New("gateway", "test", "z"), RequestAdapters: func([]*wire.Want) {},
 		Budget:    RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 200},
--- a/gateway/forwarder/overload_test.go
+++ b/gateway/forwarder/overload_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/wire"
@@ -70,3 +74,46 @@
 	c.Check(statuses[http.StatusOK] > 0, qt.IsTrue, qt.Commentf("%v", statuses))
 	c.Check(statuses[http.StatusServiceUnavailable] > 0, qt.IsTrue, qt.Commentf("%v", statuses))
 }
+
+// lockedBuffer is a buffer for concurrent use.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.buf.String(), text)
+}
+
+// Beyond the capacity a log line for each refusal would take more time than is left for the
+// requests that are served.
+func TestRefusalsAreLoggedTogether(t *testing.T) {
+	c := qt.New(t)
+	b := newBackend(c, "b", runsAndAnswers(200, "yes"))
+	log := &lockedBuffer{}
+	address, f := newLoggingGateway(c, clockwork.NewRealClock(), log)
+	for range 10 {
+		f.Apply("controller", overloadedTable(b, 4))
+		f.Regulator.TakeProbe()
+		c.Assert(call(c, address, "/safe/x").status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	eventually(c, func() bool { return log.count("requests refused") > 0 })
+	c.Check(log.count(reasonOverloaded) <= 2, qt.IsTrue, qt.Commentf("%d lines", log.count(reasonOverloaded)))
+	recorder := httptest.NewRecorder()
+	f.Meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range strings.Split(recorder.Body.String(), "\n") {
+		if strings.Contains(line, "slot_requests") && strings.Contains(line, string(slotRefusedLocally)) {
+			c.Check(line, qt.Matches, `.* 10`)
+			return
+		}
+	}
+	t.Error("no metric of the refusals")
+}
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -55,6 +55,7 @@
 		return false
 	}
 	if f.Regulator.TakeProbe() {
+		f.countSlotOutcome(slotProbe)
 		j.busy = j.busy[:0]
 		return false
 	}
@@ -66,17 +67,6 @@
 	return waitestimator.Request{Urgency: j.urgency(), Left: j.onTimeUntil().Sub(now), Returned: j.firstSentAt.Before(j.req.ReceivedAt)}
 }
 
-// refuseOverloaded refuses a request that its backend servers are too busy for.
-func (f *Forwarder) refuseOverloaded(j *job) {
-	now := f.Clock.Now()
-	leaves := j.deadline
-	if !j.clientDeadline.IsZero() {
-		leaves = j.clientDeadline
-	}
-	backends := slices.Concat(j.busy, j.avoid)
-	f.refuseOrFail(j, reasonOverloaded, f.Regulator.RetryAfter(backends, j.waitRequest(now), leaves.Sub(now)))
-}
-
 // acquireSlot waits for a slot of a plain service's backend server. It reports false where the
 // request is refused there, because it would be late or of no use.
 func (f *Forwarder) acquireSlot(ctx context.Context, j *job, backend *wire.Announcement) bool {
@@ -93,9 +83,15 @@
 	}, j.slotWait(began))
 	j.waited += f.Clock.Since(began)
 	if answer.Granted {
+		f.countSlotOutcome(slotGranted)
 		j.prompt = &grantedPrompt{backend: backend.GetId(), key: answer.Key}
 		return true
 	}
+	if answer.Slow {
+		f.countSlotOutcome(slotSlow)
+	} else {
+		f.countSlotOutcome(slotRefusedByOwner)
+	}
 	switch {
 	case answer.Slow:
 		j.slowSlotRequests++
@@ -146,6 +142,6 @@
 		return f.chooseAgain(ctx, j, backend)
 	}
 	f.recordOutcome(j, backend.GetId(), balancer.Abandoned)
-	f.refuseOverloaded(j)
+	f.refuseOverloaded(j, slotRefusedByOwner)
 	return false
 }
