Grant slots ahead for all messages of a request

Cause: the way between the gateway and its backend server counted for half of the measured latency, and slots were granted ahead for the mean latency only. Where messages take as long as the work, or more than 10 ms, slots were idle. The time for which gateways hold requests back grew with the grants, slowly at an owner that is busy with refusals.

Change: the way to the backend server and back counts like that of the grant and of the completion, and a quarter more is granted ahead. A request can be on time if its service time and three quarters of the latency are left. The time to hold back is adapted after a number of grants and refusals.

--- a/pkg/slotgranter/capacity_test.go
+++ b/pkg/slotgranter/capacity_test.go
@@ -174,3 +174,37 @@
 		})
 	}
 }
+
+// Owners that process each message slowly must not be starved by requests that they refuse, nor must
+// gateways hold back too much where all callers use a few of them, or where messages take longer than
+// the work.
+func TestSlotsAreUsedWithOtherMessageTimes(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(w *workload)
+		idle   float64
+	}{
+		"slow owners":                 {func(w *workload) { w.processing = ms }, maxIdle},
+		"callers at three gateways":   {func(w *workload) { w.callersAt = 3 }, 0.07},
+		"messages as long as work":    {func(w *workload) { w.objective, w.work = 120*ms, 15*ms }, 0.1},
+		"messages of more than 10 ms": {func(w *workload) { w.delay = 10 * ms }, 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := hardWorkload()
+			test.change(&w)
+			best := 0.0
+			for _, demand := range []float64{1.5, 3} {
+				r := &hardResult{}
+				for seed := range uint64(hardSeeds) {
+					r.add(w, seed, demand, disturbance{change: func(*fleet) {}})
+				}
+				report := fmt.Sprintf("demand %.1f: %.0f on time per second, best %.0f; idle %.3f at %s; %.1f messages each",
+					demand, r.goodput(), best, r.idle, r.idleAt, float64(r.messages)/float64(r.sent[0]))
+				t.Log(report)
+				qt.New(t).Check(r.idle <= test.idle, qt.IsTrue, qt.Commentf("idle: %s", report))
+				qt.New(t).Check(r.goodput() >= flatness*best, qt.IsTrue, qt.Commentf("goodput: %s", report))
+				best = max(best, r.goodput())
+			}
+		})
+	}
+}
--- a/pkg/slotgranter/fleet_test.go
+++ b/pkg/slotgranter/fleet_test.go
@@ -48,6 +48,8 @@
 	processing time.Duration
 	// localRefusals lets gateways refuse requests by what they know of the owners' waits.
 	localRefusals bool
+	// callersAt is the number of gateways that callers use; 0 for all.
+	callersAt int
 }
 
 // sharedWorkload is a plain service with short objectives behind gateways that are not busy.
@@ -316,6 +318,9 @@
 // send makes one attempt of a caller.
 func (f *fleet) send(r *request, reused bool) {
 	g := f.gateways[f.random.IntN(len(f.gateways))]
+	if f.callersAt > 0 {
+		g = f.gateways[f.random.IntN(f.callersAt)]
+	}
 	for g.removed {
 		g = f.gateways[f.random.IntN(len(f.gateways))]
 	}
--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -21,11 +22,17 @@
 	extraSlots = 1
 	// latencyWeight is the weight of the latest observation in the mean message latency, and
 	// pathFactor relates the latency that a request sees to the measured one. The latter covers
-	// the grant and the report of the completion. The request and its answer pass between the
-	// gateway and the backend server too, which the gateway can't tell from the run; the answer
-	// waits for the gateway like a grant does, so that it takes about half of the measured time.
+	// two messages, the grant and the report of the completion. The request and its answer pass
+	// between the gateway and the backend server too, which the gateway can't tell from the run;
+	// they are taken to be as slow.
 	latencyWeight = 0.1
-	pathFactor    = 1.5
+	pathFactor    = 2
+	// answerShare is the part of the latency that passes between the grant and the answer: three
+	// of four messages.
+	answerShare = 0.75
+	// coverFactor is how many more slots than those that are idle in the mean latency are granted
+	// ahead: messages take longer at times.
+	coverFactor = 1.25
 	// maxPathShare bounds the part of the time from a grant to its completion that counts as
 	// latency: one wrong report must not make a server appear fast.
 	maxPathShare = 0.6
@@ -62,11 +69,11 @@
 	// minRefusedFor and maxRefusedFor. It becomes longer while more requests are refused than
 	// granted, and shorter while less than half as many are: fewer would let a slot be idle at
 	// times, more would cost messages and time. It is adapted after slots times adaptedAfter
-	// grants.
+	// grants and refusals, so that it becomes longer the faster, the more are refused.
 	minRefusedFor    = 10 * time.Millisecond
 	maxRefusedFor    = 300 * time.Millisecond
 	refusedForFactor = 1.5
-	adaptedAfter     = 2
+	adaptedAfter     = 4
 )
 
 // GrantRequest is a request that is to be sent to the backend server.
@@ -213,6 +220,7 @@
 	// While gateways hold back requests, none arrives that could be refused.
 	g.overloadedUntil = now.Add(overloadDuration + g.refusedFor)
 	g.lastRefused++
+	g.adaptRefusedFor()
 	return false
 }
 
@@ -227,9 +235,8 @@
 }
 
 // adaptRefusedFor adapts refusedFor to the requests that arrive despite it.
-func (g *Granter) adaptRefusedFor(granted int) {
-	g.lastGranted += granted
-	if g.lastGranted < adaptedAfter*g.slots {
+func (g *Granter) adaptRefusedFor() {
+	if g.lastGranted+g.lastRefused < adaptedAfter*g.slots {
 		return
 	}
 	switch {
@@ -260,7 +267,7 @@
 // messages are on their way would be idle otherwise.
 func (g *Granter) limit() int {
 	latency, service := g.latency(), g.serviceTime()
-	return g.slots + extraSlots + int((time.Duration(g.slots)*latency+service-1)/service)
+	return g.slots + extraSlots + int(math.Ceil(coverFactor*float64(g.slots)*float64(latency)/float64(service)))
 }
 
 // grantTime returns about how long it takes from a grant until its completion is reported.
@@ -294,7 +301,7 @@
 
 // canBeOnTime reports whether a request sent at the given time would probably be on time.
 func (g *Granter) canBeOnTime(sent time.Time, a GrantRequest) bool {
-	return !sent.Add(time.Duration(onTimeMargin*float64(g.serviceTime())) + g.latency()/2).After(a.OnTimeUntil)
+	return !sent.Add(time.Duration(onTimeMargin*float64(g.serviceTime())) + time.Duration(answerShare*float64(g.latency()))).After(a.OnTimeUntil)
 }
 
 // before reports whether a request goes before another: first those that can be on time, then
@@ -381,7 +388,8 @@
 	if g.running == nil {
 		g.running = map[string]run{}
 	}
-	g.adaptRefusedFor(n)
+	g.lastGranted += n
+	g.adaptRefusedFor()
 	for _, a := range granted {
 		g.stats.Granted++
 		if !g.canBeOnTime(now, a) {
