--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -28,6 +28,11 @@
 // attempt sends a request once and reports whether to retry it.
 func (f *Forwarder) attempt(ctx context.Context, j *job) bool {
 	j.usesSlotGrants = f.needsSlotGrant(j)
+	if f.allBusy(j) {
+		f.countSlotOutcome(slotRefusedLocally)
+		f.refuseOverloaded(j, slotRefusedLocally)
+		return false
+	}
 	d, decided := f.choose(ctx, j)
 	if !decided {
 		f.handleExpiry(ctx, j)
@@ -307,6 +312,7 @@
 		outcome = balancer.Failed
 	}
 	f.recordOutcome(j, backend.GetId(), outcome)
+	f.recordSlotRun(j)
 	f.endPrompt(j, true)
 	f.reportCompletedRun(j, backend)
 	if in.Body.Framing == framer.FramingNone {
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/pacer"
+	"bronzelead.example/pkg/waitestimator"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -20,8 +22,6 @@
 	maxSlowSlotRequests = 2
 	// reasonOverloaded is sent to a caller whose request would be late at all of them.
 	reasonOverloaded = "the backend servers have too much to do for an answer in time"
-	// retryAfterOverload is the retry time then: later than the requests that wait now.
-	retryAfterOverload = 250 * time.Millisecond
 )
 
 // needsSlotGrant reports whether the slots of a request's backend servers are granted: gateways
@@ -35,6 +35,38 @@
 	return f.balancer.Contended(f.Clock.Now(), j.service)
 }
 
+// allBusy determines which backend servers are known to be too busy for a request whose slots are
+// granted, and reports whether that is true of all. Once in a while it does not although it is.
+func (f *Forwarder) allBusy(j *job) bool {
+	j.busy = j.busy[:0]
+	if !j.usesSlotGrants || f.Disabled.Has(ablator.LocalRefusals) {
+		return false
+	}
+	now := f.Clock.Now()
+	j.busy = f.Regulator.AppendBusy(j.busy, j.waitRequest(now))
+	if len(j.busy) == 0 {
+		return false
+	}
+	w := &balancer.Waiter{Service: j.service, Adapter: j.adapter, Avoid: slices.Concat(j.busy, j.avoid), UsesSlotGrants: true}
+	f.mu.Lock()
+	available := f.balancer.HasAlternative(now, w, "")
+	f.mu.Unlock()
+	if available {
+		return false
+	}
+	if f.Regulator.TakeProbe() {
+		f.countSlotOutcome(slotProbe)
+		j.busy = j.busy[:0]
+		return false
+	}
+	return true
+}
+
+// waitRequest returns a request as the waits at its backend servers concern it.
+func (j *job) waitRequest(now time.Time) waitestimator.Request {
+	return waitestimator.Request{Urgency: j.urgency(), Left: j.onTimeUntil().Sub(now), Returned: j.firstSentAt.Before(j.req.ReceivedAt)}
+}
+
 // acquireSlot waits for a slot of a plain service's backend server. It reports false where the
 // request is refused there, because it would be late or of no use.
 func (f *Forwarder) acquireSlot(ctx context.Context, j *job, backend *wire.Announcement) bool {
@@ -51,18 +83,34 @@
 	}, j.slotWait(began))
 	j.waited += f.Clock.Since(began)
 	if answer.Granted {
+		f.countSlotOutcome(slotGranted)
 		j.prompt = &grantedPrompt{backend: backend.GetId(), key: answer.Key}
 		return true
 	}
 	if answer.Slow {
-		j.slowSlotRequests++
+		f.countSlotOutcome(slotSlow)
 	} else {
+		f.countSlotOutcome(slotRefusedByOwner)
+	}
+	switch {
+	case answer.Slow:
+		j.slowSlotRequests++
+	case answer.Refusal.Sustained() && !f.Disabled.Has(ablator.LocalRefusals):
+		j.slotRequests = maxSlotRequests
+	default:
 		j.slotRequests++
 	}
 	j.avoid = append(j.avoid, backend.GetId())
 	return false
 }
 
+// recordSlotRun records how long the answer to a request took whose slot was granted.
+func (f *Forwarder) recordSlotRun(j *job) {
+	if j.prompt != nil && j.usesSlotGrants {
+		f.Regulator.RecordRun(j.prompt.backend, f.Clock.Since(j.sentAt))
+	}
+}
+
 // slotWait returns how long a request waits for a slot of one backend server: while it can be
 // on time, no longer than that, so that an unresponsive owner costs one objective and not all
 // of the request's time.
@@ -74,9 +122,11 @@
 }
 
 // hasAlternativeSlot reports whether another backend server can be asked for a slot next, where
-// the request may be on time.
+// the request may be on time. A request with less than half of its objective left is late itself:
+// backend servers that appear too slow for it are no slower than others, and its caller would wait
+// for the refusals of several owners.
 func (f *Forwarder) hasAlternativeSlot(j *job, backend string, now time.Time) bool {
-	if j.slowSlotRequests >= maxSlowSlotRequests || !now.Before(j.onTimeUntil()) {
+	if j.slowSlotRequests >= maxSlowSlotRequests || j.onTimeUntil().Sub(now) < milliseconds(j.route.GetObjectiveMs())/2 {
 		return false
 	}
 	f.mu.Lock()
@@ -92,6 +142,6 @@
 		return f.chooseAgain(ctx, j, backend)
 	}
 	f.recordOutcome(j, backend.GetId(), balancer.Abandoned)
-	f.refuseOrFail(j, reasonOverloaded, retryAfterOverload)
+	f.refuseOverloaded(j, slotRefusedByOwner)
 	return false
 }
--- a/pkg/slotgranter/slotgranter_test.go
+++ b/pkg/slotgranter/slotgranter_test.go
@@ -217,7 +217,7 @@
 		c.Assert(granted, qt.HasLen, 1)
 		c.Check(granted[0].Key, qt.Equals, want)
 		g.Release(now, want, false)
-		g.running["x"] = now
+		g.running["x"] = run{grantedAt: now}
 	}
 }
 
@@ -236,6 +236,55 @@
 	c.Check(g.Next(now), qt.HasLen, 1)
 }
 
+// A request whose gateway is gone doesn't hold its slot while the backend server completes others.
+func TestOvertakenRequestsReleaseTheirSlots(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	grant := func(key string) []GrantRequest {
+		c.Assert(g.Add(now, GrantRequest{Key: key, OnTimeUntil: now.Add(time.Second), Deadline: now.Add(time.Second), Slots: 1}), qt.IsTrue)
+		return g.Next(now)
+	}
+	c.Assert(grant("lost"), qt.HasLen, 1)
+	for i := range 2 * lostFactor {
+		key := fmt.Sprint("run ", i)
+		c.Assert(grant(key), qt.HasLen, 1)
+		now = now.Add(initialServiceTime)
+		g.Release(now, key, true)
+	}
+	g.Next(now)
+	grant("one")
+	c.Check(g.running, qt.HasLen, 1)
+	c.Check(g.TakeStats().Expired, qt.Equals, 1)
+}
+
+// The time that grants and completions are on their way neither makes the backend server appear
+// slower nor leaves its slots idle, and one wrong report doesn't make it appear much faster.
+func TestMessageLatencyIsNotServiceTime(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	// The latency is that of four messages, of which the gateway sees two as a part of the run.
+	const work, latency = 60 * ms, 20 * ms
+	run := func(i int, lastRun time.Duration) {
+		key := fmt.Sprint(i)
+		c.Assert(g.Add(now, GrantRequest{Key: key, OnTimeUntil: now.Add(time.Second), Deadline: now.Add(time.Second), Slots: slots, Gateway: "g", LastRun: lastRun}), qt.IsTrue)
+		g.Next(now)
+		now = now.Add(work + latency)
+		g.Release(now, key, true)
+	}
+	for i := range 100 {
+		run(i, work+latency/2)
+	}
+	c.Check(g.serviceTime() > 55*ms && g.serviceTime() < 65*ms, qt.IsTrue, qt.Commentf("%v", g.serviceTime()))
+	c.Check(g.limit() > slots+2 && g.limit() <= slots+5, qt.IsTrue, qt.Commentf("%d granted", g.limit()))
+	for i := range 100 {
+		run(i, time.Microsecond)
+	}
+	c.Check(g.serviceTime() >= (work+latency)*3/10, qt.IsTrue, qt.Commentf("%v", g.serviceTime()))
+	c.Check(g.limit() <= 3*slots+extraSlots, qt.IsTrue, qt.Commentf("%d granted", g.limit()))
+}
+
 // Under overload slots go to requests that can be on time, so that a late one would wait in
 // vain.
 func TestLateRequestsAreRefusedAtOnceUnderOverload(t *testing.T) {
@@ -330,3 +379,33 @@
 	g.Release(now, probe[0].Key, true)
 	c.Check(add(true), qt.IsTrue, qt.Commentf("one fast run shows it"))
 }
+
+// While an overload persists, a request that returns and can be on time must not be refused because
+// of the wait for which later ones are, and must be served before them.
+func TestReturningRequestsGoBeforeLaterOnes(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	requests := 0
+	add := func(key string, left time.Duration) bool {
+		return g.Add(now, GrantRequest{Key: key, OnTimeUntil: now.Add(left), Deadline: now.Add(deadline), Slots: slots})
+	}
+	fill := func() {
+		for requests++; add(fmt.Sprint(requests), objective); requests++ {
+			g.Next(now)
+		}
+	}
+	fill()
+	now = now.Add(maxBurst + ms)
+	g.waiting = nil
+	fill()
+	c.Assert(g.overloadPersists(now), qt.IsTrue)
+	c.Check(add("new", objective), qt.IsFalse)
+	c.Check(add("returns", objective-60*ms), qt.IsTrue)
+	for key := range g.running {
+		g.Release(now, key, false)
+	}
+	granted := g.Next(now)
+	c.Assert(len(granted) > 0, qt.IsTrue)
+	c.Check(granted[0].Key, qt.Equals, "returns")
+}
