Serve customers within their shares first at slot owners

One customer that sends 7.5 times its usual rate took slots of plain services from the others, since owners granted them by time left alone.

GrantRequest names the customer and its weight, the owner records what it grants, and requests of customers above their share go after the others of the same urgency that can be on time. If an added request goes before a waiting one of a customer above its share, which would then be late, the latter is refused at once and not when its time is over. The estimate of the usual usage takes into account for how long usage has been observed.

--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -22,6 +22,11 @@
 	recent = 2 * time.Second
 	// usual is the time constant of the usage that counts as usual.
 	usual = 30 * time.Second
+	// unobserved is how long usage is assumed to have been 0 before the first recorded one, in
+	// the estimate of the usual usage. The estimate of a new owner is 0.7 of the usual usage
+	// after 10 s and 0.9 after 30 s. In the first seconds only even shares count, also if a
+	// customer sends more than usual then.
+	unobserved = 5 * time.Second
 	// sweepInterval is the time between two decay steps. Usage within one step counts as
 	// simultaneous, which is at most 5% of the recent usage.
 	sweepInterval = 100 * time.Millisecond
@@ -45,7 +50,11 @@
 	// active ones.
 	total, weights float64
 	sweptAt        time.Time
-	scratch        []float64
+	// usualFactor converts a customer's usual sum to the recent sum that its usual rate causes,
+	// and startedAt is when usage was first recorded.
+	usualFactor float64
+	startedAt   time.Time
+	scratch     []float64
 }
 
 type customer struct {
@@ -91,6 +100,19 @@
 	}
 }
 
+// Refund takes back usage that was recorded for a request which used nothing in the end.
+func (s *Sharer) Refund(now time.Time, name string, amount float64) {
+	s.sweep(now)
+	c := s.customers[name]
+	if c == nil {
+		return
+	}
+	refunded := min(amount, c.recent)
+	c.recent -= refunded
+	c.usual = max(0, c.usual-amount)
+	s.total -= refunded
+}
+
 // Excess returns how far a customer's recent usage is above its share: 0 if it is within its
 // share, otherwise a factor above 1. Requests of customers with less excess go first.
 //
@@ -110,7 +132,7 @@
 }
 
 func (s *Sharer) excess(c *customer) float64 {
-	share := c.usual * float64(recent) / float64(usual)
+	share := c.usual * s.usualFactor
 	if s.weights > 0 {
 		share = max(share, s.total*c.weight/s.weights)
 	}
@@ -168,7 +190,12 @@
 	if elapsed < sweepInterval {
 		return
 	}
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.sweptAt = now
+	observed := 1 - math.Exp(-(now.Sub(s.startedAt)+unobserved).Seconds()/usual.Seconds())
+	s.usualFactor = recent.Seconds() / usual.Seconds() / observed
 	recentDecay := math.Exp(-elapsed.Seconds() / recent.Seconds())
 	usualDecay := math.Exp(-elapsed.Seconds() / usual.Seconds())
 	s.remove(func(c *customer) bool {
--- a/pkg/sharer/sharer_test.go
+++ b/pkg/sharer/sharer_test.go
@@ -163,6 +163,35 @@
 	c.Check(s.customers, qt.HasLen, 1)
 }
 
+// A refund takes back usage, and never more than there is.
+func TestRefund(t *testing.T) {
+	c := qt.New(t)
+	var s Sharer
+	s.Record(begin(), "a", 0, 100)
+	s.Record(begin(), "b", 0, 10)
+	c.Check(s.Excess("a") > 0, qt.IsTrue)
+	s.Refund(begin(), "a", 90)
+	c.Check(s.Excess("a"), qt.Equals, 0.0)
+	s.Refund(begin(), "a", 90)
+	s.Refund(begin(), "unknown", 90)
+	c.Check(s.total, qt.Equals, 10.0)
+	c.Check(s.customers["a"].usual, qt.Equals, 0.0)
+}
+
+// An owner that has seen the usual rates for some seconds must not put large customers far behind
+// small ones, and after a minute not at all.
+func TestUsualUsageIsKnownSoon(t *testing.T) {
+	c := qt.New(t)
+	var s Sharer
+	rates := map[string]float64{"large": 100, "b": 20, "c": 20, "d": 20}
+	now := use(&s, begin(), time.Second, rates)
+	c.Check(s.Excess("large") > 1.5, qt.IsTrue)
+	now = use(&s, now, 15*time.Second, rates)
+	c.Check(s.Excess("large") < 1.2, qt.IsTrue, qt.Commentf("%.2f", s.Excess("large")))
+	use(&s, now, 45*time.Second, rates)
+	c.Check(s.Excess("large"), qt.Equals, 0.0)
+}
+
 func TestRefusalsAreCounted(t *testing.T) {
 	c := qt.New(t)
 	var s Sharer
--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -13,6 +13,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"bronzelead.example/pkg/sharer"
 )
 
 const (
@@ -56,8 +58,14 @@
 	Slots int
 	// HasAlternative is set if another backend server can be tried next.
 	HasAlternative bool
+	// Customer is who the request is served for, "" if there is none, and Weight the weight of
+	// its share; 0 counts as 1.
+	Customer string
+	Weight   float64
 
 	order uint64
+	// excess is how far its customer is above its share.
+	excess float64
 }
 
 // Granter holds the state of the requests at one backend server. The zero value is ready for
@@ -76,15 +84,22 @@
 	overloadedUntil time.Time
 	// overloadedSince is when that began.
 	overloadedSince time.Time
+	// shares holds how many slots each customer was granted lately.
+	shares sharer.Sharer
+	// displaced are requests that were refused in favor of customers within their shares, and
+	// that Evict has not returned yet.
+	displaced []GrantRequest
 }
 
 // Stats counts the outcomes of grant requests since the last call of TakeStats.
 type Stats struct {
 	// Granted counts those that got a slot, and Late those of them that could not be on time.
 	Granted, Late int
-	// Refused counts those that were refused at once, Evicted those that were refused when they
-	// could no longer be on time, and Withdrawn those that were withdrawn while they waited.
+	// Refused counts those that were refused at once, Evicted those that were refused while they
+	// waited, as they could no longer be on time or in favor of other customers, and Withdrawn those that were withdrawn while they waited.
 	Refused, Evicted, Withdrawn int
+	// AboveShare counts those of Refused and Evicted whose customers were above their shares.
+	AboveShare int
 	// Slow counts those that were redirected because the backend server is too slow.
 	Slow int
 	// Expired counts requests whose completion was not reported.
@@ -114,20 +129,73 @@
 	g.slots = max(1, a.Slots)
 	g.order++
 	a.order = g.order
-	ahead := 0
-	for _, other := range g.waiting {
-		if g.before(now, other, a) {
-			ahead++
-		}
-	}
-	if !g.mayWait(now, a, g.expectedWait(ahead)) {
+	g.updateExcess()
+	a.excess = g.shares.Excess(a.Customer)
+	if !g.mayWait(now, a, g.expectedWait(g.ahead(now, a))) {
 		g.stats.Refused++
+		g.countAboveShare(a)
 		return false
 	}
 	g.waiting = append(g.waiting, a)
+	g.displace(now, a)
 	return true
 }
 
+// ahead returns how many waiting requests go before a request.
+func (g *Granter) ahead(now time.Time, a GrantRequest) int {
+	n := 0
+	for _, other := range g.waiting {
+		if g.before(now, other, a) {
+			n++
+		}
+	}
+	return n
+}
+
+// updateExcess updates the excess of the waiting requests.
+func (g *Granter) updateExcess() {
+	for i := range g.waiting {
+		g.waiting[i].excess = g.shares.Excess(g.waiting[i].Customer)
+	}
+}
+
+// displace refuses the waiting requests of customers above their shares that would be too late
+// because an added request goes before them. They would otherwise be refused only once they
+// can't be on time.
+func (g *Granter) displace(now time.Time, added GrantRequest) {
+	for {
+		last := -1
+		for i, a := range g.waiting {
+			if a.excess > 0 && g.canBeOnTime(now, a) && (last < 0 || g.before(now, g.waiting[last], a)) {
+				last = i
+			}
+		}
+		if last < 0 || !g.before(now, added, g.waiting[last]) {
+			return
+		}
+		a := g.waiting[last]
+		if g.mayWait(now, a, g.expectedWait(g.ahead(now, a))) {
+			return
+		}
+		g.waiting = slices.Delete(g.waiting, last, last+1)
+		g.displaced = append(g.displaced, a)
+		g.stats.Evicted++
+		g.countAboveShare(a)
+	}
+}
+
+// countAboveShare counts a refused request if its customer is above its share.
+func (g *Granter) countAboveShare(a GrantRequest) {
+	if a.excess > 0 {
+		g.stats.AboveShare++
+		g.shares.Refuse(a.Customer)
+	}
+}
+
+// TakeAboveShare returns the customers above their shares, and the numbers of their refused
+// requests since the last call.
+func (g *Granter) TakeAboveShare(now time.Time) []sharer.Status { return g.shares.TakeAboveShare(now) }
+
 // TooSlow reports whether an answer would be late even without any wait. It is false when a
 // probe is due, whatever the service time: only a completion shows that the backend server is
 // fast again.
@@ -186,7 +254,8 @@
 }
 
 // before reports whether a request goes before another: first those that can be on time, then
-// by urgency, then the one with the least time left.
+// by urgency, then the one whose customer is less far above its share, then the one with the
+// least time left.
 func (g *Granter) before(now time.Time, a, other GrantRequest) bool {
 	return g.compare(now, a, other) < 0
 }
@@ -198,7 +267,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Urgency, other.Urgency), a.OnTimeUntil.Compare(other.OnTimeUntil), cmp.Compare(a.order, other.order))
+	return cmp.Or(cmp.Compare(a.Urgency, other.Urgency), cmp.Compare(a.excess, other.excess), a.OnTimeUntil.Compare(other.OnTimeUntil), cmp.Compare(a.order, other.order))
 }
 
 // Withdraw removes a waiting grant request, and reports whether it was waiting.
@@ -231,20 +300,22 @@
 }
 
 // Evict removes and returns the waiting grant requests that can no longer be on time, while
-// others that could be are refused.
+// others that could be are refused, and those that were refused in favor of other customers.
 func (g *Granter) Evict(now time.Time) []GrantRequest {
+	evicted := g.displaced
+	g.displaced = nil
 	if !now.Before(g.overloadedUntil) {
-		return nil
+		return evicted
 	}
-	var evicted []GrantRequest
 	g.waiting = slices.DeleteFunc(g.waiting, func(a GrantRequest) bool {
 		late := !g.canBeOnTime(now, a)
 		if late {
 			evicted = append(evicted, a)
+			g.stats.Evicted++
+			g.countAboveShare(a)
 		}
 		return late
 	})
-	g.stats.Evicted += len(evicted)
 	return evicted
 }
 
@@ -254,14 +325,18 @@
 	if len(g.waiting) == 0 || len(g.running) >= g.limit() {
 		return nil
 	}
-	slices.SortFunc(g.waiting, func(a, b GrantRequest) int { return g.compare(now, a, b) })
-	n := min(len(g.waiting), g.limit()-len(g.running))
-	granted := slices.Clone(g.waiting[:n])
-	g.waiting = slices.Delete(g.waiting, 0, n)
 	if g.running == nil {
 		g.running = map[string]time.Time{}
 	}
-	for _, a := range granted {
+	var granted []GrantRequest
+	for range min(len(g.waiting), g.limit()-len(g.running)) {
+		// Each grant changes how far its customer is above its share.
+		g.updateExcess()
+		slices.SortFunc(g.waiting, func(a, b GrantRequest) int { return g.compare(now, a, b) })
+		a := g.waiting[0]
+		g.waiting = slices.Delete(g.waiting, 0, 1)
+		granted = append(granted, a)
+		g.shares.Record(now, a.Customer, a.Weight, 1)
 		g.stats.Granted++
 		if !g.canBeOnTime(now, a) {
 			g.stats.Late++
