Send requests of customers within their shares first in gateways' queues

A customer that sends 7.5 times its usual rate fills the queues of all gateways, which served requests of one urgency in the order of their arrival.

While a service is contended, requests of customers above their share of it (pkg/sharer, by what this gateway has sent) go after the others of the same urgency. They also leave 8% of the service's slots free: otherwise a gateway whose queue holds nothing else takes each slot as soon as it is free, before the others know of it. Without customers, or while nothing is contended, the order is as before. ablator.FairShares switches it off. Meter.Add counts more than one.

--- a/pkg/ablator/ablator.go
+++ b/pkg/ablator/ablator.go
@@ -31,6 +31,8 @@
 	Pacing Mechanism = "Pacing"
 	// Dispensing grants the slots of contended backend servers of plain services.
 	Dispensing Mechanism = "Dispensing"
+	// FairShares serves customers that recently used less of a contended service first.
+	FairShares Mechanism = "FairShares"
 )
 
 // The mechanisms of controllers.
@@ -53,7 +55,7 @@
 
 // GatewayMechanisms returns the mechanisms of gateways in alphabetical order.
 func GatewayMechanisms() []Mechanism {
-	return []Mechanism{BudgetMargin, Dispensing, Ejection, FullHolder, Pacing, PriorityOrder, TwoChoices, ZonePenalty}
+	return []Mechanism{BudgetMargin, Dispensing, Ejection, FairShares, FullHolder, Pacing, PriorityOrder, TwoChoices, ZonePenalty}
 }
 
 // ControllerMechanisms returns the mechanisms of controllers in alphabetical order.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"bronzelead.example/pkg/ablator"
+	"bronzelead.example/pkg/sharer"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -64,6 +65,10 @@
 	requestedLoads map[string]requestedLoad
 	// contended is when most slots of a service were last taken.
 	contended map[string]time.Time
+	// shares holds the recent usage of each service by customers, and weights the weights of
+	// the customers with a limit.
+	shares  map[string]*sharer.Sharer
+	weights map[string]float64
 }
 
 // requestedLoad is a request to the leader to load an adapter.
@@ -82,6 +87,8 @@
 	Adapter string
 	// Urgency is the route's priority; 0 goes first.
 	Urgency uint32
+	// Customer is who the request is served for, or "".
+	Customer string
 	// Tokens is the size of the prompt.
 	Tokens int
 	// Deadline is when waiting longer is of no use.
@@ -93,6 +100,8 @@
 	UsesSlotGrants bool
 
 	order uint64
+	// excess is how far its customer is above its share, 0 while the service is not contended.
+	excess float64
 	// declined is set once the leader has reported that the adapter can't be loaded in time.
 	declined bool
 	// waitedForAdapter is set once no usable backend server held the adapter when the request
@@ -266,12 +275,12 @@
 	b.queue = slices.Insert(b.queue, at, w)
 }
 
-// compare orders by urgency, then by arrival.
+// compare orders by urgency, then by how far customers are above their shares, then by arrival.
 func (b *Balancer) compare(one, other *Waiter) int {
 	if one.Urgency != other.Urgency && !b.Disabled.Has(ablator.PriorityOrder) {
 		return int(one.Urgency) - int(other.Urgency)
 	}
-	if one.order < other.order {
+	if one.excess < other.excess || one.excess == other.excess && one.order < other.order {
 		return -1
 	}
 	return 1
@@ -285,6 +294,7 @@
 // Next decides on the queued requests, the most urgent first, and returns the adapters that the
 // leader is to load.
 func (b *Balancer) Next(now time.Time) (decisions []Decision, pendingLoads []*wire.Want) {
+	b.orderByShares(now)
 	remaining := b.queue[:0]
 	for _, w := range b.queue {
 		d, pendingLoad := b.decide(now, w)
@@ -309,11 +319,15 @@
 		return &Decision{Waiter: w, Reason: ReasonNoBackend, RetryAfter: retryWithoutBackend}, nil
 	}
 	best, holders := b.choose(now, w, c)
+	if best != nil && b.holdsBack(now, w) {
+		return b.refuse(now, w, holders, unpaused(now, without(c.preferred, holders))), nil
+	}
 	if best != nil {
 		var extra *wire.Want
 		if w.Adapter != "" && b.overloaded(best, c.preferred) {
 			extra = b.requestLoad(now, w, unpaused(now, without(c.preferred, holders)))
 		}
+		b.recordUsage(now, w)
 		best.backoff.sent(now)
 		best.own += Weight(w.Tokens)
 		best.requestsByAdapter[w.Adapter]++
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -102,7 +102,10 @@
 }
 
 // Increment adds one to a counter with one tag.
-func (m *Meter) Increment(name, tag, value string) {
+func (m *Meter) Increment(name, tag, value string) { m.Add(name, tag, value, 1) }
+
+// Add adds to a counter with one tag.
+func (m *Meter) Add(name, tag, value string, n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := name + "/" + value
@@ -114,7 +117,7 @@
 		c = m.scope.Tagged(map[string]string{tag: value}).Counter(name)
 		m.counters[key] = c
 	}
-	c.Inc(1)
+	c.Inc(n)
 }
 
 // SetGauge sets the current value of a gauge.
