Name customers to slot owners and in the gateways' queues

Owners and queues order requests by customers' shares, but nobody named the customer to them.

AdmitRequest.customer is set and read, Waiter gets the customer of the request's key, and the limits of the table in force weight shares at owners and in queues. An attempt that no backend server ran does not count as usage.

Logged are "customers above their share of the slots were refused" (an owner, every 5 s for each server) and "customers above their share of a service were refused" (a gateway, every second), with names, refusals and how far above. "slots granted" has AboveShare. Metrics: slots_refused_above_share and requests_refused_above_share by customer, customers_above_share.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -109,7 +109,7 @@
 	r.seeds.Store(&seeds)
 	r.meter = meter.New("gateway", s.Instance.Name, s.Instance.Zone)
 	r.adapterRequests = make(chan []*wire.Want, adapterRequestQueue)
-	r.regulator = &regulator.Regulator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress()}
+	r.regulator = &regulator.Regulator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), Meter: r.meter}
 	r.regulator.Init()
 	r.granter = &granter.Granter{Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: s.meshAddress(), Ranked: r.regulator.RankedOwners}
 	r.granter.Init()
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -47,11 +47,11 @@
 	defer f.abandonPrompt(j)
 	if f.refuseQuarantined(j) {
 		// While the request waited, it was found to crash backend servers.
-		f.recordOutcome(j, d.Backend.GetId(), balancer.Abandoned)
+		f.recordUnsent(j, d.Backend.GetId())
 		return false
 	}
 	if !f.revalidateKey(j) || !f.reserveQuota(ctx, j) {
-		f.recordOutcome(j, d.Backend.GetId(), balancer.Abandoned)
+		f.recordUnsent(j, d.Backend.GetId())
 		return false
 	}
 	if !f.throttle(ctx, j, d.Backend) {
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -152,6 +152,7 @@
 			f.Sender.CloseExpired()
 			f.logOutcomes()
 			f.logConstrainedSends()
+			f.logAboveShare()
 		}
 	}
 }
@@ -169,6 +170,7 @@
 		if f.QuotaEnforcer != nil {
 			f.QuotaEnforcer.SetCustomers(t.GetCustomers())
 		}
+		f.setSharingCustomers(t.GetCustomers())
 		f.Log.Info("a table is in force", "Version", t.GetVersion(), "Controller", controller, "Routes", len(t.GetRoutes()))
 	}
 	f.applyAnnouncements(now, res.GetAnnouncements())
@@ -286,6 +288,9 @@
 		var decisions []balancer.Decision
 		decisions, wants = f.balancer.Next(f.Clock.Now())
 		for _, d := range decisions {
+			if d.Backend == nil {
+				f.balancer.CountRefusal(d.Waiter)
+			}
 			f.waiting[d.Waiter] <- d
 			delete(f.waiting, d.Waiter)
 		}
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -233,7 +233,7 @@
 		until = first
 	}
 	w := &balancer.Waiter{
-		ID: j.meta.ID, Service: j.service, Adapter: j.adapter, Urgency: j.urgency(),
+		ID: j.meta.ID, Service: j.service, Adapter: j.adapter, Urgency: j.urgency(), Customer: f.sharingCustomer(j),
 		Tokens: j.meta.PromptTokens, Deadline: until.Add(-runReserve(j, until)), Avoid: j.avoid,
 		UsesSlotGrants: j.usesSlotGrants,
 	}
@@ -257,6 +257,7 @@
 	case d := <-decided:
 		if d.Backend != nil {
 			f.balancer.Done(f.Clock.Now(), d.Backend.GetId(), j.adapter, j.meta.PromptTokens, balancer.Abandoned)
+			f.refundShare(j)
 		}
 	default:
 		f.balancer.Cancel(w)
@@ -268,6 +269,9 @@
 func (f *Forwarder) recordOutcome(j *job, backend string, outcome balancer.Outcome) {
 	f.mu.Lock()
 	ejected := f.balancer.Done(f.Clock.Now(), backend, j.adapter, j.meta.PromptTokens, outcome)
+	if outcome == balancer.Full || outcome == balancer.Unreachable || outcome == balancer.Absent {
+		f.refundShare(j)
+	}
 	f.mu.Unlock()
 	if ejected > 0 {
 		f.Log.Info("ejected a failing backend server", "Backend", backend, "Service", j.service,
--- a/gateway/forwarder/prompt.go
+++ b/gateway/forwarder/prompt.go
@@ -129,7 +129,7 @@
 
 // chooseAgain drops a choice that was not sent, and reports whether there is time for another.
 func (f *Forwarder) chooseAgain(ctx context.Context, j *job, backend *wire.Announcement) bool {
-	f.recordOutcome(j, backend.GetId(), balancer.Abandoned)
+	f.recordUnsent(j, backend.GetId())
 	if ctx.Err() != nil {
 		f.handleExpiry(ctx, j)
 		return false
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -44,7 +44,8 @@
 		slots = defaultSlots
 	}
 	answer := f.Regulator.Acquire(ctx, &regulator.Prompt{
-		Backend: backend.GetId(), Slots: slots, Deadline: j.sendBy, HasAlternative: f.hasAlternativeSlot(j, backend.GetId(), began), GrantRequest: pacer.GrantRequest{
+		Backend: backend.GetId(), Slots: slots, Deadline: j.sendBy, HasAlternative: f.hasAlternativeSlot(j, backend.GetId(), began),
+		Customer: f.sharingCustomer(j), GrantRequest: pacer.GrantRequest{
 			Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt,
 			OnTimeUntil: j.onTimeUntil(),
 		},
@@ -91,7 +92,7 @@
 	if j.slotRequests < maxSlotRequests || ctx.Err() != nil {
 		return f.chooseAgain(ctx, j, backend)
 	}
-	f.recordOutcome(j, backend.GetId(), balancer.Abandoned)
+	f.recordUnsent(j, backend.GetId())
 	f.refuseOrFail(j, reasonOverloaded, retryAfterOverload)
 	return false
 }
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/pacer"
 	"bronzelead.example/pkg/slotgranter"
 	"bronzelead.example/pkg/wire"
@@ -51,6 +52,8 @@
 	// OnPeerPauses is called when another gateway paces prompts for an engine because of long
 	// pauses that it has observed itself.
 	OnPeerPauses func(backend, gateway string)
+	// Meter counts refused requests of customers above their shares; nil counts none.
+	Meter *meter.Meter
 
 	requestCount atomic.Uint64
 	mu           sync.Mutex
@@ -61,6 +64,8 @@
 	lists    map[string][]string
 	leader   string
 	engines  map[string]*engine
+	// weights are the weights of the customers with a limit.
+	weights map[string]float64
 }
 
 // engine is an engine or backend server that this gateway owns, or did.
@@ -92,11 +97,13 @@
 	Deadline time.Time
 	// HasAlternative is set if another backend server can be tried next.
 	HasAlternative bool
+	// Customer is who the request is served for, or "".
+	Customer string
 }
 
 // slotRequest returns the slot request for a request of a plain service.
 func (p *Prompt) slotRequest() slotgranter.GrantRequest {
-	return slotgranter.GrantRequest{Key: p.Key, Urgency: p.Urgency, OnTimeUntil: p.OnTimeUntil, Deadline: p.Deadline, Slots: p.Slots, HasAlternative: p.HasAlternative}
+	return slotgranter.GrantRequest{Key: p.Key, Urgency: p.Urgency, OnTimeUntil: p.OnTimeUntil, Deadline: p.Deadline, Slots: p.Slots, HasAlternative: p.HasAlternative, Customer: p.Customer}
 }
 
 // Result is the outcome of a grant request.
@@ -184,12 +191,13 @@
 		return
 	}
 	e.loggedAt = now
+	r.logAboveShare(now, backend, e)
 	s := e.granter.TakeStats()
 	if s.Granted+s.Refused+s.Slow+s.Withdrawn == 0 {
 		return
 	}
 	r.Log.Info("slots granted", "Backend", backend, "Granted", s.Granted, "GrantedLate", s.Late, "Refused", s.Refused,
-		"Slow", s.Slow, "Evicted", s.Evicted, "Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
+		"AboveShare", s.AboveShare, "Slow", s.Slow, "Evicted", s.Evicted, "Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
 		"ServiceUs", s.ServiceTime.Microseconds())
 }
 
@@ -237,7 +245,7 @@
 	r.mu.Lock()
 	e := r.engine(p.Backend)
 	e.lastRequestAt = r.Clock.Now()
-	if !e.add(e.lastRequestAt, p) {
+	if !e.add(e.lastRequestAt, p, r.weights[p.Customer]) {
 		defer r.mu.Unlock()
 		return Result{Backlog: e.backlog(p), Slow: p.HasAlternative && e.granter.TooSlow(e.lastRequestAt, p.slotRequest())}
 	}
@@ -273,10 +281,12 @@
 	return Result{Backlog: e.backlog(p)}
 }
 
-// add queues a request, and reports whether it did.
-func (e *engine) add(now time.Time, p *Prompt) bool {
+// add queues a request of a customer with a weight, and reports whether it did.
+func (e *engine) add(now time.Time, p *Prompt, weight float64) bool {
 	if p.Slots > 0 {
-		return e.granter.Add(now, p.slotRequest())
+		a := p.slotRequest()
+		a.Weight = weight
+		return e.granter.Add(now, a)
 	}
 	e.pacer.Add(p.GrantRequest)
 	return true
@@ -368,7 +378,7 @@
 	if req.GetSeen() && r.OnPeerPauses != nil {
 		r.OnPeerPauses(req.GetBackend(), req.GetGateway())
 	}
-	result := r.acquireLocally(ctx, &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), GrantRequest: pacer.GrantRequest{
+	result := r.acquireLocally(ctx, &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), Customer: req.GetCustomer(), GrantRequest: pacer.GrantRequest{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), OnTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
 		MaxPause: milliseconds(req.GetPauseMs()), EventInterval: time.Duration(req.GetEventUs()) * time.Microsecond,
@@ -396,6 +406,7 @@
 		PauseMs: uint32(p.MaxPause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		EventUs: uint32(p.EventInterval.Microseconds()), Gateway: r.Self, Seen: p.PausesObserved,
 		Slots: uint32(p.Slots), GiveUpMs: uint32(max(0, p.Deadline.Sub(now).Milliseconds())), Elsewhere: p.HasAlternative,
+		Customer: p.Customer,
 	})
 	if err != nil {
 		r.recordFailure(ctx, address, err)
