--- a/gateway/forwarder/share_test.go
+++ b/gateway/forwarder/share_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/meter"
@@ -87,3 +93,33 @@
 		})
 	}
 }
+
+// admitRecorder is an owner that records the customers of the requests that it grants.
+type admitRecorder struct{ customers chan string }
+
+func (r admitRecorder) Admit(_ context.Context, req *wire.AdmitRequest) (*wire.AdmitResponse, error) {
+	r.customers <- req.GetCustomer()
+	return &wire.AdmitResponse{Granted: true}, nil
+}
+
+func (admitRecorder) End(context.Context, *wire.EndRequest) (*wire.EndResponse, error) {
+	return &wire.EndResponse{}, nil
+}
+
+// A request for a slot must name its customer to the owner, which would otherwise count it towards
+// the share of requests without a customer.
+func TestSlotRequestsNameTheCustomer(t *testing.T) {
+	c := qt.New(t)
+	owner := admitRecorder{customers: make(chan string, 1)}
+	server := httptest.NewServer(wire.NewPacingServer(owner))
+	c.Cleanup(server.Close)
+	f, j := newAblatedForwarder()
+	f.Regulator = &regulator.Regulator{Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Self: "self"}
+	f.Regulator.Init()
+	address := strings.TrimPrefix(server.URL, "http://")
+	f.Regulator.UpdateGateways("controller", &wire.SyncResponse{Leads: true, GatewayList: []*wire.GatewayEntry{{Address: address}}})
+	j.adapter, j.customer = "", &wire.RoutedCustomer{Name: "a"}
+	j.sendBy = f.Clock.Now().Add(time.Second)
+	c.Assert(f.acquireSlot(context.Background(), j, &wire.Announcement{Id: "b", Slots: 4}), qt.IsTrue)
+	c.Check(<-owner.customers, qt.Equals, "a")
+}
--- a/pkg/balancer/shares.go
+++ b/pkg/balancer/shares.go
@@ -52,14 +52,15 @@
 	}
 	named := slices.ContainsFunc(b.queue, func(w *Waiter) bool { return w.Customer != "" })
 	changed := false
-	for _, w := range b.queue {
+	service, contended := "", false
+	for i, w := range b.queue {
+		if i == 0 || w.Service != service {
+			service, contended = w.Service, named && b.Contended(now, w.Service)
+		}
 		excess := 0.0
-		if s := b.shares[w.Service]; named && s != nil {
+		if s := b.shares[w.Service]; s != nil && contended {
 			excess = s.Excess(w.Customer)
 		}
-		if excess > 0 && !b.Contended(now, w.Service) {
-			excess = 0
-		}
 		changed = changed || excess != w.excess
 		w.excess = excess
 	}
--- a/pkg/balancer/shares_test.go
+++ b/pkg/balancer/shares_test.go
@@ -267,3 +267,31 @@
 		})
 	}
 }
+
+// BenchmarkNextDuringFlood decides on a queue of waiting requests of a customer above its share.
+func BenchmarkNextDuringFlood(b *testing.B) {
+	for name, off := range map[string][]ablator.Mechanism{"with shares": nil, "without": {ablator.FairShares}} {
+		b.Run(name, func(b *testing.B) {
+			l := newBalancer()
+			l.Disabled = ablator.Disable(off...)
+			var loads []*wire.Load
+			for i := range 60 {
+				id := fmt.Sprint("e", i)
+				l.UpdateBackend(begin(), &wire.Announcement{Id: id, Service: "s", Address: "a", Zone: "z", Slots: 48, Sequence: 1})
+				loads = append(loads, &wire.Load{Backend: id, Requests: 48})
+			}
+			l.SetLoads(loads)
+			for range 200 {
+				l.recordUsage(begin(), waiter("", customer("above")))
+			}
+			l.recordUsage(begin(), waiter("", customer("within")))
+			for range 100 {
+				l.Enqueue(waiter("w", customer("above")))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Next(begin())
+			}
+		})
+	}
+}
