Send more requests in the test of an owner that refuses by share

60 requests gave the owner a queue of about the longest wait that is allowed, so that on a busy machine it might refuse none; 150 are well beyond. Ten runs with -race pass.

--- a/gateway/regulator/shares_test.go
+++ b/gateway/regulator/shares_test.go
@@ -45,7 +45,7 @@
 	c.Assert(acquire("within").Granted, qt.IsTrue)
 	var wait sync.WaitGroup
 	var refused, granted int
-	for range 60 {
+	for range 150 {
 		wait.Go(func() {
 			result := acquire("above")
 			mu.Lock()
