--- a/gateway/forwarder/overload_test.go
+++ b/gateway/forwarder/overload_test.go
@@ -44,7 +44,7 @@
 			f.Disabled = ablator.Disable(test.off...)
 			f.Apply("controller", overloadedTable(b, test.requests))
 			// The first request is a probe.
-			f.Regulator.TakeProbe()
+			f.Regulator.TakeProbe("")
 			response := call(c, address, "/safe/x")
 			if !test.refused {
 				c.Check(response.status, qt.Equals, http.StatusOK)
@@ -102,7 +102,7 @@
 	address, f := newLoggingGateway(c, clockwork.NewRealClock(), log)
 	for range 10 {
 		f.Apply("controller", overloadedTable(b, 4))
-		f.Regulator.TakeProbe()
+		f.Regulator.TakeProbe("")
 		c.Assert(call(c, address, "/safe/x").status, qt.Equals, http.StatusServiceUnavailable)
 	}
 	eventually(c, func() bool { return log.count("requests refused") > 0 })
--- a/gateway/forwarder/refusal.go
+++ b/gateway/forwarder/refusal.go
@@ -40,7 +40,7 @@
 		leaves = j.clientDeadline
 	}
 	backends := slices.Concat(j.busy, j.avoid)
-	retryAfter := f.Regulator.RetryAfter(backends, j.waitRequest(now), leaves.Sub(now))
+	retryAfter := f.Regulator.RetryAfter(backends, f.waitRequest(now, j), leaves.Sub(now))
 	if j.reply.Begun() || j.runs > 0 {
 		f.refuseOrFail(j, reasonOverloaded, retryAfter)
 		return
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	now := f.Clock.Now()
-	j.busy = f.Regulator.AppendBusy(j.busy, j.waitRequest(now))
+	j.busy = f.Regulator.AppendBusy(j.busy, f.waitRequest(now, j))
 	if len(j.busy) == 0 {
 		return false
 	}
@@ -54,7 +54,7 @@
 	if available {
 		return false
 	}
-	if f.Regulator.TakeProbe() {
+	if f.Regulator.TakeProbe(f.sharingCustomer(j)) {
 		f.countSlotOutcome(slotProbe)
 		j.busy = j.busy[:0]
 		return false
@@ -63,8 +63,8 @@
 }
 
 // waitRequest returns a request as the waits at its backend servers concern it.
-func (j *job) waitRequest(now time.Time) waitestimator.Request {
-	return waitestimator.Request{Urgency: j.urgency(), Left: j.onTimeUntil().Sub(now), Returned: j.firstSentAt.Before(j.req.ReceivedAt)}
+func (f *Forwarder) waitRequest(now time.Time, j *job) waitestimator.Request {
+	return waitestimator.Request{Customer: f.sharingCustomer(j), Urgency: j.urgency(), Left: j.onTimeUntil().Sub(now), Returned: j.firstSentAt.Before(j.req.ReceivedAt)}
 }
 
 // acquireSlot waits for a slot of a plain service's backend server. It reports false where the
@@ -76,7 +76,8 @@
 		slots = defaultSlots
 	}
 	answer := f.Regulator.Acquire(ctx, &regulator.Prompt{
-		Backend: backend.GetId(), Slots: slots, Deadline: j.sendBy, HasAlternative: f.hasAlternativeSlot(j, backend.GetId(), began), GrantRequest: pacer.GrantRequest{
+		Backend: backend.GetId(), Slots: slots, Deadline: j.sendBy, HasAlternative: f.hasAlternativeSlot(j, backend.GetId(), began),
+		Customer: f.sharingCustomer(j), GrantRequest: pacer.GrantRequest{
 			Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt,
 			OnTimeUntil: j.onTimeUntil(),
 		},
@@ -141,7 +142,7 @@
 	if j.slotRequests < maxSlotRequests || ctx.Err() != nil {
 		return f.chooseAgain(ctx, j, backend)
 	}
-	f.recordOutcome(j, backend.GetId(), balancer.Abandoned)
+	f.recordUnsent(j, backend.GetId())
 	f.refuseOverloaded(j, slotRefusedByOwner)
 	return false
 }
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/pacer"
 	"bronzelead.example/pkg/slotgranter"
 	"bronzelead.example/pkg/waitestimator"
@@ -52,6 +53,8 @@
 	// OnPeerPauses is called when another gateway paces prompts for an engine because of long
 	// pauses that it has observed itself.
 	OnPeerPauses func(backend, gateway string)
+	// Meter counts refused requests of customers above their shares; nil counts none.
+	Meter *meter.Meter
 
 	requestCount atomic.Uint64
 	mu           sync.Mutex
@@ -62,6 +65,8 @@
 	lists    map[string][]string
 	leader   string
 	engines  map[string]*engine
+	// weights are the weights of the customers with a limit.
+	weights map[string]float64
 	// lastRuns are the durations of the latest requests of this gateway at the backend servers of
 	// plain services, until they are reported with the next one there.
 	lastRuns map[string]lastRun
@@ -71,9 +76,10 @@
 	completionsMu sync.Mutex
 	completions   []*wire.PromptEnd
 
-	// waitsMu guards waits, what is known of the waits at backend servers of plain services.
+	// waitsMu guards waits, what is known of the waits at backend servers of plain services, for
+	// the requests of each customer: owners refuse those of one that is above its share first.
 	waitsMu sync.Mutex
-	waits   waitestimator.Estimator
+	waits   map[string]*waitestimator.Estimator
 }
 
 // lastRun is how long a request took at a backend server, and when it completed.
@@ -115,13 +121,15 @@
 	// Acquire sets both.
 	Gateway string
 	LastRun time.Duration
+	// Customer is who the request is served for, or "".
+	Customer string
 }
 
 // slotRequest returns the slot request for a request of a plain service.
 func (p *Prompt) slotRequest() slotgranter.GrantRequest {
 	return slotgranter.GrantRequest{
 		Key: p.Key, Urgency: p.Urgency, OnTimeUntil: p.OnTimeUntil, Deadline: p.Deadline, Slots: p.Slots, HasAlternative: p.HasAlternative,
-		Gateway: p.Gateway, LastRun: p.LastRun,
+		Gateway: p.Gateway, LastRun: p.LastRun, Customer: p.Customer,
 	}
 }
 
@@ -222,12 +230,13 @@
 		return
 	}
 	e.loggedAt = now
+	r.logAboveShare(now, backend, e)
 	s := e.granter.TakeStats()
 	if s.Granted+s.Refused+s.Slow+s.Withdrawn == 0 {
 		return
 	}
 	r.Log.Info("slots granted", "Backend", backend, "Granted", s.Granted, "GrantedLate", s.Late, "Refused", s.Refused,
-		"Slow", s.Slow, "Evicted", s.Evicted, "Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
+		"AboveShare", s.AboveShare, "Slow", s.Slow, "Evicted", s.Evicted, "Withdrawn", s.Withdrawn, "Expired", s.Expired, "Waiting", s.Waiting, "Running", s.Running,
 		"ServiceUs", s.ServiceTime.Microseconds(), "LatencyUs", s.Latency.Microseconds())
 }
 
@@ -301,7 +310,7 @@
 	e := r.engine(p.Backend)
 	e.lastRequestAt = r.Clock.Now()
 	r.handleCompletions(e.lastRequestAt)
-	if !e.add(e.lastRequestAt, p) {
+	if !e.add(e.lastRequestAt, p, r.weights[p.Customer]) {
 		defer r.mu.Unlock()
 		return r.refused(e, p)
 	}
@@ -359,10 +368,12 @@
 	return result
 }
 
-// add queues a request, and reports whether it did.
-func (e *engine) add(now time.Time, p *Prompt) bool {
+// add queues a request of a customer with a weight, and reports whether it did.
+func (e *engine) add(now time.Time, p *Prompt, weight float64) bool {
 	if p.Slots > 0 {
-		return e.granter.Add(now, p.slotRequest())
+		a := p.slotRequest()
+		a.Weight = weight
+		return e.granter.Add(now, a)
 	}
 	e.pacer.Add(p.GrantRequest)
 	return true
@@ -468,7 +479,7 @@
 	if req.GetSeen() && r.OnPeerPauses != nil {
 		r.OnPeerPauses(req.GetBackend(), req.GetGateway())
 	}
-	p := &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), Gateway: req.GetGateway(), GrantRequest: pacer.GrantRequest{
+	p := &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), Customer: req.GetCustomer(), Gateway: req.GetGateway(), GrantRequest: pacer.GrantRequest{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), OnTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
 		MaxPause: milliseconds(req.GetPauseMs()), EventInterval: time.Duration(req.GetEventUs()) * time.Microsecond,
@@ -506,6 +517,7 @@
 		PauseMs: uint32(p.MaxPause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		EventUs: uint32(eventTime.Microseconds()), Gateway: r.Self, Seen: p.PausesObserved,
 		Slots: uint32(p.Slots), GiveUpMs: uint32(max(0, p.Deadline.Sub(now).Milliseconds())), Elsewhere: p.HasAlternative,
+		Customer: p.Customer,
 	})
 	if err != nil {
 		r.recordFailure(ctx, address, err)
--- a/gateway/regulator/waits.go
+++ b/gateway/regulator/waits.go
@@ -26,32 +26,48 @@
 	now := r.Clock.Now()
 	r.waitsMu.Lock()
 	defer r.waitsMu.Unlock()
+	waits := r.waitsOf(p.Customer)
 	if result.Granted {
-		r.waits.Granted(p.Backend)
+		waits.Granted(p.Backend)
 		return
 	}
-	r.waits.Refused(now, p.Backend, result.Refusal)
-	if !result.Slow {
-		r.waits.Report(now, p.Backend, waitestimator.Report{Wait: result.Backlog, ServiceTime: result.ServiceTime})
+	waits.Refused(now, p.Backend, result.Refusal)
+	if !result.Slow && p.Customer == "" {
+		waits.Report(now, p.Backend, waitestimator.Report{Wait: result.Backlog, ServiceTime: result.ServiceTime})
 	}
 }
 
+// waitsOf returns what is known for the requests of a customer. Reports of owners are kept for those
+// without a customer alone: a customer within its share does not wait behind the others. The caller
+// holds waitsMu.
+func (r *Regulator) waitsOf(customer string) *waitestimator.Estimator {
+	if r.waits == nil {
+		r.waits = map[string]*waitestimator.Estimator{}
+	}
+	waits := r.waits[customer]
+	if waits == nil {
+		waits = &waitestimator.Estimator{}
+		r.waits[customer] = waits
+	}
+	return waits
+}
+
 // AppendBusy appends the backend servers of plain services that are known to be too busy for a
 // request.
 func (r *Regulator) AppendBusy(list []string, request waitestimator.Request) []string {
 	now := r.Clock.Now()
 	r.waitsMu.Lock()
 	defer r.waitsMu.Unlock()
-	return r.waits.AppendBusy(list, now, request)
+	return r.waitsOf(request.Customer).AppendBusy(list, now, request)
 }
 
 // TakeProbe reports whether a request shall ask an owner although all backend servers are known to
-// be too busy for it.
-func (r *Regulator) TakeProbe() bool {
+// be too busy for the requests of its customer.
+func (r *Regulator) TakeProbe(customer string) bool {
 	now := r.Clock.Now()
 	r.waitsMu.Lock()
 	defer r.waitsMu.Unlock()
-	return r.waits.TakeProbe(now)
+	return r.waitsOf(customer).TakeProbe(now)
 }
 
 // RetryAfter returns when a request shall return that some backend servers are too busy for, whose
@@ -60,7 +76,7 @@
 	now := r.Clock.Now()
 	r.waitsMu.Lock()
 	defer r.waitsMu.Unlock()
-	return r.waits.RetryAfter(now, backends, request, remaining, rand.Float64())
+	return r.waitsOf(request.Customer).RetryAfter(now, backends, request, remaining, rand.Float64())
 }
 
 // ReceiveLoads receives the waits at backend servers that other gateways report.
@@ -69,7 +85,7 @@
 	r.waitsMu.Lock()
 	defer r.waitsMu.Unlock()
 	for _, l := range loads {
-		r.waits.Report(now, l.GetBackend(), waitestimator.Report{
+		r.waitsOf("").Report(now, l.GetBackend(), waitestimator.Report{
 			Wait: microseconds(l.GetWaitUs()), ServiceTime: microseconds(l.GetServiceUs()), Age: milliseconds(l.GetOwnerAgeMs()),
 		})
 	}
@@ -102,5 +118,7 @@
 func (r *Regulator) forgetOwner(address string) {
 	r.waitsMu.Lock()
 	defer r.waitsMu.Unlock()
-	r.waits.ForgetOwner(address)
+	for _, waits := range r.waits {
+		waits.ForgetOwner(address)
+	}
 }
--- a/pkg/ablator/ablator.go
+++ b/pkg/ablator/ablator.go
@@ -37,6 +37,8 @@
 	// LocalRefusals refuses requests for contended plain services at gateways that know all
 	// backend servers to be too busy; without it an owner is asked for each.
 	LocalRefusals Mechanism = "LocalRefusals"
+	// FairShares serves customers that recently used less of a contended service first.
+	FairShares Mechanism = "FairShares"
 )
 
 // The mechanisms of controllers.
@@ -64,7 +66,7 @@
 
 // GatewayMechanisms returns the mechanisms of gateways in alphabetical order.
 func GatewayMechanisms() []Mechanism {
-	return []Mechanism{BudgetMargin, Dispensing, Ejection, FullHolder, LocalRefusals, Pacing, PriorityOrder, SpareRequests, TwoChoices, ZonePenalty}
+	return []Mechanism{BudgetMargin, Dispensing, Ejection, FairShares, FullHolder, LocalRefusals, Pacing, PriorityOrder, SpareRequests, TwoChoices, ZonePenalty}
 }
 
 // ControllerMechanisms returns the mechanisms of controllers in alphabetical order.
--- a/pkg/waitestimator/waitestimator.go
+++ b/pkg/waitestimator/waitestimator.go
@@ -32,6 +32,8 @@
 
 // Request is a request that is about to be sent.
 type Request struct {
+	// Customer is who it is served for, or "".
+	Customer string
 	// Urgency is its priority; 0 goes first.
 	Urgency uint32
 	// Left is the time within which its answer would be on time; negative if it is late.
