--- a/gateway/forwarder/overload_test.go
+++ b/gateway/forwarder/overload_test.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,7 +14,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/acceptor"
+	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/pkg/ablator"
+	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -117,3 +122,26 @@
 	}
 	t.Error("no metric of the refusals")
 }
+
+// BenchmarkAllBusy measures the decision to refuse a request locally, with seven backend servers.
+func BenchmarkAllBusy(b *testing.B) {
+	clock := clockwork.NewFakeClock()
+	f := &Forwarder{Clock: clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"), Regulator: &regulator.Regulator{Clock: clock}}
+	f.Init()
+	f.Regulator.Init()
+	res := &wire.SyncResponse{HasLoads: true}
+	for i := range 7 {
+		id := fmt.Sprint("b", i)
+		res.Announcements = append(res.Announcements, &wire.Announcement{Id: id, Name: id, Service: "s", Slots: 6, Sequence: 1})
+		res.Loads = append(res.Loads, &wire.Load{Backend: id, Requests: 6, WaitUs: 1e6, ServiceUs: 10_000})
+	}
+	f.Apply("controller", res)
+	f.Regulator.TakeProbe()
+	j := &job{req: &acceptor.Request{ReceivedAt: clock.Now()}, route: &wire.Route{ObjectiveMs: 300}, service: "s", firstSentAt: clock.Now(), usesSlotGrants: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !f.allBusy(j) {
+			b.Fatal("not busy")
+		}
+	}
+}
