Decode the load in answers of backend servers

Cause: backend servers announce running and waiting requests and slots in each answer, and on some deployments how long work takes on their machine at this moment. Nothing read it, so that no gateway noticed a busy machine.

A gateway keeps the newest machine load of each incarnation. Only answers that are certainly that incarnation's count. Unreadable fields are counted (server_loads_unreadable), logged at most every 10 s and ignored.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -73,6 +73,7 @@
 	answer := platform.DecodeResponse(in.Head)
 	f.observeLimit(j, in.Head.Status, answer)
 	f.observeConstraints(j, in.Head.Status, answer)
+	f.observeLoad(j, in.Head.Status, answer)
 	switch {
 	case answer.NotRun:
 		in.Close()
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -107,6 +107,8 @@
 	limitFaultLoggedAt time.Time
 	// backoffFaultLoggedAt is when an unreadable backoff was last logged.
 	backoffFaultLoggedAt time.Time
+	// loadFaultLoggedAt is when an unreadable load was last logged.
+	loadFaultLoggedAt time.Time
 	// constrainedSends counts since the last log line.
 	constrainedSends constrainedSends
 }
--- /dev/null
+++ b/gateway/forwarder/load_test.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/platform"
+)
+
+// The load figures in answers were decoded by nobody. Only answers that are certainly those of the
+// incarnation that was asked say something about it.
+func TestWhichAnswersNameAMachineLoad(t *testing.T) {
+	load := platform.ServerLoad{Running: 1, Slots: 8, Machine: 250}
+	for name, test := range map[string]struct {
+		status int
+		answer platform.Response
+		want   int
+	}{
+		"served":                  {200, platform.Response{Signed: true, Load: load}, 250},
+		"a rejection":             {503, platform.Response{NotRun: true, Load: load}, 250},
+		"a failure of its own":    {500, platform.Response{Signed: true, Load: load}, 250},
+		"without a fourth figure": {200, platform.Response{Signed: true, Load: platform.ServerLoad{Running: 1, Slots: 8}}, 0},
+		"unreadable":              {200, platform.Response{Signed: true, LoadFault: "NotDecimal"}, 0},
+		"another incarnation":     {421, platform.Response{NotRun: true, Load: load}, 0},
+		"not the server's":        {200, platform.Response{Load: load}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBackend(c, "b", refuses(503))
+			_, f := startGatewayAndForwarder(c, b)
+			f.observeLoad(&job{lastBackend: b.announcement()}, test.status, test.answer)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			got, _ := f.balancer.MachineLoad(f.Clock.Now(), "b")
+			c.Check(got, qt.Equals, test.want)
+		})
+	}
+}
+
+// An unreadable load was not noticed. Each is counted, one in 10 s is logged, and the figure before
+// remains.
+func TestUnreadableLoadsAreCountedAndIgnored(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	b := newBackend(c, "b", refuses(503))
+	_, f := newGateway(c, clock)
+	f.Apply("controller", firstTable(b))
+	j := &job{lastBackend: b.announcement()}
+	f.observeLoad(j, 200, platform.Response{Signed: true, Load: platform.ServerLoad{Slots: 8, Machine: 150}})
+	for range 5 {
+		clock.Advance(time.Second)
+		f.observeLoad(j, 200, platform.Response{Signed: true, LoadFault: "Repeated"})
+	}
+	c.Check(f.loadFaultLoggedAt, qt.Equals, clock.Now().Add(-4*time.Second))
+	percent, age := f.balancer.MachineLoad(clock.Now(), "b")
+	c.Check(percent, qt.Equals, 150)
+	c.Check(age, qt.Equals, 5*time.Second)
+}
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -48,6 +48,10 @@
 	backlogAt time.Time
 	// eventInterval is about the time between two events of a stream while no prompt is read.
 	eventInterval time.Duration
+	// machineLoad is how long work takes on its machine, in percent of the usual time, as of
+	// machineLoadAt; 0 if no answer has named it.
+	machineLoad   int
+	machineLoadAt time.Time
 
 	// failureRate is the share of failed requests as of failureRateAt. It decays with time, as
 	// a backend server that gets no requests could otherwise never show that it has recovered.
