Report the pace of backend servers and merge it on the way

Cause: a gateway sends an engine of a large site one request in about 9 s. What it measured of the engine's pace, and the machine load that an answer named, stayed with it. Relays and controllers sent gateways only numbers of requests, and nothing of a backend server at which no other gateway has requests.

Change: gateways report the interval between events and the newest machine load with their loads. Relays and controllers average intervals by samples and keep the newest machine load, and the newest wait and service time of an owner, for a second. The interval is a low quantile of the latest 20 gaps within 20 s, apart from the one that paces prompts, which is unchanged. LoadTotals and Disseminator.Loads take the time.

TestEarlierLeaderIsIgnored reads the list that took the place of a map.

--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -55,7 +55,7 @@
 	g.lastCallAt = now
 	c.loads.Remove(g.loads)
 	g.loads = req.GetLoads()
-	c.loads.Add(g.loads)
+	c.loads.Add(now, g.loads)
 	c.receiveDepartures(g.loads)
 	if g.entry.GetAddress() != req.GetAddress() || g.entry.GetZone() != req.GetZone() {
 		g.entry = &wire.GatewayEntry{Address: req.GetAddress(), Zone: req.GetZone()}
@@ -229,7 +229,7 @@
 			res.Learnt = c.knowledge.Learnt()
 			return res
 		}
-		res.Loads, res.HasLoads = c.loadsWithout(g), true
+		res.Loads, res.HasLoads = c.loadsWithout(now, g), true
 	}
 	return res
 }
@@ -256,20 +256,11 @@
 }
 
 // loadsWithout returns the loads of all gateways except one and its members.
-func (c *Coordinator) loadsWithout(g *gatewayState) []*wire.Load {
-	own := map[string]uint32{}
-	if g != nil {
-		for _, l := range g.loads {
-			own[l.GetBackend()] += l.GetRequests()
-		}
+func (c *Coordinator) loadsWithout(now time.Time, g *gatewayState) []*wire.Load {
+	if g == nil {
+		return c.loads.Without(now, nil)
 	}
-	var loads []*wire.Load
-	c.loads.Each(func(backend string, requests uint32, _ map[string]int) {
-		if n := requests - own[backend]; n > 0 {
-			loads = append(loads, &wire.Load{Backend: backend, Requests: n})
-		}
-	})
-	return loads
+	return c.loads.Without(now, g.loads)
 }
 
 // ReceiveAnnouncements takes announcements of backend servers, made here or to another
--- a/gateway/forwarder/prompt.go
+++ b/gateway/forwarder/prompt.go
@@ -112,6 +112,7 @@
 	if gap > 0 && !first && j.canBePaced() {
 		f.mu.Lock()
 		f.balancer.ObserveEventGap(j.lastBackend.GetId(), gap)
+		f.balancer.ObserveEventPace(f.Clock.Now(), j.lastBackend.GetId(), gap)
 		f.mu.Unlock()
 	}
 }
--- a/gateway/relayer/relayer.go
+++ b/gateway/relayer/relayer.go
@@ -275,7 +275,7 @@
 	own := r.Loads()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.disseminator.Loads(own)
+	return r.disseminator.Loads(r.Clock.Now(), own)
 }
 
 // unknownAge is the age of the leader's state before the first one.
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"bronzelead.example/pkg/paceestimator"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -48,6 +49,8 @@
 	backlogAt time.Time
 	// eventInterval is about the time between two events of a stream while no prompt is read.
 	eventInterval time.Duration
+	// gaps are the latest times between events of streams there.
+	gaps paceestimator.Window
 	// machineLoad is how long work takes on its machine, in percent of the usual time, as of
 	// machineLoadAt; 0 if no answer has named it.
 	machineLoad   int
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -207,14 +207,14 @@
 	}
 }
 
-// Loads returns how many requests this gateway has at each backend server, and what the backend
-// servers have announced to it in their answers.
+// Loads returns how many requests this gateway has at each backend server, what the backend
+// servers have announced to it in their answers, and what it has observed of their pace.
 func (b *Balancer) Loads(now time.Time) []*wire.Load {
 	var loads []*wire.Load
 	for id, known := range b.backends {
 		backingOff := known.backoff.active(now)
 		toldLeaving := !known.leavingSince.IsZero() && !known.info.GetDraining()
-		if known.own <= 0 && !backingOff && !toldLeaving {
+		if known.own <= 0 && !backingOff && !toldLeaving && !known.hasRecentMachineLoad(now) {
 			continue
 		}
 		l := &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)}
@@ -225,6 +225,7 @@
 		if toldLeaving {
 			l.ToldLeaving = 1
 		}
+		known.addPace(now, l)
 		loads = append(loads, l)
 	}
 	return loads
--- /dev/null
+++ b/pkg/balancer/pace_test.go
@@ -0,0 +1,50 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/wire"
+)
+
+// What a gateway had observed of the pace of backend servers stayed with it: one that sends an
+// engine a request in 9 s can't learn the engine's pace alone.
+func TestPaceIsReportedWithLoads(t *testing.T) {
+	c := qt.New(t)
+	b := &Balancer{Zone: "z"}
+	now := begin()
+	for _, id := range []string{"a", "b", "c", "d"} {
+		b.UpdateBackend(now, &wire.Announcement{Id: id, Service: "s", Address: id, Zone: "z", Slots: 12})
+	}
+	b.backends["a"].own = 1
+	for range 3 {
+		b.ObserveEventPace(now, "a", 40*time.Millisecond)
+	}
+	b.ObserveEventPace(now, "b", 40*time.Millisecond)
+	b.ObserveMachineLoad(now, "a", 250)
+	b.ObserveMachineLoad(now, "c", 100)
+	b.ObserveMachineLoad(now.Add(-machineReportAge), "d", 250)
+	now = now.Add(30 * time.Millisecond)
+	reported := map[string]*wire.Load{}
+	for _, l := range b.Loads(now) {
+		reported[l.GetBackend()] = l
+	}
+	// "b" has no request, and "d" named its figure too long ago: neither costs any bytes.
+	c.Assert(reported, qt.HasLen, 2)
+	a := reported["a"]
+	c.Check([]uint32{a.GetRequests(), a.GetEventIntervalUs(), a.GetEventSamples(), a.GetMachineLoad(), a.GetMachineLoadAgeMs()}, qt.DeepEquals,
+		[]uint32{1, 40_000, 3, 250, 30})
+	c.Check([]uint32{reported["c"].GetMachineLoad(), reported["c"].GetMachineLoadAgeMs()}, qt.DeepEquals, []uint32{100, 30})
+
+	// Another incarnation starts without what is known of this one.
+	b.UpdateBackend(now, &wire.Announcement{Id: "a", Service: "s", Address: "a", Sequence: 9, Gone: true, Replaced: true})
+	b.UpdateBackend(now, &wire.Announcement{Id: "a~2", Service: "s", Address: "a", Zone: "z", Slots: 12})
+	b.backends["a~2"].own = 1
+	for _, l := range b.Loads(now) {
+		if l.GetBackend() == "a~2" {
+			c.Check(l.GetEventSamples()+l.GetMachineLoad(), qt.Equals, uint32(0))
+		}
+	}
+}
--- a/pkg/disseminator/disseminator.go
+++ b/pkg/disseminator/disseminator.go
@@ -65,10 +65,12 @@
 	leaderAt  time.Time
 	contactAt time.Time
 	// externalLoads are the loads of all gateways except this one and its followers.
-	externalLoads map[string]uint32
+	externalLoads []*wire.Load
 	// followerLoads are the loads of the followers.
 	followerLoads *LoadTotals
-	followers     map[string]*follower
+	// allLoads are externalLoads and followerLoads together.
+	allLoads  *LoadTotals
+	followers map[string]*follower
 	// members are the followers, and theirs.
 	members         []*wire.GatewayEntry
 	membersRevision uint64
@@ -84,8 +86,7 @@
 	d.holdings = NewHoldings()
 	d.announcements = map[string]*announcementEntry{}
 	d.versions = map[string]*wire.AdapterVersion{}
-	d.externalLoads = map[string]uint32{}
-	d.followerLoads = NewLoadTotals()
+	d.followerLoads, d.allLoads = NewLoadTotals(), NewLoadTotals()
 	d.followers = map[string]*follower{}
 }
 
@@ -141,7 +142,7 @@
 		d.markDeclined(res.GetDeclined())
 		d.receiveSuspects(res)
 		changed = append(changed, engines...)
-		d.receiveLoads(res)
+		d.receiveLoads(now, res)
 	} else {
 		update.Leads, update.HasLoads, update.Loads = false, false, nil
 	}
@@ -226,14 +227,13 @@
 	}
 }
 
-func (d *Disseminator) receiveLoads(res *wire.SyncResponse) {
+func (d *Disseminator) receiveLoads(now time.Time, res *wire.SyncResponse) {
 	if !res.GetHasLoads() {
 		return
 	}
-	clear(d.externalLoads)
-	for _, l := range res.GetLoads() {
-		d.externalLoads[l.GetBackend()] = l.GetRequests()
-	}
+	d.allLoads.Remove(d.externalLoads)
+	d.externalLoads = res.GetLoads()
+	d.allLoads.Add(now, d.externalLoads)
 }
 
 // fullHoldings returns the complete holdings of the engines for which they are known.
--- a/pkg/disseminator/disseminator_test.go
+++ b/pkg/disseminator/disseminator_test.go
@@ -55,7 +55,7 @@
 		c.Check(got, qt.DeepEquals, want)
 	}
 	up := map[string]uint32{}
-	for _, l := range d.Loads(own) {
+	for _, l := range d.Loads(begin(), own) {
 		up[l.GetBackend()] = l.GetRequests()
 	}
 	c.Check(up, qt.DeepEquals, map[string]uint32{"e": 104, "f": 2})
@@ -69,10 +69,10 @@
 	d.ObserveFollower(begin(), call("a", load("e", 1, "m/x", "m/y")))
 	d.ObserveFollower(begin(), call("b", load("e", 1, "m/x")))
 	d.ObserveFollower(begin(), call("b"))
-	c.Assert(d.Loads(nil), qt.HasLen, 1)
-	c.Check(d.Loads(nil)[0].GetAdapters(), qt.ContentEquals, []string{"m/x", "m/y"})
+	c.Assert(d.Loads(begin(), nil), qt.HasLen, 1)
+	c.Check(d.Loads(begin(), nil)[0].GetAdapters(), qt.ContentEquals, []string{"m/x", "m/y"})
 	d.Tick(begin().Add(FollowerLease + time.Millisecond))
-	c.Check(d.Loads(nil), qt.HasLen, 0)
+	c.Check(d.Loads(begin(), nil), qt.HasLen, 0)
 	members, revision := d.Members()
 	c.Check(members, qt.HasLen, 0)
 	c.Check(revision, qt.Equals, uint64(0))
@@ -151,7 +151,8 @@
 	c.Check(ok, qt.IsTrue)
 	c.Check(update.GetLeads(), qt.IsFalse)
 	c.Check(update.GetHoldings(), qt.HasLen, 0)
-	c.Check(d.externalLoads["e"], qt.Equals, uint32(5))
+	c.Assert(d.externalLoads, qt.HasLen, 1)
+	c.Check(d.externalLoads[0].GetRequests(), qt.Equals, uint32(5))
 }
 
 // The list of members includes the followers of followers, and each gateway once.
--- a/pkg/disseminator/followers.go
+++ b/pkg/disseminator/followers.go
@@ -36,8 +36,10 @@
 	}
 	f.lastCallAt = now
 	d.followerLoads.Remove(f.loads)
+	d.allLoads.Remove(f.loads)
 	f.loads = req.GetLoads()
-	d.followerLoads.Add(f.loads)
+	d.followerLoads.Add(now, f.loads)
+	d.allLoads.Add(now, f.loads)
 	isNew := f.entry.GetAddress() != req.GetAddress() || f.entry.GetZone() != req.GetZone()
 	f.entry = &wire.GatewayEntry{Address: req.GetAddress(), Zone: req.GetZone()}
 	if len(req.GetMembers()) > 0 || req.GetMembersRevision() == 0 {
@@ -65,6 +67,7 @@
 	for name, f := range d.followers {
 		if now.Sub(f.lastCallAt) > FollowerLease {
 			d.followerLoads.Remove(f.loads)
+			d.allLoads.Remove(f.loads)
 			delete(d.followers, name)
 			d.rebuildMembers()
 			continue
@@ -108,11 +111,11 @@
 func (d *Disseminator) Members() ([]*wire.GatewayEntry, uint64) { return d.members, d.membersRevision }
 
 // Loads returns the loads of this gateway and of its followers together.
-func (d *Disseminator) Loads(own []*wire.Load) []*wire.Load {
+func (d *Disseminator) Loads(now time.Time, own []*wire.Load) []*wire.Load {
 	if len(d.followers) == 0 {
 		return own
 	}
-	return d.followerLoads.With(own)
+	return d.followerLoads.With(now, own)
 }
 
 // markDeclined records adapters that will not be loaded in time, for the followers that
@@ -177,7 +180,7 @@
 		f.answeredAt, f.urgent = now, false
 		res.MembersRevision = f.membersRevision
 		res.Declined, f.declined = f.declined, nil
-		res.Loads, res.HasLoads = d.loadsFor(f, own), res.GetLeads()
+		res.Loads, res.HasLoads = d.loadsFor(now, f, own), res.GetLeads()
 	}
 	since := req.GetAnnouncementRevision()
 	if req.GetEpoch() != d.Epoch {
@@ -232,23 +235,8 @@
 }
 
 // loadsFor returns the loads of all gateways except a follower and its own followers.
-func (d *Disseminator) loadsFor(f *follower, own []*wire.Load) []*wire.Load {
-	total := make(map[string]uint32, len(d.externalLoads))
-	for backend, n := range d.externalLoads {
-		total[backend] = n
-	}
-	for _, l := range own {
-		total[l.GetBackend()] += l.GetRequests()
-	}
-	d.followerLoads.Each(func(backend string, n uint32, _ map[string]int) { total[backend] += n })
-	for _, l := range f.loads {
-		total[l.GetBackend()] -= l.GetRequests()
-	}
-	loads := make([]*wire.Load, 0, len(total))
-	for backend, n := range total {
-		if n > 0 {
-			loads = append(loads, &wire.Load{Backend: backend, Requests: n})
-		}
-	}
-	return loads
+func (d *Disseminator) loadsFor(now time.Time, f *follower, own []*wire.Load) []*wire.Load {
+	d.allLoads.Add(now, own)
+	defer d.allLoads.Remove(own)
+	return d.allLoads.Without(now, f.loads)
 }
--- a/pkg/disseminator/sum.go
+++ b/pkg/disseminator/sum.go
@@ -2,13 +2,18 @@
 
 import (
 	"strings"
+	"time"
 
 	"bronzelead.example/pkg/wire"
 )
 
 // LoadTotals aggregates the loads of several gateways; each change costs only the loads that
 // change. Make one with NewLoadTotals.
-type LoadTotals struct{ backends map[string]*total }
+type LoadTotals struct {
+	backends map[string]*total
+	// figures outlive the loads that named them: each load names them only while they are new.
+	figures map[string]*figures
+}
 
 type total struct {
 	// entries counts the loads that were added and not removed.
@@ -18,26 +23,37 @@
 	// time, and toldLeaving those to which it has announced that it is leaving.
 	backingOff  uint32
 	toldLeaving uint32
+	// eventIntervals is the sum over eventSamples observations of the interval between events.
+	eventIntervals uint64
+	eventSamples   uint32
 	// adapters counts the gateways whose requests use each adapter.
 	adapters map[string]int
 }
 
 // NewLoadTotals returns empty totals.
-func NewLoadTotals() *LoadTotals { return &LoadTotals{backends: map[string]*total{}} }
+func NewLoadTotals() *LoadTotals {
+	return &LoadTotals{backends: map[string]*total{}, figures: map[string]*figures{}}
+}
 
-// Add adds the loads of one gateway.
-func (s *LoadTotals) Add(loads []*wire.Load) {
+// Add adds the loads of one gateway, received at now.
+func (s *LoadTotals) Add(now time.Time, loads []*wire.Load) {
 	for _, l := range loads {
 		t := s.backends[l.GetBackend()]
 		if t == nil {
-			t = &total{adapters: map[string]int{}}
+			t = &total{}
 			s.backends[l.GetBackend()] = t
 		}
 		t.entries++
 		t.requests += l.GetRequests()
 		t.backingOff += l.GetBackingOff()
 		t.toldLeaving += l.GetToldLeaving()
+		t.eventIntervals += intervalSum(l)
+		t.eventSamples += l.GetEventSamples()
+		s.observeFigures(now, l)
 		for _, adapter := range l.GetAdapters() {
+			if t.adapters == nil {
+				t.adapters = map[string]int{}
+			}
 			t.adapters[adapter]++
 		}
 	}
@@ -50,6 +66,8 @@
 		t.requests -= l.GetRequests()
 		t.backingOff -= l.GetBackingOff()
 		t.toldLeaving -= l.GetToldLeaving()
+		t.eventIntervals -= intervalSum(l)
+		t.eventSamples -= l.GetEventSamples()
 		for _, adapter := range l.GetAdapters() {
 			if t.adapters[adapter]--; t.adapters[adapter] == 0 {
 				delete(t.adapters, adapter)
@@ -89,20 +107,68 @@
 }
 
 // With returns the totals including one gateway's loads, as a list.
-func (s *LoadTotals) With(own []*wire.Load) []*wire.Load {
-	s.Add(own)
+func (s *LoadTotals) With(now time.Time, own []*wire.Load) []*wire.Load {
+	s.Add(now, own)
 	defer s.Remove(own)
+	s.pruneFigures(now)
 	loads := make([]*wire.Load, 0, len(s.backends))
 	for backend, t := range s.backends {
 		l := &wire.Load{Backend: backend, Requests: t.requests, BackingOff: t.backingOff, ToldLeaving: t.toldLeaving, Adapters: make([]string, 0, len(t.adapters))}
 		for adapter := range t.adapters {
 			l.Adapters = append(l.Adapters, adapter)
 		}
+		addPace(l, t.eventIntervals, t.eventSamples)
+		s.figures[backend].addTo(now, l)
 		loads = append(loads, l)
 	}
+	return append(loads, s.figuresAlone(now)...)
+}
+
+// figuresAlone returns loads without requests, of the backend servers that are known only by their
+// figures.
+func (s *LoadTotals) figuresAlone(now time.Time) []*wire.Load {
+	var loads []*wire.Load
+	for backend, f := range s.figures {
+		if s.backends[backend] != nil {
+			continue
+		}
+		if l := (&wire.Load{Backend: backend}); f.addTo(now, l) {
+			loads = append(loads, l)
+		}
+	}
 	return loads
 }
 
+// Without returns the totals without one gateway's loads, which must have been added, as a list of
+// what other gateways need. The newest figures are included whoever reported them.
+func (s *LoadTotals) Without(now time.Time, own []*wire.Load) []*wire.Load {
+	s.pruneFigures(now)
+	excluded := make(map[string]*total, len(own))
+	for _, l := range own {
+		t := excluded[l.GetBackend()]
+		if t == nil {
+			t = &total{}
+			excluded[l.GetBackend()] = t
+		}
+		t.requests += l.GetRequests()
+		t.eventIntervals += intervalSum(l)
+		t.eventSamples += l.GetEventSamples()
+	}
+	loads := make([]*wire.Load, 0, len(s.backends))
+	for backend, t := range s.backends {
+		requests, intervals, samples := t.requests, t.eventIntervals, t.eventSamples
+		if o := excluded[backend]; o != nil {
+			requests, intervals, samples = requests-o.requests, intervals-o.eventIntervals, samples-o.eventSamples
+		}
+		l := &wire.Load{Backend: backend, Requests: requests}
+		addPace(l, intervals, samples)
+		if s.figures[backend].addTo(now, l) || requests > 0 || samples > 0 {
+			loads = append(loads, l)
+		}
+	}
+	return append(loads, s.figuresAlone(now)...)
+}
+
 // unversioned returns the adapter of MODEL/NAME@VERSION.
 func unversioned(qualified string) string {
 	adapter, _, _ := strings.Cut(qualified, "@")
--- a/pkg/disseminator/sum_test.go
+++ b/pkg/disseminator/sum_test.go
@@ -25,13 +25,14 @@
 					Backend:    fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "backend")),
 					Requests:   rapid.Uint32Range(0, 3).Draw(t, "requests"),
 					BackingOff: rapid.Uint32Range(0, 2).Draw(t, "backing off"), ToldLeaving: rapid.Uint32Range(0, 2).Draw(t, "told"),
+					EventIntervalUs: rapid.Uint32Range(0, 9).Draw(t, "interval"), EventSamples: rapid.Uint32Range(0, 9).Draw(t, "samples"),
 					Adapters: rapid.SliceOfN(rapid.SampledFrom([]string{"m/x", "m/y"}), 0, 3).Draw(t, "adapters"),
 				}
 				loads = append(loads, l)
 			}
 			s.Remove(latest[gateway])
 			latest[gateway] = loads
-			s.Add(loads)
+			s.Add(begin(), loads)
 			check(t, s, latest)
 		}
 		for _, loads := range latest {
@@ -47,11 +48,14 @@
 func check(t *rapid.T, s *LoadTotals, latest map[int][]*wire.Load) {
 	requests, adapters := map[string]uint32{}, map[string]map[string]int{}
 	backingOff, told := map[string]uint32{}, map[string]uint32{}
+	intervals, samples := map[string]uint32{}, map[string]uint32{}
 	for _, loads := range latest {
 		for _, l := range loads {
 			requests[l.GetBackend()] += l.GetRequests()
 			backingOff[l.GetBackend()] += l.GetBackingOff()
 			told[l.GetBackend()] += l.GetToldLeaving()
+			intervals[l.GetBackend()] += l.GetEventIntervalUs() * l.GetEventSamples()
+			samples[l.GetBackend()] += l.GetEventSamples()
 			if adapters[l.GetBackend()] == nil {
 				adapters[l.GetBackend()] = map[string]int{}
 			}
@@ -60,11 +64,17 @@
 			}
 		}
 	}
-	for _, l := range s.With(nil) {
+	for _, l := range s.With(begin(), nil) {
 		if id := l.GetBackend(); l.GetBackingOff() != backingOff[id] || l.GetToldLeaving() != told[id] || s.BackingOff(id) != backingOff[id] {
 			t.Fatalf("%v, not %d backing off and %d told", l, backingOff[id], told[id])
 		}
 	}
+	for _, l := range s.Without(begin(), nil) {
+		id := l.GetBackend()
+		if l.GetEventSamples() != samples[id] || samples[id] > 0 && l.GetEventIntervalUs() != intervals[id]/samples[id] {
+			t.Fatalf("%v, not %d over %d samples", l, intervals[id], samples[id])
+		}
+	}
 	s.Each(func(backend string, n uint32, used map[string]int) {
 		if n != requests[backend] || fmt.Sprint(used) != fmt.Sprint(adapters[backend]) {
 			t.Fatalf("%s has %d and %v, not %d and %v", backend, n, used, requests[backend], adapters[backend])
@@ -82,8 +92,8 @@
 func TestOwnLoadsDoNotChangeTotals(t *testing.T) {
 	c := qt.New(t)
 	s := NewLoadTotals()
-	s.Add([]*wire.Load{load("e", 2, "m/x")})
-	c.Check(s.With([]*wire.Load{load("e", 1, "m/y"), load("f", 1)}), qt.HasLen, 2)
-	c.Check(s.With(nil), qt.HasLen, 1)
-	c.Check(s.With(nil)[0].GetRequests(), qt.Equals, uint32(2))
+	s.Add(begin(), []*wire.Load{load("e", 2, "m/x")})
+	c.Check(s.With(begin(), []*wire.Load{load("e", 1, "m/y"), load("f", 1)}), qt.HasLen, 2)
+	c.Check(s.With(begin(), nil), qt.HasLen, 1)
+	c.Check(s.With(begin(), nil)[0].GetRequests(), qt.Equals, uint32(2))
 }
