Give slow engines fewer replicas of hot adapters

Cause: the leader chose engines by their numbers of requests. A replica of a hot adapter at an engine that takes 2.2 times as long draws requests there.

Change: each controller estimates the paces from the intervals that gateways report, and the leader passes them on with placer.SetPace. The load in an engine's cost is scaled by its pace, with the slots that the adapter's requests are expected to take. The costs of a cold load and of leaving an adapter's preferred engine stay, so that slow engines still hold rare adapters. Nothing changes at a pace of 1.

TestControllersLearnPaces covers unknown and departed engines.

--- a/controller/routecoordinator/pace_test.go
+++ b/controller/routecoordinator/pace_test.go
@@ -1,6 +1,7 @@
 package routecoordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,3 +49,34 @@
 	c.Check(loads("three")["e"].GetMachineLoad(), qt.Equals, uint32(0))
 	c.Check(loads("three")["plain"], qt.IsNil)
 }
+
+// The leader gave slow engines as many replicas as the others. Any controller learns the paces, so
+// that a new leader has them at once; those of engines that have left are dropped.
+func TestControllersLearnPaces(t *testing.T) {
+	c := qt.New(t)
+	co, _ := newCoordinator()
+	now := co.Clock.Now()
+	one := syncOf("one")
+	for i := range 5 {
+		id := fmt.Sprint("e", i)
+		co.tracker.Observe(now, &wire.Announcement{Id: id, Name: id, Service: "s", Address: id, Sequence: 1})
+		l := &wire.Load{Backend: id, Requests: 1, EventIntervalUs: 40_000, EventSamples: 40}
+		if i == 0 {
+			l.EventIntervalUs = 88_000
+		}
+		one.Loads = append(one.Loads, l)
+	}
+	one.Loads = append(one.Loads, &wire.Load{Backend: "unknown", EventIntervalUs: 1, EventSamples: 1 << 31})
+	co.applyChanges()
+	co.observeGateway(now, one)
+	co.learnPaces(now)
+	pace := co.pacesOf("s").Pace("e0")
+	c.Check(pace > 2 && pace < 2.3, qt.IsTrue, qt.Commentf("%v", pace))
+	c.Check(co.pacesOf("s").Pace("e1"), qt.Equals, 1.0)
+
+	co.tracker.Observe(now, &wire.Announcement{Id: "e0", Service: "s", Address: "e0", Sequence: 2, Gone: true})
+	co.applyChanges()
+	now = now.Add(paceInterval)
+	co.learnPaces(now)
+	c.Check(co.pacesOf("s").Differs(), qt.IsFalse)
+}
--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -19,6 +19,7 @@
 	"bronzelead.example/controller/raftdriver"
 	"bronzelead.example/pkg/applier"
 	"bronzelead.example/pkg/disseminator"
+	"bronzelead.example/pkg/paceestimator"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/quotaallocator"
 	"bronzelead.example/pkg/sequencer"
@@ -127,6 +128,10 @@
 	placer       *placer.Placer
 	// allocator grants request quota of customers' limits while this instance leads.
 	allocator *quotaallocator.Allocator
+	// paces are those of each service's backend servers.
+	paces         map[string]*paceestimator.Estimator
+	pacesLearntAt time.Time
+	pacesLoggedAt time.Time
 	// startedAt is when this incarnation began, and gatewaySeenAt when each gateway was last in
 	// the roster.
 	startedAt         time.Time
@@ -166,6 +171,7 @@
 	c.gateways = map[string]*gatewayState{}
 	c.startedAt, c.gatewaySeenAt = c.Clock.Now(), map[string]time.Time{}
 	c.loads = disseminator.NewLoadTotals()
+	c.paces = map[string]*paceestimator.Estimator{}
 	c.holdings = disseminator.NewHoldings()
 	c.initArbiter()
 	c.knowledge = placer.NewLearnedState(c.Policy)
@@ -277,6 +283,7 @@
 	c.tracker.Tick(now)
 	c.applyChanges()
 	c.followLeadership(now)
+	c.learnPaces(now)
 	if c.placer != nil {
 		c.placer.SetUsage(c.uses())
 		c.plan(now)
--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -293,6 +293,7 @@
 			c.holdings.Drop(a.GetId())
 			c.leaderHoldings.Drop(a.GetId())
 			c.knowledge.RemoveEngine(a.GetId())
+			c.pacesOf(a.GetService()).Forget(a.GetId())
 		}
 	}
 	c.appliedRevision = c.tracker.Revision()
--- a/pkg/disseminator/sum.go
+++ b/pkg/disseminator/sum.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// EachPace calls f with the mean interval between events at each backend server for which gateways
+// report one, and its number of samples.
+func (s *LoadTotals) EachPace(f func(backend string, interval time.Duration, samples int)) {
+	for backend, t := range s.backends {
+		if t.eventSamples > 0 {
+			f(backend, time.Duration(t.eventIntervals/uint64(t.eventSamples))*time.Microsecond, int(t.eventSamples))
+		}
+	}
+}
+
 // BackingOff returns the number of gateways from which a backend server accepts no requests.
 func (s *LoadTotals) BackingOff(backend string) uint32 {
 	if t := s.backends[backend]; t != nil {
--- a/pkg/paceestimator/estimator.go
+++ b/pkg/paceestimator/estimator.go
@@ -148,11 +148,26 @@
 // Differs reports whether any pace differs from the median as of the last Update.
 func (e *Estimator) Differs() bool { return e.differs }
 
-// Each calls f with each pace that differs from the median as of the last Update.
-func (e *Estimator) Each(f func(id string, pace float64)) {
-	for id, s := range e.servers {
-		if s.pace != 1 {
-			f(id, s.pace)
+// Summary describes the paces of a service for logs and metrics.
+type Summary struct {
+	// Known is the number of servers whose interval is known, Slower and Faster how many of them
+	// differ from the median.
+	Known, Slower, Faster int
+	// Slowest and Fastest are the paces that are the farthest from the median; 1 if none differs.
+	Slowest, Fastest float64
+}
+
+// Summary returns a summary as of the last Update.
+func (e *Estimator) Summary() Summary {
+	r := Summary{Known: len(e.known), Slowest: 1, Fastest: 1}
+	for _, s := range e.servers {
+		switch {
+		case s.pace > 1:
+			r.Slower++
+		case s.pace < 1:
+			r.Faster++
 		}
+		r.Slowest, r.Fastest = max(r.Slowest, s.pace), min(r.Fastest, s.pace)
 	}
+	return r
 }
--- a/pkg/paceestimator/estimator_test.go
+++ b/pkg/paceestimator/estimator_test.go
@@ -56,6 +56,9 @@
 			}
 			c.Check(e.Pace("wrong") <= maxRatio, qt.IsTrue)
 			c.Check(e.Pace("unknown"), qt.Equals, 1.0)
+			summary := e.Summary()
+			c.Check(summary.Slower+summary.Faster >= 3, qt.IsTrue)
+			c.Check(summary.Slowest > 1.9 || summary.Fastest < 1/1.9, qt.IsTrue)
 		})
 	}
 }
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -221,6 +221,9 @@
 	// backoffWeight is the cost of an engine that accepts no requests for a time, in proportion
 	// to the gateways that it tells so: it looks idle.
 	backoffWeight = 1.0
+	// paceWeight is the cost of the slots that the requests for an adapter are expected to take for
+	// longer at a slow engine.
+	paceWeight = 2.0
 )
 
 // majority is the share of the gateways from which an engine must accept requests to be chosen
@@ -228,7 +231,7 @@
 const majority = 0.5
 
 func (p *Placer) cost(now time.Time, e *engine, id, adapter string) float64 {
-	cost := e.usage.Requests / float64(max(1, e.info.GetSlots()))
+	cost := p.pacedLoad(now, e, adapter)
 	if !p.policy.Disabled.Has(ablator.Homes) {
 		cost += affinityWeight * hashDistance(adapter, id)
 	}
@@ -244,6 +247,18 @@
 	return cost
 }
 
+// pacedLoad returns the part of an engine's slots that is taken, scaled by its pace. The requests for
+// a further adapter would take slots of a slow engine for longer, those for a hot one most of all.
+func (p *Placer) pacedLoad(now time.Time, e *engine, adapter string) float64 {
+	slots := float64(max(1, e.info.GetSlots()))
+	load := e.usage.Requests / slots
+	if e.pace == 1 {
+		return load
+	}
+	expected := min(1, p.requestRate(now, adapter)*p.policy.RunTime.Seconds()/slots)
+	return load*e.pace + paceWeight*expected*(e.pace-1)
+}
+
 // fits reports whether an engine accepts a further adapter and its requests.
 func (p *Placer) fits(now time.Time, e *engine, adapter string) bool {
 	return e.usage.BackingOff < majority && !now.Before(e.rejectsUntil) && p.fitsRateLimit(now, e, adapter)
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -85,10 +85,12 @@
 	// slotCosts are the costs of taking its slots, cheapest first, as of the last plan.
 	slotCosts []float64
 	usage     Usage
+	// pace is how long it takes for the same work, relative to the median of its service.
+	pace float64
 }
 
 func newEngine(cache *weightCache) *engine {
-	return &engine{weightCache: cache, slots: map[string]*adapterSlot{}}
+	return &engine{weightCache: cache, pace: 1, slots: map[string]*adapterSlot{}}
 }
 
 func (e *engine) isAvailable() bool {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -192,6 +192,14 @@
 	}
 }
 
+// SetPace sets how long an engine takes for the same work, relative to the median of its service; 1
+// if it does not differ.
+func (p *Placer) SetPace(id string, pace float64) {
+	if e := p.engines[id]; e != nil {
+		e.pace = pace
+	}
+}
+
 // SetVersion sets the version that an adapter must have.
 func (p *Placer) SetVersion(v *wire.AdapterVersion) {
 	adapter := v.GetModel() + "/" + v.GetAdapter()
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -365,3 +365,52 @@
 	}
 	c.Check(loaded, qt.IsTrue, qt.Commentf("the adapter is never loaded"))
 }
+
+// Slow engines got as many replicas of hot adapters as the others, and their requests then took 2.2
+// times as long. Rare adapters are still loaded there: no slot stays empty.
+func TestSlowEnginesGetFewerHotAdapters(t *testing.T) {
+	const hot, all = 8, 40
+	slowIDs := []string{"e0", "e1", "e2", "e3"}
+	hotAt := func(c *qt.C, pace float64) (slow, rest int) {
+		w := newSimulation(c, 16, 4)
+		w.advance(100 * time.Millisecond)
+		for _, id := range slowIDs {
+			w.p.SetPace(id, pace)
+		}
+		for range 40 {
+			for i := range hot {
+				w.p.RecordRequests(w.now, name(i), 3)
+				w.p.RequestLoad(w.now, name(i), nil, time.Time{})
+			}
+			for i := hot; i < all; i++ {
+				w.p.RequestLoad(w.now, name(i), nil, time.Time{})
+			}
+			w.advance(100 * time.Millisecond)
+		}
+		for id, e := range w.engines {
+			for i := range hot {
+				if _, held := e.held[name(i)]; !held {
+					continue
+				}
+				if slices.Contains(slowIDs, id) {
+					slow++
+				} else {
+					rest++
+				}
+			}
+		}
+		for i := range all {
+			c.Check(w.readyCount(name(i)) > 0, qt.IsTrue)
+		}
+		for _, id := range slowIDs {
+			c.Check(len(w.engines[id].held) > 0, qt.IsTrue)
+		}
+		return slow, rest
+	}
+	c := qt.New(t)
+	slow, rest := hotAt(c, 1)
+	slowPaced, restPaced := hotAt(c, 2.2)
+	t.Logf("%d of %d replicas at four of 16 engines; %d of %d if these are slow", slow, slow+rest, slowPaced, slowPaced+restPaced)
+	c.Check(slowPaced*2 <= slow, qt.IsTrue)
+	c.Check(slowPaced+restPaced >= slow+rest, qt.IsTrue)
+}
