Log the paces of backend servers that differ, and count them

Cause: nothing showed whether a gateway had found slow backend servers.

Change: a gateway logs every 10 s, for each service whose backend servers differ, how many are slower and faster and by how much, and how many are on busy machines.

Test: TestLearntPacesAreLogged failed with the line disabled.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -109,6 +109,8 @@
 	backoffFaultLoggedAt time.Time
 	// loadFaultLoggedAt is when an unreadable load was last logged.
 	loadFaultLoggedAt time.Time
+	// pacesLoggedAt is when the paces of backend servers were last logged.
+	pacesLoggedAt time.Time
 	// constrainedSends counts since the last log line.
 	constrainedSends constrainedSends
 }
@@ -154,6 +156,7 @@
 			f.Sender.CloseExpired()
 			f.logOutcomes()
 			f.logConstrainedSends()
+			f.measurePaces()
 		}
 	}
 }
--- a/gateway/forwarder/load_test.go
+++ b/gateway/forwarder/load_test.go
@@ -1,12 +1,19 @@
 package forwarder
 
 import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/pkg/balancer"
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
 
@@ -59,3 +66,45 @@
 	c.Check(percent, qt.Equals, 150)
 	c.Check(age, qt.Equals, 5*time.Second)
 }
+
+// Nothing showed which engines were slow. A line every 10 s says how many differ, and none is
+// written where all are equal.
+func TestLearntPacesAreLogged(t *testing.T) {
+	for name, test := range map[string]struct {
+		interval uint32
+		lines    int
+	}{
+		"slow":  {88_000, 2},
+		"equal": {41_000, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var logged bytes.Buffer
+			clock := clockwork.NewFakeClock()
+			f := &Forwarder{
+				Clock: clock, Log: slog.New(slog.NewTextHandler(&logged, nil)), Meter: meter.New("gateway", "test", "z"),
+				RequestAdapters: func([]*wire.Want) {},
+			}
+			f.Init()
+			res := &wire.SyncResponse{HasLoads: true}
+			for i := range 5 {
+				id := fmt.Sprint("e", i)
+				res.Announcements = append(res.Announcements, &wire.Announcement{Id: id, Service: "s", Address: id, Sequence: 1, Slots: 8})
+				res.Loads = append(res.Loads, &wire.Load{Backend: id, Requests: 1, EventIntervalUs: 40_000, EventSamples: 40})
+			}
+			res.Loads[0].EventIntervalUs = test.interval
+			for range 20 {
+				clock.Advance(time.Second)
+				f.Apply("controller", res)
+				f.mu.Lock()
+				f.balancer.Enqueue(&balancer.Waiter{ID: "w", Service: "s", Deadline: clock.Now().Add(time.Second)})
+				decisions, _ := f.balancer.Next(clock.Now())
+				f.balancer.Done(clock.Now(), decisions[0].Backend.GetId(), "", 0, balancer.Served)
+				f.mu.Unlock()
+				f.measurePaces()
+			}
+			c.Check(strings.Count(logged.String(), "paces of backend servers differ"), qt.Equals, test.lines)
+			c.Check(strings.Count(logged.String(), "Slower=1 Faster=0 Slowest=2.0"), qt.Equals, test.lines)
+		})
+	}
+}
--- a/pkg/balancer/pace.go
+++ b/pkg/balancer/pace.go
@@ -195,3 +195,29 @@
 	}
 	return i
 }
+
+// PaceSummary describes what is known of the paces of a service's backend servers.
+type PaceSummary struct {
+	paceestimator.Summary
+	Service string
+	// BusyMachines is the number of backend servers whose machine load makes them slower at the
+	// moment.
+	BusyMachines int
+}
+
+// PaceSummaries returns the summaries of the services whose backend servers differ.
+func (b *Balancer) PaceSummaries(now time.Time) []PaceSummary {
+	var list []PaceSummary
+	for service, p := range b.pacesByService {
+		s := PaceSummary{Summary: p.estimator.Summary(), Service: service}
+		for _, k := range b.byService[service] {
+			if k.machineEffect(now) > 0 {
+				s.BusyMachines++
+			}
+		}
+		if s.Slower+s.Faster+s.BusyMachines > 0 {
+			list = append(list, s)
+		}
+	}
+	return list
+}
