--- a/pkg/balancer/pace_test.go
+++ b/pkg/balancer/pace_test.go
@@ -48,3 +48,38 @@
 		}
 	}
 }
+
+// While no controller is reached, a gateway goes on with the paces that it knows, and with what it
+// measures itself, and forgets both when they are too old to be true.
+func TestPacesOutliveControllersForAShortTime(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b", "c", "d")
+	now := begin()
+	var loads []*wire.Load
+	for _, id := range []string{"a", "b", "c", "d"} {
+		l := &wire.Load{Backend: id, EventIntervalUs: 40_000, EventSamples: 40}
+		if id == "a" {
+			l.EventIntervalUs, l.MachineLoad = 88_000, 250
+		}
+		loads = append(loads, l)
+	}
+	b.ObserveLoads(now, loads)
+	for _, test := range []struct {
+		after time.Duration
+		slow  bool
+		busy  int
+	}{
+		{0, true, 1}, {machineHalfLife, true, 1}, {time.Second, true, 0}, {15 * time.Second, true, 0}, {20 * time.Second, false, 0},
+	} {
+		at := now.Add(test.after)
+		b.refreshSlowdowns(at, "s")
+		slow, busy := 0, 0
+		for _, s := range b.PaceSummaries(at) {
+			slow, busy = slow+s.Slower, busy+s.BusyMachines
+		}
+		c.Check(slow == 1, qt.Equals, test.slow, qt.Commentf("after %v", test.after))
+		c.Check(busy, qt.Equals, test.busy, qt.Commentf("after %v", test.after))
+		c.Check(b.backends["a"].slowdown > 0, qt.Equals, test.slow)
+		c.Check(b.backends["b"].slowdown, qt.Equals, 0.0)
+	}
+}
