Test that equal engines are not mistaken for slow ones

Equal engines behind 80 gateways, with prompts between events and late gateways: no pace differs, and each request goes where it went without the estimates.

--- a/pkg/balancer/uneven_test.go
+++ b/pkg/balancer/uneven_test.go
@@ -261,7 +261,7 @@
 	// busiest is the work of the busiest engine over the mean, by the requests that it got weighed
 	// with its pace, and occupied the same by the requests there over the time.
 	busiest, occupied float64
-	// firsts and ends are the 95th percentiles of the time to the first event and to the end, of all
+	// first and end are the 95th percentiles of the time to the first event and to the end, of all
 	// requests, and urgentEnd that of the urgent ones.
 	first, end, urgentEnd time.Duration
 	// slowShare is the share of each class that went to engines slower than the median.
@@ -354,6 +354,29 @@
 	}
 }
 
+// Prompts between events, late gateways and chance make the intervals of equal engines differ. None
+// of them is mistaken for a slow one, so that each request goes where it went before.
+func TestEqualEnginesAreNotMistaken(t *testing.T) {
+	c := qt.New(t)
+	run := func(off ablator.Disabled) *unevenSite {
+		s := newUnevenSite(*unevenSeed, 1, 1, off)
+		s.run()
+		return s
+	}
+	with, without := run(ablator.Disable()), run(ablator.Disable(ablator.UnevenServers))
+	known := 0
+	for _, g := range with.gateways {
+		summary := g.paces("s").estimator.Summary()
+		known += summary.Known
+		c.Check(summary.Slower+summary.Faster, qt.Equals, 0)
+	}
+	c.Check(known > unevenGateways*unevenEngines*9/10, qt.IsTrue, qt.Commentf("%d intervals are known", known))
+	for i, e := range with.engines {
+		c.Check(e.requests, qt.Equals, without.engines[i].requests)
+	}
+	c.Check(fmt.Sprint(with.result()), qt.Equals, fmt.Sprint(without.result()))
+}
+
 // Without signals, with old ones, with those of an incarnation that was replaced, or where nothing
 // differs by more than measurements do, all choices are exactly those of a gateway without this part.
 func TestChoicesAreAsBeforeWhereNothingDiffers(t *testing.T) {
