--- a/pkg/balancer/uneven_test.go
+++ b/pkg/balancer/uneven_test.go
@@ -28,6 +28,9 @@
 	// every 150 ms, so that what it knows of the others is 150 to 300 ms old.
 	unevenTransit  = 75 * time.Millisecond
 	unevenInterval = 150 * time.Millisecond
+	// cutFrom and cutUntil bound the time of a cut.
+	cutFrom  = 8 * time.Second
+	cutUntil = 14 * time.Second
 	// eventWork is the time between two events of a stream, in ms at the usual pace.
 	eventWork = 38.3
 )
@@ -56,8 +59,10 @@
 	busy      float64
 	totals    *disseminator.LoadTotals
 	messages  []unevenMessage
-	waiting   map[string]*unevenStream
-	byClass   [][]*unevenStream
+	// cut is set if a quarter of the gateways reaches no controller from cutFrom to cutUntil.
+	cut     bool
+	waiting map[string]*unevenStream
+	byClass [][]*unevenStream
 }
 
 type unevenGateway struct {
@@ -160,6 +165,13 @@
 
 // sync reports a gateway's loads to the controller, which answers with those of the others.
 func (s *unevenSite) sync(g *unevenGateway) {
+	if since := s.now.Sub(begin()); s.cut && g.index%4 == 0 && since >= cutFrom && since < cutUntil {
+		if since >= cutFrom+disseminator.FollowerLease {
+			s.totals.Remove(g.reported)
+			g.reported = nil
+		}
+		return
+	}
 	loads := g.Loads(s.now)
 	s.send(func() {
 		s.totals.Remove(g.reported)
@@ -354,6 +366,29 @@
 	}
 }
 
+// A quarter of the gateways reaches no controller for six seconds, and its loads are dropped there. It
+// goes on with the paces that it knows, and the others with what they have: the work of the slow
+// engines stays what they can do.
+func TestUnevenServersDuringACut(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	results := map[bool]unevenResult{}
+	for _, on := range []bool{false, true} {
+		off := ablator.Disable(ablator.UnevenServers)
+		if on {
+			off = ablator.Disable()
+		}
+		s := newUnevenSite(*unevenSeed, 2.2, 1, off)
+		s.cut = true
+		s.run()
+		results[on] = s.result()
+		t.Logf("on %v: %+v", on, results[on])
+	}
+	c.Check(results[true].busiest < 1.3, qt.IsTrue)
+	c.Check(results[true].first < results[false].first, qt.IsTrue)
+	c.Check(results[true].end < results[false].end, qt.IsTrue)
+}
+
 // Prompts between events, late gateways and chance make the intervals of equal engines differ. None
 // of them is mistaken for a slow one, so that each request goes where it went before.
 func TestEqualEnginesAreNotMistaken(t *testing.T) {
