Test that answers and events reach the estimates of pace

TestLoadOfAnAnswerIsObserved failed without the call that observes the load of an answer, and TestEventsOfStreamsAreReportedAsPace without the one for the time between events.

--- a/gateway/forwarder/load_test.go
+++ b/gateway/forwarder/load_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -108,3 +110,48 @@
 		})
 	}
 }
+
+// The load in an answer reaches the balancer, and is not passed on to the caller.
+func TestLoadOfAnAnswerIsObserved(t *testing.T) {
+	c := qt.New(t)
+	load := platform.StandInLoad(platform.ServerLoad{Running: 1, Slots: 8, Machine: 180})
+	b := newBackend(c, "b", func(b *fakeBackend, req *http.Request, conn net.Conn) bool {
+		b.runs.Add(1)
+		answer(conn, 200, "y", append(platform.StandInResponse(requestID(req), b.id), load))
+		return true
+	})
+	address, f := startGatewayAndForwarder(c, b)
+	res := call(c, address, "/safe/")
+	c.Check(res.body, qt.Equals, "y")
+	c.Check(fields(res.header).Has(load.Name), qt.IsFalse)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	percent, _ := f.balancer.MachineLoad(f.Clock.Now(), "b")
+	c.Check(percent, qt.Equals, 180)
+}
+
+// The times between events of a stream that is relayed are reported with the loads.
+func TestEventsOfStreamsAreReportedAsPace(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	b := newBackend(c, "b", refuses(503))
+	_, f := newGateway(c, clock)
+	f.Apply("controller", firstTable(b))
+	j := &job{
+		lastBackend: b.announcement(), meta: platform.Request{PromptTokens: 100},
+		route: &wire.Route{Repetition: wire.Repetition_REPETITION_STREAM, Prompts: true, PauseObjectiveMs: 500},
+	}
+	f.mu.Lock()
+	f.balancer.Enqueue(&balancer.Waiter{ID: "w", Service: b.announcement().GetService(), Deadline: clock.Now().Add(time.Second)})
+	decisions, _ := f.balancer.Next(clock.Now())
+	f.mu.Unlock()
+	c.Assert(decisions, qt.HasLen, 1)
+	for range 4 {
+		f.observeEvents(j)
+		clock.Advance(40 * time.Millisecond)
+	}
+	loads := f.Loads()
+	c.Assert(loads, qt.HasLen, 1)
+	c.Check(loads[0].GetEventIntervalUs(), qt.Equals, uint32(40_000))
+	c.Check(loads[0].GetEventSamples(), qt.Equals, uint32(3))
+}
