--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -108,6 +108,10 @@
 	limitFaultLoggedAt time.Time
 	// backoffFaultLoggedAt is when an unreadable backoff was last logged.
 	backoffFaultLoggedAt time.Time
+	// loadFaultLoggedAt is when an unreadable load was last logged.
+	loadFaultLoggedAt time.Time
+	// pacesLoggedAt is when the paces of backend servers were last logged.
+	pacesLoggedAt time.Time
 	// constrainedSends counts since the last log line.
 	constrainedSends constrainedSends
 	// overloadRefusals counts since the last log line.
@@ -158,6 +162,7 @@
 			f.logConstrainedSends()
 			f.logOverloadRefusals()
 			f.logAboveShare()
+			f.measurePaces()
 		}
 	}
 }
@@ -190,6 +195,7 @@
 	}
 	if res.GetHasLoads() {
 		f.balancer.SetLoads(res.GetLoads())
+		f.balancer.ObserveLoads(now, res.GetLoads())
 	}
 	if res.GetLeads() {
 		// A new leader has not received reports from all gateways yet; the highest number is
--- a/pkg/ablator/ablator.go
+++ b/pkg/ablator/ablator.go
@@ -39,6 +39,9 @@
 	LocalRefusals Mechanism = "LocalRefusals"
 	// FairShares serves customers that recently used less of a contended service first.
 	FairShares Mechanism = "FairShares"
+	// UnevenServers weighs loads by the pace of backend servers and of their machines. Controllers
+	// place adapters by it too.
+	UnevenServers Mechanism = "UnevenServers"
 )
 
 // The mechanisms of controllers.
@@ -66,12 +69,12 @@
 
 // GatewayMechanisms returns the mechanisms of gateways in alphabetical order.
 func GatewayMechanisms() []Mechanism {
-	return []Mechanism{BudgetMargin, Dispensing, Ejection, FairShares, FullHolder, LocalRefusals, Pacing, PriorityOrder, SpareRequests, TwoChoices, ZonePenalty}
+	return []Mechanism{BudgetMargin, Dispensing, Ejection, FairShares, FullHolder, LocalRefusals, Pacing, PriorityOrder, SpareRequests, TwoChoices, UnevenServers, ZonePenalty}
 }
 
 // ControllerMechanisms returns the mechanisms of controllers in alphabetical order.
 func ControllerMechanisms() []Mechanism {
-	return []Mechanism{EarlyElections, Homes, LearntHost, LearntStore, RisingCopies, ScarceSlots, SpareReplicas, WarmFirst}
+	return []Mechanism{EarlyElections, Homes, LearntHost, LearntStore, RisingCopies, ScarceSlots, SpareReplicas, UnevenServers, WarmFirst}
 }
 
 // Disabled is the set of mechanisms that are switched off. The zero value is the empty set.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -60,6 +60,8 @@
 	nextOrder uint64
 	// requestedLoads holds the latest load request to the leader for each adapter.
 	requestedLoads map[string]requestedLoad
+	// pacesByService holds what is known of the paces of each service's backend servers.
+	pacesByService map[string]*paces
 	// contended is when most slots of a service were last taken.
 	contended map[string]time.Time
 	// shares holds the recent usage of each service by customers, and weights the weights of
@@ -165,6 +167,7 @@
 
 func (b *Balancer) remove(removed *backend) {
 	delete(b.backends, removed.info.GetId())
+	b.forgetPace(removed)
 	service := removed.info.GetService()
 	b.byService[service] = slices.DeleteFunc(b.byService[service], func(o *backend) bool { return o == removed })
 }
@@ -208,14 +211,14 @@
 	}
 }
 
-// Loads returns how many requests this gateway has at each backend server, and what the backend
-// servers have announced to it in their answers.
+// Loads returns how many requests this gateway has at each backend server, what the backend
+// servers have announced to it in their answers, and what it has observed of their pace.
 func (b *Balancer) Loads(now time.Time) []*wire.Load {
 	var loads []*wire.Load
 	for id, known := range b.backends {
 		backingOff := known.backoff.active(now)
 		toldLeaving := !known.leavingSince.IsZero() && !known.info.GetDraining()
-		if known.own <= 0 && !backingOff && !toldLeaving {
+		if known.own <= 0 && !backingOff && !toldLeaving && !known.hasRecentMachineLoad(now) {
 			continue
 		}
 		l := &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)}
@@ -226,6 +229,7 @@
 		if toldLeaving {
 			l.ToldLeaving = 1
 		}
+		known.addPace(now, l)
 		loads = append(loads, l)
 	}
 	return loads
@@ -306,6 +310,7 @@
 
 // decide returns no decision if the request keeps waiting.
 func (b *Balancer) decide(now time.Time, w *Waiter) (*Decision, *wire.Want) {
+	b.refreshSlowdowns(now, w.Service)
 	c := b.candidates(now, w)
 	if !b.HasBackend(w.Service) {
 		return &Decision{Waiter: w, Reason: ReasonNoBackend, RetryAfter: retryWithoutBackend}, nil
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -97,10 +97,12 @@
 	// a spare replica was last granted for one of its adapters.
 	overloadedSince time.Time
 	relievedAt      time.Time
+	// pace is how long it takes for the same work, relative to the median of its service.
+	pace float64
 }
 
 func newEngine(cache *weightCache) *engine {
-	return &engine{weightCache: cache, slots: map[string]*adapterSlot{}}
+	return &engine{weightCache: cache, pace: 1, slots: map[string]*adapterSlot{}}
 }
 
 func (e *engine) isAvailable() bool {
