Remove the unread field since of a backend server

backend.since was set when a backend server became known and read by nothing.

No test: a field that nothing reads changes no behaviour.

--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -36,7 +36,6 @@
 	adapters    map[string]uint64
 	absentUntil map[string]time.Time
 	fullUntil   time.Time
-	since       time.Time
 	// pausedUntil is when its request limit has room again.
 	pausedUntil time.Time
 	// backoff is the time in which it accepts no requests of this gateway.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -134,7 +134,7 @@
 
 // UpdateBackend applies an announcement of a backend server. The caller must ignore Silent from
 // a controller that does not receive the others' messages.
-func (b *Balancer) UpdateBackend(now time.Time, a *wire.Announcement) {
+func (b *Balancer) UpdateBackend(_ time.Time, a *wire.Announcement) {
 	if b.backends == nil {
 		b.backends, b.byService = map[string]*backend{}, map[string][]*backend{}
 	}
@@ -143,7 +143,7 @@
 		if a.GetGone() || a.GetAddress() == "" {
 			return
 		}
-		known = &backend{requestsByAdapter: map[string]int{}, adapters: map[string]uint64{}, absentUntil: map[string]time.Time{}, since: now}
+		known = &backend{requestsByAdapter: map[string]int{}, adapters: map[string]uint64{}, absentUntil: map[string]time.Time{}}
 		b.backends[a.GetId()] = known
 		b.byService[a.GetService()] = append(b.byService[a.GetService()], known)
 	} else if a.GetSequence() < known.info.GetSequence() {
