Bound the distribution of peaks in TestGatewaysDoNotMeetAtOneBackend

Cause: the bound. A peak above 15 occurs by chance, also with independent random choices.

Evidence, 1,000 seeds of the test's schedule each; the mean peak, the seeds with a peak above 15, the highest peak:

two choices, loads every 150 ms 12.27 15 19 two choices, loads every 50 ms 9.21 0 11 two choices, loads every 5 s 12.01 8 17 random, loads unused 12.07 8 17 least loaded, loads every 150 ms 25.78 1000 31

Trace of seed 17: when loads were shared, the backend servers had 1, 5, 6, 5, 6, 8, 1 and 7 requests. The first of them got 16 of the next 29 requests and had none from before. The one with the lowest known load is among the two random ones, and chosen, in a quarter of the cases, so that 7 of 29 are expected; no choice counted a load wrongly. The other 14 seeds show the same: 13 to 16 of 23 to 30 requests, at a server with one of the lower known loads.

Ruled out: loads counted twice or not released (with fresh loads, every 50 ms, the peak is 8 to 11); a choice that herds (least loaded is never below 17).

Change: the check runs 200 seeds and bounds the mean peak, the number of seeds above 15 and the highest peak, and requires that the same check rejects the choice of the least loaded server. A choice that collides somewhat more, with a mean of 13, fails now; it could pass the 20 seeds before. shareLoads sums the loads once, which makes 200 seeds take 2 s.

Before: fails with seed 17. After: mean 12.20, highest 19, above 15 in 5 of 200 seeds; passes with -race. The choice itself is unchanged.

--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -115,57 +116,86 @@
 
 // Forty gateways receive each other's loads only every 150 ms. They must not all send to the
 // backend server that was the least loaded at that time.
+//
+// The peak at one backend server varies by chance: with independent random choices it is 12.1 in
+// the mean of 1,000 seeds and above 15 in 8 of them, with two choices 12.3 and above 15 in 15. So
+// the distribution over many seeds is bounded, not the peak of each seed. Where all gateways
+// choose the least loaded backend server, the peak is never below 17 and 25.8 in the mean.
 func TestGatewaysDoNotMeetAtOneBackend(t *testing.T) {
-	for seed := range uint64(20) {
-		c := qt.New(t)
-		random := rand.New(rand.NewPCG(seed, 1))
-		const (
-			gateways     = 40
-			step         = 5 * time.Millisecond
-			loadInterval = 150 * time.Millisecond
-			duration     = 200 * time.Millisecond
-		)
-		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
-		var all []*Balancer
-		for range gateways {
-			b := &Balancer{Zone: "z", Rand: random}
-			for _, id := range ids {
-				a := announcement(id)
-				a.Slots = 64
-				b.UpdateBackend(begin(), a)
+	const seeds = 200
+	peaks := func(disabled ablator.Disabled) (mean float64, highest, above15 int) {
+		sum := 0
+		for seed := range uint64(seeds) {
+			peak := peakAtOneBackend(seed, disabled)
+			sum += peak
+			highest = max(highest, peak)
+			if peak > 15 {
+				above15++
 			}
-			all = append(all, b)
 		}
-		type run struct {
-			by int
-			id string
-			at time.Time
+		return float64(sum) / seeds, highest, above15
+	}
+	c := qt.New(t)
+	mean, highest, above15 := peaks(ablator.Disabled{})
+	c.Logf("peaks at one backend server: mean %.2f, highest %d, above 15 in %d of %d seeds", mean, highest, above15, seeds)
+	c.Check(mean <= 12.6, qt.IsTrue, qt.Commentf("mean %.2f", mean))
+	c.Check(above15 <= 8, qt.IsTrue, qt.Commentf("above 15 in %d of %d seeds", above15, seeds))
+	c.Check(highest <= 20, qt.IsTrue, qt.Commentf("highest %d", highest))
+	// The same check must reject choices that collide.
+	mean, _, above15 = peaks(ablator.Disable(ablator.TwoChoices))
+	c.Check(mean > 20, qt.IsTrue, qt.Commentf("mean %.2f without two choices", mean))
+	c.Check(above15, qt.Equals, seeds, qt.Commentf("seeds above 15 without two choices"))
+}
+
+// peakAtOneBackend returns the highest number of requests that run concurrently at one of eight
+// backend servers. The average is five: a request every 5 ms that lasts 200 ms.
+func peakAtOneBackend(seed uint64, disabled ablator.Disabled) int {
+	random := rand.New(rand.NewPCG(seed, 1))
+	const (
+		gateways     = 40
+		step         = 5 * time.Millisecond
+		loadInterval = 150 * time.Millisecond
+		duration     = 200 * time.Millisecond
+	)
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	var all []*Balancer
+	for range gateways {
+		b := &Balancer{Zone: "z", Rand: random, Disabled: disabled}
+		for _, id := range ids {
+			a := announcement(id)
+			a.Slots = 64
+			b.UpdateBackend(begin(), a)
 		}
-		var running []run
-		now, peak := begin(), 0
-		for n := range 400 {
-			now = now.Add(step)
-			for len(running) > 0 && !now.Before(running[0].at.Add(duration)) {
-				all[running[0].by].Done(now, running[0].id, "", 0, Served)
-				running = running[1:]
-			}
-			if n%int(loadInterval/step) == 0 {
-				shareLoads(all)
-			}
-			by := n * 7 % gateways
-			id := decide(all[by], now, waiter("w", func(w *Waiter) { w.Deadline = now.Add(time.Second) }))["w"]
-			running = append(running, run{by, id, now})
-			there := 0
-			for _, r := range running {
-				if r.id == id {
-					there++
-				}
+		all = append(all, b)
+	}
+	type run struct {
+		by int
+		id string
+		at time.Time
+	}
+	var running []run
+	now, peak := begin(), 0
+	for n := range 400 {
+		now = now.Add(step)
+		for len(running) > 0 && !now.Before(running[0].at.Add(duration)) {
+			all[running[0].by].Done(now, running[0].id, "", 0, Served)
+			running = running[1:]
+		}
+		if n%int(loadInterval/step) == 0 {
+			shareLoads(all)
+		}
+		by := n * 7 % gateways
+		id := decide(all[by], now, waiter("w", func(w *Waiter) { w.Deadline = now.Add(time.Second) }))["w"]
+		running = append(running, run{by, id, now})
+		there := 0
+		for _, r := range running {
+			if r.id == id {
+				there++
 			}
-			peak = max(peak, there)
 		}
-		// The average is five: a request every 5 ms that lasts 200 ms, at eight servers.
-		c.Check(peak <= 15, qt.IsTrue, qt.Commentf("%d requests at one backend server", peak))
+		peak = max(peak, there)
 	}
+	return peak
 }
 
 // Where owners grant slots, known loads are too old to choose by: backend servers that were
@@ -188,18 +218,21 @@
 
 // shareLoads sends each gateway the loads of the others.
 func shareLoads(all []*Balancer) {
+	total := map[string]uint32{}
+	own := make([]map[string]uint32, len(all))
 	for i, b := range all {
-		sums := map[string]uint32{}
-		for j, other := range all {
-			for _, l := range other.Loads(begin()) {
-				if j != i {
-					sums[l.GetBackend()] += l.GetRequests()
-				}
-			}
+		own[i] = map[string]uint32{}
+		for _, l := range b.Loads(begin()) {
+			own[i][l.GetBackend()] = l.GetRequests()
+			total[l.GetBackend()] += l.GetRequests()
 		}
+	}
+	for i, b := range all {
 		var loads []*wire.Load
-		for id, n := range sums {
-			loads = append(loads, &wire.Load{Backend: id, Requests: n})
+		for id, n := range total {
+			if others := n - own[i][id]; others > 0 {
+				loads = append(loads, &wire.Load{Backend: id, Requests: others})
+			}
 		}
 		b.SetLoads(loads)
 	}
