Log all statistics of slots before they are reset

Seen by reading: logSlots takes and resets the statistics of a backend server's slots, and returned without a log line if only slots expired, requests were evicted, or grants were late. These counts were lost.

Cause: the check for empty statistics summed four of the seven counts.

Ruled out elsewhere: logRequestOutcomes, the streams' outcomes, constrained sends and the router's demands are logged or sent before they are cleared.

Change: the check sums all counts. TestExpiredSlotsAreLogged fails before with an empty log, and passes after, with -race.

--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -185,7 +185,7 @@
 	}
 	e.loggedAt = now
 	s := e.granter.TakeStats()
-	if s.Granted+s.Refused+s.Slow+s.Withdrawn == 0 {
+	if s.Granted+s.Late+s.Refused+s.Evicted+s.Withdrawn+s.Slow+s.Expired == 0 {
 		return
 	}
 	r.Log.Info("slots granted", "Backend", backend, "Granted", s.Granted, "GrantedLate", s.Late, "Refused", s.Refused,
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -1,6 +1,7 @@
 package regulator
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -291,3 +292,26 @@
 	r.checkEngines()
 	c.Check((<-answers).Granted, qt.IsFalse)
 }
+
+// Statistics were reset without a log line in intervals in which slots only expired.
+func TestExpiredSlotsAreLogged(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	var out bytes.Buffer
+	r := newRegulator("self")
+	r.Clock, r.Log = clock, slog.New(slog.NewTextHandler(&out, nil))
+	now := clock.Now()
+	c.Assert(r.Acquire(context.Background(), &Prompt{Backend: "b", Slots: 1, Deadline: now.Add(time.Hour), GrantRequest: pacer.GrantRequest{
+		ReceivedAt: now, OnTimeUntil: now.Add(time.Second),
+	}}, time.Hour).Granted, qt.IsTrue)
+	r.checkEngines()
+	c.Check(out.String(), qt.Contains, "Granted=1 ")
+	out.Reset()
+	clock.Advance(logSlotsInterval)
+	r.checkEngines()
+	c.Check(out.String(), qt.Contains, "Expired=1 ")
+	out.Reset()
+	clock.Advance(logSlotsInterval)
+	r.checkEngines()
+	c.Check(out.String(), qt.Equals, "")
+}
