Keep denied requests until they are logged

Under a limit of zero, where all requests are denied, the line "requests to a limited backend server" was missing.

TestDeniedRequestsAreLogged fails before with an empty log, and passes after, with -race.

--- a/gateway/granter/granter.go
+++ b/gateway/granter/granter.go
@@ -119,7 +119,7 @@
 	g.registry.Prune(now, nil)
 	g.Meter.SetGauge("request_limits_in_force", float64(g.registry.InForce()))
 	for id, s := range g.sends {
-		if s.Sum(now) <= 0 {
+		if s.Sum(now) <= 0 && len(s.byKind)+s.denied == 0 {
 			delete(g.sends, id)
 		}
 	}
--- a/gateway/granter/granter_test.go
+++ b/gateway/granter/granter_test.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -241,3 +242,20 @@
 	g.sweep()
 	c.Check(g.sends, qt.HasLen, 0)
 }
+
+// While a limit of zero was in force nothing was sent, and the clean-up dropped the number of
+// denied requests before it was logged.
+func TestDeniedRequestsAreLogged(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 2)
+	g := y.granters[0]
+	var out bytes.Buffer
+	g.Log = slog.New(slog.NewTextHandler(&out, nil))
+	g.ReceiveLimits([]*wire.RequestLimit{{Backend: "b"}}, throttler.News)
+	g.RecordDenied("b")
+	g.sweep()
+	g.logUsage()
+	c.Check(out.String(), qt.Contains, "Denied=1")
+	g.sweep()
+	c.Check(g.sends, qt.HasLen, 0)
+}
