Return an error from connector.Do without a transport

Seen by reading, and by the test: a client whose Transport is not set crashes its process at the first call ("panic: transport is nil").

Change: Do returns an error before anything is sent. A default transport was ruled out: it would hide which clients share connections, which the callers decide. TestCallWithoutTransportFails panics before and passes after, with -race.

--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -34,7 +34,7 @@
 	Key string
 	// Forwarded marks calls that were forwarded by another controller.
 	Forwarded bool
-	// Transport may be shared between clients. It must be set.
+	// Transport may be shared between clients. It must be set; Do fails without it.
 	Transport *http.Transport
 }
 
@@ -89,8 +89,14 @@
 	return n, err
 }
 
+// errNoTransport means that nothing was sent.
+var errNoTransport = errors.New("connector: no transport is set")
+
 // Do sends a request with the key and a deadline.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	if c.Transport == nil {
+		return nil, errNoTransport
+	}
 	ctx, cancel := context.WithTimeout(req.Context(), c.Timeout)
 	req = req.WithContext(ctx)
 	if c.Key != "" {
