Let the startup vote delay cover a heartbeat

Seen by reading: a restarted member of the routed mode granted votes 50 ms after its start, while a leader sends a message each 100 ms. The comment said that the delay allows for some lost heartbeats; it ended before the first could arrive.

Change: the delay is a heartbeat and a quarter by default, and the new setting [Timing] VoteDelay replaces it. A value below Heartbeat is refused: "it must be at least Heartbeat, or 0: a shorter one ends before a leader's message arrives". The other mode uses the election timeout, which must be three heartbeats already.

Tests: TestVoteDelayCoversAHeartbeat and TestVoteDelayFaults are new and can't compile before; the constant before was 50 ms. Packages pass with -race.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -193,10 +193,11 @@
 }
 
 const (
-	// startupVoteDelay is short, since safety does not depend on a leader's lease here: orders
-	// are fenced by its term, or a new leader waits, and reads go through the log. It allows
-	// for messages of an existing leader to arrive first, some heartbeats being lost.
-	startupVoteDelay = 50 * time.Millisecond
+	// voteDelayDivisor divides the heartbeat into what the startup vote delay exceeds it by: a
+	// message of an existing leader arrives first, also if it is up to 25 ms late. The delay is
+	// short, since safety does not depend on a leader's lease here: orders are fenced by its
+	// term, or a new leader waits, and reads go through the log.
+	voteDelayDivisor = 4
 	// operatorTimeout is just under the second after which the operator tries another instance.
 	operatorTimeout = 950 * time.Millisecond
 )
@@ -207,7 +208,10 @@
 	if r.Settings.off().Has(ablator.EarlyElections) {
 		return 0
 	}
-	return startupVoteDelay
+	if d := r.Settings.Timing.VoteDelay; d > 0 {
+		return d
+	}
+	return r.Settings.Timing.Heartbeat + r.Settings.Timing.Heartbeat/voteDelayDivisor
 }
 
 func (r *Routed) policy() placer.Policy {
--- a/controller/app/routed_settings.go
+++ b/controller/app/routed_settings.go
@@ -42,6 +42,7 @@
 type RoutedTiming struct {
 	Heartbeat       time.Duration `help:"Time between two rounds of a leader's messages."`
 	ElectionTimeout time.Duration `help:"Least time without a leader before an election."`
+	VoteDelay       time.Duration `help:"How long after its start a controller grants no vote, so that the messages of a leader arrive first. It is no shorter than Heartbeat; 0 stands for a heartbeat and a quarter."`
 	SilentMember    time.Duration `help:"Time without an answer after which a controller may lose its vote to one that stands by."`
 	PeerTimeout     time.Duration `help:"How long one call to another controller may take."`
 	Announcements   time.Duration `help:"Time between two announcements of a backend server."`
@@ -106,6 +107,9 @@
 	if s.Timing.ElectionTimeout < minTimeoutHeartbeats*s.Timing.Heartbeat {
 		fault("Timing", "ElectionTimeout", "it must be at least three times Heartbeat")
 	}
+	if s.Timing.VoteDelay != 0 && s.Timing.VoteDelay < s.Timing.Heartbeat {
+		fault("Timing", "VoteDelay", "it must be at least Heartbeat, or 0: a shorter one ends before a leader's message arrives")
+	}
 	if s.Limits.Window <= 0 || s.Limits.Overage < 0 || s.Limits.Slack < 0 {
 		fault("Limits", "Window", "it must be above 0, and neither Overage nor Slack below")
 	}
--- a/controller/app/routed_settings_test.go
+++ b/controller/app/routed_settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -43,3 +44,30 @@
 		"Pacing\" can't be switched off", "[Experiment] Admit: it must be MeasureOnly",
 	}, readRoutedFaults)
 }
+
+// Members granted votes 50 ms after their start, before a leader that sends a message each
+// 100 ms could be heard.
+func TestVoteDelayCoversAHeartbeat(t *testing.T) {
+	for name, test := range map[string]struct{ configured, heartbeat, want time.Duration }{
+		"the defaults":         {0, RoutedDefaults().Timing.Heartbeat, 125 * time.Millisecond},
+		"a longer heartbeat":   {0, 200 * time.Millisecond, 250 * time.Millisecond},
+		"a configured one":     {300 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond},
+		"as long as heartbeat": {100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := RoutedDefaults()
+			s.Timing.VoteDelay, s.Timing.Heartbeat = test.configured, test.heartbeat
+			got := (&Routed{Settings: s}).startupVoteDelay()
+			c.Check(got, qt.Equals, test.want)
+			c.Check(got >= test.heartbeat, qt.IsTrue)
+		})
+	}
+}
+
+// A vote delay that is shorter than a heartbeat is refused.
+func TestVoteDelayFaults(t *testing.T) {
+	for _, value := range []string{"99ms", "1ns"} {
+		settingstester.CheckFaults(qt.New(t), "[Timing]\nVoteDelay = "+value+"\n", []string{"[Timing] VoteDelay: it must be at least Heartbeat"}, readRoutedFaults)
+	}
+}
--- a/pkg/replicator/restart_test.go
+++ b/pkg/replicator/restart_test.go
@@ -13,6 +13,7 @@
 	for name, test := range map[string]struct{ voteDelay, within time.Duration }{
 		"leases have to expire first": {0, 8 * timeout},
 		"no leases":                   {50 * time.Millisecond, timeout * 3 / 2},
+		"no leases, a longer delay":   {heartbeat * 5 / 4, 2 * timeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
