Report a full disk as "unchanged" only if the log is unchanged

Seen by reading: KindFull promised that nothing was changed. That was false in three cases:

- Append remembered its hard state before the write.
- It did so after the log had been renamed too.
The driver then continues with the old log, whose file had been removed: entries that it appended and acknowledged were lost at the next start.

Ruled out: the driver's messages and the errors of proposals.

Change: Append remembers a hard state once it is synced. A failed sync of the folder is KindDisk, after which the process exits and reads its files again. The comment of KindFull names what may be in force. The new field SyncFolder lets tests inject the failure, as Write does.

TestSnapshotKeepsStoredHardStateAfterFullDisk and both cases of TestFullDiskAfterRenameIsNoFullDisk fail before and pass after, with -race.

--- a/pkg/storer/fault.go
+++ b/pkg/storer/fault.go
@@ -15,8 +15,8 @@
 	KindDisk Kind = iota + 1
 	// KindDamaged means that data that had been synced can't be read back.
 	KindDamaged
-	// KindFull means that the disk is full. Nothing was changed, and the operation may be
-	// repeated.
+	// KindFull means that the disk is full. The log is unchanged, and the operation may be
+	// repeated. CommitSnapshot may have put its snapshot into force before.
 	KindFull
 )
 
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -44,6 +44,9 @@
 	// Write writes to the log; nil uses the file's own method. Tests replace it to inject
 	// failures.
 	Write func(f *os.File, b []byte) (int, error)
+	// SyncFolder syncs the folder; nil uses the file's own method. Tests replace it to inject
+	// failures.
+	SyncFolder func(f *os.File) error
 
 	log       *os.File
 	lock      *os.File
@@ -117,7 +120,6 @@
 func (s *Storer) Append(hard *wire.HardState, entries []*wire.Entry) error {
 	s.buf = s.buf[:0]
 	if hard != nil {
-		s.hardState = hard
 		if err := s.encode(recordHardState, hard); err != nil {
 			return err
 		}
@@ -141,6 +143,9 @@
 		return &Error{Operation: "Append", Kind: KindDisk, cause: errors.WithStack(err)}
 	}
 	s.size += int64(len(s.buf))
+	if hard != nil {
+		s.hardState = hard
+	}
 	return nil
 }
 
@@ -202,7 +207,8 @@
 
 // CommitSnapshot replaces the snapshot and then the log, which from then on holds
 // only the given entries. A crash in between leaves entries that the snapshot
-// already covers, which Open drops.
+// already covers, which Open drops. After an error of KindFull the snapshot may be in force; the
+// old log then stays in use.
 func (s *Storer) CommitSnapshot(pending *PendingSnapshot, rest []*wire.Entry) error {
 	if err := pending.file.CloseAtomicallyReplace(); err != nil {
 		return diskFault("CommitSnapshot", err)
@@ -358,9 +364,15 @@
 	if err != nil {
 		return diskFault("Sync", err)
 	}
-	if err := folder.Sync(); err != nil {
+	sync := s.SyncFolder
+	if sync == nil {
+		sync = (*os.File).Sync
+	}
+	if err := sync(folder); err != nil {
 		_ = folder.Close()
-		return diskFault("Sync", err)
+		// Not KindFull on a full disk either: files have been renamed, and whether that outlasts
+		// a power failure is unknown.
+		return &Error{Operation: "Sync", Kind: KindDisk, cause: errors.WithStack(err)}
 	}
 	return diskFault("Sync", folder.Close())
 }
--- a/pkg/storer/storer_test.go
+++ b/pkg/storer/storer_test.go
@@ -240,3 +240,45 @@
 	c.Check(contents.Entries, qt.HasLen, 2)
 	c.Check(contents.HardState.GetTerm(), qt.Equals, uint64(1))
 }
+
+// A hard state that a full disk did not accept was put into force by the next snapshot, although
+// Append had reported that the log is unchanged.
+func TestSnapshotKeepsStoredHardStateAfterFullDisk(t *testing.T) {
+	c := qt.New(t)
+	folder := populatedFolder(c)
+	s := open(c, folder)
+	s.Write = func(f *os.File, _ []byte) (int, error) {
+		return 0, &os.PathError{Op: "write", Path: f.Name(), Err: syscall.ENOSPC}
+	}
+	c.Assert(storer.IsFull(s.Append(&wire.HardState{Term: 4}, nil)), qt.IsTrue)
+	c.Assert(s.SaveSnapshot(&wire.Snapshot{Index: 15, Term: 1}, entries(16, 20)), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	got, err := (&storer.Storer{Folder: folder}).Open()
+	c.Assert(err, qt.IsNil)
+	c.Check(got.HardState.GetTerm(), qt.Equals, uint64(3))
+	c.Check(got.HardState.GetVote(), qt.Equals, "b")
+}
+
+// A full disk was reported as if nothing had changed when a file had been renamed already and
+// only the sync of the folder failed. After the rename of the log, entries were then appended to
+// the removed file and lost at the next start.
+func TestFullDiskAfterRenameIsNoFullDisk(t *testing.T) {
+	for name, failing := range map[string]int{"of the snapshot": 1, "of the log": 2} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := open(c, populatedFolder(c))
+			syncs := 0
+			s.SyncFolder = func(f *os.File) error {
+				if syncs++; syncs == failing {
+					return &os.PathError{Op: "sync", Path: f.Name(), Err: syscall.ENOSPC}
+				}
+				return f.Sync()
+			}
+			err := s.SaveSnapshot(&wire.Snapshot{Index: 15, Term: 1}, entries(16, 20))
+			c.Check(syncs, qt.Equals, failing)
+			c.Check(err, qt.ErrorMatches, "storer: Sync: .*no space left on device")
+			c.Check(storer.IsFull(err), qt.IsFalse)
+			c.Check(s.Close(), qt.IsNil)
+		})
+	}
+}
