Check in four tests what their names and comments say

Seen by reading, each with the failure that it could not show:

- TestLeavingServerGetsNoNewWork checked the entries of the engine's last log.
It passed if the log was empty or had been read for the last time before the bound of 5 s, when late work could not be in it.
It now requires a run, and a log read after the bound.
- TestPlannedStopCompletesRequests passed if the stopping gateway completed none of its requests, since an answer without a status counts as a refusal.
It now requires at least as many complete answers as requests were running when the stop began.
- TestEngineWithoutBaseModelStaysKnown set its engine to serve, and sent it no further request.
It now requires that the engine serves one.
- TestWaitForTableIsBounded did not check the retry time that its comment promises.

No check was removed. The code was not mutated to make them fail.

--- a/gateway/forwarder/absent_model_test.go
+++ b/gateway/forwarder/absent_model_test.go
@@ -32,6 +32,11 @@
 	loaded.Store(true)
 	f.Apply("controller", &wire.SyncResponse{Leads: true, Term: 1, Holdings: []*wire.Holding{{Backend: "e", Adapters: []string{"m/x@0"}}}})
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	c.Check(f.balancer.ServiceOf("e"), qt.Equals, "s")
+	f.mu.Unlock()
+	// It is not only known, but gets requests again.
+	served := call(c, address, "/once/x")
+	c.Check(served.status, qt.Equals, http.StatusOK)
+	c.Check(served.body, qt.Equals, "loaded")
+	c.Check(engine.runs.Load(), qt.Equals, int32(1))
 }
--- a/gateway/forwarder/arrival_test.go
+++ b/gateway/forwarder/arrival_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
 )
 
 // After a power failure the gateways run before the controllers have elected a leader. Requests
@@ -42,6 +43,7 @@
 	clock.Advance(maxTableWait)
 	g := <-answered
 	c.Check(g.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(platform.RetryAfter(fields(g.header)) > 0, qt.IsTrue)
 }
 
 func TestTableWait(t *testing.T) {
--- a/proof/promises_test.go
+++ b/proof/promises_test.go
@@ -186,13 +186,20 @@
 		}()
 	}
 	eventually(c, "requests run at the gateway", func() bool { return len(y.runningRequests(1)) > 0 })
+	running := len(y.runningRequests(1))
 	y.gateways[1].stop()
 	callers.Wait()
+	completed := 0
 	for _, r := range answers {
 		complete := r.status == http.StatusOK && isComplete(r, "proof-0@1", true)
 		refused := r.status == 0 || r.ran() == "no"
 		c.Assert(complete || refused, qt.IsTrue, qt.Commentf("%d %v %s", r.status, r.err, r.body))
+		if complete {
+			completed++
+		}
 	}
+	// Those that ran when the gateway began to stop are among the complete ones.
+	c.Assert(completed > 0 && completed >= running, qt.IsTrue, qt.Commentf("%d complete answers, %d requests were running", completed, running))
 }
 
 // runningRequests returns a gateway's requests that the engines have begun and not yet
@@ -250,10 +257,11 @@
 	leaving := time.Now()
 	y.engines[0].signal(15)
 	var last []engineEntry
+	var lastRead time.Time
 	eventually(c, "the engine has stopped", func() bool {
 		if y.engines[0].alive() {
 			if log := y.tryEngineLog(0); log != nil {
-				last = log
+				last, lastRead = log, time.Now()
 			}
 		}
 		return !y.engines[0].alive()
@@ -261,12 +269,18 @@
 	l.waitComplete(c, 60)
 	l.finish()
 	c.Assert(l.violations, qt.HasLen, 0)
+	// An empty log, or one that was last read early, would show no late work. The log is read
+	// until the engine stops, which it does later than maxLeaveDelay.
+	c.Assert(lastRead.Sub(leaving) > maxLeaveDelay, qt.IsTrue, qt.Commentf("the log was last read %s after the server began to leave", lastRead.Sub(leaving)))
+	ran := 0
 	for _, e := range last {
 		if e.What == "Ran" {
+			ran++
 			after := e.At.Sub(leaving)
 			c.Assert(after < maxLeaveDelay, qt.IsTrue, qt.Commentf("new work %s after the server began to leave", after))
 		}
 	}
+	c.Assert(ran > 0, qt.IsTrue, qt.Commentf("the engine ran nothing"))
 }
 
 func (y *system) tryEngineLog(i int) []engineEntry {
