Remove repeated loops and a repeated claim in the gateway

The periodic loops of isolator, relayer and granter use pkg/periodic now; the two kinds of attempts in receiver share claimForAttempt. Behaviour is unchanged.

All touched packages pass with -race, with their tests unchanged.

--- a/gateway/granter/granter.go
+++ b/gateway/granter/granter.go
@@ -18,6 +18,7 @@
 
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/periodic"
 	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
@@ -99,17 +100,10 @@
 
 // Run removes unused state and logs usage until ctx ends.
 func (g *Granter) Run(ctx context.Context) {
-	ticker := g.Clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			g.sweep()
-			g.logUsage()
-		}
-	}
+	periodic.Run(ctx, g.Clock, sweepInterval, func() {
+		g.sweep()
+		g.logUsage()
+	})
 }
 
 func (g *Granter) sweep() {
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
+	"bronzelead.example/pkg/periodic"
 	"bronzelead.example/pkg/quarantiner"
 	"bronzelead.example/pkg/wire"
 )
@@ -86,16 +87,7 @@
 
 // Run does the periodic work until ctx ends.
 func (i *Isolator) Run(ctx context.Context) {
-	ticker := i.Clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			i.tick()
-		}
-	}
+	periodic.Run(ctx, i.Clock, tickInterval, i.tick)
 }
 
 func (i *Isolator) tick() {
--- a/gateway/receiver/completions.go
+++ b/gateway/receiver/completions.go
@@ -111,11 +111,8 @@
 func (c *completionCall) attempt(ctx context.Context, candidate *router.Candidate, attempt int) attemptResult {
 	r, e := c.receiver, c.entry
 	requestID := e.id + "-" + strconv.Itoa(attempt)
-	if e.key != "" {
-		claimed, found := r.claim(ctx, e, requestID, candidate)
-		if !claimed {
-			return attemptResult{final: true, problem: found.respond(c.writer, e.id)}
-		}
+	if result, ok := r.claimForAttempt(ctx, e, requestID, candidate, c.writer); !ok {
+		return result
 	}
 	x := c.exchange(requestID, candidate)
 	out := r.Dispatcher.Run(ctx, x)
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -78,6 +78,18 @@
 	return false, &existingClaim{problem: inProgress()}
 }
 
+// claimForAttempt claims a request's key for an attempt, if it has one. It returns false with the
+// attempt's result if another attempt has claimed the key.
+func (r *Receiver) claimForAttempt(ctx context.Context, e *activeRequest, requestID string, candidate *router.Candidate, writer http.ResponseWriter) (attemptResult, bool) {
+	if e.key == "" {
+		return attemptResult{}, true
+	}
+	if claimed, found := r.claim(ctx, e, requestID, candidate); !claimed {
+		return attemptResult{final: true, problem: found.respond(writer, e.id)}, false
+	}
+	return attemptResult{}, true
+}
+
 // resolveClaim decides how to answer a request whose key another request has claimed. Retry is
 // set when that claim was released and the request may claim again.
 func (r *Receiver) resolveClaim(ctx context.Context, e *activeRequest, c *wire.Claim) (found *existingClaim, retry bool) {
--- a/gateway/receiver/services.go
+++ b/gateway/receiver/services.go
@@ -106,11 +106,8 @@
 func (c *serviceCall) attempt(ctx context.Context, candidate *router.Candidate, attempt int) attemptResult {
 	r, e := c.receiver, c.entry
 	requestID := e.id + "-" + strconv.Itoa(attempt)
-	if e.key != "" {
-		claimed, found := r.claim(ctx, e, requestID, candidate)
-		if !claimed {
-			return attemptResult{final: true, problem: found.respond(c.writer, e.id)}
-		}
+	if result, ok := r.claimForAttempt(ctx, e, requestID, candidate, c.writer); !ok {
+		return result
 	}
 	answer := r.Dispatcher.Call(ctx, &dispatcher.ServiceCall{
 		RequestID: requestID, Address: candidate.Backend.GetAddress(), Method: e.http.Method,
--- a/gateway/relayer/relayer.go
+++ b/gateway/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"bronzelead.example/gateway/granter"
 	"bronzelead.example/pkg/disseminator"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/periodic"
 	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
@@ -77,16 +78,7 @@
 
 // Run answers calls whose wait is over until ctx ends.
 func (r *Relayer) Run(ctx context.Context) {
-	ticker := r.Clock.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			r.check()
-		}
-	}
+	periodic.Run(ctx, r.Clock, checkInterval, r.check)
 }
 
 func (r *Relayer) check() {
