Cancel all unread requests of the model engine stand-in

Seen by reading: cancelUnread walks through the queue while cancel removes entries of it. With one unread request of several the next entry was skipped and the last one was nil, which crashed the stand-in.

Change: it walks through a copy. TestUnreadRequestsAreCancelled panics before (nil pointer) and passes after, with -race. It uses only the standard library, since the module declares no assertion library.

--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -170,7 +170,8 @@
 }
 
 func (g *Generator) cancelUnread(now time.Time) {
-	for _, r := range g.queue {
+	// cancel removes requests from the queue.
+	for _, r := range slices.Clone(g.queue) {
 		if r.readers == 0 && now.Sub(r.unreadAt) > unreadTimeout {
 			g.cancel(r)
 		}
