--- a/gateway/granter/granter.go
+++ b/gateway/granter/granter.go
@@ -18,6 +18,7 @@
 
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/periodic"
 	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
@@ -99,17 +100,10 @@
 
 // Run removes unused state and logs usage until ctx ends.
 func (g *Granter) Run(ctx context.Context) {
-	ticker := g.Clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			g.sweep()
-			g.logUsage()
-		}
-	}
+	periodic.Run(ctx, g.Clock, sweepInterval, func() {
+		g.sweep()
+		g.logUsage()
+	})
 }
 
 func (g *Granter) sweep() {
@@ -119,7 +113,7 @@
 	g.registry.Prune(now, nil)
 	g.Meter.SetGauge("request_limits_in_force", float64(g.registry.InForce()))
 	for id, s := range g.sends {
-		if s.Sum(now) <= 0 {
+		if s.Sum(now) <= 0 && len(s.byKind)+s.denied == 0 {
 			delete(g.sends, id)
 		}
 	}
