--- a/gateway/forwarder/overload_test.go
+++ b/gateway/forwarder/overload_test.go
@@ -136,7 +136,7 @@
 		res.Loads = append(res.Loads, &wire.Load{Backend: id, Requests: 6, WaitUs: 1e6, ServiceUs: 10_000})
 	}
 	f.Apply("controller", res)
-	f.Regulator.TakeProbe()
+	f.Regulator.TakeProbe("")
 	j := &job{req: &acceptor.Request{ReceivedAt: clock.Now()}, route: &wire.Route{ObjectiveMs: 300}, service: "s", firstSentAt: clock.Now(), usesSlotGrants: true}
 	b.ReportAllocs()
 	for b.Loop() {
