Keep the bound of TestGatewaysDoNotMeetAtOneBackend

The choice with loads of 150 ms ago exceeds 15 requests in 15 of 1,000 seeds, independent random choices in 8, so the bound can fail by chance, but the choice is not shown to be as good as chance either. The check of the distribution over 200 seeds stays beside it, as TestPeaksAreCloseToThoseOfRandomChoices.

--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -116,12 +116,67 @@
 
 // Forty gateways receive each other's loads only every 150 ms. They must not all send to the
 // backend server that was the least loaded at that time.
+func TestGatewaysDoNotMeetAtOneBackend(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		random := rand.New(rand.NewPCG(seed, 1))
+		const (
+			gateways     = 40
+			step         = 5 * time.Millisecond
+			loadInterval = 150 * time.Millisecond
+			duration     = 200 * time.Millisecond
+		)
+		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+		var all []*Balancer
+		for range gateways {
+			b := &Balancer{Zone: "z", Rand: random}
+			for _, id := range ids {
+				a := announcement(id)
+				a.Slots = 64
+				b.UpdateBackend(begin(), a)
+			}
+			all = append(all, b)
+		}
+		type run struct {
+			by int
+			id string
+			at time.Time
+		}
+		var running []run
+		now, peak := begin(), 0
+		for n := range 400 {
+			now = now.Add(step)
+			for len(running) > 0 && !now.Before(running[0].at.Add(duration)) {
+				all[running[0].by].Done(now, running[0].id, "", 0, Served)
+				running = running[1:]
+			}
+			if n%int(loadInterval/step) == 0 {
+				shareLoads(all)
+			}
+			by := n * 7 % gateways
+			id := decide(all[by], now, waiter("w", func(w *Waiter) { w.Deadline = now.Add(time.Second) }))["w"]
+			running = append(running, run{by, id, now})
+			there := 0
+			for _, r := range running {
+				if r.id == id {
+					there++
+				}
+			}
+			peak = max(peak, there)
+		}
+		// The average is five: a request every 5 ms that lasts 200 ms, at eight servers.
+		c.Check(peak <= 15, qt.IsTrue, qt.Commentf("%d requests at one backend server", peak))
+	}
+}
+
+// The choice must stay close to independent random choices, and be far from that of gateways which
+// all send to the least loaded backend server.
 //
 // The peak at one backend server varies by chance: with independent random choices it is 12.1 in
 // the mean of 1,000 seeds and above 15 in 8 of them, with two choices 12.3 and above 15 in 15. So
 // the distribution over many seeds is bounded, not the peak of each seed. Where all gateways
 // choose the least loaded backend server, the peak is never below 17 and 25.8 in the mean.
-func TestGatewaysDoNotMeetAtOneBackend(t *testing.T) {
+func TestPeaksAreCloseToThoseOfRandomChoices(t *testing.T) {
 	const seeds = 200
 	peaks := func(disabled ablator.Disabled) (mean float64, highest, above15 int) {
 		sum := 0
