Prefer engines with a copy of the weights while the store is saturated

Cause: with the higher cost of evicted adapters, adapters were loaded from a saturated store although an engine kept a copy of their weights. The estimate of the store's concurrency also stayed up to 1.3 times the true value, and loads that take longer hold adapter slots longer.

Change: a load from a saturated store costs three times as much in the choice of an engine. A load counts as at full speed up to 1.1 times the expected time (1.15 before), as contended from 1.2 times (1.25), and the estimate exceeds what was shown by 5% (10%).

Test: TestSaturatedStoreIsSparedByCopies fails with the earlier cost and passes.

--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -257,7 +257,7 @@
 		cost += affinityWeight * hashDistance(adapter, id)
 	}
 	if !p.isCached(e, adapter) && !p.policy.Disabled.Has(ablator.WarmFirst) {
-		cost += coldWeight
+		cost += p.coldCost()
 	}
 	cost += queueWeight * float64(len(e.queue)+e.loadingCount())
 	cost += p.evictionCost(e)
--- a/pkg/placer/estimates.go
+++ b/pkg/placer/estimates.go
@@ -52,7 +52,7 @@
 	// shown to carry until it was first contended, and growth the same afterwards. An estimate
 	// that is slightly too high costs nothing, as each load then takes longer in proportion.
 	initialGrowth = 1.5
-	growth        = 1.1
+	growth        = 1.05
 )
 
 // hostLoad is a load of an adapter that its engine had held before.
--- a/pkg/placer/evictions.go
+++ b/pkg/placer/evictions.go
@@ -67,6 +67,18 @@
 	return maxEvictionCost * loss / (loss + typicalEvictionLoss)
 }
 
+// saturatedColdWeight is the cost of a load from the weight store while this carries as many loads
+// as it can. It outweighs maxEvictionCost: a load from an engine's own memory needs no store.
+const saturatedColdWeight = 3.0
+
+// coldCost returns the cost of a load from the weight store, as a part of an engine's slots.
+func (p *Placer) coldCost() float64 {
+	if p.storeIsSaturated() && !p.policy.Disabled.Has(ablator.ScarceSlots) {
+		return saturatedColdWeight
+	}
+	return coldWeight
+}
+
 // isLeaving reports whether an adapter is or will be unloaded.
 func (e *engine) isLeaving(adapter string) bool {
 	slot := e.slots[adapter]
--- a/pkg/placer/evictions_test.go
+++ b/pkg/placer/evictions_test.go
@@ -188,3 +188,32 @@
 		})
 	}
 }
+
+// With a saturated store, adapters were loaded from it at the engine with the coldest adapter,
+// although another engine kept a copy of their weights: fewer adapters were loaded in time.
+func TestSaturatedStoreIsSparedByCopies(t *testing.T) {
+	for label, test := range map[string]struct {
+		saturated bool
+		want      []string
+	}{
+		"the store has room":     {false, []string{"b"}},
+		"the store is saturated": {true, []string{"a"}},
+	} {
+		t.Run(label, func(t *testing.T) {
+			c := qt.New(t)
+			p := placerWithout(ablator.Homes)
+			p.storeConcurrency = 10
+			fillEngine(p, "a", 2, 2, 2, 2)
+			fillEngine(p, "b", 0.01, 0.01, 0.01, 0.01)
+			if test.saturated {
+				for i := range 9 {
+					p.engines["c"].slots[name(i)] = &adapterSlot{state: loading}
+				}
+			}
+			p.engines["a"].recordSeen("m/new")
+			p.RequestLoad(startTime(), "m/new", []string{"c"}, startTime().Add(time.Second))
+			assign(p)
+			c.Check(enginesQueueing(p, "m/new"), qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/pkg/placer/learner.go
+++ b/pkg/placer/learner.go
@@ -61,8 +61,8 @@
 	// contendedRatio is the ratio of a load's time to the learned one above which the weight
 	// store was shared by too many loads, and uncontendedRatio the one below which it was not.
 	// Checks at intervals of 30 ms make a load of 288 ms look up to 1.1 times as long.
-	contendedRatio   = 1.25
-	uncontendedRatio = 1.15
+	contendedRatio   = 1.2
+	uncontendedRatio = 1.1
 	// minStoreConcurrency bounds what is learned from loads that were slow for other reasons.
 	minStoreConcurrency = 6
 )
