Report a backend server of the proofs that can't listen

Seen: in 1 of 37 runs of TestRoutedRequestLimitHoldsAcrossGateways its limited server had no steady arrivals for 60 s, and in another a gateway ended with "listen tcp 127.101.0.33:38205: bind: address already in use". Tests find a free port and listen on it later; on a shared machine another process may take it in between.

The proofs' backend server ignored the error of ListenAndServe. All requests to it then fail and the test waits for its timeout. That this was the cause of the first of the two runs is likely and not shown: its output was not kept.

Change: the server listens before it announces itself, and reports the error. The race for ports itself is left. No test fails before: the fault needs a taken port. TestRoutedRequestLimitHolds* and TestRoutedRequestThatCrashesBackendServersIsQuarantined pass with -race.

--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -81,8 +82,15 @@
 
 // start listens on an address and begins to announce the server.
 func (b *fakeBackend) start(addr string) {
-	b.server = &http.Server{Addr: addr, Handler: b, ReadHeaderTimeout: time.Minute}
-	go func() { _ = b.server.ListenAndServe() }()
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		// Another process may have taken the port since it was found free. Without a listener all
+		// requests fail here, and a test waits in vain for arrivals.
+		b.y.c.Errorf("backend server %s can't listen: %v", b.id, err)
+		return
+	}
+	go func() { _ = b.server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stopAnnouncing = cancel
 	go b.announce(ctx)
