Announce the request limit of the proofs at a steady rate

By the gateways' logs none was sent from 0.2 s to 3 s after the announcement.

Cause: the first windows that are checked end 3 s after the announcement and begin 1 s before it. Requests that arrived in that second count, and no gateway can bound them.

One server that gets the traffic of another would look alike.

Ruled out: late knowledge of the limit or sends beyond it; nothing is sent from 0.2 to 3 s after the announcement, since the owner counts what was sent before.

Change: the limit is announced once 10 to 30 requests have arrived in the last second, where callers send 20. Windows, bound and the use that is required are unchanged, so that the check is as strict as before. The log now shows the arrivals before and after.

--- a/proof/routed_throttle_test.go
+++ b/proof/routed_throttle_test.go
@@ -34,6 +34,7 @@
 			load := startSteadyLoad(y, 60/gateways)
 			limited := y.backends[0]
 			y.waitServed(120)
+			limited.waitSteady()
 			announcedAt := time.Now()
 			limited.setLimit(announcedLimit)
 			y.waitWhileServing(announcedAt.Add(maxPropagation + 2*limitWindow))
@@ -63,6 +64,7 @@
 	load := startSteadyLoad(y, 15)
 	limited := y.backends[0]
 	y.waitServed(120)
+	limited.waitSteady()
 	announcedAt := time.Now()
 	limited.setLimit(announcedLimit)
 	y.waitWhileServing(announcedAt.Add(maxPropagation))
@@ -108,6 +110,27 @@
 	return int(overage*float64(limit)*limitWindow.Seconds()) + slack
 }
 
+// waitSteady waits until a server has received about as many requests in the last second as
+// callers send it. After a stall of the machine, delayed requests arrive in a burst. The first
+// windows that are checked begin a second before the announcement, and no gateway can bound what
+// arrived before it knew of the limit: with all gateways frozen for 2 s, 42 to 48 requests
+// arrived in that second, and 1 to 6 in the 3 s after the announcement.
+func (b *fakeBackend) waitSteady() {
+	const rate, tolerance, logInterval = 20, 10, 2 * time.Second
+	loggedAt := time.Now()
+	eventually(b.y.c, "requests arrive at a steady rate", func() bool {
+		now := time.Now()
+		n := b.arrivedBetween(now.Add(-time.Second), now)
+		if now.Sub(loggedAt) >= logInterval {
+			loggedAt = now
+			for _, other := range b.y.backends {
+				b.y.c.Logf("%d requests arrived at %s in the last second", other.arrivedBetween(now.Add(-time.Second), now), other.id)
+			}
+		}
+		return n >= rate-tolerance && n <= rate+tolerance
+	})
+}
+
 // checkLimit checks each window that ends between maxPropagation after the announcement and the
 // limit's end.
 func (b *fakeBackend) checkLimit(announcedAt, liftedAt time.Time) {
@@ -115,6 +138,8 @@
 	used := b.arrivedBetween(announcedAt.Add(maxPropagation), liftedAt)
 	b.y.c.Logf("at most %d requests in %s, allowed %d; %.2f a second under a limit of %v", peak, limitWindow,
 		allowedInWindow(announcedLimit), float64(used)/liftedAt.Sub(announcedAt.Add(maxPropagation)).Seconds(), announcedLimit)
+	b.y.c.Logf("%d requests in the second before the announcement, %d in %s after it",
+		b.arrivedBetween(announcedAt.Add(-time.Second), announcedAt), b.arrivedBetween(announcedAt, announcedAt.Add(maxPropagation)), maxPropagation)
 	b.y.c.Check(peak <= allowedInWindow(announcedLimit), qt.IsTrue,
 		qt.Commentf("%d requests in %s, allowed %d", peak, limitWindow, allowedInWindow(announcedLimit)))
 }
