Wait without sleeping in the tests of slot owners

A sleep makes a verdict depend on the machine. Change: they wait until a condition holds, or until time has passed by the clock that is measured. The checks are unchanged.

--- a/gateway/forwarder/overload_test.go
+++ b/gateway/forwarder/overload_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
@@ -74,7 +73,6 @@
 	for range 4 {
 		f.Apply("controller", overloadedTable(b, 4))
 		statuses[call(c, address, "/safe/x").status]++
-		time.Sleep(time.Millisecond)
 	}
 	c.Check(statuses[http.StatusOK] > 0, qt.IsTrue, qt.Commentf("%v", statuses))
 	c.Check(statuses[http.StatusServiceUnavailable] > 0, qt.IsTrue, qt.Commentf("%v", statuses))
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -346,12 +346,10 @@
 		return all[1].engine(id).granter.TakeStats().Latency
 	}
 	first := slot()
-	time.Sleep(20 * time.Millisecond)
+	pass(20 * time.Millisecond)
 	all[0].RecordRun(id, time.Microsecond)
 	all[0].Release(id, first.Key, true)
-	for all[1].runningSlots(id) > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	all[1].awaitFreeSlots(id)
 	c.Check(latency(), qt.Equals, time.Duration(0))
 	second := slot()
 	c.Assert(second.Granted, qt.IsTrue)
@@ -359,11 +357,23 @@
 	c.Check(all[0].takeLastRun(id), qt.Equals, time.Duration(0))
 }
 
-// runningSlots returns how many requests run at a backend server.
-func (r *Regulator) runningSlots(backend string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.engine(backend).granter.TakeStats().Running
+// awaitFreeSlots waits until no request runs at a backend server.
+func (r *Regulator) awaitFreeSlots(backend string) {
+	running := func() int {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.engine(backend).granter.TakeStats().Running
+	}
+	for running() > 0 {
+		runtime.Gosched()
+	}
+}
+
+// pass lets time pass, as the run of a request takes.
+func pass(d time.Duration) {
+	for began := time.Now(); time.Since(began) < d; {
+		runtime.Gosched()
+	}
 }
 
 // Statistics were reset without a log line in intervals in which slots only expired.
--- a/gateway/regulator/waits_test.go
+++ b/gateway/regulator/waits_test.go
@@ -79,11 +79,9 @@
 	id := engineOf(all[0], addresses[1])
 	first := requestSlot(all[0], id)
 	c.Assert(first.Granted, qt.IsTrue)
-	time.Sleep(time.Millisecond)
+	pass(time.Millisecond)
 	all[0].Release(id, first.Key, true)
-	for all[1].runningSlots(id) > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	all[1].awaitFreeSlots(id)
 	c.Check(all[0].AddWaits(nil), qt.HasLen, 0)
 	loads := all[1].AddWaits([]*wire.Load{{Backend: "other", Requests: 1}, {Backend: id, Requests: 3}})
 	c.Assert(loads, qt.HasLen, 2)
