Begin each overload with the shortest time to hold requests back

Cause: the time for which gateways hold requests back after a refusal stayed at that of the latest overload, up to 300 ms, so that the first refusal of the next one counted as sustained, however short it was.

Change: it begins anew with each overload.

--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -216,6 +216,7 @@
 	}
 	if !now.Before(g.overloadedUntil) {
 		g.overloadedSince = now
+		g.refusedFor, g.lastGranted, g.lastRefused = 0, 0, 0
 	}
 	// While gateways hold back requests, none arrives that could be refused.
 	g.overloadedUntil = now.Add(overloadDuration + g.refusedFor)
--- a/pkg/slotgranter/slotgranter_test.go
+++ b/pkg/slotgranter/slotgranter_test.go
@@ -409,3 +409,34 @@
 	c.Assert(len(granted) > 0, qt.IsTrue)
 	c.Check(granted[0].Key, qt.Equals, "returns")
 }
+
+// The time for which gateways hold requests back in an overload must not be that of the next one,
+// which may be short.
+func TestHoldingBackBeginsAnew(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	requests := 0
+	request := func() GrantRequest {
+		requests++
+		return GrantRequest{Key: fmt.Sprint(requests), OnTimeUntil: now.Add(objective), Deadline: now.Add(deadline), Slots: slots}
+	}
+	overload := func(refusals int) time.Duration {
+		for refusals > 0 {
+			a := request()
+			if !g.Add(now, a) {
+				refusals--
+				if refusals == 0 {
+					return g.RefusedFor(now, a)
+				}
+			}
+			g.Next(now)
+		}
+		return 0
+	}
+	c.Check(overload(1), qt.Equals, minRefusedFor)
+	c.Check(overload(500), qt.Equals, maxRefusedFor)
+	now = now.Add(time.Minute)
+	g.waiting = nil
+	c.Check(overload(1), qt.Equals, minRefusedFor)
+}
