--- a/pkg/ablator/ablator.go
+++ b/pkg/ablator/ablator.go
@@ -58,9 +58,6 @@
 	LearntStore Mechanism = "LearntStore"
 	// LearntHost estimates how many adapters' weights an engine keeps.
 	LearntHost Mechanism = "LearntHost"
-	// ScarceSlots unloads the adapters of all engines that are worth least, and keeps adapter slots
-	// free only where loads are expected to need them.
-	ScarceSlots Mechanism = "ScarceSlots"
 	// SpareReplicas grants a spare replica only if the adapter's demand justifies an adapter slot.
 	SpareReplicas Mechanism = "SpareReplicas"
 	// EarlyElections lets members vote soon after they start.
@@ -74,7 +71,7 @@
 
 // ControllerMechanisms returns the mechanisms of controllers in alphabetical order.
 func ControllerMechanisms() []Mechanism {
-	return []Mechanism{EarlyElections, Homes, LearntHost, LearntStore, RisingCopies, ScarceSlots, SpareReplicas, UnevenServers, WarmFirst}
+	return []Mechanism{EarlyElections, Homes, LearntHost, LearntStore, RisingCopies, SpareReplicas, UnevenServers, WarmFirst}
 }
 
 // Disabled is the set of mechanisms that are switched off. The zero value is the empty set.
--- a/pkg/placer/assigner.go
+++ b/pkg/placer/assigner.go
@@ -12,7 +12,7 @@
 // enqueue queues an adapter for loading at an engine.
 func (p *Placer) enqueue(id, adapter string, deadline time.Time) {
 	e := p.engines[id]
-	e.queue = append(e.queue, queuedLoad{adapter: adapter, deadline: deadline})
+	e.queue = append(e.queue, queuedLoad{adapter, deadline})
 	p.locations[adapter] = append(p.locations[adapter], id)
 }
 
@@ -42,10 +42,6 @@
 		if p.willReload(adapter, w) {
 			continue
 		}
-		if p.isTooLate(now, adapter, w) {
-			p.decline(adapter)
-			continue
-		}
 		ahead++
 		if overloaded && now.Add(p.expectedWait(now, ahead)).After(w.deadline) {
 			p.decline(adapter)
@@ -56,8 +52,6 @@
 		}
 		if id := p.chooseEngine(now, adapter, w.avoid); id != "" {
 			p.enqueue(id, adapter, w.deadline)
-			queue := p.engines[id].queue
-			queue[len(queue)-1].avoid = w.avoid
 			delete(p.pendingLoads, adapter)
 			continue
 		}
@@ -65,20 +59,6 @@
 	}
 }
 
-// isTooLate reports whether the requests that wait for an adapter time out before it can be loaded
-// anywhere.
-func (p *Placer) isTooLate(now time.Time, adapter string, w *pendingLoad) bool {
-	if p.policy.Disabled.Has(ablator.ScarceSlots) || !now.Add(p.coldLoad).After(w.deadline) {
-		return false
-	}
-	for _, e := range p.engines {
-		if e.acceptsAdapters() && p.isCached(e, adapter) {
-			return now.Add(p.policy.WarmLoad).After(w.deadline)
-		}
-	}
-	return true
-}
-
 // sortedPendingLoads returns the adapters with pending loads, in the order of assignment.
 func (p *Placer) sortedPendingLoads() []string {
 	saturated := p.storeIsSaturated()
@@ -152,10 +132,6 @@
 // assignReplicas gives hot adapters further replicas.
 func (p *Placer) assignReplicas(now time.Time) {
 	for adapter, d := range p.demand {
-		if d.rate < 1 && d.burstRate < 1 {
-			// Rates only decay, so that the current ones are not higher.
-			continue
-		}
 		rate := d.peakRate(now, &p.policy)
 		if rate < 1 {
 			continue
@@ -189,7 +165,7 @@
 // no requests from a part of the gateways counts for the others.
 func (p *Placer) replicas(adapter string) (count float64, slots uint32) {
 	for _, id := range p.locations[adapter] {
-		if e := p.engines[id]; e != nil && !e.isLeaving(adapter) {
+		if e := p.engines[id]; e != nil {
 			count += 1 - e.usage.BackingOff
 			slots = max(slots, e.info.GetSlots())
 		}
@@ -260,10 +236,10 @@
 		cost += affinityWeight * hashDistance(adapter, id)
 	}
 	if !p.isCached(e, adapter) && !p.policy.Disabled.Has(ablator.WarmFirst) {
-		cost += p.coldCost()
+		cost += coldWeight
 	}
 	cost += queueWeight * float64(len(e.queue)+e.loadingCount())
-	cost += p.evictionCost(e)
+	cost += evictionWeight * e.nextSlotCost()
 	cost += backoffWeight * e.usage.BackingOff
 	if now.Before(e.backoffUntil) {
 		cost += 1
--- a/pkg/placer/engine.go
+++ b/pkg/placer/engine.go
@@ -56,8 +56,6 @@
 	adapter string
 	// deadline is when the requests that wait for it time out; zero if none waits.
 	deadline time.Time
-	// avoid are the engines at which those requests can't be served.
-	avoid []string
 }
 
 // engine is the leader's view of one incarnation of an engine.
@@ -91,8 +89,6 @@
 	// slotCosts are the requests per second of what its slots hold, lowest first, as of the last plan.
 	slotCosts []float64
 	usage     Usage
-	// reserve is the number of slots to be kept free, as of the last plan.
-	reserve int
 	// overloadedSince is since when it has been much busier than the others, and relievedAt when
 	// a spare replica was last granted for one of its adapters.
 	overloadedSince time.Time
--- a/pkg/placer/estimates.go
+++ b/pkg/placer/estimates.go
@@ -37,9 +37,6 @@
 	// comparableLoads times as many loads in flight. One or two such loads may be outliers.
 	comparableLoads = 0.6
 	minFastEngines  = 3
-	// evaluatedEngines is the number of engines from which contention is not looked for at the end
-	// of each load: that takes time in proportion to the engines.
-	evaluatedEngines = 100
 	// maxFastestAge is how long the fastest load of an engine shows that it is not slow.
 	maxFastestAge = 10 * time.Second
 	maxProofAge   = time.Second
@@ -52,7 +49,7 @@
 	// shown to carry until it was first contended, and growth the same afterwards. An estimate
 	// that is slightly too high costs nothing, as each load then takes longer in proportion.
 	initialGrowth = 1.5
-	growth        = 1.05
+	growth        = 1.1
 )
 
 // hostLoad is a load of an adapter that its engine had held before.
@@ -86,8 +83,6 @@
 	contendedLoad time.Duration
 	// reducedAt is when storeConcurrency was last reduced: earlier loads do not count.
 	reducedAt time.Time
-	// skipped counts the loads since contention was last looked for.
-	skipped int
 }
 
 // learnHostAdapters updates hostAdapters to the number that contradicts the fewest recent loads
@@ -242,10 +237,6 @@
 // uncontended one. If fewer loads in flight have not made them shorter, the store is slow and not
 // contended.
 func (s *LearnedState) learnContention(now time.Time) {
-	if s.store.skipped++; s.store.skipped <= len(s.store.nearLimit)/evaluatedEngines {
-		return
-	}
-	s.store.skipped = 0
 	// A load at full speed with far fewer in flight is no evidence.
 	loads := slices.DeleteFunc(recentLoads(now, s.store.nearLimit, s.slowEngines()), func(l storeLoad) bool { return s.fullSpeed(l) && l.fewest < nearLimit*s.storeConcurrency })
 	if len(loads) < max(storeWindow, len(s.caches)/4) {
--- a/pkg/placer/knowledge.go
+++ b/pkg/placer/knowledge.go
@@ -42,12 +42,9 @@
 // demand is the requests per second for an adapter: rate over the last seconds, and burstRate
 // over the last moments, which shows a rise at once.
 type demand struct {
-	rate      float64
-	burstRate float64
-	// evictionRate is the rate over a longer time, by which adapters are evicted: a rare adapter
-	// that is requested again and again is worth more than one that was requested once.
-	evictionRate float64
-	lastRequest  time.Time
+	rate        float64
+	burstRate   float64
+	lastRequest time.Time
 }
 
 // RecordRequests counts requests for an adapter.
@@ -59,7 +56,6 @@
 	}
 	burst := d.burstRate * decayFactor(float64(now.Sub(d.lastRequest))/float64(s.policy.BurstHalfLife))
 	d.burstRate = burst + float64(requests)*ln2/s.policy.BurstHalfLife.Seconds()
-	d.evictionRate = d.evictionRateAt(now, s.policy.EvictionHalfLife) + float64(requests)*ln2/s.policy.EvictionHalfLife.Seconds()
 	d.rate = d.rateAt(now, s.policy.DemandHalfLife) + float64(requests)*ln2/s.policy.DemandHalfLife.Seconds()
 	d.lastRequest = now
 }
@@ -69,10 +65,6 @@
 	return d.rate * decayFactor(float64(now.Sub(d.lastRequest))/float64(halfLife))
 }
 
-func (d *demand) evictionRateAt(now time.Time, halfLife time.Duration) float64 {
-	return d.evictionRate * decayFactor(float64(now.Sub(d.lastRequest))/float64(halfLife))
-}
-
 // peakRate returns the higher of the two rates: rising demand gets its replicas soon, and
 // demand that has paused for a moment keeps them.
 func (d *demand) peakRate(now time.Time, policy *Policy) float64 {
@@ -86,7 +78,7 @@
 // PruneDemand drops adapters with a negligible rate.
 func (s *LearnedState) PruneDemand(now time.Time) {
 	for adapter, d := range s.demand {
-		if d.evictionRateAt(now, s.policy.EvictionHalfLife) < negligibleRate && d.rateAt(now, s.policy.DemandHalfLife) < negligibleRate {
+		if d.rateAt(now, s.policy.DemandHalfLife) < negligibleRate {
 			delete(s.demand, adapter)
 		}
 	}
--- a/pkg/placer/orders.go
+++ b/pkg/placer/orders.go
@@ -136,3 +136,61 @@
 	}
 	return Order{}, false
 }
+
+// dropLateLoads removes adapters from an engine's queue that can't be loaded before the
+// requests that wait for them time out: with a third of the engines lost, late loads took half
+// of the weight store's time and as many slots.
+func (p *Placer) dropLateLoads(now time.Time, e *engine) {
+	e.queue = slices.DeleteFunc(e.queue, func(q queuedLoad) bool {
+		late := !q.deadline.IsZero() && now.Add(p.expectedLoad(e, q.adapter)).After(q.deadline)
+		if late {
+			p.decline(q.adapter)
+		}
+		return late
+	})
+}
+
+// drainVictims notifies the gateways of the unload of the adapters with the least demand, until
+// the queue and the reserve have slots.
+func (p *Placer) drainVictims(now time.Time, e *engine) {
+	need := len(e.queue) + p.policy.ReservedSlots
+	free := p.slotCount(e) - len(e.slots)
+	for _, slot := range e.slots {
+		if slot.state == draining || slot.state == unloading {
+			free++
+		}
+	}
+	for free < need {
+		victim := p.victim(now, e, len(e.queue) > 0)
+		if victim == "" {
+			return
+		}
+		slot := e.slots[victim]
+		slot.state, slot.nextCheck = draining, now.Add(p.policy.UnloadNotice)
+		p.markChanged(e)
+		free++
+	}
+}
+
+// victim returns the adapter at an engine for which there is the least demand, of those that no
+// request uses.
+func (p *Placer) victim(now time.Time, e *engine, underPressure bool) string {
+	minIdle := p.policy.MinIdle
+	if underPressure {
+		minIdle = p.policy.MinIdleUnderPressure
+	}
+	victim, lowest := "", 0.0
+	for adapter, slot := range e.slots {
+		if slot.state != ready || now.Sub(slot.readySince) < minIdle || e.usage.Adapters[adapter] {
+			continue
+		}
+		if d := p.demand[adapter]; d != nil && now.Sub(d.lastRequest) < minIdle {
+			continue
+		}
+		rate := p.ratePerReplica(now, adapter)
+		if victim == "" || rate < lowest {
+			victim, lowest = adapter, rate
+		}
+	}
+	return victim
+}
--- a/pkg/placer/outcomes.go
+++ b/pkg/placer/outcomes.go
@@ -244,7 +244,7 @@
 		e.recordSeen(adapter)
 		if p.demand[adapter] == nil {
 			// A new leader has seen no requests yet; loaded adapters were in demand.
-			p.demand[adapter] = &demand{rate: assumedRate, evictionRate: assumedRate, lastRequest: now.Add(-p.policy.MinIdle)}
+			p.demand[adapter] = &demand{rate: assumedRate, lastRequest: now.Add(-p.policy.MinIdle)}
 		}
 	}
 	for _, qualified := range state.Loading {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -107,8 +107,6 @@
 	versions     map[string]uint64
 	pendingLoads map[string]*pendingLoad
 	revision     uint64
-	// engineIDs are the engines in the order of their ids, as of the last plan.
-	engineIDs []string
 	// changed are the engines whose holdings changed since the last TakeChanged.
 	changed map[string]bool
 	// locations lists the engines at which each adapter is or soon will be, as of the last
@@ -138,8 +136,6 @@
 	sparesDenied  int
 	takenGranted  int
 	takenDenied   int
-	// prunedAt is when adapters with negligible demand were last dropped.
-	prunedAt time.Time
 	// nextModelLoad is when the weight store allows the next load of a base model.
 	nextModelLoad time.Time
 }
@@ -273,17 +269,13 @@
 	p.storeMeter.set(now, p.coldLoadsInFlight())
 	p.buildLocations()
 	p.computeSlotCosts(now)
-	p.engineIDs = slices.Sorted(maps.Keys(p.engines))
-	p.cancelQueuedLoads(now)
 	p.observeOverload(now)
 	p.assignPendingLoads(now)
 	p.assignVersions()
 	p.assignReplicas(now)
 	p.assignSpares(now)
-	p.moveQueuedLoads(now)
-	p.planReserve(now)
 	var orders []Order
-	for _, id := range p.engineIDs {
+	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
 		orders = append(orders, p.nextOrders(now, id)...)
 	}
 	return orders
@@ -357,16 +349,9 @@
 			p.decline(adapter)
 		}
 	}
-	if now.Sub(p.prunedAt) >= pruneInterval {
-		p.prunedAt = now
-		p.PruneDemand(now)
-	}
+	p.PruneDemand(now)
 }
 
-// pruneInterval is the time between two checks for adapters with negligible demand. There may be
-// thousands, and dozens of plans a second.
-const pruneInterval = 500 * time.Millisecond
-
 const (
 	ln2 = 0.6931
 	// assumedRate is the requests per second assumed for adapters that an engine held before
--- a/pkg/placer/policy.go
+++ b/pkg/placer/policy.go
@@ -30,9 +30,6 @@
 	ResyncDelay time.Duration
 	// DemandHalfLife is the half-life of an adapter's popularity.
 	DemandHalfLife time.Duration
-	// EvictionHalfLife is the same for the rate by which adapters are evicted. It is longer: with
-	// 10,000 adapters, most of those in slots are requested once in several seconds.
-	EvictionHalfLife time.Duration
 	// BurstHalfLife is the same for the rate by which replicas are added: a few times the span
 	// in which all gateways report, and longer than requests cluster by chance.
 	BurstHalfLife time.Duration
@@ -64,7 +61,7 @@
 		ReservedSlots: 1, MaxLoadsPerEngine: 4, ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond,
 		ConfirmInterval: 30 * time.Millisecond, UnloadNotice: 80 * time.Millisecond, ResyncDelay: 250 * time.Millisecond,
 		RetryBackoff:   retrier.Backoff{Initial: 10 * time.Millisecond, Max: time.Second},
-		DemandHalfLife: 4 * time.Second, EvictionHalfLife: 10 * time.Second, BurstHalfLife: 500 * time.Millisecond, RunTime: 400 * time.Millisecond, FillPerReplica: 0.4, RatePerReplica: 16,
+		DemandHalfLife: 4 * time.Second, BurstHalfLife: 500 * time.Millisecond, RunTime: 400 * time.Millisecond, FillPerReplica: 0.4, RatePerReplica: 16,
 		PendingLoadTimeout: 700 * time.Millisecond, MinIdle: 600 * time.Millisecond, MinIdleUnderPressure: 250 * time.Millisecond,
 		UnloadCheckInterval: 60 * time.Millisecond, LoadTimeout: 3 * time.Second,
 	}
--- a/pkg/placer/rooms.go
+++ b/pkg/placer/rooms.go
@@ -23,8 +23,8 @@
 			case draining, unloading:
 				e.slotCosts = append(e.slotCosts, 0)
 			case ready:
-				if p.isEvictable(now, e, adapter, slot, p.policy.MinIdleUnderPressure) {
-					e.slotCosts = append(e.slotCosts, p.evictionLoss(now, adapter))
+				if !e.usage.Adapters[adapter] {
+					e.slotCosts = append(e.slotCosts, p.ratePerReplica(now, adapter))
 				}
 			case loading:
 			}
@@ -49,3 +49,12 @@
 	}
 	return 0, false
 }
+
+// ratePerReplica returns the requests per second for an adapter at each engine that holds it.
+func (p *Placer) ratePerReplica(now time.Time, adapter string) float64 {
+	rate := p.Rate(now, adapter)
+	if n, _ := p.replicas(adapter); n > 1 {
+		rate /= float64(n)
+	}
+	return rate
+}
