Refuse locally only if all backend servers of the service are known to be busy

Cause: a request was refused at its gateway when none of its preferred backend servers was free and any backend server, also of another service, was known to be busy. One whose only other server was paused for 20 ms or tried before got 503 at once, and 502 on its second attempt, where it waited or was sent before.

Change: all servers of the service that take requests must be known to be busy. TestAllAmong has the cases; found in review.

--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"bronzelead.example/gateway/regulator"
@@ -47,11 +46,10 @@
 	if len(j.busy) == 0 {
 		return false
 	}
-	w := &balancer.Waiter{Service: j.service, Adapter: j.adapter, Avoid: slices.Concat(j.busy, j.avoid), UsesSlotGrants: true}
 	f.mu.Lock()
-	available := f.balancer.HasAlternative(now, w, "")
+	all := f.balancer.AllAmong(j.service, j.busy)
 	f.mu.Unlock()
-	if available {
+	if !all {
 		return false
 	}
 	if f.Regulator.TakeProbe(f.sharingCustomer(j)) {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -240,6 +240,22 @@
 	return slices.ContainsFunc(b.byService[service], func(k *backend) bool { return k.accepting() })
 }
 
+// AllAmong reports whether all backend servers of a service that take requests are in a list, and
+// there are any. Those that are paused or have failed may still serve a request.
+func (b *Balancer) AllAmong(service string, ids []string) bool {
+	found := false
+	for _, k := range b.byService[service] {
+		if !k.accepting() {
+			continue
+		}
+		if !slices.Contains(ids, k.info.GetId()) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // ServiceOf returns the service of a known backend server, or "".
 func (b *Balancer) ServiceOf(id string) string {
 	if k := b.backends[id]; k != nil {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -363,3 +363,33 @@
 	c.Assert(pendingLoads, qt.HasLen, 1)
 	c.Check(pendingLoads[0].GetAvoid(), qt.ContentEquals, []string{"a", "b"})
 }
+
+// A request is refused because of busy backend servers only if all that could serve it are busy: not by
+// those of other services, nor while one is merely paused or was tried before.
+func TestAllAmong(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(b *Balancer)
+		busy   []string
+		want   bool
+	}{
+		"all":                      {func(*Balancer) {}, []string{"a", "b", "other"}, true},
+		"one is not":               {func(*Balancer) {}, []string{"a"}, false},
+		"those of another service": {func(*Balancer) {}, []string{"other"}, false},
+		"the rest is paused":       {func(b *Balancer) { b.Pause("b", begin().Add(time.Second)) }, []string{"a"}, false},
+		"the rest is leaving":      {func(b *Balancer) { b.Leave(begin(), "b") }, []string{"a"}, true},
+		"none is left": {func(b *Balancer) {
+			b.RemoveBackend("a")
+			b.RemoveBackend("b")
+		}, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &Balancer{Zone: "z"}
+			for _, id := range []string{"a", "b"} {
+				b.UpdateBackend(begin(), announcement(id))
+			}
+			test.change(b)
+			service := announcement("a").GetService()
+			qt.New(t).Check(b.AllAmong(service, test.busy), qt.Equals, test.want)
+		})
+	}
+}
