Do not count slots that were not used in customers' shares

Cause: an owner recorded usage with the grant.

Change: a slot that is released without a run is refunded. TestUnusedGrantsAreNoUsage failed before. Found in review.

--- a/pkg/slotgranter/shares_order_test.go
+++ b/pkg/slotgranter/shares_order_test.go
@@ -100,3 +100,24 @@
 	c.Check(g.TakeStats().AboveShare, qt.Equals, 0)
 	c.Check(g.TakeAboveShare(now), qt.HasLen, 0)
 }
+
+// A grant whose request is not sent is no usage: a customer whose requests were denied elsewhere would
+// otherwise go last.
+func TestUnusedGrantsAreNoUsage(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1e9, 0)
+	g := &Granter{}
+	grant := func(key, customer string, ran bool) {
+		c.Assert(g.Add(now, sharedRequest(now, key, customer)), qt.IsTrue)
+		c.Assert(g.Next(now), qt.HasLen, 1)
+		g.Release(now, key, ran)
+	}
+	for i := range 50 {
+		grant(fmt.Sprint("a ", i), "a", true)
+		grant(fmt.Sprint("b ", i), "b", true)
+		for j := range 3 {
+			grant(fmt.Sprint("unused ", i, j), "b", false)
+		}
+	}
+	c.Check(g.shares.Excess("b"), qt.Equals, g.shares.Excess("a"))
+}
--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -144,6 +144,7 @@
 type run struct {
 	grantedAt time.Time
 	gateway   string
+	customer  string
 	// completions is the number of completed requests when it was granted.
 	completions uint64
 }
@@ -409,6 +410,7 @@
 	}
 	delete(g.running, key)
 	if !ran {
+		g.shares.Refund(now, r.customer, 1)
 		return
 	}
 	weight := serviceTimeWeight
@@ -469,7 +471,7 @@
 		if !g.canBeOnTime(now, a) {
 			g.stats.Late++
 		}
-		g.running[a.Key] = run{grantedAt: now, gateway: a.Gateway, completions: g.completions}
+		g.running[a.Key] = run{grantedAt: now, gateway: a.Gateway, customer: a.Customer, completions: g.completions}
 	}
 	g.lastGranted += len(granted)
 	g.adaptRefusedFor()
