Record refusals of owners as they are when they arrive

Cause, three faults in what a gateway learns of an owner's answer: - A request that was evicted counted as redirected because of a slow backend server, so that it asked two more owners. - A refusal that came after a wait was stored with the time that was left when it was sent: one of a late request applied to requests with all of their time left. - A caller that left while its request asked an owner made this gateway grant in its place, which erased what was known of the refusals.

Change: only a refusal at once can be because of slowness; the time left is that of the answer; a call whose caller has left grants nothing and teaches nothing. Service times are kept for requests of all customers, since retry times depend on them.

Found in review.

--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -258,6 +258,10 @@
 			return result
 		}
 	}
+	if ctx.Err() != nil {
+		// Its caller has left. A grant of this gateway, which may not be the owner, would say nothing.
+		return Result{}
+	}
 	result := r.acquireLocally(ctx, p, wait)
 	r.learn(p, result)
 	return result
@@ -353,19 +357,25 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.refused(e, p)
+	return r.overloaded(e, p)
 }
 
-// refused returns the result of a request that was refused. The caller holds the lock.
+// refused returns the result of a request that was refused at once. The caller holds the lock.
 func (r *Regulator) refused(e *engine, p *Prompt) Result {
-	now, request := r.Clock.Now(), p.slotRequest()
-	result := Result{Backlog: e.backlog(p), ServiceTime: e.granter.ServiceTime()}
-	if p.HasAlternative && e.granter.TooSlow(now, request) {
-		result.Slow = true
-		return result
+	if p.HasAlternative && e.granter.TooSlow(r.Clock.Now(), p.slotRequest()) {
+		return Result{Backlog: e.backlog(p), ServiceTime: e.granter.ServiceTime(), Slow: true}
+	}
+	return r.overloaded(e, p)
+}
+
+// overloaded returns the result of a request that was refused or evicted because of the others. The
+// caller holds the lock.
+func (r *Regulator) overloaded(e *engine, p *Prompt) Result {
+	now := r.Clock.Now()
+	return Result{
+		Backlog: e.backlog(p), ServiceTime: e.granter.ServiceTime(),
+		Refusal: p.refusal(now, r.Self, e.granter.RefusedFor(now, p.slotRequest())),
 	}
-	result.Refusal = p.refusal(now, r.Self, e.granter.RefusedFor(now, request))
-	return result
 }
 
 // add queues a request of a customer with a weight, and reports whether it did.
@@ -527,6 +537,7 @@
 	return Result{
 		Granted: res.GetGranted(), Key: p.Key, Backlog: milliseconds(res.GetBacklogMs()), Slow: res.GetSlow(),
 		ServiceTime: time.Duration(res.GetServiceUs()) * time.Microsecond,
-		Refusal:     p.refusal(now, address, milliseconds(res.GetRefusedForMs())),
+		// The refusal is as of now: the request may have waited for it.
+		Refusal: p.refusal(r.Clock.Now(), address, milliseconds(res.GetRefusedForMs())),
 	}, true
 }
--- a/gateway/regulator/waits.go
+++ b/gateway/regulator/waits.go
@@ -32,13 +32,17 @@
 		return
 	}
 	waits.Refused(now, p.Backend, result.Refusal)
-	if !result.Slow && p.Customer == "" {
-		waits.Report(now, p.Backend, waitestimator.Report{Wait: result.Backlog, ServiceTime: result.ServiceTime})
+	report := waitestimator.Report{Wait: result.Backlog, ServiceTime: result.ServiceTime}
+	if p.Customer != "" {
+		report.Wait = 0
+	}
+	if !result.Slow {
+		waits.Report(now, p.Backend, report)
 	}
 }
 
-// waitsOf returns what is known for the requests of a customer. Reports of owners are kept for those
-// without a customer alone: a customer within its share does not wait behind the others. The caller
+// waitsOf returns what is known for the requests of a customer. The waits that owners report are kept
+// for those without a customer alone: a customer within its share does not wait behind the others. The caller
 // holds waitsMu.
 func (r *Regulator) waitsOf(customer string) *waitestimator.Estimator {
 	if r.waits == nil {
--- a/gateway/regulator/waits_test.go
+++ b/gateway/regulator/waits_test.go
@@ -72,6 +72,27 @@
 	}
 }
 
+// A caller that leaves while its request asks an owner says nothing about the overload: a refusal that
+// is known must not be taken for out of date, nor may this gateway grant in place of the owner.
+func TestCallersThatLeaveEraseNoRefusals(t *testing.T) {
+	c := qt.New(t)
+	owners, addresses := gateways(c, 1)
+	r := newRegulator("127.0.0.1:1")
+	r.UpdateGateways("controller", listOf([]string{r.Self, addresses[0]}))
+	id := engineOf(r, addresses[0])
+	overload(owners[0], id)
+	c.Assert(requestSlot(r, id).Granted, qt.IsFalse)
+	now := r.Clock.Now()
+	r.learn(&Prompt{Backend: id, Slots: 1}, Result{Refusal: waitestimator.Refusal{Left: slotObjective, For: time.Hour}})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	left := r.Acquire(ctx, &Prompt{Backend: id, Slots: 1, Deadline: now.Add(time.Second), GrantRequest: pacer.GrantRequest{
+		ReceivedAt: now, OnTimeUntil: now.Add(slotObjective),
+	}}, time.Second)
+	c.Check(left.Granted, qt.IsFalse)
+	c.Check(busy(r), qt.DeepEquals, []string{id})
+}
+
 // Only the owner of a backend server reports its wait, also if it has no request there itself.
 func TestOwnersReportWaits(t *testing.T) {
 	c := qt.New(t)
