--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -149,12 +149,6 @@
 	completions uint64
 }
 
-// completion is a completed request.
-type completion struct {
-	at   time.Time
-	took time.Duration
-}
-
 // Stats counts the outcomes of grant requests since the last call of TakeStats.
 type Stats struct {
 	// Granted counts those that got a slot, and Late those of them that could not be on time.
@@ -218,112 +212,6 @@
 	return n
 }
 
-// updateExcess updates the excess of the waiting requests.
-func (g *Granter) updateExcess() {
-	for i := range g.waiting {
-		g.waiting[i].excess = g.shares.Excess(g.waiting[i].Customer)
-	}
-}
-
-// displace refuses the waiting requests of customers above their shares that would be too late
-// because an added request goes before them. They would otherwise be refused only once they
-// can't be on time.
-func (g *Granter) displace(now time.Time, added GrantRequest) {
-	for {
-		last := -1
-		for i, a := range g.waiting {
-			if a.excess > 0 && g.canBeOnTime(now, a) && (last < 0 || g.before(now, g.waiting[last], a)) {
-				last = i
-			}
-		}
-		if last < 0 || !g.before(now, added, g.waiting[last]) {
-			return
-		}
-		a := g.waiting[last]
-		if g.mayWait(now, a, g.expectedWait(g.ahead(now, a))) {
-			return
-		}
-		g.waiting = slices.Delete(g.waiting, last, last+1)
-		g.displaced = append(g.displaced, a)
-		g.stats.Evicted++
-		g.countAboveShare(a)
-	}
-}
-
-// countAboveShare counts a refused request if its customer is above its share.
-func (g *Granter) countAboveShare(a GrantRequest) {
-	if a.excess > 0 {
-		g.stats.AboveShare++
-		g.shares.Refuse(a.Customer)
-	}
-}
-
-// TakeAboveShare returns the customers above their shares, and the numbers of their refused
-// requests since the last call.
-func (g *Granter) TakeAboveShare(now time.Time) []sharer.Status { return g.shares.TakeAboveShare(now) }
-
-// TooSlow reports whether an answer would be late even without any wait. It is false when a
-// probe is due, whatever the service time: only a completion shows that the backend server is
-// fast again.
-func (g *Granter) TooSlow(now time.Time, a GrantRequest) bool {
-	return !g.canBeOnTime(now, a) && !g.probeDue(now)
-}
-
-// probeDue reports whether no request has completed for a while, and none is running or
-// waiting.
-func (g *Granter) probeDue(now time.Time) bool {
-	return len(g.running) == 0 && len(g.waiting) == 0 && now.Sub(g.lastCompletedAt) >= probeInterval
-}
-
-// mayWait reports whether a request may wait, for about the given time.
-func (g *Granter) mayWait(now time.Time, a GrantRequest, wait time.Duration) bool {
-	if !g.canBeOnTime(now, a) {
-		return !now.Before(g.overloadedUntil) && now.Add(wait).Before(a.Deadline)
-	}
-	if g.canBeOnTime(now.Add(wait), a) && (wait <= g.serviceTime() || !g.overloadPersists(now)) {
-		return true
-	}
-	if !now.Before(g.overloadedUntil) {
-		g.overloadedSince = now
-		g.refusedFor, g.lastGranted, g.lastRefused = 0, 0, 0
-	}
-	// While gateways hold back requests, none arrives that could be refused.
-	g.overloadedUntil = now.Add(overloadDuration + g.refusedFor)
-	g.lastRefused++
-	g.adaptRefusedFor()
-	return false
-}
-
-// RefusedFor returns how long requests that are no more urgent than one that was refused just now,
-// and have no more time left, would be refused too. It is 0 outside of an overload.
-func (g *Granter) RefusedFor(now time.Time, a GrantRequest) time.Duration {
-	left := max(0, g.overloadedUntil.Sub(now))
-	if !g.canBeOnTime(now, a) {
-		return left
-	}
-	return min(left, max(minRefusedFor, g.refusedFor))
-}
-
-// adaptRefusedFor adapts refusedFor to the requests that arrive despite it.
-func (g *Granter) adaptRefusedFor() {
-	if g.lastGranted+g.lastRefused < adaptedAfter*g.slots {
-		return
-	}
-	switch {
-	case g.lastRefused > g.lastGranted:
-		g.refusedFor = min(maxRefusedFor, time.Duration(refusedForFactor*float64(max(minRefusedFor, g.refusedFor))))
-	case 2*g.lastRefused < g.lastGranted:
-		g.refusedFor = max(minRefusedFor, time.Duration(float64(g.refusedFor)/refusedForFactor))
-	}
-	g.lastGranted, g.lastRefused = 0, 0
-}
-
-// overloadPersists reports whether requests that could be on time have been refused for longer
-// than a burst lasts. A long queue then serves no more of them, and each of them later.
-func (g *Granter) overloadPersists(now time.Time) bool {
-	return now.Before(g.overloadedUntil) && now.Sub(g.overloadedSince) > maxBurst
-}
-
 // expectedWait returns about how long a request waits with the given number of requests ahead.
 func (g *Granter) expectedWait(ahead int) time.Duration {
 	free := g.limit() - len(g.running)
@@ -340,35 +228,6 @@
 	return g.slots + extraSlots + int(math.Ceil(coverFactor*float64(g.slots)*float64(latency)/float64(service)))
 }
 
-// grantTime returns about how long it takes from a grant until its completion is reported.
-func (g *Granter) grantTime() time.Duration {
-	if g.meanGrantTime == 0 {
-		return initialServiceTime
-	}
-	return g.meanGrantTime
-}
-
-// latency returns the part of the grant time in which messages are on their way.
-func (g *Granter) latency() time.Duration {
-	return min(time.Duration(pathFactor*float64(g.meanLatency)), time.Duration(maxPathShare*float64(g.grantTime())))
-}
-
-// serviceTime returns about how long the backend server takes for a request.
-func (g *Granter) serviceTime() time.Duration { return g.grantTime() - g.latency() }
-
-// observeRun compares a gateway's report of its latest run with the time that passed here. The
-// difference is the latency, whatever the work of the request.
-func (g *Granter) observeRun(now time.Time, a GrantRequest) {
-	latest, ok := g.latest[a.Gateway]
-	if a.LastRun <= 0 || !ok {
-		return
-	}
-	delete(g.latest, a.Gateway)
-	if now.Sub(latest.at) < maxReportAge {
-		g.meanLatency += time.Duration(latencyWeight * float64(max(0, latest.took-a.LastRun)-g.meanLatency))
-	}
-}
-
 // canBeOnTime reports whether a request sent at the given time would probably be on time.
 func (g *Granter) canBeOnTime(sent time.Time, a GrantRequest) bool {
 	return !sent.Add(time.Duration(onTimeMargin*float64(g.serviceTime())) + time.Duration(answerShare*float64(g.latency()))).After(a.OnTimeUntil)
@@ -493,14 +352,5 @@
 // Backlog returns about how long a further request would wait.
 func (g *Granter) Backlog() time.Duration { return g.expectedWait(len(g.waiting)) }
 
-// ServiceTime returns about how long the backend server takes for a request, or 0 if none has
-// completed.
-func (g *Granter) ServiceTime() time.Duration {
-	if g.meanGrantTime == 0 {
-		return 0
-	}
-	return g.serviceTime()
-}
-
 // Idle reports whether nothing is running or waiting.
 func (g *Granter) Idle() bool { return len(g.running) == 0 && len(g.waiting) == 0 }
