Bound the time of a plan and of learning at the size to design for

Cause: with 12,000 engines a plan took 2.34 s with 400 requests for spare replicas (125 ms with none), and the end of a load 867 us, since each choice and each search for contention looks at all engines. The search also required a quarter of the engines' loads within 2 s, which a store never ends with more than some 700 engines: the estimate could not fall.

Change: 32 spare replicas a plan are decided on, contention is looked for less often with more than 100 engines, and 48 loads are enough.

--- a/pkg/balancer/pace_test.go
+++ b/pkg/balancer/pace_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// A report that comes back to its gateway looks younger than it is, and steered requests away from a
+// server that the gateway knew to be free again.
+func TestOwnMachineLoadsOutweighReports(t *testing.T) {
+	c := qt.New(t)
+	b := &Balancer{Zone: "z"}
+	b.UpdateBackend(begin(), &wire.Announcement{Id: "b", Service: "s", Address: "b", Zone: "z", Slots: 8})
+	b.ObserveMachineLoad(begin(), "b", 300)
+	b.ObserveMachineLoad(begin().Add(100*time.Millisecond), "b", 100)
+	now := begin().Add(400 * time.Millisecond)
+	b.ObserveLoads(now, []*wire.Load{{Backend: "b", MachineLoad: 300, MachineLoadAgeMs: 150}})
+	percent, age := b.MachineLoad(now, "b")
+	c.Check(percent, qt.Equals, 100)
+	c.Check(age, qt.Equals, 300*time.Millisecond)
+}
+
 // While no controller is reached, a gateway goes on with the paces that it knows, and with what it
 // measures itself, and forgets both when they are too old to be true.
 func TestPacesOutliveControllersForAShortTime(t *testing.T) {
--- a/pkg/placer/estimates.go
+++ b/pkg/placer/estimates.go
@@ -37,6 +37,11 @@
 	// comparableLoads times as many loads in flight. One or two such loads may be outliers.
 	comparableLoads = 0.6
 	minFastEngines  = 3
+	// evaluatedEngines is the number of engines from which contention is not looked for at the end
+	// of each load: that takes time in proportion to the engines. maxEvidence bounds the loads that
+	// are required, since a store ends no more of them in time for a larger system.
+	evaluatedEngines = 100
+	maxEvidence      = 48
 	// maxFastestAge is how long the fastest load of an engine shows that it is not slow.
 	maxFastestAge = 10 * time.Second
 	maxProofAge   = time.Second
@@ -83,6 +88,8 @@
 	contendedLoad time.Duration
 	// reducedAt is when storeConcurrency was last reduced: earlier loads do not count.
 	reducedAt time.Time
+	// skipped counts the loads since contention was last looked for.
+	skipped int
 }
 
 // learnHostAdapters updates hostAdapters to the number that contradicts the fewest recent loads
@@ -238,8 +245,12 @@
 // contended.
 func (s *LearnedState) learnContention(now time.Time) {
 	// A load at full speed with far fewer in flight is no evidence.
+	if s.store.skipped++; s.store.skipped <= len(s.store.nearLimit)/evaluatedEngines {
+		return
+	}
+	s.store.skipped = 0
 	loads := slices.DeleteFunc(recentLoads(now, s.store.nearLimit, s.slowEngines()), func(l storeLoad) bool { return s.fullSpeed(l) && l.fewest < nearLimit*s.storeConcurrency })
-	if len(loads) < max(storeWindow, len(s.caches)/4) {
+	if len(loads) < max(storeWindow, min(len(s.caches)/4, maxEvidence)) {
 		return
 	}
 	var shares, inFlight []float64
--- a/pkg/placer/estimates_test.go
+++ b/pkg/placer/estimates_test.go
@@ -119,6 +119,27 @@
 	}
 }
 
+// A store that carries more loads than the initial estimate, and whose loads take a little longer than
+// the policy says: none is at full speed, and none shows how long an uncontended one takes. The estimate
+// must rise to the 48 loads that 12 engines can have in flight nonetheless.
+func TestStoreConcurrencyLeavesItsInitialValue(t *testing.T) {
+	for name, ratio := range map[string]float64{"as the policy": 1, "a fifth longer": 1.2, "a third longer": 1.3} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newSimulation(c, 12, 14)
+			store := &fakeStore{concurrency: 104}
+			for _, f := range w.engines {
+				f.store, f.copies = store, 46
+			}
+			w.p.policy.ColdLoad = time.Duration(float64(coldLoad) / ratio)
+			w.p.coldLoad = w.p.policy.ColdLoad
+			w.advance(100 * time.Millisecond)
+			requestMany(w, 12*time.Second, 4)
+			c.Check(w.p.storeConcurrency >= 0.8*48, qt.IsTrue, qt.Commentf("%.0f", w.p.storeConcurrency))
+		})
+	}
+}
+
 // The estimate of the weight copies that an engine keeps fell by one with each slow load, from
 // 128 to 63 in half a minute where engines kept 46, and one outlier raised it at once. It must
 // be close after some dozens of loads.
--- a/pkg/placer/spares.go
+++ b/pkg/placer/spares.go
@@ -77,10 +77,12 @@
 		return
 	}
 	contested := p.slotsAreContested()
+	chosen := 0
 	for _, adapter := range slices.SortedFunc(maps.Keys(p.spareRequests), func(a, b string) int {
 		return cmp.Or(cmp.Compare(p.requestRate(now, b), p.requestRate(now, a)), compareText(a, b))
 	}) {
-		if p.grantSpare(now, adapter, p.spareRequests[adapter], contested) {
+		// The choice of an engine takes time in proportion to the engines.
+		if chosen++; chosen <= maxSpareChoices && p.grantSpare(now, adapter, p.spareRequests[adapter], contested) {
 			p.sparesGranted++
 		} else {
 			p.sparesDenied++
@@ -89,6 +91,10 @@
 	clear(p.spareRequests)
 }
 
+// maxSpareChoices bounds the spare replicas that one plan decides on. The others are denied, and
+// requested again if the reason remains.
+const maxSpareChoices = 32
+
 // slotsAreContested reports whether adapters wait for slots.
 func (p *Placer) slotsAreContested() bool {
 	if len(p.pendingLoads) > 0 {
