Drop old figures at gateways without followers, and decline waiting requests alone

Cause: figures of backend servers were dropped only where lists were asked for, so that a gateway without followers kept one for each incarnation. A relay passed a decline on to gateways that had only asked for a spare replica.

Change: the periodic tick drops them, and requests for spare replicas are not recorded. TestOldFiguresAreDropped and TestDeclinesDoNotConcernSpareReplicas failed before.

--- a/pkg/disseminator/disseminator_test.go
+++ b/pkg/disseminator/disseminator_test.go
@@ -228,6 +228,33 @@
 	c.Check(d.Answer(begin(), call("b"), nil).GetDeclined(), qt.HasLen, 0)
 }
 
+// Nothing waits for a spare replica: a follower that asked for one must not refuse requests for its
+// adapter when the leader declines a load for another one.
+func TestDeclinesDoNotConcernSpareReplicas(t *testing.T) {
+	c := qt.New(t)
+	d := newDisseminator()
+	d.Receive(begin(), fromLeader(1))
+	d.ObserveFollower(begin(), call("a"))
+	d.ObserveWants(begin(), "a", []*wire.Want{{Adapter: "m/x", Spare: true}})
+	res := fromLeader(1)
+	res.Declined = []string{"m/x"}
+	d.Receive(begin(), res)
+	c.Check(d.Answer(begin(), call("a"), nil).GetDeclined(), qt.HasLen, 0)
+}
+
+// A gateway without followers kept the figures of each incarnation that it had ever heard of.
+func TestOldFiguresAreDropped(t *testing.T) {
+	c := qt.New(t)
+	d := newDisseminator()
+	now := begin()
+	for i := range 100 {
+		now = now.Add(time.Minute)
+		d.receiveLoads(now, &wire.SyncResponse{HasLoads: true, Loads: []*wire.Load{{Backend: fmt.Sprint("b", i), Requests: 1, MachineLoad: 100}}})
+		d.Tick(now)
+	}
+	c.Check(len(d.allLoads.backends) <= 2, qt.IsTrue, qt.Commentf("%d", len(d.allLoads.backends)))
+}
+
 // The leader's list of suspects is sent to all followers, soon and once; a delayed older one
 // changes nothing.
 func TestSuspectsAreForwarded(t *testing.T) {
--- a/pkg/disseminator/followers.go
+++ b/pkg/disseminator/followers.go
@@ -58,12 +58,17 @@
 		return
 	}
 	for _, w := range wants {
-		f.wants[w.GetAdapter()] = now
+		// Nothing waits for a spare replica, so that a decline does not concern it.
+		if !w.GetSpare() {
+			f.wants[w.GetAdapter()] = now
+		}
 	}
 }
 
-// Tick removes followers whose lease has expired.
+// Tick removes followers whose lease has expired, and figures that are too old.
 func (d *Disseminator) Tick(now time.Time) {
+	d.followerLoads.prune(now)
+	d.allLoads.prune(now)
 	for name, f := range d.followers {
 		if now.Sub(f.lastCallAt) > FollowerLease {
 			d.followerLoads.Remove(f.loads)
