--- a/gateway/granter/granter.go
+++ b/gateway/granter/granter.go
@@ -18,7 +18,7 @@
 
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
-	"bronzelead.example/pkg/periodic"
+	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
@@ -100,7 +100,7 @@
 
 // Run removes unused state and logs usage until ctx ends.
 func (g *Granter) Run(ctx context.Context) {
-	periodic.Run(ctx, g.Clock, sweepInterval, func() {
+	repeater.Run(ctx, g.Clock, sweepInterval, func() {
 		g.sweep()
 		g.logUsage()
 	})
--- a/gateway/isolator/isolator.go
+++ b/gateway/isolator/isolator.go
@@ -15,8 +15,8 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
-	"bronzelead.example/pkg/periodic"
 	"bronzelead.example/pkg/quarantiner"
+	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -87,7 +87,7 @@
 
 // Run does the periodic work until ctx ends.
 func (i *Isolator) Run(ctx context.Context) {
-	periodic.Run(ctx, i.Clock, tickInterval, i.tick)
+	repeater.Run(ctx, i.Clock, tickInterval, i.tick)
 }
 
 func (i *Isolator) tick() {
--- a/gateway/regulator/regulator_test.go
+++ b/gateway/regulator/regulator_test.go
@@ -328,7 +328,7 @@
 	c.Check(slot().Granted, qt.IsTrue)
 }
 
-// The owner is told how long the latest run took, once, so that message latency does not count as
+// The owner receives how long the latest run took, once, so that message latency does not count as
 // service time.
 func TestLastRunIsReportedToTheOwner(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/relayer/relayer.go
+++ b/gateway/relayer/relayer.go
@@ -18,7 +18,7 @@
 	"bronzelead.example/gateway/granter"
 	"bronzelead.example/pkg/disseminator"
 	"bronzelead.example/pkg/meter"
-	"bronzelead.example/pkg/periodic"
+	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
@@ -78,7 +78,7 @@
 
 // Run answers calls whose wait is over until ctx ends.
 func (r *Relayer) Run(ctx context.Context) {
-	periodic.Run(ctx, r.Clock, checkInterval, r.check)
+	repeater.Run(ctx, r.Clock, checkInterval, r.check)
 }
 
 func (r *Relayer) check() {
--- a/pkg/balancer/pace_test.go
+++ b/pkg/balancer/pace_test.go
@@ -64,7 +64,7 @@
 	c.Check(age, qt.Equals, 300*time.Millisecond)
 }
 
-// While no controller is reached, a gateway goes on with the paces that it knows, and with what it
+// While no controller is reached, a gateway keeps using the paces that it knows, and what it
 // measures itself, and forgets both when they are too old to be true.
 func TestPacesOutliveControllersForAShortTime(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/balancer/uneven_test.go
+++ b/pkg/balancer/uneven_test.go
@@ -366,9 +366,8 @@
 	}
 }
 
-// A quarter of the gateways reaches no controller for six seconds, and its loads are dropped there. It
-// goes on with the paces that it knows, and the others with what they have: the work of the slow
-// engines stays what they can do.
+// A quarter of the gateways reaches no controller for six seconds, and its loads are dropped there. All
+// gateways keep using the paces that they know, so that slow engines get no more work than they can do.
 func TestUnevenServersDuringACut(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/pkg/disseminator/disseminator_test.go
+++ b/pkg/disseminator/disseminator_test.go
@@ -242,7 +242,7 @@
 	c.Check(d.Answer(begin(), call("a"), nil).GetDeclined(), qt.HasLen, 0)
 }
 
-// A gateway without followers kept the figures of each incarnation that it had ever heard of.
+// A gateway without followers kept the figures of each incarnation of which it had received any.
 func TestOldFiguresAreDropped(t *testing.T) {
 	c := qt.New(t)
 	d := newDisseminator()
--- a/pkg/periodic/periodic.go
+++ b/pkg/repeater/repeater.go
@@ -1,5 +1,5 @@
-// Package periodic runs the periodic work of a component.
-package periodic
+// Package repeater runs the periodic work of a component.
+package repeater
 
 import (
 	"context"
--- a/pkg/periodic/periodic_test.go
+++ b/pkg/repeater/repeater_test.go
@@ -1,4 +1,4 @@
-package periodic_test
+package repeater_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
-	"bronzelead.example/pkg/periodic"
+	"bronzelead.example/pkg/repeater"
 )
 
 // The work runs once per interval, not before the first one, and Run returns once ctx has ended.
@@ -20,7 +20,7 @@
 	called, returned := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(returned)
-		periodic.Run(ctx, clock, time.Second, func() { called <- struct{}{} })
+		repeater.Run(ctx, clock, time.Second, func() { called <- struct{}{} })
 	}()
 	c.Assert(clock.BlockUntilContext(ctx, 1), qt.IsNil)
 	for range 3 {
