Log which backend servers a gateway can open connections to

Nothing said whether a gateway that refused a request had reached any backend server, over new or kept connections. pathtracker records the outcome of each attempt to open a connection and of answers on kept ones; while any attempt fails, each second has a line per service with these counts, how many backend servers are unreachable and whether the gateway counts as ready. Nothing is decided by it yet.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"bronzelead.example/pkg/matcher"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/pacer"
+	"bronzelead.example/pkg/pathtracker"
 	"bronzelead.example/pkg/retrylimiter"
 	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
@@ -116,6 +117,10 @@
 	constrainedSends constrainedSends
 	// overloadRefusals counts since the last log line.
 	overloadRefusals map[overloadRefusal]int
+	// paths tracks which backend servers connections can be opened to, and unreachable are the
+	// services whose backend servers were logged as not reachable.
+	paths       pathtracker.Tracker
+	unreachable map[string]bool
 }
 
 // Init prepares the forwarder for calls before Run.
@@ -132,6 +137,10 @@
 	f.pacingActivations = map[string]*pacer.Activation{}
 	f.constrainedSends = constrainedSends{}
 	f.overloadRefusals = map[overloadRefusal]int{}
+	f.unreachable = map[string]bool{}
+	if f.Sender != nil {
+		f.Sender.ObserveDial, f.Sender.ObserveKept = f.observeDial, f.observeKept
+	}
 	f.initIsolator()
 	f.initGranter()
 }
@@ -162,6 +171,7 @@
 			f.logConstrainedSends()
 			f.logOverloadRefusals()
 			f.logAboveShare()
+			f.logPaths()
 			f.measurePaces()
 		}
 	}
@@ -219,6 +229,9 @@
 	for _, a := range list {
 		f.balancer.UpdateBackend(now, a)
 		f.Isolator.ObserveAnnouncement(a)
+		if a.GetReplaced() || a.GetGone() {
+			f.paths.Forget(a.GetService(), a.GetId())
+		}
 		switch {
 		case a.GetReplaced():
 			f.Sender.CloseAll(a.GetId())
--- a/gateway/sender/dial.go
+++ b/gateway/sender/dial.go
@@ -8,9 +8,11 @@
 	"time"
 )
 
-func (s *Sender) dial(ctx context.Context, address string) (*connection, error) {
-	dialer := &net.Dialer{Timeout: s.DialTimeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+func (s *Sender) dial(ctx context.Context, backend, address string) (*connection, error) {
+	c, err := s.open(ctx, address)
+	if s.ObserveDial != nil && (err == nil || ctx.Err() == nil) {
+		s.ObserveDial(backend, err)
+	}
 	if err != nil {
 		return nil, wrap("Dial", KindNotSent, err)
 	}
@@ -20,9 +22,20 @@
 	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
 }
 
+// open opens a connection within DialTimeout.
+func (s *Sender) open(ctx context.Context, address string) (net.Conn, error) {
+	if s.DialContext == nil {
+		dialer := &net.Dialer{Timeout: s.DialTimeout, KeepAlive: -1}
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.DialTimeout)
+	defer cancel()
+	return s.DialContext(ctx, "tcp", address)
+}
+
 // Probe opens a connection to a backend server, which the next request there uses.
 func (s *Sender) Probe(ctx context.Context, backend, address string) error {
-	l, err := s.dial(ctx, address)
+	l, err := s.dial(ctx, backend, address)
 	if err != nil {
 		return err
 	}
--- a/gateway/sender/fault.go
+++ b/gateway/sender/fault.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"net"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -47,6 +48,15 @@
 // exited.
 func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// IsTimeout reports whether nothing answered at an address.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// IsConnectionReset reports whether a connection was reset.
+func IsConnectionReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
 func wrap(operation string, kind Kind, err error) error {
 	return &Error{Operation: operation, Kind: kind, cause: err}
 }
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -43,6 +43,12 @@
 	// IsOwnResponse reports whether an answer belongs to the request with an id, and for how
 	// long the connection may then stay idle; 0 if unknown.
 	IsOwnResponse func(head *framer.ResponseHead, requestID string) (own bool, idle time.Duration)
+	// DialContext opens connections; nil is a net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// ObserveDial is called after each attempt to open a connection that ctx did not end, and
+	// ObserveKept for each answer on a connection that was open before; nil ignores them.
+	ObserveDial func(backend string, err error)
+	ObserveKept func(backend string)
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -55,6 +61,8 @@
 	net.Conn
 	reader    *bufio.Reader
 	idleUntil time.Time
+	// kept is set once it was idle.
+	kept bool
 }
 
 // Request is a request to be sent.
@@ -124,6 +132,9 @@
 		}
 		if own {
 			in.written = written
+			if l.kept && s.ObserveKept != nil {
+				s.ObserveKept(out.Backend)
+			}
 			return in, nil
 		}
 		// A second answer to an earlier request, in place of this request's answer.
@@ -247,7 +258,7 @@
 			return l, nil
 		}
 	}
-	return s.dial(ctx, out.Address)
+	return s.dial(ctx, out.Backend, out.Address)
 }
 
 // takeIdle returns the most recently used idle connection that is still usable.
@@ -314,6 +325,7 @@
 func (s *Sender) addIdle(backend string, l *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	l.kept = true
 	if s.idle == nil {
 		s.idle = map[string][]*connection{}
 	}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -215,6 +215,17 @@
 	return slices.ContainsFunc(b.byService[service], func(k *backend) bool { return k.accepting() })
 }
 
+// Accepting returns the number of a service's backend servers that take requests.
+func (b *Balancer) Accepting(service string) int {
+	n := 0
+	for _, k := range b.byService[service] {
+		if k.accepting() {
+			n++
+		}
+	}
+	return n
+}
+
 // AllAmong reports whether all backend servers of a service that take requests are in a list, and
 // there are any. Those that are paused or have failed may still serve a request.
 func (b *Balancer) AllAmong(service string, ids []string) bool {
