--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -50,6 +51,10 @@
 	Log      *slog.Logger
 	// Reload triggers reading the file again.
 	Reload <-chan struct{}
+	// OnStarted is called once the gateway serves; nil is not called.
+	OnStarted func()
+	// DialContext opens connections to backend servers; nil is a net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	seeds           atomic.Pointer[[]string]
 	stopping        atomic.Bool
@@ -93,6 +98,9 @@
 		r.Log.Warn("mechanisms are switched off for an experiment", "Off", off.String())
 	}
 	r.Log.Info("the gateway serves", "Address", r.frontend.Addr(), "Seeds", r.Settings.Controllers.Seeds)
+	if r.OnStarted != nil {
+		r.OnStarted()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -127,6 +135,7 @@
 		Sender: &sender.Sender{
 			Clock: r.Clock, DialTimeout: s.Backends.DialTimeout, MaxIdle: s.Backends.MaxIdle,
 			IdleMargin: s.Backends.IdleMargin, UserTimeout: s.Backends.Unacknowledged, IsOwnResponse: isOwnResponse,
+			DialContext: r.DialContext,
 		},
 	}
 	r.regulator.OnPeerPauses = r.forwarder.ObservePeerPauses
