Open connections through other gateways where direct ones fail

What callers saw: gateways that had lost their links to all backend servers served 8 of 370 and 0 of 311 first attempts, the others 1,031 of 1,040 and 1,059 of 1,068.

Cause: the failure of a connection was taken for a failure of the backend server at its end. A gateway had no other way to it, tried four in turn and refused, while other gateways that it reached had working links to all.

Change: a gateway that can't open a connection to a backend server asks another one whether it can. If so, the path has failed and not the server: connections to it lead through other gateways, as tunnels that carry bytes only, until a direct probe succeeds; the ejection for these failures is lifted. If three backend servers of a service fail, none reached since, all of the service are reached that way at once. If nothing is received from anybody for 0.4 s while requests wait, some are probed. A gateway opens direct connections for others only, so that a tunnel has one hop, and none to servers that it does not reach itself or that asked it for a backoff; backoffs are shared between the two. A refused connection counts as the end of a process only if a second gateway is refused too, or none can tell.

All decisions on a request stay at the gateway that received it, so that nothing changes in what is known of a request whose connection breaks.

TestWaitForTableIsBounded waits for one more ticker of the forwarder's loop.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -21,6 +21,7 @@
 	"bronzelead.example/gateway/relayer"
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/gateway/synchronizer"
+	"bronzelead.example/gateway/tunneler"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/server"
@@ -34,6 +35,9 @@
 	// callerFilesDivisor sets the part of the file descriptors that callers may use, as a
 	// divisor.
 	callerFilesDivisor = 2
+	// tunnelFilesDivisor sets the number of tunnels for other gateways, each with two file
+	// descriptors, as a divisor of all descriptors.
+	tunnelFilesDivisor = 8
 	// memoryLimitPercent is the percentage of the instance's memory from which the garbage
 	// collector works harder. Stacks and bytes in sockets come on top.
 	memoryLimitPercent = 60
@@ -63,6 +67,7 @@
 	synchronizer    *synchronizer.Synchronizer
 	relayer         *relayer.Relayer
 	regulator       *regulator.Regulator
+	tunneler        *tunneler.Tunneler
 	granter         *granter.Granter
 	isolator        *isolator.Isolator
 	enforcer        *quotaenforcer.Enforcer
@@ -83,6 +88,7 @@
 	go r.relayer.Run(background)
 	go r.regulator.Run(background)
 	go r.granter.Run(background)
+	go r.tunneler.Run(background)
 	go r.isolator.Run(background)
 	go r.enforcer.Run(background)
 	go r.sendAdapterRequests(background)
@@ -127,8 +133,13 @@
 		Upstream: func() string { return r.synchronizer.Leader() }, Term: func() uint64 { return r.synchronizer.Term() },
 	}
 	r.enforcer.Init()
+	r.tunneler = &tunneler.Tunneler{
+		Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: s.meshAddress(), Zone: s.Instance.Zone,
+		MaxTunnels: s.Instance.MaxFiles / tunnelFilesDivisor, Gateways: func() []*wire.GatewayEntry { return r.relayer.Gateways() },
+	}
+	r.tunneler.Init()
 	r.forwarder = &forwarder.Forwarder{
-		Regulator: r.regulator, Granter: r.granter, Isolator: r.isolator, QuotaEnforcer: r.enforcer,
+		Tunneler: r.tunneler, Regulator: r.regulator, Granter: r.granter, Isolator: r.isolator, QuotaEnforcer: r.enforcer,
 		Clock: r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, RequestAdapters: r.requestAdapters, Disabled: s.off(),
 		Budget: forwarder.RetryBudget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
 		Keys:   forwarder.KeyPolicy{Strict: s.Keys.Strict, StaleAfter: s.Keys.StaleAfter},
@@ -166,6 +177,9 @@
 	meshMux.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.relayer))
 	meshMux.Handle(wire.LimitsPathPrefix, wire.NewLimitsServer(r.enforcer))
 	meshMux.Handle(wire.ThrottlingPathPrefix, wire.NewThrottlingServer(&granter.Server{Granter: r.granter}))
+	tunnels := &tunneler.Server{Tunneler: r.tunneler}
+	meshMux.Handle(tunneler.Path, tunnels)
+	meshMux.Handle(wire.TunnelingPathPrefix, wire.NewTunnelingServer(tunnels))
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{Address: s.meshAddress(), Handler: meshMux, Log: r.Log}
 }
@@ -241,6 +255,7 @@
 	<-r.Clock.After(s.Drain - s.Take)
 	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-s.Drain-stopMargin)
 	defer cancel()
+	go r.tunneler.Quiesce(ctx)
 	err := r.frontend.Stop(ctx)
 	if err != nil {
 		r.Log.Warn("requests were still running at the stop", "Error", err.Error())
--- a/gateway/forwarder/arrival_test.go
+++ b/gateway/forwarder/arrival_test.go
@@ -36,10 +36,10 @@
 	address, _ := newGateway(c, clock)
 	answered := make(chan clientResponse, 1)
 	go func() { answered <- call(c, address, "/once/") }()
-	// The forwarder's two tickers and the request's timer.
+	// The forwarder's three tickers and the request's timer.
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	c.Assert(clock.BlockUntilContext(ctx, 3), qt.IsNil)
+	c.Assert(clock.BlockUntilContext(ctx, 4), qt.IsNil)
 	clock.Advance(maxTableWait)
 	g := <-answered
 	c.Check(g.status, qt.Equals, http.StatusServiceUnavailable)
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -76,6 +76,7 @@
 // handleResponse handles the answer to an attempt, and reports whether to retry the request.
 func (f *Forwarder) handleResponse(ctx context.Context, j *job, d balancer.Decision, in *sender.Response) bool {
 	answer := platform.DecodeResponse(in.Head)
+	j.via = in.Via
 	f.observeLimit(j, in.Head.Status, answer)
 	f.observeConstraints(j, in.Head.Status, answer)
 	f.observeLoad(j, in.Head.Status, answer)
@@ -158,7 +159,7 @@
 		return false
 	}
 	if sender.KindOf(err) == sender.KindNotSent {
-		if sender.IsConnectionRefused(err) {
+		if f.Tunneler == nil && sender.IsConnectionRefused(err) {
 			f.Isolator.RecordExit(backend.GetId())
 		}
 		f.recordOutcome(j, backend.GetId(), balancer.Unreachable)
--- a/gateway/forwarder/constraint.go
+++ b/gateway/forwarder/constraint.go
@@ -38,6 +38,9 @@
 		ended = f.balancer.Accepted(now, id)
 	}
 	f.mu.Unlock()
+	if begins && f.Tunneler != nil {
+		f.Tunneler.ShareBackOff(id, answer.Backoff, j.via, "")
+	}
 	if begins {
 		f.Meter.Increment("backend_constraints", "kind", string(balancer.BackingOff))
 		f.Log.Info("backend server accepts no requests for a time", "Backend", id, "Service", j.service, "For", answer.Backoff.Milliseconds(),
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"bronzelead.example/gateway/quotaenforcer"
 	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/sender"
+	"bronzelead.example/gateway/tunneler"
 	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/ageestimator"
 	"bronzelead.example/pkg/balancer"
@@ -77,6 +78,8 @@
 	Granter *granter.Granter
 	// QuotaEnforcer enforces customers' limits; nil admits all requests.
 	QuotaEnforcer *quotaenforcer.Enforcer
+	// Tunneler opens connections to backend servers through other gateways; nil opens none.
+	Tunneler *tunneler.Tunneler
 	// RequestAdapters asks the leader for adapters. It must not block.
 	RequestAdapters func(wants []*wire.Want)
 	// LeaderAge returns the age of the leader's state that decisions rest on; nil means age 0.
@@ -117,10 +120,14 @@
 	constrainedSends constrainedSends
 	// overloadRefusals counts since the last log line.
 	overloadRefusals map[overloadRefusal]int
-	// paths tracks which backend servers connections can be opened to, and unreachable are the
-	// services whose backend servers were logged as not reachable.
-	paths       pathtracker.Tracker
-	unreachable map[string]bool
+	// paths tracks which backend servers connections can be opened to, and partitionedAt is since
+	// when services were logged as not reachable.
+	paths         pathtracker.Tracker
+	partitionedAt map[string]time.Time
+	// probing are the services with a series of probes in progress, and quietProbeAt is when
+	// backend servers were last probed since nothing was received from any.
+	probing      map[string]bool
+	quietProbeAt time.Time
 }
 
 // Init prepares the forwarder for calls before Run.
@@ -137,10 +144,7 @@
 	f.pacingActivations = map[string]*pacer.Activation{}
 	f.constrainedSends = constrainedSends{}
 	f.overloadRefusals = map[overloadRefusal]int{}
-	f.unreachable = map[string]bool{}
-	if f.Sender != nil {
-		f.Sender.ObserveDial, f.Sender.ObserveKept = f.observeDial, f.observeKept
-	}
+	f.initPaths()
 	f.initIsolator()
 	f.initGranter()
 }
@@ -159,12 +163,16 @@
 	defer pump.Stop()
 	sweep := f.Clock.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	probe := f.Clock.NewTicker(probeInterval)
+	defer probe.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-pump.Chan():
 			f.deliverDecisions()
+		case <-probe.Chan():
+			f.probePaths(ctx)
 		case <-sweep.Chan():
 			f.Sender.CloseExpired()
 			f.logOutcomes()
@@ -227,6 +235,9 @@
 // applyAnnouncements applies changes of backend servers. The caller holds the lock.
 func (f *Forwarder) applyAnnouncements(now time.Time, list []*wire.Announcement) {
 	for _, a := range list {
+		if f.balancer.Backend(a.GetId()) == nil {
+			f.paths.RecordAnnounced(now, a.GetService(), a.GetId())
+		}
 		f.balancer.UpdateBackend(now, a)
 		f.Isolator.ObserveAnnouncement(a)
 		if a.GetReplaced() || a.GetGone() {
--- a/gateway/forwarder/isolation.go
+++ b/gateway/forwarder/isolation.go
@@ -93,11 +93,15 @@
 // probeTimeout bounds the check whether anything listens at an address.
 const probeTimeout = time.Second
 
-// processExited reports whether nothing listens any more at the address of an incarnation.
+// processExited reports whether nothing listens any more at the address of an incarnation. A
+// connection that is refused may be the fault of the path, if another gateway reaches it.
 func (f *Forwarder) processExited(ctx context.Context, backend, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return sender.IsConnectionRefused(f.Sender.Probe(ctx, backend, address))
+	if !sender.IsConnectionRefused(f.Sender.Probe(ctx, backend, address)) {
+		return false
+	}
+	return f.Tunneler == nil || f.Tunneler.Check(ctx, backend, address) != wire.Reach_REACH_CONNECTED
 }
 
 // initIsolator prepares the isolator, and creates one if there is none.
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -43,6 +43,8 @@
 	runs        int
 	lastBackend *wire.Announcement
 	sentAt      time.Time
+	// via is the gateway that the latest answer came through; empty if it came directly.
+	via string
 	// lastEventID is the last event that the caller has received; empty before the first.
 	lastEventID string
 	waited      time.Duration
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -60,6 +60,9 @@
 	if backend != nil {
 		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
 	}
+	if j.via != "" {
+		list = append(list, "Via", j.via)
+	}
 	list = append(list, f.limitAttributes(j, backend.GetId())...)
 	if j.paused != "" {
 		list = append(list, "PausedBackend", j.paused)
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -3,7 +3,6 @@
 package sender
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -45,10 +44,15 @@
 	IsOwnResponse func(head *framer.ResponseHead, requestID string) (own bool, idle time.Duration)
 	// DialContext opens connections; nil is a net.Dialer.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
-	// ObserveDial is called after each attempt to open a connection that ctx did not end, and
+	// ObserveDial is called after each attempt to open a direct connection that ctx did not end, and
 	// ObserveKept for each answer on a connection that was open before; nil ignores them.
 	ObserveDial func(backend string, err error)
 	ObserveKept func(backend string)
+	// Detour opens connections where no direct one can be; nil is none.
+	Detour *Detour
+
+	received     *receipts
+	receivedOnce sync.Once
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -56,15 +60,6 @@
 	busy map[string]map[*connection]struct{}
 }
 
-// connection is one connection to a backend server.
-type connection struct {
-	net.Conn
-	reader    *bufio.Reader
-	idleUntil time.Time
-	// kept is set once it was idle.
-	kept bool
-}
-
 // Request is a request to be sent.
 type Request struct {
 	// Backend and Address identify the backend server.
@@ -94,6 +89,8 @@
 	idle    time.Duration
 	stop    func() bool
 	written <-chan error
+	// Via is the instance that the answer came through; empty if it came directly.
+	Via string
 }
 
 // Send sends a request and returns the answer's head. When ctx ends the connection is closed,
@@ -214,7 +211,7 @@
 			return nil, false, wrap("Send", KindMalformed, err)
 		}
 		own, idle := s.IsOwnResponse(head, out.RequestID)
-		return &Response{Head: head, Body: body, sender: s, conn: l, backend: out.Backend, idle: idle}, own, nil
+		return &Response{Head: head, Body: body, Via: l.via, sender: s, conn: l, backend: out.Backend, idle: idle}, own, nil
 	}
 }
 
@@ -283,7 +280,7 @@
 
 // isUsable reports whether a connection is open and has received no unsolicited data.
 func isUsable(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -305,7 +302,7 @@
 	if announced > 0 {
 		idle = min(idle, announced-s.IdleMargin)
 	}
-	if idle <= 0 {
+	if idle <= 0 || l.via != "" && !s.needsDetour(backend) {
 		_ = l.Close()
 		return
 	}
@@ -362,6 +359,7 @@
 	if s.busy[backend] == nil {
 		s.busy[backend] = map[*connection]struct{}{}
 	}
+	l.sentAt = s.Clock.Now()
 	s.busy[backend][l] = struct{}{}
 }
 
@@ -388,10 +386,5 @@
 
 // CloseIdle closes the idle connections to a backend server.
 func (s *Sender) CloseIdle(backend string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, l := range s.idle[backend] {
-		_ = l.Close()
-	}
-	delete(s.idle, backend)
+	s.closeIdle(backend, func(*connection) bool { return true })
 }
--- /dev/null
+++ b/gateway/tunneler/serving.go
@@ -0,0 +1,232 @@
+package tunneler
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// copyBufferSize is the size of the two buffers of a tunnel.
+	copyBufferSize = 8 << 10
+	// tunnelIdleTimeout is how long a tunnel may carry nothing: longer than any request waits for
+	// its answer, so that it only ends tunnels whose gateway is gone.
+	tunnelIdleTimeout = 5 * time.Minute
+	// quietTime is how long a tunnel carries nothing before a gateway that is stopping closes it.
+	quietTime = 500 * time.Millisecond
+)
+
+// served is a tunnel for another gateway.
+type served struct {
+	backend string
+	// gateway is the address of the other gateway.
+	gateway string
+	// downstream leads to the other gateway, and upstream to the backend server.
+	downstream, upstream net.Conn
+	// usedAt is when it carried bytes last, in ns of Unix time.
+	usedAt atomic.Int64
+}
+
+// Server serves tunnels and calls of other gateways.
+type Server struct {
+	Tunneler *Tunneler
+}
+
+// ServeHTTP opens a tunnel for another gateway and serves it until it ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t := s.Tunneler
+	backend, address := r.URL.Query().Get(paramBackend), r.URL.Query().Get(paramAddress)
+	if r.Method != http.MethodGet || r.Header.Get("Upgrade") != protocolName {
+		http.Error(w, "a request for a tunnel names its protocol", http.StatusBadRequest)
+		return
+	}
+	if !t.serves(backend, address) {
+		http.Error(w, "no connections to this backend server are opened here", http.StatusServiceUnavailable)
+		return
+	}
+	upstream, err := t.Dial(r.Context(), backend, address)
+	if err != nil {
+		http.Error(w, err.Error(), statusOf(reachOf(err)))
+		return
+	}
+	downstream, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		_ = upstream.Close()
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tunnel := &served{backend: backend, gateway: r.Header.Get(headerGateway), downstream: downstream, upstream: upstream}
+	if buffered.Reader.Buffered() > 0 || !t.add(tunnel) {
+		tunnel.reset()
+		return
+	}
+	defer t.remove(tunnel)
+	_, err = io.WriteString(downstream, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocolName+"\r\n\r\n")
+	if err != nil {
+		tunnel.reset()
+		return
+	}
+	t.Meter.Increment("tunnels", "gateway", tunnel.gateway)
+	tunnel.serve(t)
+}
+
+// Check opens a connection to a backend server and reports the outcome.
+func (s *Server) Check(ctx context.Context, req *wire.CheckRequest) (*wire.CheckResponse, error) {
+	t := s.Tunneler
+	if !t.serves(req.GetBackend(), req.GetAddress()) {
+		return &wire.CheckResponse{}, nil
+	}
+	return &wire.CheckResponse{Reach: reachOf(t.Probe(ctx, req.GetBackend(), req.GetAddress()))}, nil
+}
+
+// Constrain applies a backoff that another gateway was asked for.
+func (s *Server) Constrain(_ context.Context, req *wire.ConstrainRequest) (*wire.ConstrainResponse, error) {
+	t := s.Tunneler
+	d := time.Duration(req.GetBackoffMs()) * time.Millisecond
+	if t.BackOff(req.GetBackend(), d) {
+		t.ShareBackOff(req.GetBackend(), d, "", req.GetGateway())
+	}
+	return &wire.ConstrainResponse{}, nil
+}
+
+// serves reports whether connections to the incarnation at an address are opened for others.
+func (t *Tunneler) serves(backend, address string) bool {
+	known, _ := t.Resolve(backend)
+	t.mu.Lock()
+	full := t.quiescing || t.MaxTunnels > 0 && len(t.served) >= t.MaxTunnels
+	t.mu.Unlock()
+	return known != "" && known == address && !full && !t.Declines(backend)
+}
+
+func reachOf(err error) wire.Reach {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return wire.Reach_REACH_CONNECTED
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return wire.Reach_REACH_REFUSED
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return wire.Reach_REACH_TIMED_OUT
+	}
+	return wire.Reach_REACH_UNKNOWN
+}
+
+func statusOf(r wire.Reach) int {
+	switch r {
+	case wire.Reach_REACH_REFUSED:
+		return http.StatusBadGateway
+	case wire.Reach_REACH_TIMED_OUT:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// add adds a tunnel, unless there are too many.
+func (t *Tunneler) add(s *served) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.quiescing || t.MaxTunnels > 0 && len(t.served) >= t.MaxTunnels {
+		return false
+	}
+	s.usedAt.Store(t.Clock.Now().UnixNano())
+	t.served[s] = struct{}{}
+	return true
+}
+
+func (t *Tunneler) remove(s *served) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.served, s)
+}
+
+// Quiesce serves no further tunnels, and ends the others once they carry nothing, until ctx ends.
+func (t *Tunneler) Quiesce(ctx context.Context) {
+	t.mu.Lock()
+	t.quiescing = true
+	t.mu.Unlock()
+	ticker := t.Clock.NewTicker(quietTime / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			t.closeQuiet()
+		}
+	}
+}
+
+func (t *Tunneler) closeQuiet() {
+	since := t.Clock.Now().Add(-quietTime).UnixNano()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s := range t.served {
+		if s.usedAt.Load() < since {
+			_ = s.downstream.Close()
+		}
+	}
+}
+
+// serve copies bytes both ways until the tunnel ends.
+func (s *served) serve(t *Tunneler) {
+	var answers sync.WaitGroup
+	answers.Go(func() { s.copy(t, s.downstream, s.upstream) })
+	s.copy(t, s.upstream, s.downstream)
+	answers.Wait()
+	_ = s.downstream.Close()
+	_ = s.upstream.Close()
+}
+
+// copy copies bytes one way. An end of the backend server's bytes is passed on, so that an
+// answer that ends with its connection stays complete; a reset is passed on as one. The other
+// gateway never ends its bytes alone, so that an end there ends the tunnel.
+func (s *served) copy(t *Tunneler, to, from net.Conn) {
+	buf := make([]byte, copyBufferSize)
+	for {
+		_ = from.SetReadDeadline(time.Now().Add(tunnelIdleTimeout))
+		n, err := from.Read(buf)
+		if n > 0 {
+			s.usedAt.Store(t.Clock.Now().UnixNano())
+			if _, err := to.Write(buf[:n]); err != nil {
+				s.reset()
+				return
+			}
+		}
+		switch {
+		case err == io.EOF && from == s.upstream:
+			closeWrite(to)
+			return
+		case err == io.EOF:
+			_ = s.upstream.Close()
+			return
+		case err != nil:
+			s.reset()
+			return
+		}
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// reset ends the tunnel at both ends, so that an answer in progress does not look complete.
+func (s *served) reset() {
+	for _, c := range []net.Conn{s.downstream, s.upstream} {
+		if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
--- a/pkg/balancer/backend.go
+++ b/pkg/balancer/backend.go
@@ -247,6 +247,13 @@
 	return k.failureRate * math.Exp2(-float64(now.Sub(k.failureRateAt))/float64(failureHalfLife))
 }
 
+// Reinstate ends the ejection of a backend server whose failures were those of the path to it.
+func (b *Balancer) Reinstate(id string) {
+	if k := b.backends[id]; k != nil {
+		k.failureRate, k.ejectedUntil, k.ejectionDuration = 0, time.Time{}, 0
+	}
+}
+
 func (k *backend) recordSuccess(now time.Time) {
 	k.lastSuccess = now
 	k.failureRate, k.failureRateAt = k.currentFailureRate(now)*(1-failureWeight), now
--- a/pkg/balancer/backoff.go
+++ b/pkg/balancer/backoff.go
@@ -51,6 +51,12 @@
 	return begins
 }
 
+// IsBackingOff reports whether a backend server accepts no requests of this gateway.
+func (b *Balancer) IsBackingOff(now time.Time, id string) bool {
+	k := b.backends[id]
+	return k != nil && k.backoff.active(now)
+}
+
 // Accepted records that a backend server has not rejected a request. After a backoff it returns
 // for how long the backend server has accepted none; otherwise 0. An answer during a backoff is
 // to an earlier request and does not end it.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -242,6 +242,28 @@
 	return found
 }
 
+// Backend returns the announcement of a known backend server, or nil.
+func (b *Balancer) Backend(id string) *wire.Announcement {
+	if k := b.backends[id]; k != nil {
+		return k.info
+	}
+	return nil
+}
+
+// AcceptingBackends returns the announcements of a service's backend servers that take requests.
+func (b *Balancer) AcceptingBackends(service string) []*wire.Announcement {
+	var list []*wire.Announcement
+	for _, k := range b.byService[service] {
+		if k.accepting() {
+			list = append(list, k.info)
+		}
+	}
+	return list
+}
+
+// Services returns the services with known backend servers.
+func (b *Balancer) Services() []string { return slices.Sorted(maps.Keys(b.byService)) }
+
 // ServiceOf returns the service of a known backend server, or "".
 func (b *Balancer) ServiceOf(id string) string {
 	if k := b.backends[id]; k != nil {
--- a/pkg/pathtracker/pathtracker.go
+++ b/pkg/pathtracker/pathtracker.go
@@ -1,17 +1,31 @@
-// Package pathtracker records which backend servers a gateway can open connections to, and tells
-// a gateway that is partitioned from them apart from backend servers that fail one by one. It is
-// pure: events and the time are passed in.
+// Package pathtracker tracks which backend servers a gateway can open connections to, and decides
+// which of them it reaches through other gateways. A failed connection says something about the
+// path or about the backend server: what another gateway sees of the same backend server tells
+// them apart. It is pure: events and the time are passed in.
 package pathtracker
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 const (
 	// partitionQuorum is how many backend servers of a service must be unreachable, none
-	// reached since, before the service counts as unreachable. One or two often fail together.
+	// reached since, before the gateway counts as partitioned from the service. One or two
+	// often fail together.
 	partitionQuorum = 3
+	// suspicionQuorum is the same for a suspicion, on which a connection that has just failed
+	// is opened through another gateway at once.
+	suspicionQuorum = 2
 	// retention is how long an outcome counts: what was unreachable that long ago may have
 	// recovered.
 	retention = 10 * time.Second
+	// downRetention is how long the failure of another gateway to reach a backend server
+	// counts. That gateway may be partitioned itself and not know it yet.
+	downRetention = time.Second
+	// checkInterval is the minimum time between two checks of a path through other gateways.
+	checkInterval = time.Second
 )
 
 // Failure classifies why a connection could not be opened.
@@ -34,15 +48,29 @@
 
 // service is what is known of the paths to the backend servers of a service.
 type service struct {
-	// failedAt is when the latest attempt to open a connection to a backend server failed, for
-	// those with no successful attempt since.
-	failedAt map[string]time.Time
-	// connectedAt is when a connection to any of them was last opened.
-	connectedAt time.Time
+	paths map[string]*path
+	// connectedAt is when a direct connection to any of them was last opened, and
+	// partitionedAt since when the gateway is partitioned from all; zero if it is not.
+	connectedAt   time.Time
+	partitionedAt time.Time
 	// counts are since they were last taken.
 	counts Counts
 }
 
+// path is what is known of a backend server that no connection could be opened to.
+type path struct {
+	failedAt time.Time
+	failure  Failure
+	// detoured is set once another gateway has reached it, and downAt is when one could not
+	// either.
+	detoured bool
+	downAt   time.Time
+	// checkedAt is when other gateways were last asked, and probedAt when a direct connection
+	// was last attempted.
+	checkedAt time.Time
+	probedAt  time.Time
+}
+
 // Counts counts attempts to open connections, and answers.
 type Counts struct {
 	Connected int
@@ -55,16 +83,19 @@
 type Summary struct {
 	Service string
 	Counts  Counts
-	// Unreachable is how many backend servers no connection could be opened to.
+	// Unreachable is how many backend servers no connection could be opened to, and Detoured
+	// how many of them other gateways reach.
 	Unreachable int
-	// Partitioned is set if the gateway reaches none of them, as far as it knows.
-	Partitioned bool
+	Detoured    int
+	// PartitionedAt is since when the gateway reaches none of them, as far as it knows; zero if
+	// that is not so.
+	PartitionedAt time.Time
 }
 
 func (t *Tracker) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{failedAt: map[string]time.Time{}, counts: Counts{Failed: map[Failure]int{}}}
+		s = &service{paths: map[string]*path{}, counts: newCounts()}
 		if t.services == nil {
 			t.services = map[string]*service{}
 		}
@@ -73,62 +104,195 @@
 	return s
 }
 
-// RecordConnected records that a connection to a backend server was opened.
-func (t *Tracker) RecordConnected(now time.Time, serviceName, backend string) {
+func newCounts() Counts { return Counts{Failed: map[Failure]int{}} }
+
+// path returns the state of a path, or nil if no connection failed lately.
+func (t *Tracker) path(serviceName, backend string) *path {
+	if s := t.services[serviceName]; s != nil {
+		return s.paths[backend]
+	}
+	return nil
+}
+
+// RecordConnected records that a direct connection to a backend server was opened. It reports
+// whether connections to it were opened through other gateways before.
+func (t *Tracker) RecordConnected(now time.Time, serviceName, backend string) (returned bool) {
 	s := t.service(serviceName)
-	delete(s.failedAt, backend)
-	s.connectedAt = now
 	s.counts.Connected++
+	s.connectedAt, s.partitionedAt = now, time.Time{}
+	p := s.paths[backend]
+	delete(s.paths, backend)
+	return p != nil && p.detoured
 }
 
-// RecordFailed records that no connection to a backend server could be opened.
-func (t *Tracker) RecordFailed(now time.Time, serviceName, backend string, why Failure) {
+// RecordFailed records that no direct connection to a backend server could be opened. Known is the
+// number of backend servers of the service.
+func (t *Tracker) RecordFailed(now time.Time, serviceName, backend string, known int, why Failure) {
 	s := t.service(serviceName)
-	s.failedAt[backend] = now
 	s.counts.Failed[why]++
+	p := s.paths[backend]
+	if p == nil {
+		p = &path{}
+		s.paths[backend] = p
+	}
+	p.failedAt, p.failure, p.probedAt = now, why, now
+	if s.partitionedAt.IsZero() && s.failing(now) >= min(partitionQuorum, known) {
+		s.partitionedAt = now
+	}
+}
+
+// failing returns how many paths have failed since a backend server was last reached, apart from
+// those that other gateways could not reach either.
+func (s *service) failing(now time.Time) int {
+	n := 0
+	for _, p := range s.paths {
+		down := !p.downAt.IsZero() && now.Sub(p.downAt) < downRetention
+		if p.failedAt.After(s.connectedAt) && now.Sub(p.failedAt) < retention && !down {
+			n++
+		}
+	}
+	return n
 }
 
 // RecordKept records an answer on a connection that was open before. It does not show that a
 // new one can be opened: open connections may outlive a partition.
 func (t *Tracker) RecordKept(serviceName string) { t.service(serviceName).counts.OnKept++ }
 
-// Partitioned reports whether a service's backend servers, of which there are so many, can't be
-// reached: several could not, and none has been reached since.
-func (t *Tracker) Partitioned(now time.Time, serviceName string, backends int) bool {
+// RecordDetour records that another gateway has reached a backend server that this one could
+// not. It reports whether that was not known before.
+func (t *Tracker) RecordDetour(serviceName, backend string) bool {
+	p := t.path(serviceName, backend)
+	if p == nil {
+		// It was reached directly since.
+		return false
+	}
+	p.downAt = time.Time{}
+	known := p.detoured
+	p.detoured = true
+	return !known
+}
+
+// RecordDown records that another gateway could not reach a backend server either.
+func (t *Tracker) RecordDown(now time.Time, serviceName, backend string) {
+	if p := t.path(serviceName, backend); p != nil {
+		p.downAt, p.detoured = now, false
+		if s := t.services[serviceName]; s.failing(now) == 0 {
+			s.partitionedAt = time.Time{}
+		}
+	}
+}
+
+// Failure returns why the latest direct connection to a backend server failed; empty if none did.
+func (t *Tracker) Failure(serviceName, backend string) Failure {
+	if p := t.path(serviceName, backend); p != nil {
+		return p.failure
+	}
+	return ""
+}
+
+// Partitioned reports whether the gateway is partitioned from all backend servers of a service.
+func (t *Tracker) Partitioned(now time.Time, serviceName string) bool {
+	s := t.services[serviceName]
+	return s != nil && !s.partitionedAt.IsZero() && s.failing(now) > 0
+}
+
+// Detoured reports whether connections to a backend server are to be opened through another
+// gateway: one has reached it, or the gateway is partitioned from its service.
+func (t *Tracker) Detoured(now time.Time, serviceName, backend string) bool {
+	p := t.path(serviceName, backend)
+	return p != nil && p.detoured || t.Partitioned(now, serviceName)
+}
+
+// Suspicious reports whether the path to a backend server that has just failed is tried through
+// another gateway at once: others have failed too. Known is as of RecordFailed.
+func (t *Tracker) Suspicious(now time.Time, serviceName, backend string, known int) bool {
 	s := t.services[serviceName]
-	if s == nil || backends == 0 {
+	return s != nil && s.paths[backend] != nil && s.failing(now) >= min(suspicionQuorum, known)
+}
+
+// TakeCheck reports whether other gateways are to be asked for a backend server now, and notes it.
+func (t *Tracker) TakeCheck(now time.Time, serviceName, backend string) bool {
+	p := t.path(serviceName, backend)
+	if p == nil || now.Sub(p.checkedAt) < checkInterval {
 		return false
 	}
-	failed := 0
-	for _, at := range s.failedAt {
-		if at.After(s.connectedAt) && now.Sub(at) < retention {
-			failed++
+	p.checkedAt = now
+	return true
+}
+
+// TakeProbes returns, for each service, the backend server to which a direct connection is to be
+// attempted next, and notes the attempt: of those that are reached through other gateways, or of
+// a service from which the gateway is partitioned, the one with the oldest attempt.
+func (t *Tracker) TakeProbes(now time.Time) []string {
+	var probes []string
+	for name := range t.services {
+		if id := t.TakeProbe(now, name); id != "" {
+			probes = append(probes, id)
 		}
 	}
-	return failed >= min(partitionQuorum, backends)
+	slices.Sort(probes)
+	return probes
 }
 
-// TakeSummaries returns what is known of each service and clears the counts. Backends returns the
-// number of backend servers of a service.
-func (t *Tracker) TakeSummaries(now time.Time, backends func(service string) int) []Summary {
+// TakeProbe is TakeProbes for one service; empty if there is nothing to probe.
+func (t *Tracker) TakeProbe(now time.Time, serviceName string) string {
+	s := t.services[serviceName]
+	if s == nil {
+		return ""
+	}
+	partitioned := t.Partitioned(now, serviceName)
+	best := ""
+	for id, p := range s.paths {
+		if !p.detoured && !partitioned {
+			continue
+		}
+		if best == "" || p.probedAt.Before(s.paths[best].probedAt) || p.probedAt.Equal(s.paths[best].probedAt) && id < best {
+			best = id
+		}
+	}
+	if best != "" {
+		s.paths[best].probedAt = now
+	}
+	return best
+}
+
+// TakeSummaries returns what is known of each service, clears the counts, and forgets failures
+// that are long past.
+func (t *Tracker) TakeSummaries(now time.Time) []Summary {
 	list := make([]Summary, 0, len(t.services))
 	for name, s := range t.services {
-		for backend, at := range s.failedAt {
-			if now.Sub(at) >= retention {
-				delete(s.failedAt, backend)
+		detoured := 0
+		for backend, p := range s.paths {
+			switch {
+			case p.detoured:
+				detoured++
+			case now.Sub(p.failedAt) >= retention:
+				delete(s.paths, backend)
 			}
 		}
+		if !s.partitionedAt.IsZero() && !t.Partitioned(now, name) {
+			s.partitionedAt = time.Time{}
+		}
 		list = append(list, Summary{
-			Service: name, Counts: s.counts, Unreachable: len(s.failedAt), Partitioned: t.Partitioned(now, name, backends(name)),
+			Service: name, Counts: s.counts, Unreachable: len(s.paths), Detoured: detoured, PartitionedAt: s.partitionedAt,
 		})
-		s.counts = Counts{Failed: map[Failure]int{}}
+		s.counts = newCounts()
 	}
+	slices.SortFunc(list, func(a, b Summary) int { return strings.Compare(a.Service, b.Service) })
 	return list
 }
 
+// RecordAnnounced records that a backend server was announced. While the gateway is partitioned from
+// its service, it is probed next: it may be reachable where earlier incarnations are not.
+func (t *Tracker) RecordAnnounced(now time.Time, serviceName, backend string) {
+	if t.Partitioned(now, serviceName) && t.path(serviceName, backend) == nil {
+		t.services[serviceName].paths[backend] = &path{failedAt: t.services[serviceName].connectedAt}
+	}
+}
+
 // Forget removes a backend server that no longer exists.
 func (t *Tracker) Forget(serviceName, backend string) {
 	if s := t.services[serviceName]; s != nil {
-		delete(s.failedAt, backend)
+		delete(s.paths, backend)
 	}
 }
