--- a/gateway/app/partition_test.go
+++ b/gateway/app/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -168,12 +169,17 @@
 type siteBackend struct {
 	id      string
 	address string
-	mu      sync.Mutex
-	runs    map[string]int
+	// room bounds its work; nil is for a backend server that runs any number of requests at once.
+	room *room
+	mu   sync.Mutex
+	runs map[string]int
 }
 
 func (b *siteBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := platform.DecodeRequest(headerFields(r.Header)).ID
+	if b.room != nil && !b.room.enter(w, r, id) {
+		return
+	}
 	b.mu.Lock()
 	b.runs[id]++
 	b.mu.Unlock()
@@ -205,20 +211,25 @@
 // with high probability.
 func siteNetwork() string { return fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256)) }
 
-func startPartitionSite(c *qt.C, gateways, backends int) *partitionSite {
+// startPartitionSite starts a site. The backend servers have slots for as many requests, or for any
+// number if that is 0.
+func startPartitionSite(c *qt.C, gateways, backends, slots int) *partitionSite {
 	y := &partitionSite{c: c, mesh: &siteController{state: &wire.SyncResponse{
 		Epoch: 1, Leads: true, Term: 1, HasLoads: true, Gateways: uint32(gateways), GatewaysRevision: 1, TableVersion: 1, Table: siteTable(),
 	}}}
 	ids := map[string]bool{}
 	for i := range backends {
 		b := &siteBackend{id: fmt.Sprintf("b%d", i), runs: map[string]int{}}
+		if slots > 0 {
+			b.room = newRoom(slots)
+		}
 		s := httptest.NewServer(b)
 		c.Cleanup(s.Close)
 		b.address = strings.TrimPrefix(s.URL, "http://")
 		ids[b.address] = true
 		y.backends = append(y.backends, b)
 		y.mesh.state.Announcements = append(y.mesh.state.Announcements, &wire.Announcement{
-			Id: b.id, Name: b.id, Service: "s", Address: b.address, Zone: "z", Slots: 16, Sequence: 1,
+			Id: b.id, Name: b.id, Service: "s", Address: b.address, Zone: "z", Slots: uint32(cmp.Or(slots, 16)), Sequence: 1,
 		})
 	}
 	network := siteNetwork()
@@ -329,10 +340,15 @@
 
 // callFor sends requests of each kind to a gateway at a steady rate for a time.
 func (y *partitionSite) callFor(d time.Duration, g *Routed, s *served) {
+	y.callEvery(10*time.Millisecond, 1, d, g, s)
+}
+
+// callEvery is callFor with a bunch of requests in each interval.
+func (y *partitionSite) callEvery(interval time.Duration, bunch int, d time.Duration, g *Routed, s *served) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	paths := []string{"/once/", "/safe/", "/stream/"}
-	tick := time.NewTicker(10 * time.Millisecond)
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	end := time.After(d)
 	for i := 0; ; i++ {
@@ -341,13 +357,15 @@
 			return
 		case <-tick.C:
 		}
-		calls.Go(func() {
-			ok := y.send(g, paths[i%len(paths)])
-			s.sent.Add(1)
-			if ok {
-				s.served.Add(1)
-			}
-		})
+		for k := range bunch {
+			calls.Go(func() {
+				ok := y.send(g, paths[(i+k)%len(paths)])
+				s.sent.Add(1)
+				if ok {
+					s.served.Add(1)
+				}
+			})
+		}
 	}
 }
 
@@ -392,7 +410,7 @@
 			t.Run(fmt.Sprintf("%s, %d of 3", mode, partitioned), func(t *testing.T) {
 				t.Parallel()
 				c := qt.New(t)
-				y := startPartitionSite(c, 3, 4)
+				y := startPartitionSite(c, 3, 4, 0)
 				y.callAllFor(time.Second, partitioned)
 				for _, links := range y.links[:partitioned] {
 					links.partition(mode)
