Send brittle backend servers only what they have room for

Cause: a rejection counted as one request that has to go elsewhere. Gateways granted slots ahead of completions, relied on the queue of the backend server for what was too much, and each of them tried a full one again after 100 ms, which is right while rejections cost nothing. Nothing read Server-Brittle.

Change: an answer that says so makes the service brittle at this gateway, until 5 s without one. All requests of a brittle plain service need slots of its owners; after the first rejection, which gateways report, the owner grants exactly the slots for 10 s. A gateway whose request was rejected sends that backend server nothing for a time in which the rejections of all gateways together stay at half of what it bears, and one request at a time after it. Where no owner grants slots, a tenth of them is left free, since known loads are not current.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -27,7 +27,7 @@
 
 // attempt sends a request once and reports whether to retry it.
 func (f *Forwarder) attempt(ctx context.Context, j *job) bool {
-	j.usesSlotGrants = f.needsSlotGrant(j)
+	j.usesSlotGrants, j.rejected = f.needsSlotGrant(j), false
 	if f.allBusy(j) {
 		f.countSlotOutcome(slotRefusedLocally)
 		f.refuseOverloaded(j, slotRefusedLocally)
@@ -80,6 +80,7 @@
 	f.observeLimit(j, in.Head.Status, answer)
 	f.observeConstraints(j, in.Head.Status, answer)
 	f.observeLoad(j, in.Head.Status, answer)
+	f.observeBrittle(j, in.Head.Status, answer)
 	switch {
 	case answer.NotRun:
 		in.Close()
@@ -203,6 +204,10 @@
 	if status == statusMisdirected {
 		outcome = balancer.Absent
 	}
+	j.rejected = outcome == balancer.Full
+	if j.rejected {
+		f.backOffBrittle(j, backend)
+	}
 	f.recordOutcome(j, backend.GetId(), outcome)
 	isEngine := f.isEngine(j.service)
 	if status == statusMisdirected && !isEngine {
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -114,6 +114,10 @@
 	backoffFaultLoggedAt time.Time
 	// loadFaultLoggedAt is when an unreadable load was last logged.
 	loadFaultLoggedAt time.Time
+	// brittleFaultLoggedAt is when an unreadable announcement of being brittle was last logged.
+	brittleFaultLoggedAt time.Time
+	// brittleSince is since when services are brittle.
+	brittleSince map[string]time.Time
 	// pacesLoggedAt is when the paces of backend servers were last logged.
 	pacesLoggedAt time.Time
 	// constrainedSends counts since the last log line.
@@ -144,6 +148,7 @@
 	f.pacingActivations = map[string]*pacer.Activation{}
 	f.constrainedSends = constrainedSends{}
 	f.overloadRefusals = map[overloadRefusal]int{}
+	f.brittleSince = map[string]time.Time{}
 	f.initPaths()
 	f.initIsolator()
 	f.initGranter()
@@ -180,6 +185,7 @@
 			f.logOverloadRefusals()
 			f.logAboveShare()
 			f.logPaths()
+			f.logBrittle()
 			f.measurePaces()
 		}
 	}
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -72,6 +72,8 @@
 	usesSlotGrants   bool
 	slotRequests     int
 	slowSlotRequests int
+	// rejected is set if the latest attempt was rejected for want of room.
+	rejected bool
 	// busy are the backend servers that are known to be too busy for the current attempt.
 	busy []string
 	// status is the caller's status by the latest log line; 0 for a connection that is closed.
--- a/gateway/forwarder/prompt.go
+++ b/gateway/forwarder/prompt.go
@@ -124,7 +124,11 @@
 	if j.prompt == nil {
 		return
 	}
-	f.Regulator.Release(j.prompt.backend, j.prompt.key, read)
+	if j.rejected {
+		f.Regulator.Reject(j.prompt.backend, j.prompt.key)
+	} else {
+		f.Regulator.Release(j.prompt.backend, j.prompt.key, read)
+	}
 	j.prompt = nil
 }
 
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -24,14 +24,15 @@
 )
 
 // needsSlotGrant reports whether the slots of a request's backend servers are granted: gateways
-// have much work for a plain service.
+// have much work for a plain service, or its backend servers are brittle.
 func (f *Forwarder) needsSlotGrant(j *job) bool {
 	if f.Regulator == nil || f.Disabled.Has(ablator.Dispensing) || f.isEngine(j.service) {
 		return false
 	}
+	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.balancer.Contended(f.Clock.Now(), j.service)
+	return f.balancer.Contended(now, j.service) || f.balancer.Brittle(now, j.service) > 0
 }
 
 // allBusy determines which backend servers are known to be too busy for a request whose slots are
@@ -75,7 +76,7 @@
 	}
 	answer := f.Regulator.Acquire(ctx, &regulator.Prompt{
 		Backend: backend.GetId(), Slots: slots, Deadline: j.sendBy, HasAlternative: f.hasAlternativeSlot(j, backend.GetId(), began),
-		Customer: f.sharingCustomer(j), GrantRequest: pacer.GrantRequest{
+		Customer: f.sharingCustomer(j), Brittle: f.isBrittle(j.service), GrantRequest: pacer.GrantRequest{
 			Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt,
 			OnTimeUntil: j.onTimeUntil(),
 		},
--- a/gateway/regulator/acquire.go
+++ b/gateway/regulator/acquire.go
@@ -145,7 +145,7 @@
 		PauseMs: uint32(p.MaxPause.Milliseconds()), WaitMs: uint32(wait.Milliseconds()),
 		EventUs: uint32(eventTime.Microseconds()), Gateway: r.Self, Seen: p.PausesObserved,
 		Slots: uint32(p.Slots), GiveUpMs: uint32(max(0, p.Deadline.Sub(now).Milliseconds())), Elsewhere: p.HasAlternative,
-		Customer: p.Customer,
+		Customer: p.Customer, Brittle: p.Brittle,
 	})
 	if err != nil {
 		r.recordFailure(ctx, address, err)
--- a/gateway/regulator/engine.go
+++ b/gateway/regulator/engine.go
@@ -63,7 +63,11 @@
 		if e == nil {
 			continue
 		}
-		e.granter.Release(now, p.GetKey(), p.GetRead())
+		if p.GetRejected() {
+			e.granter.Reject(now, p.GetKey())
+		} else {
+			e.granter.Release(now, p.GetKey(), p.GetRead())
+		}
 		if p.GetRead() {
 			e.pacer.MarkRead(now, p.GetKey())
 		} else {
--- a/gateway/regulator/regulator.go
+++ b/gateway/regulator/regulator.go
@@ -99,13 +99,15 @@
 	LastRun time.Duration
 	// Customer is who the request is served for, or "".
 	Customer string
+	// Brittle is set if the backend server crashes after a few rejections.
+	Brittle bool
 }
 
 // slotRequest returns the slot request for a request of a plain service.
 func (p *Prompt) slotRequest() slotgranter.GrantRequest {
 	return slotgranter.GrantRequest{
 		Key: p.Key, Urgency: p.Urgency, OnTimeUntil: p.OnTimeUntil, Deadline: p.Deadline, Slots: p.Slots, HasAlternative: p.HasAlternative,
-		Gateway: p.Gateway, LastRun: p.LastRun, Customer: p.Customer,
+		Gateway: p.Gateway, LastRun: p.LastRun, Customer: p.Customer, Brittle: p.Brittle,
 	}
 }
 
@@ -219,12 +221,21 @@
 // Release reports that an engine does not have to read a prompt any more: its first event has
 // been received, or it has failed.
 func (r *Regulator) Release(backend, key string, read bool) {
-	address := r.owner(backend)
+	r.release(&wire.PromptEnd{Backend: backend, Key: key, Read: read})
+}
+
+// Reject reports that a backend server has rejected a request for want of room.
+func (r *Regulator) Reject(backend, key string) {
+	r.release(&wire.PromptEnd{Backend: backend, Key: key, Rejected: true})
+}
+
+func (r *Regulator) release(end *wire.PromptEnd) {
+	address := r.owner(end.GetBackend())
 	if address == r.Self || address == "" {
-		r.complete([]*wire.PromptEnd{{Backend: backend, Key: key, Read: read}})
+		r.complete([]*wire.PromptEnd{end})
 		return
 	}
-	r.queueRelease(address, &wire.PromptEnd{Backend: backend, Key: key, Read: read})
+	r.queueRelease(address, end)
 }
 
 // Waiting returns the number of prompts that wait for the engines that this gateway owns.
--- a/gateway/regulator/server.go
+++ b/gateway/regulator/server.go
@@ -20,7 +20,7 @@
 	if req.GetSeen() && r.OnPeerPauses != nil {
 		r.OnPeerPauses(req.GetBackend(), req.GetGateway())
 	}
-	p := &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), Customer: req.GetCustomer(), Gateway: req.GetGateway(), GrantRequest: pacer.GrantRequest{
+	p := &Prompt{Backend: req.GetBackend(), Slots: int(req.GetSlots()), Deadline: now.Add(milliseconds(req.GetGiveUpMs())), HasAlternative: req.GetElsewhere(), Customer: req.GetCustomer(), Brittle: req.GetBrittle(), Gateway: req.GetGateway(), GrantRequest: pacer.GrantRequest{
 		Key: req.GetKey(), Tokens: int(req.GetTokens()), Urgency: req.GetUrgency(),
 		ReceivedAt: now.Add(-milliseconds(req.GetAgeMs())), OnTimeUntil: now.Add(milliseconds(req.GetInTimeForMs())),
 		MaxPause: milliseconds(req.GetPauseMs()), EventInterval: time.Duration(req.GetEventUs()) * time.Microsecond,
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -62,6 +62,8 @@
 	requestedLoads map[string]requestedLoad
 	// pacesByService holds what is known of the paces of each service's backend servers.
 	pacesByService map[string]*paces
+	// brittle holds the services whose backend servers are brittle.
+	brittle map[string]brittleness
 	// contended is when most slots of a service were last taken.
 	contended map[string]time.Time
 	// shares holds the recent usage of each service by customers, and weights the weights of
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -101,7 +101,7 @@
 	uneven := false
 	available := make([]*backend, 0, len(from))
 	for _, k := range from {
-		if !k.paused(now) && (w.UsesSlotGrants || !now.Before(k.fullUntil) && k.hasRoom()) {
+		if !k.paused(now) && (w.UsesSlotGrants || !now.Before(k.fullUntil) && k.hasRoom() && k.own+k.others+b.reserve(now, k) < k.slots()) {
 			available = append(available, k)
 			uneven = uneven || k.slowdown != 0
 		}
--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -101,6 +101,8 @@
 	// its share; 0 counts as 1.
 	Customer string
 	Weight   float64
+	// Brittle is set if the backend server crashes after a few rejections.
+	Brittle bool
 
 	order uint64
 	// excess is how far its customer is above its share.
@@ -138,6 +140,11 @@
 	// the requests that were granted, and those refused that could be on time, since it changed.
 	refusedFor               time.Duration
 	lastGranted, lastRefused int
+	// brittleUntil is until when the backend server counts as brittle, and exactUntil until when as
+	// many requests are granted as it has slots, since it has rejected one.
+	brittleUntil time.Time
+	exactUntil   time.Time
+	exact        bool
 }
 
 // run is a request that was granted and has not completed.
@@ -180,6 +187,10 @@
 // Add queues a request for a slot, and reports whether it did: a request that would be too late
 // because of those ahead of it is refused at once.
 func (g *Granter) Add(now time.Time, a GrantRequest) bool {
+	if a.Brittle {
+		g.brittleUntil = now.Add(brittleRetention)
+	}
+	g.updateExact(now)
 	g.expire(now)
 	g.observeRun(now, a)
 	if a.HasAlternative && g.TooSlow(now, a) {
@@ -224,6 +235,9 @@
 // limit returns how many requests may be granted and not completed. The slots of those whose
 // messages are on their way would be idle otherwise.
 func (g *Granter) limit() int {
+	if g.exact {
+		return g.slots
+	}
 	latency, service := g.latency(), g.serviceTime()
 	return g.slots + extraSlots + int(math.Ceil(coverFactor*float64(g.slots)*float64(latency)/float64(service)))
 }
