Grant the slots of brittle engines by their owners

Cause: engines were chosen by the loads that gateways know of each other, about 100 ms late, which is right while a rejection costs nothing: gateways that see room at the same engine all send there. A tenth of the slots left free does not cover what arrives in that time.

Change: while its service is brittle, an engine's slots are granted by its owner as those of plain services are, until the stream ends; a slot is in time until its deadline, since a stream counts by its first event.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -46,6 +46,7 @@
 	if j.usesSlotGrants && !f.acquireSlot(ctx, j, d.Backend) {
 		return f.refuseSlot(ctx, j, d.Backend)
 	}
+	defer f.endSlot(j, false)
 	if !f.admitPrompt(ctx, j, d.Backend) {
 		return f.chooseAgain(ctx, j, d.Backend)
 	}
@@ -320,6 +321,7 @@
 	}
 	f.recordOutcome(j, backend.GetId(), outcome)
 	f.recordSlotRun(j)
+	f.endSlot(j, true)
 	f.endPrompt(j, true)
 	f.reportCompletedRun(j, backend)
 	if in.Body.Framing == framer.FramingNone {
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -27,6 +27,8 @@
 	table    *matcher.Matcher
 	service  string
 	adapter  string
+	// atEngine is set if the service's backend servers hold models.
+	atEngine bool
 	// firstSentAt is the estimated time at which the caller first sent it, before any retry.
 	firstSentAt time.Time
 	// deadline is when the client timeout or the route's timeout ends.
@@ -53,6 +55,8 @@
 	sendBy time.Time
 	// prompt is the granted prompt that its engine has to read; nil if it has none.
 	prompt *grantedPrompt
+	// slot is the granted slot of its backend server; nil if it needed none.
+	slot *grantedPrompt
 	// fingerprints identify the request over all its attempts, once they were computed.
 	fingerprints []string
 	// begunAttempt is the latest attempt of which a part of the answer arrived, and completed
@@ -131,7 +135,8 @@
 		return false
 	}
 	j.service = matcher.PickService(j.route, rand.Float64())
-	if s := table.Service(j.service); s.GetEngine() != nil && isAdapter(j.meta.Model) {
+	j.atEngine = table.Service(j.service).GetEngine() != nil
+	if j.atEngine && isAdapter(j.meta.Model) {
 		j.adapter = j.meta.Model
 	}
 	j.deadline = j.req.ReceivedAt.Add(milliseconds(j.route.GetTimeoutMs()))
--- a/gateway/forwarder/prompt.go
+++ b/gateway/forwarder/prompt.go
@@ -124,11 +124,7 @@
 	if j.prompt == nil {
 		return
 	}
-	if j.rejected {
-		f.Regulator.Reject(j.prompt.backend, j.prompt.key)
-	} else {
-		f.Regulator.Release(j.prompt.backend, j.prompt.key, read)
-	}
+	f.Regulator.Release(j.prompt.backend, j.prompt.key, read)
 	j.prompt = nil
 }
 
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -26,13 +26,13 @@
 // needsSlotGrant reports whether the slots of a request's backend servers are granted: gateways
 // have much work for a plain service, or its backend servers are brittle.
 func (f *Forwarder) needsSlotGrant(j *job) bool {
-	if f.Regulator == nil || f.Disabled.Has(ablator.Dispensing) || f.isEngine(j.service) {
+	if f.Regulator == nil || f.Disabled.Has(ablator.Dispensing) {
 		return false
 	}
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.balancer.Contended(now, j.service) || f.balancer.Brittle(now, j.service) > 0
+	return f.balancer.Brittle(now, j.service) > 0 || !j.atEngine && f.balancer.Contended(now, j.service)
 }
 
 // allBusy determines which backend servers are known to be too busy for a request whose slots are
@@ -78,13 +78,13 @@
 		Backend: backend.GetId(), Slots: slots, Deadline: j.sendBy, HasAlternative: f.hasAlternativeSlot(j, backend.GetId(), began),
 		Customer: f.sharingCustomer(j), Brittle: f.isBrittle(j.service), GrantRequest: pacer.GrantRequest{
 			Urgency: j.urgency(), ReceivedAt: j.req.ReceivedAt,
-			OnTimeUntil: j.onTimeUntil(),
+			OnTimeUntil: f.slotOnTimeUntil(j),
 		},
 	}, j.slotWait(began))
 	j.waited += f.Clock.Since(began)
 	if answer.Granted {
 		f.countSlotOutcome(slotGranted)
-		j.prompt = &grantedPrompt{backend: backend.GetId(), key: answer.Key}
+		j.slot = &grantedPrompt{backend: backend.GetId(), key: answer.Key}
 		return true
 	}
 	if answer.Slow {
@@ -106,11 +106,36 @@
 
 // recordSlotRun records how long the answer to a request took whose slot was granted.
 func (f *Forwarder) recordSlotRun(j *job) {
-	if j.prompt != nil && j.usesSlotGrants {
-		f.Regulator.RecordRun(j.prompt.backend, f.Clock.Since(j.sentAt))
+	if j.slot != nil {
+		f.Regulator.RecordRun(j.slot.backend, f.Clock.Since(j.sentAt))
 	}
 }
 
+// endSlot releases the slot of a request's attempt, if it has one; ran is set if it was answered.
+func (f *Forwarder) endSlot(j *job, ran bool) {
+	if j.slot == nil {
+		return
+	}
+	if j.rejected {
+		f.Regulator.Reject(j.slot.backend, j.slot.key)
+	} else {
+		f.Regulator.Release(j.slot.backend, j.slot.key, ran)
+	}
+	j.slot = nil
+}
+
+// streamedAnswer is longer than any stream lasts.
+const streamedAnswer = time.Hour
+
+// slotOnTimeUntil returns until when a slot has to be free again for the answer to be on time. An
+// answer of an engine counts by its first event, and its slot is taken until the last.
+func (f *Forwarder) slotOnTimeUntil(j *job) time.Time {
+	if j.atEngine {
+		return j.onTimeUntil().Add(streamedAnswer)
+	}
+	return j.onTimeUntil()
+}
+
 // slotWait returns how long a request waits for a slot of one backend server: while it can be
 // on time, no longer than that, so that an unresponsive owner costs one objective and not all
 // of the request's time.
--- a/gateway/forwarder/stream.go
+++ b/gateway/forwarder/stream.go
@@ -33,6 +33,7 @@
 	switch {
 	case err == nil:
 		f.recordStreamOutcome(j, j.progress.classify(j.route, j.req.ReceivedAt, j.waited))
+		f.endSlot(j, true)
 		f.recordOutcome(j, backend.GetId(), balancer.Served)
 		f.reportCompletedRun(j, backend)
 		j.reply.End()
--- a/pkg/slotgranter/slotgranter.go
+++ b/pkg/slotgranter/slotgranter.go
@@ -140,11 +140,8 @@
 	// the requests that were granted, and those refused that could be on time, since it changed.
 	refusedFor               time.Duration
 	lastGranted, lastRefused int
-	// brittleUntil is until when the backend server counts as brittle, and exactUntil until when as
-	// many requests are granted as it has slots, since it has rejected one.
-	brittleUntil time.Time
-	exactUntil   time.Time
-	exact        bool
+	// brittle is the state of a backend server that crashes after a few rejections.
+	brittle brittleness
 }
 
 // run is a request that was granted and has not completed.
@@ -188,9 +185,9 @@
 // because of those ahead of it is refused at once.
 func (g *Granter) Add(now time.Time, a GrantRequest) bool {
 	if a.Brittle {
-		g.brittleUntil = now.Add(brittleRetention)
+		g.brittle.until = now.Add(brittleRetention)
 	}
-	g.updateExact(now)
+	g.updateBrittle(now)
 	g.expire(now)
 	g.observeRun(now, a)
 	if a.HasAlternative && g.TooSlow(now, a) {
@@ -235,8 +232,8 @@
 // limit returns how many requests may be granted and not completed. The slots of those whose
 // messages are on their way would be idle otherwise.
 func (g *Granter) limit() int {
-	if g.exact {
-		return g.slots
+	if limit := g.brittle.limit; limit > 0 {
+		return min(g.slots, int(limit))
 	}
 	latency, service := g.latency(), g.serviceTime()
 	return g.slots + extraSlots + int(math.Ceil(coverFactor*float64(g.slots)*float64(latency)/float64(service)))
@@ -294,6 +291,7 @@
 	g.meanGrantTime = g.grantTime() + time.Duration(weight*float64(took-g.grantTime()))
 	g.lastCompletedAt = now
 	g.completions++
+	g.brittle.grow()
 	if r.gateway != "" {
 		if g.latest == nil {
 			g.latest = map[string]completion{}
