--- a/gateway/app/partition_test.go
+++ b/gateway/app/partition_test.go
@@ -408,28 +408,38 @@
 // Callers of a gateway that had lost its links to all backend servers were refused, while other
 // gateways that it reached could serve them.
 func TestCallersOfPartitionedGatewaysAreServed(t *testing.T) {
-	for _, mode := range []partitionMode{silenced, severed, refusing} {
-		for _, partitioned := range []int{1, 2} {
-			t.Run(fmt.Sprintf("%s, %d of 3", mode, partitioned), func(t *testing.T) {
-				t.Parallel()
-				c := qt.New(t)
-				y := startPartitionSite(c, 3, 4, 0)
-				y.callAllFor(time.Second, partitioned)
-				for _, links := range y.links[:partitioned] {
-					links.partition(mode)
-				}
-				y.callAllFor(contactTime, partitioned)
-				cutOff, others := y.callAllFor(2*time.Second, partitioned)
-				y.checkServedAlike(cutOff, others)
-				for _, links := range y.links {
-					links.heal()
-				}
-				y.callAllFor(contactTime, partitioned)
-				cutOff, others = y.callAllFor(time.Second, partitioned)
-				y.checkServedAlike(cutOff, others)
-				y.checkRunsOnce()
-			})
-		}
+	for name, test := range map[string]struct {
+		mode        partitionMode
+		partitioned int
+		// slots is how many requests each backend server runs at once; 0 for any number.
+		slots int
+	}{
+		"one, connections hang":                     {silenced, 1, 0},
+		"two of three, connections hang":            {silenced, 2, 0},
+		"two of three, busy backend servers":        {silenced, 2, 16},
+		"one, connections are reset":                {severed, 1, 0},
+		"two of three, connections are reset":       {severed, 2, 0},
+		"one, new connections are refused":          {refusing, 1, 0},
+		"two of three, new connections are refused": {refusing, 2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			y := startPartitionSite(qt.New(t), 3, 4, test.slots)
+			y.callAllFor(time.Second, test.partitioned)
+			for _, links := range y.links[:test.partitioned] {
+				links.partition(test.mode)
+			}
+			y.callAllFor(contactTime, test.partitioned)
+			cutOff, others := y.callAllFor(2*time.Second, test.partitioned)
+			y.checkServedAlike(cutOff, others)
+			for _, links := range y.links {
+				links.heal()
+			}
+			y.callAllFor(contactTime, test.partitioned)
+			cutOff, others = y.callAllFor(time.Second, test.partitioned)
+			y.checkServedAlike(cutOff, others)
+			y.checkRunsOnce()
+		})
 	}
 }
 
@@ -442,3 +452,26 @@
 		"partitioned: %d of %d, others: %d of %d", cutOff.served.Load(), cutOff.sent.Load(), others.served.Load(), others.sent.Load()))
 	y.c.Check(others.share() > 0.9, qt.IsTrue, qt.Commentf("others: %d of %d", others.served.Load(), others.sent.Load()))
 }
+
+// A gateway that lost its links took the backend servers for crashed, since their connections were
+// reset and new ones refused, and reported the requests that ran there as the cause.
+func TestPartitionedGatewaysReportNoCrashes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startPartitionSite(c, 3, 4, 16)
+	y.callAllFor(time.Second, 1)
+	called := make(chan struct{})
+	go func() {
+		defer close(called)
+		y.callFor(2*time.Second, y.gateways[0], &served{})
+	}()
+	y.eventually("requests run", func() bool { return len(y.gateways[0].forwarder.Loads()) > 0 })
+	y.links[0].partition(severed)
+	<-called
+	for _, g := range y.gateways {
+		reports, _ := g.isolator.Reports(0)
+		for _, r := range reports {
+			c.Check(r.GetCompleted(), qt.IsTrue, qt.Commentf("%v", r))
+		}
+	}
+}
