--- a/gateway/sender/dial.go
+++ b/gateway/sender/dial.go
@@ -68,6 +68,7 @@
 	if err != nil {
 		return nil, wrap("DialDetour", KindNotSent, err)
 	}
+	setUserTimeout(c, s.UserTimeout)
 	return s.newConnection(c, via), nil
 }
 
@@ -82,6 +83,9 @@
 // Dial opens a direct connection to a backend server for another use. Its outcome is observed.
 func (s *Sender) Dial(ctx context.Context, backend, address string) (net.Conn, error) {
 	c, err := s.open(ctx, address)
+	if err == nil {
+		setUserTimeout(c, s.UserTimeout)
+	}
 	if s.ObserveDial != nil && (err == nil || ctx.Err() == nil) {
 		s.ObserveDial(backend, err)
 	}
@@ -100,7 +104,6 @@
 }
 
 func (s *Sender) newConnection(c net.Conn, via string) *connection {
-	setUserTimeout(c, s.UserTimeout)
 	l := &connection{Conn: c, via: via, received: s.receipts()}
 	l.reader = bufio.NewReaderSize(l, readBufferSize)
 	return l
--- a/gateway/tunneler/tunneler.go
+++ b/gateway/tunneler/tunneler.go
@@ -211,7 +211,7 @@
 
 // openThrough requests a tunnel of a gateway.
 func (t *Tunneler) openThrough(ctx context.Context, peer, backend, address string) (net.Conn, wire.Reach, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c, err := dialer.DialContext(ctx, "tcp", peer)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "dial")
