Pass on which services are brittle, and ask others beside requests

Also: after a first failed connection no request waits for another gateway any more, which would have cost 0.5 s where two backend servers are dark; other gateways are asked beside it. While all backend servers of a service count as unreachable, one that has not failed is probed too, so that several dead ones are not taken for a partition for long.

--- a/gateway/forwarder/brittle.go
+++ b/gateway/forwarder/brittle.go
@@ -22,7 +22,7 @@
 	}
 	now := f.Clock.Now()
 	f.mu.Lock()
-	begins := f.balancer.ObserveBrittle(now, now, j.service, answer.Brittle)
+	begins := f.balancer.ObserveBrittle(now, now, j.lastBackend.GetId(), answer.Brittle)
 	if begins {
 		f.brittleSince[j.service] = now
 	}
--- a/gateway/forwarder/path.go
+++ b/gateway/forwarder/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"bronzelead.example/gateway/sender"
@@ -63,8 +64,7 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	service := f.balancer.ServiceOf(backend)
-	return f.paths.Detoured(now, service, backend) || f.paths.Suspicious(now, service, backend, f.balancer.Accepting(service))
+	return f.paths.Detoured(now, f.balancer.ServiceOf(backend), backend)
 }
 
 // openDetour opens a connection to a backend server through another gateway.
@@ -97,10 +97,8 @@
 			go f.Sender.CloseIdleDetoured(backend)
 		}
 	default:
-		known := f.balancer.Accepting(service)
-		f.paths.RecordFailed(now, service, backend, known, classifyDial(err))
-		suspicious := f.paths.Detoured(now, service, backend) || f.paths.Suspicious(now, service, backend, known)
-		if f.Tunneler != nil && !suspicious && f.paths.TakeCheck(now, service, backend) {
+		f.paths.RecordFailed(now, service, backend, f.balancer.Accepting(service), classifyDial(err))
+		if f.Tunneler != nil && f.paths.TakeCheck(now, service, backend) {
 			go f.checkPath(info)
 		}
 	}
@@ -173,6 +171,9 @@
 			f.probing[service] = true
 			go f.probeSeries(ctx, service, id)
 		}
+		if f.paths.Partitioned(now, service) {
+			f.probeUntried(ctx, service)
+		}
 	}
 	if quiet && now.Sub(f.quietProbeAt) >= quietProbeInterval {
 		f.quietProbeAt = now
@@ -180,6 +181,17 @@
 	}
 }
 
+// probeUntried probes one of the backend servers to which no direct connection has failed: if several
+// are down, the others show that the gateway is not partitioned from all. The caller holds the lock.
+func (f *Forwarder) probeUntried(ctx context.Context, service string) {
+	list := slices.DeleteFunc(f.balancer.AcceptingBackends(service), func(a *wire.Announcement) bool {
+		return f.paths.Failed(service, a.GetId())
+	})
+	if len(list) > 0 {
+		go f.probe(ctx, list[rand.IntN(len(list))].GetId())
+	}
+}
+
 // probeSeries probes the backend servers of a service until one is not reached.
 func (f *Forwarder) probeSeries(ctx context.Context, service, id string) {
 	for id != "" && f.probe(ctx, id) {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -195,7 +195,8 @@
 	for id, known := range b.backends {
 		backingOff := known.backoff.active(now)
 		toldLeaving := !known.leavingSince.IsZero() && !known.info.GetDraining()
-		if known.own <= 0 && !backingOff && !toldLeaving && !known.hasRecentMachineLoad(now) {
+		saysBrittle := b.saysBrittle(now, known)
+		if known.own <= 0 && !backingOff && !toldLeaving && !saysBrittle && !known.hasRecentMachineLoad(now) {
 			continue
 		}
 		l := &wire.Load{Backend: id, Requests: uint32(known.own + 0.5)}
@@ -206,6 +207,9 @@
 		if toldLeaving {
 			l.ToldLeaving = 1
 		}
+		if saysBrittle {
+			b.addBrittle(now, known, l)
+		}
 		known.addPace(now, l)
 		loads = append(loads, l)
 	}
--- a/pkg/balancer/brittle.go
+++ b/pkg/balancer/brittle.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"bronzelead.example/pkg/wire"
 )
 
 const (
@@ -27,27 +29,46 @@
 	// rejections is the smallest number within a window, as of at.
 	rejections int
 	at         time.Time
+	// backend is one that has said so.
+	backend string
 }
 
-// ObserveBrittle records that a backend server of a service bears so many rejections within a
-// window, as of a time. It reports whether the service becomes brittle.
-func (b *Balancer) ObserveBrittle(now, at time.Time, service string, rejections int) bool {
-	if service == "" || rejections <= 0 {
+// ObserveBrittle records that a backend server bears so many rejections within a window, as of a
+// time. It reports whether its service becomes brittle.
+func (b *Balancer) ObserveBrittle(now, at time.Time, backend string, rejections int) bool {
+	service := b.ServiceOf(backend)
+	if service == "" || rejections <= 0 || now.Sub(at) >= brittleRetention {
 		return false
 	}
-	before := b.Brittle(now, service)
-	if before == 0 {
-		if b.brittle == nil {
-			b.brittle = map[string]brittleness{}
-		}
-		b.brittle[service] = brittleness{rejections: rejections, at: at}
-		return b.Brittle(now, service) > 0
-	}
+	begins := b.Brittle(now, service) == 0
 	known := b.brittle[service]
+	if begins {
+		known = brittleness{rejections: rejections}
+	}
 	known.rejections = min(known.rejections, rejections)
-	known.at = later(known.at, at)
+	if !at.Before(known.at) {
+		known.at, known.backend = at, backend
+	}
+	if b.brittle == nil {
+		b.brittle = map[string]brittleness{}
+	}
 	b.brittle[service] = known
-	return false
+	return begins
+}
+
+// addBrittle adds to the load of a backend server what it bears.
+func (b *Balancer) addBrittle(now time.Time, k *backend, l *wire.Load) {
+	known := b.brittle[k.info.GetService()]
+	l.Brittle, l.BrittleAgeMs = uint32(known.rejections), uint32(now.Sub(known.at).Milliseconds())
+}
+
+// saysBrittle reports whether a backend server was the latest of its service to say so.
+func (b *Balancer) saysBrittle(now time.Time, k *backend) bool {
+	if len(b.brittle) == 0 {
+		return false
+	}
+	service := k.info.GetService()
+	return b.Brittle(now, service) > 0 && b.brittle[service].backend == k.info.GetId()
 }
 
 // Brittle returns how many rejections within a window each backend server of a service bears; 0 if
@@ -64,17 +85,6 @@
 	return known.rejections
 }
 
-// BrittleServices returns the brittle services, with the age of the latest answer that says so.
-func (b *Balancer) BrittleServices(now time.Time) map[string]time.Duration {
-	ages := map[string]time.Duration{}
-	for service, known := range b.brittle {
-		if b.Brittle(now, service) > 0 {
-			ages[service] = now.Sub(known.at)
-		}
-	}
-	return ages
-}
-
 // RejectionBackoff returns for how long this gateway sends nothing to a backend server of a service
 // that has rejected a request for want of room, so that all gateways together cause fewer rejections
 // than it bears; 0 if the service is not brittle.
--- a/pkg/balancer/pace.go
+++ b/pkg/balancer/pace.go
@@ -79,7 +79,8 @@
 	return k.machineLoad, now.Sub(k.machineLoadAt)
 }
 
-// ObserveLoads records what other gateways report of the pace of backend servers.
+// ObserveLoads records what other gateways report of the pace of backend servers, and of those that
+// are brittle.
 func (b *Balancer) ObserveLoads(now time.Time, loads []*wire.Load) {
 	for _, l := range loads {
 		k := b.backends[l.GetBackend()]
@@ -90,6 +91,7 @@
 			interval := time.Duration(l.GetEventIntervalUs()) * time.Microsecond
 			b.paces(k.info.GetService()).estimator.ObserveOthers(now, l.GetBackend(), interval, int(l.GetEventSamples()))
 		}
+		b.ObserveBrittle(now, now.Add(-time.Duration(l.GetBrittleAgeMs())*time.Millisecond), l.GetBackend(), int(l.GetBrittle()))
 		at := now.Add(-time.Duration(l.GetMachineLoadAgeMs()) * time.Millisecond)
 		if l.GetMachineLoad() > 0 && at.After(k.machineLoadAt) {
 			k.machineLoad, k.machineLoadAt, k.machineLoadReported = int(l.GetMachineLoad()), at, true
--- a/pkg/disseminator/figures.go
+++ b/pkg/disseminator/figures.go
@@ -10,6 +10,9 @@
 // of no use to a choice well before that: machines are busy for some hundred ms at a time.
 const figureLease = time.Second
 
+// brittleLease is the same for an announcement of being brittle, which is in force for as long.
+const brittleLease = 5 * time.Second
+
 // figures are the newest that is known of a backend server by an answer, or by the owner of its
 // slots. They are not summed: the newest one replaces the others.
 type figures struct {
@@ -20,6 +23,9 @@
 	waitUs    uint32
 	serviceUs uint32
 	ownerAt   time.Time
+	// brittle is that of the wire, as of brittleAt.
+	brittle   uint32
+	brittleAt time.Time
 }
 
 // observe takes the figures of a load that was received at now.
@@ -27,6 +33,9 @@
 	if at := now.Add(-milliseconds(l.GetMachineLoadAgeMs())); l.GetMachineLoad() > 0 && !at.Before(f.machineAt) {
 		f.machineLoad, f.machineAt = l.GetMachineLoad(), at
 	}
+	if at := now.Add(-milliseconds(l.GetBrittleAgeMs())); l.GetBrittle() > 0 && !at.Before(f.brittleAt) {
+		f.brittle, f.brittleAt = l.GetBrittle(), at
+	}
 	namesOwner := l.GetServiceUs() > 0 || l.GetWaitUs() > 0
 	if at := now.Add(-milliseconds(l.GetOwnerAgeMs())); namesOwner && !at.Before(f.ownerAt) {
 		f.waitUs, f.serviceUs, f.ownerAt = l.GetWaitUs(), l.GetServiceUs(), at
@@ -34,11 +43,13 @@
 }
 
 // known reports whether any figures were ever named.
-func (f *figures) known() bool { return !f.machineAt.IsZero() || !f.ownerAt.IsZero() }
+func (f *figures) known() bool {
+	return !f.machineAt.IsZero() || !f.ownerAt.IsZero() || !f.brittleAt.IsZero()
+}
 
 // old reports whether the figures are too old to be passed on.
 func (f *figures) old(now time.Time) bool {
-	return now.Sub(f.machineAt) >= figureLease && now.Sub(f.ownerAt) >= figureLease
+	return now.Sub(f.machineAt) >= figureLease && now.Sub(f.ownerAt) >= figureLease && now.Sub(f.brittleAt) >= brittleLease
 }
 
 // addTo sets the figures of a load that is sent at now, and reports whether there are any.
@@ -50,6 +61,9 @@
 	if age := now.Sub(f.ownerAt); !f.ownerAt.IsZero() && age < figureLease {
 		l.WaitUs, l.ServiceUs, l.OwnerAgeMs, found = f.waitUs, f.serviceUs, ageMs(age), true
 	}
+	if age := now.Sub(f.brittleAt); f.brittle > 0 && age < brittleLease {
+		l.Brittle, l.BrittleAgeMs, found = f.brittle, ageMs(age), true
+	}
 	return found
 }
 
--- a/pkg/pathtracker/pathtracker.go
+++ b/pkg/pathtracker/pathtracker.go
@@ -15,9 +15,6 @@
 	// reached since, before the gateway counts as partitioned from the service. One or two
 	// often fail together.
 	partitionQuorum = 3
-	// suspicionQuorum is the same for a suspicion, on which a connection that has just failed
-	// is opened through another gateway at once.
-	suspicionQuorum = 2
 	// retention is how long an outcome counts: what was unreachable that long ago may have
 	// recovered.
 	retention = 10 * time.Second
@@ -196,6 +193,11 @@
 	return s != nil && !s.partitionedAt.IsZero() && s.failing(now) > 0
 }
 
+// Failed reports whether the latest direct connection to a backend server failed.
+func (t *Tracker) Failed(serviceName, backend string) bool {
+	return t.path(serviceName, backend) != nil
+}
+
 // Detoured reports whether connections to a backend server are to be opened through another
 // gateway: one has reached it, or the gateway is partitioned from its service.
 func (t *Tracker) Detoured(now time.Time, serviceName, backend string) bool {
@@ -203,13 +205,6 @@
 	return p != nil && p.detoured || t.Partitioned(now, serviceName)
 }
 
-// Suspicious reports whether the path to a backend server that has just failed is tried through
-// another gateway at once: others have failed too. Known is as of RecordFailed.
-func (t *Tracker) Suspicious(now time.Time, serviceName, backend string, known int) bool {
-	s := t.services[serviceName]
-	return s != nil && s.paths[backend] != nil && s.failing(now) >= min(suspicionQuorum, known)
-}
-
 // TakeCheck reports whether other gateways are to be asked for a backend server now, and notes it.
 func (t *Tracker) TakeCheck(now time.Time, serviceName, backend string) bool {
 	p := t.path(serviceName, backend)
