--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -244,6 +244,7 @@
 		"Reason", "another start answers at its address")
 	f.mu.Lock()
 	f.balancer.RemoveBackend(backend.GetId())
+	f.paths.Forget(backend.GetService(), backend.GetId())
 	f.mu.Unlock()
 	f.Sender.CloseIdle(backend.GetId())
 }
--- a/gateway/tunneler/serving.go
+++ b/gateway/tunneler/serving.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -153,18 +154,10 @@
 	t.mu.Lock()
 	t.quiescing = true
 	t.mu.Unlock()
-	ticker := t.Clock.NewTicker(quietTime / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			t.closeQuiet()
-		}
-	}
+	repeater.Run(ctx, t.Clock, quietTime/2, t.closeQuiet)
 }
 
+// closeQuiet closes the tunnels that have carried nothing for a time.
 func (t *Tunneler) closeQuiet() {
 	since := t.Clock.Now().Add(-quietTime).UnixNano()
 	t.mu.Lock()
--- a/gateway/tunneler/tunneler.go
+++ b/gateway/tunneler/tunneler.go
@@ -24,6 +24,7 @@
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/pathtracker"
+	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -83,21 +84,15 @@
 }
 
 // Run does the periodic work until ctx ends.
-func (t *Tunneler) Run(ctx context.Context) {
-	ticker := t.Clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-		list := t.others()
-		t.mu.Lock()
-		t.peers.Retain(list)
-		t.Meter.SetGauge("tunnels_served", float64(len(t.served)))
-		t.mu.Unlock()
-	}
+func (t *Tunneler) Run(ctx context.Context) { repeater.Run(ctx, t.Clock, sweepInterval, t.sweep) }
+
+// sweep forgets gateways that are no longer listed.
+func (t *Tunneler) sweep() {
+	list := t.others()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers.Retain(list)
+	t.Meter.SetGauge("tunnels_served", float64(len(t.served)))
 }
 
 // others returns the other gateways.
--- a/pkg/pathtracker/pathtracker.go
+++ b/pkg/pathtracker/pathtracker.go
@@ -215,21 +215,9 @@
 	return true
 }
 
-// TakeProbes returns, for each service, the backend server to which a direct connection is to be
-// attempted next, and notes the attempt: of those that are reached through other gateways, or of
-// a service from which the gateway is partitioned, the one with the oldest attempt.
-func (t *Tracker) TakeProbes(now time.Time) []string {
-	var probes []string
-	for name := range t.services {
-		if id := t.TakeProbe(now, name); id != "" {
-			probes = append(probes, id)
-		}
-	}
-	slices.Sort(probes)
-	return probes
-}
-
-// TakeProbe is TakeProbes for one service; empty if there is nothing to probe.
+// TakeProbe returns the backend server of a service to which a direct connection is to be attempted
+// next, and notes the attempt: of those that are reached through other gateways, or all that failed if
+// the gateway is partitioned from the service, the one with the oldest attempt; empty if there is none.
 func (t *Tracker) TakeProbe(now time.Time, serviceName string) string {
 	s := t.services[serviceName]
 	if s == nil {
--- a/pkg/pathtracker/pathtracker_test.go
+++ b/pkg/pathtracker/pathtracker_test.go
@@ -82,10 +82,10 @@
 	c.Check(tracker.RecordDetour("s", "b"), qt.IsFalse)
 	c.Check(tracker.Detoured(now, "s", "b"), qt.IsTrue)
 	c.Check(tracker.Detoured(now, "s", "c"), qt.IsFalse)
-	c.Check(tracker.TakeProbes(now), qt.DeepEquals, []string{"b"})
+	c.Check(tracker.TakeProbe(now, "s"), qt.Equals, "b")
 	c.Check(tracker.RecordConnected(now, "s", "b"), qt.IsTrue)
 	c.Check(tracker.Detoured(now, "s", "b"), qt.IsFalse)
-	c.Check(tracker.TakeProbes(now), qt.HasLen, 0)
+	c.Check(tracker.TakeProbe(now, "s"), qt.Equals, "")
 }
 
 // While a gateway is partitioned from a service, all its backend servers are reached through
