Keep ports of the proofs free while processes start

Cause: a process that is being started holds copies of the parent's descriptors until it executes its program. If a listener is closed meanwhile, its port stays in use. Listeners were opened to reserve ports, and closed and opened again when a backend server crashes, while controllers and gateways are started. Ruled out: another test at the address, since each has its own IP number.

Change: ports are reserved by sockets that don't listen, and an address whose listener was closed is tried again until no such process is left.

--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -1,12 +1,14 @@
 package proof
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -134,15 +136,36 @@
 
 // freeAddress returns an address with a port chosen by the kernel. Each has its own IP address
 // in the loopback range: on 127.0.0.1 an outgoing connection may be assigned the port before
-// the intended process listens on it.
+// the intended process listens on it. Nothing listens on the socket that reserves the port, since a
+// process that is being started at this time holds a copy of it and would keep the port in use.
 func freeAddress(c *qt.C) string {
 	const perByte = 250
 	n := int(allocatedAddresses.Add(1))
-	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n/perByte, 1+n%perByte)
-	l, err := net.Listen("tcp", ip+":0")
+	ip := [4]byte{127, byte(64 + os.Getpid()%128), byte(n / perByte), byte(1 + n%perByte)}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	defer func() { _ = syscall.Close(fd) }()
+	c.Assert(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1), qt.IsNil)
+	c.Assert(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: ip}), qt.IsNil)
+	bound, err := syscall.Getsockname(fd)
+	c.Assert(err, qt.IsNil)
+	return net.JoinHostPort(net.IP(ip[:]).String(), strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+}
+
+// listenTimeout bounds how long processes that are being started hold a listener that was closed.
+const listenTimeout = 10 * time.Second
+
+// listenAgain listens on an address whose earlier listener was closed. A process that is being
+// started holds a copy of that until it executes its program.
+func listenAgain(addr string) (net.Listener, error) {
+	deadline := time.Now().Add(listenTimeout)
+	for {
+		l, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return l, err
+		}
+		<-time.After(time.Millisecond)
+	}
 }
 
 // eventually waits until a condition holds. Its long timeout only ends a test that would never
--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -83,10 +82,10 @@
 // start listens on an address and begins to announce the server.
 func (b *fakeBackend) start(addr string) {
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
-	listener, err := net.Listen("tcp", addr)
+	b.stopAnnouncing = func() {}
+	listener, err := listenAgain(addr)
 	if err != nil {
-		// Another process may have taken the port since it was found free. Without a listener all
-		// requests fail here, and a test waits in vain for arrivals.
+		// Without a listener all requests fail here, and a test waits in vain for arrivals.
 		b.y.c.Errorf("backend server %s can't listen: %v", b.id, err)
 		return
 	}
