Say in a request's log line through whom it was not served

From the id of a refused request one could see that no gateway reached its backend server, but neither since when nor which ones were asked. Its lines have PartitionedFor now, and the reason of an attempt lists the gateways that were asked for a connection, each with what it found.

--- a/gateway/forwarder/path.go
+++ b/gateway/forwarder/path.go
@@ -265,6 +265,15 @@
 	f.partitionedAt[s.Service] = s.PartitionedAt
 }
 
+// partitionedSince returns since when no backend server of a service is reached directly; zero if any
+// is.
+func (f *Forwarder) partitionedSince(service string) time.Time {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paths.PartitionedSince(now, service)
+}
+
 // applyBackOff applies a backoff that a backend server has asked of another gateway, on a connection
 // from this instance or through the other one. It reports whether it begins a backoff.
 func (f *Forwarder) applyBackOff(backend string, d time.Duration) bool {
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -63,6 +63,9 @@
 	if j.via != "" {
 		list = append(list, "Via", j.via)
 	}
+	if since := f.partitionedSince(j.service); !since.IsZero() {
+		list = append(list, "PartitionedFor", f.Clock.Since(since).Milliseconds())
+	}
 	list = append(list, f.limitAttributes(j, backend.GetId())...)
 	if j.paused != "" {
 		list = append(list, "PausedBackend", j.paused)
--- a/gateway/tunneler/tunneler.go
+++ b/gateway/tunneler/tunneler.go
@@ -142,7 +142,7 @@
 func (t *Tunneler) ask(ctx context.Context, operation, backend string, call func(peer string) (wire.Reach, error)) (string, error) {
 	_, zone := t.Resolve(backend)
 	list := t.others()
-	var asked []string
+	var asked, outcomes []string
 	var failure error
 	failures := 0
 	for len(asked) < maxAsked && failures < maxFailures && ctx.Err() == nil {
@@ -155,7 +155,9 @@
 		asked = append(asked, peer.Address)
 		began := t.Clock.Now()
 		outcome, err := call(peer.Address)
-		t.Meter.Increment("tunnel_requests", "outcome", outcomeLabel(outcome, err))
+		label := outcomeLabel(outcome, err)
+		outcomes = append(outcomes, peer.Address+" "+label)
+		t.Meter.Increment("tunnel_requests", "outcome", label)
 		switch {
 		case ctx.Err() != nil:
 		case err != nil, outcome == wire.Reach_REACH_UNKNOWN:
@@ -175,9 +177,9 @@
 	case ctx.Err() != nil:
 		return "", fail(operation, KindNoGateway, ctx.Err())
 	case failure != nil:
-		return "", fail(operation, KindUnreachable, failure)
+		return "", fail(operation, KindUnreachable, errors.Wrapf(failure, "asked %q", outcomes))
 	}
-	return "", fail(operation, KindNoGateway, errNoGateway)
+	return "", fail(operation, KindNoGateway, errors.Wrapf(errNoGateway, "asked %q", outcomes))
 }
 
 func outcomeLabel(outcome wire.Reach, err error) string {
--- a/gateway/tunneler/tunneler_test.go
+++ b/gateway/tunneler/tunneler_test.go
@@ -29,7 +29,7 @@
 	// backend is the listener of the backend server, and address its address.
 	backend net.Listener
 	address string
-	// declines makes the peer open no connections, and backoffs are those that it was told.
+	// declines makes the peer open no connections, and backoffs are those that were reported to it.
 	declines bool
 	backoffs chan time.Duration
 }
@@ -177,6 +177,9 @@
 			}
 			s.c.Check(KindOf(err), qt.Equals, test.kind)
 			s.c.Check(errors.Is(err, syscall.ECONNREFUSED), qt.Equals, test.refused)
+			if err != nil && s.client.Self != s.peer.Self {
+				s.c.Check(err, qt.ErrorMatches, ".*asked .*"+s.peer.Self+" .*")
+			}
 			// The first call may have stopped the requests to the gateway for a time.
 			s.client.Init()
 			s.client.peers = newSite(t).client.peers
--- a/pkg/pathtracker/pathtracker.go
+++ b/pkg/pathtracker/pathtracker.go
@@ -189,8 +189,16 @@
 
 // Partitioned reports whether the gateway is partitioned from all backend servers of a service.
 func (t *Tracker) Partitioned(now time.Time, serviceName string) bool {
+	return !t.PartitionedSince(now, serviceName).IsZero()
+}
+
+// PartitionedSince returns since when that is so; zero if it is not.
+func (t *Tracker) PartitionedSince(now time.Time, serviceName string) time.Time {
 	s := t.services[serviceName]
-	return s != nil && !s.partitionedAt.IsZero() && s.failing(now) > 0
+	if s == nil || s.failing(now) == 0 {
+		return time.Time{}
+	}
+	return s.partitionedAt
 }
 
 // Failed reports whether the latest direct connection to a backend server failed.
