--- a/gateway/app/partition_test.go
+++ b/gateway/app/partition_test.go
@@ -171,8 +171,10 @@
 	address string
 	// room bounds its work; nil is for a backend server that runs any number of requests at once.
 	room *room
-	mu   sync.Mutex
-	runs map[string]int
+	// silentUntil is until when it answers nothing, in ns of Unix time.
+	silentUntil atomic.Int64
+	mu          sync.Mutex
+	runs        map[string]int
 }
 
 func (b *siteBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -183,6 +185,10 @@
 	b.mu.Lock()
 	b.runs[id]++
 	b.mu.Unlock()
+	select {
+	case <-r.Context().Done():
+	case <-time.After(time.Until(time.Unix(0, b.silentUntil.Load()))):
+	}
 	for _, field := range platform.StandInResponse(id, b.id) {
 		w.Header().Set(field.Name, field.Value)
 	}
@@ -450,6 +456,7 @@
 	allowed := 10 + (cutOff.sent.Load()+others.sent.Load())/50
 	y.c.Check(cutOff.share() >= others.share()*2/3 || notServed <= allowed, qt.IsTrue, qt.Commentf(
 		"partitioned: %d of %d, others: %d of %d", cutOff.served.Load(), cutOff.sent.Load(), others.served.Load(), others.sent.Load()))
+	y.c.Logf("partitioned: %d of %d served, others: %d of %d", cutOff.served.Load(), cutOff.sent.Load(), others.served.Load(), others.sent.Load())
 	y.c.Check(others.share() > 0.9, qt.IsTrue, qt.Commentf("others: %d of %d", others.served.Load(), others.sent.Load()))
 }
 
