--- a/gateway/app/brittle_test.go
+++ b/gateway/app/brittle_test.go
@@ -122,8 +122,8 @@
 // one after the other. The same test of the balancer, in virtual time, checks what is served.
 func TestBrittleBackendServersStayUp(t *testing.T) {
 	const (
-		gateways, backends, slots = 3, 4, 4
-		brittleFor                = 8 * time.Second
+		backends, slots = 4, 4
+		brittleFor      = 8 * time.Second
 	)
 	perSecond := float64(backends*slots) / runTime.Seconds()
 	for name, test := range map[string]struct {
@@ -140,8 +140,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			y := startPartitionSite(c, gateways, backends, slots)
-			interval := time.Duration(float64(gateways*test.bunch) / (test.load * perSecond) * float64(time.Second))
+			y := startPartitionSite(c, backends, slots)
+			interval := time.Duration(float64(siteGateways*test.bunch) / (test.load * perSecond) * float64(time.Second))
 			y.loadFor(time.Second, interval, test.bunch)
 			for _, b := range y.backends {
 				b.room.setBrittle(true)
--- a/gateway/app/partition_test.go
+++ b/gateway/app/partition_test.go
@@ -217,11 +217,14 @@
 // with high probability.
 func siteNetwork() string { return fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256)) }
 
+// siteGateways is the number of gateways of a site.
+const siteGateways = 3
+
 // startPartitionSite starts a site. The backend servers have slots for as many requests, or for any
 // number if that is 0.
-func startPartitionSite(c *qt.C, gateways, backends, slots int) *partitionSite {
+func startPartitionSite(c *qt.C, backends, slots int) *partitionSite {
 	y := &partitionSite{c: c, mesh: &siteController{state: &wire.SyncResponse{
-		Epoch: 1, Leads: true, Term: 1, HasLoads: true, Gateways: uint32(gateways), GatewaysRevision: 1, TableVersion: 1, Table: siteTable(),
+		Epoch: 1, Leads: true, Term: 1, HasLoads: true, Gateways: siteGateways, GatewaysRevision: 1, TableVersion: 1, Table: siteTable(),
 	}}}
 	ids := map[string]bool{}
 	for i := range backends {
@@ -245,10 +248,10 @@
 	controller.Start()
 	c.Cleanup(func() { controller.CloseClientConnections(); controller.Close() })
 	port := listener.Addr().(*net.TCPAddr).Port
-	for i := range gateways {
+	for i := range siteGateways {
 		y.mesh.state.GatewayList = append(y.mesh.state.GatewayList, &wire.GatewayEntry{Address: fmt.Sprintf("%s.%d:%d", network, 2+i, port), Zone: "z"})
 	}
-	for i := range gateways {
+	for i := range siteGateways {
 		y.startGateway(fmt.Sprintf("%s.%d", network, 2+i), listener.Addr().String(), port, ids)
 	}
 	for _, g := range y.gateways {
@@ -430,7 +433,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			y := startPartitionSite(qt.New(t), 3, 4, test.slots)
+			y := startPartitionSite(qt.New(t), 4, test.slots)
 			y.callAllFor(time.Second, test.partitioned)
 			for _, links := range y.links[:test.partitioned] {
 				links.partition(test.mode)
@@ -465,7 +468,7 @@
 func TestPartitionedGatewaysReportNoCrashes(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	y := startPartitionSite(c, 3, 4, 16)
+	y := startPartitionSite(c, 4, 16)
 	y.callAllFor(time.Second, 1)
 	called := make(chan struct{})
 	go func() {
