--- a/gateway/app/brittle_test.go
+++ b/gateway/app/brittle_test.go
@@ -122,10 +122,10 @@
 // one after the other. The same test of the balancer, in virtual time, checks what is served.
 func TestBrittleBackendServersStayUp(t *testing.T) {
 	const (
-		backends, slots = 4, 4
-		brittleFor      = 8 * time.Second
+		slots      = 4
+		brittleFor = 8 * time.Second
 	)
-	perSecond := float64(backends*slots) / runTime.Seconds()
+	perSecond := float64(siteBackends*slots) / runTime.Seconds()
 	for name, test := range map[string]struct {
 		// load is what is asked for, as a part of the capacity, in bunches of so many requests at
 		// each gateway.
@@ -140,7 +140,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			y := startPartitionSite(c, backends, slots)
+			y := startPartitionSite(c, slots)
 			interval := time.Duration(float64(siteGateways*test.bunch) / (test.load * perSecond) * float64(time.Second))
 			y.loadFor(time.Second, interval, test.bunch)
 			for _, b := range y.backends {
@@ -154,7 +154,7 @@
 				crashes += b.room.crashes
 				b.room.mu.Unlock()
 			}
-			c.Check(crashes <= 2+backends/10, qt.IsTrue, qt.Commentf("%d crashes", crashes))
+			c.Check(crashes <= 2+siteBackends/10, qt.IsTrue, qt.Commentf("%d crashes", crashes))
 			possible := min(float64(s.sent.Load()), perSecond*brittleFor.Seconds())
 			c.Logf("%s: %d of %d served, %.0f possible, %d crashes", name, s.served.Load(), s.sent.Load(), possible, crashes)
 		})
--- a/gateway/app/partition_test.go
+++ b/gateway/app/partition_test.go
@@ -217,17 +217,20 @@
 // with high probability.
 func siteNetwork() string { return fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256)) }
 
-// siteGateways is the number of gateways of a site.
-const siteGateways = 3
+// siteGateways and siteBackends are the numbers of gateways and backend servers of a site.
+const (
+	siteGateways = 3
+	siteBackends = 4
+)
 
 // startPartitionSite starts a site. The backend servers have slots for as many requests, or for any
 // number if that is 0.
-func startPartitionSite(c *qt.C, backends, slots int) *partitionSite {
+func startPartitionSite(c *qt.C, slots int) *partitionSite {
 	y := &partitionSite{c: c, mesh: &siteController{state: &wire.SyncResponse{
 		Epoch: 1, Leads: true, Term: 1, HasLoads: true, Gateways: siteGateways, GatewaysRevision: 1, TableVersion: 1, Table: siteTable(),
 	}}}
 	ids := map[string]bool{}
-	for i := range backends {
+	for i := range siteBackends {
 		b := &siteBackend{id: fmt.Sprintf("b%d", i), runs: map[string]int{}}
 		if slots > 0 {
 			b.room = newRoom(slots)
@@ -433,7 +436,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			y := startPartitionSite(qt.New(t), 4, test.slots)
+			y := startPartitionSite(qt.New(t), test.slots)
 			y.callAllFor(time.Second, test.partitioned)
 			for _, links := range y.links[:test.partitioned] {
 				links.partition(test.mode)
@@ -468,7 +471,7 @@
 func TestPartitionedGatewaysReportNoCrashes(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	y := startPartitionSite(c, 4, 16)
+	y := startPartitionSite(c, 16)
 	y.callAllFor(time.Second, 1)
 	called := make(chan struct{})
 	go func() {
--- a/gateway/app/silence_test.go
+++ b/gateway/app/silence_test.go
@@ -22,7 +22,7 @@
 func TestSilentBackendServerGoesOn(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	y := startPartitionSite(c, 4, 0)
+	y := startPartitionSite(c, 0)
 	y.callAllFor(time.Second, 0)
 	silent := y.backends[0]
 	silent.silentUntil.Store(time.Now().Add(silence).UnixNano())
