Request the list of gateways again once another source has replaced it

Cause: a gateway names to each source the revision of the list that this source sent last, not of the list that it holds. If another source's older list replaces it, the first one does not send its own again, and the gateway keeps the old list, and with it the wrong update path, until the next change. A controller whose list was ignored as it did not lead, and which leads later, has the same.

Change: to a source that sent the leader's state, a gateway names the revision that it holds. Controllers that don't lead are named what they sent, as before, so that they don't send lists that are ignored with each answer.

TestReplacedListOfGatewaysIsRequestedAgain fails on the code before (1 requested where 2 is held; 3 where 1 is).

--- a/gateway/relayer/relayer.go
+++ b/gateway/relayer/relayer.go
@@ -248,6 +248,13 @@
 	return r.disseminator.SuspectsRevision()
 }
 
+// GatewaysRevision returns the revision of the known list of gateways.
+func (r *Relayer) GatewaysRevision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.disseminator.GatewaysRevision()
+}
+
 // Gateways returns all gateways, as listed by the leader.
 func (r *Relayer) Gateways() []*wire.GatewayEntry {
 	r.mu.Lock()
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -121,6 +121,8 @@
 	controllersRevision                               uint64
 	// reported is the number of the last run report that it has received.
 	reported uint64
+	// leads is set if its state was the leader's.
+	leads bool
 	// gap is set if a difference from it could not be applied, so that it must send everything.
 	gap bool
 }
@@ -303,6 +305,7 @@
 	req.MembersRevision = membersRevision
 	demand := s.Demand()
 	holdings := s.Relayer.HoldingRevision()
+	gateways := s.Relayer.GatewaysRevision()
 	req.SuspectsRevision = s.Relayer.SuspectsRevision()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -312,6 +315,10 @@
 	req.Epoch, req.AnnouncementRevision, req.VersionRevision = state.epoch, state.announcements, state.versions
 	req.RequestLimitsRevision = state.requestLimits
 	req.GatewaysRevision, req.ControllersRevision = state.gateways, state.controllersRevision
+	if state.leads {
+		// The list that it sent may have been replaced by that of another source since.
+		req.GatewaysRevision = gateways
+	}
 	req.WantTable = state.tableVersion > req.GetTableVersion()
 	if !state.gap {
 		req.HoldingRevision = holdings
@@ -356,7 +363,7 @@
 	state.epoch, state.announcements, state.versions = res.GetEpoch(), res.GetAnnouncementRevision(), res.GetVersionRevision()
 	state.gateways, state.members, state.tableVersion = res.GetGatewaysRevision(), res.GetMembersRevision(), res.GetTableVersion()
 	state.requestLimits = res.GetRequestLimitsRevision()
-	state.gap = !complete
+	state.leads, state.gap = res.GetLeads(), !complete
 	if list := res.GetControllers(); len(list) > 0 {
 		state.controllers = list
 	}
--- a/gateway/synchronizer/tree_test.go
+++ b/gateway/synchronizer/tree_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/gateway/granter"
@@ -82,6 +83,15 @@
 // startGateway starts the gateway; the controller sends the list.
 func (s *system) startGateway(t *testing.T, self *wire.GatewayEntry, list *wire.SyncResponse) {
 	controller := s.controller.start(t, list)
+	s.Synchronizer = newSynchronizer(self)
+	s.Seeds = func() []string { return []string{controller} }
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Run(ctx)
+}
+
+// newSynchronizer returns a synchronizer that does not run yet.
+func newSynchronizer(self *wire.GatewayEntry) *Synchronizer {
 	g := &granter.Granter{Clock: clockwork.NewRealClock()}
 	g.Init()
 	r := &relayer.Relayer{
@@ -90,15 +100,12 @@
 		Apply: func(string, *wire.SyncResponse) {}, Loads: func() []*wire.Load { return nil },
 	}
 	r.Init()
-	s.Synchronizer = &Synchronizer{
+	return &Synchronizer{
 		Granter: g,
-		Clock:   r.Clock, Log: r.Log, Gateway: "test", Self: self, Relayer: r, Seeds: func() []string { return []string{controller} },
+		Clock:   r.Clock, Log: r.Log, Gateway: "test", Self: self, Relayer: r, Seeds: func() []string { return nil },
 		Demand: func() []*wire.Demand { return nil }, TableVersion: func() uint64 { return 0 },
 		RunReports: func(uint64) ([]*wire.RunReport, uint64) { return nil, 0 },
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go s.Run(ctx)
 }
 
 // eventually waits until a condition holds; the limit only ends a failing test.
@@ -170,3 +177,30 @@
 	s.controller.silent.Store(false)
 	eventually(t, "polling the other gateway stops", func() bool { return len(s.relayList()) == 0 })
 }
+
+// Two sources sent different lists of gateways while the list changed. Neither sent its own again
+// after the other's had replaced it, and the gateway kept the old one and its wrong update path.
+func TestReplacedListOfGatewaysIsRequestedAgain(t *testing.T) {
+	c := qt.New(t)
+	s := newSynchronizer(&wire.GatewayEntry{Address: "10.0.0.1:80", Zone: "z"})
+	s.sources, s.pendingDemand = map[string]*syncState{}, demandBuffer{}
+	list := []*wire.GatewayEntry{s.Self, {Address: "10.0.0.2:80", Zone: "z"}}
+	requested := func(source string) uint64 {
+		req, _ := s.prepare(source)
+		return req.GetGatewaysRevision()
+	}
+	s.receive("leader", &wire.SyncResponse{Leads: true, Term: 1, GatewaysRevision: 1, GatewayList: list})
+	c.Check(requested("leader"), qt.Equals, uint64(1))
+	s.receive("relay", &wire.SyncResponse{Leads: true, Term: 1, GatewaysRevision: 2, GatewayList: list[:1]})
+	c.Check(requested("leader"), qt.Equals, uint64(2))
+	s.receive("leader", &wire.SyncResponse{Leads: true, Term: 1, GatewaysRevision: 1, GatewayList: list})
+	c.Check(requested("leader"), qt.Equals, uint64(1))
+	c.Check(s.Relayer.Gateways(), qt.HasLen, 2)
+
+	// The list of a controller that does not lead is not used, and not requested again.
+	s.receive("other", &wire.SyncResponse{GatewaysRevision: 3, GatewayList: list[:1]})
+	c.Check(requested("other"), qt.Equals, uint64(3))
+	// Once it leads it is.
+	s.receive("other", &wire.SyncResponse{Leads: true, Term: 2, GatewaysRevision: 3})
+	c.Check(requested("other"), qt.Equals, uint64(1))
+}
--- a/pkg/disseminator/disseminator.go
+++ b/pkg/disseminator/disseminator.go
@@ -102,6 +102,9 @@
 // HoldingRevision returns the revision up to which the holdings are known.
 func (d *Disseminator) HoldingRevision() uint64 { return d.holdings.Revision() }
 
+// GatewaysRevision returns the revision of the list that Gateways returns.
+func (d *Disseminator) GatewaysRevision() uint64 { return d.gatewaysRevision }
+
 // Gateways returns all gateways, as listed by the leader.
 func (d *Disseminator) Gateways() []*wire.GatewayEntry { return d.gateways }
 
