Let the loads of other gateways expire while no leader sends any

Cause: the number of requests that other gateways have at a backend server stayed as the leader had sent it last. Of two backend servers the one with more at that moment was never chosen again while no leader answered, and one that the others had filled counted as full all the time: with all of a service full at that moment, requests were refused until a leader answered. Class: what was true of another process once is taken for its state now.

Change: these loads count for 2 s after their last update, longer than an election. Rejections and the gateway's own requests tell whether there is room from then on. Simulations in tests pass the time of each update.

TestLoadsOfOtherGatewaysExpireWithoutUpdates fails on the code before (0 of 100 choices, and 100 of 100 requests that wait).

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -218,7 +218,7 @@
 		f.balancer.Decline(adapter)
 	}
 	if res.GetHasLoads() {
-		f.balancer.SetLoads(res.GetLoads())
+		f.balancer.SetLoads(now, res.GetLoads())
 		f.balancer.ObserveLoads(now, res.GetLoads())
 	}
 	if res.GetLeads() {
--- a/pkg/balancer/ablation_test.go
+++ b/pkg/balancer/ablation_test.go
@@ -30,7 +30,7 @@
 		}, []*Waiter{waiter("w", adapter("m/x"), avoid("a"))}, "waits", "a"},
 		ablator.PriorityOrder: {func(b *Balancer) {
 			hold(b, 1, "a", "m/x@0")
-			b.SetLoads([]*wire.Load{{Backend: "a", Requests: 3}})
+			b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 3}})
 		}, []*Waiter{waiter("v", adapter("m/x"), urgency(5)), waiter("w", adapter("m/x"), urgency(0))}, "a", "waits"},
 	} {
 		t.Run(string(name), func(t *testing.T) {
@@ -69,7 +69,7 @@
 				b := newBalancer("a", "b", "d")
 				b.UpdateBackend(begin(), &wire.Announcement{Id: "c", Service: "s", Address: "c", Zone: "elsewhere", Slots: 4, Sequence: 1})
 				b.Disabled = ablator.Disable(test.off...)
-				b.SetLoads([]*wire.Load{{Backend: "b", Requests: 1}, {Backend: "d", Requests: 3}})
+				b.SetLoads(begin(), []*wire.Load{{Backend: "b", Requests: 1}, {Backend: "d", Requests: 3}})
 				got[decide(b, begin().Add(time.Duration(i)), waiter("w"))["w"]] = true
 			}
 			delete(got, map[bool]string{true: "c", false: ""}[len(test.off) == 0])
--- a/pkg/balancer/adapters_test.go
+++ b/pkg/balancer/adapters_test.go
@@ -94,7 +94,7 @@
 			for id, n := range test.others {
 				loads = append(loads, &wire.Load{Backend: id, Requests: n})
 			}
-			b.SetLoads(loads)
+			b.SetLoads(begin(), loads)
 			b.Enqueue(waiter("w", adapter("m/hot")))
 			decisions, pendingLoads := b.Next(begin())
 			c.Assert(decisions, qt.HasLen, 1)
--- a/pkg/balancer/backoff_test.go
+++ b/pkg/balancer/backoff_test.go
@@ -144,7 +144,7 @@
 func TestSlotsDuringBackoffAreNotFree(t *testing.T) {
 	c := qt.New(t)
 	b := newBalancer("a", "b")
-	b.SetLoads([]*wire.Load{{Backend: "a", Requests: 4}})
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 4}})
 	c.Check(b.Contended(begin(), "s"), qt.IsFalse)
 	b.BackOff(begin(), "b", time.Second)
 	c.Check(b.Contended(begin(), "s"), qt.IsTrue)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -41,6 +41,9 @@
 	// fullBackoff is how long a backend server is not used after it refused a request for lack
 	// of room.
 	fullBackoff = 100 * time.Millisecond
+	// loadLease is how long the loads of the other gateways count after their last update: longer
+	// than an election, during which no leader sends any.
+	loadLease = 2 * time.Second
 )
 
 // Balancer holds the state that one gateway knows. Set the exported fields before use.
@@ -57,6 +60,8 @@
 	versions  map[string]uint64
 	term      uint64
 	queue     []*Waiter
+	// loadsAt is when the loads of the other gateways were last updated.
+	loadsAt   time.Time
 	nextOrder uint64
 	// requestedLoads holds the latest load request to the leader for each adapter.
 	requestedLoads map[string]requestedLoad
@@ -177,10 +182,9 @@
 }
 
 // SetLoads sets how many requests the other gateways have at each backend server.
-func (b *Balancer) SetLoads(loads []*wire.Load) {
-	for _, known := range b.backends {
-		known.others = 0
-	}
+func (b *Balancer) SetLoads(now time.Time, loads []*wire.Load) {
+	b.loadsAt = now
+	b.clearLoads()
 	for _, l := range loads {
 		if known := b.backends[l.GetBackend()]; known != nil {
 			known.others = float64(l.GetRequests())
@@ -188,6 +192,19 @@
 	}
 }
 
+// expireLoads forgets the loads of the other gateways if they have not been updated for too long.
+func (b *Balancer) expireLoads(now time.Time) {
+	if now.Sub(b.loadsAt) >= loadLease {
+		b.clearLoads()
+	}
+}
+
+func (b *Balancer) clearLoads() {
+	for _, known := range b.backends {
+		known.others = 0
+	}
+}
+
 // Loads returns how many requests this gateway has at each backend server, what the backend
 // servers have announced to it in their answers, and what it has observed of their pace.
 func (b *Balancer) Loads(now time.Time) []*wire.Load {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -111,7 +111,7 @@
 	for _, id := range ids {
 		loads = append(loads, &wire.Load{Backend: id, Requests: 4})
 	}
-	b.SetLoads(loads)
+	b.SetLoads(begin(), loads)
 }
 
 // Forty gateways receive each other's loads only every 150 ms. They must not all send to the
@@ -151,7 +151,7 @@
 				running = running[1:]
 			}
 			if n%int(loadInterval/step) == 0 {
-				shareLoads(all)
+				shareLoads(now, all)
 			}
 			by := n * 7 % gateways
 			id := decide(all[by], now, waiter("w", func(w *Waiter) { w.Deadline = now.Add(time.Second) }))["w"]
@@ -237,7 +237,7 @@
 			running = running[1:]
 		}
 		if n%int(loadInterval/step) == 0 {
-			shareLoads(all)
+			shareLoads(now, all)
 		}
 		by := n * 7 % gateways
 		id := decide(all[by], now, waiter("w", func(w *Waiter) { w.Deadline = now.Add(time.Second) }))["w"]
@@ -259,7 +259,7 @@
 	c := qt.New(t)
 	b := newBalancer("a", "b", "c", "d")
 	b.Rand = rand.New(rand.NewPCG(1, 1))
-	b.SetLoads([]*wire.Load{{Backend: "a", Requests: 4}, {Backend: "b", Requests: 4}})
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 4}, {Backend: "b", Requests: 4}})
 	chosen := map[string]int{}
 	for range 400 {
 		id := decide(b, begin(), waiter("w", func(w *Waiter) { w.UsesSlotGrants = true }))["w"]
@@ -271,13 +271,40 @@
 	}
 }
 
+// Without updates, the loads of the other gateways stayed as they were: backend servers that were
+// busy at the last update got no requests for as long as no leader answered.
+func TestLoadsOfOtherGatewaysExpireWithoutUpdates(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer("a", "b")
+	b.Rand = rand.New(rand.NewPCG(1, 1))
+	choices := func(at time.Time) map[string]int {
+		chosen := map[string]int{}
+		for range 100 {
+			w := waiter("w", func(w *Waiter) { w.Deadline = at.Add(time.Second) })
+			id := decide(b, at, w)["w"]
+			b.Cancel(w)
+			b.Done(at, id, "", 0, Served)
+			chosen[id]++
+		}
+		return chosen
+	}
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 2}})
+	c.Check(choices(begin().Add(loadLease-time.Millisecond)), qt.DeepEquals, map[string]int{"b": 100})
+	later := choices(begin().Add(loadLease))
+	c.Check(later["a"] > 20, qt.IsTrue, qt.Commentf("%v", later))
+
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 4}, {Backend: "b", Requests: 4}})
+	c.Check(choices(begin().Add(loadLease-time.Millisecond)), qt.DeepEquals, map[string]int{"waits": 100})
+	c.Check(choices(begin().Add(loadLease))["waits"], qt.Equals, 0)
+}
+
 // shareLoads sends each gateway the loads of the others.
-func shareLoads(all []*Balancer) {
+func shareLoads(now time.Time, all []*Balancer) {
 	total := map[string]uint32{}
 	own := make([]map[string]uint32, len(all))
 	for i, b := range all {
 		own[i] = map[string]uint32{}
-		for _, l := range b.Loads(begin()) {
+		for _, l := range b.Loads(now) {
 			own[i][l.GetBackend()] = l.GetRequests()
 			total[l.GetBackend()] += l.GetRequests()
 		}
@@ -289,7 +316,7 @@
 				loads = append(loads, &wire.Load{Backend: id, Requests: others})
 			}
 		}
-		b.SetLoads(loads)
+		b.SetLoads(now, loads)
 	}
 }
 
@@ -301,7 +328,7 @@
 			b.SetVersion(&wire.AdapterVersion{Model: "m", Adapter: "a", Version: 2})
 		},
 		"a holding": func(b *Balancer) { b.SetLoadedAdapters(1, &wire.Holding{Backend: "b"}) },
-		"loads":     func(b *Balancer) { b.SetLoads([]*wire.Load{{Backend: "b", Requests: 1}}) },
+		"loads":     func(b *Balancer) { b.SetLoads(begin(), []*wire.Load{{Backend: "b", Requests: 1}}) },
 		"a backlog": func(b *Balancer) { b.SetBacklog(time.Unix(1000, 0), "b", time.Second) },
 		"a departure": func(b *Balancer) {
 			b.UpdateBackend(time.Unix(1000, 0), &wire.Announcement{Id: "b", Gone: true})
--- a/pkg/balancer/brittle_test.go
+++ b/pkg/balancer/brittle_test.go
@@ -335,7 +335,7 @@
 		for s, n := range total {
 			loads = append(loads, &wire.Load{Backend: strconv.Itoa(s), Requests: uint32(max(0, n-old[g][s]))})
 		}
-		b.SetLoads(loads)
+		b.SetLoads(y.now, loads)
 	}
 }
 
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -160,6 +160,7 @@
 // Contended reports whether gateways send so much work to the backend servers of a service that
 // their requests would collide.
 func (b *Balancer) Contended(now time.Time, service string) bool {
+	b.expireLoads(now)
 	taken, slots := 0.0, 0.0
 	for _, k := range b.byService[service] {
 		if k.accepting() && !k.silent(now) && !k.ejected(now) && !k.backoff.active(now) {
--- a/pkg/balancer/decision.go
+++ b/pkg/balancer/decision.go
@@ -37,6 +37,7 @@
 // Next decides on the queued requests, the most urgent first, and returns the adapters that the
 // leader is to load.
 func (b *Balancer) Next(now time.Time) (decisions []Decision, pendingLoads []*wire.Want) {
+	b.expireLoads(now)
 	b.orderByShares(now)
 	remaining := b.queue[:0]
 	for _, w := range b.queue {
--- a/pkg/balancer/failures_test.go
+++ b/pkg/balancer/failures_test.go
@@ -109,7 +109,7 @@
 func TestSlotsOfEjectedBackendsAreNotFree(t *testing.T) {
 	c := qt.New(t)
 	b := newBalancer("a", "b", "exited 1", "exited 2")
-	b.SetLoads([]*wire.Load{{Backend: "a", Requests: 4}, {Backend: "b", Requests: 4}})
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 4}, {Backend: "b", Requests: 4}})
 	c.Check(b.Contended(begin(), "s"), qt.IsFalse)
 	for _, id := range []string{"exited 1", "exited 2"} {
 		b.Done(begin(), id, "", 0, Unreachable)
--- a/pkg/balancer/shares_test.go
+++ b/pkg/balancer/shares_test.go
@@ -26,7 +26,7 @@
 	for i := range 10 {
 		b.recordUsage(begin(), waiter("", customer(fmt.Sprint("within ", i))))
 	}
-	b.SetLoads([]*wire.Load{{Backend: "a", Requests: 3}})
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 3}})
 	return b
 }
 
@@ -64,7 +64,7 @@
 func TestSharesDoNotMatterWithoutContention(t *testing.T) {
 	c := qt.New(t)
 	b := contendedBalancer()
-	b.SetLoads(nil)
+	b.SetLoads(begin(), nil)
 	b.contended = nil
 	b.backends["a"].own = 0
 	b.Enqueue(waiter("v", customer("above")))
@@ -86,7 +86,7 @@
 		b.recordUsage(begin(), waiter("", customer("large")))
 		b.recordUsage(begin(), waiter("", customer("small")))
 	}
-	b.SetLoads([]*wire.Load{{Backend: "a", Requests: 3}})
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 3}})
 	result := decide(b, begin(), waiter("v", customer("small")), waiter("w", customer("large")))
 	c.Check(result["w"], qt.Equals, "a")
 	c.Check(result["v"], qt.Equals, "waits")
@@ -172,7 +172,7 @@
 				for id, n := range running {
 					others = append(others, &wire.Load{Backend: id, Requests: uint32(max(0, n-int(b.backends[id].own)))})
 				}
-				b.SetLoads(others)
+				b.SetLoads(now, others)
 			}
 		}
 		for i, part := range rates {
@@ -280,7 +280,7 @@
 				l.UpdateBackend(begin(), &wire.Announcement{Id: id, Service: "s", Address: "a", Zone: "z", Slots: 48, Sequence: 1})
 				loads = append(loads, &wire.Load{Backend: id, Requests: 48})
 			}
-			l.SetLoads(loads)
+			l.SetLoads(begin(), loads)
 			for range 200 {
 				l.recordUsage(begin(), waiter("", customer("above")))
 			}
--- a/pkg/balancer/spare_test.go
+++ b/pkg/balancer/spare_test.go
@@ -36,7 +36,7 @@
 			}
 			loads = append(loads, &wire.Load{Backend: fmt.Sprint("e", i), Requests: uint32(n)})
 		}
-		b.SetLoads(loads)
+		b.SetLoads(now, loads)
 		for i := range 90 {
 			w := waiter("w", adapter(fmt.Sprint("m/", i)))
 			w.Deadline = now.Add(time.Second)
@@ -57,7 +57,7 @@
 	c := qt.New(t)
 	b := newBalancer("a", "b", "c")
 	hold(b, 1, "a", "m/hot@0")
-	b.SetLoads([]*wire.Load{{Backend: "a", Requests: 3}})
+	b.SetLoads(begin(), []*wire.Load{{Backend: "a", Requests: 3}})
 	b.Enqueue(waiter("w", adapter("m/hot")))
 	_, pendingLoads := b.Next(begin())
 	c.Assert(pendingLoads, qt.HasLen, 1)
--- a/pkg/balancer/uneven_test.go
+++ b/pkg/balancer/uneven_test.go
@@ -179,7 +179,7 @@
 		s.totals.Add(s.now, loads)
 		others := s.totals.Without(s.now, loads)
 		s.send(func() {
-			g.SetLoads(others)
+			g.SetLoads(s.now, others)
 			g.ObserveLoads(s.now, others)
 			s.decide(g)
 		})
@@ -482,7 +482,7 @@
 		}
 		loads = append(loads, &wire.Load{Backend: id, Requests: 3, EventIntervalUs: interval, EventSamples: 40, MachineLoad: 150})
 	}
-	balancer.SetLoads(loads)
+	balancer.SetLoads(now, loads)
 	balancer.ObserveLoads(now, loads)
 	b.ReportAllocs()
 	for b.Loop() {
