Reset tunnels whose gateway exits, and let a gateway that stops wait for them

Found by reading, for the case that the gateway which carries a partitioned gateway's bytes is killed or stopped meanwhile.

- An answer without a length ends with its connection.
The kernel closes the connections of a process that exits in order, as the backend server does at the end of an answer, so that a cut answer looked complete to the gateway that had requested the tunnel.
Tunnels are closed by a reset now, and only the end of the backend server's own bytes is passed on as one.
The same for tunnels that a stopping gateway closed as nothing had passed for 0.5 s.
TestAnswersOfExitedGatewaysAreIncomplete fails on the code before: the rest of the answer reads as an orderly end.
- A gateway that stops waited for its own requests only, and closed tunnels after 0.5 s without a byte although a request on them waited for its answer.
It waits for them within its grace now.
TestStoppingGatewayWaitsForTunnels, and two cases of TestStoppingGatewayClosesQuietTunnels; its last check wants a reset, where it allowed an orderly end too.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -255,8 +256,10 @@
 	<-r.Clock.After(s.Drain - s.Take)
 	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-s.Drain-stopMargin)
 	defer cancel()
-	go r.tunneler.Quiesce(ctx)
+	var tunnels sync.WaitGroup
+	tunnels.Go(func() { r.tunneler.Stop(ctx) })
 	err := r.frontend.Stop(ctx)
+	tunnels.Wait()
 	if err != nil {
 		r.Log.Warn("requests were still running at the stop", "Error", err.Error())
 	}
--- a/gateway/tunneler/serving.go
+++ b/gateway/tunneler/serving.go
@@ -22,8 +22,9 @@
 	// tunnelIdleTimeout is how long a tunnel may carry nothing: longer than any request waits for
 	// its answer, so that it only ends tunnels whose gateway is gone.
 	tunnelIdleTimeout = 5 * time.Minute
-	// quietTime is how long a tunnel carries nothing before a gateway that is stopping closes it.
-	quietTime = 500 * time.Millisecond
+	// quietTime is how long a tunnel carries nothing after an answer before a gateway that is stopping
+	// closes it: longer than a stream pauses while its engine reads the prompt of another one.
+	quietTime = time.Second
 )
 
 // served is a tunnel for another gateway.
@@ -35,6 +36,8 @@
 	downstream, upstream net.Conn
 	// usedAt is when it carried bytes last, in ns of Unix time.
 	usedAt atomic.Int64
+	// awaiting is set while the last bytes were those of a request.
+	awaiting atomic.Bool
 }
 
 // Server serves tunnels and calls of other gateways.
@@ -65,6 +68,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	resetOnClose(downstream)
 	tunnel := &served{backend: backend, gateway: r.Header.Get(headerGateway), downstream: downstream, upstream: upstream}
 	if buffered.Reader.Buffered() > 0 || !t.add(tunnel) {
 		tunnel.reset()
@@ -103,7 +107,7 @@
 func (t *Tunneler) serves(backend, address string) bool {
 	known, _ := t.Resolve(backend)
 	t.mu.Lock()
-	full := t.quiescing || t.MaxTunnels > 0 && len(t.served) >= t.MaxTunnels
+	full := t.stopping || t.MaxTunnels > 0 && len(t.served) >= t.MaxTunnels
 	t.mu.Unlock()
 	return known != "" && known == address && !full && !t.Declines(backend)
 }
@@ -135,7 +139,7 @@
 func (t *Tunneler) add(s *served) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.quiescing || t.MaxTunnels > 0 && len(t.served) >= t.MaxTunnels {
+	if t.stopping || t.MaxTunnels > 0 && len(t.served) >= t.MaxTunnels {
 		return false
 	}
 	s.usedAt.Store(t.Clock.Now().UnixNano())
@@ -149,24 +153,39 @@
 	delete(t.served, s)
 }
 
-// Quiesce serves no further tunnels, and ends the others once they carry nothing, until ctx ends.
-func (t *Tunneler) Quiesce(ctx context.Context) {
+// Stop serves no further tunnels, and waits until the others have ended or ctx ends. Those that
+// carry nothing are closed.
+func (t *Tunneler) Stop(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	t.mu.Lock()
-	t.quiescing = true
+	t.stopping = true
 	t.mu.Unlock()
-	repeater.Run(ctx, t.Clock, quietTime/2, t.closeQuiet)
+	if t.closeQuiet() == 0 {
+		return
+	}
+	repeater.Run(ctx, t.Clock, quietTime/4, func() {
+		if t.closeQuiet() == 0 {
+			cancel()
+		}
+	})
 }
 
-// closeQuiet closes the tunnels that have carried nothing for a time.
-func (t *Tunneler) closeQuiet() {
+// closeQuiet closes the tunnels that have carried nothing for a time and wait for no answer, and
+// returns the number of the others.
+func (t *Tunneler) closeQuiet() int {
 	since := t.Clock.Now().Add(-quietTime).UnixNano()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	open := 0
 	for s := range t.served {
-		if s.usedAt.Load() < since {
-			_ = s.downstream.Close()
+		if s.awaiting.Load() || s.usedAt.Load() >= since {
+			open++
+			continue
 		}
+		s.reset()
 	}
+	return open
 }
 
 // serve copies bytes both ways until the tunnel ends.
@@ -189,6 +208,7 @@
 		n, err := from.Read(buf)
 		if n > 0 {
 			s.usedAt.Store(t.Clock.Now().UnixNano())
+			s.awaiting.Store(from == s.downstream)
 			if _, err := to.Write(buf[:n]); err != nil {
 				s.reset()
 				return
@@ -217,9 +237,15 @@
 // reset ends the tunnel at both ends, so that an answer in progress does not look complete.
 func (s *served) reset() {
 	for _, c := range []net.Conn{s.downstream, s.upstream} {
-		if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(c)
 		_ = c.Close()
 	}
 }
+
+// resetOnClose lets a connection be reset when it is closed, also by the kernel after a crash of
+// this process. Its end is only passed on by closeWrite.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/gateway/tunneler/tunneler.go
+++ b/gateway/tunneler/tunneler.go
@@ -73,8 +73,8 @@
 	// peers chooses among the other gateways.
 	peers pathtracker.Peers
 	// served are the tunnels that are open for other gateways.
-	served    map[*served]struct{}
-	quiescing bool
+	served   map[*served]struct{}
+	stopping bool
 }
 
 // Init prepares the tunneler for calls before Run.
--- a/gateway/tunneler/tunneler_test.go
+++ b/gateway/tunneler/tunneler_test.go
@@ -162,7 +162,7 @@
 		"another backend server":          {func(*site) {}, "unknown", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
 		"another incarnation's address":   {func(s *site) { s.client.Resolve, s.address = s.peer.Resolve, "127.0.0.1:1" }, "b", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
 		"a gateway without a path to it":  {func(s *site) { s.declines = true }, "b", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
-		"a gateway that is stopping":      {func(s *site) { s.peer.quiescing = true }, "b", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
+		"a gateway that is stopping":      {func(s *site) { s.peer.stopping = true }, "b", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
 		"a gateway that is down":          {func(s *site) { s.peer.Self = "127.0.0.1:1" }, "b", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
 		"no other gateway":                {func(s *site) { s.client.Self = s.peer.Self }, "b", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
 		"a gateway with too many tunnels": {func(s *site) { s.peer.MaxTunnels, s.peer.served = 1, map[*served]struct{}{{}: {}} }, "b", KindNoGateway, false, wire.Reach_REACH_UNKNOWN},
@@ -223,20 +223,88 @@
 	s.c.Check(<-s.backoffs, qt.Equals, 3*time.Second)
 }
 
-// A gateway that is stopping ends tunnels that carry nothing, and no others.
+// An answer that ends with its connection looked complete when the gateway that served the tunnel
+// exited. The connections of a process that exits are closed by the kernel.
+func TestAnswersOfExitedGatewaysAreIncomplete(t *testing.T) {
+	s := newSite(t)
+	conn, served := s.open()
+	_, err := io.WriteString(served, "half of the answer")
+	s.c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, len("half of the answer")))
+	s.c.Assert(err, qt.IsNil)
+	s.peer.mu.Lock()
+	for tunnel := range s.peer.served {
+		_ = tunnel.downstream.Close()
+	}
+	s.peer.mu.Unlock()
+	_, err = io.ReadAll(conn)
+	s.c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// A gateway that is stopping ends tunnels that carry nothing, and none that were used a moment ago or
+// wait for an answer.
 func TestStoppingGatewayClosesQuietTunnels(t *testing.T) {
+	for name, test := range map[string]struct {
+		request, answer string
+		after           time.Duration
+		closed          bool
+	}{
+		"not used":                   {"", "", 2 * quietTime, true},
+		"used a moment ago":          {"request", "answer", quietTime / 2, false},
+		"answered":                   {"request", "answer", 2 * quietTime, true},
+		"the request is in progress": {"request", "", 2 * quietTime, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			clock := clockwork.NewFakeClock()
+			s.peer.Clock = clock
+			conn, served := s.open()
+			_, err := io.WriteString(conn, test.request)
+			s.c.Assert(err, qt.IsNil)
+			_, err = io.ReadFull(served, make([]byte, len(test.request)))
+			s.c.Assert(err, qt.IsNil)
+			_, err = io.WriteString(served, test.answer)
+			s.c.Assert(err, qt.IsNil)
+			_, err = io.ReadFull(conn, make([]byte, len(test.answer)))
+			s.c.Assert(err, qt.IsNil)
+			clock.Advance(test.after)
+			s.c.Check(s.peer.closeQuiet() == 0, qt.Equals, test.closed)
+			if test.closed {
+				_, err = conn.Read(make([]byte, 1))
+				s.c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+			}
+		})
+	}
+}
+
+// A gateway that is stopping waited for its own requests only.
+func TestStoppingGatewayWaitsForTunnels(t *testing.T) {
 	s := newSite(t)
 	clock := clockwork.NewFakeClock()
 	s.peer.Clock = clock
-	conn, _ := s.open()
-	s.peer.closeQuiet()
-	s.c.Assert(conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)), qt.IsNil)
+	conn, served := s.open()
+	exchange := func(from, to net.Conn, text string) {
+		_, err := io.WriteString(from, text)
+		s.c.Assert(err, qt.IsNil)
+		_, err = io.ReadFull(to, make([]byte, len(text)))
+		s.c.Assert(err, qt.IsNil)
+	}
+	exchange(conn, served, "request")
+	stopped := make(chan struct{})
+	go func() { s.peer.Stop(context.Background()); close(stopped) }()
+	for range 3 {
+		s.c.Assert(clock.BlockUntilContext(context.Background(), 1), qt.IsNil)
+		clock.Advance(2 * quietTime)
+	}
+	exchange(served, conn, "answer")
+	for done := false; !done; {
+		select {
+		case <-stopped:
+			done = true
+		case <-time.After(time.Millisecond):
+			clock.Advance(quietTime)
+		}
+	}
 	_, err := conn.Read(make([]byte, 1))
-	var timeout net.Error
-	s.c.Check(errors.As(err, &timeout) && timeout.Timeout(), qt.IsTrue)
-	clock.Advance(2 * quietTime)
-	s.peer.closeQuiet()
-	s.c.Assert(conn.SetReadDeadline(time.Time{}), qt.IsNil)
-	_, err = conn.Read(make([]byte, 1))
-	s.c.Check(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	s.c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
 }
