Report which backend servers are reached through other gateways only

Which gateways are partitioned from which backend servers stood in their logs alone. Nothing is added to the messages while no gateway does. TestTotalsMatchLatestLoads adds them up over random schedules; TestCallersOfPartitionedGatewaysAreServed checks in its seven cases that partitioned gateways report it, others do not, and none does once the links are back.

--- a/bronzectl/app/limits.go
+++ b/bronzectl/app/limits.go
@@ -13,7 +13,7 @@
 type limitsCommand struct {
 	Customer string `arg:"" optional:"" help:"Shows what each gateway has of this customer's limit."`
 	Backends bool   `help:"Shows the request limits that backend servers announce."`
-	Backoffs bool   `help:"Shows the backend servers that accept no requests from some gateways."`
+	Backoffs bool   `help:"Shows the backend servers that accept no requests from some gateways, or that some reach through other gateways only."`
 }
 
 // Run shows the status of customers' limits at the leader, or the limits of backend servers.
@@ -73,9 +73,9 @@
 
 func backoffsTable(list []*wire.Load) string {
 	slices.SortFunc(list, func(a, b *wire.Load) int { return cmp.Compare(a.GetBackend(), b.GetBackend()) })
-	t := newTable("BACKEND", "BACKOFF", "LEAVING", "RUNNING")
+	t := newTable("BACKEND", "BACKOFF", "LEAVING", "DETOURED", "RUNNING")
 	for _, l := range list {
-		t.add(l.GetBackend(), fmt.Sprint(l.GetBackingOff()), fmt.Sprint(l.GetToldLeaving()), fmt.Sprint(l.GetRequests()))
+		t.add(l.GetBackend(), fmt.Sprint(l.GetBackingOff()), fmt.Sprint(l.GetToldLeaving()), fmt.Sprint(l.GetDetoured()), fmt.Sprint(l.GetRequests()))
 	}
 	return t.String()
 }
--- a/gateway/app/partition_test.go
+++ b/gateway/app/partition_test.go
@@ -444,6 +444,12 @@
 			y.callAllFor(contactTime, test.partitioned)
 			cutOff, others := y.callAllFor(2*time.Second, test.partitioned)
 			y.checkServedAlike(cutOff, others)
+			for i, g := range y.gateways {
+				// Where open connections live on, no new one may have been needed.
+				if test.mode != refusing || i >= test.partitioned {
+					y.c.Check(reportedDetours(g) > 0, qt.Equals, i < test.partitioned, qt.Commentf("gateway %d", i))
+				}
+			}
 			for _, links := range y.links {
 				links.heal()
 			}
@@ -451,10 +457,22 @@
 			cutOff, others = y.callAllFor(time.Second, test.partitioned)
 			y.checkServedAlike(cutOff, others)
 			y.checkRunsOnce()
+			for i, g := range y.gateways {
+				y.c.Check(reportedDetours(g), qt.Equals, 0, qt.Commentf("gateway %d", i))
+			}
 		})
 	}
 }
 
+// reportedDetours returns how many backend servers a gateway reports that it reaches through others.
+func reportedDetours(g *Routed) int {
+	n := 0
+	for _, l := range g.forwarder.Loads() {
+		n += int(l.GetDetoured())
+	}
+	return n
+}
+
 // checkServedAlike checks that first attempts at partitioned gateways are served two thirds as
 // often as at the others, or that no more than 10 and 1 in 50 of all are not served there.
 func (y *partitionSite) checkServedAlike(cutOff, others *served) {
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -294,10 +294,11 @@
 }
 
 // Loads returns the number of requests in progress at each backend server, what the backend
-// servers have announced in their answers, and the waits at those that this gateway owns.
+// servers have announced in their answers, which of them it reaches through other gateways only, and
+// the waits at those that it owns.
 func (f *Forwarder) Loads() []*wire.Load {
 	f.mu.Lock()
-	loads := f.balancer.Loads(f.Clock.Now())
+	loads := f.addDetoured(f.balancer.Loads(f.Clock.Now()))
 	f.mu.Unlock()
 	if f.Regulator == nil {
 		return loads
--- a/gateway/forwarder/path.go
+++ b/gateway/forwarder/path.go
@@ -265,6 +265,20 @@
 	f.partitionedAt[s.Service] = s.PartitionedAt
 }
 
+// addDetoured adds to loads which backend servers are reached through other gateways only. The caller
+// holds the lock.
+func (f *Forwarder) addDetoured(loads []*wire.Load) []*wire.Load {
+	for _, id := range f.paths.DetouredBackends() {
+		i := slices.IndexFunc(loads, func(l *wire.Load) bool { return l.GetBackend() == id })
+		if i < 0 {
+			i = len(loads)
+			loads = append(loads, &wire.Load{Backend: id})
+		}
+		loads[i].Detoured = 1
+	}
+	return loads
+}
+
 // partitionedSince returns since when no backend server of a service is reached directly; zero if any
 // is.
 func (f *Forwarder) partitionedSince(service string) time.Time {
--- a/pkg/disseminator/sum.go
+++ b/pkg/disseminator/sum.go
@@ -19,6 +19,8 @@
 	// time, and toldLeaving those to which it has announced that it is leaving.
 	backingOff  uint32
 	toldLeaving uint32
+	// detoured counts the gateways that reach the backend server through others only.
+	detoured uint32
 	// eventIntervals is the sum over eventSamples observations of the interval between events.
 	eventIntervals uint64
 	eventSamples   uint32
@@ -43,6 +45,7 @@
 		t.requests += l.GetRequests()
 		t.backingOff += l.GetBackingOff()
 		t.toldLeaving += l.GetToldLeaving()
+		t.detoured += l.GetDetoured()
 		t.eventIntervals += intervalSum(l)
 		t.eventSamples += l.GetEventSamples()
 		t.figures.observe(now, l)
@@ -62,6 +65,7 @@
 		t.requests -= l.GetRequests()
 		t.backingOff -= l.GetBackingOff()
 		t.toldLeaving -= l.GetToldLeaving()
+		t.detoured -= l.GetDetoured()
 		t.eventIntervals -= intervalSum(l)
 		t.eventSamples -= l.GetEventSamples()
 		for _, adapter := range l.GetAdapters() {
@@ -103,17 +107,25 @@
 	return 0
 }
 
-// Constrained returns the backend servers that accept no requests from some gateways.
+// Constrained returns the backend servers that accept no requests from some gateways, or that some
+// gateways do not reach directly.
 func (s *LoadTotals) Constrained() []*wire.Load {
 	var list []*wire.Load
 	for backend, t := range s.backends {
-		if t.backingOff > 0 || t.toldLeaving > 0 {
-			list = append(list, &wire.Load{Backend: backend, Requests: t.requests, BackingOff: t.backingOff, ToldLeaving: t.toldLeaving})
+		if t.backingOff > 0 || t.toldLeaving > 0 || t.detoured > 0 {
+			list = append(list, t.sums(backend))
 		}
 	}
 	return list
 }
 
+// sums returns the sums over the gateways' loads.
+func (t *total) sums(backend string) *wire.Load {
+	return &wire.Load{
+		Backend: backend, Requests: t.requests, BackingOff: t.backingOff, ToldLeaving: t.toldLeaving, Detoured: t.detoured,
+	}
+}
+
 // With returns the totals including one gateway's loads, as a list.
 func (s *LoadTotals) With(now time.Time, own []*wire.Load) []*wire.Load {
 	s.Add(now, own)
@@ -121,7 +133,8 @@
 	s.prune(now)
 	loads := make([]*wire.Load, 0, len(s.backends))
 	for backend, t := range s.backends {
-		l := &wire.Load{Backend: backend, Requests: t.requests, BackingOff: t.backingOff, ToldLeaving: t.toldLeaving, Adapters: make([]string, 0, len(t.adapters))}
+		l := t.sums(backend)
+		l.Adapters = make([]string, 0, len(t.adapters))
 		for adapter := range t.adapters {
 			l.Adapters = append(l.Adapters, adapter)
 		}
--- a/pkg/disseminator/sum_test.go
+++ b/pkg/disseminator/sum_test.go
@@ -25,6 +25,7 @@
 					Backend:    fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "backend")),
 					Requests:   rapid.Uint32Range(0, 3).Draw(t, "requests"),
 					BackingOff: rapid.Uint32Range(0, 2).Draw(t, "backing off"), ToldLeaving: rapid.Uint32Range(0, 2).Draw(t, "told"),
+					Detoured:        rapid.Uint32Range(0, 2).Draw(t, "detoured"),
 					EventIntervalUs: rapid.Uint32Range(0, 9).Draw(t, "interval"), EventSamples: rapid.Uint32Range(0, 9).Draw(t, "samples"),
 					Adapters: rapid.SliceOfN(rapid.SampledFrom([]string{"m/x", "m/y"}), 0, 3).Draw(t, "adapters"),
 				}
@@ -47,13 +48,14 @@
 // check compares totals with freshly computed ones.
 func check(t *rapid.T, s *LoadTotals, latest map[int][]*wire.Load) {
 	requests, adapters := map[string]uint32{}, map[string]map[string]int{}
-	backingOff, told := map[string]uint32{}, map[string]uint32{}
+	backingOff, told, detoured := map[string]uint32{}, map[string]uint32{}, map[string]uint32{}
 	intervals, samples := map[string]uint32{}, map[string]uint32{}
 	for _, loads := range latest {
 		for _, l := range loads {
 			requests[l.GetBackend()] += l.GetRequests()
 			backingOff[l.GetBackend()] += l.GetBackingOff()
 			told[l.GetBackend()] += l.GetToldLeaving()
+			detoured[l.GetBackend()] += l.GetDetoured()
 			intervals[l.GetBackend()] += l.GetEventIntervalUs() * l.GetEventSamples()
 			samples[l.GetBackend()] += l.GetEventSamples()
 			if adapters[l.GetBackend()] == nil {
@@ -68,6 +70,9 @@
 		if id := l.GetBackend(); l.GetBackingOff() != backingOff[id] || l.GetToldLeaving() != told[id] || s.BackingOff(id) != backingOff[id] {
 			t.Fatalf("%v, not %d backing off and %d told", l, backingOff[id], told[id])
 		}
+		if id := l.GetBackend(); l.GetDetoured() != detoured[id] {
+			t.Fatalf("%v, not %d detoured", l, detoured[id])
+		}
 	}
 	for _, l := range s.Without(begin(), nil) {
 		id := l.GetBackend()
--- a/pkg/pathtracker/pathtracker.go
+++ b/pkg/pathtracker/pathtracker.go
@@ -213,6 +213,19 @@
 	return p != nil && p.detoured || t.Partitioned(now, serviceName)
 }
 
+// DetouredBackends returns the backend servers that are reached through other gateways only.
+func (t *Tracker) DetouredBackends() []string {
+	var list []string
+	for _, s := range t.services {
+		for id, p := range s.paths {
+			if p.detoured {
+				list = append(list, id)
+			}
+		}
+	}
+	return list
+}
+
 // TakeCheck reports whether other gateways are to be asked for a backend server now, and notes it.
 func (t *Tracker) TakeCheck(now time.Time, serviceName, backend string) bool {
 	p := t.path(serviceName, backend)
