Clear expired loads of other gateways once

While no leader sends loads they were cleared at each decision, which costs a pass over all backend servers.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -60,7 +60,7 @@
 	versions  map[string]uint64
 	term      uint64
 	queue     []*Waiter
-	// loadsAt is when the loads of the other gateways were last updated.
+	// loadsAt is when the loads of the other gateways were last updated; zero if they have expired.
 	loadsAt   time.Time
 	nextOrder uint64
 	// requestedLoads holds the latest load request to the leader for each adapter.
@@ -194,7 +194,8 @@
 
 // expireLoads forgets the loads of the other gateways if they have not been updated for too long.
 func (b *Balancer) expireLoads(now time.Time) {
-	if now.Sub(b.loadsAt) >= loadLease {
+	if !b.loadsAt.IsZero() && now.Sub(b.loadsAt) >= loadLease {
+		b.loadsAt = time.Time{}
 		b.clearLoads()
 	}
 }
