Give instances of the proofs an address whose port is not the shared one

The gateway had ended: "listen on 127.118.0.76:36727: bind: address already in use".

Cause, as far as it can be told: each instance has its own IP address and listens there on a port that the kernel gives and on one that all instances share. Nothing kept the two apart. The address that this gateway was given is not known any more, which would prove it.

Change: an address with the shared port is drawn again.

--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -61,7 +61,7 @@
 	c.Cleanup(y.cleanUp)
 	var controllerAddrs []string
 	for range controllers {
-		controllerAddrs = append(controllerAddrs, freeAddress(c))
+		controllerAddrs = append(controllerAddrs, y.freeAddress())
 	}
 	y.seedAddrs = controllerAddrs[:seeds]
 	for _, addr := range controllerAddrs {
@@ -82,6 +82,17 @@
 	y.waitServing()
 }
 
+// freeAddress returns an address for an instance. Its port differs from the one for calls between
+// instances, on which the instance listens at the same IP address.
+func (y *routedSystem) freeAddress() string {
+	for {
+		address := freeAddress(y.c)
+		if _, port, _ := net.SplitHostPort(address); port != y.port {
+			return address
+		}
+	}
+}
+
 func (y *routedSystem) path(name string) string { return filepath.Join(y.folder, name) }
 
 func (y *routedSystem) launch(program, addr, settings string) *instance {
@@ -121,7 +132,7 @@
 }
 
 func (y *routedSystem) startGateway() *instance {
-	return y.launch("gateway", freeAddress(y.c), `[Instance]
+	return y.launch("gateway", y.freeAddress(), `[Instance]
 Name = {Name}
 Zone = z
 Listen = {At}
@@ -173,7 +184,7 @@
 // replace removes a controller for good and starts an empty one at another address.
 func (y *routedSystem) replace(i int) {
 	y.controllers[i].kill()
-	y.controllers[i] = y.startController(freeAddress(y.c), false)
+	y.controllers[i] = y.startController(y.freeAddress(), false)
 }
 
 func (y *routedSystem) cleanUp() {
