Compare later loads with all that shared the store when contention was found

When contention was found, the loads that had ended had been ordered with fewer in flight than the 23 that were counted for them, and took 440 ms; those that ended afterwards took 690 ms. With 13 in flight loads took 430 to 460 ms, as long as 23 in appearance, so the store was taken for a slow one: the estimate rose from 13 to 23 and the time of an uncontended load to 430 ms.

Loads that began before the reduction and end after it now raise the time that is compared. Using the lower number in flight for the reference was tried: it breaks TestSlowStoreIsNotContended and TestStoreConcurrencyDoesNotCollapse.

TestFirstLoadsDoNotHideContention fails before and passes.

--- a/pkg/placer/estimates.go
+++ b/pkg/placer/estimates.go
@@ -86,6 +86,9 @@
 	contended     bool
 	contendedAt   float64
 	contendedLoad time.Duration
+	// beforeReduction are the latest loads that began before the last reduction and ended after
+	// it, with about contendedAt loads in flight throughout.
+	beforeReduction []storeLoad
 	// reducedAt is when storeConcurrency was last reduced: earlier loads do not count.
 	reducedAt time.Time
 	// skipped counts the loads since contention was last looked for.
@@ -143,8 +146,13 @@
 		}
 		s.storeConcurrency, s.measured = min(max(s.storeConcurrency, l.fewest*factor+1), maxStoreConcurrency), true
 	}
-	if l.endedAt.Add(-l.took).Before(s.store.reducedAt) || s.fullSpeed(l) && l.fewest < nearLimit*s.storeConcurrency {
-		// It shared the store with more loads than are in flight now, or maybe with few.
+	if l.endedAt.Add(-l.took).Before(s.store.reducedAt) {
+		// It shared the store with more loads than are in flight now.
+		s.learnContendedLoad(l)
+		return
+	}
+	if s.fullSpeed(l) && l.fewest < nearLimit*s.storeConcurrency {
+		// It may have shared the store with few loads.
 		return
 	}
 	s.store.nearLimit = s.recordStoreLoad(s.store.nearLimit, engine, l)
@@ -240,6 +248,18 @@
 	s.coldLoad = time.Duration(min(max(float64(took), expected/maxColdLoadFactor), expected*maxColdLoadFactor))
 }
 
+// learnContendedLoad raises the time that a load took when contention was found: most of those
+// that ended until then may have begun with few in flight.
+func (s *LearnedState) learnContendedLoad(l storeLoad) {
+	if l.fewest < steadyRatio*s.store.contendedAt {
+		return
+	}
+	s.store.beforeReduction = appendBounded(s.store.beforeReduction, l, storeWindow)
+	if len(s.store.beforeReduction) >= minBaseline {
+		s.store.contendedLoad = max(s.store.contendedLoad, quantile(times(s.store.beforeReduction), 0.5))
+	}
+}
+
 // learnContention lowers storeConcurrency if the recent loads of most engines took longer than an
 // uncontended one. If fewer loads in flight have not made them shorter, the store is slow and not
 // contended.
@@ -268,7 +288,7 @@
 		return
 	}
 	took, at := quantile(times(loads), 0.5), quantile(inFlight, 0.5)
-	s.store.nearLimit, s.store.reducedAt, s.measured = nil, now, true
+	s.store.nearLimit, s.store.beforeReduction, s.store.reducedAt, s.measured = nil, nil, now, true
 	if s.store.contendedAt > 0 && at <= independentRatio*s.store.contendedAt && float64(took) >= independentTimeRatio*float64(s.store.contendedLoad) {
 		s.setColdLoad(quantile(times(loads), baselineQuantile))
 		s.storeConcurrency = max(s.storeConcurrency, s.store.contendedAt)
@@ -292,6 +312,8 @@
 const (
 	independentRatio     = 0.6
 	independentTimeRatio = 0.95
+	// steadyRatio is the part of contendedAt that must be in flight throughout a load.
+	steadyRatio = 0.8
 )
 
 func appendBounded[T any](window []T, v T, size int) []T {
--- a/pkg/placer/estimates_test.go
+++ b/pkg/placer/estimates_test.go
@@ -95,6 +95,36 @@
 	c.Check(w.p.storeConcurrency >= 50, qt.IsTrue, qt.Commentf("%.0f", w.p.storeConcurrency))
 }
 
+// A store of 8 concurrent loads gets 23 at once. The loads that end first were ordered with fewer in
+// flight and are quicker than later ones. Reduced to 13 in flight, loads whose end is observed a
+// little late are about as quick as those, which does not show that the store is slow.
+func TestFirstLoadsDoNotHideContention(t *testing.T) {
+	c := qt.New(t)
+	p := placerWithout()
+	p.storeConcurrency = 24
+	now, ended := startTime(), 0
+	end := func(ordered time.Time, delay time.Duration, fewest, most float64) {
+		took := time.Duration(float64(coldLoad)*fewest/8) + delay
+		now = ordered.Add(took)
+		p.learnStore(fmt.Sprintf("e%d", ended%12), storeLoad{endedAt: now, took: took, fewest: fewest, most: most})
+		ended++
+	}
+	for inFlight := 9.0; inFlight <= 23; inFlight++ {
+		end(startTime(), 0, inFlight, 23)
+	}
+	reduced := p.storeConcurrency
+	c.Assert(reduced < 14, qt.IsTrue, qt.Commentf("%.1f concurrent loads", reduced))
+	for range 10 {
+		end(startTime().Add(100*time.Millisecond), 0, 22, 23)
+	}
+	ordered := now
+	for i := range 24 {
+		end(ordered.Add(time.Duration(i)*30*time.Millisecond), maxObservationDelay, 13, 13.7)
+	}
+	c.Check(p.coldLoad, qt.Equals, coldLoad)
+	c.Check(p.storeConcurrency <= reduced, qt.IsTrue, qt.Commentf("%.1f concurrent loads, %.1f before", p.storeConcurrency, reduced))
+}
+
 // Each load takes a quarter longer than the policy says, as messages and checks take their time, and
 // the store is busy from the first moment on. The estimate fell from 180 to 7 within half a minute,
 // since each reduction left too many loads in flight to show how long an uncontended one takes.
