--- a/gateway/app/partition_test.go
+++ b/gateway/app/partition_test.go
@@ -32,6 +32,8 @@
 const (
 	// silenced connections and new ones get no answer.
 	silenced partitionMode = "connections hang"
+	// deafened connections deliver requests and lose the answers; new ones get no answer.
+	deafened partitionMode = "answers are lost"
 	// severed connections are reset and new ones refused.
 	severed partitionMode = "connections are reset and refused"
 	// refusing keeps the open connections and refuses new ones.
@@ -47,12 +49,13 @@
 	conns []*linkConn
 }
 
-// linkConn is a connection to a backend server that a partition may silence.
+// linkConn is a connection to a backend server that a partition may silence, in both directions
+// or in that of the answers.
 type linkConn struct {
 	net.Conn
-	silenced atomic.Bool
-	ended    chan struct{}
-	once     sync.Once
+	silenced, mute atomic.Bool
+	ended          chan struct{}
+	once           sync.Once
 }
 
 // unacknowledgedTimeout is when the kernel gives up a connection whose bytes nobody acknowledges.
@@ -72,7 +75,7 @@
 }
 
 func (l *linkConn) Write(b []byte) (int, error) {
-	if l.silenced.Load() {
+	if l.mute.Load() {
 		return len(b), nil
 	}
 	return l.Conn.Write(b)
@@ -83,9 +86,11 @@
 	return l.Conn.Close()
 }
 
-// silence makes the connection hang, also a read that has begun.
-func (l *linkConn) silence() {
+// silence makes the connection hang, also a read that has begun. What is written still arrives
+// unless it is mute too.
+func (l *linkConn) silence(mute bool) {
 	l.silenced.Store(true)
+	l.mute.Store(mute)
 	_ = l.SetReadDeadline(time.Unix(1, 0))
 }
 
@@ -95,7 +100,7 @@
 	g.mu.Unlock()
 	if g.backends[address] {
 		switch mode {
-		case silenced:
+		case silenced, deafened:
 			<-ctx.Done()
 			return nil, &net.OpError{Op: "dial", Net: network, Err: context.DeadlineExceeded}
 		case severed, refusing:
@@ -120,8 +125,8 @@
 	g.mode = mode
 	for _, l := range g.conns {
 		switch mode {
-		case silenced:
-			l.silence()
+		case silenced, deafened:
+			l.silence(mode == silenced)
 		case severed:
 			_ = l.Close()
 		}
@@ -429,6 +434,8 @@
 		"one, connections hang":                     {silenced, 1, 0},
 		"two of three, connections hang":            {silenced, 2, 0},
 		"two of three, busy backend servers":        {silenced, 2, 16},
+		"one, answers are lost":                     {deafened, 1, 0},
+		"two of three, answers are lost":            {deafened, 2, 0},
 		"one, connections are reset":                {severed, 1, 0},
 		"two of three, connections are reset":       {severed, 2, 0},
 		"one, new connections are refused":          {refusing, 1, 0},
