Find contention of the weight store at less than half of the engines

With 13 loads in flight of 12 engines, four or five engines have all of them. Each counted with its latest two, so that twelve loads, which a reduction needs, came only when other engines had some as well: the second reduction was 900 ms later than usual.

TestContentionIsFoundAtAFewEngines fails before and passes.

--- a/pkg/placer/estimates.go
+++ b/pkg/placer/estimates.go
@@ -204,7 +204,8 @@
 	if loads == nil {
 		loads = map[string][]storeLoad{}
 	}
-	loads[engine] = appendBounded(loads[engine], l, 1+storeWindow/max(1, len(s.caches)))
+	// The loads of less than half of the engines must suffice, since few may load at a time.
+	loads[engine] = appendBounded(loads[engine], l, 1+2*storeWindow/max(1, len(s.caches)))
 	return loads
 }
 
--- a/pkg/placer/estimates_test.go
+++ b/pkg/placer/estimates_test.go
@@ -125,6 +125,19 @@
 	c.Check(p.storeConcurrency <= reduced, qt.IsTrue, qt.Commentf("%.1f concurrent loads, %.1f before", p.storeConcurrency, reduced))
 }
 
+// While few loads are allowed at a time, less than half of the engines may have all of them: their
+// loads alone must show that the store is contended.
+func TestContentionIsFoundAtAFewEngines(t *testing.T) {
+	c := qt.New(t)
+	w := newSimulation(c, 12, 8)
+	w.p.storeConcurrency = 13
+	for i := range 20 {
+		now := w.now.Add(time.Duration(i) * 30 * time.Millisecond)
+		w.p.learnStore(fmt.Sprintf("e%d", i%4), storeLoad{endedAt: now, took: coldLoad * 13 / 8, fewest: 13, most: 13})
+	}
+	c.Check(w.p.storeConcurrency < 10, qt.IsTrue, qt.Commentf("%.1f concurrent loads", w.p.storeConcurrency))
+}
+
 // Each load takes a quarter longer than the policy says, as messages and checks take their time, and
 // the store is busy from the first moment on. The estimate fell from 180 to 7 within half a minute,
 // since each reduction left too many loads in flight to show how long an uncontended one takes.
