--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -119,51 +119,7 @@
 func TestGatewaysDoNotMeetAtOneBackend(t *testing.T) {
 	for seed := range uint64(20) {
 		c := qt.New(t)
-		random := rand.New(rand.NewPCG(seed, 1))
-		const (
-			gateways     = 40
-			step         = 5 * time.Millisecond
-			loadInterval = 150 * time.Millisecond
-			duration     = 200 * time.Millisecond
-		)
-		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
-		var all []*Balancer
-		for range gateways {
-			b := &Balancer{Zone: "z", Rand: random}
-			for _, id := range ids {
-				a := announcement(id)
-				a.Slots = 64
-				b.UpdateBackend(begin(), a)
-			}
-			all = append(all, b)
-		}
-		type run struct {
-			by int
-			id string
-			at time.Time
-		}
-		var running []run
-		now, peak := begin(), 0
-		for n := range 400 {
-			now = now.Add(step)
-			for len(running) > 0 && !now.Before(running[0].at.Add(duration)) {
-				all[running[0].by].Done(now, running[0].id, "", 0, Served)
-				running = running[1:]
-			}
-			if n%int(loadInterval/step) == 0 {
-				shareLoads(now, all)
-			}
-			by := n * 7 % gateways
-			id := decide(all[by], now, waiter("w", func(w *Waiter) { w.Deadline = now.Add(time.Second) }))["w"]
-			running = append(running, run{by, id, now})
-			there := 0
-			for _, r := range running {
-				if r.id == id {
-					there++
-				}
-			}
-			peak = max(peak, there)
-		}
+		peak := peakAtOneBackend(seed, ablator.Disabled{})
 		// The average is five: a request every 5 ms that lasts 200 ms, at eight servers.
 		c.Check(peak <= 15, qt.IsTrue, qt.Commentf("%d requests at one backend server", peak))
 	}
