--- a/pkg/quarantiner/schedule_test.go
+++ b/pkg/quarantiner/schedule_test.go
@@ -311,7 +311,7 @@
 				}
 				for _, fp := range m.wrong {
 					// A one-time request may have been lost together with the culprit each time
-					// that it ran, and can't be told apart from it. Repeated reads are
+					// that it ran, and can't be distinguished from it. Repeated reads are
 					// completed elsewhere.
 					c.Check(fp[:len("crowd")], qt.Equals, "crowd", qt.Commentf("seed %d: %s", seed, fp))
 				}
