Log what decisions on retries rest on

Hypotheses on retries beyond the budget can't be told apart: no line or metric has the window's requests and retries, the share of the slack, the number of gateways that it rests on, since when a process counts, or how long a retry waits between the decision and its sending. One line a second and service has them now, and the counter retries and the histogram retry_delay. The retry budget has a file of its own. No decision changes.

--- a/gateway/forwarder/constraint.go
+++ b/gateway/forwarder/constraint.go
@@ -79,6 +79,7 @@
 		return false
 	}
 	j.sentAt = now
+	f.recordRetrySent(now, j)
 	return true
 }
 
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -26,7 +26,6 @@
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/pacer"
 	"bronzelead.example/pkg/pathtracker"
-	"bronzelead.example/pkg/retrylimiter"
 	"bronzelead.example/pkg/throttler"
 	"bronzelead.example/pkg/wire"
 )
@@ -51,14 +50,6 @@
 	maxRunReserve = 400 * time.Millisecond
 )
 
-// RetryBudget limits how many requests may be retried.
-type RetryBudget struct {
-	Window time.Duration
-	Ratio  float64
-	// Slack is the number of retries in a window, over all gateways, in addition to the ratio.
-	Slack float64
-}
-
 // Forwarder forwards requests. Set the exported fields, call Init, then Run.
 type Forwarder struct {
 	Clock  clockwork.Clock
@@ -92,13 +83,13 @@
 	tableKnown chan struct{}
 	parked     atomic.Int32
 
-	mu            sync.Mutex
-	balancer      *balancer.Balancer
-	table         *matcher.Matcher
-	retryLimiters map[string]*retrylimiter.Limiter
-	waiting       map[*balancer.Waiter]chan balancer.Decision
-	demand        map[string]uint32
-	gatewayCount  uint32
+	mu             sync.Mutex
+	balancer       *balancer.Balancer
+	table          *matcher.Matcher
+	serviceRetries map[string]*serviceRetries
+	waiting        map[*balancer.Waiter]chan balancer.Decision
+	demand         map[string]uint32
+	gatewayCount   uint32
 	// pacingActivations decide for each service whether its prompts are paced.
 	pacingActivations map[string]*pacer.Activation
 	// ageEstimators estimate the age of retries, by route.
@@ -139,7 +130,7 @@
 	f.startedAt = f.Clock.Now()
 	f.tableKnown = make(chan struct{})
 	f.balancer = &balancer.Balancer{Zone: f.Zone, Disabled: f.Disabled}
-	f.retryLimiters = map[string]*retrylimiter.Limiter{}
+	f.serviceRetries = map[string]*serviceRetries{}
 	f.waiting = map[*balancer.Waiter]chan balancer.Decision{}
 	f.demand = map[string]uint32{}
 	f.streamOutcomes = map[streamOutcome]int{}
@@ -181,6 +172,7 @@
 		case <-sweep.Chan():
 			f.Sender.CloseExpired()
 			f.logOutcomes()
+			f.logRetries()
 			f.logConstrainedSends()
 			f.logOverloadRefusals()
 			f.logAboveShare()
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
@@ -143,7 +144,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			f := &Forwarder{
-				Clock: clockwork.NewFakeClock(), Log: slog.New(slog.DiscardHandler),
+				Clock: clockwork.NewFakeClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
 				Budget: RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
 			}
 			f.Init()
@@ -152,7 +153,7 @@
 			}
 			allowed := 0
 			for range 100 {
-				if f.takeRetry("s") {
+				if f.mayRetry(&job{service: "s"}) {
 					allowed++
 				}
 			}
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"bronzelead.example/gateway/acceptor"
-	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/matcher"
-	"bronzelead.example/pkg/retrylimiter"
 	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
@@ -45,6 +43,8 @@
 	runs        int
 	lastBackend *wire.Announcement
 	sentAt      time.Time
+	// retryAllowedAt is when the retry budget allowed its next attempt; zero if that is no retry.
+	retryAllowedAt time.Time
 	// via is the gateway that the latest answer came through; empty if it came directly.
 	via string
 	// lastEventID is the last event that the caller has received; empty before the first.
@@ -157,7 +157,7 @@
 func (f *Forwarder) countRequest(j *job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retryLimiter(j.service).RecordRequest(f.Clock.Now())
+	f.retries(j.service).limiter.RecordRequest(f.Clock.Now())
 	if j.adapter != "" {
 		f.demand[j.adapter]++
 	}
@@ -168,54 +168,6 @@
 	return adapter != ""
 }
 
-// retryLimiter returns the retry limiter of a service. The caller holds the lock.
-func (f *Forwarder) retryLimiter(service string) *retrylimiter.Limiter {
-	b := f.retryLimiters[service]
-	if b == nil {
-		b = &retrylimiter.Limiter{Window: f.Budget.Window, Ratio: f.budgetMargin() * f.Budget.Ratio}
-		f.retryLimiters[service] = b
-	}
-	return b
-}
-
-// takeRetry takes a retry from the budget, of which each gateway has a share.
-func (f *Forwarder) takeRetry(service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	gateways := f.gatewayCount
-	if gateways == 0 {
-		gateways = assumedGatewayCount
-	}
-	slack := f.budgetMargin() * f.Budget.Slack / float64(gateways)
-	return f.retryLimiter(service).AllowRetry(f.Clock.Now(), slack)
-}
-
-// mayRetry reports whether the budget allows a retry of a request, and counts a denial.
-func (f *Forwarder) mayRetry(j *job) bool {
-	if f.takeRetry(j.service) {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.countRequestOutcome(j, retryDenied)
-	return false
-}
-
-// budgetMargin is the part of the budget that is used: gateways count by their own clocks, and
-// the others do not know of an added gateway at once.
-const budgetMargin = 0.9
-
-func (f *Forwarder) budgetMargin() float64 {
-	if f.Disabled.Has(ablator.BudgetMargin) {
-		return 1
-	}
-	return budgetMargin
-}
-
-// assumedGatewayCount is assumed before a leader has reported the number of gateways. It is
-// high, since all gateways share the budget.
-const assumedGatewayCount = 100
-
 // firstAttemptObjectives is how many times the objective a stream's first attempt waits for a
 // backend server. A request that waits longer mostly needs an adapter behind many others; the
 // caller learns early when to retry, and then finds the adapter loaded.
--- a/pkg/retrylimiter/retrylimiter.go
+++ b/pkg/retrylimiter/retrylimiter.go
@@ -30,21 +30,26 @@
 // AllowRetry counts a retry and returns true if the limit allows it. Slack is this gateway's
 // share of the retries that are allowed beyond the ratio.
 func (l *Limiter) AllowRetry(now time.Time, slack float64) bool {
+	requests, retries := l.Usage(now)
+	if float64(retries+1) > l.Ratio*float64(requests)+slack {
+		return false
+	}
+	l.current().retries++
+	return true
+}
+
+// Usage returns the requests and the retries in the window that ends now.
+func (l *Limiter) Usage(now time.Time) (requests, retries int) {
 	l.advance(now)
-	sum := count{}
 	for i, c := range l.counts {
-		sum.retries += c.retries
+		retries += c.retries
 		if int64(i) != (l.position+1)%int64(len(l.counts)) {
 			// The oldest bucket may lie outside of the window: its retries count, and its
 			// requests don't.
-			sum.requests += c.requests
+			requests += c.requests
 		}
 	}
-	if float64(sum.retries+1) > l.Ratio*float64(sum.requests)+slack {
-		return false
-	}
-	l.current().retries++
-	return true
+	return requests, retries
 }
 
 func (l *Limiter) current() *count { return &l.counts[l.position%int64(len(l.counts))] }
