--- a/gateway/forwarder/retry_test.go
+++ b/gateway/forwarder/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/acceptor"
+	"bronzelead.example/gateway/sender"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/wire"
 )
@@ -37,3 +40,65 @@
 	f.logRetries()
 	c.Check(out.String(), qt.Equals, "")
 }
+
+// Requests that were sent while a gateway was frozen counted in the window in which they were read:
+// 348 arrivals beyond the first where 335 were allowed.
+func TestRetryBudgetHoldsAcrossFreezes(t *testing.T) {
+	const (
+		perSecond        = 50
+		window           = 10 * time.Second
+		ratio, slack     = 0.2, 10.0
+		frozen, unfrozen = 4 * time.Second, 3 * time.Second
+	)
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	f := &Forwarder{
+		Clock: clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
+		Budget: RetryBudget{Window: window, Ratio: ratio, Slack: slack}, Sender: &sender.Sender{Clock: clock},
+	}
+	f.Init()
+	f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	c.Assert(clock.BlockUntilContext(ctx, 3), qt.IsNil)
+	var sent, retried []time.Time
+	read := func(requests int) {
+		for range requests {
+			j := &job{service: "s", req: &acceptor.Request{ReceivedAt: clock.Now()}}
+			f.countRequest(j)
+			if f.mayRetry(j) {
+				retried = append(retried, clock.Now())
+			}
+		}
+	}
+	for range 4 {
+		for until := clock.Now().Add(unfrozen); clock.Now().Before(until); {
+			clock.Advance(time.Second / perSecond)
+			sent = append(sent, clock.Now())
+			read(1)
+		}
+		wakesAt := clock.Now().Add(frozen)
+		for at := clock.Now(); at.Before(wakesAt); at = at.Add(time.Second / perSecond) {
+			sent = append(sent, at)
+		}
+		clock.Advance(frozen)
+		read(int(frozen.Seconds()) * perSecond)
+	}
+	for _, end := range retried {
+		n := countBetween(retried, end.Add(-window), end)
+		requests := max(countBetween(sent, end.Add(-window), end), countBetween(sent, end.Add(-2*window), end.Add(-window)),
+			countBetween(sent, end.Add(-window*3/2), end.Add(-window/2)))
+		c.Assert(float64(n) <= ratio*float64(requests)+slack, qt.IsTrue, qt.Commentf("%d retries, %d requests", n, requests))
+	}
+}
+
+func countBetween(times []time.Time, from, until time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(until) {
+			n++
+		}
+	}
+	return n
+}
--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -34,6 +34,8 @@
 	// acknowledged counts the acknowledged announcements, runs the requests that ran here.
 	acknowledged atomic.Int32
 	runs         atomic.Int32
+	// failing is set while it fails all requests that it runs.
+	failing atomic.Bool
 	// isFatal reports whether a request crashes the server; nil for none. crash performs the
 	// crash.
 	isFatal func(body string) bool
@@ -45,6 +47,8 @@
 	// limit is the rate limit that its answers name, arrivalTimes when requests arrived.
 	limit        throttler.RequestRate
 	arrivalTimes []time.Time
+	// arrivedRequests are the ids of the requests that arrived at arrivalTimes.
+	arrivedRequests []string
 	// constraints is what its answers announce about further requests.
 	constraints constraints
 }
@@ -64,10 +68,11 @@
 }
 
 // recordArrival records a request's arrival and returns the limit for its answer.
-func (b *fakeBackend) recordArrival() throttler.RequestRate {
+func (b *fakeBackend) recordArrival(id string) throttler.RequestRate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrivalTimes = append(b.arrivalTimes, time.Now())
+	b.arrivedRequests = append(b.arrivedRequests, id)
 	return b.limit
 }
 
@@ -132,15 +137,14 @@
 
 // ServeHTTP runs a request and returns an answer that is specific to its id.
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	limit := b.recordArrival()
-	if limit > 0 {
-		setHeaders(w, framer.Header{platform.StandInRequestLimit(limit)})
-	}
 	var header framer.Header
 	for name := range r.Header {
 		header = append(header, framer.Field{Name: name, Value: r.Header.Get(name)})
 	}
 	id := platform.DecodeRequest(header).ID
+	if limit := b.recordArrival(id); limit > 0 {
+		setHeaders(w, framer.Header{platform.StandInRequestLimit(limit)})
+	}
 	if b.applyConstraints(w, id) {
 		return
 	}
@@ -168,6 +172,10 @@
 	case <-time.After(processingTime):
 	}
 	setHeaders(w, platform.StandInResponse(id, b.id))
+	if b.failing.Load() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if routeKindOf(r.URL.Path) != stream {
 		_, _ = io.WriteString(w, answerTo(id))
 		return
--- a/proof/routed_throttle_test.go
+++ b/proof/routed_throttle_test.go
@@ -180,11 +180,15 @@
 	failed  []string
 }
 
-// startSteadyLoad sends each gateway perSecond requests a second.
+// startSteadyLoad sends each gateway perSecond requests a second of all kinds.
 func startSteadyLoad(y *routedSystem, perSecond int) *steadyLoad {
+	return startLoadOf(y, perSecond, stream, once, idempotent)
+}
+
+// startLoadOf sends each gateway perSecond requests a second of some kinds in turn.
+func startLoadOf(y *routedSystem, perSecond int, kinds ...routeKind) *steadyLoad {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &steadyLoad{cancel: cancel}
-	kinds := []routeKind{stream, once, idempotent}
 	for i, n := range y.gateways {
 		l.senders.Go(func() {
 			ticker := time.NewTicker(time.Second / time.Duration(perSecond))
