Allow no retries in the first window of a gateway's process

Callers' requests arrived at engines more often than the budget allows when gateways were restarted while engines failed: three kills in ten seconds gave 415 arrivals beyond the first where 312 are allowed. Cause: a process counts its retries in its own memory, and began with an empty window and its whole share of the slack, though the one before it had used both. Evidence: the line 'retries' after each start counts since 0.9 s and sends as many as before. Ruled out: the number of gateways (7 in all lines).

A process now allows no retry until a window has passed since its start, so that each window has the retries of one process at each gateway. What it costs is a window without retries after each start; their callers get the failure and try again themselves.

TestRoutedRetryBudgetOutlivesGateways (155 retries beyond the budget before) and TestNoWindowHasTooManyRetriesAcrossRestarts (46 for 202 requests before) pass; the first measures the use of the budget two windows after the last start.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -87,9 +87,11 @@
 	balancer       *balancer.Balancer
 	table          *matcher.Matcher
 	serviceRetries map[string]*serviceRetries
-	waiting        map[*balancer.Waiter]chan balancer.Decision
-	demand         map[string]uint32
-	gatewayCount   uint32
+	// retriesSince is since when retries are counted.
+	retriesSince time.Time
+	waiting      map[*balancer.Waiter]chan balancer.Decision
+	demand       map[string]uint32
+	gatewayCount uint32
 	// pacingActivations decide for each service whether its prompts are paced.
 	pacingActivations map[string]*pacer.Activation
 	// ageEstimators estimate the age of retries, by route.
@@ -128,6 +130,7 @@
 // Init prepares the forwarder for calls before Run.
 func (f *Forwarder) Init() {
 	f.startedAt = f.Clock.Now()
+	f.retriesSince = f.startedAt
 	f.tableKnown = make(chan struct{})
 	f.balancer = &balancer.Balancer{Zone: f.Zone, Disabled: f.Disabled}
 	f.serviceRetries = map[string]*serviceRetries{}
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -148,6 +148,7 @@
 				Budget: RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
 			}
 			f.Init()
+			f.endFirstWindow()
 			for _, n := range test.reported {
 				f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: n})
 			}
--- a/gateway/forwarder/harness_test.go
+++ b/gateway/forwarder/harness_test.go
@@ -79,6 +79,7 @@
 		},
 	}
 	f.Init()
+	f.endFirstWindow()
 	f.Regulator.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
@@ -89,6 +90,9 @@
 	return frontend.Addr(), f
 }
 
+// endFirstWindow lets a forwarder count retries as if it had started a window ago.
+func (f *Forwarder) endFirstWindow() { f.retriesSince = f.retriesSince.Add(-f.Budget.Window) }
+
 // clientResponse is what a caller received.
 type clientResponse struct {
 	status   int
--- a/gateway/forwarder/retry.go
+++ b/gateway/forwarder/retry.go
@@ -29,8 +29,6 @@
 // serviceRetries are the retries to one service.
 type serviceRetries struct {
 	limiter retrylimiter.Limiter
-	// countedSince is when the limiter began to count.
-	countedSince time.Time
 	// allowed, denied and sent are the numbers of retries since the last log line, and longestDelay
 	// is the longest time from the decision on one until it was sent.
 	allowed, denied, sent int
@@ -42,8 +40,7 @@
 	r := f.serviceRetries[service]
 	if r == nil {
 		r = &serviceRetries{
-			limiter:      retrylimiter.Limiter{Window: f.Budget.Window, Ratio: f.budgetMargin() * f.Budget.Ratio},
-			countedSince: f.Clock.Now(),
+			limiter: retrylimiter.Limiter{Window: f.Budget.Window, Ratio: f.budgetMargin() * f.Budget.Ratio, Since: f.retriesSince},
 		}
 		f.serviceRetries[service] = r
 	}
@@ -111,7 +108,7 @@
 		requests, retries := r.limiter.Usage(now)
 		f.Log.Info("retries", "Service", service, "Allowed", r.allowed, "Denied", r.denied, "Sent", r.sent,
 			"LongestDelay", r.longestDelay.Milliseconds(), "WindowRequests", requests, "WindowRetries", retries,
-			"SlackShare", f.slackShare(), "Gateways", f.gatewayCount, "CountedFor", now.Sub(r.countedSince).Milliseconds())
+			"SlackShare", f.slackShare(), "Gateways", f.gatewayCount, "CountedFor", now.Sub(f.retriesSince).Milliseconds())
 		r.allowed, r.denied, r.sent, r.longestDelay = 0, 0, 0, 0
 	}
 }
--- a/pkg/retrylimiter/retrylimiter.go
+++ b/pkg/retrylimiter/retrylimiter.go
@@ -14,6 +14,9 @@
 	Window time.Duration
 	// Ratio is the fraction of the requests that may be retried.
 	Ratio float64
+	// Since is when the process began to count. Another one may have sent any number of retries in
+	// its place before, so that none is allowed until those are out of the window.
+	Since time.Time
 
 	counts   [bucketsPerWindow + 1]count
 	position int64
@@ -30,6 +33,9 @@
 // AllowRetry counts a retry and returns true if the limit allows it. Slack is this gateway's
 // share of the retries that are allowed beyond the ratio.
 func (l *Limiter) AllowRetry(now time.Time, slack float64) bool {
+	if now.Sub(l.Since) < l.Window {
+		return false
+	}
 	requests, retries := l.Usage(now)
 	if float64(retries+1) > l.Ratio*float64(requests)+slack {
 		return false
