Let gateways in routed mode use a clock that does not follow the time of day

Cause: the windows of the retry budget are counted by the time of day, and a step beyond the window empties them. Controllers had a clock that counts from the boot, gateways had not.

Gateways use the controllers' clock now, and with it everything that takes the number of a time: besides the retry budget the windows of customers' limits and of announced request limits, the age of the leader's state, which decides on keys in strict mode, the time since anything was received, and idle tunnels. Ages on the wire are durations as before. The contracts' mode keeps its clock, as its claims carry times of other instances.

--- a/gateway/app/main.go
+++ b/gateway/app/main.go
@@ -13,6 +13,7 @@
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/launcher"
 	"bronzelead.example/pkg/logger"
+	"bronzelead.example/pkg/timekeeper"
 )
 
 type commandLine struct {
@@ -90,7 +91,8 @@
 	defer endLogging()
 	go ring.Run(logging)
 	log := logger.New(ring, level, "gateway", settings.Instance.Name, settings.Instance.Zone)
-	r := &Routed{Settings: settings, File: file, Clock: clockwork.NewRealClock(), Log: log, Reload: reloadSignals(ctx)}
+	r := newRouted(settings, file, log)
+	r.Reload = reloadSignals(ctx)
 	if err := r.Run(ctx); err != nil {
 		log.Error("the gateway ends", "Error", err.Error())
 		return launcher.ExitFailed
@@ -98,6 +100,12 @@
 	return launcher.ExitOK
 }
 
+// newRouted returns a gateway in routed mode. Its clock does not follow steps of the time of day, by
+// which windows and leases would end early or late.
+func newRouted(settings *RoutedSettings, file string, log *slog.Logger) *Routed {
+	return &Routed{Settings: settings, File: file, Clock: timekeeper.BootClock(), Log: log}
+}
+
 // reloadSignals returns a channel that receives a value for each SIGHUP.
 func reloadSignals(ctx context.Context) <-chan struct{} {
 	signals := make(chan os.Signal, 1)
