Count retries when they are sent

Retries of two windows could arrive in one.

A retry is pending from the decision on, which counts against the limit, and belongs to the window in which it is written. One whose request ends first is returned to the budget; before, it was spent without having been sent.

TestNoWindowHasTooManyRetriesAfterWaits fails before (46 retries for 200 requests, 45 allowed), TestRetriesThatAreNotSentAreReturned is new.

--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -43,7 +43,7 @@
 	runs        int
 	lastBackend *wire.Announcement
 	sentAt      time.Time
-	// retryAllowedAt is when the retry budget allowed its next attempt; zero if that is no retry.
+	// retryAllowedAt is when the retry budget allowed a retry that is still to be sent; zero for none.
 	retryAllowedAt time.Time
 	// via is the gateway that the latest answer came through; empty if it came directly.
 	via string
@@ -100,6 +100,7 @@
 	f.countRequest(j)
 	defer f.endTrial(j)
 	defer f.recordRequestOutcome(j)
+	defer f.withdrawRetry(j)
 	for f.attempt(ctx, j) {
 	}
 }
--- a/gateway/forwarder/retry.go
+++ b/gateway/forwarder/retry.go
@@ -80,11 +80,22 @@
 	delay := now.Sub(j.retryAllowedAt)
 	j.retryAllowedAt = time.Time{}
 	r := f.retries(j.service)
+	r.limiter.RecordSent(now)
 	r.sent++
 	r.longestDelay = max(r.longestDelay, delay)
 	f.Meter.RecordDuration("retry_delay", delay)
 }
 
+// withdrawRetry returns a retry to the budget that was allowed and not sent.
+func (f *Forwarder) withdrawRetry(j *job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !j.retryAllowedAt.IsZero() {
+		j.retryAllowedAt = time.Time{}
+		f.retries(j.service).limiter.Withdraw()
+	}
+}
+
 // slackShare returns this gateway's share of the slack. The caller holds the lock.
 func (f *Forwarder) slackShare() float64 {
 	gateways := f.gatewayCount
--- a/gateway/forwarder/retry_test.go
+++ b/gateway/forwarder/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"log/slog"
 	"testing"
 	"time"
@@ -19,13 +20,7 @@
 	c := qt.New(t)
 	var out bytes.Buffer
 	clock := clockwork.NewFakeClock()
-	f := &Forwarder{
-		Clock: clock, Log: slog.New(slog.NewTextHandler(&out, nil)), Meter: meter.New("gateway", "test", "z"),
-		Budget: RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 10},
-	}
-	f.Init()
-	f.endFirstWindow()
-	f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: 9})
+	f := newBudgetForwarder(clock, &out, 1)
 	f.countRequest(&job{service: "s", req: &acceptor.Request{ReceivedAt: clock.Now()}})
 	j := &job{service: "s"}
 	c.Assert(f.mayRetry(j), qt.IsTrue)
@@ -34,12 +29,37 @@
 	c.Assert(f.permitSend(j, "b"), qt.IsTrue)
 	f.logRetries()
 	c.Check(out.String(), qt.Contains, "msg=retries Service=s Allowed=1 Denied=1 Sent=1 LongestDelay=30 WindowRequests=1 WindowRetries=1 "+
-		"SlackShare=1 Gateways=9 CountedFor=10030")
+		"SlackShare=1 Gateways=1 CountedFor=10030")
 	out.Reset()
 	f.logRetries()
 	c.Check(out.String(), qt.Equals, "")
 }
 
+// newBudgetForwarder returns a forwarder that has counted retries for a window, with a share of the slack.
+func newBudgetForwarder(clock clockwork.Clock, out io.Writer, slack float64) *Forwarder {
+	f := &Forwarder{
+		Clock: clock, Log: slog.New(slog.NewTextHandler(out, nil)), Meter: meter.New("gateway", "test", "z"),
+		Budget: RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: slack / budgetMargin},
+	}
+	f.Init()
+	f.endFirstWindow()
+	f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: 1})
+	return f
+}
+
+func TestRetriesThatAreNotSentAreReturned(t *testing.T) {
+	c := qt.New(t)
+	f := newBudgetForwarder(clockwork.NewFakeClock(), io.Discard, 1)
+	j, other := &job{service: "s"}, &job{service: "s"}
+	c.Assert(f.mayRetry(j), qt.IsTrue)
+	c.Assert(f.mayRetry(other), qt.IsFalse)
+	f.withdrawRetry(j)
+	c.Assert(f.mayRetry(other), qt.IsTrue)
+	c.Assert(f.permitSend(other, "b"), qt.IsTrue)
+	f.withdrawRetry(other)
+	c.Assert(f.mayRetry(j), qt.IsFalse)
+}
+
 // Requests that were sent while a gateway was frozen counted in the window in which they were read:
 // 348 arrivals beyond the first where 335 were allowed.
 func TestRetryBudgetHoldsAcrossFreezes(t *testing.T) {
@@ -51,13 +71,7 @@
 	)
 	c := qt.New(t)
 	clock := clockwork.NewFakeClock()
-	f := &Forwarder{
-		Clock: clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
-		Budget: RetryBudget{Window: window, Ratio: ratio, Slack: slack},
-	}
-	f.Init()
-	f.endFirstWindow()
-	f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: 1})
+	f := newBudgetForwarder(clock, io.Discard, budgetMargin*slack)
 	var sent, retried []time.Time
 	read := func(requests int) {
 		for range requests {
--- a/pkg/retrylimiter/retrylimiter.go
+++ b/pkg/retrylimiter/retrylimiter.go
@@ -20,6 +20,8 @@
 
 	counts   [bucketsPerWindow + 1]count
 	position int64
+	// pending is the number of retries that were allowed and not sent yet.
+	pending int
 }
 
 type count struct{ requests, retries int }
@@ -32,8 +34,8 @@
 	}
 }
 
-// AllowRetry counts a retry and returns true if the limit allows it. Slack is this gateway's
-// share of the retries that are allowed beyond the ratio.
+// AllowRetry reports whether the limit allows a retry. An allowed one is pending until RecordSent or
+// Withdraw. Slack is this gateway's share of the retries that are allowed beyond the ratio.
 func (l *Limiter) AllowRetry(now time.Time, slack float64) bool {
 	if now.Sub(l.Since) < l.Window {
 		return false
@@ -42,13 +44,24 @@
 	if float64(retries+1) > l.Ratio*float64(requests)+slack {
 		return false
 	}
-	l.current().retries++
+	l.pending++
 	return true
 }
 
-// Usage returns the requests and the retries in the window that ends now.
+// RecordSent counts a pending retry in the window in which it is sent. It may have waited for long.
+func (l *Limiter) RecordSent(now time.Time) {
+	l.advance(now)
+	l.pending--
+	l.current().retries++
+}
+
+// Withdraw ends a pending retry that is not sent.
+func (l *Limiter) Withdraw() { l.pending-- }
+
+// Usage returns the requests and the retries in the window that ends now, with the pending ones.
 func (l *Limiter) Usage(now time.Time) (requests, retries int) {
 	l.advance(now)
+	retries = l.pending
 	for i, c := range l.counts {
 		retries += c.retries
 		if int64(i) != (l.position+1)%int64(len(l.counts)) {
--- a/pkg/retrylimiter/retrylimiter_test.go
+++ b/pkg/retrylimiter/retrylimiter_test.go
@@ -10,6 +10,15 @@
 
 func begin() time.Time { return time.Unix(1000, 0) }
 
+// retry sends a retry at once if it is allowed.
+func (l *Limiter) retry(now time.Time, slack float64) bool {
+	allowed := l.AllowRetry(now, slack)
+	if allowed {
+		l.RecordSent(now)
+	}
+	return allowed
+}
+
 func TestRetriesAreAShareOfTheRequests(t *testing.T) {
 	c := qt.New(t)
 	l := &Limiter{Window: 10 * time.Second, Ratio: 0.2}
@@ -18,7 +27,7 @@
 	}
 	allowed := 0
 	for range 100 {
-		if l.AllowRetry(begin(), 5) {
+		if l.retry(begin(), 5) {
 			allowed++
 		}
 	}
@@ -28,11 +37,11 @@
 func TestSlackAllowsRetriesWithoutRequests(t *testing.T) {
 	c := qt.New(t)
 	l := &Limiter{Window: 10 * time.Second, Ratio: 0.2}
-	c.Check(l.AllowRetry(begin(), 2), qt.IsTrue)
-	c.Check(l.AllowRetry(begin(), 2), qt.IsTrue)
-	c.Check(l.AllowRetry(begin(), 2), qt.IsFalse)
-	c.Check(l.AllowRetry(begin().Add(5*time.Second), 2), qt.IsFalse)
-	c.Check(l.AllowRetry(begin().Add(12*time.Second), 2), qt.IsTrue)
+	c.Check(l.retry(begin(), 2), qt.IsTrue)
+	c.Check(l.retry(begin(), 2), qt.IsTrue)
+	c.Check(l.retry(begin(), 2), qt.IsFalse)
+	c.Check(l.retry(begin().Add(5*time.Second), 2), qt.IsFalse)
+	c.Check(l.retry(begin().Add(12*time.Second), 2), qt.IsTrue)
 }
 
 // Requests that were sent before count for the windows in which they were sent.
@@ -49,7 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := &Limiter{Window: 10 * time.Second, Ratio: 1}
 			l.RecordRequest(begin(), begin().Add(-test.age))
-			qt.New(t).Check(l.AllowRetry(begin().Add(test.later), 0), qt.Equals, test.allowed)
+			qt.New(t).Check(l.retry(begin().Add(test.later), 0), qt.Equals, test.allowed)
 		})
 	}
 }
@@ -73,7 +82,7 @@
 			l.RecordRequest(now, now)
 			requests = append(requests, now)
 			for range random.IntN(4) {
-				if l.AllowRetry(now, slack) {
+				if l.retry(now, slack) {
 					retries = append(retries, now)
 				}
 			}
@@ -120,7 +129,43 @@
 			}
 			l.RecordRequest(now, now)
 			requests = append(requests, now)
+			if l.retry(now, slack) {
+				retries = append(retries, now)
+			}
+		}
+		c.Assert(len(retries) > 0, qt.IsTrue)
+		checkWindows(c, requests, retries, window, ratio, slack)
+	}
+}
+
+// Retries wait for a backend server, some for seconds. Those that were allowed in two windows arrived in
+// one.
+func TestNoWindowHasTooManyRetriesAfterWaits(t *testing.T) {
+	const window, slack, ratio = 10 * time.Second, 5.0, 0.2
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		random := rand.New(rand.NewPCG(seed, 3))
+		now := begin()
+		l := &Limiter{Window: window, Ratio: ratio}
+		var requests, retries []time.Time
+		waiting := 0
+		for i := range 5000 {
+			now = now.Add(50 * time.Millisecond)
+			l.RecordRequest(now, now)
+			requests = append(requests, now)
 			if l.AllowRetry(now, slack) {
+				waiting++
+			}
+			if i%400 >= 200 {
+				// No backend server is free for 10 s.
+				continue
+			}
+			for ; waiting > 0; waiting-- {
+				if random.IntN(10) == 0 {
+					l.Withdraw()
+					continue
+				}
+				l.RecordSent(now)
 				retries = append(retries, now)
 			}
 		}
