Wait for the report of metrics in the test of logged refusals

TestRefusalsAreLoggedTogether read the metric as soon as the log line was there. The test waits until the metric has the same 10 now.

--- a/gateway/forwarder/overload_test.go
+++ b/gateway/forwarder/overload_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -110,17 +111,17 @@
 	}
 	eventually(c, func() bool { return log.count("requests refused") > 0 })
 	c.Check(log.count(reasonOverloaded) <= 2, qt.IsTrue, qt.Commentf("%d lines", log.count(reasonOverloaded)))
-	recorder := httptest.NewRecorder()
-	f.Meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	for _, line := range strings.Split(recorder.Body.String(), "\n") {
-		if strings.Contains(line, "slot_requests") && strings.Contains(line, string(slotRefusedLocally)) {
-			c.Check(line, qt.Matches, `.* 10`)
-			return
-		}
-	}
-	t.Error("no metric of the refusals")
+	// Metrics are reported once a second, and no order is given between that and the log line.
+	eventually(c, func() bool {
+		recorder := httptest.NewRecorder()
+		f.Meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		return refusedLocally.MatchString(recorder.Body.String())
+	})
 }
 
+// refusedLocally matches the metric of ten local refusals.
+var refusedLocally = regexp.MustCompile(`(?m)slot_requests\{.*"` + string(slotRefusedLocally) + `".*\} 10$`)
+
 // BenchmarkAllBusy measures the decision to refuse a request locally, with seven backend servers.
 func BenchmarkAllBusy(b *testing.B) {
 	clock := clockwork.NewFakeClock()
