Take the assumed number of gateways until a leader may know all of them

A gateway's share of the slack rests on the number that a leader reports, and a leader that was just elected has not heard of all. For a gateway that knew no leader before, the first number could be 1, and its share all of the slack.

The number counts once a leader has reported one for 3 s, and the high one that is assumed without any before.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -96,6 +96,8 @@
 	waiting      map[*balancer.Waiter]chan balancer.Decision
 	demand       map[string]uint32
 	gatewayCount uint32
+	// gatewaysKnownAt is when a leader first reported the number of gateways.
+	gatewaysKnownAt time.Time
 	// pacingActivations decide for each service whether its prompts are paced.
 	pacingActivations map[string]*pacer.Activation
 	// ageEstimators estimate the age of retries, by route.
@@ -226,6 +228,9 @@
 	if res.GetLeads() {
 		// A new leader has not received reports from all gateways yet; the highest number is
 		// safe.
+		if f.gatewayCount == 0 {
+			f.gatewaysKnownAt = now
+		}
 		f.gatewayCount = max(f.gatewayCount, res.GetGateways())
 	}
 	if res.GetLeads() && res.GetSuspectsRevision() != 0 {
--- a/gateway/forwarder/forwarder_test.go
+++ b/gateway/forwarder/forwarder_test.go
@@ -134,17 +134,20 @@
 func TestRetryBudgetIsShared(t *testing.T) {
 	for name, test := range map[string]struct {
 		reported []uint32
+		after    time.Duration
 		max      int
 	}{
-		"nothing received":         {nil, 1},
-		"ten gateways":             {[]uint32{10}, 9},
-		"a new leader knows fewer": {[]uint32{10, 2}, 9},
-		"some were added":          {[]uint32{10, 20}, 4},
+		"nothing received":             {nil, time.Minute, 1},
+		"ten gateways":                 {[]uint32{10}, time.Minute, 9},
+		"a new leader knows fewer":     {[]uint32{10, 2}, time.Minute, 9},
+		"some were added":              {[]uint32{10, 20}, time.Minute, 4},
+		"the first leader was elected": {[]uint32{1}, time.Second, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
+			clock := clockwork.NewFakeClock()
 			f := &Forwarder{
-				Clock: clockwork.NewFakeClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
+				Clock: clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
 				Budget: RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
 			}
 			f.Init()
@@ -152,6 +155,7 @@
 			for _, n := range test.reported {
 				f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: n})
 			}
+			clock.Advance(test.after)
 			allowed := 0
 			for range 100 {
 				if f.mayRetry(&job{service: "s"}) {
--- a/gateway/forwarder/harness_test.go
+++ b/gateway/forwarder/harness_test.go
@@ -55,6 +55,7 @@
 func startGatewayAndForwarder(c *qt.C, backends ...*fakeBackend) (string, *Forwarder) {
 	address, f := newGateway(c, clockwork.NewRealClock())
 	f.Apply("controller", firstTable(backends...))
+	f.endGatewayCountDelay()
 	return address, f
 }
 
@@ -93,6 +94,13 @@
 // endFirstWindow lets a forwarder count retries as if it had started a window ago.
 func (f *Forwarder) endFirstWindow() { f.retriesSince = f.retriesSince.Add(-f.Budget.Window) }
 
+// endGatewayCountDelay lets a forwarder trust the number of gateways at once.
+func (f *Forwarder) endGatewayCountDelay() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gatewaysKnownAt = time.Time{}
+}
+
 // clientResponse is what a caller received.
 type clientResponse struct {
 	status   int
--- a/gateway/forwarder/retry.go
+++ b/gateway/forwarder/retry.go
@@ -21,9 +21,11 @@
 	// budgetMargin is the part of the budget that is used: gateways count by their own clocks, and
 	// the others do not know of an added gateway at once.
 	budgetMargin = 0.9
-	// assumedGatewayCount is assumed before a leader has reported the number of gateways. It is
-	// high, since all gateways share the budget.
+	// assumedGatewayCount is assumed before a leader has reported the number of gateways for
+	// gatewayCountDelay. It is high, since all gateways share the budget.
 	assumedGatewayCount = 100
+	// gatewayCountDelay is how long a new leader may take to hear of all gateways.
+	gatewayCountDelay = 3 * time.Second
 )
 
 // serviceRetries are the retries to one service.
@@ -99,8 +101,8 @@
 // slackShare returns this gateway's share of the slack. The caller holds the lock.
 func (f *Forwarder) slackShare() float64 {
 	gateways := f.gatewayCount
-	if gateways == 0 {
-		gateways = assumedGatewayCount
+	if gateways == 0 || f.Clock.Since(f.gatewaysKnownAt) < gatewayCountDelay {
+		gateways = max(gateways, assumedGatewayCount)
 	}
 	return f.budgetMargin() * f.Budget.Slack / float64(gateways)
 }
--- a/gateway/forwarder/retry_test.go
+++ b/gateway/forwarder/retry_test.go
@@ -44,6 +44,7 @@
 	f.Init()
 	f.endFirstWindow()
 	f.Apply("controller", &wire.SyncResponse{Leads: true, Gateways: 1})
+	f.endGatewayCountDelay()
 	return f
 }
 
