--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -92,6 +92,7 @@
 	serviceRetries map[string]*serviceRetries
 	// retriesSince is since when retries are counted.
 	retriesSince time.Time
+	// stalls detects when the gateway did not run.
 	stalls       stalldetector.Detector
 	waiting      map[*balancer.Waiter]chan balancer.Decision
 	demand       map[string]uint32
--- a/pkg/retrylimiter/gateways_test.go
+++ b/pkg/retrylimiter/gateways_test.go
@@ -59,7 +59,7 @@
 }
 
 func (y *simulatedCluster) newLimiter(since time.Time) *Limiter {
-	return &Limiter{Window: 10 * time.Second, Ratio: usedShare * ruleRatio, Since: since}
+	return &Limiter{Window: window, Ratio: usedShare * ruleRatio, Since: since}
 }
 
 // some returns one gateway, most of them, or all.
@@ -150,7 +150,7 @@
 					}
 				}
 				c.Assert(len(y.retries) > 0, qt.IsTrue)
-				checkWindows(c, y.requests, y.retries, 10*time.Second, ruleRatio, ruleSlack)
+				checkWindows(c, y.requests, y.retries, ruleRatio, ruleSlack)
 			})
 		}
 	}
--- a/pkg/retrylimiter/retrylimiter_test.go
+++ b/pkg/retrylimiter/retrylimiter_test.go
@@ -9,6 +9,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// window is the window of all limiters here.
+const window = 10 * time.Second
+
 func begin() time.Time { return time.Unix(1000, 0) }
 
 // retry sends a retry at once if it is allowed.
@@ -22,7 +25,7 @@
 
 func TestRetriesAreAShareOfTheRequests(t *testing.T) {
 	c := qt.New(t)
-	l := &Limiter{Window: 10 * time.Second, Ratio: 0.2}
+	l := &Limiter{Window: window, Ratio: 0.2}
 	for range 100 {
 		l.RecordRequest(begin(), begin())
 	}
@@ -37,7 +40,7 @@
 
 func TestSlackAllowsRetriesWithoutRequests(t *testing.T) {
 	c := qt.New(t)
-	l := &Limiter{Window: 10 * time.Second, Ratio: 0.2}
+	l := &Limiter{Window: window, Ratio: 0.2}
 	c.Check(l.retry(begin(), 2), qt.IsTrue)
 	c.Check(l.retry(begin(), 2), qt.IsTrue)
 	c.Check(l.retry(begin(), 2), qt.IsFalse)
@@ -57,7 +60,7 @@
 		"not in the window when it is read": {12 * time.Second, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := &Limiter{Window: 10 * time.Second, Ratio: 1}
+			l := &Limiter{Window: window, Ratio: 1}
 			l.RecordRequest(begin(), begin().Add(-test.age))
 			qt.New(t).Check(l.retry(begin().Add(test.later), 0), qt.Equals, test.allowed)
 		})
@@ -68,7 +71,7 @@
 // it or in the one before it, plus the slack. Traffic is bursty, and up to three retries are
 // attempted for each request.
 func TestNoWindowHasTooManyRetries(t *testing.T) {
-	const window, slack, ratio = 10 * time.Second, 5.0, 0.2
+	const slack, ratio = 5.0, 0.2
 	for seed := range uint64(20) {
 		c := qt.New(t)
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -88,12 +91,12 @@
 				}
 			}
 		}
-		checkWindows(c, requests, retries, window, ratio, slack)
+		checkWindows(c, requests, retries, ratio, slack)
 	}
 }
 
 // checkWindows checks all windows that end with a retry.
-func checkWindows(c *qt.C, requests, retries []time.Time, window time.Duration, ratio, slack float64) {
+func checkWindows(c *qt.C, requests, retries []time.Time, ratio, slack float64) {
 	for _, end := range retries {
 		from := end.Add(-window)
 		count := between(retries, from, end)
@@ -114,7 +117,7 @@
 // A process that was started again used its whole share a second time in the same window. Here it is
 // killed again and again, and each start follows at once.
 func TestNoWindowHasTooManyRetriesAcrossRestarts(t *testing.T) {
-	const window, slack, ratio = 10 * time.Second, 5.0, 0.2
+	const slack, ratio = 5.0, 0.2
 	for seed := range uint64(20) {
 		c := qt.New(t)
 		random := rand.New(rand.NewPCG(seed, 2))
@@ -133,14 +136,14 @@
 			}
 		}
 		c.Assert(len(retries) > 0, qt.IsTrue)
-		checkWindows(c, requests, retries, window, ratio, slack)
+		checkWindows(c, requests, retries, ratio, slack)
 	}
 }
 
 // Retries wait for a backend server, some for seconds. Those that were allowed in two windows arrived in
 // one.
 func TestNoWindowHasTooManyRetriesAfterWaits(t *testing.T) {
-	const window, slack, ratio = 10 * time.Second, 5.0, 0.2
+	const slack, ratio = 5.0, 0.2
 	for seed := range uint64(20) {
 		c := qt.New(t)
 		random := rand.New(rand.NewPCG(seed, 3))
@@ -169,6 +172,6 @@
 			}
 		}
 		c.Assert(len(retries) > 0, qt.IsTrue)
-		checkWindows(c, requests, retries, window, ratio, slack)
+		checkWindows(c, requests, retries, ratio, slack)
 	}
 }
