--- a/pkg/retrylimiter/gateways_test.go
+++ b/pkg/retrylimiter/gateways_test.go
@@ -19,9 +19,9 @@
 	simulatedLength = 60 * time.Second
 	// calmTime is the time before the first disruption.
 	calmTime = 2 * time.Second
-	// ruleRatio and ruleSlack are the budget of all gateways, usedShare the part of it that they use.
-	ruleRatio, ruleSlack = 0.2, 54.0
-	usedShare            = 0.9
+	// ruleSlack is the slack of all gateways, usedShare the part of it and of the ratio that they use.
+	ruleSlack = 54.0
+	usedShare = 0.9
 	// restartTime is how long a killed gateway is away.
 	restartTime = 300 * time.Millisecond
 )
@@ -59,7 +59,7 @@
 }
 
 func (y *simulatedCluster) newLimiter(since time.Time) *Limiter {
-	return &Limiter{Window: window, Ratio: usedShare * ruleRatio, Since: since}
+	return &Limiter{Window: window, Ratio: usedShare * ratio, Since: since}
 }
 
 // some returns one gateway, most of them, or all.
@@ -150,7 +150,7 @@
 					}
 				}
 				c.Assert(len(y.retries) > 0, qt.IsTrue)
-				checkWindows(c, y.requests, y.retries, ruleRatio, ruleSlack)
+				checkWindows(c, y.requests, y.retries, ruleSlack)
 			})
 		}
 	}
--- a/pkg/retrylimiter/retrylimiter_test.go
+++ b/pkg/retrylimiter/retrylimiter_test.go
@@ -9,8 +9,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// window is the window of all limiters here.
-const window = 10 * time.Second
+// window and ratio are those of the budget in all tests.
+const (
+	window = 10 * time.Second
+	ratio  = 0.2
+)
 
 func begin() time.Time { return time.Unix(1000, 0) }
 
@@ -25,7 +28,7 @@
 
 func TestRetriesAreAShareOfTheRequests(t *testing.T) {
 	c := qt.New(t)
-	l := &Limiter{Window: window, Ratio: 0.2}
+	l := &Limiter{Window: window, Ratio: ratio}
 	for range 100 {
 		l.RecordRequest(begin(), begin())
 	}
@@ -40,7 +43,7 @@
 
 func TestSlackAllowsRetriesWithoutRequests(t *testing.T) {
 	c := qt.New(t)
-	l := &Limiter{Window: window, Ratio: 0.2}
+	l := &Limiter{Window: window, Ratio: ratio}
 	c.Check(l.retry(begin(), 2), qt.IsTrue)
 	c.Check(l.retry(begin(), 2), qt.IsTrue)
 	c.Check(l.retry(begin(), 2), qt.IsFalse)
@@ -71,7 +74,7 @@
 // it or in the one before it, plus the slack. Traffic is bursty, and up to three retries are
 // attempted for each request.
 func TestNoWindowHasTooManyRetries(t *testing.T) {
-	const slack, ratio = 5.0, 0.2
+	const slack = 5.0
 	for seed := range uint64(20) {
 		c := qt.New(t)
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -91,12 +94,12 @@
 				}
 			}
 		}
-		checkWindows(c, requests, retries, ratio, slack)
+		checkWindows(c, requests, retries, slack)
 	}
 }
 
 // checkWindows checks all windows that end with a retry.
-func checkWindows(c *qt.C, requests, retries []time.Time, ratio, slack float64) {
+func checkWindows(c *qt.C, requests, retries []time.Time, slack float64) {
 	for _, end := range retries {
 		from := end.Add(-window)
 		count := between(retries, from, end)
@@ -117,7 +120,7 @@
 // A process that was started again used its whole share a second time in the same window. Here it is
 // killed again and again, and each start follows at once.
 func TestNoWindowHasTooManyRetriesAcrossRestarts(t *testing.T) {
-	const slack, ratio = 5.0, 0.2
+	const slack = 5.0
 	for seed := range uint64(20) {
 		c := qt.New(t)
 		random := rand.New(rand.NewPCG(seed, 2))
@@ -136,14 +139,14 @@
 			}
 		}
 		c.Assert(len(retries) > 0, qt.IsTrue)
-		checkWindows(c, requests, retries, ratio, slack)
+		checkWindows(c, requests, retries, slack)
 	}
 }
 
 // Retries wait for a backend server, some for seconds. Those that were allowed in two windows arrived in
 // one.
 func TestNoWindowHasTooManyRetriesAfterWaits(t *testing.T) {
-	const slack, ratio = 5.0, 0.2
+	const slack = 5.0
 	for seed := range uint64(20) {
 		c := qt.New(t)
 		random := rand.New(rand.NewPCG(seed, 3))
@@ -172,6 +175,6 @@
 			}
 		}
 		c.Assert(len(retries) > 0, qt.IsTrue)
-		checkWindows(c, requests, retries, ratio, slack)
+		checkWindows(c, requests, retries, slack)
 	}
 }
