Send the retries in the test of freezes

Since retries count when they are sent, those of TestRetryBudgetHoldsAcrossFreezes stayed pending and never left the window, so that it passed for another reason. They are sent now: it passes, and fails with 110 retries for 499 requests if requests count when they are read.

--- a/gateway/forwarder/retry_test.go
+++ b/gateway/forwarder/retry_test.go
@@ -78,7 +78,7 @@
 		for range requests {
 			j := &job{service: "s", req: &acceptor.Request{ReceivedAt: clock.Now()}}
 			f.countRequest(j)
-			if f.mayRetry(j) {
+			if f.mayRetry(j) && f.permitSend(j, "b") {
 				retried = append(retried, clock.Now())
 			}
 		}
