Log at which software versions streams go on

Nothing read the software version that backend servers announce, nor the attempt that a caller names when it takes a stream up, so that no log told streams that a gateway sent on from those that their callers took up elsewhere. Both are decoded, passed on to gateways and logged; no decision uses them yet.

--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -290,7 +290,8 @@
 func (c *Coordinator) applyChanges() {
 	for _, a := range c.tracker.Since(c.appliedRevision) {
 		c.Log.Info("a backend server has changed", "Backend", a.GetId(), "Service", a.GetService(), "Address", a.GetAddress(),
-			"Draining", a.GetDraining(), "Gone", a.GetGone(), "Silent", a.GetSilent(), "Sequence", a.GetSequence())
+			"Draining", a.GetDraining(), "Gone", a.GetGone(), "Silent", a.GetSilent(), "Sequence", a.GetSequence(),
+			"SoftwareVersion", a.GetSoftwareVersion())
 		if c.placer != nil {
 			c.placer.SetEngine(a)
 		}
--- a/gateway/forwarder/backend_fake_test.go
+++ b/gateway/forwarder/backend_fake_test.go
@@ -22,6 +22,8 @@
 type fakeBackend struct {
 	id       string
 	listener net.Listener
+	// version is its software version.
+	version string
 	runs     atomic.Int32
 	mu       sync.Mutex
 	heads    []*http.Request
@@ -67,7 +69,7 @@
 }
 
 func (b *fakeBackend) announcement() *wire.Announcement {
-	return &wire.Announcement{Id: b.id, Name: b.id, Service: "s", Address: b.listener.Addr().String(), Slots: 4, Sequence: 1}
+	return &wire.Announcement{Id: b.id, Name: b.id, Service: "s", Address: b.listener.Addr().String(), Slots: 4, Sequence: 1, SoftwareVersion: b.version}
 }
 
 func (b *fakeBackend) requests() []*http.Request {
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -118,6 +118,8 @@
 	brittleFaultLoggedAt time.Time
 	// brittleSince is since when services are brittle.
 	brittleSince map[string]time.Time
+	// resumptions counts since the last log line.
+	resumptions resumptions
 	// pacesLoggedAt is when the paces of backend servers were last logged.
 	pacesLoggedAt time.Time
 	// constrainedSends counts since the last log line.
@@ -150,6 +152,7 @@
 	f.ageEstimators = map[string]*ageestimator.Estimator{}
 	f.pacingActivations = map[string]*pacer.Activation{}
 	f.constrainedSends = constrainedSends{}
+	f.resumptions = resumptions{}
 	f.overloadRefusals = map[overloadRefusal]int{}
 	f.brittleSince = map[string]time.Time{}
 	f.initPaths()
@@ -191,6 +194,7 @@
 			f.logAboveShare()
 			f.logPaths()
 			f.logBrittle()
+			f.logResumptions()
 			f.measurePaces()
 		}
 	}
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -49,6 +49,8 @@
 	via string
 	// lastEventID is the last event that the caller has received; empty before the first.
 	lastEventID string
+	// origin is what is known of the software version that began its stream.
+	origin streamOrigin
 	waited      time.Duration
 	progress    streamProgress
 	// sendBy is the time after which sending it is of no use.
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -58,7 +58,11 @@
 		backend = j.lastBackend
 	}
 	if backend != nil {
-		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence())
+		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence(),
+			"SoftwareVersion", backend.GetSoftwareVersion())
+	}
+	if j.lastEventID != "" {
+		list = append(list, "After", j.lastEventID, "Resumes", j.meta.Resumes)
 	}
 	if j.via != "" {
 		list = append(list, "Via", j.via)
--- a/gateway/forwarder/stream.go
+++ b/gateway/forwarder/stream.go
@@ -93,6 +93,7 @@
 		return errCallerWrite
 	}
 	f.observeEvents(j)
+	f.observeFirstEvents(j, j.lastBackend)
 	j.begunAttempt = j.sends
 	for line := range bytes.Lines(events) {
 		if id := platform.EventID(line); id != "" {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -67,6 +67,9 @@
 	e.info.Silent = false
 	// An incarnation that drains never becomes ready again.
 	e.info.Draining = e.info.GetDraining() || before.GetDraining()
+	if e.info.GetSoftwareVersion() == "" {
+		e.info.SoftwareVersion = before.GetSoftwareVersion()
+	}
 	e.lastContactAt = now
 	e.accepted++
 	changed = t.assignAddress(now, e)
@@ -178,6 +181,7 @@
 func sameForGateways(a, b *wire.Announcement) bool {
 	return a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() &&
 		a.GetSlots() == b.GetSlots() && a.GetDraining() == b.GetDraining() && a.GetGone() == b.GetGone() &&
+		a.GetSoftwareVersion() == b.GetSoftwareVersion() &&
 		a.GetSilent() == b.GetSilent() && (a.GetRemainingMs() == 0) == (b.GetRemainingMs() == 0)
 }
 
--- a/pkg/tracker/tracker_test.go
+++ b/pkg/tracker/tracker_test.go
@@ -206,3 +206,24 @@
 	}
 	c.Check(replaced, qt.DeepEquals, map[string]bool{"a~1": true, "a~2": false, "b~1": false})
 }
+
+// Gateways must learn the software version of an incarnation, also when it is announced late, and an
+// announcement without one does not take it back.
+func TestSoftwareVersionIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	y := newTracker()
+	version := func(v string) func(*wire.Announcement) {
+		return func(a *wire.Announcement) { a.SoftwareVersion = v }
+	}
+	y.Observe(start(), at("a", "x:1", 1))
+	_, changed := y.Observe(start(), at("a", "x:1", 2, version("v1")))
+	c.Check(changed, qt.IsTrue)
+	_, changed = y.Observe(start(), at("a", "x:1", 3))
+	c.Check(changed, qt.IsFalse)
+	c.Check(y.Get("a").GetSoftwareVersion(), qt.Equals, "v1")
+	// Another incarnation at the same address has a version of its own.
+	y.Observe(start(), at("b", "x:1", 1, version("v2")))
+	c.Check(y.Get("a").GetGone(), qt.IsTrue)
+	c.Check(y.Get("a").GetSoftwareVersion(), qt.Equals, "v1")
+	c.Check(y.Get("b").GetSoftwareVersion(), qt.Equals, "v2")
+}
