--- a/gateway/forwarder/backend_fake_test.go
+++ b/gateway/forwarder/backend_fake_test.go
@@ -24,9 +24,9 @@
 	listener net.Listener
 	// version is its software version.
 	version string
-	runs     atomic.Int32
-	mu       sync.Mutex
-	heads    []*http.Request
+	runs    atomic.Int32
+	mu      sync.Mutex
+	heads   []*http.Request
 }
 
 type handler func(b *fakeBackend, req *http.Request, conn net.Conn) (keep bool)
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -50,9 +50,9 @@
 	// lastEventID is the last event that the caller has received; empty before the first.
 	lastEventID string
 	// origin is what is known of the software version that began its stream.
-	origin streamOrigin
-	waited      time.Duration
-	progress    streamProgress
+	origin   streamOrigin
+	waited   time.Duration
+	progress streamProgress
 	// sendBy is the time after which sending it is of no use.
 	sendBy time.Time
 	// prompt is the granted prompt that its engine has to read; nil if it has none.
--- a/gateway/forwarder/story.go
+++ b/gateway/forwarder/story.go
@@ -57,13 +57,7 @@
 	if backend == nil {
 		backend = j.lastBackend
 	}
-	if backend != nil {
-		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence(),
-			"SoftwareVersion", backend.GetSoftwareVersion())
-	}
-	if j.lastEventID != "" {
-		list = append(list, "After", j.lastEventID, "Resumes", j.meta.Resumes)
-	}
+	list = append(list, runAttributes(j, backend)...)
 	if j.via != "" {
 		list = append(list, "Via", j.via)
 	}
@@ -83,6 +77,20 @@
 	return append(list, more...)
 }
 
+// runAttributes returns the log attributes of a job's run at a backend server, if there was one, and of
+// the stream that it resumes.
+func runAttributes(j *job, backend *wire.Announcement) []any {
+	var list []any
+	if backend != nil {
+		list = append(list, "Backend", backend.GetId(), "Sequence", backend.GetSequence(),
+			"SoftwareVersion", backend.GetSoftwareVersion())
+	}
+	if j.lastEventID != "" {
+		list = append(list, "After", j.lastEventID, "Resumes", j.meta.Resumes)
+	}
+	return list
+}
+
 func outcomeLabel(status int) string {
 	if status == 0 {
 		return "Ended"
