Tests: streams go on at another software version, in one answer and at another gateway

A resumable stream may run again under one id, so that the check of repeated runs in the history names the kinds that may not.

--- a/gateway/forwarder/harness_test.go
+++ b/gateway/forwarder/harness_test.go
@@ -120,10 +120,15 @@
 
 // callFor is call with another client timeout.
 func callFor(c *qt.C, timeout time.Duration, address, path string, header ...string) clientResponse {
+	return callAs(c, "r1", timeout, address, path, header...)
+}
+
+// callAs is callFor with another id of the request.
+func callAs(c *qt.C, id string, timeout time.Duration, address, path string, header ...string) clientResponse {
 	conn, err := net.Dial("tcp", address)
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
-	head := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n" + lines(platform.StandInRequest("r1", timeout))
+	head := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n" + lines(platform.StandInRequest(id, timeout))
 	_, err = io.WriteString(conn, head+strings.Join(append(header, ""), "\r\n")+"\r\nhi")
 	c.Assert(err, qt.IsNil)
 	var raw bytes.Buffer
--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -24,6 +24,8 @@
 type fakeBackend struct {
 	y  *routedSystem
 	id string
+	// version is its software version.
+	version string
 	// proxy is the proxy in front of the server; nil for none.
 	proxy *tcpProxy
 	// address is the address that it announces.
@@ -76,10 +78,13 @@
 	return b.limit
 }
 
-func startBackend(y *routedSystem, id string) *fakeBackend {
+func startBackend(y *routedSystem, id string) *fakeBackend { return startVersionedBackend(y, id, "") }
+
+// startVersionedBackend starts a backend server of a software version.
+func startVersionedBackend(y *routedSystem, id, version string) *fakeBackend {
 	addr := freeAddress(y.c)
 	proxy := newTCPProxy(y.c, addr)
-	b := &fakeBackend{y: y, id: id, proxy: proxy, address: proxy.address}
+	b := &fakeBackend{y: y, id: id, version: version, proxy: proxy, address: proxy.address}
 	b.start(addr)
 	return b
 }
@@ -110,7 +115,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		path, body, err := platform.StandInHeartbeat(&wire.Announcement{
 			Name: b.id, Service: "s", Address: b.address, Zone: "z", Slots: 16,
-			Sequence: b.sequence.Add(1), Draining: b.draining.Load(),
+			Sequence: b.sequence.Add(1), Draining: b.draining.Load(), SoftwareVersion: b.version,
 		})
 		if err != nil {
 			return
@@ -137,10 +142,7 @@
 
 // ServeHTTP runs a request and returns an answer that is specific to its id.
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var header framer.Header
-	for name := range r.Header {
-		header = append(header, framer.Field{Name: name, Value: r.Header.Get(name)})
-	}
+	header := fieldsOf(r.Header)
 	id := platform.DecodeRequest(header).ID
 	if limit := b.recordArrival(id); limit > 0 {
 		setHeaders(w, framer.Header{platform.StandInRequestLimit(limit)})
@@ -176,6 +178,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if routeKindOf(r.URL.Path) == resumable {
+		b.serveResumable(w, r, platform.DecodeDispatch(header).ResumeAfter)
+		return
+	}
 	if routeKindOf(r.URL.Path) != stream {
 		_, _ = io.WriteString(w, answerTo(id))
 		return
@@ -192,6 +198,15 @@
 	}
 }
 
+// fieldsOf returns a header in the framer's type.
+func fieldsOf(h http.Header) framer.Header {
+	var fields framer.Header
+	for name := range h {
+		fields = append(fields, framer.Field{Name: name, Value: h.Get(name)})
+	}
+	return fields
+}
+
 func setHeaders(w http.ResponseWriter, header framer.Header) {
 	for _, field := range header {
 		w.Header().Set(field.Name, field.Value)
--- a/proof/routed_callers_test.go
+++ b/proof/routed_callers_test.go
@@ -22,12 +22,14 @@
 	once       routeKind = "/once/"
 	idempotent routeKind = "/idempotent/"
 	stream     routeKind = "/stream/"
+	// resumable is the kind of streams that may go on after an interruption.
+	resumable routeKind = "/resumable/"
 	// markerPrefix begins the paths that exist in only one table each.
 	markerPrefix = "/marker-"
 )
 
 func routeKindOf(path string) routeKind {
-	for _, k := range []routeKind{once, stream} {
+	for _, k := range []routeKind{once, stream, resumable} {
 		if strings.HasPrefix(path, string(k)) {
 			return k
 		}
--- a/proof/routed_ledger_test.go
+++ b/proof/routed_ledger_test.go
@@ -129,7 +129,7 @@
 		}
 	}
 	for id, runs := range l.runs {
-		if routeKindOf(pathOf(l.sent[id])) != idempotent && runs > 1 {
+		if kind := routeKindOf(pathOf(l.sent[id])); kind != idempotent && kind != resumable && runs > 1 {
 			c.Errorf("%s ran %d times", id, runs)
 		}
 	}
--- a/proof/routed_operator_test.go
+++ b/proof/routed_operator_test.go
@@ -59,12 +59,14 @@
 			MaxAttempts: 2, Shares: []*wire.Share{{Service: "s", Weight: 1}},
 		}
 	}
+	resumableRoute := route(string(resumable), wire.Repetition_REPETITION_STREAM)
+	resumableRoute.Resumable = true
 	return &wire.RoutingTable{
 		Version: version, Services: []*wire.RoutedService{{Name: "s"}},
 		Limits: &wire.DoorLimits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 		Routes: []*wire.Route{
 			route(string(once), wire.Repetition_REPETITION_ONCE), route(string(idempotent), wire.Repetition_REPETITION_IDEMPOTENT),
-			route(string(stream), wire.Repetition_REPETITION_STREAM), route(markerPath(version), wire.Repetition_REPETITION_IDEMPOTENT),
+			route(string(stream), wire.Repetition_REPETITION_STREAM), resumableRoute, route(markerPath(version), wire.Repetition_REPETITION_IDEMPOTENT),
 		},
 	}
 }
--- /dev/null
+++ b/proof/routed_versions_test.go
@@ -0,0 +1,237 @@
+package proof
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/platform"
+)
+
+const (
+	// resumableEvents is the number of events of each resumable stream, one every
+	// resumableInterval.
+	resumableEvents   = 20
+	resumableInterval = 25 * time.Millisecond
+)
+
+// serveResumable writes the events of a resumable stream after one. Each names the software version
+// that wrote it.
+func (b *fakeBackend) serveResumable(w http.ResponseWriter, r *http.Request, after string) {
+	last, _ := strconv.Atoi(after)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := last + 1; n <= resumableEvents; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, b.version)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(resumableInterval):
+		}
+	}
+}
+
+// streamTally counts what the callers of resumable streams got.
+type streamTally struct {
+	// begun streams got their first event, of the new streams that were sent.
+	sent, begun atomic.Int32
+	// resumed are the attempts to take a stream up, of which goneOn brought further events.
+	resumed, goneOn atomic.Int32
+	// complete streams got all events.
+	complete atomic.Int32
+
+	mu sync.Mutex
+	// mixed describes the streams with events of several versions.
+	mixed []string
+}
+
+// streamCaller sends one resumable stream after the other, and takes each up once that breaks off.
+type streamCaller struct {
+	y      *routedSystem
+	name   string
+	random *rand.Rand
+	tally  *streamTally
+	count  int
+}
+
+// heldStream is what a caller has of a stream.
+type heldStream struct {
+	// first is the id of the attempt that brought the first event.
+	first    string
+	events   int
+	versions []string
+	complete bool
+}
+
+func (l *streamCaller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.runStream(time.Now().Add(clientTimeout))
+		pause(ctx)
+	}
+}
+
+// runStream sends a stream, and takes it up until the caller's time is over.
+func (l *streamCaller) runStream(deadline time.Time) {
+	s := &heldStream{}
+	l.tally.sent.Add(1)
+	l.attempt(s, deadline)
+	if s.events == 0 {
+		return
+	}
+	l.tally.begun.Add(1)
+	for tries := 0; !s.complete && tries < 3 && time.Now().Before(deadline); tries++ {
+		before := s.events
+		l.tally.resumed.Add(1)
+		l.attempt(s, deadline)
+		if s.complete || s.events > before {
+			l.tally.goneOn.Add(1)
+		}
+	}
+	if s.complete && s.events == resumableEvents {
+		l.tally.complete.Add(1)
+	}
+	for _, version := range s.versions[1:] {
+		if version != s.versions[0] {
+			l.tally.mu.Lock()
+			l.tally.mixed = append(l.tally.mixed, fmt.Sprintf("%s: %q", s.first, s.versions))
+			l.tally.mu.Unlock()
+			return
+		}
+	}
+}
+
+// attempt sends the rest of a stream to any gateway, and reads what it gets.
+func (l *streamCaller) attempt(s *heldStream, deadline time.Time) {
+	l.count++
+	id := fmt.Sprintf("%s-%d-%d", l.name, time.Now().UnixNano(), l.count)
+	to := l.y.gateways[l.random.IntN(len(l.y.gateways))]
+	body := "stream " + id
+	l.y.history.recordSent(id, "POST "+string(resumable)+"x "+body, to)
+	conn, err := net.DialTimeout("tcp", to.address, time.Second)
+	if err != nil {
+		<-time.After(resumableInterval)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(deadline)
+	head := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n", resumable, len(body))
+	fields := platform.StandInRequest(id, time.Until(deadline))
+	if s.events > 0 {
+		fields = append(fields, platform.StandInResumption(s.first, strconv.Itoa(s.events))...)
+	}
+	for _, field := range fields {
+		head += field.Name + ": " + field.Value + "\r\n"
+	}
+	if _, err := io.WriteString(conn, head+"\r\n"+body); err != nil {
+		return
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		<-time.After(platform.RetryAfter(fieldsOf(res.Header)))
+		return
+	}
+	l.read(s, id, res.Body)
+}
+
+// read reads events until the answer ends.
+func (l *streamCaller) read(s *heldStream, id string, body io.Reader) {
+	reader := bufio.NewReader(body)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			s.complete = err == io.EOF
+			return
+		}
+		if number, ok := strings.CutPrefix(line, "id: "); ok {
+			if n, _ := strconv.Atoi(strings.TrimSpace(number)); n != s.events+1 {
+				l.y.history.addViolation("%s: event %d follows event %d", id, n, s.events)
+			}
+		}
+		if version, ok := strings.CutPrefix(line, "data: "); ok {
+			if s.events == 0 {
+				s.first = id
+			}
+			s.events++
+			s.versions = append(s.versions, strings.TrimSpace(version))
+		}
+	}
+}
+
+// startStreamCallers lets callers send resumable streams until stop is called.
+func startStreamCallers(y *routedSystem, callers int, seed uint64) (tally *streamTally, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	tally = &streamTally{}
+	var running sync.WaitGroup
+	for i := range callers {
+		l := &streamCaller{y: y, name: fmt.Sprintf("v%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))), tally: tally}
+		running.Go(func() { l.run(ctx) })
+	}
+	return tally, func() { cancel(); running.Wait() }
+}
+
+// check checks that streams went on at the software version that began them, and half as often as
+// new ones began.
+func (a *streamTally) check(c *qt.C) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.Logf("%d streams sent, %d begun, %d complete; %d of %d attempts to take one up went on", a.sent.Load(), a.begun.Load(),
+		a.complete.Load(), a.goneOn.Load(), a.resumed.Load())
+	c.Check(a.mixed, qt.HasLen, 0)
+	begun := float64(a.begun.Load()) / float64(a.sent.Load())
+	goneOn := float64(a.goneOn.Load()) / float64(a.resumed.Load())
+	c.Check(a.resumed.Load() >= 12, qt.IsTrue, qt.Commentf("%d streams were taken up", a.resumed.Load()))
+	c.Check(goneOn >= begun/2, qt.IsTrue, qt.Commentf("%.2f of the streams went on, %.2f began", goneOn, begun))
+}
+
+// startVersions starts a system with two backend servers of each of three software versions.
+func startVersions(c *qt.C, gateways int) *routedSystem {
+	y := startWithoutBackends(c, 3, gateways)
+	for i := range 6 {
+		y.backends = append(y.backends, startVersionedBackend(y, fmt.Sprintf("b%d", i), fmt.Sprintf("v%d", i%3)))
+	}
+	y.initialize()
+	return y
+}
+
+// Streams went on at another software version than the one that began them: in the answer of a
+// gateway that lost their backend server, and at the gateway at which callers took them up.
+func TestRoutedStreamsGoOnAtTheirSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startVersions(c, 4)
+	tally, stop := startStreamCallers(y, 24, 1)
+	y.waitServing()
+	for step := range 12 {
+		<-time.After(400 * time.Millisecond)
+		switch b := y.backends[step%len(y.backends)]; step % 3 {
+		case 0:
+			b.proxy.closeConns()
+		case 1:
+			y.gateways[step%len(y.gateways)].kill()
+			y.gateways[step%len(y.gateways)].restart()
+		default:
+			b.proxy.closeConns()
+			y.gateways[step%len(y.gateways)].kill()
+			y.gateways[step%len(y.gateways)].restart()
+		}
+	}
+	stop()
+	tally.check(c)
+	y.history.check(c)
+}
