Resume streams in an answer at the software version that began them

Callers got streams with events of two software versions: a gateway that lost the backend server of a stream sent the rest to any that holds the adapter.

Cause: backend servers of a service were taken to be interchangeable for work that has begun; nothing but the adapter restricted the choice.

Once the first event was relayed, the request is pinned to the version that wrote it: candidates, the check that any is left, slots and load requests respect it. Loads for pinned requests are requested apart, since one for all requests may come to an engine of another version.

--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -202,7 +202,7 @@
 	w := &balancer.Waiter{
 		ID: j.meta.ID, Service: j.service, Adapter: j.adapter, Urgency: j.urgency(), Customer: f.sharingCustomer(j),
 		Tokens: j.meta.PromptTokens, Deadline: until.Add(-runReserve(j, until)), Avoid: slices.Concat(j.busy, j.avoid),
-		UsesSlotGrants: j.usesSlotGrants,
+		Pin: j.pin(), UsesSlotGrants: j.usesSlotGrants,
 	}
 	decided := make(chan balancer.Decision, 1)
 	began := f.Clock.Now()
--- a/gateway/forwarder/resumption.go
+++ b/gateway/forwarder/resumption.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -31,6 +32,14 @@
 	version string
 }
 
+// pin returns the restriction to the software version that began the job's stream, if it has begun.
+func (j *job) pin() balancer.Pin {
+	if !j.origin.known {
+		return balancer.Pin{}
+	}
+	return balancer.PinTo(j.origin.version)
+}
+
 // resumptions counts streams that went on after their first run.
 type resumptions map[resumption]map[versionMatch]int
 
--- a/gateway/forwarder/slot.go
+++ b/gateway/forwarder/slot.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	f.mu.Lock()
-	all := f.balancer.AllAmong(j.service, j.busy)
+	all := f.balancer.AllAmong(j.service, j.pin(), j.busy)
 	f.mu.Unlock()
 	if !all {
 		return false
@@ -156,7 +156,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := &balancer.Waiter{Service: j.service, Adapter: j.adapter, Avoid: j.avoid, UsesSlotGrants: true}
+	w := &balancer.Waiter{Service: j.service, Adapter: j.adapter, Avoid: j.avoid, Pin: j.pin(), UsesSlotGrants: true}
 	return f.balancer.HasAlternative(now, w, backend)
 }
 
--- a/pkg/balancer/adapterloads.go
+++ b/pkg/balancer/adapterloads.go
@@ -30,6 +30,13 @@
 	chanceDeviations = 2
 )
 
+// loadKey identifies the requests to the leader to load an adapter: a load for all requests helps none
+// that is pinned to another software version.
+type loadKey struct {
+	adapter string
+	pin     Pin
+}
+
 // requestedLoad is a request to the leader to load an adapter.
 type requestedLoad struct {
 	at time.Time
@@ -42,14 +49,15 @@
 // would only help later requests, so that one requested recently does not count for a request
 // that waits.
 func (b *Balancer) requestLoad(now time.Time, w *Waiter, candidates []*backend, spare bool) *wire.Want {
-	last, known := b.requestedLoads[w.Adapter]
+	key := loadKey{w.Adapter, w.Pin}
+	last, known := b.requestedLoads[key]
 	if known && now.Sub(last.at) < loadRequestInterval && (spare || !last.spare) {
 		return nil
 	}
 	if b.requestedLoads == nil {
-		b.requestedLoads = map[string]requestedLoad{}
+		b.requestedLoads = map[loadKey]requestedLoad{}
 	}
-	b.requestedLoads[w.Adapter] = requestedLoad{at: now, until: w.Deadline, spare: spare}
+	b.requestedLoads[key] = requestedLoad{at: now, until: w.Deadline, spare: spare}
 	pending := &wire.Want{Adapter: w.Adapter, LeftMs: uint32(max(1, w.Deadline.Sub(now).Milliseconds())), Spare: spare}
 	for _, k := range b.byService[w.Service] {
 		if !slices.Contains(candidates, k) {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -63,8 +63,8 @@
 	// loadsAt is when the loads of the other gateways were last updated; zero if they have expired.
 	loadsAt   time.Time
 	nextOrder uint64
-	// requestedLoads holds the latest load request to the leader for each adapter.
-	requestedLoads map[string]requestedLoad
+	// requestedLoads holds the latest load request to the leader for each adapter and pin.
+	requestedLoads map[loadKey]requestedLoad
 	// pacesByService holds what is known of the paces of each service's backend servers.
 	pacesByService map[string]*paces
 	// brittle holds the services whose backend servers are brittle.
@@ -94,6 +94,8 @@
 	Deadline time.Time
 	// Avoid lists the backend servers that have failed this request.
 	Avoid []string
+	// Pin is the software version that must serve it, if it resumes a stream.
+	Pin Pin
 	// UsesSlotGrants is set if an owner grants the backend server's slots, so that the free
 	// slots counted here are ignored.
 	UsesSlotGrants bool
@@ -235,8 +237,10 @@
 }
 
 // HasBackend reports whether a service has a backend server that takes requests.
-func (b *Balancer) HasBackend(service string) bool {
-	return slices.ContainsFunc(b.byService[service], func(k *backend) bool { return k.accepting() })
+func (b *Balancer) HasBackend(service string) bool { return b.hasBackend(service, Pin{}) }
+
+func (b *Balancer) hasBackend(service string, pin Pin) bool {
+	return slices.ContainsFunc(b.byService[service], func(k *backend) bool { return k.accepting() && pin.allows(k) })
 }
 
 // Accepting returns the number of a service's backend servers that take requests.
@@ -250,12 +254,12 @@
 	return n
 }
 
-// AllAmong reports whether all backend servers of a service that take requests are in a list, and
+// AllAmong reports whether all backend servers of a service that may get a request are in a list, and
 // there are any. Those that are paused or have failed may still serve a request.
-func (b *Balancer) AllAmong(service string, ids []string) bool {
+func (b *Balancer) AllAmong(service string, pin Pin, ids []string) bool {
 	found := false
 	for _, k := range b.byService[service] {
-		if !k.accepting() {
+		if !k.accepting() || !pin.allows(k) {
 			continue
 		}
 		if !slices.Contains(ids, k.info.GetId()) {
--- a/pkg/balancer/chooser.go
+++ b/pkg/balancer/chooser.go
@@ -41,7 +41,7 @@
 	var c candidates
 	for _, k := range b.byService[w.Service] {
 		switch {
-		case !k.accepting():
+		case !k.accepting(), !w.Pin.allows(k):
 		case k.silent(now), k.ejected(now) && !b.Disabled.Has(ablator.Ejection):
 			c.suspected = append(c.suspected, k)
 		case slices.Contains(w.Avoid, k.info.GetId()):
--- a/pkg/balancer/decision.go
+++ b/pkg/balancer/decision.go
@@ -27,6 +27,7 @@
 // Reasons for refusals.
 const (
 	ReasonNoBackend = "no backend server of the service is known"
+	ReasonNoVersion = "no backend server of the software version that began the stream takes requests"
 	ReasonTimeout   = "no backend server was free in time"
 	ReasonNoAdapter = "the adapter was not loaded in time"
 	ReasonDeclined  = "the adapter can't be loaded in time"
@@ -60,8 +61,8 @@
 func (b *Balancer) decide(now time.Time, w *Waiter) (*Decision, *wire.Want) {
 	b.refreshSlowdowns(now, w.Service)
 	c := b.candidates(now, w)
-	if !b.HasBackend(w.Service) {
-		return &Decision{Waiter: w, Reason: ReasonNoBackend, RetryAfter: retryWithoutBackend}, nil
+	if !b.hasBackend(w.Service, w.Pin) {
+		return &Decision{Waiter: w, Reason: w.Pin.reasonWithoutBackend(), RetryAfter: retryWithoutBackend}, nil
 	}
 	best, holders := b.choose(now, w, c)
 	if best != nil && b.holdsBack(now, w) {
@@ -127,14 +128,22 @@
 // load request. Requests with that deadline or an earlier one are refused at the next decision,
 // unless an engine has the adapter. Later requests that wait for longer cause a new load
 // request.
+//
+// The leader does not say which of several load requests it declines. One for a software version names
+// fewer engines, so that while requests pinned to one wait, only these are refused.
 func (b *Balancer) Decline(adapter string) {
-	last := b.requestedLoads[adapter]
+	pinned := slices.ContainsFunc(b.queue, func(w *Waiter) bool { return w.Adapter == adapter && w.Pin.Set })
 	for _, w := range b.queue {
-		if w.Adapter == adapter && !w.Deadline.After(last.until) {
+		last := b.requestedLoads[loadKey{adapter, w.Pin}]
+		if w.Adapter == adapter && w.Pin.Set == pinned && !w.Deadline.After(last.until) {
 			w.declined = true
 		}
 	}
-	delete(b.requestedLoads, adapter)
+	for key := range b.requestedLoads {
+		if key.adapter == adapter && key.pin.Set == pinned {
+			delete(b.requestedLoads, key)
+		}
+	}
 }
 
 // spread returns a random time around d, so that callers that were refused together do not
