Resume streams at other gateways at the software version that began them

Cause: a gateway took over what another had begun without what that one knew. The request names the attempt that brought the first event, which nothing read, and no gateway but the one that relayed that event could know the version.

The gateway that relays the first event of a resumable stream reports its origin, in datagrams sent before that event, to three others that follow from the attempt's id; while its service has one version, nothing is sent or held. Running streams are reported when a second version appears, and every two seconds after that. The gateway at which a stream is taken up looks up its origin and pins the request to it. An origin that nobody knows is the only version of the service where that is certain (the leader has observed all announcements for as long as a stream lasts, and its state is current); else the request is refused at once, as not run. An origin's service replaces the one drawn from a route's shares.

Ruled out: that versions which are known are out of date; they belong to an incarnation, and a request names the one that may run it.

--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -50,6 +50,8 @@
 	// forgetAfter is how long departed backend servers are remembered, so that delayed
 	// announcements don't bring them back.
 	forgetAfter = 60 * time.Second
+	// stallThreshold is how late a tick may be before announcements count as missed.
+	stallThreshold = time.Second
 )
 
 // Raft is what the coordinator uses of the replicated log.
@@ -136,9 +138,12 @@
 	pacesLoggedAt time.Time
 	// startedAt is when this incarnation began, and gatewaySeenAt when each gateway was last in
 	// the roster.
-	startedAt         time.Time
-	gatewaySeenAt     map[string]time.Time
-	gatewaysCheckedAt time.Time
+	startedAt time.Time
+	// observedSince is since when announcements have been received without interruption, and tickedAt when
+	// the last tick was.
+	observedSince, tickedAt time.Time
+	gatewaySeenAt           map[string]time.Time
+	gatewaysCheckedAt       time.Time
 }
 
 // gatewayState is the last reported state of a gateway.
@@ -172,6 +177,7 @@
 	c.tracker = &tracker.Tracker{SilentAfter: c.SilentAfter, ForgetAfter: forgetAfter}
 	c.gateways = map[string]*gatewayState{}
 	c.startedAt, c.gatewaySeenAt = c.Clock.Now(), map[string]time.Time{}
+	c.observedSince, c.tickedAt = c.startedAt, c.startedAt
 	c.loads = disseminator.NewLoadTotals()
 	c.paces = map[string]*paceestimator.Estimator{}
 	c.holdings = disseminator.NewHoldings()
@@ -282,6 +288,10 @@
 }
 
 func (c *Coordinator) tick(now time.Time) {
+	if c.observedFor(now) == 0 {
+		c.observedSince = now
+	}
+	c.tickedAt = now
 	c.tracker.Tick(now)
 	c.applyChanges()
 	c.followLeadership(now)
--- a/controller/routecoordinator/routecoordinator_test.go
+++ b/controller/routecoordinator/routecoordinator_test.go
@@ -163,3 +163,39 @@
 		<-ran
 	}
 }
+
+// Gateways learn for how long the leader has received announcements: not across a time in which it
+// received none or did not run, and no longer than it remembers backend servers that have left.
+func TestLeaderTellsForHowLongItObserves(t *testing.T) {
+	c := qt.New(t)
+	co, k := newCoordinator()
+	clock, _ := co.Clock.(*clockwork.FakeClock)
+	observed := func() time.Duration {
+		res := co.buildResponse(co.Clock.Now(), &wire.SyncRequest{})
+		return time.Duration(res.GetObservedMs()) * time.Millisecond
+	}
+	sequence := uint64(0)
+	run := func(d time.Duration, announces bool) {
+		for range d / tickInterval {
+			clock.Advance(tickInterval)
+			if announces {
+				sequence++
+				co.tracker.Observe(co.Clock.Now(), &wire.Announcement{Id: "b", Service: "s", Address: "x:1", Sequence: sequence})
+			}
+			co.tick(co.Clock.Now())
+		}
+	}
+	run(time.Second, true)
+	c.Check(observed(), qt.Equals, time.Duration(0), qt.Commentf("it does not lead"))
+	lead(co, k)
+	run(time.Second, true)
+	c.Check(observed(), qt.Equals, 2*time.Second)
+	run(co.SilentAfter+time.Second, false)
+	c.Check(observed(), qt.Equals, time.Duration(0))
+	run(2*time.Second, true)
+	c.Check(observed(), qt.Equals, 2*time.Second)
+	clock.Advance(2 * stallThreshold)
+	c.Check(observed(), qt.Equals, time.Duration(0))
+	run(2*forgetAfter, true)
+	c.Check(observed(), qt.Equals, forgetAfter)
+}
--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -219,6 +219,7 @@
 	}
 	c.addRequestLimits(now, req, res)
 	if res.GetLeads() {
+		res.ObservedMs = uint32(c.observedFor(now).Milliseconds())
 		res.Suspects, res.SuspectsRevision = c.arbiter.SuspectsFor(c.term, req.GetSuspectsRevision())
 	}
 	g := c.gateways[req.GetGateway()]
@@ -239,6 +240,15 @@
 	return res
 }
 
+// observedFor returns for how long announcements have been received without interruption, as far as
+// backend servers that have left are still known. It is 0 after a time in which any may have come and gone.
+func (c *Coordinator) observedFor(now time.Time) time.Duration {
+	if now.Sub(c.tickedAt) > stallThreshold || c.tracker.Partitioned(now) {
+		return 0
+	}
+	return min(now.Sub(c.observedSince), forgetAfter)
+}
+
 // updateHoldings takes the holdings of changed engines from the placer.
 func (c *Coordinator) updateHoldings() {
 	for _, h := range c.placer.TakeChanged() {
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -17,6 +17,7 @@
 	"bronzelead.example/gateway/forwarder"
 	"bronzelead.example/gateway/granter"
 	"bronzelead.example/gateway/isolator"
+	"bronzelead.example/gateway/originfinder"
 	"bronzelead.example/gateway/quotaenforcer"
 	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/relayer"
@@ -61,14 +62,17 @@
 	// DialContext opens connections to backend servers; nil is a net.Dialer.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
-	seeds           atomic.Pointer[[]string]
-	stopping        atomic.Bool
-	frontend        *acceptor.Acceptor
-	forwarder       *forwarder.Forwarder
-	synchronizer    *synchronizer.Synchronizer
-	relayer         *relayer.Relayer
-	regulator       *regulator.Regulator
-	tunneler        *tunneler.Tunneler
+	seeds        atomic.Pointer[[]string]
+	stopping     atomic.Bool
+	frontend     *acceptor.Acceptor
+	forwarder    *forwarder.Forwarder
+	synchronizer *synchronizer.Synchronizer
+	relayer      *relayer.Relayer
+	regulator    *regulator.Regulator
+	tunneler     *tunneler.Tunneler
+	origins      *originfinder.Finder
+	// datagrams carries the reports of the origins of streams between gateways.
+	datagrams       *originfinder.Socket
 	granter         *granter.Granter
 	isolator        *isolator.Isolator
 	enforcer        *quotaenforcer.Enforcer
@@ -84,12 +88,16 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.build()
+	if err := r.listenForDatagrams(background); err != nil {
+		return err
+	}
 	go r.forwarder.Run(background)
 	go r.synchronizer.Run(background)
 	go r.relayer.Run(background)
 	go r.regulator.Run(background)
 	go r.granter.Run(background)
 	go r.tunneler.Run(background)
+	go r.origins.Run(background)
 	go r.isolator.Run(background)
 	go r.enforcer.Run(background)
 	go r.sendAdapterRequests(background)
@@ -118,6 +126,21 @@
 	}
 }
 
+// listenForDatagrams receives datagrams at the address for calls of other gateways until ctx ends.
+func (r *Routed) listenForDatagrams(ctx context.Context) error {
+	socket, err := originfinder.Listen(r.Settings.meshAddress())
+	if err != nil {
+		return errors.Wrap(err, "app")
+	}
+	r.datagrams = socket
+	go socket.Run(ctx, r.origins)
+	return nil
+}
+
+func (r *Routed) sendDatagram(address string, datagram []byte) error {
+	return r.datagrams.Send(address, datagram)
+}
+
 func (r *Routed) build() {
 	s := r.Settings
 	seeds := s.seedAddresses()
@@ -128,6 +151,11 @@
 	r.regulator.Init()
 	r.granter = &granter.Granter{Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: s.meshAddress(), Ranked: r.regulator.RankedOwners}
 	r.granter.Init()
+	r.origins = &originfinder.Finder{
+		Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: s.meshAddress(), Send: r.sendDatagram,
+		Gateways: func() []*wire.GatewayEntry { return r.relayer.Gateways() },
+	}
+	r.origins.Init()
 	r.isolator = &isolator.Isolator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), LeaderAge: r.leaderAge}
 	r.enforcer = &quotaenforcer.Enforcer{
 		Clock: r.Clock, Log: r.Log, Meter: r.meter, Gateway: s.Instance.Name, Address: s.meshAddress(),
@@ -140,7 +168,7 @@
 	}
 	r.tunneler.Init()
 	r.forwarder = &forwarder.Forwarder{
-		Tunneler: r.tunneler, Regulator: r.regulator, Granter: r.granter, Isolator: r.isolator, QuotaEnforcer: r.enforcer,
+		Origins: r.origins, Tunneler: r.tunneler, Regulator: r.regulator, Granter: r.granter, Isolator: r.isolator, QuotaEnforcer: r.enforcer,
 		Clock: r.Clock, Log: r.Log, Zone: s.Instance.Zone, Meter: r.meter, RequestAdapters: r.requestAdapters, Disabled: s.off(),
 		Budget: forwarder.RetryBudget{Window: s.Budget.Window, Ratio: s.Budget.Ratio, Slack: s.Budget.Slack},
 		Keys:   forwarder.KeyPolicy{Strict: s.Keys.Strict, StaleAfter: s.Keys.StaleAfter},
@@ -181,6 +209,7 @@
 	tunnels := &tunneler.Server{Tunneler: r.tunneler}
 	meshMux.Handle(tunneler.Path, tunnels)
 	meshMux.Handle(wire.TunnelingPathPrefix, wire.NewTunnelingServer(tunnels))
+	meshMux.Handle(wire.OriginsPathPrefix, wire.NewOriginsServer(&originfinder.Server{Finder: r.origins}))
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{Address: s.meshAddress(), Handler: meshMux, Log: r.Log}
 }
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"bronzelead.example/gateway/acceptor"
 	"bronzelead.example/gateway/granter"
 	"bronzelead.example/gateway/isolator"
+	"bronzelead.example/gateway/originfinder"
 	"bronzelead.example/gateway/quotaenforcer"
 	"bronzelead.example/gateway/regulator"
 	"bronzelead.example/gateway/sender"
@@ -28,6 +29,7 @@
 	"bronzelead.example/pkg/pathtracker"
 	"bronzelead.example/pkg/stalldetector"
 	"bronzelead.example/pkg/throttler"
+	"bronzelead.example/pkg/versiontracker"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -74,6 +76,9 @@
 	QuotaEnforcer *quotaenforcer.Enforcer
 	// Tunneler opens connections to backend servers through other gateways; nil opens none.
 	Tunneler *tunneler.Tunneler
+	// Origins remembers and finds the software versions that began streams; nil is for a gateway without
+	// others.
+	Origins *originfinder.Finder
 	// RequestAdapters asks the leader for adapters. It must not block.
 	RequestAdapters func(wants []*wire.Want)
 	// LeaderAge returns the age of the leader's state that decisions rest on; nil means age 0.
@@ -118,6 +123,15 @@
 	brittleFaultLoggedAt time.Time
 	// brittleSince is since when services are brittle.
 	brittleSince map[string]time.Time
+	// versions tracks the software versions of backend servers, and observedSince is since when it is
+	// complete; zero if no leader is known.
+	versions      versiontracker.Tracker
+	observedSince time.Time
+	leader        observedLeader
+	// runningStreams are the streams that began here and may be taken up, refreshedAt is when their
+	// origins were last reported.
+	runningStreams map[*job]struct{}
+	refreshedAt    time.Time
 	// resumptions counts since the last log line.
 	resumptions resumptions
 	// pacesLoggedAt is when the paces of backend servers were last logged.
@@ -153,6 +167,8 @@
 	f.pacingActivations = map[string]*pacer.Activation{}
 	f.constrainedSends = constrainedSends{}
 	f.resumptions = resumptions{}
+	f.runningStreams = map[*job]struct{}{}
+	f.initOrigins()
 	f.overloadRefusals = map[overloadRefusal]int{}
 	f.brittleSince = map[string]time.Time{}
 	f.initPaths()
@@ -195,6 +211,7 @@
 			f.logPaths()
 			f.logBrittle()
 			f.logResumptions()
+			f.refreshOrigins()
 			f.measurePaces()
 		}
 	}
@@ -216,7 +233,7 @@
 		f.setSharingCustomers(t.GetCustomers())
 		f.Log.Info("a table is in force", "Version", t.GetVersion(), "Controller", controller, "Routes", len(t.GetRoutes()))
 	}
-	f.applyAnnouncements(now, res.GetAnnouncements())
+	mixed := f.applyAnnouncements(now, res.GetAnnouncements())
 	for _, v := range res.GetVersions() {
 		f.balancer.SetVersion(v)
 	}
@@ -231,6 +248,7 @@
 		f.balancer.ObserveLoads(now, res.GetLoads())
 	}
 	if res.GetLeads() {
+		f.observeLeader(now, res)
 		// A new leader has not received reports from all gateways yet; the highest number is
 		// safe.
 		if f.gatewayCount == 0 {
@@ -246,13 +264,21 @@
 		f.Regulator.ReceiveLoads(res.GetLoads())
 	}
 	f.mu.Unlock()
+	// The list of gateways is locked by the caller.
+	go f.reportRunning(mixed)
 	f.Granter.ReceiveLimits(res.GetRequestLimits(), throttler.News)
 	f.deliverDecisions()
 }
 
-// applyAnnouncements applies changes of backend servers. The caller holds the lock.
-func (f *Forwarder) applyAnnouncements(now time.Time, list []*wire.Announcement) {
+// applyAnnouncements applies changes of backend servers, and returns the services that have several
+// software versions from now on. The caller holds the lock.
+func (f *Forwarder) applyAnnouncements(now time.Time, list []*wire.Announcement) (mixed []string) {
 	for _, a := range list {
+		before := f.versions.Mixed(now, a.GetService())
+		f.versions.Observe(now, a)
+		if !before && f.versions.Mixed(now, a.GetService()) {
+			mixed = append(mixed, a.GetService())
+		}
 		if f.balancer.Backend(a.GetId()) == nil {
 			f.paths.RecordAnnounced(now, a.GetService(), a.GetId())
 		}
@@ -270,6 +296,7 @@
 			f.Granter.Forget(a.GetId())
 		}
 	}
+	return mixed
 }
 
 // TableVersion returns the version of the table in force, 0 before the first.
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -103,6 +103,10 @@
 	defer f.endTrial(j)
 	defer f.recordRequestOutcome(j)
 	defer f.withdrawRetry(j)
+	defer f.endStream(j)
+	if !f.findOrigin(ctx, j) {
+		return
+	}
 	for f.attempt(ctx, j) {
 	}
 }
@@ -137,11 +141,7 @@
 		f.refuseKey(j)
 		return false
 	}
-	j.service = matcher.PickService(j.route, rand.Float64())
-	j.atEngine = table.Service(j.service).GetEngine() != nil
-	if j.atEngine && isAdapter(j.meta.Model) {
-		j.adapter = j.meta.Model
-	}
+	f.setService(j, matcher.PickService(j.route, rand.Float64()))
 	j.deadline = j.req.ReceivedAt.Add(milliseconds(j.route.GetTimeoutMs()))
 	if j.meta.ClientTimeout > 0 {
 		j.clientDeadline = j.req.ReceivedAt.Add(j.meta.ClientTimeout)
@@ -156,6 +156,15 @@
 	return true
 }
 
+// setService sets the service that serves a request.
+func (f *Forwarder) setService(j *job, service string) {
+	j.service, j.adapter = service, ""
+	j.atEngine = j.table.Service(service).GetEngine() != nil
+	if j.atEngine && isAdapter(j.meta.Model) {
+		j.adapter = j.meta.Model
+	}
+}
+
 // countRequest counts an admitted request.
 func (f *Forwarder) countRequest(j *job) {
 	f.mu.Lock()
--- /dev/null
+++ b/gateway/forwarder/origin.go
@@ -0,0 +1,266 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bronzelead.example/gateway/originfinder"
+	"bronzelead.example/pkg/balancer"
+	"bronzelead.example/pkg/matcher"
+	"bronzelead.example/pkg/originrecorder"
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	// resumeMargin is how much longer than its route's timeout a stream may take over its caller's
+	// attempts.
+	resumeMargin = time.Second
+	// currentVersions is the age of the leader's state up to which the software versions in it count as
+	// all that there are: longer than a change of leaders takes.
+	currentVersions = 3 * time.Second
+	// refreshInterval is the time between two reports of the origins of running streams, so that gateways
+	// that have restarted remember them too.
+	refreshInterval = 2 * time.Second
+	// retryOfOrigin is the retry time of a caller whose stream's origin could not be found since gateways
+	// did not answer.
+	retryOfOrigin = 300 * time.Millisecond
+)
+
+// observedLeader is what was last received of the leader's observation of backend servers.
+type observedLeader struct {
+	seenAt time.Time
+	term   uint64
+	// observed is for how long it has received announcements without interruption.
+	observed time.Duration
+}
+
+// observationTolerance is by how much that time may seem to shrink by the latency of updates.
+const observationTolerance = 500 * time.Millisecond
+
+// Reasons for refusing to resume a stream.
+const (
+	reasonOriginUnknown   = "the software version that began the stream is not known"
+	reasonOriginUnread    = "the software version that began the stream is not known, as gateways do not answer"
+	reasonOriginAmbiguous = "two streams began with the id that the request resumes"
+	reasonOriginMoved     = "the route of the stream no longer leads to the service that began it"
+)
+
+// originSource is how the software version that began a stream was found.
+type originSource string
+
+const (
+	originRemembered  originSource = "Remembered"
+	originOfGateway   originSource = "Gateway"
+	originOnlyVersion originSource = "OnlyVersion"
+)
+
+// initOrigins creates a finder without other gateways if none is set.
+func (f *Forwarder) initOrigins() {
+	if f.Origins == nil {
+		f.Origins = &originfinder.Finder{Clock: f.Clock, Log: f.Log, Meter: f.Meter}
+		f.Origins.Init()
+	}
+}
+
+func isStream(route *wire.Route) bool {
+	return route.GetRepetition() == wire.Repetition_REPETITION_STREAM
+}
+
+// findOrigin finds the software version that began the stream that a request takes up, or refuses the
+// request: what two versions write does not fit together, and backend servers do not check it.
+func (f *Forwarder) findOrigin(ctx context.Context, j *job) bool {
+	if j.meta.ResumeAfter == "" || !isStream(j.route) {
+		return true
+	}
+	result := originfinder.Result{}
+	if j.meta.Resumes != "" {
+		result = f.Origins.Find(ctx, j.meta.Resumes)
+		j.waited += result.Took
+	}
+	switch result.Knowledge {
+	case originrecorder.Known:
+		return f.useOrigin(j, result)
+	case originrecorder.Ambiguous:
+		f.refuseOrigin(j, result, reasonOriginAmbiguous, 0)
+		return false
+	case originrecorder.Unknown:
+	}
+	if ctx.Err() != nil {
+		f.handleExpiry(ctx, j)
+		return false
+	}
+	if version, certain := f.onlyVersion(j); certain {
+		f.setOrigin(j, originrecorder.Origin{Service: j.service, SoftwareVersion: version}, originOnlyVersion, result)
+		return true
+	}
+	if result.Unanswered > 0 {
+		f.refuseOrigin(j, result, reasonOriginUnread, retryOfOrigin)
+	} else {
+		f.refuseOrigin(j, result, reasonOriginUnknown, 0)
+	}
+	return false
+}
+
+// useOrigin sends a request to the service that began its stream, if its route still leads there.
+func (f *Forwarder) useOrigin(j *job, result originfinder.Result) bool {
+	if !matcher.LeadsTo(j.route, result.Origin.Service) {
+		f.refuseOrigin(j, result, reasonOriginMoved, 0)
+		return false
+	}
+	f.setService(j, result.Origin.Service)
+	source := originRemembered
+	if result.Source != "" {
+		source = originOfGateway
+	}
+	f.setOrigin(j, result.Origin, source, result)
+	return true
+}
+
+func (f *Forwarder) setOrigin(j *job, origin originrecorder.Origin, source originSource, result originfinder.Result) {
+	j.origin = streamOrigin{known: true, version: origin.SoftwareVersion}
+	f.Meter.Increment("stream_origins_found", "source", string(source))
+	if source == originOnlyVersion {
+		// Nothing depends on it while a service has one version.
+		return
+	}
+	f.Log.Info("a stream is taken up", "RequestID", j.meta.ID, "Resumes", j.meta.Resumes, "After", j.meta.ResumeAfter, "Service", origin.Service,
+		"SoftwareVersion", origin.SoftwareVersion, "Source", source, "Gateway", result.Source, "Took", result.Took.Milliseconds())
+}
+
+func (f *Forwarder) refuseOrigin(j *job, result originfinder.Result, reason string, retryAfter time.Duration) {
+	f.Meter.Increment("stream_origins_not_found", "reason", reason)
+	f.mu.Lock()
+	versions := f.versions.Since(j.service, f.Clock.Now().Add(-f.longestStream(j)))
+	observed := f.Clock.Since(f.observedSince)
+	f.mu.Unlock()
+	f.Log.Info("a stream can't be taken up", "RequestID", j.meta.ID, "Resumes", j.meta.Resumes, "After", j.meta.ResumeAfter, "Service", j.service,
+		"Versions", versions, "ObservedFor", observed.Milliseconds(), "Unanswered", result.Unanswered, "Took", result.Took.Milliseconds())
+	f.refuse(j, statusUnavailable, reason, retryAfter)
+}
+
+// longestStream bounds how long ago the stream that a request takes up has begun.
+func (f *Forwarder) longestStream(j *job) time.Duration {
+	return max(milliseconds(j.route.GetTimeoutMs()), j.meta.ClientTimeout) + resumeMargin
+}
+
+// observeLeader records since when the software versions of all backend servers are known: since the leader
+// observes them, or since an earlier one did from which this gateway has heard until now. The caller holds
+// the lock.
+func (f *Forwarder) observeLeader(now time.Time, res *wire.SyncResponse) {
+	observed := milliseconds(res.GetObservedMs())
+	since := now.Add(-observed)
+	continuous := !f.observedSince.IsZero() && now.Sub(f.leader.seenAt) <= currentVersions
+	interrupted := res.GetTerm() == f.leader.term && observed < f.leader.observed-observationTolerance
+	if !continuous || interrupted || since.Before(f.observedSince) {
+		f.observedSince = since
+	}
+	f.leader = observedLeader{seenAt: now, term: res.GetTerm(), observed: observed}
+}
+
+// onlyVersion returns the only software version that can have begun a stream, if it is certain that there
+// is only one: the leader has received all announcements for as long as a stream lasts, and what it said
+// is current.
+func (f *Forwarder) onlyVersion(j *job) (string, bool) {
+	now := f.Clock.Now()
+	begunAfter := now.Add(-f.longestStream(j))
+	if f.LeaderAge != nil && f.LeaderAge() > currentVersions {
+		return "", false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.observedSince.IsZero() || f.observedSince.After(begunAfter) {
+		return "", false
+	}
+	versions := f.versions.Since(j.service, begunAfter)
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// beginStream remembers the software version that begins a job's stream, before its caller gets the
+// first event.
+func (f *Forwarder) beginStream(j *job, backend *wire.Announcement) {
+	if j.origin.known {
+		return
+	}
+	j.origin = streamOrigin{known: true, version: backend.GetSoftwareVersion()}
+	if !j.route.GetResumable() {
+		return
+	}
+	now := f.Clock.Now()
+	f.mu.Lock()
+	f.versions.RecordUse(now, j.service, backend.GetSoftwareVersion())
+	mixed := f.versions.Mixed(now, j.service)
+	f.runningStreams[j] = struct{}{}
+	f.mu.Unlock()
+	if !mixed {
+		return
+	}
+	f.Log.Info("a stream begins", "RequestID", j.meta.ID, "Service", j.service, "Backend", backend.GetId(),
+		"SoftwareVersion", backend.GetSoftwareVersion())
+	f.Origins.Record([]originfinder.Stream{f.streamOf(now, j)})
+}
+
+// streamOf describes a job's stream for those who remember its origin.
+func (f *Forwarder) streamOf(now time.Time, j *job) originfinder.Stream {
+	until := j.clientDeadline
+	if until.IsZero() {
+		until = j.deadline.Add(f.longestStream(j))
+	}
+	return originfinder.Stream{
+		Attempt: j.meta.ID, Origin: originrecorder.Origin{Service: j.service, SoftwareVersion: j.origin.version},
+		Left: max(0, until.Sub(now)+resumeMargin),
+	}
+}
+
+// endStream forgets a stream that has ended here.
+func (f *Forwarder) endStream(j *job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.runningStreams, j)
+}
+
+// reportRunning reports the origins of the running streams of services.
+func (f *Forwarder) reportRunning(services []string) {
+	if len(services) == 0 {
+		return
+	}
+	now := f.Clock.Now()
+	var streams []originfinder.Stream
+	f.mu.Lock()
+	for j := range f.runningStreams {
+		if slices.Contains(services, j.service) {
+			streams = append(streams, f.streamOf(now, j))
+		}
+	}
+	f.mu.Unlock()
+	if len(streams) > 0 {
+		f.Origins.Record(streams)
+	}
+}
+
+// refreshOrigins periodically reports the origins of running streams again, while their services have
+// several software versions.
+func (f *Forwarder) refreshOrigins() {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	due := now.Sub(f.refreshedAt) >= refreshInterval
+	var mixed []string
+	if due {
+		f.refreshedAt = now
+		f.versions.Prune(now)
+		mixed = f.versions.Services(now)
+	}
+	f.mu.Unlock()
+	f.reportRunning(mixed)
+}
+
+// pin returns the restriction to the software version that began the job's stream, if it has begun.
+func (j *job) pin() balancer.Pin {
+	if !j.origin.known {
+		return balancer.Pin{}
+	}
+	return balancer.PinTo(j.origin.version)
+}
--- /dev/null
+++ b/gateway/forwarder/origin_test.go
@@ -0,0 +1,164 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/gateway/originfinder"
+	"bronzelead.example/pkg/originrecorder"
+	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
+)
+
+// longObserved is longer than the streams of the tests last.
+const longObserved = time.Minute
+
+// resume takes a stream up after its first event.
+func resume(c *qt.C, address, path, resumes string) clientResponse {
+	header := platform.StandInResumption(resumes, "1")
+	if resumes == "" {
+		header = header[1:]
+	}
+	return callAs(c, "second", clientTimeout, address, path, strings.TrimSuffix(lines(header), "\r\n"))
+}
+
+// A stream of which nobody knows who began it goes on only where a single software version can have
+// done so, for certain.
+func TestStreamsOfUnknownOrigin(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions  []string
+		observed  time.Duration
+		leaderAge time.Duration
+		resumes   string
+		prepare   func(f *Forwarder)
+		status    int
+	}{
+		"one version":                     {[]string{"v1", "v1"}, longObserved, 0, "lost", nil, 200},
+		"one version, no id":              {[]string{"v1", "v1"}, longObserved, 0, "", nil, 200},
+		"one that states none":            {[]string{""}, longObserved, 0, "", nil, 200},
+		"two versions":                    {[]string{"v1", "v2"}, longObserved, 0, "lost", nil, 503},
+		"two versions, no id":             {[]string{"v1", "v2"}, longObserved, 0, "", nil, 503},
+		"one, and one that states none":   {[]string{"v1", ""}, longObserved, 0, "lost", nil, 503},
+		"a leader that has just started":  {[]string{"v1"}, 2 * time.Second, 0, "lost", nil, 503},
+		"no leader":                       {[]string{"v1"}, longObserved, currentVersions + time.Second, "lost", nil, 503},
+		"a leader that was just replaced": {[]string{"v1"}, longObserved, currentVersions - time.Second, "lost", nil, 200},
+		"another version that has left": {[]string{"v1"}, longObserved, 0, "lost", func(f *Forwarder) {
+			f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{{Id: "x", Service: "s", SoftwareVersion: "v2", Gone: true}}})
+		}, 503},
+		"another version of another service": {[]string{"v1"}, longObserved, 0, "lost", func(f *Forwarder) {
+			f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{{Id: "x", Service: "t", SoftwareVersion: "v2", Address: "127.0.0.1:1"}}})
+		}, 200},
+		"an id of two streams": {[]string{"v1"}, longObserved, 0, "twice", func(f *Forwarder) {
+			for _, version := range []string{"v1", "v2"} {
+				f.Origins.Record([]originfinder.Stream{{Attempt: "twice", Origin: originrecorder.Origin{Service: "s", SoftwareVersion: version}, Left: time.Minute}})
+			}
+		}, 503},
+		"a service that its route does not lead to": {[]string{"v1"}, longObserved, 0, "moved", func(f *Forwarder) {
+			f.Origins.Record([]originfinder.Stream{{Attempt: "moved", Origin: originrecorder.Origin{Service: "t", SoftwareVersion: "v1"}, Left: time.Minute}})
+		}, 503},
+	} {
+		for _, path := range []string{"/resumable/", "/stream/"} {
+			t.Run(name+" at "+path, func(t *testing.T) {
+				c := qt.New(t)
+				address, f := newGateway(c, clockwork.NewRealClock())
+				f.LeaderAge = func() time.Duration { return test.leaderAge }
+				var backends []*fakeBackend
+				for i, version := range test.versions {
+					backends = append(backends, newVersionedBackend(c, fmt.Sprint("b", i), version))
+				}
+				state := firstTable(backends...)
+				state.ObservedMs = uint32(test.observed.Milliseconds())
+				f.Apply("controller", state)
+				if test.prepare != nil {
+					test.prepare(f)
+				}
+				got := resume(c, address, path, test.resumes)
+				c.Check(got.status, qt.Equals, test.status)
+				runs := int32(0)
+				for _, b := range backends {
+					runs += b.runs.Load()
+				}
+				c.Check(runs, qt.Equals, map[int]int32{http.StatusOK: 1}[test.status])
+			})
+		}
+	}
+}
+
+// What a gateway knows of software versions is complete since the leader observes them, or since an
+// earlier leader did from which it has heard until now.
+func TestVersionsAreKnownSince(t *testing.T) {
+	type update struct {
+		after    time.Duration
+		term     uint64
+		observed time.Duration
+	}
+	for name, test := range map[string]struct {
+		updates []update
+		// want is since when they are known, before the latest update.
+		want time.Duration
+	}{
+		"one leader":                    {[]update{{0, 1, 10 * time.Second}, {time.Second, 1, 11 * time.Second}}, 11 * time.Second},
+		"as long as it remembers":       {[]update{{0, 1, time.Minute}, {time.Second, 1, time.Minute}}, 61 * time.Second},
+		"a leader that was interrupted": {[]update{{0, 1, time.Minute}, {time.Second, 1, 0}}, 0},
+		"another leader at once":        {[]update{{0, 1, time.Minute}, {time.Second, 2, time.Second}}, 61 * time.Second},
+		"another leader after a while":  {[]update{{0, 1, time.Minute}, {4 * time.Second, 2, time.Second}}, time.Second},
+		"one that has observed longer":  {[]update{{0, 1, time.Second}, {time.Second, 2, time.Minute}}, time.Minute},
+		"one that does not say":         {[]update{{0, 1, 0}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := &Forwarder{}
+			now := time.Unix(1000, 0)
+			for _, u := range test.updates {
+				now = now.Add(u.after)
+				f.observeLeader(now, &wire.SyncResponse{Leads: true, Term: u.term, ObservedMs: uint32(u.observed.Milliseconds())})
+			}
+			c.Check(now.Sub(f.observedSince), qt.Equals, test.want)
+		})
+	}
+}
+
+// Nothing is remembered or sent while a service has one software version; streams that run when another
+// one appears are reported then.
+func TestOriginsAreReportedWhileVersionsAreMixed(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	began := make(chan struct{}, 1)
+	b := newBackend(c, "b", func(_ *fakeBackend, req *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(streamHead()+chunk(eventOf(1, "v1")), "ID", requestID(req)))
+		began <- struct{}{}
+		<-release
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return false
+	})
+	b.version = "v1"
+	address, f := newGateway(c, clockwork.NewRealClock())
+	f.Apply("controller", firstTable(b))
+	done := make(chan clientResponse)
+	go func() { done <- callAs(c, "first", clientTimeout, address, "/resumable/") }()
+	<-began
+	knows := func() bool {
+		return f.Origins.Find(t.Context(), "first").Knowledge == originrecorder.Known
+	}
+	running := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.runningStreams)
+	}
+	eventually(c, func() bool { return running() == 1 })
+	c.Check(knows(), qt.IsFalse)
+	other := newVersionedBackend(c, "b2", "v2")
+	f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{other.announcement()}})
+	eventually(c, knows)
+	close(release)
+	c.Check((<-done).complete, qt.IsTrue)
+	eventually(c, func() bool { return running() == 0 })
+}
--- a/gateway/forwarder/resumption.go
+++ b/gateway/forwarder/resumption.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 
-	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -32,18 +31,10 @@
 	version string
 }
 
-// pin returns the restriction to the software version that began the job's stream, if it has begun.
-func (j *job) pin() balancer.Pin {
-	if !j.origin.known {
-		return balancer.Pin{}
-	}
-	return balancer.PinTo(j.origin.version)
-}
-
 // resumptions counts streams that went on after their first run.
 type resumptions map[resumption]map[versionMatch]int
 
-// observeFirstEvents records that the first events of an attempt were relayed.
+// observeFirstEvents records that the first events of an attempt are about to be relayed.
 func (f *Forwarder) observeFirstEvents(j *job, backend *wire.Announcement) {
 	if j.begunAttempt == j.sends {
 		return
@@ -54,9 +45,6 @@
 	case j.meta.ResumeAfter != "":
 		f.countResumption(j, backend, resumedByCaller)
 	}
-	if j.begunAttempt == 0 && j.meta.ResumeAfter == "" {
-		j.origin = streamOrigin{known: true, version: backend.GetSoftwareVersion()}
-	}
 }
 
 func (f *Forwarder) countResumption(j *job, backend *wire.Announcement, how resumption) {
--- a/gateway/forwarder/resumption_test.go
+++ b/gateway/forwarder/resumption_test.go
@@ -85,7 +85,7 @@
 	c := qt.New(t)
 	address, f := newGateway(c, clockwork.NewRealClock())
 	var first, other *fakeBackend
-	first = newBackend(c, "b1", func(b *fakeBackend, req *http.Request, conn net.Conn) bool {
+	first = newBackend(c, "b1", func(_ *fakeBackend, req *http.Request, conn net.Conn) bool {
 		state := firstTable(other)
 		gone := first.announcement()
 		gone.Gone, gone.Sequence = true, gone.GetSequence()+1
--- a/gateway/forwarder/stream.go
+++ b/gateway/forwarder/stream.go
@@ -84,6 +84,8 @@
 }
 
 func (f *Forwarder) relayEvents(j *job, status int, header framer.Header, events []byte) error {
+	f.observeFirstEvents(j, j.lastBackend)
+	f.beginStream(j, j.lastBackend)
 	if !j.reply.Begun() {
 		if err := j.reply.Begin(status, header); err != nil {
 			return errCallerWrite
@@ -93,7 +95,6 @@
 		return errCallerWrite
 	}
 	f.observeEvents(j)
-	f.observeFirstEvents(j, j.lastBackend)
 	j.begunAttempt = j.sends
 	for line := range bytes.Lines(events) {
 		if id := platform.EventID(line); id != "" {
--- /dev/null
+++ b/gateway/originfinder/originfinder_test.go
@@ -0,0 +1,293 @@
+package originfinder
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/originrecorder"
+	"bronzelead.example/pkg/wire"
+)
+
+// fleet is gateways that reach each other by real connections and datagrams.
+type fleet struct {
+	c       *qt.C
+	clock   *clockwork.FakeClock
+	finders []*Finder
+	// lost holds the gateways to which datagrams are lost, and down those that do not answer.
+	lost, down map[string]bool
+}
+
+func newFleet(c *qt.C, gateways int) *fleet {
+	y := &fleet{c: c, clock: clockwork.NewFakeClock(), lost: map[string]bool{}, down: map[string]bool{}}
+	var list []*wire.GatewayEntry
+	for range gateways {
+		f := &Finder{Clock: y.clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z")}
+		server := httptest.NewServer(wire.NewOriginsServer(&Server{Finder: f}))
+		c.Cleanup(server.Close)
+		f.Self = strings.TrimPrefix(server.URL, "http://")
+		f.Gateways = func() []*wire.GatewayEntry { return list }
+		f.Send = y.send
+		f.Client = y.client
+		f.Init()
+		y.finders = append(y.finders, f)
+		list = append(list, &wire.GatewayEntry{Address: f.Self})
+	}
+	return y
+}
+
+// send delivers a datagram at once.
+func (y *fleet) send(address string, datagram []byte) error {
+	if y.lost[address] {
+		return nil
+	}
+	for _, f := range y.finders {
+		if f.Self == address {
+			return f.Receive(datagram)
+		}
+	}
+	return errors.New("no such gateway")
+}
+
+// client calls another gateway without a timeout, so that no result depends on real time.
+func (y *fleet) client(address string) wire.Origins {
+	if y.down[address] {
+		return unreachable{}
+	}
+	return wire.NewOriginsProtobufClient("http://"+address, &http.Client{})
+}
+
+// unreachable is a gateway that does not answer.
+type unreachable struct{}
+
+func (unreachable) FindOrigin(context.Context, *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
+	return nil, errors.New("no answer")
+}
+
+// forget lets a gateway lose what it remembers, as after a restart.
+func (y *fleet) forget(f *Finder) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recorder = originrecorder.Recorder{Max: maxOrigins}
+}
+
+func stream(i int, version string) Stream {
+	return Stream{Attempt: fmt.Sprint("attempt", i), Origin: originrecorder.Origin{Service: "s", SoftwareVersion: version}, Left: 4 * time.Second}
+}
+
+// Any gateway finds the origin of any stream, also after the one that began it and all but one of those
+// that remember it have lost their state.
+func TestOriginsAreFoundAtOtherGateways(t *testing.T) {
+	for name, gateways := range map[string]int{"two": 2, "three": 3, "nine": 9, "forty": 40} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			y := newFleet(c, gateways)
+			for i := range 20 {
+				began := y.finders[i%gateways]
+				s := stream(i, "v1")
+				began.Record([]Stream{s})
+				key := originrecorder.KeyOf(s.Attempt)
+				owners := rank(began.others(began.Gateways()), key, copies)
+				c.Assert(owners, qt.HasLen, min(copies, gateways-1))
+				for _, f := range y.finders {
+					if f == began || f.Self != owners[len(owners)-1] {
+						y.forget(f)
+					}
+				}
+				got := y.finders[(i+1)%gateways].Find(context.Background(), s.Attempt)
+				c.Check(got.Knowledge, qt.Equals, originrecorder.Known)
+				c.Check(got.Origin, qt.Equals, s.Origin)
+			}
+		})
+	}
+}
+
+func TestOriginsThatAreNotFound(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare    func(y *fleet)
+		knowledge  originrecorder.Knowledge
+		unanswered int
+	}{
+		"never recorded":    {func(*fleet) {}, originrecorder.Unknown, 0},
+		"its time is over":  {func(y *fleet) { y.finders[0].Record([]Stream{stream(0, "v1")}); y.clock.Advance(4 * time.Second) }, originrecorder.Unknown, 0},
+		"reports were lost": {func(y *fleet) { y.loseAll(); y.finders[0].Record([]Stream{stream(0, "v1")}); y.forget(y.finders[0]) }, originrecorder.Unknown, 0},
+		"nobody answers":    {func(y *fleet) { y.finders[0].Record([]Stream{stream(0, "v1")}); y.stopAll() }, originrecorder.Unknown, 4},
+		"began at two": {func(y *fleet) {
+			y.finders[0].Record([]Stream{stream(0, "v1")})
+			y.finders[1].Record([]Stream{stream(0, "v2")})
+		}, originrecorder.Ambiguous, 0},
+		"recorded, one left": {func(y *fleet) {
+			y.finders[0].Record([]Stream{stream(0, "v1")})
+			y.stopAll()
+			y.down[y.owner(0)] = false
+		}, originrecorder.Known, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			y := newFleet(c, 6)
+			test.prepare(y)
+			// The sixth gateway may remember it itself; another one then asks.
+			asking := y.finders[5]
+			y.forget(asking)
+			got := asking.Find(context.Background(), "attempt0")
+			c.Check(got.Knowledge, qt.Equals, test.knowledge)
+			c.Check(got.Unanswered >= min(test.unanswered, 1), qt.IsTrue, qt.Commentf("%d", got.Unanswered))
+			if test.unanswered == 0 && test.knowledge == originrecorder.Unknown {
+				c.Check(got.Unanswered, qt.Equals, 0)
+			}
+		})
+	}
+}
+
+func (y *fleet) loseAll() {
+	for _, f := range y.finders {
+		y.lost[f.Self] = true
+	}
+}
+
+func (y *fleet) stopAll() {
+	for _, f := range y.finders {
+		y.down[f.Self] = true
+	}
+}
+
+// owner returns a gateway other than the first and the last that remembers a stream.
+func (y *fleet) owner(i int) string {
+	key := originrecorder.KeyOf(stream(i, "").Attempt)
+	for _, address := range rank(y.finders[0].others(y.finders[0].Gateways()), key, copies) {
+		if address != y.finders[5].Self {
+			return address
+		}
+	}
+	return ""
+}
+
+// A gateway whose process has ended remembers nothing; it is not waited for.
+func TestEndedGatewaysKnowNothing(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 3)
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	y.finders[0].Gateways = func() []*wire.GatewayEntry {
+		return []*wire.GatewayEntry{{Address: y.finders[0].Self}, {Address: address}}
+	}
+	got := y.finders[0].Find(context.Background(), "attempt0")
+	c.Check(got.Knowledge, qt.Equals, originrecorder.Unknown)
+	c.Check(got.Unanswered, qt.Equals, 0)
+}
+
+// A gateway that has just started and knows no others can't tell that an origin is unknown.
+func TestOriginsBeforeTheListOfGateways(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 2)
+	y.finders[0].Gateways = func() []*wire.GatewayEntry { return nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Check(y.finders[0].Find(ctx, "attempt0").Unanswered, qt.Equals, 1)
+}
+
+// Many streams, and long versions, are reported in datagrams of a bounded size.
+func TestReportsAreSplit(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 2)
+	datagrams, largest := 0, 0
+	y.finders[0].Send = func(address string, datagram []byte) error {
+		datagrams++
+		largest = max(largest, len(datagram))
+		return y.send(address, datagram)
+	}
+	var streams []Stream
+	for i := range 300 {
+		streams = append(streams, stream(i, fmt.Sprint(strings.Repeat("v", i%250), i)))
+	}
+	y.finders[0].Record(streams)
+	c.Check(largest <= maxDatagram, qt.IsTrue, qt.Commentf("%d", largest))
+	c.Check(datagrams > 10, qt.IsTrue)
+	for _, s := range streams {
+		got, known := y.finders[1].recorder.Find(y.clock.Now(), originrecorder.KeyOf(s.Attempt))
+		c.Check(known, qt.Equals, originrecorder.Known)
+		c.Check(got, qt.Equals, s.Origin)
+	}
+}
+
+// What is no report is an error and changes nothing.
+func TestDatagramsThatCantBeRead(t *testing.T) {
+	for name, datagram := range map[string]string{
+		"no message":   "\xff\xff\xff",
+		"a short key":  "\x0a\x05\x0a\x03abc",
+		"without keys": "\x0a\x00",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			y := newFleet(c, 1)
+			c.Check(y.finders[0].Receive([]byte(datagram)), qt.IsNotNil)
+			c.Check(y.finders[0].recorder.Len(), qt.Equals, 0)
+		})
+	}
+}
+
+// Datagrams between two sockets.
+func TestSockets(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var sockets []*Socket
+	for _, f := range y.finders {
+		s, err := Listen("127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		sockets = append(sockets, s)
+		go s.Run(ctx, f)
+	}
+	y.finders[0].Send = func(_ string, datagram []byte) error {
+		return sockets[0].Send(sockets[1].conn.LocalAddr().String(), datagram)
+	}
+	_, err := Listen(sockets[0].conn.LocalAddr().String())
+	c.Check(err, qt.IsNotNil)
+	c.Check(sockets[0].Send("no address", nil), qt.IsNotNil)
+	for deadline := time.Now().Add(10 * time.Second); ; {
+		y.finders[0].Record([]Stream{stream(0, "v1")})
+		y.finders[1].mu.Lock()
+		_, known := y.finders[1].recorder.Find(y.clock.Now(), originrecorder.KeyOf("attempt0"))
+		y.finders[1].mu.Unlock()
+		if known == originrecorder.Known {
+			return
+		}
+		c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
+}
+
+// rank agrees with an order of all gateways, and removing one does not change the order of the others.
+func TestRank(t *testing.T) {
+	c := qt.New(t)
+	var gateways []string
+	for i := range 50 {
+		gateways = append(gateways, fmt.Sprint("10.0.0.", i))
+	}
+	counts := map[string]int{}
+	for i := range 1000 {
+		key := originrecorder.KeyOf(fmt.Sprint(i))
+		first := rank(gateways, key, 5)
+		c.Assert(first, qt.DeepEquals, rank(gateways, key, 50)[:5])
+		counts[first[0]]++
+		var without []string
+		for _, address := range gateways {
+			if address != first[1] {
+				without = append(without, address)
+			}
+		}
+		c.Assert(rank(without, key, 4), qt.DeepEquals, append([]string{first[0]}, first[2:]...))
+	}
+	c.Check(len(counts), qt.Equals, 50)
+}
--- a/pkg/disseminator/disseminator.go
+++ b/pkg/disseminator/disseminator.go
@@ -64,6 +64,8 @@
 	term      uint64
 	leaderAt  time.Time
 	contactAt time.Time
+	// observedSince is since when the leader has received announcements without interruption.
+	observedSince time.Time
 	// externalLoads are the loads of all gateways except this one and its followers.
 	externalLoads []*wire.Load
 	// followerLoads are the loads of the followers.
@@ -139,6 +141,7 @@
 	if res.GetLeads() && res.GetTerm() >= d.term {
 		d.term = res.GetTerm()
 		d.leaderAt = latest(d.leaderAt, now.Add(-milliseconds(res.GetLeaderAgeMs())))
+		d.observedSince = now.Add(-milliseconds(res.GetObservedMs()))
 		var engines []string
 		engines, complete = d.holdings.Apply(res.GetHoldingRevision(), res.GetHoldingsSince(), res.GetHoldings())
 		d.markUrgent(now, engines)
@@ -160,7 +163,7 @@
 		Versions: res.GetVersions(), Leads: res.GetLeads(), Term: res.GetTerm(), Loads: res.GetLoads(), HasLoads: res.GetHasLoads(),
 		Gateways: res.GetGateways(), GatewayList: res.GetGatewayList(), GatewaysRevision: res.GetGatewaysRevision(),
 		Declined: res.GetDeclined(), Suspects: res.GetSuspects(), SuspectsRevision: res.GetSuspectsRevision(),
-		RequestLimits: res.GetRequestLimits(),
+		RequestLimits: res.GetRequestLimits(), ObservedMs: res.GetObservedMs(),
 	}
 }
 
--- a/pkg/disseminator/disseminator_test.go
+++ b/pkg/disseminator/disseminator_test.go
@@ -287,3 +287,16 @@
 	c.Check(d.Answer(begin(), callAt(5), nil).GetSuspects(), qt.HasLen, 0)
 	c.Check(d.hasUrgentUpdate(callAt(0)), qt.IsFalse, qt.Commentf("an empty list is no update for a follower without suspects"))
 }
+
+// Followers learn for how long the leader has observed backend servers, and nothing while the relay does
+// not know a leader.
+func TestObservationGrowsAlongTheUpdatePath(t *testing.T) {
+	c := qt.New(t)
+	d := newDisseminator()
+	res := fromLeader(0)
+	res.ObservedMs = 5000
+	update, _ := d.Receive(begin(), res)
+	c.Check(update.GetObservedMs(), qt.Equals, uint32(5000))
+	c.Check(d.Answer(begin().Add(time.Second), call("a"), nil).GetObservedMs(), qt.Equals, uint32(6000))
+	c.Check(d.Answer(begin().Add(leaderLease), call("a"), nil).GetObservedMs(), qt.Equals, uint32(0))
+}
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -97,6 +97,11 @@
 	return ""
 }
 
+// LeadsTo reports whether a part of a route's requests goes to a service.
+func LeadsTo(r *wire.Route, service string) bool {
+	return slices.ContainsFunc(r.GetShares(), func(s *wire.Share) bool { return s.GetService() == service && s.GetWeight() > 0 })
+}
+
 // Faults returns everything that is wrong with a table; it may come into force only without
 // faults.
 func Faults(table *wire.RoutingTable) []string {
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -194,7 +194,7 @@
 // silent. A controller that receives no announcements at all is itself partitioned and marks
 // none.
 func (t *Tracker) Tick(now time.Time) bool {
-	if t.partitioned(now) {
+	if t.Partitioned(now) {
 		return false
 	}
 	changed := false
@@ -220,7 +220,9 @@
 	return changed
 }
 
-func (t *Tracker) partitioned(now time.Time) bool {
+// Partitioned reports whether nothing was received from any backend server for the time after which one
+// counts as silent.
+func (t *Tracker) Partitioned(now time.Time) bool {
 	for _, e := range t.entries {
 		if !e.info.GetGone() && now.Sub(e.lastContactAt) <= t.SilentAfter {
 			return false
