--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -123,11 +123,8 @@
 	brittleFaultLoggedAt time.Time
 	// brittleSince is since when services are brittle.
 	brittleSince map[string]time.Time
-	// versions tracks the software versions of backend servers, and observedSince is since when it is
-	// complete; zero if no leader is known.
-	versions      versiontracker.Tracker
-	observedSince time.Time
-	leader        observedLeader
+	// versions tracks the software versions of backend servers.
+	versions versiontracker.Tracker
 	// runningStreams are the streams that began here and may be taken up, refreshedAt is when their
 	// origins were last reported.
 	runningStreams map[*job]struct{}
@@ -248,7 +245,7 @@
 		f.balancer.ObserveLoads(now, res.GetLoads())
 	}
 	if res.GetLeads() {
-		f.observeLeader(now, res)
+		f.versions.ObserveLeader(now, res.GetTerm(), milliseconds(res.GetObservedMs()))
 		// A new leader has not received reports from all gateways yet; the highest number is
 		// safe.
 		if f.gatewayCount == 0 {
--- a/gateway/forwarder/origin.go
+++ b/gateway/forwarder/origin.go
@@ -16,9 +16,6 @@
 	// resumeMargin is how much longer than its route's timeout a stream may take over its caller's
 	// attempts.
 	resumeMargin = time.Second
-	// currentVersions is the age of the leader's state up to which the software versions in it count as
-	// all that there are: longer than a change of leaders takes.
-	currentVersions = 3 * time.Second
 	// refreshInterval is the time between two reports of the origins of running streams, so that gateways
 	// that have restarted remember them too.
 	refreshInterval = 2 * time.Second
@@ -27,17 +24,6 @@
 	retryOfOrigin = 300 * time.Millisecond
 )
 
-// observedLeader is what was last received of the leader's observation of backend servers.
-type observedLeader struct {
-	seenAt time.Time
-	term   uint64
-	// observed is for how long it has received announcements without interruption.
-	observed time.Duration
-}
-
-// observationTolerance is by how much that time may seem to shrink by the latency of updates.
-const observationTolerance = 500 * time.Millisecond
-
 // Reasons for refusing to resume a stream.
 const (
 	reasonOriginUnknown   = "the software version that began the stream is not known"
@@ -131,11 +117,11 @@
 func (f *Forwarder) refuseOrigin(j *job, result originfinder.Result, reason string, retryAfter time.Duration) {
 	f.Meter.Increment("stream_origins_not_found", "reason", reason)
 	f.mu.Lock()
-	versions := f.versions.Since(j.service, f.Clock.Now().Add(-f.longestStream(j)))
-	observed := f.Clock.Since(f.observedSince)
+	now := f.Clock.Now()
+	versions, complete := f.versions.Since(j.service, now.Add(-f.longestStream(j))), f.versions.CompleteFor(now)
 	f.mu.Unlock()
 	f.Log.Info("a stream can't be taken up", "RequestID", j.meta.ID, "Resumes", j.meta.Resumes, "After", j.meta.ResumeAfter, "Service", j.service,
-		"Versions", versions, "ObservedFor", observed.Milliseconds(), "Unanswered", result.Unanswered, "Took", result.Took.Milliseconds())
+		"Versions", versions, "CompleteFor", complete.Milliseconds(), "Unanswered", result.Unanswered, "Took", result.Took.Milliseconds())
 	f.refuse(j, statusUnavailable, reason, retryAfter)
 }
 
@@ -144,39 +130,15 @@
 	return max(milliseconds(j.route.GetTimeoutMs()), j.meta.ClientTimeout) + resumeMargin
 }
 
-// observeLeader records since when the software versions of all backend servers are known: since the leader
-// observes them, or since an earlier one did from which this gateway has heard until now. The caller holds
-// the lock.
-func (f *Forwarder) observeLeader(now time.Time, res *wire.SyncResponse) {
-	observed := milliseconds(res.GetObservedMs())
-	since := now.Add(-observed)
-	continuous := !f.observedSince.IsZero() && now.Sub(f.leader.seenAt) <= currentVersions
-	interrupted := res.GetTerm() == f.leader.term && observed < f.leader.observed-observationTolerance
-	if !continuous || interrupted || since.Before(f.observedSince) {
-		f.observedSince = since
-	}
-	f.leader = observedLeader{seenAt: now, term: res.GetTerm(), observed: observed}
-}
-
-// onlyVersion returns the only software version that can have begun a stream, if it is certain that there
-// is only one: the leader has received all announcements for as long as a stream lasts, and what it said
-// is current.
-func (f *Forwarder) onlyVersion(j *job) (string, bool) {
-	now := f.Clock.Now()
-	begunAfter := now.Add(-f.longestStream(j))
-	if f.LeaderAge != nil && f.LeaderAge() > currentVersions {
-		return "", false
+// onlyVersion returns the only software version that can have begun a stream, if that is certain.
+func (f *Forwarder) onlyVersion(j *job) (version string, certain bool) {
+	leaderAge := time.Duration(0)
+	if f.LeaderAge != nil {
+		leaderAge = f.LeaderAge()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.observedSince.IsZero() || f.observedSince.After(begunAfter) {
-		return "", false
-	}
-	versions := f.versions.Since(j.service, begunAfter)
-	if len(versions) != 1 {
-		return "", false
-	}
-	return versions[0], true
+	return f.versions.Only(f.Clock.Now(), j.service, f.longestStream(j), leaderAge)
 }
 
 // beginStream remembers the software version that begins a job's stream, before its caller gets the
--- a/gateway/forwarder/origin_test.go
+++ b/gateway/forwarder/origin_test.go
@@ -48,8 +48,8 @@
 		"two versions, no id":             {[]string{"v1", "v2"}, longObserved, 0, "", nil, 503},
 		"one, and one that states none":   {[]string{"v1", ""}, longObserved, 0, "lost", nil, 503},
 		"a leader that has just started":  {[]string{"v1"}, 2 * time.Second, 0, "lost", nil, 503},
-		"no leader":                       {[]string{"v1"}, longObserved, currentVersions + time.Second, "lost", nil, 503},
-		"a leader that was just replaced": {[]string{"v1"}, longObserved, currentVersions - time.Second, "lost", nil, 200},
+		"no leader":                       {[]string{"v1"}, longObserved, 4 * time.Second, "lost", nil, 503},
+		"a leader that was just replaced": {[]string{"v1"}, longObserved, 2 * time.Second, "lost", nil, 200},
 		"another version that has left": {[]string{"v1"}, longObserved, 0, "lost", func(f *Forwarder) {
 			f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{{Id: "x", Service: "s", SoftwareVersion: "v2", Gone: true}}})
 		}, 503},
@@ -92,40 +92,6 @@
 	}
 }
 
-// What a gateway knows of software versions is complete since the leader observes them, or since an
-// earlier leader did from which it has heard until now.
-func TestVersionsAreKnownSince(t *testing.T) {
-	type update struct {
-		after    time.Duration
-		term     uint64
-		observed time.Duration
-	}
-	for name, test := range map[string]struct {
-		updates []update
-		// want is since when they are known, before the latest update.
-		want time.Duration
-	}{
-		"one leader":                    {[]update{{0, 1, 10 * time.Second}, {time.Second, 1, 11 * time.Second}}, 11 * time.Second},
-		"as long as it remembers":       {[]update{{0, 1, time.Minute}, {time.Second, 1, time.Minute}}, 61 * time.Second},
-		"a leader that was interrupted": {[]update{{0, 1, time.Minute}, {time.Second, 1, 0}}, 0},
-		"another leader at once":        {[]update{{0, 1, time.Minute}, {time.Second, 2, time.Second}}, 61 * time.Second},
-		"another leader after a while":  {[]update{{0, 1, time.Minute}, {4 * time.Second, 2, time.Second}}, time.Second},
-		"one that has observed longer":  {[]update{{0, 1, time.Second}, {time.Second, 2, time.Minute}}, time.Minute},
-		"one that does not say":         {[]update{{0, 1, 0}}, 0},
-	} {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			f := &Forwarder{}
-			now := time.Unix(1000, 0)
-			for _, u := range test.updates {
-				now = now.Add(u.after)
-				f.observeLeader(now, &wire.SyncResponse{Leads: true, Term: u.term, ObservedMs: uint32(u.observed.Milliseconds())})
-			}
-			c.Check(now.Sub(f.observedSince), qt.Equals, test.want)
-		})
-	}
-}
-
 // Nothing is remembered or sent while a service has one software version; streams that run when another
 // one appears are reported then.
 func TestOriginsAreReportedWhileVersionsAreMixed(t *testing.T) {
--- a/gateway/originfinder/find.go
+++ b/gateway/originfinder/find.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/originrecorder"
+	"bronzelead.example/pkg/ranker"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -67,7 +68,7 @@
 	if len(listed) == 0 {
 		return Result{Unanswered: 1}
 	}
-	remaining := rank(f.others(listed), key, asked)
+	remaining := ranker.Top(f.others(listed), string(key[:]), Asked)
 	for range maxRounds {
 		if len(remaining) == 0 || ctx.Err() != nil {
 			break
--- a/gateway/originfinder/originfinder.go
+++ b/gateway/originfinder/originfinder.go
@@ -23,11 +23,11 @@
 )
 
 const (
-	// copies is how many other gateways remember an origin.
-	copies = 3
-	// asked is how many gateways are asked for one: more than remember it, since the lists of two
+	// Copies is how many other gateways remember an origin.
+	Copies = 3
+	// Asked is how many gateways are asked for one: more than remember it, since the lists of two
 	// gateways may differ while gateways come and go.
-	asked = copies + 2
+	Asked = Copies + 2
 	// callTimeout bounds a call: some round trips within a region, at a busy instance.
 	callTimeout = 100 * time.Millisecond
 	// maxRounds is how often gateways that did not answer are asked.
@@ -119,7 +119,7 @@
 		report := &wire.StreamOrigin{
 			Key: key[:], Service: s.Origin.Service, SoftwareVersion: s.Origin.SoftwareVersion, LeftMs: uint32(left.Milliseconds()),
 		}
-		for _, address := range rank(gateways, key, copies) {
+		for _, address := range ranker.Top(gateways, string(key[:]), Copies) {
 			reports[address] = append(reports[address], report)
 		}
 	}
@@ -139,31 +139,3 @@
 	}
 	return list
 }
-
-// rank returns the first n gateways for a stream.
-func rank(gateways []string, key originrecorder.Key, n int) []string {
-	type ranked struct {
-		address string
-		score   uint64
-	}
-	first := make([]ranked, 0, n+1)
-	for _, address := range gateways {
-		r := ranked{address, ranker.Score(string(key[:]), address)}
-		at := len(first)
-		for at > 0 && first[at-1].score < r.score {
-			at--
-		}
-		if at == n {
-			continue
-		}
-		first = append(first, ranked{})
-		copy(first[at+1:], first[at:])
-		first[at] = r
-		first = first[:min(n, len(first))]
-	}
-	list := make([]string, 0, len(first))
-	for _, r := range first {
-		list = append(list, r.address)
-	}
-	return list
-}
--- a/gateway/originfinder/originfinder_test.go
+++ b/gateway/originfinder/originfinder_test.go
@@ -16,6 +16,7 @@
 
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/originrecorder"
+	"bronzelead.example/pkg/ranker"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -97,8 +98,8 @@
 				s := stream(i, "v1")
 				began.Record([]Stream{s})
 				key := originrecorder.KeyOf(s.Attempt)
-				owners := rank(began.others(began.Gateways()), key, copies)
-				c.Assert(owners, qt.HasLen, min(copies, gateways-1))
+				owners := ranker.Top(began.others(began.Gateways()), string(key[:]), Copies)
+				c.Assert(owners, qt.HasLen, min(Copies, gateways-1))
 				for _, f := range y.finders {
 					if f == began || f.Self != owners[len(owners)-1] {
 						y.forget(f)
@@ -164,7 +165,7 @@
 // owner returns a gateway other than the first and the last that remembers a stream.
 func (y *fleet) owner(i int) string {
 	key := originrecorder.KeyOf(stream(i, "").Attempt)
-	for _, address := range rank(y.finders[0].others(y.finders[0].Gateways()), key, copies) {
+	for _, address := range ranker.Top(y.finders[0].others(y.finders[0].Gateways()), string(key[:]), Copies) {
 		if address != y.finders[5].Self {
 			return address
 		}
@@ -267,27 +268,3 @@
 		c.Assert(time.Now().Before(deadline), qt.IsTrue)
 	}
 }
-
-// rank agrees with an order of all gateways, and removing one does not change the order of the others.
-func TestRank(t *testing.T) {
-	c := qt.New(t)
-	var gateways []string
-	for i := range 50 {
-		gateways = append(gateways, fmt.Sprint("10.0.0.", i))
-	}
-	counts := map[string]int{}
-	for i := range 1000 {
-		key := originrecorder.KeyOf(fmt.Sprint(i))
-		first := rank(gateways, key, 5)
-		c.Assert(first, qt.DeepEquals, rank(gateways, key, 50)[:5])
-		counts[first[0]]++
-		var without []string
-		for _, address := range gateways {
-			if address != first[1] {
-				without = append(without, address)
-			}
-		}
-		c.Assert(rank(without, key, 4), qt.DeepEquals, append([]string{first[0]}, first[2:]...))
-	}
-	c.Check(len(counts), qt.Equals, 50)
-}
--- a/pkg/ranker/ranker.go
+++ b/pkg/ranker/ranker.go
@@ -38,3 +38,28 @@
 		candidates[i] = r.name
 	}
 }
+
+// Top returns the first n candidates in the order of Sort, without changing the list.
+func Top(candidates []string, key string, n int) []string {
+	type ranked struct {
+		name  string
+		score uint64
+	}
+	first := make([]ranked, 0, n+1)
+	for _, name := range candidates {
+		r := ranked{name, Score(key, name)}
+		at := len(first)
+		for at > 0 && (first[at-1].score < r.score || first[at-1].score == r.score && first[at-1].name > r.name) {
+			at--
+		}
+		if at < n {
+			first = slices.Insert(first, at, r)
+			first = first[:min(n, len(first))]
+		}
+	}
+	list := make([]string, len(first))
+	for i, r := range first {
+		list[i] = r.name
+	}
+	return list
+}
--- a/pkg/ranker/ranker_test.go
+++ b/pkg/ranker/ranker_test.go
@@ -45,3 +45,24 @@
 	Sort(rest, "p")
 	c.Check(rest, qt.DeepEquals, slices.Delete(slices.Clone(whole), 3, 4))
 }
+
+// The first candidates are those of the whole order, and removing one does not change the order of the
+// others.
+func TestTop(t *testing.T) {
+	c := qt.New(t)
+	candidates := names(50)
+	counts := map[string]int{}
+	for i := range 1000 {
+		key := fmt.Sprint(i)
+		all := slices.Clone(candidates)
+		Sort(all, key)
+		first := Top(candidates, key, 5)
+		c.Assert(first, qt.DeepEquals, all[:5])
+		c.Assert(Top(candidates[:3], key, 5), qt.HasLen, 3)
+		counts[first[0]]++
+		without := slices.DeleteFunc(slices.Clone(candidates), func(name string) bool { return name == first[1] })
+		c.Assert(Top(without, key, 4), qt.DeepEquals, append([]string{first[0]}, first[2:]...))
+	}
+	c.Check(counts, qt.HasLen, 50)
+	c.Check(Top(nil, "key", 5), qt.HasLen, 0)
+}
--- a/pkg/versiontracker/versiontracker.go
+++ b/pkg/versiontracker/versiontracker.go
@@ -14,11 +14,31 @@
 // silent: longer than streams last.
 const Retention = 10 * time.Minute
 
+const (
+	// maxLeaderAge is the age of the leader's state up to which the versions in it count as all that there
+	// are: longer than a change of leaders takes.
+	maxLeaderAge = 3 * time.Second
+	// observationTolerance is by how much the time for which the leader has observed backend servers may
+	// seem to shrink by the latency of updates.
+	observationTolerance = 500 * time.Millisecond
+)
+
 // Tracker holds the versions that one gateway knows. The zero value is ready for use.
 type Tracker struct {
 	services map[string]map[string]*version
 	// incarnations are the backend servers that are present, with the versions that they count for.
 	incarnations map[string]*version
+	// completeSince is since when all versions are known; zero if no leader is.
+	completeSince time.Time
+	leader        observer
+}
+
+// observer is what was last received of the leader's observation of backend servers.
+type observer struct {
+	seenAt time.Time
+	term   uint64
+	// observed is for how long it has received all announcements.
+	observed time.Duration
 }
 
 // version is one software version of a service.
@@ -49,6 +69,39 @@
 	v.present++
 }
 
+// ObserveLeader records for how long the leader of a term has received all announcements. All versions are
+// known since then, or since an earlier leader had from which updates have come until now.
+func (t *Tracker) ObserveLeader(now time.Time, term uint64, observed time.Duration) {
+	since := now.Add(-observed)
+	continuous := !t.completeSince.IsZero() && now.Sub(t.leader.seenAt) <= maxLeaderAge
+	interrupted := term == t.leader.term && observed < t.leader.observed-observationTolerance
+	if !continuous || interrupted || since.Before(t.completeSince) {
+		t.completeSince = since
+	}
+	t.leader = observer{seenAt: now, term: term, observed: observed}
+}
+
+// CompleteFor returns for how long all versions are known.
+func (t *Tracker) CompleteFor(now time.Time) time.Duration {
+	if t.completeSince.IsZero() {
+		return 0
+	}
+	return now.Sub(t.completeSince)
+}
+
+// Only returns the only version of a service that can have begun a stream that is no older than
+// maxAge, if it is certain that there is only one.
+func (t *Tracker) Only(now time.Time, service string, maxAge, leaderAge time.Duration) (version string, certain bool) {
+	if leaderAge > maxLeaderAge || t.CompleteFor(now) < maxAge {
+		return "", false
+	}
+	versions := t.Since(service, now.Add(-maxAge))
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
 // RecordUse records that a backend server of a version, which may be silent, has begun a stream.
 func (t *Tracker) RecordUse(now time.Time, service, name string) {
 	t.version(now, service, name).seenAt = now
--- a/pkg/versiontracker/versiontracker_test.go
+++ b/pkg/versiontracker/versiontracker_test.go
@@ -81,3 +81,37 @@
 	y.Prune(begin().Add(2 * time.Hour))
 	c.Check(y.Services(begin().Add(2*time.Hour)), qt.HasLen, 0)
 }
+
+// All versions are known since the leader observes them, or since an
+// earlier leader did from which it has heard until now.
+func TestVersionsAreKnownSince(t *testing.T) {
+	type update struct {
+		after    time.Duration
+		term     uint64
+		observed time.Duration
+	}
+	for name, test := range map[string]struct {
+		updates []update
+		// want is since when they are known, before the latest update.
+		want time.Duration
+	}{
+		"one leader":                    {[]update{{0, 1, 10 * time.Second}, {time.Second, 1, 11 * time.Second}}, 11 * time.Second},
+		"as long as it remembers":       {[]update{{0, 1, time.Minute}, {time.Second, 1, time.Minute}}, 61 * time.Second},
+		"a leader that was interrupted": {[]update{{0, 1, time.Minute}, {time.Second, 1, 0}}, 0},
+		"another leader at once":        {[]update{{0, 1, time.Minute}, {time.Second, 2, time.Second}}, 61 * time.Second},
+		"another leader after a while":  {[]update{{0, 1, time.Minute}, {4 * time.Second, 2, time.Second}}, time.Second},
+		"one that has observed longer":  {[]update{{0, 1, time.Second}, {time.Second, 2, time.Minute}}, time.Minute},
+		"one that does not say":         {[]update{{0, 1, 0}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			y := &Tracker{}
+			now := begin()
+			for _, u := range test.updates {
+				now = now.Add(u.after)
+				y.ObserveLeader(now, u.term, u.observed)
+			}
+			c.Check(y.CompleteFor(now), qt.Equals, test.want)
+		})
+	}
+}
