--- a/proof/routed_versions_test.go
+++ b/proof/routed_versions_test.go
@@ -64,6 +64,8 @@
 	random *rand.Rand
 	tally  *streamTally
 	count  int
+	// leaves is how often it leaves a stream, each time after some events, and takes it up elsewhere.
+	leaves int
 }
 
 // heldStream is what a caller has of a stream.
@@ -73,6 +75,8 @@
 	events   int
 	versions []string
 	complete bool
+	// leaves is how often its caller still leaves it.
+	leaves int
 }
 
 func (l *streamCaller) run(ctx context.Context) {
@@ -84,7 +88,7 @@
 
 // runStream sends a stream, and takes it up until the caller's time is over.
 func (l *streamCaller) runStream(deadline time.Time) {
-	s := &heldStream{}
+	s := &heldStream{leaves: l.leaves}
 	l.tally.sent.Add(1)
 	l.attempt(s, deadline)
 	if s.events == 0 {
@@ -169,17 +173,26 @@
 			}
 			s.events++
 			s.versions = append(s.versions, strings.TrimSpace(version))
+			if s.leaves > 0 && l.random.IntN(resumableEvents/2) == 0 {
+				s.leaves--
+				return
+			}
 		}
 	}
 }
 
 // startStreamCallers lets callers send resumable streams until stop is called.
 func startStreamCallers(y *routedSystem, callers int, seed uint64) (tally *streamTally, stop func()) {
+	return startLeavingCallers(y, callers, seed, 0)
+}
+
+// startLeavingCallers is startStreamCallers with callers that leave each stream a number of times.
+func startLeavingCallers(y *routedSystem, callers int, seed uint64, leaves int) (tally *streamTally, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	tally = &streamTally{}
 	var running sync.WaitGroup
 	for i := range callers {
-		l := &streamCaller{y: y, name: fmt.Sprintf("v%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))), tally: tally}
+		l := &streamCaller{y: y, name: fmt.Sprintf("v%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))), tally: tally, leaves: leaves}
 		running.Go(func() { l.run(ctx) })
 	}
 	return tally, func() { cancel(); running.Wait() }
@@ -239,3 +252,97 @@
 	tally.check(c)
 	y.history.check(c)
 }
+
+// replaceAtAddress ends a backend server and starts another one at its address, of another version.
+func (y *routedSystem) replaceAtAddress(i int, version string) {
+	before := y.backends[i]
+	before.stopAnnouncing()
+	_ = before.server.Close()
+	y.launched++
+	b := &fakeBackend{y: y, id: fmt.Sprintf("r%d", y.launched), version: version, proxy: before.proxy, address: before.address}
+	y.backends[i] = b
+	b.start(before.proxy.target)
+}
+
+// versionStories are ways in which streams break off, in series.
+var versionStories = map[string]struct {
+	// leaves is how often callers leave each stream.
+	leaves int
+	// step is done again and again; it counts from 0.
+	step func(y *routedSystem, n int)
+	// forgotten is set if what is known of streams is lost, so that they need not go on.
+	forgotten bool
+}{
+	"backend servers break streams off": {step: func(y *routedSystem, n int) { y.backends[n%6].proxy.closeConns() }},
+	"callers leave":                     {leaves: 1, step: func(*routedSystem, int) {}},
+	"callers leave three times":         {leaves: 3, step: func(*routedSystem, int) {}},
+	"gateways are killed": {step: func(y *routedSystem, n int) {
+		y.gateways[n%3].kill()
+		y.gateways[n%3].restart()
+	}},
+	"all gateways are killed": {forgotten: true, step: func(y *routedSystem, n int) {
+		if n%4 != 0 {
+			return
+		}
+		for _, g := range y.gateways {
+			g.kill()
+		}
+		for _, g := range y.gateways {
+			g.restart()
+		}
+	}},
+	"controllers stand still": {leaves: 1, step: func(y *routedSystem, n int) {
+		if n == 0 {
+			for _, controller := range y.controllers {
+				controller.freeze()
+			}
+		}
+	}},
+	"gateways stand still": {leaves: 1, step: func(y *routedSystem, n int) {
+		y.gateways[n%3].freeze()
+		<-time.After(300 * time.Millisecond)
+		y.gateways[n%3].thaw()
+	}},
+	"a third version begins": {leaves: 1, step: func(y *routedSystem, n int) {
+		if n < 2 {
+			y.backends = append(y.backends, startVersionedBackend(y, fmt.Sprint("third", n), "v3"))
+		}
+	}},
+	"a version drains and leaves": {leaves: 1, step: func(y *routedSystem, n int) {
+		if b := y.backends[(n/4)%6]; n%4 == 0 && b.version == "v0" {
+			b.draining.Store(true)
+		}
+	}},
+	"addresses come back at another version": {leaves: 1, step: func(y *routedSystem, n int) {
+		if n%3 == 0 && n/3 < 2 {
+			y.replaceAtAddress(n/3, "v2")
+		}
+	}},
+}
+
+// Each way in which streams break off, with two versions side by side: none goes on at the other one.
+func TestRoutedStreamsOfTwoVersions(t *testing.T) {
+	for name, story := range versionStories {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			y := startWithoutBackends(c, 3, 3)
+			for i := range 6 {
+				y.backends = append(y.backends, startVersionedBackend(y, fmt.Sprintf("b%d", i), fmt.Sprintf("v%d", i%2)))
+			}
+			y.initialize()
+			tally, stop := startLeavingCallers(y, 12, 2, story.leaves)
+			for n := range 12 {
+				<-time.After(300 * time.Millisecond)
+				story.step(y, n)
+			}
+			stop()
+			if story.forgotten {
+				tally.checkVersions(c)
+			} else {
+				tally.check(c)
+			}
+			y.history.check(c)
+		})
+	}
+}
