--- a/proof/routed_versions_test.go
+++ b/proof/routed_versions_test.go
@@ -49,6 +49,8 @@
 	sent, begun atomic.Int32
 	// resumed are the attempts to take a stream up, of which goneOn brought further events.
 	resumed, goneOn atomic.Int32
+	// unreached are the attempts to take a stream up whose gateway accepted no connection.
+	unreached atomic.Int32
 	// complete streams got all events.
 	complete atomic.Int32
 
@@ -125,6 +127,9 @@
 	l.y.history.recordSent(id, "POST "+string(resumable)+"x "+body, to)
 	conn, err := net.DialTimeout("tcp", to.address, time.Second)
 	if err != nil {
+		if s.events > 0 {
+			l.tally.unreached.Add(1)
+		}
 		<-time.After(resumableInterval)
 		return
 	}
@@ -202,8 +207,8 @@
 func (a *streamTally) checkVersions(c *qt.C) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c.Logf("%d streams sent, %d begun, %d complete; %d of %d attempts to take one up went on", a.sent.Load(), a.begun.Load(),
-		a.complete.Load(), a.goneOn.Load(), a.resumed.Load())
+	c.Logf("%d streams sent, %d begun, %d complete; %d of %d attempts to take one up went on, and %d reached no gateway", a.sent.Load(),
+		a.begun.Load(), a.complete.Load(), a.goneOn.Load(), a.resumed.Load(), a.unreached.Load())
 	c.Check(a.mixed, qt.HasLen, 0)
 }
 
