Draw failing backend servers in the soak, and check the retry budget there

The soak drew no kills under failing engines. In half of its steps some backend servers fail every second request, beside the faults of the step; the retries of all windows are counted at the end. Its gateways have a window of 1 s, since they allow no retry in their first one and a run lasts 10 s. Requests of tables' probes do not count as requests of the service.

--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -38,6 +38,8 @@
 	runs         atomic.Int32
 	// failing is set while it fails all requests that it runs.
 	failing atomic.Bool
+	// failingHalf is set while it fails every second request that it runs.
+	failingHalf atomic.Bool
 	// isFatal reports whether a request crashes the server; nil for none. crash performs the
 	// crash.
 	isFatal func(body string) bool
@@ -159,7 +161,7 @@
 	if err != nil {
 		return
 	}
-	b.runs.Add(1)
+	run := b.runs.Add(1)
 	if platform.DecodeKey(header) != "" {
 		b.y.history.addViolation("%s was forwarded with its caller's key", id)
 	}
@@ -174,7 +176,7 @@
 	case <-time.After(processingTime):
 	}
 	setHeaders(w, platform.StandInResponse(id, b.id))
-	if b.failing.Load() {
+	if b.failing.Load() || b.failingHalf.Load() && run%2 == 0 {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
--- a/proof/routed_budget_test.go
+++ b/proof/routed_budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 func (y *routedSystem) retryTimes() []time.Time {
 	firstAt := map[string]time.Time{}
 	var all []time.Time
-	for _, b := range y.backends {
+	for _, b := range y.allIncarnations() {
 		b.mu.Lock()
 		for i, id := range b.arrivedRequests {
 			at := b.arrivalTimes[i]
@@ -74,23 +75,24 @@
 	return retries
 }
 
-// allowedRetries returns the retries that the budget allows in the window that ends at a time. It
-// counts the requests of that window, the one before it or the one half a window before it.
-func (y *routedSystem) allowedRetries(end time.Time) float64 {
+// allowedRetries returns the retries that the budget allows in the window that ends at a time, where sent
+// are the sorted times of requests. It counts the requests of that window, the one before it or the one
+// half a window before it.
+func (y *routedSystem) allowedRetries(sent []time.Time, end time.Time) float64 {
 	requests := 0
-	for _, shift := range []time.Duration{0, budgetWindow / 2, budgetWindow} {
+	for _, shift := range []time.Duration{0, y.budgetWindow / 2, y.budgetWindow} {
 		until := end.Add(-shift)
-		requests = max(requests, y.history.sentBetween(until.Add(-budgetWindow), until))
+		requests = max(requests, countBetween(sent, until.Add(-y.budgetWindow), until))
 	}
 	return budgetRatio*float64(requests) + budgetSlack
 }
 
 // checkRetryBudget checks all windows.
 func (y *routedSystem) checkRetryBudget() {
-	retries := y.retryTimes()
+	retries, sent := y.retryTimes(), y.history.sentTimes()
 	worst, exceeded := math.Inf(-1), 0
 	for _, end := range retries {
-		n, allowed := countBetween(retries, end.Add(-budgetWindow), end), y.allowedRetries(end)
+		n, allowed := countBetween(retries, end.Add(-y.budgetWindow), end), y.allowedRetries(sent, end)
 		worst = max(worst, float64(n)-allowed)
 		if float64(n) > allowed {
 			exceeded++
@@ -102,35 +104,40 @@
 
 // checkBudgetUse checks that enough of the budget is used in a window that begins after a time.
 func (y *routedSystem) checkBudgetUse(from time.Time) {
-	retries := y.retryTimes()
+	retries, sent := y.retryTimes(), y.history.sentTimes()
 	best := 0.0
 	for _, end := range retries {
-		if begin := end.Add(-budgetWindow); begin.After(from) {
-			best = max(best, float64(countBetween(retries, begin, end))/y.allowedRetries(end))
+		if begin := end.Add(-y.budgetWindow); begin.After(from) {
+			best = max(best, float64(countBetween(retries, begin, end))/y.allowedRetries(sent, end))
 		}
 	}
 	y.c.Check(best >= minBudgetUse, qt.IsTrue, qt.Commentf("%.2f of the budget used", best))
 }
 
+// countBetween returns the number of sorted times in a period.
 func countBetween(times []time.Time, from, until time.Time) int {
-	n := 0
-	for _, at := range times {
-		if at.After(from) && !at.After(until) {
-			n++
-		}
+	firstAfter := func(at time.Time) int {
+		n, _ := slices.BinarySearchFunc(times, at, func(one, other time.Time) int {
+			if one.After(other) {
+				return 1
+			}
+			return -1
+		})
+		return n
 	}
-	return n
+	return firstAfter(until) - firstAfter(from)
 }
 
-// sentBetween returns the number of requests that callers sent in a period.
-func (l *history) sentBetween(from, until time.Time) int {
+// sentTimes returns the sorted times at which callers sent requests, but for probes of tables.
+func (l *history) sentTimes() []time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
-	for _, o := range l.origins {
-		if o.at.After(from) && !o.at.After(until) {
-			n++
+	times := make([]time.Time, 0, len(l.origins))
+	for id, o := range l.origins {
+		if !strings.HasPrefix(pathOf(l.sent[id]), markerPrefix) {
+			times = append(times, o.at)
 		}
 	}
-	return n
+	slices.SortFunc(times, time.Time.Compare)
+	return times
 }
--- a/proof/routed_crash_test.go
+++ b/proof/routed_crash_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -164,6 +166,23 @@
 	return h.current[earlier.address]
 }
 
+// runningAll returns the incarnations that run, sorted by address.
+func (h *crashingBackends) runningAll() []*fakeBackend {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.SortedFunc(maps.Values(h.current), func(a, b *fakeBackend) int { return strings.Compare(a.address, b.address) })
+}
+
+// allIncarnations returns all backend servers that the system had.
+func (y *routedSystem) allIncarnations() []*fakeBackend {
+	if y.crashing == nil {
+		return y.backends
+	}
+	y.crashing.mu.Lock()
+	defer y.crashing.mu.Unlock()
+	return slices.Clone(y.crashing.all)
+}
+
 func (h *crashingBackends) crashCount() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/proof/routed_soak_test.go
+++ b/proof/routed_soak_test.go
@@ -57,13 +57,17 @@
 	// callers of streams.
 	soakVersions = 54
 	soakStreams  = 55
+	// soakFailures selects the backend servers that fail some of what they run.
+	soakFailures = 51
+	// soakBudgetWindow is short, since a gateway allows no retry in its first window.
+	soakBudgetWindow = time.Second
 	// soakStreamCallers is the number of callers of resumable streams.
 	soakStreamCallers = 12
 )
 
 func soak(c *qt.C, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, seed))
-	y := startWithoutBackends(c, 5, 2)
+	y := startWithBudget(c, 5, 2, soakBudgetWindow)
 	crashing := &crashingBackends{y: y, from: func(int) net.Addr { return nil }, versionOf: func(incarnation int) string {
 		return fmt.Sprint("v", rand.New(rand.NewPCG(seed, uint64(soakVersions*incarnation))).IntN(3))
 	}}
@@ -77,9 +81,11 @@
 	// Limits use a separate random stream, so that they don't change the faults of a seed.
 	limits := rand.New(rand.NewPCG(seed, soakLimits))
 	constraints := rand.New(rand.NewPCG(seed, soakConstraints))
+	failures := rand.New(rand.NewPCG(seed, soakFailures))
 	for range *soakSteps {
 		y.backends[0].setLimit(throttler.RequestRate(limits.IntN(3) * 10))
 		relax := constrain(y, constraints)
+		failSome(crashing, failures)
 		first, second := faults[random.IntN(len(faults))], faults[random.IntN(len(faults))]
 		c.Logf("seed %d: %s", seed, first.name)
 		heal := []func(){first.inject(y, random)}
@@ -107,6 +113,7 @@
 	stopStreams()
 	streams.checkVersions(c)
 	y.history.check(c)
+	y.checkRetryBudget()
 	// One entry by content and one by caller; nothing else may be quarantined.
 	quarantined := y.quarantinedRequests()
 	c.Check(len(quarantined) <= 2, qt.IsTrue, qt.Commentf("%q", quarantined))
@@ -131,6 +138,15 @@
 	return func() {}
 }
 
+// failSome lets backend servers fail every second request that they run until the next step, in one of
+// two steps. An incarnation that starts meanwhile does not fail.
+func failSome(crashing *crashingBackends, random *rand.Rand) {
+	failing := max(0, random.IntN(6)-2)
+	for i, b := range crashing.runningAll() {
+		b.failingHalf.Store(i < failing)
+	}
+}
+
 // incarnationsUnannounced reports whether backend servers restart while all controllers are
 // down; they announce themselves only to controllers. If all have restarted, no request can be
 // served until a controller runs: in one seed 1,055 requests were refused with "no backend
--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -32,6 +33,8 @@
 	operator *fakeOperator
 	history  *history
 	launched int
+	// budgetWindow is the window of the gateways' retry budget.
+	budgetWindow time.Duration
 }
 
 // instance is a controller or gateway process with its own addresses.
@@ -56,7 +59,12 @@
 
 // startWithoutBackends starts a system without backend servers.
 func startWithoutBackends(c *qt.C, controllers, gateways int) *routedSystem {
-	y := &routedSystem{c: c, folder: c.TempDir(), history: newHistory()}
+	return startWithBudget(c, controllers, gateways, budgetWindow)
+}
+
+// startWithBudget is startWithoutBackends with another window of the retry budget.
+func startWithBudget(c *qt.C, controllers, gateways int, window time.Duration) *routedSystem {
+	y := &routedSystem{c: c, folder: c.TempDir(), history: newHistory(), budgetWindow: window}
 	_, y.port, _ = net.SplitHostPort(freeAddress(c))
 	c.Cleanup(y.cleanUp)
 	var controllerAddrs []string
@@ -132,7 +140,7 @@
 }
 
 func (y *routedSystem) startGateway() *instance {
-	return y.launch("gateway", y.freeAddress(), `[Instance]
+	return y.launch("gateway", y.freeAddress(), fmt.Sprintf(`[Instance]
 Name = {Name}
 Zone = z
 Listen = {At}
@@ -140,11 +148,13 @@
 [Controllers]
 Seeds = {Seeds}
 Port = {Port}
+[Budget]
+Window = %s
 [Stop]
 Grace = 4s
 Take = 500ms
 Drain = 1s
-`)
+`, y.budgetWindow))
 }
 
 // label returns the name of an instance, or "" for none.
