--- a/gateway/originfinder/originfinder_test.go
+++ b/gateway/originfinder/originfinder_test.go
@@ -268,3 +268,35 @@
 		c.Assert(time.Now().Before(deadline), qt.IsTrue)
 	}
 }
+
+// BenchmarkRecord is what a stream costs the gateway that begins it while its service has several
+// versions.
+func BenchmarkRecord(b *testing.B) {
+	for _, gateways := range []int{9, 300, 1200} {
+		b.Run(fmt.Sprint(gateways), func(b *testing.B) {
+			socket, err := Listen("127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			receiver, err := Listen("127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			var list []*wire.GatewayEntry
+			for i := range gateways {
+				list = append(list, &wire.GatewayEntry{Address: fmt.Sprint("10.0.0.", i, ":1")})
+			}
+			f := &Finder{
+				Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
+				Gateways: func() []*wire.GatewayEntry { return list },
+				Send: func(_ string, datagram []byte) error {
+					return socket.Send(receiver.conn.LocalAddr().String(), datagram)
+				},
+			}
+			f.Init()
+			for i := range b.N {
+				f.Record([]Stream{stream(i, "v1")})
+			}
+		})
+	}
+}
