Decline loads of adapters without a search through all of them

A decline of the leader searched all load requests of the gateway for those of the adapter, since they are kept by software version too. It comes for many adapters at once when engines are lost. Only the versions of queued requests are removed now; what is declined is the same (TestLoadsForPinnedRequests). The origin's type moves beside its use.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -261,7 +261,7 @@
 		f.Regulator.ReceiveLoads(res.GetLoads())
 	}
 	f.mu.Unlock()
-	// The list of gateways is locked by the caller.
+	// The caller holds the lock of the list of gateways.
 	go f.reportRunning(mixed)
 	f.Granter.ReceiveLimits(res.GetRequestLimits(), throttler.News)
 	f.deliverDecisions()
--- a/gateway/forwarder/origin.go
+++ b/gateway/forwarder/origin.go
@@ -41,6 +41,12 @@
 	originOnlyVersion originSource = "OnlyVersion"
 )
 
+// streamOrigin is what is known of the software version that began a job's stream.
+type streamOrigin struct {
+	known   bool
+	version string
+}
+
 // initOrigins creates a finder without other gateways if none is set.
 func (f *Forwarder) initOrigins() {
 	if f.Origins == nil {
@@ -103,6 +109,7 @@
 	return true
 }
 
+// setOrigin pins a request to the version that began its stream.
 func (f *Forwarder) setOrigin(j *job, origin originrecorder.Origin, source originSource, result originfinder.Result) {
 	j.origin = streamOrigin{known: true, version: origin.SoftwareVersion}
 	f.Meter.Increment("stream_origins_found", "source", string(source))
@@ -114,6 +121,7 @@
 		"SoftwareVersion", origin.SoftwareVersion, "Source", source, "Gateway", result.Source, "Took", result.Took.Milliseconds())
 }
 
+// refuseOrigin refuses a request whose stream may not go on. It has not run.
 func (f *Forwarder) refuseOrigin(j *job, result originfinder.Result, reason string, retryAfter time.Duration) {
 	f.Meter.Increment("stream_origins_not_found", "reason", reason)
 	f.mu.Lock()
--- a/gateway/forwarder/resumption.go
+++ b/gateway/forwarder/resumption.go
@@ -25,12 +25,6 @@
 	unknownVersion versionMatch = "Unknown"
 )
 
-// streamOrigin is what is known of the software version that began a job's stream.
-type streamOrigin struct {
-	known   bool
-	version string
-}
-
 // resumptions counts streams that went on after their first run.
 type resumptions map[resumption]map[versionMatch]int
 
--- a/pkg/balancer/decision.go
+++ b/pkg/balancer/decision.go
@@ -133,16 +133,20 @@
 // fewer engines, so that while requests pinned to one wait, only these are refused.
 func (b *Balancer) Decline(adapter string) {
 	pinned := slices.ContainsFunc(b.queue, func(w *Waiter) bool { return w.Adapter == adapter && w.Pin.Set })
+	var declined []loadKey
+	if !pinned {
+		declined = append(declined, loadKey{adapter: adapter})
+	}
 	for _, w := range b.queue {
-		last := b.requestedLoads[loadKey{adapter, w.Pin}]
-		if w.Adapter == adapter && w.Pin.Set == pinned && !w.Deadline.After(last.until) {
-			w.declined = true
+		if w.Adapter != adapter || w.Pin.Set != pinned {
+			continue
 		}
+		key := loadKey{adapter, w.Pin}
+		w.declined = w.declined || !w.Deadline.After(b.requestedLoads[key].until)
+		declined = append(declined, key)
 	}
-	for key := range b.requestedLoads {
-		if key.adapter == adapter && key.pin.Set == pinned {
-			delete(b.requestedLoads, key)
-		}
+	for _, key := range declined {
+		delete(b.requestedLoads, key)
 	}
 }
 
