Record the software versions of services in the log

Cause: what a service's only version is rests on the leader's observation for as long as a stream lasts, which a restart begins anew.

A leader whose backend servers have no other versions than the log knows them all at once; those in the log that none has any more it tells gateways, at which they count like versions that have just left. The interruptions of its observation count as before.

--- a/controller/routecoordinator/isolation.go
+++ b/controller/routecoordinator/isolation.go
@@ -9,8 +9,8 @@
 	"bronzelead.example/pkg/wire"
 )
 
-// proposalTimeout bounds the wait for a quarantine change to be committed; the change is
-// proposed again later.
+// proposalTimeout bounds the wait for a change of the leader's own to be committed; it is proposed
+// again later.
 const proposalTimeout = 900 * time.Millisecond
 
 func (c *Coordinator) initArbiter() {
@@ -28,7 +28,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), proposalTimeout)
 		defer cancel()
 		if _, err := c.Raft.Propose(ctx, cmd); err != nil {
-			c.Log.Warn("a quarantine decision was not committed", "Change", fmt.Sprintf("%T", cmd.GetBody()), "Error", err.Error())
+			c.Log.Warn("a decision of the leader was not committed", "Change", fmt.Sprintf("%T", cmd.GetBody()), "Error", err.Error())
 		}
 	}()
 }
--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -142,6 +142,7 @@
 	// observedSince is since when announcements have been received without interruption, and tickedAt when
 	// the last tick was.
 	observedSince, tickedAt time.Time
+	recorded                recordedVersions
 	gatewaySeenAt           map[string]time.Time
 	gatewaysCheckedAt       time.Time
 }
@@ -295,6 +296,7 @@
 	c.tracker.Tick(now)
 	c.applyChanges()
 	c.followLeadership(now)
+	c.recordVersions(now)
 	c.learnPaces(now)
 	if c.placer != nil {
 		c.placer.SetUsage(c.uses())
--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -219,7 +219,7 @@
 	}
 	c.addRequestLimits(now, req, res)
 	if res.GetLeads() {
-		res.ObservedMs = uint32(c.observedFor(now).Milliseconds())
+		c.addVersions(now, res)
 		res.Suspects, res.SuspectsRevision = c.arbiter.SuspectsFor(c.term, req.GetSuspectsRevision())
 	}
 	g := c.gateways[req.GetGateway()]
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -245,6 +245,9 @@
 		f.balancer.ObserveLoads(now, res.GetLoads())
 	}
 	if res.GetLeads() {
+		for _, v := range res.GetEarlierVersions() {
+			f.versions.RecordUse(now, v.GetService(), v.GetVersion())
+		}
 		f.versions.ObserveLeader(now, res.GetTerm(), milliseconds(res.GetObservedMs()))
 		// A new leader has not received reports from all gateways yet; the highest number is
 		// safe.
--- a/gateway/forwarder/origin_test.go
+++ b/gateway/forwarder/origin_test.go
@@ -53,6 +53,9 @@
 		"another version that has left": {[]string{"v1"}, longObserved, 0, "lost", func(f *Forwarder) {
 			f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{{Id: "x", Service: "s", SoftwareVersion: "v2", Gone: true}}})
 		}, 503},
+		"another version in the log": {[]string{"v1"}, longObserved, 0, "lost", func(f *Forwarder) {
+			f.Apply("controller", &wire.SyncResponse{Leads: true, Term: 1, ObservedMs: 60_000, EarlierVersions: []*wire.SoftwareVersion{{Service: "s", Version: "v2"}}})
+		}, 503},
 		"another version of another service": {[]string{"v1"}, longObserved, 0, "lost", func(f *Forwarder) {
 			f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{{Id: "x", Service: "t", SoftwareVersion: "v2", Address: "127.0.0.1:1"}}})
 		}, 200},
--- a/pkg/applier/applier.go
+++ b/pkg/applier/applier.go
@@ -64,6 +64,8 @@
 	table         *wire.PutTable
 	// adapters are the required versions of adapters, by MODEL/NAME.
 	adapters map[string]*wire.AdapterVersion
+	// software holds the software versions of backend servers.
+	software map[softwareKey]*wire.SoftwareVersion
 	// quarantined are the quarantined requests, by fingerprint.
 	quarantined        map[string]*wire.HeldRequest
 	quarantineRevision uint64
@@ -86,6 +88,7 @@
 		drained:         map[string]bool{},
 		released:        map[string]bool{},
 		adapters:        map[string]*wire.AdapterVersion{},
+		software:        map[softwareKey]*wire.SoftwareVersion{},
 		quarantined:     map[string]*wire.HeldRequest{},
 	}
 }
@@ -129,6 +132,8 @@
 	case *wire.Command_PutAdapterVersion:
 		sm.putAdapterVersion(body.PutAdapterVersion)
 		sm.startTrials(body.PutAdapterVersion)
+	case *wire.Command_PutSoftwareVersion:
+		sm.putSoftwareVersion(body.PutSoftwareVersion)
 	case *wire.Command_HoldRequest:
 		sm.quarantine(body.HoldRequest)
 	case *wire.Command_ReleaseHeld:
--- a/pkg/applier/tables.go
+++ b/pkg/applier/tables.go
@@ -1,6 +1,7 @@
 package applier
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -33,3 +34,29 @@
 	}
 	return list
 }
+
+// softwareKey identifies a software version of a service.
+type softwareKey struct {
+	service, version string
+}
+
+func (sm *StateMachine) putSoftwareVersion(v *wire.SoftwareVersion) {
+	key := softwareKey{v.GetService(), v.GetVersion()}
+	if v.GetGone() {
+		delete(sm.software, key)
+		return
+	}
+	sm.software[key] = v
+}
+
+// SoftwareVersions returns the software versions that backend servers have, or had recently, sorted.
+func (sm *StateMachine) SoftwareVersions() []*wire.SoftwareVersion {
+	return slices.SortedFunc(maps.Values(sm.software), func(a, b *wire.SoftwareVersion) int {
+		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetVersion(), b.GetVersion()))
+	})
+}
+
+// HasSoftwareVersion reports whether a software version of a service is among them.
+func (sm *StateMachine) HasSoftwareVersion(service, version string) bool {
+	return sm.software[softwareKey{service, version}] != nil
+}
--- a/pkg/disseminator/disseminator.go
+++ b/pkg/disseminator/disseminator.go
@@ -64,8 +64,10 @@
 	term      uint64
 	leaderAt  time.Time
 	contactAt time.Time
-	// observedSince is since when the leader has received announcements without interruption.
+	// observedSince is since when the leader knows all software versions of backend servers.
 	observedSince time.Time
+	// earlierVersions are the software versions that no backend server has which the leader knows.
+	earlierVersions []*wire.SoftwareVersion
 	// externalLoads are the loads of all gateways except this one and its followers.
 	externalLoads []*wire.Load
 	// followerLoads are the loads of the followers.
@@ -141,7 +143,7 @@
 	if res.GetLeads() && res.GetTerm() >= d.term {
 		d.term = res.GetTerm()
 		d.leaderAt = latest(d.leaderAt, now.Add(-milliseconds(res.GetLeaderAgeMs())))
-		d.observedSince = now.Add(-milliseconds(res.GetObservedMs()))
+		d.observedSince, d.earlierVersions = now.Add(-milliseconds(res.GetObservedMs())), res.GetEarlierVersions()
 		var engines []string
 		engines, complete = d.holdings.Apply(res.GetHoldingRevision(), res.GetHoldingsSince(), res.GetHoldings())
 		d.markUrgent(now, engines)
@@ -164,6 +166,7 @@
 		Gateways: res.GetGateways(), GatewayList: res.GetGatewayList(), GatewaysRevision: res.GetGatewaysRevision(),
 		Declined: res.GetDeclined(), Suspects: res.GetSuspects(), SuspectsRevision: res.GetSuspectsRevision(),
 		RequestLimits: res.GetRequestLimits(), ObservedMs: res.GetObservedMs(),
+		EarlierVersions: res.GetEarlierVersions(),
 	}
 }
 
--- a/pkg/disseminator/disseminator_test.go
+++ b/pkg/disseminator/disseminator_test.go
@@ -300,3 +300,16 @@
 	c.Check(d.Answer(begin().Add(time.Second), call("a"), nil).GetObservedMs(), qt.Equals, uint32(6000))
 	c.Check(d.Answer(begin().Add(leaderLease), call("a"), nil).GetObservedMs(), qt.Equals, uint32(0))
 }
+
+// Versions that no backend server has any more are forwarded with the leader's state.
+func TestEarlierVersionsAreForwarded(t *testing.T) {
+	c := qt.New(t)
+	d := newDisseminator()
+	res := fromLeader(0)
+	res.EarlierVersions = []*wire.SoftwareVersion{{Service: "s", Version: "v1"}}
+	update, _ := d.Receive(begin(), res)
+	c.Check(update.GetEarlierVersions(), qt.HasLen, 1)
+	c.Check(d.Answer(begin(), call("a"), nil).GetEarlierVersions(), qt.HasLen, 1)
+	d.Receive(begin(), fromLeader(0))
+	c.Check(d.Answer(begin(), call("a"), nil).GetEarlierVersions(), qt.HasLen, 0)
+}
--- a/pkg/disseminator/followers.go
+++ b/pkg/disseminator/followers.go
@@ -180,10 +180,9 @@
 		ControllersRevision: d.controllersRevision, Gateways: d.gatewayCount, GatewaysRevision: d.gatewaysRevision,
 		Leads: d.term > 0 && d.LeaderAge(now) < leaderLease, Term: d.term,
 		ContactAgeMs: ageMs(d.ContactAge(now)), LeaderAgeMs: ageMs(d.LeaderAge(now)),
-		ObservedMs: ageMs(now.Sub(d.observedSince)),
 	}
-	if !res.GetLeads() {
-		res.ObservedMs = 0
+	if res.GetLeads() {
+		res.ObservedMs, res.EarlierVersions = ageMs(now.Sub(d.observedSince)), d.earlierVersions
 	}
 	if f := d.followers[req.GetGateway()]; f != nil {
 		f.answeredAt, f.urgent = now, false
--- a/proof/routed_versions_test.go
+++ b/proof/routed_versions_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -351,3 +352,34 @@
 		})
 	}
 }
+
+// After all processes are killed, streams of a service with one version go on: nobody remembers their
+// origins, and the log has the versions.
+func TestRoutedStreamsOfOneVersionOutliveAllProcesses(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startWithoutBackends(c, 3, 3)
+	for i := range 4 {
+		y.backends = append(y.backends, startVersionedBackend(y, fmt.Sprintf("b%d", i), "v1"))
+	}
+	y.initialize()
+	tally, stop := startLeavingCallers(y, 12, 3, 1)
+	<-time.After(time.Second)
+	for range 2 {
+		for _, n := range append(slices.Clone(y.controllers), y.gateways...) {
+			n.kill()
+		}
+		for _, n := range append(slices.Clone(y.controllers), y.gateways...) {
+			n.restart()
+		}
+		y.waitServing()
+		resumed, goneOn, unreached := tally.resumed.Load(), tally.goneOn.Load(), tally.unreached.Load()
+		<-time.After(2 * time.Second)
+		resumed, goneOn = tally.resumed.Load()-resumed-tally.unreached.Load()+unreached, tally.goneOn.Load()-goneOn
+		c.Check(resumed >= 12, qt.IsTrue, qt.Commentf("%d taken up", resumed))
+		c.Check(2*goneOn >= resumed, qt.IsTrue, qt.Commentf("%d of %d went on", goneOn, resumed))
+	}
+	stop()
+	tally.checkVersions(c)
+	y.history.check(c)
+}
