--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -245,31 +245,37 @@
 		f.balancer.ObserveLoads(now, res.GetLoads())
 	}
 	if res.GetLeads() {
-		for _, v := range res.GetEarlierVersions() {
-			f.versions.RecordUse(now, v.GetService(), v.GetVersion())
-		}
-		f.versions.ObserveLeader(now, res.GetTerm(), milliseconds(res.GetObservedMs()))
-		// A new leader has not received reports from all gateways yet; the highest number is
-		// safe.
-		if f.gatewayCount == 0 {
-			f.gatewaysKnownAt = now
-		}
-		f.gatewayCount = max(f.gatewayCount, res.GetGateways())
-	}
-	if res.GetLeads() && res.GetSuspectsRevision() != 0 {
-		f.Isolator.SetSuspects(res.GetSuspectsRevision(), res.GetSuspects())
+		f.applyLeaderState(now, res)
 	}
 	if f.Regulator != nil {
 		f.Regulator.UpdateGateways(controller, res)
 		f.Regulator.ReceiveLoads(res.GetLoads())
 	}
 	f.mu.Unlock()
-	// The caller holds the lock of the list of gateways.
-	go f.reportRunning(mixed)
+	if len(mixed) > 0 {
+		// The caller holds the lock of the list of gateways.
+		go f.reportRunning(mixed)
+	}
 	f.Granter.ReceiveLimits(res.GetRequestLimits(), throttler.News)
 	f.deliverDecisions()
 }
 
+// applyLeaderState applies what only the leader knows. The caller holds the lock.
+func (f *Forwarder) applyLeaderState(now time.Time, res *wire.SyncResponse) {
+	for _, v := range res.GetEarlierVersions() {
+		f.versions.RecordUse(now, v.GetService(), v.GetVersion())
+	}
+	f.versions.ObserveLeader(now, res.GetTerm(), milliseconds(res.GetObservedMs()))
+	// A new leader has not received reports from all gateways yet; the highest number is safe.
+	if f.gatewayCount == 0 {
+		f.gatewaysKnownAt = now
+	}
+	f.gatewayCount = max(f.gatewayCount, res.GetGateways())
+	if res.GetSuspectsRevision() != 0 {
+		f.Isolator.SetSuspects(res.GetSuspectsRevision(), res.GetSuspects())
+	}
+}
+
 // applyAnnouncements applies changes of backend servers, and returns the services that have several
 // software versions from now on. The caller holds the lock.
 func (f *Forwarder) applyAnnouncements(now time.Time, list []*wire.Announcement) (mixed []string) {
