--- a/gateway/forwarder/resumption_test.go
+++ b/gateway/forwarder/resumption_test.go
@@ -20,14 +20,14 @@
 }
 
 // newVersionedBackend starts a backend server of a software version. It breaks off new streams after
-// their first event, and ends those that it resumes.
+// their first event, and ends those that it resumes. It keeps the connection of a complete answer: a
+// gateway may use that again.
 func newVersionedBackend(c *qt.C, id, version string) *fakeBackend {
 	b := newBackend(c, id, func(b *fakeBackend, req *http.Request, conn net.Conn) bool {
-		written := streamHead() + chunk(eventOf(1, version))
 		if platform.DecodeDispatch(fields(req.Header)).ResumeAfter != "" {
-			written = streamHead() + chunk(eventOf(2, version)) + "0\r\n\r\n"
+			return writeResponse(streamHead()+chunk(eventOf(2, version))+"0\r\n\r\n", true)(b, req, conn)
 		}
-		return runsAndBreaks(written)(b, req, conn)
+		return runsAndBreaks(streamHead()+chunk(eventOf(1, version)))(b, req, conn)
 	})
 	b.version = version
 	return b
