--- a/review/kit/replaced_core.go
+++ b/review/kit/replaced_core.go
@@ -10,7 +10,7 @@
 
 const (
 	// replaceEvery is the time between two replacements: the core is stable and has caught up in between.
-	replaceEvery = 8 * time.Second
+	replaceEvery = 10 * time.Second
 	// emptyAfter is how long after the loss of a controller an empty one starts at another address.
 	emptyAfter = time.Second
 	// forgetTime is the time after the last replacement until the configuration changes.
@@ -19,7 +19,7 @@
 	watchTime = 6 * time.Second
 )
 
-// replacedCore replaces the controllers by empty ones at other addresses, one after the other, and changes
+// replacedCore replaces the seeds by empty controllers at other addresses, one after the other, and changes
 // the configuration half a minute later.
 func replacedCore(s *system, trouble bool) int {
 	s.startControllers()
@@ -33,7 +33,7 @@
 	s.awaitReady(15 * time.Second)
 	time.Sleep(contactTime + 2*time.Second)
 	if trouble {
-		for i := range controlCount {
+		for i := range seedCount {
 			began := time.Now()
 			s.replaceController(i)
 			time.Sleep(time.Until(began.Add(replaceEvery)))
