Log transfers of tables, and requests that are sent after their callers have left

The logs did not tell how large a table is, since when a gateway knew of it and how many calls for it gave nothing, nor whether a request was sent on although its caller had disconnected: the context of a request ends once a second goroutine was scheduled. The state of a socket has a package of its own now (pkg/socketprober), which the pool of connections uses too. TestTransferOfTableIsLogged, socketprober TestStates.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/socketprober"
 )
 
 const (
@@ -56,6 +57,14 @@
 	Caller string
 	// Reused is set if it is not the first request on its connection.
 	Reused bool
+	// Conn is its connection; nil in tests.
+	Conn net.Conn
+}
+
+// CallerLeft reports whether its caller has disconnected. It is exact where the context of the request
+// may not have ended yet, as the goroutine that ends it has to be scheduled.
+func (r *Request) CallerLeft() bool {
+	return r != nil && r.Conn != nil && socketprober.Probe(r.Conn) == socketprober.Closed
 }
 
 // Acceptor serves one address. Set the exported fields, then call Start.
@@ -255,7 +264,7 @@
 		c.refuse(err, statusHeaderTooLarge)
 		return false
 	}
-	req := &Request{Head: head, ReceivedAt: c.acceptor.Clock.Now(), Caller: c.RemoteAddr().String(), Reused: c.used}
+	req := &Request{Head: head, ReceivedAt: c.acceptor.Clock.Now(), Caller: c.RemoteAddr().String(), Reused: c.used, Conn: c.Conn}
 	c.used, c.kept = true, c.acceptor.admit()
 	if refused, keep := c.checkHead(req, limits); refused {
 		return keep
--- a/gateway/forwarder/constraint.go
+++ b/gateway/forwarder/constraint.go
@@ -82,6 +82,10 @@
 		f.Meter.Increment("requests_withdrawn", "constraint", string(constraint))
 		return false
 	}
+	if j.req.CallerLeft() {
+		f.Meter.Increment("requests_sent", "caller", "Left")
+		f.Log.Warn("a request is sent although its caller has left", "RequestID", j.meta.ID, "Age", now.Sub(j.req.ReceivedAt).Milliseconds())
+	}
 	j.sentAt = now
 	f.recordRetrySent(now, j)
 	return true
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -8,13 +8,12 @@
 	"net"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/socketprober"
 )
 
 const (
@@ -280,21 +279,8 @@
 
 // isUsable reports whether a connection is open and has received no unsolicited data.
 func isUsable(c net.Conn) bool {
-	tcp, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	var b [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && usable
+	state := socketprober.Probe(c)
+	return state == socketprober.Idle || state == socketprober.Unknown
 }
 
 func (s *Sender) keepIdle(backend string, l *connection, announced time.Duration) {
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -103,6 +103,7 @@
 	stopRelays context.CancelFunc
 	// failedAcquires counts consecutive failed requests for adapters.
 	failedAcquires int
+	transfer       tableTransfer
 }
 
 // controllerLoop is the polling loop of one controller.
@@ -272,6 +273,8 @@
 	res, err := wire.NewMeshProtobufClient("http://"+address, client).Sync(ctx, req)
 	if err == nil {
 		s.recordReported(address, req.GetEpoch(), res.GetEpoch(), reported)
+	} else if req.GetWantTable() {
+		s.recordFailedTransfer()
 	}
 	return res, err
 }
@@ -352,6 +355,7 @@
 
 // receive handles a response, and returns the controllers that its sender lists.
 func (s *Synchronizer) receive(address string, res *wire.SyncResponse) []string {
+	s.recordTable(address, s.TableVersion(), res)
 	complete := s.Relayer.Receive(address, res)
 	s.mu.Lock()
 	defer s.mu.Unlock()
