--- a/gateway/synchronizer/relays.go
+++ b/gateway/synchronizer/relays.go
@@ -9,7 +9,7 @@
 // syncRelays polls one relay continuously, and another one as soon as it provides no current
 // state.
 func (s *Synchronizer) syncRelays(ctx context.Context) {
-	transport := connector.NewTransport(nil)
+	transport := s.newTransport()
 	defer transport.CloseIdleConnections()
 	r := rotation{since: s.Clock.Now()}
 	for ctx.Err() == nil {
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -78,6 +78,8 @@
 	Granter *granter.Granter
 	// TableVersion returns the version of the table in force here.
 	TableVersion func() uint64
+	// Dial opens connections to controllers and other gateways; nil is a net.Dialer.
+	Dial connector.Dial
 
 	// acquireTransport is shared by the calls of Acquire, so that they reuse connections.
 	acquireTransport     *http.Transport
@@ -128,6 +130,13 @@
 	gap bool
 }
 
+func (s *Synchronizer) newTransport() *http.Transport {
+	if s.Dial == nil {
+		return connector.NewTransport(nil)
+	}
+	return connector.NewTransportWith(s.Dial, nil)
+}
+
 // Run works until ctx ends.
 func (s *Synchronizer) Run(ctx context.Context) {
 	s.mu.Lock()
@@ -235,7 +244,7 @@
 
 // syncController polls one controller continuously.
 func (s *Synchronizer) syncController(ctx context.Context, address string) {
-	transport := connector.NewTransport(nil)
+	transport := s.newTransport()
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
 		wait := followerWait
--- a/gateway/synchronizer/tree_test.go
+++ b/gateway/synchronizer/tree_test.go
@@ -92,11 +92,16 @@
 
 // newSynchronizer returns a synchronizer that does not run yet.
 func newSynchronizer(self *wire.GatewayEntry) *Synchronizer {
+	return newSynchronizerWithMeter(self, meter.New("gateway", "test", "z"))
+}
+
+// newSynchronizerWithMeter is newSynchronizer with a meter, whose goroutines never end.
+func newSynchronizerWithMeter(self *wire.GatewayEntry, m *meter.Meter) *Synchronizer {
 	g := &granter.Granter{Clock: clockwork.NewRealClock()}
 	g.Init()
 	r := &relayer.Relayer{
 		Granter: g,
-		Clock:   clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"), Self: self,
+		Clock:   clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: m, Self: self,
 		Apply: func(string, *wire.SyncResponse) {}, Loads: func() []*wire.Load { return nil },
 	}
 	r.Init()
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -45,10 +45,19 @@
 // for long. Guard, if not nil, is called before the first write of each request, and its error
 // fails the write.
 func NewTransport(guard func() error) *http.Transport {
-	dialer := &net.Dialer{Timeout: defaultDialTimeout}
+	return NewTransportWith((&net.Dialer{}).DialContext, guard)
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransportWith is NewTransport for connections that are opened another way.
+func NewTransportWith(dial Dial, guard func() error) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
+			defer cancel()
+			conn, err := dial(ctx, network, address)
 			if err != nil || guard == nil {
 				return conn, err
 			}
