Send no request whose caller has disconnected

Requests reached backend servers over half a second after their callers had left.

The request is withdrawn: it counts neither as sent nor as a retry nor against the backend server.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -252,8 +252,7 @@
 // handleExpiry ends a request whose caller has disconnected or whose deadline has passed.
 func (f *Forwarder) handleExpiry(ctx context.Context, j *job) {
 	if ctx.Err() == context.Canceled {
-		f.logEvent(j, nil, "the caller has left", 0)
-		j.reply.Abort()
+		f.abandon(j)
 		return
 	}
 	switch {
@@ -268,6 +267,12 @@
 	}
 }
 
+// abandon ends a request whose caller has disconnected.
+func (f *Forwarder) abandon(j *job) {
+	f.logEvent(j, nil, "the caller has left", 0)
+	j.reply.Abort()
+}
+
 // refuseOrFail ends a request that can't be served. It aborts a reply that has begun, fails the
 // request if an attempt of it may have run, and otherwise refuses it.
 func (f *Forwarder) refuseOrFail(j *job, reason string, retryAfter time.Duration) {
--- a/gateway/forwarder/constraint.go
+++ b/gateway/forwarder/constraint.go
@@ -83,8 +83,8 @@
 		return false
 	}
 	if j.req.CallerLeft() {
-		f.Meter.Increment("requests_sent", "caller", "Left")
-		f.Log.Warn("a request is sent although its caller has left", "RequestID", j.meta.ID, "Age", now.Sub(j.req.ReceivedAt).Milliseconds())
+		f.Meter.Increment("requests_withdrawn", "constraint", "CallerLeft")
+		return false
 	}
 	j.sentAt = now
 	f.recordRetrySent(now, j)
@@ -95,6 +95,11 @@
 func (f *Forwarder) withdraw(ctx context.Context, j *job, backend *wire.Announcement) bool {
 	f.refundQuota(j)
 	j.sends--
+	if j.req.CallerLeft() {
+		f.recordUnsent(j, backend.GetId())
+		f.abandon(j)
+		return false
+	}
 	return f.chooseAgain(ctx, j, backend)
 }
 
