Notice that a caller has left when bytes stand behind its request

A caller that had sent more than one request, or a single byte, and left was served on: requests reached backend servers up to 1.6 s later, and all that had begun went on. The goroutine that watches for a disconnect waited for one more byte, and took any for a sign that the caller was there. It reads on into the connection's buffer now. Once that is full the socket is polled every 100 ms for the end of the peer's bytes, so that a caller can't fill memory by sending on.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -37,6 +37,8 @@
 	// lingerTimeout is how long bytes after a refused request are read and discarded, so that
 	// closing does not reset the connection before the caller has read the answer.
 	lingerTimeout = 500 * time.Millisecond
+	// disconnectInterval is the interval at which a connection with a full buffer is polled for a disconnect.
+	disconnectInterval = 100 * time.Millisecond
 )
 
 // Limits are the bounds on what callers may send.
@@ -64,7 +66,7 @@
 // CallerLeft reports whether its caller has disconnected. It is exact where the context of the request
 // may not have ended yet, as the goroutine that ends it has to be scheduled.
 func (r *Request) CallerLeft() bool {
-	return r != nil && r.Conn != nil && socketprober.Probe(r.Conn) == socketprober.Closed
+	return r != nil && r.Conn != nil && socketprober.PeerClosed(r.Conn)
 }
 
 // Acceptor serves one address. Set the exported fields, then call Start.
@@ -365,23 +367,43 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	_ = c.SetReadDeadline(time.Time{})
-	watched := make(chan struct{})
+	answered, watched := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(watched)
-		// Bytes of the next request stay in the buffer; an error means that the caller
-		// disconnected.
-		if _, err := c.reader.Peek(1); err != nil {
-			cancel()
-		}
+		c.awaitDisconnect(answered)
+		cancel()
 	}()
 	reply := c.newReply(req)
 	c.acceptor.Handle(ctx, req, reply)
 	reply.finish()
+	close(answered)
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 	<-watched
 	return reply.keep && reply.complete
 }
 
+// awaitDisconnect returns once the caller has disconnected, or after answered is closed and the read
+// deadline has passed. Bytes of further requests stay in the buffer; once it is full the socket is polled,
+// so that a caller can't fill memory.
+func (c *conn) awaitDisconnect(answered <-chan struct{}) {
+	err := error(nil)
+	for err == nil {
+		_, err = c.reader.Peek(c.reader.Buffered() + 1)
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return
+	}
+	ticker := c.acceptor.Clock.NewTicker(disconnectInterval)
+	defer ticker.Stop()
+	for !socketprober.PeerClosed(c.Conn) {
+		select {
+		case <-answered:
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
 // refuse answers a request that is malformed or too large, and one that timed out with 408. A
 // truncated request gets no answer.
 func (c *conn) refuse(err error, tooLarge int) {
--- a/pkg/socketprober/socketprober.go
+++ b/pkg/socketprober/socketprober.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection's receiving side.
@@ -22,6 +23,33 @@
 	Closed
 )
 
+// PeerClosed reports whether the peer of a connection has closed or reset it, also while bytes are left to
+// read. It does not block.
+func PeerClosed(c net.Conn) bool {
+	switch Probe(c) {
+	case Closed:
+		return true
+	case Readable:
+		return polledClosed(c)
+	default:
+		return false
+	}
+}
+
+func polledClosed(c net.Conn) bool {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		closed = err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed || err != nil
+}
+
 // Probe returns the state of a connection. It does not block.
 func Probe(c net.Conn) State {
 	socket, ok := c.(syscall.Conn)
--- a/pkg/socketprober/socketprober_test.go
+++ b/pkg/socketprober/socketprober_test.go
@@ -29,25 +29,30 @@
 	for name, test := range map[string]struct {
 		does func(c *qt.C, peer *net.TCPConn)
 		// reads is how many bytes are read before the probe.
-		reads int
-		want  socketprober.State
+		reads      int
+		want       socketprober.State
+		peerClosed bool
 	}{
-		"nothing sent": {func(*qt.C, *net.TCPConn) {}, 0, socketprober.Idle},
+		"nothing sent": {func(*qt.C, *net.TCPConn) {}, 0, socketprober.Idle, false},
 		"bytes and then an end": {func(c *qt.C, peer *net.TCPConn) {
 			_, err := peer.Write([]byte("ab"))
 			c.Assert(err, qt.IsNil)
 			c.Assert(peer.Close(), qt.IsNil)
-		}, 1, socketprober.Readable},
+		}, 1, socketprober.Readable, true},
+		"bytes": {func(c *qt.C, peer *net.TCPConn) {
+			_, err := peer.Write([]byte("ab"))
+			c.Assert(err, qt.IsNil)
+		}, 1, socketprober.Readable, false},
 		"the end after bytes": {func(c *qt.C, peer *net.TCPConn) {
 			_, err := peer.Write([]byte("ab"))
 			c.Assert(err, qt.IsNil)
 			c.Assert(peer.Close(), qt.IsNil)
-		}, 2, socketprober.Closed},
-		"half closed": {func(c *qt.C, peer *net.TCPConn) { c.Assert(peer.CloseWrite(), qt.IsNil) }, 0, socketprober.Closed},
+		}, 2, socketprober.Closed, true},
+		"half closed": {func(c *qt.C, peer *net.TCPConn) { c.Assert(peer.CloseWrite(), qt.IsNil) }, 0, socketprober.Closed, true},
 		"reset": {func(c *qt.C, peer *net.TCPConn) {
 			c.Assert(peer.SetLinger(0), qt.IsNil)
 			c.Assert(peer.Close(), qt.IsNil)
-		}, 0, socketprober.Closed},
+		}, 0, socketprober.Closed, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -60,6 +65,7 @@
 			}
 			// Loopback delivers before the sender's call returns.
 			c.Check(socketprober.Probe(conn), qt.Equals, test.want)
+			c.Check(socketprober.PeerClosed(conn), qt.Equals, test.peerClosed)
 		})
 	}
 }
