Reset the connection of a request that is given up before its answer begins

The kernel delivers what was written to a connection after it was closed, also seconds later where its link is full or loses packets: a request reached its backend server after its caller had left and the gateway had closed the connection. It is reset now while nothing of an answer has come; after that the request has been received, and a close, which the kernel repeats if it is lost, ends the run more surely.

--- a/gateway/sender/dial.go
+++ b/gateway/sender/dial.go
@@ -31,6 +31,16 @@
 	sentAt time.Time
 	// received counts the receipts of all connections.
 	received *receipts
+	// answered is set once the answer to its latest request has begun.
+	answered atomic.Bool
+}
+
+// abandon closes the connection of a request that is given up.
+func (l *connection) abandon() {
+	if tcp, ok := l.Conn.(interface{ SetLinger(sec int) error }); ok && !l.answered.Load() {
+		_ = tcp.SetLinger(0)
+	}
+	_ = l.Close()
 }
 
 // receipts records when anything was last received from backend servers.
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -93,7 +93,8 @@
 }
 
 // Send sends a request and returns the answer's head. When ctx ends the connection is closed,
-// which makes the backend server stop. The error states what is known of the request.
+// which makes the backend server stop; before an answer begins it is reset, so that no bytes of the request
+// are delivered any more. The error states what is known of the request.
 func (s *Sender) Send(ctx context.Context, out *Request) (*Response, error) {
 	l, err := s.connect(ctx, out)
 	if err != nil {
@@ -104,14 +105,16 @@
 		return nil, fail(KindWithdrawn, "the request was withdrawn")
 	}
 	s.markBusy(out.Backend, l)
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	l.answered.Store(false)
+	stop := context.AfterFunc(ctx, func() { l.abandon() })
 	in, err := s.exchange(l, out)
 	if err != nil {
 		stop()
 		s.unmarkBusy(out.Backend, l)
-		_ = l.Close()
+		l.abandon()
 		return nil, err
 	}
+	l.answered.Store(true)
 	in.stop = stop
 	return in, nil
 }
