Do not pass on the request of a tunnel that was closed

A gateway that serves a tunnel read the request of another gateway and passed it on, though that one had closed the tunnel since, as its caller had left: whoever is late passes on work for nobody. It asks the socket before it writes, and resets the tunnel.

--- a/gateway/tunneler/serving.go
+++ b/gateway/tunneler/serving.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/repeater"
+	"bronzelead.example/pkg/socketprober"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -207,6 +208,11 @@
 		_ = from.SetReadDeadline(time.Now().Add(tunnelIdleTimeout))
 		n, err := from.Read(buf)
 		if n > 0 {
+			if from == s.downstream && socketprober.PeerClosed(from) {
+				// The other gateway gave up the request.
+				s.reset()
+				return
+			}
 			s.usedAt.Store(t.Clock.Now().UnixNano())
 			s.awaiting.Store(from == s.downstream)
 			if _, err := to.Write(buf[:n]); err != nil {
