Poll controllers after those that listed them first have been replaced

The polling loop of a controller ran under the context of the loop that had listed it first. When an unreachable controller expired after 30 s, its loop ended, and all that descended from it without a line; they stayed in the list of loops, so that none was started again.

All loops run under the context of the synchronizer now; the start and the end of one are logged.

--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -222,7 +222,7 @@
 
 // review starts polling the listed controllers, and stops polling unreachable ones that have
 // not been listed for long. Only a controller's list (fresh) renews the time at which one was
-// listed; seeds do not.
+// listed; seeds do not. The polling loops run until ctx ends.
 func (s *Synchronizer) review(ctx context.Context, listed []string, fresh bool) {
 	now := s.Clock.Now()
 	s.mu.Lock()
@@ -236,7 +236,9 @@
 			loopCtx, cancel := context.WithCancel(ctx)
 			known = &controllerLoop{listed: now, cancel: cancel}
 			s.loops[address] = known
-			go s.syncController(loopCtx, address)
+			s.Log.Info("polling a controller", "Controller", address)
+			// A controller outlives the one that listed it first.
+			go s.syncController(loopCtx, address, func(listed []string) { s.review(ctx, listed, true) })
 		}
 		if fresh {
 			known.listed = now
@@ -246,12 +248,13 @@
 		if now.Sub(known.listed) > controllerExpiry && known.failed {
 			known.cancel()
 			delete(s.loops, address)
+			s.Log.Info("no longer polling a controller that is not listed", "Controller", address)
 		}
 	}
 }
 
-// syncController polls one controller continuously.
-func (s *Synchronizer) syncController(ctx context.Context, address string) {
+// syncController polls one controller continuously, and has the controllers that it lists reviewed.
+func (s *Synchronizer) syncController(ctx context.Context, address string, review func(listed []string)) {
 	transport := s.newTransport()
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
@@ -272,7 +275,7 @@
 		s.mu.Lock()
 		s.controllerContactAt = s.Clock.Now()
 		s.mu.Unlock()
-		s.review(ctx, s.receive(address, res), true)
+		review(s.receive(address, res))
 	}
 }
 
