--- a/pkg/disseminator/disseminator.go
+++ b/pkg/disseminator/disseminator.go
@@ -140,7 +140,8 @@
 func (d *Disseminator) Receive(now time.Time, res *wire.SyncResponse) (*wire.SyncResponse, bool) {
 	d.contactAt = latest(d.contactAt, now.Add(-milliseconds(res.GetContactAgeMs())))
 	update := withoutHoldings(res)
-	changed := d.receiveAnnouncements(res.GetAnnouncements())
+	changed, current := d.receiveAnnouncements(res.GetAnnouncements())
+	update.Announcements = current
 	for _, v := range res.GetVersions() {
 		d.receiveVersion(v)
 	}
@@ -180,19 +181,21 @@
 	}
 }
 
-// receiveAnnouncements takes announcements and returns the new backend servers.
-func (d *Disseminator) receiveAnnouncements(list []*wire.Announcement) []string {
-	var added []string
+// receiveAnnouncements takes announcements and returns the new backend servers, and the announcements that no later
+// one is known of.
+func (d *Disseminator) receiveAnnouncements(list []*wire.Announcement) (added []string, current []*wire.Announcement) {
 	for _, a := range list {
 		known := d.announcements[a.GetId()]
-		switch {
-		case a.GetId() == "":
+		if a.GetId() == "" || known != nil && a.GetSequence() < known.info.GetSequence() {
 			continue
+		}
+		current = append(current, a)
+		switch {
 		case known == nil:
 			known = &announcementEntry{}
 			d.announcements[a.GetId()] = known
 			added = append(added, a.GetId())
-		case a.GetSequence() < known.info.GetSequence() || proto.Equal(a, known.info):
+		case proto.Equal(a, known.info):
 			continue
 		}
 		if a.GetGone() && !known.info.GetGone() {
@@ -203,7 +206,7 @@
 		known.info, known.revision = a, d.announcementRevision
 	}
 	d.pruneDeparted()
-	return added
+	return added, current
 }
 
 // pruneDeparted drops the backend servers that left first, when there are too many.
--- a/pkg/disseminator/disseminator_test.go
+++ b/pkg/disseminator/disseminator_test.go
@@ -313,3 +313,25 @@
 	d.Receive(begin(), fromLeader(0))
 	c.Check(d.Answer(begin(), call("a"), nil).GetEarlierVersions(), qt.HasLen, 0)
 }
+
+// A controller that had restarted took the late announcement of a departed backend server for a new one's, and gateways
+// sent requests there again.
+func TestOutdatedAnnouncementsAreNotApplied(t *testing.T) {
+	c := qt.New(t)
+	d := newDisseminator()
+	final := uint64(1) << 63
+	for _, a := range []*wire.Announcement{
+		{Id: "e", Address: "a", Sequence: 3}, {Id: "f", Address: "b", Sequence: 9}, {Id: "e", Address: "a", Gone: true, Sequence: final},
+	} {
+		update, _ := d.Receive(begin(), &wire.SyncResponse{Announcements: []*wire.Announcement{a}})
+		c.Check(update.GetAnnouncements(), qt.HasLen, 1)
+	}
+	update, _ := d.Receive(begin(), &wire.SyncResponse{Epoch: 2, Announcements: []*wire.Announcement{
+		{Id: "e", Address: "a", Sequence: 4}, {Id: "f", Address: "b", Sequence: 8}, {Id: "f", Address: "b", Sequence: 10}, {Id: "g", Address: "c", Sequence: 1},
+	}})
+	var applied []string
+	for _, a := range update.GetAnnouncements() {
+		applied = append(applied, fmt.Sprintf("%s %d", a.GetId(), a.GetSequence()))
+	}
+	c.Check(applied, qt.DeepEquals, []string{"f 10", "g 1"})
+}
