Tell a controller that relays an outdated announcement what is known since

A controller that had restarted knew of no departures, and kept a departed backend server whose heartbeat came late: it told it to gateways that start, and its leader planned with it. It relays what it takes for new to the other controllers, and these answer now with what they know later of the same backend servers.

TestDeparturesReachRestartedControllers fails without the answer, as the restarted controller lists the backend server as present.

--- a/controller/app/carrier.go
+++ b/controller/app/carrier.go
@@ -105,6 +105,8 @@
 	log    *slog.Logger
 	client *connector.Client
 	self   string
+	// receive takes later announcements that other controllers know.
+	receive func(list []*wire.Announcement)
 
 	mu     sync.Mutex
 	queues map[string]chan []*wire.Announcement
@@ -150,8 +152,14 @@
 				more = false
 			}
 		}
-		if _, err := client.Relay(r.ctx, &wire.RelayRequest{Announcements: list}); err != nil {
+		res, err := client.Relay(r.ctx, &wire.RelayRequest{Announcements: list})
+		if err != nil {
 			r.log.Debug("announcements were not relayed", "Controller", address, "Error", err.Error())
+			continue
+		}
+		if later := res.GetLater(); len(later) > 0 {
+			r.log.Info("another controller knows later announcements", "Controller", address, "Announcements", len(later))
+			r.receive(later)
 		}
 	}
 }
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -170,7 +170,14 @@
 		},
 	}
 	r.driver.Init(contents)
-	r.relay = &announcementRelay{log: r.Log, client: r.peers, self: self.GetAddress(), queues: map[string]chan []*wire.Announcement{}, ctx: ctx}
+	r.relay = &announcementRelay{
+		log: r.Log, client: r.peers, self: self.GetAddress(), queues: map[string]chan []*wire.Announcement{}, ctx: ctx,
+		receive: func(list []*wire.Announcement) {
+			if _, err := r.coordinator.ReceiveAnnouncements(ctx, list, true); err != nil {
+				r.Log.Debug("later announcements were not taken", "Error", err.Error())
+			}
+		},
+	}
 	r.coordinator = &routecoordinator.Coordinator{
 		Clock: r.Clock, Log: r.Log, Raft: r.driver, Commits: commits, SendOrder: r.orders().send,
 		Relay: func(list []*wire.Announcement) { r.relay.send(r.addresses(), list) }, Controllers: r.addresses,
--- a/controller/routecoordinator/mesh.go
+++ b/controller/routecoordinator/mesh.go
@@ -44,7 +44,8 @@
 
 // Relay takes announcements that another controller received.
 func (m *Mesh) Relay(ctx context.Context, req *wire.RelayRequest) (*wire.RelayResponse, error) {
-	return &wire.RelayResponse{}, m.Coordinator.ReceiveAnnouncements(ctx, req.GetAnnouncements(), true)
+	later, err := m.Coordinator.ReceiveAnnouncements(ctx, req.GetAnnouncements(), true)
+	return &wire.RelayResponse{Later: later}, err
 }
 
 // Put commits a change. Only a leader does.
@@ -166,7 +167,7 @@
 // partitioned instance would not forward it to the others, and the backend server would keep
 // announcing itself here.
 func (m *Mesh) ReceiveAnnouncement(ctx context.Context, a *wire.Announcement) error {
-	if err := m.Coordinator.ReceiveAnnouncements(ctx, []*wire.Announcement{a}, false); err != nil {
+	if _, err := m.Coordinator.ReceiveAnnouncements(ctx, []*wire.Announcement{a}, false); err != nil {
 		return err
 	}
 	if m.Leader() == "" && !m.Coordinator.Raft.Leads() {
--- a/controller/routecoordinator/sync.go
+++ b/controller/routecoordinator/sync.go
@@ -278,22 +278,30 @@
 	return c.loads.Without(now, g.loads)
 }
 
-// ReceiveAnnouncements takes announcements of backend servers, made here or to another
-// controller.
-func (c *Coordinator) ReceiveAnnouncements(ctx context.Context, list []*wire.Announcement, relayed bool) error {
-	return c.Call(ctx, func(now time.Time) {
-		var accepted []*wire.Announcement
+// ReceiveAnnouncements takes announcements of backend servers, made here or relayed by another controller. It returns
+// the later ones that are known of the same backend servers, such as departures that the other one has not seen.
+func (c *Coordinator) ReceiveAnnouncements(ctx context.Context, list []*wire.Announcement, relayed bool) ([]*wire.Announcement, error) {
+	later := make(chan []*wire.Announcement, 1)
+	err := c.Call(ctx, func(now time.Time) {
+		var accepted, known []*wire.Announcement
 		for _, a := range list {
 			isNew, _ := c.tracker.Observe(now, a)
 			if isNew {
 				accepted = append(accepted, a)
+			} else if l := c.tracker.LaterThan(a); l != nil {
+				known = append(known, l)
 			}
 		}
 		c.applyChanges()
 		if len(accepted) > 0 && !relayed {
 			c.Relay(accepted)
 		}
+		later <- known
 	})
+	if err != nil {
+		return nil, err
+	}
+	return <-later, nil
 }
 
 // applyChanges passes changed backend servers on to the placer.
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -80,6 +80,15 @@
 	return true, changed
 }
 
+// LaterThan returns what is known of the backend server of an announcement, if that is later; else nil.
+func (t *Tracker) LaterThan(a *wire.Announcement) *wire.Announcement {
+	e := t.entries[a.GetId()]
+	if e == nil || e.info.GetSequence() <= a.GetSequence() {
+		return nil
+	}
+	return e.info
+}
+
 // ObserveLeaving records that an incarnation has announced to a gateway that it leaves. It reports
 // whether that was not known from its announcements.
 func (t *Tracker) ObserveLeaving(id string) bool {
