Do not repeat a request on the connection of its rejection

A backend server that rejects a request may send the rejection again later, where the next answer is expected. The gateway repeated the request on the same connection, and took the copy, whose id is the same, for the answer to the repeat, which ran.

A repeat takes another connection than that of the attempt before; once another request was answered there, the copy has been skipped by its id.

--- a/gateway/sender/dial.go
+++ b/gateway/sender/dial.go
@@ -27,8 +27,9 @@
 	kept bool
 	// via is the instance that it leads through; empty for a direct one.
 	via string
-	// sentAt is when its latest request was sent.
-	sentAt time.Time
+	// requestID is the id of its latest request, and sentAt when that was sent.
+	requestID string
+	sentAt    time.Time
 	// received counts the receipts of all connections.
 	received *receipts
 	// answered is set once the answer to its latest request has begun.
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -106,6 +107,7 @@
 	}
 	s.markBusy(out.Backend, l)
 	l.answered.Store(false)
+	l.requestID = out.RequestID
 	stop := context.AfterFunc(ctx, func() { l.abandon() })
 	in, err := s.exchange(l, out)
 	if err != nil {
@@ -253,33 +255,40 @@
 
 func (s *Sender) connect(ctx context.Context, out *Request) (*connection, error) {
 	if !out.NewConnection {
-		if l := s.takeIdle(out.Backend); l != nil {
+		if l := s.takeIdle(out.Backend, out.RequestID); l != nil {
 			return l, nil
 		}
 	}
 	return s.dial(ctx, out.Backend, out.Address)
 }
 
-// takeIdle returns the most recently used idle connection that is still usable.
-func (s *Sender) takeIdle(backend string) *connection {
+// takeIdle returns the most recently used idle connection that is still usable. A repeat does not use the connection of
+// an earlier attempt: a second copy of that one's answer may come there, and has the same id.
+func (s *Sender) takeIdle(backend, requestID string) *connection {
 	now := s.Clock.Now()
 	for {
-		s.mu.Lock()
-		links := s.idle[backend]
-		if len(links) == 0 {
-			s.mu.Unlock()
-			return nil
-		}
-		l := links[len(links)-1]
-		s.idle[backend] = links[:len(links)-1]
-		s.mu.Unlock()
-		if now.Before(l.idleUntil) && isUsable(l.Conn) {
+		l := s.popIdle(backend, requestID)
+		if l == nil || now.Before(l.idleUntil) && isUsable(l.Conn) {
 			return l
 		}
 		_ = l.Close()
 	}
 }
 
+// popIdle removes the most recently used idle connection whose latest request is another one.
+func (s *Sender) popIdle(backend, requestID string) *connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	links := s.idle[backend]
+	for i, l := range slices.Backward(links) {
+		if requestID == "" || l.requestID != requestID {
+			s.idle[backend] = slices.Delete(links, i, i+1)
+			return l
+		}
+	}
+	return nil
+}
+
 // isUsable reports whether a connection is open and has received no unsolicited data.
 func isUsable(c net.Conn) bool {
 	state := socketprober.Probe(c)
