Give up answers that do not end before they begin

A faulty backend server may send bytes that are no answer without end, until the gateway closes. Heads were bounded; interim answers, and the body of an answer to another request, which is skipped, were read until the request's deadline.

--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -24,6 +24,10 @@
 	// maxSkippedResponses is how many answers to earlier requests are skipped before the
 	// request's own.
 	maxSkippedResponses = 2
+	// maxSkippedBytes bounds the body of an answer that is skipped, and maxInterimResponses the interim answers before
+	// one: a faulty backend server may send bytes without end.
+	maxSkippedBytes     = 256 << 10
+	maxInterimResponses = 16
 )
 
 // Sender pools connections. Set the exported fields before use.
@@ -139,8 +143,8 @@
 			return in, nil
 		}
 		// A second answer to an earlier request, in place of this request's answer.
-		if _, err := io.Copy(io.Discard, in.Body); err != nil || !in.Body.Complete() {
-			return nil, fail(KindLost, "an answer to another request ended early")
+		if _, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxSkippedBytes)); err != nil || !in.Body.Complete() {
+			return nil, fail(KindLost, "an answer to another request ended early, or did not end")
 		}
 	}
 	return nil, fail(KindLost, "only answers to other requests came")
@@ -198,7 +202,7 @@
 
 // receive reads one head, skipping interim answers.
 func (s *Sender) receive(l *connection, out *Request) (*Response, bool, error) {
-	for {
+	for range maxInterimResponses + 1 {
 		raw, err := framer.ReadHead(l.reader, maxHeadBytes)
 		if err != nil {
 			return nil, false, wrap("Send", readErrorKind(err), err)
@@ -217,6 +221,7 @@
 		own, idle := s.IsOwnResponse(head, out.RequestID)
 		return &Response{Head: head, Body: body, Via: l.via, sender: s, conn: l, backend: out.Backend, idle: idle}, own, nil
 	}
+	return nil, false, fail(KindMalformed, "only interim answers came")
 }
 
 func readErrorKind(err error) Kind {
