Let updates of any size arrive while more of them comes

At the size to design for, 12,000 backend servers, gateways never learnt of them after a start. The answer that holds them all takes a second and more on a link of 10 Mbit/s, of each controller at once; a call ended after 0.85 to 1.7 s as a whole, 0.4 s to a relay, and the next one began anew.

A call for updates has this time until its answer begins now, and then between two parts of it that arrive, 10 s at most. A silent instance is left as soon as before.

--- a/gateway/synchronizer/fleet_test.go
+++ b/gateway/synchronizer/fleet_test.go
@@ -58,9 +58,11 @@
 	revision    uint64
 	leads       bool
 	term        uint64
-	table       *wire.RoutingTable
-	tables      tabletransmitter.Source
-	changed     chan struct{}
+	// announcements are the backend servers that it knows.
+	announcements []*wire.Announcement
+	table         *wire.RoutingTable
+	tables        tabletransmitter.Source
+	changed       chan struct{}
 	// earlier is set for a controller of an earlier release, which sends tables with its updates only.
 	earlier bool
 }
@@ -102,6 +104,10 @@
 	if req.GetControllersRevision() != revision {
 		res.Controllers = controllers
 	}
+	if req.GetEpoch() != f.epoch {
+		res.Announcements = f.announcements
+	}
+	res.AnnouncementRevision = 1
 	if req.GetWantTable() && table.GetVersion() > req.GetTableVersion() {
 		res.Table = table
 	}
@@ -145,6 +151,8 @@
 	mu   sync.Mutex
 	// inForceAt holds when each table came into force.
 	inForceAt map[uint64]time.Time
+	// backends are those that it has been told of.
+	backends map[string]bool
 	// missed are the tables that came while it was frozen.
 	missed  map[uint64]bool
 	version uint64
@@ -153,6 +161,9 @@
 func (g *fleetGateway) apply(_ string, update *wire.SyncResponse) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for _, a := range update.GetAnnouncements() {
+		g.backends[a.GetId()] = true
+	}
 	if v := update.GetTable().GetVersion(); v > g.version {
 		g.version, g.inForceAt[v] = v, time.Now()
 	}
@@ -178,7 +189,7 @@
 }
 
 // startFleet starts a fleet inside of a synctest bubble. The meters run outside.
-func startFleet(meters []*meter.Meter, table *wire.RoutingTable) *fleet {
+func startFleet(meters []*meter.Meter, table *wire.RoutingTable, announcements ...*wire.Announcement) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{network: newNetwork(linkLatency), stop: cancel, sentAt: map[uint64]time.Time{}}
 	var controllers []string
@@ -192,9 +203,12 @@
 	for _, address := range controllers {
 		f.addController(ctx, address, list, table)
 	}
+	for _, c := range f.controllers {
+		c.announcements = announcements
+	}
 	f.listControllers()
 	for i, entry := range list {
-		g := &fleetGateway{Synchronizer: newSynchronizerWithMeter(entry, meters[i]), host: f.network.add(ctx, entry.GetAddress(), gatewayRate), inForceAt: map[uint64]time.Time{}, missed: map[uint64]bool{}}
+		g := &fleetGateway{Synchronizer: newSynchronizerWithMeter(entry, meters[i]), host: f.network.add(ctx, entry.GetAddress(), gatewayRate), inForceAt: map[uint64]time.Time{}, missed: map[uint64]bool{}, backends: map[string]bool{}}
 		g.Gateway, g.Dial, g.Seeds = entry.GetAddress(), g.host.Dial, func() []string { return controllers[:3] }
 		g.TableVersion, g.Relayer.Apply = g.tableVersion, g.apply
 		f.gateways = append(f.gateways, g)
@@ -287,9 +301,9 @@
 		c := qt.New(t)
 		f := startFleet(meters, randomTable(1, 49))
 		defer f.close()
-		time.Sleep(5 * time.Second)
+		<-time.After(5 * time.Second)
 		story(c, f)
-		time.Sleep(5 * time.Second)
+		<-time.After(5 * time.Second)
 		f.checkInForce(c)
 	})
 }
--- a/gateway/synchronizer/largetable_test.go
+++ b/gateway/synchronizer/largetable_test.go
@@ -22,7 +22,7 @@
 			runFleet(t, test.gateways, func(_ *qt.C, f *fleet) {
 				for i, routes := range []int{test.routes, test.routes, test.routes - 1} {
 					f.put(randomTable(uint64(i+2), routes))
-					time.Sleep(200 * time.Millisecond)
+					<-time.After(200 * time.Millisecond)
 				}
 			})
 		})
@@ -33,11 +33,11 @@
 func TestTablesInQuickSuccessionAreInForceInTime(t *testing.T) {
 	runFleet(t, 22, func(c *qt.C, f *fleet) {
 		f.put(randomTable(2, 1449))
-		time.Sleep(3 * time.Second)
+		<-time.After(3 * time.Second)
 		before := f.carried()
 		for version := range uint64(60) {
 			f.put(randomTable(3+version, 1450+int(version)))
-			time.Sleep(50 * time.Millisecond)
+			<-time.After(50 * time.Millisecond)
 		}
 		// 60 changes of one route each, with what else is sent in this time, to ten gateways.
 		busiest := 0
@@ -65,14 +65,14 @@
 		for i := range 3 {
 			version := uint64(i + 2)
 			f.put(randomTable(version, 1450*(i+1)))
-			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+			<-time.After(time.Duration(i) * 40 * time.Millisecond)
 			frozen := f.relay(i)
 			frozen.host.freeze(true)
-			time.Sleep(3 * time.Second)
+			<-time.After(3 * time.Second)
 			frozen.host.freeze(false)
 			// What it has missed meanwhile is not late.
 			frozen.missed[version] = true
-			time.Sleep(3 * time.Second)
+			<-time.After(3 * time.Second)
 		}
 	})
 }
@@ -97,7 +97,7 @@
 			c.mu.Unlock()
 		}
 		f.put(randomTable(2, 100))
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		f.put(randomTable(3, 200))
 	})
 }
--- a/gateway/synchronizer/network_test.go
+++ b/gateway/synchronizer/network_test.go
@@ -185,7 +185,7 @@
 			case <-l.pushed:
 			}
 		case !s.dropped():
-			time.Sleep(time.Duration(float64(s.size) / l.bytesPerSecond * float64(time.Second)))
+			<-time.After(time.Duration(float64(s.size) / l.bytesPerSecond * float64(time.Second)))
 			s.deliver()
 		}
 	}
--- a/gateway/synchronizer/relays.go
+++ b/gateway/synchronizer/relays.go
@@ -22,7 +22,7 @@
 			// The first call to a relay returns its state immediately.
 			wait = 0
 		}
-		client := &connector.Client{Timeout: wait + relayMargin, Transport: transport}
+		client := &connector.Client{Timeout: wait + relayMargin, Stall: relayMargin, Transport: transport}
 		res, err := s.call(ctx, client, address, wait)
 		if ctx.Err() != nil {
 			return
--- a/gateway/synchronizer/replaced_test.go
+++ b/gateway/synchronizer/replaced_test.go
@@ -18,9 +18,9 @@
 				f.onClose = cancel
 				for i := range 5 {
 					f.replaceController(ctx, fmt.Sprintf("10.1.1.%d:7000", i+1))
-					time.Sleep(9 * time.Second)
+					<-time.After(9 * time.Second)
 				}
-				time.Sleep(2 * controllerExpiry)
+				<-time.After(2 * controllerExpiry)
 				f.put(randomTable(2, 60))
 			})
 		})
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -27,7 +27,8 @@
 	leaderWait = 150 * time.Millisecond
 	// followerWait is the same for the other controllers.
 	followerWait = 1000 * time.Millisecond
-	// callMargin is the time that a call may take beyond its wait.
+	// callMargin is the time that a call may take beyond its wait, and within which more of its answer has to
+	// arrive: a large state may take long on a narrow link.
 	callMargin = 700 * time.Millisecond
 	// relayMargin is the same for calls to a relay, which is in the same zone. It is short,
 	// since another relay is called then.
@@ -262,7 +263,7 @@
 		if s.isLeader(address) {
 			wait = leaderWait
 		}
-		client := &connector.Client{Timeout: wait + callMargin, Transport: transport}
+		client := &connector.Client{Timeout: wait + callMargin, Stall: callMargin, Transport: transport}
 		res, err := s.call(ctx, client, address, wait)
 		if ctx.Err() != nil {
 			return
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -23,13 +23,18 @@
 	defaultDialTimeout  = 200 * time.Millisecond
 	defaultIdleTimeout  = 5 * time.Second
 	defaultMaxIdleConns = 256
+	// maxTransfer bounds a call whose answer keeps coming.
+	maxTransfer = 10 * time.Second
 )
 
 // Client calls other processes. Set the exported fields, then call Do. It serves as the client
 // of generated twirp code.
 type Client struct {
-	// Timeout bounds a call until its answer has been read.
+	// Timeout bounds a call until its answer has been read; if Stall is set, until the answer begins.
 	Timeout time.Duration
+	// Stall bounds the time between two reads of an answer of any size, in which bytes arrive; such a call takes
+	// maxTransfer at most. 0 is no such bound.
+	Stall time.Duration
 	// Key is sent as a bearer token.
 	Key string
 	// Forwarded marks calls that were forwarded by another controller.
@@ -106,7 +111,11 @@
 	if c.Transport == nil {
 		return nil, errNoTransport
 	}
-	ctx, cancel := context.WithTimeout(req.Context(), c.Timeout)
+	ctx, cancel := context.WithTimeout(req.Context(), c.limit())
+	var stalled *time.Timer
+	if c.Stall > 0 {
+		stalled = time.AfterFunc(c.Timeout, cancel)
+	}
 	req = req.WithContext(ctx)
 	if c.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.Key)
@@ -116,22 +125,53 @@
 	}
 	res, err := c.Transport.RoundTrip(req)
 	if err != nil {
+		if stalled != nil {
+			stalled.Stop()
+		}
 		cancel()
 		c.Transport.CloseIdleConnections()
 		return nil, errors.Wrap(err, "connector")
 	}
-	res.Body = &body{ReadCloser: res.Body, cancel: cancel}
+	if stalled != nil && stalled.Stop() {
+		stalled.Reset(c.Stall)
+	}
+	res.Body = &body{ReadCloser: res.Body, cancel: cancel, stalled: stalled, stall: c.Stall}
 	return res, nil
 }
 
+// limit bounds a call as a whole.
+func (c *Client) limit() time.Duration {
+	if c.Stall > 0 {
+		return max(c.Timeout, maxTransfer)
+	}
+	return c.Timeout
+}
+
 // body ends the call's deadline once the answer has been read.
 type body struct {
 	io.ReadCloser
 	cancel context.CancelFunc
+	// stalled ends the call if nothing arrives for the time stall; nil if only its deadline does.
+	stalled *time.Timer
+	stall   time.Duration
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 && b.stalled != nil && b.stalled.Stop() {
+		b.stalled.Reset(b.stall)
+	}
+	if err == io.EOF {
+		return n, io.EOF
+	}
+	return n, errors.Wrap(err, "connector: read")
 }
 
 func (b *body) Close() error {
 	err := b.ReadCloser.Close()
+	if b.stalled != nil {
+		b.stalled.Stop()
+	}
 	b.cancel()
 	return errors.Wrap(err, "connector: close")
 }
