--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -59,7 +59,7 @@
 	Caller string
 	// Reused is set if it is not the first request on its connection.
 	Reused bool
-	// Conn is its connection; nil in tests.
+	// Conn is the connection that it came on; nil if there is none.
 	Conn net.Conn
 }
 
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -106,7 +106,8 @@
 	stopRelays context.CancelFunc
 	// failedAcquires counts consecutive failed requests for adapters.
 	failedAcquires int
-	transfer       tableTransfer
+	// transfer is what is known of the table that is awaited.
+	transfer tableTransfer
 	// tableAnnounced receives a value when an instance has announced a later table.
 	tableAnnounced chan struct{}
 }
