Go on with a transfer at the instance that began it

A gateway that polls the controllers took each part of a table from another one. Those that do not have its base, as after a restart, pack the complete table, so that the transfer began again: a relay received 1.35 MB in 83 parts for a package of 72 KB, and its followers waited for it.

TestTransferStaysAtItsSource.

--- a/gateway/synchronizer/tables.go
+++ b/gateway/synchronizer/tables.go
@@ -89,8 +89,13 @@
 	defer transport.CloseIdleConnections()
 	client := &connector.Client{Timeout: partTimeout, Transport: transport}
 	var transfer tabletransmitter.Transfer
+	current := ""
 	for ctx.Err() == nil {
-		source, pause := s.tableSource()
+		if received, _ := transfer.Received(); received == 0 {
+			current = ""
+		}
+		source, pause := s.tableSource(current)
+		current = source
 		switch {
 		case source != "":
 			s.fetchPart(ctx, client, source, &transfer)
@@ -109,10 +114,11 @@
 	}
 }
 
-// tableSource returns the instance to fetch the next part from: the relays in their order come first, since they are
-// near and many poll the controllers. If all that have a later table are avoided, it returns for how long; 0 if none has
-// one.
-func (s *Synchronizer) tableSource() (address string, pause time.Duration) {
+// tableSource returns the instance to fetch the next part from. The current one, if any, goes on as long as it answers:
+// others may have packed the table for another base, so that the transfer would begin again there. Else the relays in
+// their order come first, since they are near and many poll the controllers. If all that have a later table are
+// avoided, it returns for how long; 0 if none has one.
+func (s *Synchronizer) tableSource(current string) (address string, pause time.Duration) {
 	version, now := s.Relayer.Table().GetVersion(), s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,9 +135,9 @@
 		}
 		others = append(others, address)
 	}
-	for _, relay := range s.relays {
-		if slices.Contains(others, relay) {
-			return relay, 0
+	for _, preferred := range append([]string{current}, s.relays...) {
+		if slices.Contains(others, preferred) {
+			return preferred, 0
 		}
 	}
 	if len(others) == 0 {
--- a/gateway/synchronizer/tables_test.go
+++ b/gateway/synchronizer/tables_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/wire"
 )
@@ -33,3 +34,32 @@
 		c.Check(line[key], qt.Equals, want, qt.Commentf("%s", key))
 	}
 }
+
+// Each part came from another controller. Those that had packed the table for another base let the transfer begin again,
+// so that a relay received 1.3 MB for a package of 72 KB.
+func TestTransferStaysAtItsSource(t *testing.T) {
+	c := qt.New(t)
+	s := newSynchronizer(&wire.GatewayEntry{})
+	clock := clockwork.NewFakeClock()
+	s.Clock, s.relays = clock, []string{"relay"}
+	s.sources = map[string]*syncState{"a": {tableVersion: 2}, "b": {tableVersion: 2}, "c": {tableVersion: 2}, "d": {}}
+	for range 50 {
+		source, _ := s.tableSource("b")
+		c.Assert(source, qt.Equals, "b")
+	}
+	s.recordPart("b", nil, errors.New("no answer"))
+	source, _ := s.tableSource("b")
+	c.Check(source == "a" || source == "c", qt.IsTrue)
+	s.sources["relay"] = &syncState{tableVersion: 2}
+	source, _ = s.tableSource("")
+	c.Check(source, qt.Equals, "relay")
+	for _, address := range []string{"a", "c", "relay"} {
+		s.recordPart(address, nil, errors.New("no answer"))
+	}
+	source, pause := s.tableSource("b")
+	c.Check(source, qt.Equals, "")
+	c.Check(pause, qt.Equals, sourcePause)
+	clock.Advance(sourcePause)
+	source, _ = s.tableSource("a")
+	c.Check(source, qt.Equals, "a")
+}
