--- a/gateway/synchronizer/fleet_test.go
+++ b/gateway/synchronizer/fleet_test.go
@@ -151,7 +151,7 @@
 	mu   sync.Mutex
 	// inForceAt holds when each table came into force.
 	inForceAt map[uint64]time.Time
-	// backends are those that it has been told of.
+	// backends are those that it knows of.
 	backends map[string]bool
 	// missed are the tables that came while it was frozen.
 	missed  map[uint64]bool
--- a/gateway/synchronizer/replaced_test.go
+++ b/gateway/synchronizer/replaced_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Gateways polled no controller any more once those from which they had first heard of the others were replaced.
+// Gateways polled no controller any more once those that had listed the others first were replaced.
 func TestGatewaysFollowReplacedControllers(t *testing.T) {
 	for name, gateways := range map[string]int{"all poll controllers": 5, "some poll relays": 22} {
 		t.Run(name, func(t *testing.T) {
