Keep polling known controllers while none of them answers

A gateway that reached no controller for 30 s forgot all of them but the seeds. Where the seeds had been replaced before, only addresses without a controller were polled from then on, for good: gateways kept their table, and no later one came into force.

Cause: an unreachable controller expired by the time since it was last listed, and during an outage nobody lists. The time is now counted until the latest list that a controller sent, so that nothing expires while none answers.

--- a/gateway/synchronizer/replaced_test.go
+++ b/gateway/synchronizer/replaced_test.go
@@ -9,20 +9,67 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// replaceAllControllers replaces all controllers, also the seeds, one after the other, and waits until the gateways have
+// forgotten the earlier ones.
+func (f *fleet) replaceAllControllers() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.onClose = cancel
+	for i := range 5 {
+		f.replaceController(ctx, fmt.Sprintf("10.1.1.%d:7000", i+1))
+		<-time.After(9 * time.Second)
+	}
+	<-time.After(2 * controllerExpiry)
+}
+
 // Gateways polled no controller any more once those that had listed the others first were replaced.
 func TestGatewaysFollowReplacedControllers(t *testing.T) {
 	for name, gateways := range map[string]int{"all poll controllers": 5, "some poll relays": 22} {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, gateways, func(_ *qt.C, f *fleet) {
-				ctx, cancel := context.WithCancel(context.Background())
-				f.onClose = cancel
-				for i := range 5 {
-					f.replaceController(ctx, fmt.Sprintf("10.1.1.%d:7000", i+1))
-					<-time.After(9 * time.Second)
-				}
-				<-time.After(2 * controllerExpiry)
+				f.replaceAllControllers()
+				f.put(randomTable(2, 60))
+			})
+		})
+	}
+}
+
+// Gateways forgot all controllers but the seeds while none answered, and polled only the seeds for good, also where
+// these had been replaced.
+func TestGatewaysFindReplacedControllersAfterAnOutage(t *testing.T) {
+	for name, cutOff := range map[string]func(f *fleet) []*host{
+		"of all controllers": func(f *fleet) (hosts []*host) {
+			for _, c := range f.controllers {
+				hosts = append(hosts, c.host)
+			}
+			return hosts
+		},
+		"of one gateway":   func(f *fleet) []*host { return []*host{f.gateways[0].host} },
+		"of four gateways": func(f *fleet) []*host { return gatewayHosts(f.gateways[:4]) },
+		"of all gateways":  func(f *fleet) []*host { return gatewayHosts(f.gateways) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 5, func(_ *qt.C, f *fleet) {
+				f.replaceAllControllers()
+				hosts := cutOff(f)
+				freezeAll(hosts, true)
+				<-time.After(controllerExpiry + 10*time.Second)
+				freezeAll(hosts, false)
+				<-time.After(5 * time.Second)
 				f.put(randomTable(2, 60))
 			})
 		})
 	}
 }
+
+func gatewayHosts(gateways []*fleetGateway) (hosts []*host) {
+	for _, g := range gateways {
+		hosts = append(hosts, g.host)
+	}
+	return hosts
+}
+
+func freezeAll(hosts []*host, frozen bool) {
+	for _, h := range hosts {
+		h.freeze(frozen)
+	}
+}
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -38,8 +38,8 @@
 	retryPause = 100 * time.Millisecond
 	// acquireTimeout bounds a request for adapters; it is sent again if necessary.
 	acquireTimeout = 300 * time.Millisecond
-	// controllerExpiry is how long an unreachable controller is still polled that no other one
-	// lists.
+	// controllerExpiry is how long an unreachable controller is still polled that others, which
+	// answer, do not list.
 	controllerExpiry = 30 * time.Second
 	// reviewInterval is the interval at which the instances to poll are reviewed.
 	reviewInterval = 250 * time.Millisecond
@@ -88,7 +88,9 @@
 
 	mu sync.Mutex
 	// loops poll the controllers while direct is set; since directAt.
-	loops    map[string]*controllerLoop
+	loops map[string]*controllerLoop
+	// listedAt is when a controller last sent its list.
+	listedAt time.Time
 	direct   bool
 	directAt time.Time
 	// sources hold what each polled instance has sent so far.
@@ -224,7 +226,8 @@
 
 // review starts polling the listed controllers, and stops polling unreachable ones that have
 // not been listed for long. Only a controller's list (fresh) renews the time at which one was
-// listed; seeds do not. The polling loops run until ctx ends.
+// listed; seeds do not. While no controller answers all are polled further: the seeds may have
+// been replaced. The polling loops run until ctx ends.
 func (s *Synchronizer) review(ctx context.Context, listed []string, fresh bool) {
 	now := s.Clock.Now()
 	s.mu.Lock()
@@ -232,6 +235,9 @@
 	if !s.direct {
 		return
 	}
+	if fresh {
+		s.listedAt = now
+	}
 	for _, address := range listed {
 		known := s.loops[address]
 		if known == nil {
@@ -247,7 +253,7 @@
 		}
 	}
 	for address, known := range s.loops {
-		if now.Sub(known.listed) > controllerExpiry && known.failed {
+		if s.listedAt.Sub(known.listed) > controllerExpiry && known.failed {
 			known.cancel()
 			delete(s.loops, address)
 			s.Log.Info("no longer polling a controller that is not listed", "Controller", address)
@@ -277,7 +283,9 @@
 		s.mu.Lock()
 		s.controllerContactAt = s.Clock.Now()
 		s.mu.Unlock()
-		review(s.receive(address, res))
+		if list := s.receive(address, res); len(list) > 0 {
+			review(list)
+		}
 	}
 }
 
