Let gateways that lose their relays begin with the controllers they know

A gateway that polls a relay keeps no list of controllers to poll. When it lost all relays of its zone, or became one itself, it began with the seeds of its settings; where these had been replaced it reached no controller, and kept its table and its list of gateways, by which it would have found other relays.

The relays do send the list of controllers. It is a starting point now, beside the seeds.

TestFollowersOfLostRelaysFindReplacedControllers, 22 gateways in virtual time, seeds replaced, both relays lost: none of the other 20 got the next table before, all do now.

--- a/gateway/relayer/relayer.go
+++ b/gateway/relayer/relayer.go
@@ -300,6 +300,13 @@
 	return r.disseminator.Gateways()
 }
 
+// Controllers returns the addresses of the controllers, as last listed by one of them or by a relay.
+func (r *Relayer) Controllers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.disseminator.Controllers()
+}
+
 // Members returns the gateways that follow this one, with the revision of their list.
 func (r *Relayer) Members() ([]*wire.GatewayEntry, uint64) {
 	r.mu.Lock()
--- a/gateway/synchronizer/replaced_test.go
+++ b/gateway/synchronizer/replaced_test.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// Gateways that had polled relays began with the seeds when all relays of their zone were lost, and reached no controller
+// where the seeds had been replaced.
+func TestFollowersOfLostRelaysFindReplacedControllers(t *testing.T) {
+	runFleet(t, 22, func(_ *qt.C, f *fleet) {
+		f.replaceAllControllers()
+		for _, relay := range []*fleetGateway{f.relay(0), f.relay(1)} {
+			relay.host.freeze(true)
+			relay.missed[2] = true
+		}
+		<-time.After(5 * time.Second)
+		f.put(randomTable(2, 60))
+	})
+}
+
 func gatewayHosts(gateways []*fleetGateway) (hosts []*host) {
 	for _, g := range gateways {
 		hosts = append(hosts, g.host)
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -158,7 +158,8 @@
 	defer ticker.Stop()
 	for {
 		s.updatePath(ctx)
-		s.review(ctx, s.Seeds(), false)
+		// A gateway that has polled relays knows the controllers from them.
+		s.review(ctx, slices.Concat(s.Seeds(), s.Relayer.Controllers()), false)
 		s.Relayer.Measure()
 		select {
 		case <-ctx.Done():
