Take no refusal of another request for that of this one

In the contracts' mode a gateway checked that a complete answer belongs to its request, but not that a refusal does. A second copy of an attempt's refusal that came as the next attempt was sent on the same connection passed for the refusal of that one, which ran: it was tried again and could run twice, or the caller was told that it had not run.

The id is now compared first. An answer to another request leaves it unknown whether this one ran, and the answer is resumed on a connection of its own.

--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -229,12 +229,12 @@
 // readResponse reads an answer whose head has arrived.
 func (a *attempt) readResponse(res *http.Response, timer *silenceTimer, count int) Outcome {
 	body := &timedBody{reader: res.Body, timer: timer}
-	if res.StatusCode != http.StatusOK {
-		return a.readRefusal(res, body, count)
-	}
 	if got := res.Header.Get(translator.RequestIDHeader); got != "" && got != a.exchange.RequestID {
 		return Outcome{Ran: RanUnknown, Err: errors.Errorf("dispatcher: the answer is for %s", got), Resumes: count}
 	}
+	if res.StatusCode != http.StatusOK {
+		return a.readRefusal(res, body, count)
+	}
 	if a.exchange.Emit != nil {
 		return a.readStream(body, count)
 	}
