Read a controller's seeds again while it knows no leader

A controller without a disk that started with seeds which had all been replaced never joined: it asked the addresses that the settings file named at its start, for good. The file may change without a signal, and SIGHUP was ignored, since seeds were taken to matter only at the start.

The file is read again once a second while no leader is known. A file with faults changes nothing and is logged once.

--- a/controller/app/main.go
+++ b/controller/app/main.go
@@ -102,13 +102,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	// A reload has no effect here: seeds are used only while no member is known.
+	// The seeds are read again whenever they are needed.
 	signal.Ignore(syscall.SIGHUP)
 	var level slog.Level
 	// The settings were checked; the zero level is Info.
 	_ = level.UnmarshalText([]byte(settings.Log.Level))
 	log := logger.New(os.Stdout, level, "controller", settings.Instance.Name, settings.Instance.Zone)
-	r := &Routed{Settings: settings, Clock: timekeeper.BootClock(), Log: log}
+	r := &Routed{Settings: settings, File: file, Clock: timekeeper.BootClock(), Log: log}
 	if err := r.Run(ctx); err != nil {
 		log.Error("the controller ends", "Error", err.Error())
 		return launcher.ExitFailed
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -19,11 +19,13 @@
 	"bronzelead.example/controller/transporter"
 	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/applier"
+	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/quotaallocator"
 	"bronzelead.example/pkg/replicator"
+	"bronzelead.example/pkg/seedreader"
 	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/storer"
 	"bronzelead.example/pkg/wire"
@@ -49,9 +51,12 @@
 // call Run.
 type Routed struct {
 	Settings *RoutedSettings
-	Clock    clockwork.Clock
-	Log      *slog.Logger
+	// File is the settings file; its seeds are read again while no leader is known.
+	File  string
+	Clock clockwork.Clock
+	Log   *slog.Logger
 
+	seeds   *seedreader.Reader
 	cluster atomic.Pointer[string]
 	// contacts are members that sent messages before this instance belonged to a cluster.
 	contacts    contacts
@@ -170,6 +175,10 @@
 		},
 	}
 	r.driver.Init(contents)
+	r.seeds = &seedreader.Reader{
+		Clock: r.Clock, Log: r.Log, Lost: func() bool { return r.driver.Status().Leader == "" }, Read: r.readSeeds,
+	}
+	r.seeds.Init(s.seedAddresses())
 	r.relay = &announcementRelay{
 		log: r.Log, client: r.peers, self: self.GetAddress(), queues: map[string]chan []*wire.Announcement{}, ctx: ctx,
 		receive: func(list []*wire.Announcement) {
@@ -286,12 +295,18 @@
 	return ""
 }
 
+// readSeeds reads the seeds from the settings file again.
+func (r *Routed) readSeeds() ([]string, []configurer.Fault) {
+	settings, faults := ReadRouted(r.File)
+	return settings.seedAddresses(), faults
+}
+
 // addresses returns the addresses of all known controllers.
 func (r *Routed) addresses() []string {
-	list := r.Settings.seedAddresses()
 	config := r.driver.Status().Configuration
-	if len(config.GetVoters()) > 0 {
-		list = nil
+	var list []string
+	if len(config.GetVoters()) == 0 {
+		list = slices.Clone(r.seeds.Seeds())
 	}
 	for _, m := range slices.Concat(config.GetVoters(), config.GetLearners()) {
 		if !slices.Contains(list, m.GetAddress()) {
@@ -306,7 +321,7 @@
 		clock: r.Clock, log: r.Log, peers: r.peers, driver: r.driver, storer: r.storer, cluster: &r.cluster,
 		self: r.transporter.Self,
 		addresses: func() []string {
-			return slices.Concat(r.addresses(), r.Settings.seedAddresses(), r.contacts.list())
+			return slices.Concat(r.addresses(), r.seeds.Seeds(), r.contacts.list())
 		},
 	}
 }
