Read a gateway's seeds again while it knows no leader

A gateway whose seeds had all been replaced reached no controller until it got SIGHUP, though its settings file named others meanwhile: the file may change without a signal. It is read again once a second while the leader's state is older than 3 s.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -24,8 +24,10 @@
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/gateway/synchronizer"
 	"bronzelead.example/gateway/tunneler"
+	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/seedreader"
 	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
@@ -45,12 +47,15 @@
 	memoryLimitPercent = 60
 	// stopMargin is reserved at the end of a planned stop, before the process is killed.
 	stopMargin = 500 * time.Millisecond
+	// lostAfter is the age of the leader's state from which on the settings file is read again. An election takes less.
+	lostAfter = 3 * time.Second
 )
 
 // Routed is one gateway that serves callers by a table of routes. Set the exported
 // fields, then call Run.
 type Routed struct {
-	// Settings are those that the process started with; File is read again on Reload.
+	// Settings are those that the process started with. The seeds in File are read again on Reload, and while no leader
+	// is known.
 	Settings *RoutedSettings
 	File     string
 	Clock    clockwork.Clock
@@ -62,7 +67,7 @@
 	// DialContext opens connections to backend servers; nil is a net.Dialer.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
-	seeds        atomic.Pointer[[]string]
+	seeds        *seedreader.Reader
 	stopping     atomic.Bool
 	frontend     *acceptor.Acceptor
 	forwarder    *forwarder.Forwarder
@@ -123,7 +128,7 @@
 		case <-ctx.Done():
 			return r.stop()
 		case <-r.Reload:
-			r.reload()
+			r.seeds.Reload()
 		}
 	}
 }
@@ -145,8 +150,10 @@
 
 func (r *Routed) build() {
 	s := r.Settings
-	seeds := s.seedAddresses()
-	r.seeds.Store(&seeds)
+	r.seeds = &seedreader.Reader{
+		Clock: r.Clock, Log: r.Log, Read: r.readSeeds, Lost: func() bool { return r.leaderAge() > lostAfter },
+	}
+	r.seeds.Init(s.seedAddresses())
 	r.meter = meter.New("gateway", s.Instance.Name, s.Instance.Zone)
 	r.adapterRequests = make(chan []*wire.Want, adapterRequestQueue)
 	r.regulator = &regulator.Regulator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), Meter: r.meter}
@@ -191,7 +198,7 @@
 	r.relayer.Init()
 	r.forwarder.LeaderAge = r.relayer.LeaderAge
 	r.synchronizer = &synchronizer.Synchronizer{
-		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Self: self, Seeds: func() []string { return *r.seeds.Load() },
+		Clock: r.Clock, Log: r.Log, Gateway: s.Instance.Name, Self: self, Seeds: r.seeds.Seeds,
 		Relayer: r.relayer, Demand: r.forwarder.TakeDemand, TableVersion: r.forwarder.TableVersion, RunReports: r.isolator.Reports,
 		Granter: r.granter,
 	}
@@ -263,18 +270,10 @@
 	}
 }
 
-// reload applies the setting that may change at run time: the seeds.
-func (r *Routed) reload() {
+// readSeeds reads the seeds from the settings file again.
+func (r *Routed) readSeeds() ([]string, []configurer.Fault) {
 	settings, faults := ReadRouted(r.File)
-	if len(faults) > 0 {
-		for _, fault := range faults {
-			r.Log.Error("the settings were not reloaded", "Fault", fault.String())
-		}
-		return
-	}
-	seeds := settings.seedAddresses()
-	r.seeds.Store(&seeds)
-	r.Log.Info("the settings were reloaded", "Seeds", settings.Controllers.Seeds)
+	return settings.seedAddresses(), faults
 }
 
 // stop reports the instance as not ready immediately, continues to serve until the load
--- a/proof/routed_seeds_test.go
+++ b/proof/routed_seeds_test.go
@@ -55,3 +55,21 @@
 	y.waitServing()
 	y.history.check(c)
 }
+
+// A gateway whose seeds were all out of use as it started reached no controller until it got a signal, though its
+// settings file named others meanwhile.
+func TestRoutedGatewayReadsSeedsAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	y := startRouted(c, 5, 1, 1)
+	y.gateways[0].kill()
+	y.replaceSeeds(seeds - 1)
+	y.replace(seeds - 1)
+	y.nameSeeds(y.controllers[seeds-1])
+	y.operator.refreshControllers()
+	eventually(c, "the last replacement votes", y.allVote)
+	y.gateways[0].restart()
+	y.nameSeeds(y.gateways[0])
+	y.waitServing()
+	y.history.check(c)
+}
