Do not repeat a request on any connection of its earlier attempts

A repeat avoided only a connection whose latest request was the same one. When another request had been answered there meanwhile, the repeat could take it, and a second copy of the rejection that came behind that answer passed for the answer to the repeat: the request ran twice, or was refused and ran. A late copy comes where the next answer is expected, but up to tens of milliseconds late, so also behind an answer that did not wait for it.

A request carries the connections of its attempts now, and uses none of them again, whatever has been sent there since. The check of the latest id stays for callers that repeat a request under its id.

TestLateCopyOfRejectionIsNotTheAnswerToTheRepeat has cases in which the copy comes behind another answer, which failed before. Its cases with another request in between expected the repeat on the same connection (1 opened); they expect another one (2), since nothing shows there that no copy is still to come. dial_test passes the request in place of its id, with the same expected values.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -129,7 +129,7 @@
 		Backend: d.Backend.GetId(), Address: d.Backend.GetAddress(), RequestID: j.meta.ID,
 		Method: j.req.Head.Method, Target: j.req.Head.Target,
 		Header: platform.EncodeDispatch(j.req.Head.Header, dispatch), Body: j.req.Body,
-		Permitted: func() bool { return f.permitSend(j, d.Backend.GetId()) },
+		Permitted: func() bool { return f.permitSend(j, d.Backend.GetId()) }, Used: &j.connections,
 	}
 }
 
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bronzelead.example/gateway/acceptor"
+	"bronzelead.example/gateway/sender"
 	"bronzelead.example/pkg/balancer"
 	"bronzelead.example/pkg/matcher"
 	"bronzelead.example/pkg/wire"
@@ -43,6 +44,8 @@
 	runs        int
 	lastBackend *wire.Announcement
 	sentAt      time.Time
+	// connections carried its attempts.
+	connections sender.Connections
 	// retryAllowedAt is when the retry budget allowed a retry that is still to be sent; zero for none.
 	retryAllowedAt time.Time
 	// via is the gateway that the latest answer came through; empty if it came directly.
--- a/gateway/sender/dial_test.go
+++ b/gateway/sender/dial_test.go
@@ -17,8 +17,8 @@
 	s := &Sender{Clock: clockwork.NewRealClock(), DialTimeout: time.Minute, MaxIdle: time.Minute}
 	address, _ := newUnresponsiveServer(c)
 	c.Assert(s.Probe(context.Background(), "b", address), qt.IsNil)
-	c.Check(s.takeIdle("b", ""), qt.Not(qt.IsNil))
-	c.Check(s.takeIdle("b", ""), qt.IsNil)
+	c.Check(s.takeIdle(&Request{Backend: "b"}), qt.Not(qt.IsNil))
+	c.Check(s.takeIdle(&Request{Backend: "b"}), qt.IsNil)
 }
 
 // Only a refused connection proves that the process has exited; a canceled dial proves nothing.
--- a/gateway/sender/latecopy_test.go
+++ b/gateway/sender/latecopy_test.go
@@ -16,30 +16,33 @@
 	"bronzelead.example/pkg/framer"
 )
 
-// The second copy of a rejection came as the repeat of the same request was sent on the same connection, and passed for
-// its answer: the request ran, and was sent again, or refused.
+// The second copy of a rejection came as the repeat of the same request was sent on the same connection, also behind the
+// answer to another request, and passed for its answer: the request ran, and was sent again, or refused.
 func TestLateCopyOfRejectionIsNotTheAnswerToTheRepeat(t *testing.T) {
 	for name, test := range map[string]struct {
 		// between is a request that is sent before the repeat; empty for none.
-		between     string
-		connections int
+		between string
+		// copyAt is the request on the connection before whose answer the copy comes, counted from 0.
+		copyAt int
 	}{
-		"at once":                 {"", 2},
-		"after another request":   {"r2", 1},
-		"after one without an id": {"-", 1},
+		"at once":                        {"", 1},
+		"before another answer":          {"r2", 1},
+		"behind another answer":          {"r2", 2},
+		"behind an answer without an id": {"-", 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			address, accepted := rejectingServer(c)
+			address, accepted := rejectingServer(c, test.copyAt)
 			s := &Sender{
 				Clock: clockwork.NewRealClock(), DialTimeout: time.Minute, MaxIdle: time.Minute,
 				IsOwnResponse: func(head *framer.ResponseHead, id string) (bool, time.Duration) {
 					return head.Header.Get("Id") == id, 0
 				},
 			}
-			send := func(id string) int {
+			send := func(id string, used *Connections) int {
 				in, err := s.Send(context.Background(), &Request{
 					Backend: "b", Address: address, RequestID: id, Method: "POST", Target: "/", Header: framer.Header{{Name: "Id", Value: id}},
+					Used: used,
 				})
 				c.Assert(err, qt.IsNil)
 				_, err = io.Copy(io.Discard, in.Body)
@@ -47,19 +50,20 @@
 				in.Close()
 				return in.Head.Status
 			}
-			c.Check(send("r1"), qt.Equals, http.StatusServiceUnavailable)
+			used := &Connections{}
+			c.Check(send("r1", used), qt.Equals, http.StatusServiceUnavailable)
 			if test.between != "" {
-				c.Check(send(test.between), qt.Equals, http.StatusOK)
+				c.Check(send(test.between, nil), qt.Equals, http.StatusOK)
 			}
-			c.Check(send("r1"), qt.Equals, http.StatusOK)
-			c.Check(len(accepted), qt.Equals, test.connections)
+			c.Check(send("r1", used), qt.Equals, http.StatusOK)
+			c.Check(len(accepted), qt.Equals, 2)
 		})
 	}
 }
 
-// rejectingServer rejects its first request, and sends a copy of the rejection where the next answer on that connection
-// is expected. It serves all others, and adds each connection to accepted.
-func rejectingServer(c *qt.C) (address string, accepted chan struct{}) {
+// rejectingServer rejects its first request, and sends a copy of the rejection before the answer to a later request on that
+// connection. It serves all others, and adds each connection to accepted.
+func rejectingServer(c *qt.C, copyAt int) (address string, accepted chan struct{}) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = listener.Close() })
@@ -74,13 +78,13 @@
 			accepted <- struct{}{}
 			rejects := first
 			first = false
-			go serveRejecting(conn, rejects)
+			go serveRejecting(conn, rejects, copyAt)
 		}
 	}()
 	return listener.Addr().String(), accepted
 }
 
-func serveRejecting(conn net.Conn, rejects bool) {
+func serveRejecting(conn net.Conn, rejects bool, copyAt int) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	rejection := ""
@@ -94,7 +98,7 @@
 		case n == 0 && rejects:
 			rejection = "HTTP/1.1 " + strconv.Itoa(http.StatusServiceUnavailable) + " X\r\nContent-Length: 0\r\nId: " + req.Header.Get("Id") + "\r\n\r\n"
 			answer = rejection
-		case n == 1:
+		case n == copyAt:
 			answer = rejection + answer
 		}
 		if _, err := io.WriteString(conn, answer); err != nil {
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -77,11 +77,26 @@
 	Body      []byte
 	// NewConnection forces a new connection.
 	NewConnection bool
+	// Used are the connections of earlier attempts of the request, which this one does not use. Send adds its own. nil
+	// is none.
+	Used *Connections
 	// Permitted reports, once there is a connection, whether the request may still be sent; nil
 	// permits it.
 	Permitted func() bool
 }
 
+// Connections are those that the attempts of one request have used. They are not used again: a second copy of the answer
+// to one attempt may come at any later time, and has the id of all. The zero value holds none.
+type Connections struct{ list []*connection }
+
+func (u *Connections) add(l *connection) {
+	if u != nil {
+		u.list = append(u.list, l)
+	}
+}
+
+func (u *Connections) contains(l *connection) bool { return u != nil && slices.Contains(u.list, l) }
+
 // Response is an answer whose head has been read.
 type Response struct {
 	Head *framer.ResponseHead
@@ -112,6 +127,7 @@
 	s.markBusy(out.Backend, l)
 	l.answered.Store(false)
 	l.requestID = out.RequestID
+	out.Used.add(l)
 	stop := context.AfterFunc(ctx, func() { l.abandon() })
 	in, err := s.exchange(l, out)
 	if err != nil {
@@ -260,19 +276,18 @@
 
 func (s *Sender) connect(ctx context.Context, out *Request) (*connection, error) {
 	if !out.NewConnection {
-		if l := s.takeIdle(out.Backend, out.RequestID); l != nil {
+		if l := s.takeIdle(out); l != nil {
 			return l, nil
 		}
 	}
 	return s.dial(ctx, out.Backend, out.Address)
 }
 
-// takeIdle returns the most recently used idle connection that is still usable. A repeat does not use the connection of
-// an earlier attempt: a second copy of that one's answer may come there, and has the same id.
-func (s *Sender) takeIdle(backend, requestID string) *connection {
+// takeIdle returns the most recently used idle connection that is still usable by a request.
+func (s *Sender) takeIdle(out *Request) *connection {
 	now := s.Clock.Now()
 	for {
-		l := s.popIdle(backend, requestID)
+		l := s.popIdle(out)
 		if l == nil || now.Before(l.idleUntil) && isUsable(l.Conn) {
 			return l
 		}
@@ -280,14 +295,15 @@
 	}
 }
 
-// popIdle removes the most recently used idle connection whose latest request is another one.
-func (s *Sender) popIdle(backend, requestID string) *connection {
+// popIdle removes the most recently used idle connection that no attempt of a request has used. Its callers may repeat it
+// under the same id, so that its id must not be the latest one either.
+func (s *Sender) popIdle(out *Request) *connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	links := s.idle[backend]
+	links := s.idle[out.Backend]
 	for i, l := range slices.Backward(links) {
-		if requestID == "" || l.requestID != requestID {
-			s.idle[backend] = slices.Delete(links, i, i+1)
+		if !out.Used.contains(l) && (out.RequestID == "" || l.requestID != out.RequestID) {
+			s.idle[out.Backend] = slices.Delete(links, i, i+1)
 			return l
 		}
 	}
