Log when a gateway hears of no controller at all

After 3 s without an answer of any controller, directly or through other gateways, one warning names whom it polls, and another line says when controllers answer again.

TestLostContactIsLogged.

--- a/gateway/relayer/relayer.go
+++ b/gateway/relayer/relayer.go
@@ -334,6 +334,13 @@
 	return r.Clock.Since(time.Unix(0, at))
 }
 
+// ContactAge returns the time since any controller answered, directly or through other gateways.
+func (r *Relayer) ContactAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.disseminator.ContactAge(r.Clock.Now())
+}
+
 // Measure records the age of the leader's state that is known here.
 func (r *Relayer) Measure() {
 	if age := r.LeaderAge(); age < unknownAge {
--- a/gateway/synchronizer/replaced_test.go
+++ b/gateway/synchronizer/replaced_test.go
@@ -1,12 +1,17 @@
 package synchronizer
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/wire"
 )
 
 // replaceAllControllers replaces all controllers, also the seeds, one after the other, and waits until the gateways have
@@ -75,6 +80,19 @@
 	})
 }
 
+// A gateway that heard of no controller at all logged nothing, and served by an old table unnoticed.
+func TestLostContactIsLogged(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	s := newSynchronizer(&wire.GatewayEntry{Address: "10.0.0.1:80", Zone: "z"})
+	s.Log = slog.New(slog.NewTextHandler(&out, nil))
+	for _, age := range []time.Duration{0, time.Second, contactTimeout + 1, time.Minute, time.Second, 0} {
+		s.recordContact(age)
+	}
+	c.Check(strings.Count(out.String(), "no controller answers"), qt.Equals, 1)
+	c.Check(strings.Count(out.String(), "controllers answer again"), qt.Equals, 1)
+}
+
 func gatewayHosts(gateways []*fleetGateway) (hosts []*host) {
 	for _, g := range gateways {
 		hosts = append(hosts, g.host)
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -57,6 +57,9 @@
 	// rotationInterval is the minimum time between two changes from a relay that has no contact
 	// with a leader itself: perhaps another one does.
 	rotationInterval = time.Second
+	// contactTimeout is the time without an answer of any controller, directly or through other gateways, after which
+	// this is logged. A change of leaders takes less.
+	contactTimeout = 3 * time.Second
 )
 
 // Synchronizer polls the controllers, or relays. Set the exported fields, then call Run.
@@ -108,6 +111,8 @@
 	stopRelays context.CancelFunc
 	// failedAcquires counts consecutive failed requests for adapters.
 	failedAcquires int
+	// lostContact is set while no controller has answered for long.
+	lostContact bool
 	// transfer is what is known of the table that is awaited.
 	transfer tableTransfer
 	// tableAnnounced receives a value when an instance has announced a later table.
@@ -154,6 +159,7 @@
 	s.tableAnnounced = make(chan struct{}, 1)
 	s.mu.Unlock()
 	go s.fetchTables(ctx)
+	started := s.Clock.Now()
 	ticker := s.Clock.NewTicker(reviewInterval)
 	defer ticker.Stop()
 	for {
@@ -161,6 +167,7 @@
 		// A gateway that has polled relays knows the controllers from them.
 		s.review(ctx, slices.Concat(s.Seeds(), s.Relayer.Controllers()), false)
 		s.Relayer.Measure()
+		s.recordContact(min(s.Relayer.ContactAge(), s.Clock.Since(started)))
 		select {
 		case <-ctx.Done():
 			return
@@ -169,6 +176,21 @@
 	}
 }
 
+// recordContact logs when no controller has answered for long, directly or through other gateways, and when one does again.
+func (s *Synchronizer) recordContact(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lost := age > contactTimeout; lost != s.lostContact {
+		s.lostContact = lost
+		if !lost {
+			s.Log.Info("controllers answer again")
+			return
+		}
+		s.Log.Warn("no controller answers, directly or through other gateways; serving by what is known",
+			"Controllers", slices.Sorted(maps.Keys(s.loops)), "Gateways", s.relays)
+	}
+}
+
 // updatePath decides whether the controllers are polled, and which relays.
 func (s *Synchronizer) updatePath(ctx context.Context) {
 	assignment := relayplanner.Assign(s.Relayer.Gateways(), s.Self)
