Drop what was kept for controllers that are no longer polled

For each controller that it had ever polled a gateway kept the state of its updates and the demand that it had not received, up to 4,096 adapters. With controllers that are replaced this grew without bound.

TestNothingIsKeptOfReplacedControllers failed before.

--- a/gateway/synchronizer/fleet_test.go
+++ b/gateway/synchronizer/fleet_test.go
@@ -154,7 +154,9 @@
 	// backends are those that it knows of.
 	backends map[string]bool
 	// missed are the tables that came while it was frozen.
-	missed  map[uint64]bool
+	missed map[uint64]bool
+	// demand is reported with each call.
+	demand  []*wire.Demand
 	version uint64
 }
 
@@ -169,6 +171,12 @@
 	}
 }
 
+func (g *fleetGateway) takeDemand() []*wire.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.demand
+}
+
 func (g *fleetGateway) tableVersion() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -210,7 +218,7 @@
 	for i, entry := range list {
 		g := &fleetGateway{Synchronizer: newSynchronizerWithMeter(entry, meters[i]), host: f.network.add(ctx, entry.GetAddress(), gatewayRate), inForceAt: map[uint64]time.Time{}, missed: map[uint64]bool{}, backends: map[string]bool{}}
 		g.Gateway, g.Dial, g.Seeds = entry.GetAddress(), g.host.Dial, func() []string { return controllers[:3] }
-		g.TableVersion, g.Relayer.Apply = g.tableVersion, g.apply
+		g.TableVersion, g.Relayer.Apply, g.Demand = g.tableVersion, g.apply, g.takeDemand
 		f.gateways = append(f.gateways, g)
 		f.serve(g.host, g.Relayer)
 		f.stopped.Go(func() { g.Relayer.Run(ctx) })
--- a/gateway/synchronizer/replaced_test.go
+++ b/gateway/synchronizer/replaced_test.go
@@ -80,6 +80,29 @@
 	})
 }
 
+// What gateways kept for each controller that they had ever polled grew with each replacement: the state of its updates,
+// and the demand that it had not received.
+func TestNothingIsKeptOfReplacedControllers(t *testing.T) {
+	runFleet(t, 5, func(c *qt.C, f *fleet) {
+		demand := []*wire.Demand{{Adapter: "m/a1", Requests: 1}}
+		for _, g := range f.gateways {
+			g.mu.Lock()
+			g.demand = demand
+			g.mu.Unlock()
+		}
+		f.replaceAllControllers()
+		for _, g := range f.gateways {
+			g.Synchronizer.mu.Lock()
+			for _, address := range []string{"10.1.0.4:7000", "10.1.0.5:7000"} {
+				c.Check(g.sources[address], qt.IsNil)
+				c.Check(g.pendingDemand[address], qt.HasLen, 0)
+			}
+			g.Synchronizer.mu.Unlock()
+		}
+		f.put(randomTable(2, 60))
+	})
+}
+
 // A gateway that heard of no controller at all logged nothing, and served by an old table unnoticed.
 func TestLostContactIsLogged(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/synchronizer/synchronizer.go
+++ b/gateway/synchronizer/synchronizer.go
@@ -279,6 +279,8 @@
 		if s.listedAt.Sub(known.listed) > controllerExpiry && known.failed {
 			known.cancel()
 			delete(s.loops, address)
+			delete(s.sources, address)
+			delete(s.pendingDemand, address)
 			s.Log.Info("no longer polling a controller that is not listed", "Controller", address)
 		}
 	}
