--- a/pkg/framer/framer.go
+++ b/pkg/framer/framer.go
@@ -119,7 +119,8 @@
 		if bytes.HasSuffix(head, []byte(headEnd)) {
 			return head, nil
 		}
-		if err == nil && len(line) == 1 {
+		// The reader's buffer may end between the CR and the LF of a line.
+		if err == nil && len(line) == 1 && !bytes.HasSuffix(head, []byte(lineEnd)) {
 			return nil, fail("ReadHead", KindMalformed, "a line ends without CR")
 		}
 	}
--- a/pkg/framer/framer_test.go
+++ b/pkg/framer/framer_test.go
@@ -10,6 +10,19 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// A line whose end met the end of the reader's buffer between CR and LF passed for one without CR: a proper request got 400,
+// and a proper answer was lost.
+func TestLinesOfAnyLength(t *testing.T) {
+	const bufferSize = 64
+	for length := range 5 * bufferSize {
+		c := qt.New(t)
+		head := "GET / HTTP/1.1\r\nX: " + strings.Repeat("a", length) + "\r\nHost: h\r\n\r\n"
+		read, err := ReadHead(bufio.NewReaderSize(strings.NewReader(head+"rest"), bufferSize), 8192)
+		c.Check(err, qt.IsNil, qt.Commentf("%d", length))
+		c.Check(string(read), qt.Equals, head)
+	}
+}
+
 func TestHeads(t *testing.T) {
 	for name, test := range map[string]struct {
 		sent string
