--- a/gateway/synchronizer/replaced_test.go
+++ b/gateway/synchronizer/replaced_test.go
@@ -51,6 +51,18 @@
 		"of one gateway":   func(f *fleet) []*host { return []*host{f.gateways[0].host} },
 		"of four gateways": func(f *fleet) []*host { return gatewayHosts(f.gateways[:4]) },
 		"of all gateways":  func(f *fleet) []*host { return gatewayHosts(f.gateways) },
+		"after a controller that does not return has listed only replaced ones": func(f *fleet) (hosts []*host) {
+			outdated := f.controllers[4]
+			outdated.mu.Lock()
+			outdated.controllers, outdated.revision = []string{"10.1.0.4:7000", "10.1.0.5:7000"}, outdated.revision+1
+			outdated.mu.Unlock()
+			<-time.After(3 * time.Second)
+			outdated.host.freeze(true)
+			for _, c := range f.controllers[:4] {
+				hosts = append(hosts, c.host)
+			}
+			return hosts
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, 5, func(_ *qt.C, f *fleet) {
