--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,8 @@
 # (one a line: name, cause, issue) are passed over and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-args=(-race -parallel 3)
+# Packages that simulate fleets compute for many minutes on a busy machine; go test ends a package after ten.
+args=(-race -parallel 3 -timeout 40m)
 if [ -s KNOWN-RED.txt ]; then
   echo "Known to fail, and passed over:"
   cat KNOWN-RED.txt
