--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -31,26 +31,44 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
+	if err := buildPrograms(folder, "-race"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	binDir = folder
+	return m.Run()
+}
+
+// buildPrograms builds the programs into a folder.
+func buildPrograms(folder string, flags ...string) error {
 	for _, name := range []string{"controller", "gateway", "standin", "bronzectl"} {
-		build := exec.Command("go", "build", "-race", "-o", filepath.Join(folder, name), ".")
+		args := append([]string{"build", "-o", filepath.Join(folder, name)}, flags...)
+		build := exec.Command("go", append(args, ".")...)
 		build.Dir = filepath.Join("..", name)
 		if out, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "%s: %v\n%s", name, err, out)
-			return 1
+			return fmt.Errorf("%s: %w\n%s", name, err, out)
 		}
 	}
-	binDir = folder
-	return m.Run()
+	return nil
 }
 
+// programsWithoutRaceDetector builds the programs as they are released, and returns their folder. The race detector
+// takes several times the memory of the program.
+var programsWithoutRaceDetector = sync.OnceValues(func() (string, error) {
+	folder := filepath.Join(binDir, "released")
+	return folder, buildPrograms(folder)
+})
+
 // process is a program that a test has started and may kill, freeze or stop.
 type process struct {
 	c    *qt.C
 	name string
 	args []string
 	log  string
-	cmd  *exec.Cmd
-	done chan struct{}
+	// folder holds the program; empty for the one built with the race detector.
+	folder string
+	cmd    *exec.Cmd
+	done   chan struct{}
 
 	mu sync.Mutex
 	// disruptions are when it was started, killed, frozen, thawed or stopped.
@@ -60,7 +78,11 @@
 func (p *process) start() {
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	p.c.Assert(err, qt.IsNil)
-	p.cmd = exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
+	folder := binDir
+	if p.folder != "" {
+		folder = p.folder
+	}
+	p.cmd = exec.Command(filepath.Join(folder, p.args[0]), p.args[1:]...)
 	p.cmd.Stderr, p.cmd.Stdout = out, out
 	p.c.Assert(p.cmd.Start(), qt.IsNil)
 	p.recordDisruption()
--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -35,6 +35,10 @@
 	launched int
 	// budgetWindow is the window of the gateways' retry budget.
 	budgetWindow time.Duration
+	// programs is the folder of the programs; empty for those with the race detector.
+	programs string
+	// gatewayResources are further settings of gateways' instances.
+	gatewayResources string
 }
 
 // instance is a controller or gateway process with its own addresses.
@@ -43,7 +47,9 @@
 	ip string
 	// address is where a gateway serves callers, or a controller operators.
 	address string
-	data    string
+	// health is the address of a gateway's readiness check, mesh the address for calls between instances.
+	health, mesh string
+	data         string
 	// restarts counts the restarts.
 	restarts atomic.Int32
 }
@@ -64,7 +70,15 @@
 
 // startWithBudget is startWithoutBackends with another window of the retry budget.
 func startWithBudget(c *qt.C, controllers, gateways int, window time.Duration) *routedSystem {
-	y := &routedSystem{c: c, folder: c.TempDir(), history: newHistory(), budgetWindow: window}
+	y := &routedSystem{c: c, budgetWindow: window}
+	y.start(controllers, gateways)
+	return y
+}
+
+// start starts the processes of a system whose other fields are set.
+func (y *routedSystem) start(controllers, gateways int) {
+	c := y.c
+	y.folder, y.history = c.TempDir(), newHistory()
 	_, y.port, _ = net.SplitHostPort(freeAddress(c))
 	c.Cleanup(y.cleanUp)
 	var controllerAddrs []string
@@ -79,7 +93,6 @@
 		y.gateways = append(y.gateways, y.startGateway())
 	}
 	y.operator = newOperator(y)
-	return y
 }
 
 // initialize puts a first table into force and waits until all controllers vote and all gateways
@@ -108,11 +121,11 @@
 	ip, _, _ := net.SplitHostPort(addr)
 	name := fmt.Sprintf("%s-%d", program, y.launched)
 	health := freeAddress(y.c)
-	n := &instance{ip: ip, address: addr, data: y.path(name)}
+	n := &instance{ip: ip, address: addr, health: health, mesh: net.JoinHostPort(ip, y.port), data: y.path(name)}
 	settings = strings.NewReplacer("{Name}", name, "{IP}", ip, "{At}", addr, "{Port}", y.port, "{Data}", n.data,
 		"{Health}", health, "{Seeds}", strings.Join(y.seedAddrs, ", ")).Replace(settings)
 	y.c.Assert(os.WriteFile(y.path(name+".ini"), []byte(settings), 0o600), qt.IsNil)
-	n.process = &process{c: y.c, name: name, args: []string{program, "run-routed", y.path(name + ".ini")}, log: y.path(name + ".log")}
+	n.process = &process{c: y.c, name: name, args: []string{program, "run-routed", y.path(name + ".ini")}, log: y.path(name + ".log"), folder: y.programs}
 	n.start()
 	return n
 }
@@ -145,7 +158,7 @@
 Zone = z
 Listen = {At}
 Health = {Health}
-[Controllers]
+%s[Controllers]
 Seeds = {Seeds}
 Port = {Port}
 [Budget]
@@ -154,7 +167,7 @@
 Grace = 4s
 Take = 500ms
 Drain = 1s
-`, y.budgetWindow))
+`, y.gatewayResources, y.budgetWindow))
 }
 
 // label returns the name of an instance, or "" for none.
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -35,6 +35,8 @@
 	slots       int
 	// crashOn is a text in requests that crashes the engines that run them; "" for none.
 	crashOn string
+	// programs is the folder of the programs; empty for those with the race detector.
+	programs string
 	// ignoreFencing makes engines accept orders with old fencing numbers.
 	ignoreFencing bool
 }
@@ -57,11 +59,12 @@
 	engineProxies     []*tcpProxy
 	client            *http.Client
 	version           uint64
+	programs          string
 }
 
 // startSystem starts all processes, applies a contract and waits until each gateway serves.
 func startSystem(c *qt.C, s systemConfig) *system {
-	y := &system{c: c, folder: c.TempDir(), client: &http.Client{Transport: connector.NewTransport(nil)}}
+	y := &system{c: c, folder: c.TempDir(), programs: s.programs, client: &http.Client{Transport: connector.NewTransport(nil)}}
 	y.write("cluster.key", clusterKey)
 	y.write("operators", "tester "+digest(operatorKey))
 	y.write("backends", "all "+digest(backendKey))
@@ -102,7 +105,7 @@
 }
 
 func (y *system) process(name string, args ...string) *process {
-	p := &process{c: y.c, name: name, args: args, log: y.path(name + ".log")}
+	p := &process{c: y.c, name: name, args: args, log: y.path(name + ".log"), folder: y.programs}
 	p.start()
 	return p
 }
