Bound what all callers' requests hold together

Callers: in a trial clients that kept unfinished bodies open ended a gateway; it ran out of memory.

Cause: each connection kept its body within the limit of the table, and nothing added up what all of them held: connections times the body limit is 8 GB at an instance of 284 MB. A buffer that grows by appending takes up to three times its content on top, and a head of 16 KB with fields of four bytes takes 170 KB once it is parsed.

Change: requests reserve what they hold beyond 4 KB of head and body in a pool of a fifth of the instance's memory. If there is no room, messages that are still arriving and make no progress give way, then those that hold more than the one that grows would; else the one that grows is refused. Either gets 503, which is true as nothing of it was sent, and when to come back. Nobody waits for memory but for messages that were told to give way, and these wait for nothing. Bodies are read in segments that are reused, heads no longer pass through a slice of lines, and answers that are buffered beyond 8 KB reserve too, or are passed on unbuffered.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/socketprober"
 )
 
@@ -32,6 +33,11 @@
 	defaultIdleTimeout   = 15 * time.Second
 	// bodyTimeout limits the time between two reads of a body.
 	bodyTimeout = 5 * time.Second
+	// freeHeadBytes and freeBodyBytes of each request are held without a reservation: MaxConnections bounds them.
+	freeHeadBytes = 4 << 10
+	freeBodyBytes = 4 << 10
+	// retryAfterFull is when to come back after a refusal because memory is short.
+	retryAfterFull = time.Second
 	// writeTimeout limits how long a caller that does not read may block an answer.
 	writeTimeout = 5 * time.Second
 	// lingerTimeout is how long bytes after a refused request are read and discarded, so that
@@ -61,8 +67,13 @@
 	Reused bool
 	// Conn is the connection that it came on; nil if there is none.
 	Conn net.Conn
+	// Memory is the memory that it holds until it is answered; nil if that is not limited.
+	Memory *reserver.Reservation
 }
 
+// Reserve reserves memory for the answer. It returns false if memory is short.
+func (r *Request) Reserve(bytes int64) bool { return r.Memory == nil || r.Memory.Grow(bytes) == nil }
+
 // CallerLeft reports whether its caller has disconnected. It is exact where the context of the request
 // may not have ended yet, as the goroutine that ends it has to be scheduled.
 func (r *Request) CallerLeft() bool {
@@ -83,6 +94,11 @@
 	Limits func() Limits
 	// MaxConnections limits the open connections; further ones are closed immediately.
 	MaxConnections int
+	// Memory is what all requests may hold together; nil for no limit.
+	Memory *reserver.Pool
+	// EncodeRefusal returns the header of a refusal that says when to come back; the head is nil if it was not read. nil
+	// for no header.
+	EncodeRefusal func(head *framer.RequestHead, retryAfter time.Duration) framer.Header
 	// Admit reports whether to serve a new connection, or to keep one after an answer; otherwise it is
 	// closed without reading a request, so that its caller tries another gateway. nil admits all.
 	Admit func() bool
@@ -134,7 +150,9 @@
 func (a *Acceptor) admit() bool { return a.Admit == nil || a.Admit() }
 
 func (a *Acceptor) add(c net.Conn) {
-	served := &conn{Conn: c, acceptor: a, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	served := &conn{Conn: c, acceptor: a}
+	served.reader = bufio.NewReaderSize(served, readBufferBytes)
+	served.memory = a.Memory.Open(func() { _ = c.SetReadDeadline(expired) })
 	a.mu.Lock()
 	if a.MaxConnections > 0 && len(a.conns) >= a.MaxConnections {
 		a.mu.Unlock()
@@ -206,8 +224,11 @@
 	net.Conn
 	acceptor *Acceptor
 	reader   *bufio.Reader
+	memory   *reserver.Reservation
 	// used is set once a request was read, and kept if the connection stays open after its answer.
 	used, kept bool
+	// readingBody is set while a body is being read.
+	readingBody bool
 
 	mu sync.Mutex
 	// idle is set while no byte of a request has been received.
@@ -215,12 +236,30 @@
 	closed bool
 }
 
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
+
 func (c *conn) serve() {
 	defer c.acceptor.remove(c)
+	defer c.memory.Release()
 	defer func() { _ = c.Close() }()
 	defer c.recoverPanic()
 	for c.serveRequest() {
+		c.memory.Release()
+	}
+}
+
+// Read reads what the caller sends. While a body arrives, it sets the deadline of each read.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.readingBody {
+		return c.Conn.Read(p)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if c.memory.Revoked() {
+		// The deadline was set to an earlier time before.
+		return 0, errGaveWay
 	}
+	return c.Conn.Read(p)
 }
 
 func (c *conn) recoverPanic() {
@@ -255,18 +294,14 @@
 	if !c.awaitRequest(limits) {
 		return false
 	}
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	raw, err := framer.ReadHead(c.reader, limits.HeaderBytes)
+	head, err := c.readHead(limits)
 	if err != nil {
-		c.refuse(err, statusHeaderTooLarge)
+		c.refuse(nil, err, statusHeaderTooLarge)
 		return false
 	}
-	head, err := framer.ParseRequest(raw)
-	if err != nil {
-		c.refuse(err, statusHeaderTooLarge)
-		return false
+	req := &Request{
+		Head: head, ReceivedAt: c.acceptor.Clock.Now(), Caller: c.RemoteAddr().String(), Reused: c.used, Conn: c.Conn, Memory: c.memory,
 	}
-	req := &Request{Head: head, ReceivedAt: c.acceptor.Clock.Now(), Caller: c.RemoteAddr().String(), Reused: c.used, Conn: c.Conn}
 	c.used, c.kept = true, c.acceptor.admit()
 	if refused, keep := c.checkHead(req, limits); refused {
 		return keep
@@ -277,6 +312,28 @@
 	return c.answer(req)
 }
 
+// readHead reads a request's head.
+func (c *conn) readHead(limits Limits) (*framer.RequestHead, error) {
+	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	reserved := freeHeadBytes
+	reserve := func(size int) error {
+		grows := size - reserved
+		if grows <= 0 {
+			return nil
+		}
+		reserved = size
+		return c.memory.Grow(int64(grows))
+	}
+	raw, err := framer.ReadHeadReserving(c.reader, limits.HeaderBytes, reserve)
+	if err != nil {
+		return nil, err
+	}
+	if err := reserve(cap(raw) + framer.ParsedSize(raw)); err != nil {
+		return nil, err
+	}
+	return framer.ParseRequest(raw)
+}
+
 // checkHead lets CheckHead refuse a request by its head. It reports whether the request was
 // refused, and whether the connection may be reused: its body is then read and discarded.
 func (c *conn) checkHead(req *Request, limits Limits) (refused, keep bool) {
@@ -328,11 +385,11 @@
 func (c *conn) readBody(req *Request, limits Limits) bool {
 	body, err := framer.RequestBody(c.reader, req.Head)
 	if err != nil {
-		c.refuse(err, statusBodyTooLarge)
+		c.refuse(req.Head, err, statusBodyTooLarge)
 		return false
 	}
 	if body.Length > int64(limits.BodyBytes) {
-		c.refuse(errBodyTooLarge, statusBodyTooLarge)
+		c.refuse(req.Head, errBodyTooLarge, statusBodyTooLarge)
 		return false
 	}
 	if req.Head.Header.HasToken("Expect", "100-continue") && !body.Complete() {
@@ -340,26 +397,23 @@
 			return false
 		}
 	}
-	buf := make([]byte, 0, min(max(body.Length, 512), 64<<10))
-	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
-		n, err := body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		switch {
-		case err == io.EOF:
-			req.Body = buf
-			return true
-		case err != nil:
-			c.refuse(err, statusBodyTooLarge)
-			return false
-		case len(buf) > limits.BodyBytes:
-			c.refuse(errBodyTooLarge, statusBodyTooLarge)
-			return false
-		}
+	content := reserver.Content{
+		Length: reserver.UnknownLength, Limit: int64(limits.BodyBytes), TooLong: errBodyTooLarge, Free: freeBodyBytes,
+	}
+	if body.Framing != framer.FramingChunked {
+		content.Length = body.Length
 	}
+	c.readingBody = true
+	req.Body, err = c.memory.ReadAll(body, content)
+	c.readingBody = false
+	if err == nil && !c.memory.Complete() {
+		err = errGaveWay
+	}
+	if err != nil {
+		c.refuse(req.Head, err, statusBodyTooLarge)
+		return false
+	}
+	return true
 }
 
 // answer runs the handler while watching the connection for a disconnect.
@@ -377,7 +431,7 @@
 	c.acceptor.Handle(ctx, req, reply)
 	reply.finish()
 	close(answered)
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.SetReadDeadline(expired)
 	<-watched
 	return reply.keep && reply.complete
 }
@@ -404,12 +458,18 @@
 	}
 }
 
-// refuse answers a request that is malformed or too large, and one that timed out with 408. A
-// truncated request gets no answer.
-func (c *conn) refuse(err error, tooLarge int) {
+// refuse answers a request that is malformed or too large, one that timed out with 408, and one for which there is no
+// memory with 503. A truncated request gets no answer.
+func (c *conn) refuse(head *framer.RequestHead, err error, tooLarge int) {
 	status := 0
 	var timeout net.Error
+	header := framer.Header(nil)
 	switch {
+	case reserver.IsRefusal(err) || c.memory.Revoked():
+		status = statusUnavailable
+		if c.acceptor.EncodeRefusal != nil {
+			header = c.acceptor.EncodeRefusal(head, retryAfterFull)
+		}
 	case framer.Is(err, framer.KindMalformed):
 		status = statusBadRequest
 	case framer.Is(err, framer.KindTooLarge):
@@ -417,12 +477,14 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = statusTimeout
 	}
+	// Others may use the memory while the refusal is sent.
+	c.memory.Release()
 	if status == 0 {
 		return
 	}
 	c.acceptor.Log.Info("rejected a request that could not be read", "Caller", c.RemoteAddr().String(), "Status", status, "Reason", err.Error())
 	reply := &Reply{conn: c.Conn, log: c.acceptor.Log, minor: 1}
-	reply.Send(status, nil, nil)
+	reply.Send(status, header, nil)
 	c.linger()
 }
 
--- a/gateway/acceptor/reply.go
+++ b/gateway/acceptor/reply.go
@@ -18,11 +18,15 @@
 	statusTimeout        = http.StatusRequestTimeout
 	statusBodyTooLarge   = http.StatusRequestEntityTooLarge
 	statusHeaderTooLarge = http.StatusRequestHeaderFieldsTooLarge
+	statusUnavailable    = http.StatusServiceUnavailable
+	// maxCopiedBody is the size up to which a body is sent together with its head.
+	maxCopiedBody = 16 << 10
 )
 
 var (
 	errBodyTooLarge = framer.TooLarge("the body is too long")
 	errHeadSent     = errors.New("acceptor: the answer has begun already")
+	errGaveWay      = errors.New("acceptor: the request gave way to others as memory is short")
 )
 
 // Reply answers one request. Call either Send, or Begin, then Write for each part, and End or
@@ -53,9 +57,14 @@
 	}
 	r.field("Content-Length", strconv.Itoa(len(body)))
 	r.buf = append(r.buf, "\r\n"...)
-	if r.method != http.MethodHead {
-		r.buf = append(r.buf, body...)
+	if r.method == http.MethodHead {
+		body = nil
 	}
+	if len(body) > maxCopiedBody {
+		r.complete = r.flush() == nil && r.send(body) == nil
+		return
+	}
+	r.buf = append(r.buf, body...)
 	r.complete = r.flush() == nil
 }
 
@@ -164,8 +173,13 @@
 }
 
 func (r *Reply) flush() error {
-	_ = r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := r.conn.Write(r.buf)
+	err := r.send(r.buf)
 	r.buf = r.buf[:0]
+	return err
+}
+
+func (r *Reply) send(b []byte) error {
+	_ = r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := r.conn.Write(b)
 	return errors.Wrap(err, "acceptor: write")
 }
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -27,6 +27,7 @@
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/seedreader"
 	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/wire"
@@ -37,14 +38,18 @@
 	// adapterRequestQueue bounds the requests for adapters that wait to be sent.
 	adapterRequestQueue = 256
 	// callerFilesDivisor sets the part of the file descriptors that callers may use, as a
-	// divisor.
+	// divisor, meshFilesDivisor that of other gateways and controllers, with the tunnels, and healthFilesDivisor that of
+	// readiness checks.
 	callerFilesDivisor = 2
+	meshFilesDivisor   = 4
+	healthFilesDivisor = 32
 	// tunnelFilesDivisor sets the number of tunnels for other gateways, each with two file
 	// descriptors, as a divisor of all descriptors.
 	tunnelFilesDivisor = 8
-	// memoryLimitPercent is the percentage of the instance's memory from which the garbage
-	// collector works harder. Stacks and bytes in sockets come on top.
-	memoryLimitPercent = 60
+	// requestPercent and callPercent are the percentages of the instance's memory that callers' requests, and calls of
+	// other instances, may hold together.
+	requestPercent = 20
+	callPercent    = 10
 	// stopMargin is reserved at the end of a planned stop, before the process is killed.
 	stopMargin = 500 * time.Millisecond
 	// lostAfter is the age of the leader's state from which on the settings file is read again. An election takes less.
@@ -90,7 +95,7 @@
 
 // Run serves until ctx ends, and then stops gracefully.
 func (r *Routed) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(r.Settings.Instance.MemoryMB) * memoryLimitPercent / 100 << 20)
+	debug.SetMemoryLimit(r.Settings.resources().HeapLimit())
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.build()
@@ -203,11 +208,14 @@
 		Granter: r.granter,
 	}
 	r.shedder = &connectionShedder{Clock: r.Clock, Log: r.Log, Meter: r.meter}
+	resources := s.resources()
+	connections := resources.Connections(callerFilesDivisor)
 	r.frontend = &acceptor.Acceptor{
 		Clock: r.Clock, Log: r.Log, Address: s.Instance.Listen, Handle: r.forwarder.Handle,
 		CheckHead: r.forwarder.CheckHead,
-		Limits:    r.forwarder.Limits, MaxConnections: s.Instance.MaxFiles / callerFilesDivisor,
-		Admit: r.shedder.Admit,
+		Limits:    r.forwarder.Limits, MaxConnections: connections,
+		Memory: &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(requestPercent)},
+		Admit:  r.shedder.Admit, EncodeRefusal: encodeRefusal,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.ready)
@@ -228,6 +236,15 @@
 // leaderAge returns the age of the leader's state that is known here.
 func (r *Routed) leaderAge() time.Duration { return r.relayer.LeaderAge() }
 
+// encodeRefusal returns the header of a refusal of a request that could not be read.
+func encodeRefusal(head *framer.RequestHead, retryAfter time.Duration) framer.Header {
+	id := ""
+	if head != nil {
+		id = platform.DecodeRequest(head.Header).ID
+	}
+	return platform.EncodeRefusal(id, retryAfter)
+}
+
 func isOwnResponse(head *framer.ResponseHead, requestID string) (bool, time.Duration) {
 	response := platform.DecodeResponse(head)
 	// A response without an id may be this request's; whether it is valid is checked later.
--- a/gateway/app/routed_settings.go
+++ b/gateway/app/routed_settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzelead.example/pkg/ablator"
+	"bronzelead.example/pkg/apportioner"
 	"bronzelead.example/pkg/configurer"
 )
 
@@ -118,6 +119,11 @@
 	return list
 }
 
+// resources returns the resources of the instance.
+func (s *RoutedSettings) resources() apportioner.Resources {
+	return apportioner.Resources{MemoryMB: s.Instance.MemoryMB, MaxFiles: s.Instance.MaxFiles}
+}
+
 // meshAddress returns the address of this gateway for other gateways.
 func (s *RoutedSettings) meshAddress() string {
 	host, _, err := net.SplitHostPort(s.Instance.Listen)
--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -302,12 +302,21 @@
 	// that an interrupted one can be retried or reported as a failure.
 	maxBufferedBody = 256 << 10
 	readSize        = 8 << 10
+	// freeBufferedBody is the part of an answer that is buffered without reserving memory, and bufferGrowth by how much a
+	// buffer that grows exceeds its content.
+	freeBufferedBody = 8 << 10
+	bufferGrowth     = 2
 )
 
 // relayBuffered relays an answer that is not a stream.
 func (f *Forwarder) relayBuffered(ctx context.Context, j *job, backend *wire.Announcement, in *sender.Response) bool {
 	header := platform.EncodeResponse(in.Head.Header)
-	body, err := io.ReadAll(io.LimitReader(in.Body, maxBufferedBody))
+	body, err := io.ReadAll(io.LimitReader(in.Body, freeBufferedBody))
+	if err == nil && !in.Body.Complete() && j.req.Reserve(bufferGrowth*maxBufferedBody) {
+		var rest []byte
+		rest, err = io.ReadAll(io.LimitReader(in.Body, maxBufferedBody-freeBufferedBody))
+		body = append(body, rest...)
+	}
 	if err == nil && !in.Body.Complete() {
 		return f.relayUnbuffered(j, backend, in, header, body)
 	}
--- a/pkg/framer/body.go
+++ b/pkg/framer/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"strconv"
 	"strings"
@@ -151,7 +152,7 @@
 // nextChunk reads the size line of a chunk, and the trailers after the last chunk.
 func (b *Body) nextChunk() error {
 	if b.started {
-		if line, err := b.line(maxChunkLine); err != nil || line != "" {
+		if line, err := b.line(maxChunkLine); err != nil || len(line) > 0 {
 			return orMalformed(err, "a chunk is longer than its size")
 		}
 	}
@@ -160,11 +161,11 @@
 	if err != nil {
 		return err
 	}
-	size, _, _ := strings.Cut(line, ";")
-	size = strings.TrimRight(size, " \t")
-	n, convErr := strconv.ParseUint(size, 16, 40)
-	if convErr != nil || size[0] == '+' || strings.Contains(size, "_") {
-		return fail("Body", KindMalformed, "%q is no size of a chunk", truncate(size))
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	size = bytes.TrimRight(size, " \t")
+	n, convErr := strconv.ParseUint(string(size), 16, 40)
+	if convErr != nil || size[0] == '+' || bytes.IndexByte(size, '_') >= 0 {
+		return fail("Body", KindMalformed, "%q is no size of a chunk", truncate(string(size)))
 	}
 	b.remaining = int64(n)
 	if n > 0 {
@@ -180,29 +181,29 @@
 		if err != nil {
 			return err
 		}
-		if line == "" {
+		if len(line) == 0 {
 			b.ended = true
 			return nil
 		}
-		if _, err := parseField(line); err != nil {
+		if _, err := parseField(string(line)); err != nil {
 			return err
 		}
 		remaining -= len(line)
 	}
 }
 
-// line reads a line that ends with CRLF.
-func (b *Body) line(limit int) (string, error) {
+// line reads a line that ends with CRLF. It is valid until the next read.
+func (b *Body) line(limit int) ([]byte, error) {
 	raw, err := b.reader.ReadSlice('\n')
 	switch {
 	case err == bufio.ErrBufferFull || len(raw) > max(limit, 0)+len(lineEnd):
-		return "", fail("Body", KindTooLarge, "a line is too long")
+		return nil, fail("Body", KindTooLarge, "a line is too long")
 	case err != nil:
-		return "", wrap("Body", KindTruncated, err)
-	case !strings.HasSuffix(string(raw), lineEnd) || strings.ContainsAny(string(raw[:len(raw)-2]), "\r\x00"):
-		return "", fail("Body", KindMalformed, "a line ends without CR")
+		return nil, wrap("Body", KindTruncated, err)
+	case !bytes.HasSuffix(raw, []byte(lineEnd)) || bytes.ContainsAny(raw[:len(raw)-len(lineEnd)], "\r\x00"):
+		return nil, fail("Body", KindMalformed, "a line ends without CR")
 	}
-	return string(raw[:len(raw)-len(lineEnd)]), nil
+	return raw[:len(raw)-len(lineEnd)], nil
 }
 
 func orMalformed(err error, problem string) error {
--- a/pkg/framer/framer.go
+++ b/pkg/framer/framer.go
@@ -11,6 +11,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"unsafe"
 )
 
 // Field is one header field as received, with its value trimmed.
@@ -91,6 +92,9 @@
 	return r.Minor == 1 && !r.Header.HasToken("Connection", "close")
 }
 
+// firstHeadBytes is the memory that a head takes at first.
+const firstHeadBytes = 1024
+
 const (
 	lineEnd       = "\r\n"
 	headEnd       = "\r\n\r\n"
@@ -99,11 +103,16 @@
 
 // ReadHead reads a message's head including the empty line that ends it. Empty lines before a
 // request are skipped, as RFC 9112 section 2.2 allows. A head longer than limit bytes is an error.
-func ReadHead(r *bufio.Reader, limit int) ([]byte, error) {
-	head := make([]byte, 0, 1024)
+func ReadHead(r *bufio.Reader, limit int) ([]byte, error) { return ReadHeadReserving(r, limit, nil) }
+
+// ReadHeadReserving is ReadHead for heads whose memory is limited: before the head takes more memory it calls reserve with
+// the new size in bytes, and fails if reserve does.
+func ReadHeadReserving(r *bufio.Reader, limit int, reserve func(bytes int) error) ([]byte, error) {
+	head := make([]byte, 0, firstHeadBytes)
 	for {
 		line, err := r.ReadSlice('\n')
-		if err != nil && err != bufio.ErrBufferFull {
+		full := err == bufio.ErrBufferFull
+		if err != nil && !full {
 			if len(head) == 0 && len(line) == 0 {
 				return nil, wrap("ReadHead", KindClosed, err)
 			}
@@ -112,20 +121,36 @@
 		if len(head) == 0 && string(line) == lineEnd {
 			continue
 		}
-		head = append(head, line...)
-		if len(head) > limit {
+		if len(head)+len(line) > limit {
 			return nil, fail("ReadHead", KindTooLarge, "the head is longer than %d bytes", limit)
 		}
+		if head, err = appendLine(head, line, limit, reserve); err != nil {
+			return nil, err
+		}
 		if bytes.HasSuffix(head, []byte(headEnd)) {
 			return head, nil
 		}
 		// The reader's buffer may end between the CR and the LF of a line.
-		if err == nil && len(line) == 1 && !bytes.HasSuffix(head, []byte(lineEnd)) {
+		if !full && len(line) == 1 && !bytes.HasSuffix(head, []byte(lineEnd)) {
 			return nil, fail("ReadHead", KindMalformed, "a line ends without CR")
 		}
 	}
 }
 
+// appendLine appends a line to a head, and reserves memory before the head takes more of it.
+func appendLine(head, line []byte, limit int, reserve func(bytes int) error) ([]byte, error) {
+	if needed := len(head) + len(line); needed > cap(head) {
+		size := max(needed, min(2*cap(head), limit))
+		if reserve != nil {
+			if err := reserve(size); err != nil {
+				return nil, err
+			}
+		}
+		head = append(make([]byte, 0, size), head...)
+	}
+	return append(head, line...), nil
+}
+
 // ParseRequest parses a request's head.
 func ParseRequest(raw []byte) (*RequestHead, error) {
 	first, header, err := splitHead(raw)
@@ -171,14 +196,16 @@
 	if !bytes.HasSuffix(raw, []byte(headEnd)) {
 		return "", nil, fail("Parse", KindMalformed, "the head has no end")
 	}
-	lines := strings.Split(string(raw[:len(raw)-len(headEnd)]), lineEnd)
-	header := make(Header, 0, len(lines)-1)
-	for i, line := range lines {
-		if strings.ContainsAny(line, "\r\n\x00") {
-			return "", nil, fail("Parse", KindMalformed, "a line holds CR, LF or NUL")
-		}
-		if i == 0 {
-			continue
+	first, rest, more := strings.Cut(string(raw[:len(raw)-len(headEnd)]), lineEnd)
+	if err := checkLine(first); err != nil || !more {
+		return first, nil, err
+	}
+	header := make(Header, 0, strings.Count(rest, lineEnd)+1)
+	for more {
+		var line string
+		line, rest, more = strings.Cut(rest, lineEnd)
+		if err := checkLine(line); err != nil {
+			return "", nil, err
 		}
 		field, err := parseField(line)
 		if err != nil {
@@ -186,7 +213,19 @@
 		}
 		header = append(header, field)
 	}
-	return lines[0], header, nil
+	return first, header, nil
+}
+
+func checkLine(line string) error {
+	if strings.ContainsAny(line, "\r\n\x00") {
+		return fail("Parse", KindMalformed, "a line holds CR, LF or NUL")
+	}
+	return nil
+}
+
+// ParsedSize returns the memory that a head takes once it is parsed, in bytes.
+func ParsedSize(raw []byte) int {
+	return len(raw) + bytes.Count(raw, []byte(lineEnd))*int(unsafe.Sizeof(Field{}))
 }
 
 func parseField(line string) (Field, error) {
--- a/pkg/framer/framer_test.go
+++ b/pkg/framer/framer_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 )
 
 // A line whose end met the end of the reader's buffer between CR and LF passed for one without CR: a proper request got 400,
@@ -132,3 +133,25 @@
 	rest, err := io.ReadAll(reader)
 	return parsedRequest{Head: head, Body: string(content)}, len(rest), err
 }
+
+// A head reserves the memory that it takes before it takes it.
+func TestHeadsReserveMemory(t *testing.T) {
+	c := qt.New(t)
+	full := errors.New("full")
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n"
+	largest := 0
+	raw, err := ReadHeadReserving(bufio.NewReader(strings.NewReader(head)), 16<<10, func(size int) error {
+		largest = size
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(string(raw), qt.Equals, head)
+	c.Check(cap(raw), qt.Equals, largest)
+	_, err = ReadHeadReserving(bufio.NewReader(strings.NewReader(head)), 16<<10, func(size int) error {
+		if size > 4<<10 {
+			return full
+		}
+		return nil
+	})
+	c.Check(err, qt.Equals, full)
+}
