Close the connection that waits for the longest time for a new one

Callers: while clients that send nothing, or a byte from time to time, held all of a gateway's connections, others were closed at once, for as long as these went on.

Cause: whoever came first kept a connection, whatever was sent on it.

Change: at the limit the connection that has been waiting for its caller for the longest time, without a request or amid one, is closed for the new one. Those with a request in progress are kept, and a request that arrives while its connection is being closed is not sent on.

TestNewConnectionsReplaceWaitingOnes and TestServingConnectionsAreKept show it for each state of a connection.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -19,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"bronzelead.example/pkg/evictor"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/socketprober"
@@ -92,7 +93,8 @@
 	CheckHead func(req *Request, reply *Reply) bool
 	// Limits returns the current limits; zero values mean the defaults.
 	Limits func() Limits
-	// MaxConnections limits the open connections; further ones are closed immediately.
+	// MaxConnections limits the open connections. For a new one, the one that has been waiting for its caller for the
+	// longest time is closed; if all serve requests, the new one is.
 	MaxConnections int
 	// Memory is what all requests may hold together; nil for no limit.
 	Memory *reserver.Pool
@@ -105,6 +107,7 @@
 
 	listener net.Listener
 	stopping atomic.Bool
+	evictor  evictor.Evictor
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	active   sync.WaitGroup
@@ -118,6 +121,7 @@
 		return errors.Wrapf(err, "acceptor: listen on %s", a.Address)
 	}
 	a.listener = listener
+	a.evictor.Max = a.MaxConnections
 	a.conns = map[*conn]struct{}{}
 	go a.accept()
 	return nil
@@ -153,12 +157,12 @@
 	served := &conn{Conn: c, acceptor: a}
 	served.reader = bufio.NewReaderSize(served, readBufferBytes)
 	served.memory = a.Memory.Open(func() { _ = c.SetReadDeadline(expired) })
-	a.mu.Lock()
-	if a.MaxConnections > 0 && len(a.conns) >= a.MaxConnections {
-		a.mu.Unlock()
+	served.entry = a.evictor.Add(func() { _ = c.Close() })
+	if served.entry == nil {
 		_ = c.Close()
 		return
 	}
+	a.mu.Lock()
 	a.conns[served] = struct{}{}
 	a.active.Add(1)
 	a.mu.Unlock()
@@ -169,9 +173,13 @@
 	a.mu.Lock()
 	delete(a.conns, c)
 	a.mu.Unlock()
+	c.entry.Remove()
 	a.active.Done()
 }
 
+// Connections returns the state of the connections.
+func (a *Acceptor) Connections() evictor.Stats { return a.evictor.Stats() }
+
 // Quiesce closes each connection after its next answer. New connections are still accepted,
 // since the load balancer needs time to switch to other instances.
 func (a *Acceptor) Quiesce() { a.stopping.Store(true) }
@@ -224,6 +232,7 @@
 	net.Conn
 	acceptor *Acceptor
 	reader   *bufio.Reader
+	entry    *evictor.Entry
 	memory   *reserver.Reservation
 	// used is set once a request was read, and kept if the connection stays open after its answer.
 	used, kept bool
@@ -294,6 +303,7 @@
 	if !c.awaitRequest(limits) {
 		return false
 	}
+	c.entry.Wait()
 	head, err := c.readHead(limits)
 	if err != nil {
 		c.refuse(nil, err, statusHeaderTooLarge)
@@ -309,6 +319,10 @@
 	if !c.readBody(req, limits) {
 		return false
 	}
+	if !c.entry.Busy() {
+		// The connection was closed for another one.
+		return false
+	}
 	return c.answer(req)
 }
 
@@ -376,6 +390,7 @@
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest(limits Limits) bool {
 	c.setIdle(true)
+	c.entry.Wait()
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	_, err := c.reader.Peek(1)
 	open := c.setIdle(false)
--- a/gateway/acceptor/untrusted_test.go
+++ b/gateway/acceptor/untrusted_test.go
@@ -24,6 +24,7 @@
 // virtual returns an acceptor for virtual connections; connect returns the caller's end of a new one.
 func virtual(a *Acceptor) (connect func() net.Conn) {
 	a.Clock, a.Log, a.conns = clockwork.NewRealClock(), slog.New(slog.DiscardHandler), map[*conn]struct{}{}
+	a.evictor.Max = a.MaxConnections
 	if a.Handle == nil {
 		a.Handle = func(_ context.Context, _ *Request, reply *Reply) { reply.Send(http.StatusOK, nil, nil) }
 	}
@@ -142,6 +143,63 @@
 	}
 }
 
+// Connections that were kept open, with nothing or a part of a request, kept out all others.
+func TestNewConnectionsReplaceWaitingOnes(t *testing.T) {
+	const limit = 3
+	for name, sent := range map[string]string{
+		"nothing":        "",
+		"part of a head": "POST / HTTP/1.1\r\n",
+		"part of a body": chunkedHead + "5\r\nx",
+		"whole request":  ordinaryRequest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				a := &Acceptor{MaxConnections: limit}
+				connect := virtual(a)
+				var conns []net.Conn
+				for range limit {
+					conn := connect()
+					go func() { _, _ = io.WriteString(conn, sent) }()
+					go func() { _, _ = io.Copy(io.Discard, conn) }()
+					synctest.Wait()
+					conns = append(conns, conn)
+				}
+				ordinary := connect()
+				c.Check(statusOf(ordinary, ordinaryRequest), qt.Equals, http.StatusOK)
+				c.Check(a.Connections().Evicted, qt.Equals, int64(1))
+				c.Check(a.Connections().Open, qt.Equals, limit)
+				for _, conn := range append(conns, ordinary) {
+					_ = conn.Close()
+				}
+				synctest.Wait()
+				c.Check(a.Connections().Open, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// A connection on which a request is being answered is not closed for another one.
+func TestServingConnectionsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		release := make(chan struct{})
+		a := &Acceptor{MaxConnections: 1, Handle: func(_ context.Context, _ *Request, reply *Reply) {
+			<-release
+			reply.Send(http.StatusOK, nil, nil)
+		}}
+		connect := virtual(a)
+		first := connect()
+		_, err := io.WriteString(first, ordinaryRequest)
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		c.Check(readStatus(connect()), qt.Equals, 0)
+		close(release)
+		c.Check(readStatus(first), qt.Equals, http.StatusOK)
+		_ = first.Close()
+	})
+}
+
 // A request that fits the limits exactly is served, however small its chunks are.
 func TestLargestBodyIsServed(t *testing.T) {
 	const bodySize = 256 << 10
