Give request bodies an end in time

Callers: a client that sends a byte from time to time kept its request open without end.

Cause: only the time between two reads of a body was limited.

Change: a body has to arrive within the time for which its caller waits, as its head says, and within a minute; then it gets 408, which is true as nothing of it was sent. No client inside the limits meets this: it has left by then.

Measured: without the limit TestBodiesHaveToEnd fails in both cases, in virtual time (the client is not refused before the test's own limit of 1,000 hours).

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -32,8 +32,9 @@
 	defaultBodyBytes     = 4 << 20
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
-	// bodyTimeout limits the time between two reads of a body.
-	bodyTimeout = 5 * time.Second
+	// bodyTimeout limits the time between two reads of a body, and wholeBodyTimeout the time until its end.
+	bodyTimeout      = 5 * time.Second
+	wholeBodyTimeout = time.Minute
 	// freeHeadBytes and freeBodyBytes of each request are held without a reservation: MaxConnections bounds them.
 	freeHeadBytes = 4 << 10
 	freeBodyBytes = 4 << 10
@@ -98,6 +99,9 @@
 	MaxConnections int
 	// Memory is what all requests may hold together; nil for no limit.
 	Memory *reserver.Pool
+	// CallerTimeout returns how long a caller waits for the answer to its request, or 0. A body that has not arrived by
+	// then is refused; nil for no such limit.
+	CallerTimeout func(head *framer.RequestHead) time.Duration
 	// EncodeRefusal returns the header of a refusal that says when to come back; the head is nil if it was not read. nil
 	// for no header.
 	EncodeRefusal func(head *framer.RequestHead, retryAfter time.Duration) framer.Header
@@ -236,8 +240,8 @@
 	memory   *reserver.Reservation
 	// used is set once a request was read, and kept if the connection stays open after its answer.
 	used, kept bool
-	// readingBody is set while a body is being read.
-	readingBody bool
+	// bodyUntil is when the body that is being read must have arrived; zero while none is.
+	bodyUntil time.Time
 
 	mu sync.Mutex
 	// idle is set while no byte of a request has been received.
@@ -260,10 +264,14 @@
 
 // Read reads what the caller sends. While a body arrives, it sets the deadline of each read.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.readingBody {
+	if c.bodyUntil.IsZero() {
 		return c.Conn.Read(p)
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	until := time.Now().Add(bodyTimeout)
+	if c.bodyUntil.Before(until) {
+		until = c.bodyUntil
+	}
+	_ = c.SetReadDeadline(until)
 	if c.memory.Revoked() {
 		// The deadline was set to an earlier time before.
 		return 0, errGaveWay
@@ -418,9 +426,9 @@
 	if body.Framing != framer.FramingChunked {
 		content.Length = body.Length
 	}
-	c.readingBody = true
+	c.bodyUntil = time.Now().Add(c.bodyTime(req))
 	req.Body, err = c.memory.ReadAll(body, content)
-	c.readingBody = false
+	c.bodyUntil = time.Time{}
 	if err == nil && !c.memory.Complete() {
 		err = errGaveWay
 	}
@@ -431,6 +439,18 @@
 	return true
 }
 
+// bodyTime returns how long the body of a request may take to arrive.
+func (c *conn) bodyTime(req *Request) time.Duration {
+	limit := wholeBodyTimeout
+	if c.acceptor.CallerTimeout == nil {
+		return limit
+	}
+	if timeout := c.acceptor.CallerTimeout(req.Head); timeout > 0 {
+		limit = min(limit, timeout)
+	}
+	return limit
+}
+
 // answer runs the handler while watching the connection for a disconnect.
 func (c *conn) answer(req *Request) bool {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/acceptor/untrusted_test.go
+++ b/gateway/acceptor/untrusted_test.go
@@ -143,6 +143,37 @@
 	}
 }
 
+// A byte from time to time renewed the limit between two reads without end.
+func TestBodiesHaveToEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		callerTimeout, want time.Duration
+	}{
+		"caller that does not say how long it waits": {0, wholeBodyTimeout},
+		"caller that waits for a time":               {4 * time.Second, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				connect := virtual(&Acceptor{CallerTimeout: func(*framer.RequestHead) time.Duration { return test.callerTimeout }})
+				conn := connect()
+				began := time.Now()
+				var sending sync.WaitGroup
+				defer sending.Wait()
+				sending.Go(func() {
+					_, err := io.WriteString(conn, chunkedHead)
+					for err == nil {
+						time.Sleep(time.Second)
+						_, err = io.WriteString(conn, "1\r\nx\r\n")
+					}
+				})
+				c.Check(readStatus(conn), qt.Equals, http.StatusRequestTimeout)
+				c.Check(time.Since(began), qt.Equals, test.want)
+				_ = conn.Close()
+			})
+		})
+	}
+}
+
 // Connections that were kept open, with nothing or a part of a request, kept out all others.
 func TestNewConnectionsReplaceWaitingOnes(t *testing.T) {
 	const limit = 3
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -215,7 +215,7 @@
 		CheckHead: r.forwarder.CheckHead,
 		Limits:    r.forwarder.Limits, MaxConnections: connections,
 		Memory: &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(requestPercent)},
-		Admit:  r.shedder.Admit, EncodeRefusal: encodeRefusal,
+		Admit:  r.shedder.Admit, CallerTimeout: callerTimeout, EncodeRefusal: encodeRefusal,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.ready)
@@ -236,6 +236,11 @@
 // leaderAge returns the age of the leader's state that is known here.
 func (r *Routed) leaderAge() time.Duration { return r.relayer.LeaderAge() }
 
+// callerTimeout returns how long a caller waits for the answer to its request, or 0.
+func callerTimeout(head *framer.RequestHead) time.Duration {
+	return platform.DecodeRequest(head.Header).ClientTimeout
+}
+
 // encodeRefusal returns the header of a refusal of a request that could not be read.
 func encodeRefusal(head *framer.RequestHead, retryAfter time.Duration) framer.Header {
 	id := ""
