Limit the chunk extensions of request bodies

Callers: a body within its limit could take gigabytes to read, since each chunk of a byte may bear a line of 4 KB; the processor time of a gateway went there.

Change: the extensions of all chunks of a request's body together are limited to 16 KB, as its head is; beyond that it gets 413. Extensions have no use between callers and gateways.

Measured: TestChunkExtensionsAreLimited fails without the limit (a body of 1,000 chunks with 1 KB of extension each was read whole).

--- a/pkg/framer/body.go
+++ b/pkg/framer/body.go
@@ -26,7 +26,11 @@
 const (
 	maxChunkLine = 4096
 	maxTrailers  = 8192
-	maxLength    = 1 << 40
+	// maxExtensions limits the extensions of all chunks of a body, in bytes: each chunk of a byte could bear a long line.
+	maxExtensions = 16 << 10
+	// maxSizeDigits is the length of the longest size of a chunk, with leading zeros.
+	maxSizeDigits = 16
+	maxLength     = 1 << 40
 )
 
 // Body reads a message's body. It returns io.EOF only at the proper end of the body.
@@ -39,6 +43,9 @@
 	remaining int64
 	ended     bool
 	started   bool
+	// extensions is what may still come of chunk extensions, in bytes; boundExtensions is set where they are limited.
+	extensions      int
+	boundExtensions bool
 }
 
 // RequestBody returns the body of a request whose head was read from r.
@@ -50,6 +57,7 @@
 	if b.Framing == FramingClose {
 		b.Framing, b.ended = FramingNone, true
 	}
+	b.boundExtensions, b.extensions = true, maxExtensions
 	return b, nil
 }
 
@@ -161,6 +169,10 @@
 	if err != nil {
 		return err
 	}
+	b.extensions -= max(len(line)-maxSizeDigits, 0)
+	if b.boundExtensions && b.extensions < 0 {
+		return fail("Body", KindTooLarge, "the chunk extensions are longer than %d bytes", maxExtensions)
+	}
 	size, _, _ := bytes.Cut(line, []byte(";"))
 	size = bytes.TrimRight(size, " \t")
 	n, convErr := strconv.ParseUint(string(size), 16, 40)
--- a/pkg/framer/framer_test.go
+++ b/pkg/framer/framer_test.go
@@ -134,6 +134,30 @@
 	return parsedRequest{Head: head, Body: string(content)}, len(rest), err
 }
 
+// Each chunk of a byte could bear a line of 4 KB, so that a body within its limit took gigabytes to read.
+func TestChunkExtensionsAreLimited(t *testing.T) {
+	chunk := "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"
+	for name, test := range map[string]struct {
+		chunks int
+		whole  bool
+	}{
+		"some":       {10, true},
+		"very many":  {1000, false},
+		"just above": {maxExtensions/1000 + 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sent := strings.Repeat(chunk, test.chunks) + "0\r\n\r\n"
+			head := &RequestHead{Minor: 1, Header: Header{{Name: "Transfer-Encoding", Value: "chunked"}}}
+			body, err := RequestBody(bufio.NewReader(strings.NewReader(sent)), head)
+			c.Assert(err, qt.IsNil)
+			_, err = io.ReadAll(body)
+			c.Check(err == nil, qt.Equals, test.whole, qt.Commentf("%v", err))
+			c.Check(Is(err, KindTooLarge), qt.Equals, !test.whole)
+		})
+	}
+}
+
 // A head reserves the memory that it takes before it takes it.
 func TestHeadsReserveMemory(t *testing.T) {
 	c := qt.New(t)
