Log at most one refusal of an unreadable request a second

Each request that could not be read wrote a log line: any client could fill the log and take processor time. One line a second says how many were not logged, and the counter unread_requests has all of them by status.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -105,6 +105,8 @@
 	// EncodeRefusal returns the header of a refusal that says when to come back; the head is nil if it was not read. nil
 	// for no header.
 	EncodeRefusal func(head *framer.RequestHead, retryAfter time.Duration) framer.Header
+	// OnRefusal is called for each request that was refused because it could not be read; nil is not called.
+	OnRefusal func(status int)
 	// Admit reports whether to serve a new connection, or to keep one after an answer; otherwise it is
 	// closed without reading a request, so that its caller tries another gateway. nil admits all.
 	Admit func() bool
@@ -112,6 +114,7 @@
 	listener net.Listener
 	stopping atomic.Bool
 	evictor  evictor.Evictor
+	refusals refusalLog
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	active   sync.WaitGroup
@@ -517,7 +520,7 @@
 	if status == 0 {
 		return
 	}
-	c.acceptor.Log.Info("rejected a request that could not be read", "Caller", c.RemoteAddr().String(), "Status", status, "Reason", err.Error())
+	c.acceptor.recordRefusal(c, status, err)
 	reply := &Reply{conn: c.Conn, log: c.acceptor.Log, minor: 1}
 	reply.Send(status, header, nil)
 	c.linger()
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,6 +217,7 @@
 		Limits:    r.forwarder.Limits, MaxConnections: connections,
 		Memory: &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(requestPercent)},
 		Admit:  r.shedder.Admit, CallerTimeout: callerTimeout, EncodeRefusal: encodeRefusal,
+		OnRefusal: func(status int) { r.meter.Increment("unread_requests", "status", strconv.Itoa(status)) },
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.ready)
