Bound the kernel's buffers of callers' connections

Bytes that wait unread in the kernel take an instance's memory as well, and the kernel lets the buffers of a connection that was read fast grow to megabytes. The listener now sets the size of both buffers, from the memory of the instance and its number of connections.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -19,6 +19,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"bronzelead.example/pkg/buffersizer"
 	"bronzelead.example/pkg/evictor"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/reserver"
@@ -99,6 +100,8 @@
 	MaxConnections int
 	// Memory is what all requests may hold together; nil for no limit.
 	Memory *reserver.Pool
+	// SocketBuffer is the size of the buffers of each connection in the kernel, in bytes; 0 for the kernel's choice.
+	SocketBuffer int
 	// CallerTimeout returns how long a caller waits for the answer to its request, or 0. A body that has not arrived by
 	// then is refused; nil for no such limit.
 	CallerTimeout func(head *framer.RequestHead) time.Duration
@@ -122,7 +125,7 @@
 
 // Start listens and serves in the background.
 func (a *Acceptor) Start() error {
-	listen := net.ListenConfig{KeepAlive: -1}
+	listen := net.ListenConfig{KeepAlive: -1, Control: buffersizer.Control(a.SocketBuffer)}
 	listener, err := listen.Listen(context.Background(), "tcp", a.Address)
 	if err != nil {
 		return errors.Wrapf(err, "acceptor: listen on %s", a.Address)
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -214,7 +214,7 @@
 	r.frontend = &acceptor.Acceptor{
 		Clock: r.Clock, Log: r.Log, Address: s.Instance.Listen, Handle: r.forwarder.Handle,
 		CheckHead: r.forwarder.CheckHead,
-		Limits:    r.forwarder.Limits, MaxConnections: connections,
+		Limits:    r.forwarder.Limits, MaxConnections: connections, SocketBuffer: resources.SocketBuffer(connections),
 		Memory: &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(requestPercent)},
 		Admit:  r.shedder.Admit, CallerTimeout: callerTimeout, EncodeRefusal: encodeRefusal,
 		OnRefusal: func(status int) { r.meter.Increment("unread_requests", "status", strconv.Itoa(status)) },
