--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -100,7 +100,7 @@
 	MaxConnections int
 	// Memory is what all requests may hold together; nil for no limit.
 	Memory *reserver.Pool
-	// SocketBuffer is the size of the buffers of each connection in the kernel, in bytes; 0 for the kernel's choice.
+	// SocketBuffer is the size of the receive buffer of each connection in the kernel, in bytes; 0 for the kernel's choice.
 	SocketBuffer int
 	// CallerTimeout returns how long a caller waits for the answer to its request, or 0. A body that has not arrived by
 	// then is refused; nil for no such limit.
--- a/pkg/apportioner/apportioner.go
+++ b/pkg/apportioner/apportioner.go
@@ -11,9 +11,9 @@
 	connectionPercent = 25
 	// connectionBytes is the fixed part of one connection.
 	connectionBytes = 24 << 10
-	// socketPercent is for the bytes that wait in the kernel for each direction.
+	// socketPercent is for the bytes of all connections that wait in the kernel to be read.
 	socketPercent = 15
-	// minSocketBytes and maxSocketBytes bound the buffers of one connection in the kernel.
+	// minSocketBytes and maxSocketBytes bound the receive buffer of one connection.
 	minSocketBytes = 16 << 10
 	maxSocketBytes = 256 << 10
 	// minConnections keeps an address reachable however few file descriptors there are.
@@ -41,7 +41,7 @@
 	return max(min(r.MaxFiles/divisor, byMemory), minConnections)
 }
 
-// SocketBuffer returns the size of the kernel's buffers for each of a number of connections, in bytes.
+// SocketBuffer returns the size of the kernel's receive buffer for each of a number of connections, in bytes.
 func (r Resources) SocketBuffer(connections int) int {
 	return max(min(int(r.Memory(socketPercent))/connections, maxSocketBytes), minSocketBytes)
 }
