Bound what calls hold together at all other addresses

Operators, backend servers and instances: unfinished calls ended a controller or a gateway; callers of gateways with contracts did the same.

Bodies had a limit each (16 MB for operators and announcing backend servers, 4 MB with contracts) or none (calls between instances), and nothing added up what they held; a head of 64 KB may take 2 MB while net/http parses it.

Change: a server reserves what heads and bodies take in a pool: of 15% of the memory at each address of a routed controller, 10% for the calls and readiness checks of a routed gateway, 25% with contracts. Calls between instances are apart from callers, so that a crowd of these does not keep a gateway from its peers. What finds no room gets 503 or a closed connection, and a log line at most once a second. Bodies of operators, backend servers and callers are read in segments, others count twice for the buffer that grows. Announcements are limited to 1 MB. Controllers, and both programs with contracts, have the settings MaxFiles and MemoryMB now, and keep the memory limit of the runtime that routed gateways had.

--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -8,6 +8,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/planner"
 	"bronzelead.example/pkg/replicator"
+	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/retrier"
 	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/storer"
@@ -39,6 +41,10 @@
 	transferPollInterval = 20 * time.Millisecond
 	// A message between controllers may hold a whole snapshot.
 	maxMessage = 1 << 30
+	// listenFilesDivisor sets the part of the file descriptors for those that call this instance, as a divisor, and
+	// listenPercent the percentage of its memory that their calls may hold together.
+	listenFilesDivisor = 2
+	listenPercent      = 25
 	// A snapshot is resent after ten election timeouts, which bounds the time to send it.
 	snapshotTimeout = 6 * time.Second
 )
@@ -76,6 +82,7 @@
 // Run works until ctx ends, then hands over leadership and stops. An error means that the
 // controller can't run with its disk or settings.
 func (a *App) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(a.Settings.Instance.resources().HeapLimit())
 	if err := a.readKeys(); err != nil {
 		return err
 	}
@@ -157,7 +164,13 @@
 	a.responder = &responder.Responder{
 		Log: a.Log, Raft: a.driver, Coordinator: a.coordinator, Peer: forward, LeaseNs: int64(s.Timing.SessionLease),
 	}
-	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log, MaxBodyBytes: maxMessage}
+	resources := s.Instance.resources()
+	connections := resources.Connections(listenFilesDivisor)
+	a.server = &server.Server{
+		Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log, MaxBodyBytes: maxMessage,
+		Memory:       &reserver.Pool{Clock: a.Clock, Capacity: resources.Memory(listenPercent)},
+		SocketBuffer: resources.SocketBuffer(connections),
+	}
 }
 
 // snapshotClient returns the client that sends snapshots.
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	mathrand "math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/quotaallocator"
 	"bronzelead.example/pkg/replicator"
+	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/seedreader"
 	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/storer"
@@ -43,6 +45,13 @@
 	// snapshotBytes bounds the log between two snapshots: a disk holds 128 MB, and a
 	// snapshot is written beside the log that it replaces.
 	snapshotBytes = 16 << 20
+	// controlFilesDivisor and meshFilesDivisor set the parts of the file descriptors for operators and backend servers, and
+	// for other instances, as divisors.
+	controlFilesDivisor = 2
+	meshFilesDivisor    = 4
+	// controlPercent and callPercent are the percentages of the instance's memory that their calls may hold together.
+	controlPercent = 15
+	callPercent    = 15
 	// relayQueue bounds the announcements that wait for a controller that does not answer.
 	relayQueue = 256
 )
@@ -75,6 +84,7 @@
 // Run works until ctx ends, then hands over leadership and stops.
 func (r *Routed) Run(ctx context.Context) error {
 	s := r.Settings
+	debug.SetMemoryLimit(s.Instance.resources().HeapLimit())
 	if err := r.bootstrap(); err != nil {
 		return err
 	}
@@ -200,11 +210,19 @@
 	r.mesh = &routecoordinator.Mesh{Coordinator: r.coordinator, Leader: r.leader, Client: func(address string) wire.Mesh {
 		return wire.NewMeshProtobufClient("http://"+address, &connector.Client{Timeout: operatorTimeout, Transport: transport})
 	}}
+	resources := s.Instance.resources()
+	meshConnections, controlConnections := resources.Connections(meshFilesDivisor), resources.Connections(controlFilesDivisor)
 	r.servers = []*server.Server{
-		{Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log},
+		{
+			Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log,
+			Memory:       &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)},
+			SocketBuffer: resources.SocketBuffer(meshConnections),
+		},
 		{
 			Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log,
-			IdleTimeout: idleAnnouncements * s.Timing.Announcements,
+			IdleTimeout:  idleAnnouncements * s.Timing.Announcements,
+			Memory:       &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(controlPercent)},
+			SocketBuffer: resources.SocketBuffer(controlConnections),
 		},
 	}
 }
--- a/controller/app/routed_settings.go
+++ b/controller/app/routed_settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzelead.example/pkg/ablator"
+	"bronzelead.example/pkg/apportioner"
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/placer"
 )
@@ -29,6 +30,14 @@
 	IP      string `required:"true" help:"IP number at which the other instances reach this one."`
 	Port    int    `required:"true" help:"Port for the system's own processes, the same on all instances."`
 	Control string `required:"true" help:"IP number and port for operators and backend servers."`
+	// MaxFiles and MemoryMB are the resources of the instance.
+	MaxFiles int `help:"File descriptors that the process may use; a part of them is for the connections to each of its addresses."`
+	MemoryMB int `help:"Memory that the process may use, in megabytes; parts of it bound what requests hold together, and the collector works harder when it is nearly used up."`
+}
+
+// resources returns the resources of the instance.
+func (i *RoutedInstance) resources() apportioner.Resources {
+	return apportioner.Resources{MemoryMB: i.MemoryMB, MaxFiles: i.MaxFiles}
 }
 
 // RoutedMembers configures how controllers find each other.
@@ -71,8 +80,9 @@
 func RoutedDefaults() *RoutedSettings {
 	policy := placer.DefaultPolicy()
 	return &RoutedSettings{
-		Data:    DataSettings{SnapshotEvery: 2000},
-		Members: RoutedMembers{MaxVoters: 5},
+		Instance: RoutedInstance{MaxFiles: defaultMaxFiles, MemoryMB: defaultMemoryMB},
+		Data:     DataSettings{SnapshotEvery: 2000},
+		Members:  RoutedMembers{MaxVoters: 5},
 		Timing: RoutedTiming{
 			Heartbeat: 100 * time.Millisecond, ElectionTimeout: 400 * time.Millisecond, SilentMember: 1500 * time.Millisecond,
 			PeerTimeout: 500 * time.Millisecond, Announcements: 1200 * time.Millisecond,
@@ -113,6 +123,9 @@
 	if s.Limits.Window <= 0 || s.Limits.Overage < 0 || s.Limits.Slack < 0 {
 		fault("Limits", "Window", "it must be above 0, and neither Overage nor Slack below")
 	}
+	for key, problem := range s.Instance.resources().Problems() {
+		fault("Instance", key, problem)
+	}
 	_, problems := s.Experiment.Parse(ablator.ControllerMechanisms())
 	for _, p := range problems {
 		fault("Experiment", p.Key, p.Text)
--- a/controller/app/settings.go
+++ b/controller/app/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bronzelead.example/pkg/applier"
+	"bronzelead.example/pkg/apportioner"
 	"bronzelead.example/pkg/configurer"
 )
 
@@ -25,6 +26,14 @@
 	Zone    string `required:"true" help:"Availability zone of the instance."`
 	Listen  string `required:"true" help:"IP number and port on which gateways, operators and other controllers are served."`
 	Address string `help:"IP number and port at which the others reach the instance; Listen if empty."`
+	// MaxFiles and MemoryMB are the resources of the instance.
+	MaxFiles int `help:"File descriptors that the process may use; a part of them is for the connections to each of its addresses."`
+	MemoryMB int `help:"Memory that the process may use, in megabytes; parts of it bound what requests hold together, and the collector works harder when it is nearly used up."`
+}
+
+// resources returns the resources of the instance.
+func (i *InstanceSettings) resources() apportioner.Resources {
+	return apportioner.Resources{MemoryMB: i.MemoryMB, MaxFiles: i.MaxFiles}
 }
 
 // DataSettings configure where the state is stored.
@@ -74,10 +83,16 @@
 	Level string `allowed:"Debug,Info,Warn,Error" help:"Least level that is logged."`
 }
 
+const (
+	defaultMaxFiles = 4096
+	defaultMemoryMB = 256
+)
+
 // Defaults returns the settings of a controller whose file is empty.
 func Defaults() *Settings {
 	return &Settings{
-		Data: DataSettings{SnapshotEvery: 20_000},
+		Instance: InstanceSettings{MaxFiles: defaultMaxFiles, MemoryMB: defaultMemoryMB},
+		Data:     DataSettings{SnapshotEvery: 20_000},
 		Timing: TimingSettings{
 			Heartbeat: 100 * time.Millisecond, ElectionTimeout: 600 * time.Millisecond,
 			SessionLease: 3 * time.Second, LongestRequest: applier.MaxDeadline,
@@ -114,6 +129,9 @@
 			fault("Members", "Addresses", address+" is no IP number and port")
 		}
 	}
+	for key, problem := range s.Instance.resources().Problems() {
+		fault("Instance", key, problem)
+	}
 	if s.Timing.ElectionTimeout < minTimeoutHeartbeats*s.Timing.Heartbeat {
 		fault("Timing", "ElectionTimeout", "it must be at least three times Heartbeat")
 	}
--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -22,6 +22,7 @@
 	"bronzelead.example/pkg/buffersizer"
 	"bronzelead.example/pkg/evictor"
 	"bronzelead.example/pkg/framer"
+	"bronzelead.example/pkg/logger"
 	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/socketprober"
 )
@@ -117,7 +118,7 @@
 	listener net.Listener
 	stopping atomic.Bool
 	evictor  evictor.Evictor
-	refusals refusalLog
+	refusals logger.Limiter
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	active   sync.WaitGroup
@@ -131,7 +132,7 @@
 		return errors.Wrapf(err, "acceptor: listen on %s", a.Address)
 	}
 	a.listener = listener
-	a.evictor.Max = a.MaxConnections
+	a.evictor.Max, a.refusals.Interval = a.MaxConnections, refusalLogInterval
 	a.conns = map[*conn]struct{}{}
 	go a.accept()
 	return nil
--- a/gateway/app/app.go
+++ b/gateway/app/app.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -25,6 +26,7 @@
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/logger"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/router"
 	"bronzelead.example/pkg/server"
 )
@@ -74,6 +76,7 @@
 // Run serves until ctx ends, then stops gracefully: it becomes unready, finishes running
 // requests, and closes the session.
 func (a *App) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(a.Settings.Instance.resources().HeapLimit())
 	if err := a.readKeys(); err != nil {
 		return err
 	}
@@ -143,7 +146,13 @@
 		Addresses: s.Controllers.Addresses,
 	}}
 	a.claimer.Init()
-	a.server = &server.Server{Address: s.Instance.Listen, Handler: a.handler(), Log: a.Log}
+	resources := s.Instance.resources()
+	connections := resources.Connections(callerFilesDivisor)
+	a.server = &server.Server{
+		Address: s.Instance.Listen, Handler: a.handler(), Log: a.Log,
+		Memory:       &reserver.Pool{Clock: a.Clock, Capacity: resources.Memory(requestPercent)},
+		SocketBuffer: resources.SocketBuffer(connections),
+	}
 }
 
 // connectionRefused reports whether nothing listens any more at the address of a backend server.
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -222,7 +222,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.ready)
 	mux.Handle("GET /metrics", r.meter.Handler())
-	r.health = &server.Server{Address: s.Instance.Health, Handler: mux, Log: r.Log}
+	calls := &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)}
+	healthConnections, meshConnections := resources.Connections(healthFilesDivisor), resources.Connections(meshFilesDivisor)
+	r.health = &server.Server{
+		Address: s.Instance.Health, Handler: mux, Log: r.Log,
+		Memory: calls, SocketBuffer: resources.SocketBuffer(healthConnections),
+	}
 	meshMux := http.NewServeMux()
 	meshMux.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.relayer))
 	meshMux.Handle(wire.LimitsPathPrefix, wire.NewLimitsServer(r.enforcer))
@@ -232,7 +237,10 @@
 	meshMux.Handle(wire.TunnelingPathPrefix, wire.NewTunnelingServer(tunnels))
 	meshMux.Handle(wire.OriginsPathPrefix, wire.NewOriginsServer(&originfinder.Server{Finder: r.origins}))
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
-	r.mesh = &server.Server{Address: s.meshAddress(), Handler: meshMux, Log: r.Log}
+	r.mesh = &server.Server{
+		Address: s.meshAddress(), Handler: meshMux, Log: r.Log,
+		Memory: calls, SocketBuffer: resources.SocketBuffer(meshConnections),
+	}
 }
 
 // leaderAge returns the age of the leader's state that is known here.
--- a/gateway/app/routed_settings.go
+++ b/gateway/app/routed_settings.go
@@ -29,8 +29,8 @@
 	Listen string `required:"true" help:"IP number and port for callers."`
 	Health string `required:"true" help:"IP number and port at which the instance says whether it is ready, and shows its metrics."`
 	// MaxFiles and MemoryMB are the resources of the instance.
-	MaxFiles int `help:"File descriptors that the process may use; a part is kept for connections to backend servers."`
-	MemoryMB int `help:"Memory that the process may use, in megabytes; the collector works harder when it is nearly used up."`
+	MaxFiles int `help:"File descriptors that the process may use; a part of them is for the connections to each of its addresses."`
+	MemoryMB int `help:"Memory that the process may use, in megabytes; parts of it bound what requests hold together, and the collector works harder when it is nearly used up."`
 }
 
 // RoutedControllers configures how controllers are found.
@@ -70,7 +70,7 @@
 // RoutedDefaults returns the settings of a file that has only the required ones.
 func RoutedDefaults() *RoutedSettings {
 	return &RoutedSettings{
-		Instance: RoutedInstance{MaxFiles: 4096, MemoryMB: 256},
+		Instance: RoutedInstance{MaxFiles: defaultMaxFiles, MemoryMB: defaultMemoryMB},
 		Backends: BackendSettings{
 			DialTimeout: 250 * time.Millisecond, MaxIdle: 4 * time.Second, IdleMargin: time.Second,
 			Unacknowledged: 2 * time.Second,
@@ -101,6 +101,9 @@
 			File: file, Section: "Stop", Key: "Drain", Problem: "it must be shorter than Grace, and not shorter than Take",
 		})
 	}
+	for key, problem := range s.resources().Problems() {
+		faults = append(faults, configurer.Fault{File: file, Section: "Instance", Key: key, Problem: problem})
+	}
 	_, problems := s.Experiment.Parse(ablator.GatewayMechanisms())
 	for _, p := range problems {
 		faults = append(faults, configurer.Fault{File: file, Section: "Experiment", Key: p.Key, Problem: p.Text})
--- a/gateway/app/settings.go
+++ b/gateway/app/settings.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"bronzelead.example/pkg/apportioner"
 	"bronzelead.example/pkg/configurer"
 )
 
@@ -23,6 +24,14 @@
 	Zone    string `required:"true" help:"Availability zone of the instance."`
 	Listen  string `required:"true" help:"IP number and port on which callers, backend servers and operators are served."`
 	Address string `help:"IP number and port at which operators reach the instance; Listen if empty."`
+	// MaxFiles and MemoryMB are the resources of the instance.
+	MaxFiles int `help:"File descriptors that the process may use; a part of them is for the connections to each of its addresses."`
+	MemoryMB int `help:"Memory that the process may use, in megabytes; parts of it bound what requests hold together, and the collector works harder when it is nearly used up."`
+}
+
+// resources returns the resources of the instance.
+func (i *InstanceSettings) resources() apportioner.Resources {
+	return apportioner.Resources{MemoryMB: i.MemoryMB, MaxFiles: i.MaxFiles}
 }
 
 // ControllerSettings configure how the controllers are reached.
@@ -65,9 +74,15 @@
 	Level string `allowed:"Debug,Info,Warn,Error" help:"Least level that is logged."`
 }
 
+const (
+	defaultMaxFiles = 4096
+	defaultMemoryMB = 256
+)
+
 // Defaults returns the settings of a gateway whose file is empty.
 func Defaults() *Settings {
 	return &Settings{
+		Instance:    InstanceSettings{MaxFiles: defaultMaxFiles, MemoryMB: defaultMemoryMB},
 		Controllers: ControllerSettings{Timeout: 700 * time.Millisecond, RenewEvery: 500 * time.Millisecond},
 		Requests: RequestSettings{
 			MaxBody: 4 << 20, KeepAnswer: 64 << 10, SilenceAfter: 2 * time.Second,
@@ -110,6 +125,9 @@
 	if s.Controllers.RenewEvery >= time.Second {
 		fault("Controllers", "RenewEvery", "it must be below 1s, a third of a session's lease")
 	}
+	for key, problem := range s.Instance.resources().Problems() {
+		fault("Instance", key, problem)
+	}
 	if s.Requests.KeepAnswer > s.Requests.MaxBody {
 		fault("Requests", "KeepAnswer", "it must not be above MaxBody")
 	}
--- a/gateway/receiver/problem.go
+++ b/gateway/receiver/problem.go
@@ -28,6 +28,7 @@
 	kindUnauthenticated = "Unauthenticated"
 	kindMalformed       = "Malformed"
 	kindTooLarge        = "TooLarge"
+	kindNoMemory        = "NoMemory"
 	kindUnknownModel    = "UnknownModel"
 	kindUnknownService  = "UnknownService"
 	kindUnknownPath     = "UnknownPath"
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"bronzelead.example/gateway/claimer"
 	"bronzelead.example/gateway/dispatcher"
@@ -25,12 +25,17 @@
 	"bronzelead.example/gateway/scheduler"
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/server"
 	"bronzelead.example/pkg/translator"
 )
 
 const (
 	defaultMaxBody = 4 << 20
-	maxKeyLength   = 256
+	// maxAnnouncementBytes limits an announcement of a backend server.
+	maxAnnouncementBytes = 1 << 20
+	// retryAfterNoMemory is when to come back after a refusal because memory is short.
+	retryAfterNoMemory = time.Second
+	maxKeyLength       = 256
 	// Larger values are rejected; the contract's deadline caps a request's deadline anyway.
 	maxDeadlineSeconds = 1e6
 	servicesPath       = "/services/"
@@ -105,7 +110,11 @@
 }
 
 func (r *Receiver) announce(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(req.Body)
+	body, err := server.ReadBody(req, maxAnnouncementBytes)
+	if server.IsNoMemory(err) {
+		writeText(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
 	if err != nil {
 		writeText(w, http.StatusBadRequest, err.Error())
 		return
@@ -200,20 +209,26 @@
 	if maxBody == 0 {
 		maxBody = defaultMaxBody
 	}
-	if req.ContentLength > int64(maxBody) {
+	body, err := server.ReadBody(req, int64(maxBody))
+	switch {
+	case errors.Is(err, server.ErrTooLarge):
 		return e, tooLarge(maxBody)
-	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, int64(maxBody)+1))
-	if err != nil {
+	case server.IsNoMemory(err):
+		return e, noMemory()
+	case err != nil:
 		return e, malformed("the body can't be read")
 	}
-	if len(body) > maxBody {
-		return e, tooLarge(maxBody)
-	}
 	e.body = body
 	return e, nil
 }
 
+func noMemory() *Problem {
+	return &Problem{
+		Status: http.StatusServiceUnavailable, Kind: kindNoMemory, Ran: dispatcher.RanNo, RetryAfter: retryAfterNoMemory,
+		Message: "this instance has no memory for the request at the moment",
+	}
+}
+
 func tooLarge(limit int) *Problem {
 	return &Problem{
 		Status: http.StatusRequestEntityTooLarge, Kind: kindTooLarge, Ran: dispatcher.RanNo,
--- a/pkg/apportioner/apportioner.go
+++ b/pkg/apportioner/apportioner.go
@@ -2,6 +2,8 @@
 // that the bounds of all connections together fit.
 package apportioner
 
+import "fmt"
+
 const (
 	megabyte = 1 << 20
 	// heapPercent is the percentage of the memory from which the garbage collector works harder. Bytes in sockets come on
@@ -26,6 +28,23 @@
 	MaxFiles int
 }
 
+const (
+	minMemoryMB = 64
+	minFiles    = 64
+)
+
+// Problems returns what is wrong with the resources, by setting.
+func (r Resources) Problems() map[string]string {
+	problems := map[string]string{}
+	if r.MemoryMB < minMemoryMB {
+		problems["MemoryMB"] = fmt.Sprintf("it must be at least %d", minMemoryMB)
+	}
+	if r.MaxFiles < minFiles {
+		problems["MaxFiles"] = fmt.Sprintf("it must be at least %d", minFiles)
+	}
+	return problems
+}
+
 // HeapLimit returns the memory limit of the Go runtime in bytes.
 func (r Resources) HeapLimit() int64 { return r.Memory(heapPercent) }
 
--- a/pkg/apportioner/apportioner_test.go
+++ b/pkg/apportioner/apportioner_test.go
@@ -14,13 +14,14 @@
 	)
 	for name, r := range map[string]Resources{
 		"small":                {64, 1024},
-		"few file descriptors": {284, 16},
+		"few file descriptors": {284, minFiles},
 		"usual":                {284, 4100},
 		"large":                {1024, 65536},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			connections := r.Connections(2)
+			c.Check(r.Problems(), qt.HasLen, 0)
 			c.Check(connections >= minConnections, qt.IsTrue)
 			c.Check(connections <= max(r.MaxFiles/2, minConnections), qt.IsTrue)
 			fixed := int64(connections) * connectionBytes
@@ -32,3 +33,25 @@
 		})
 	}
 }
+
+func TestProblems(t *testing.T) {
+	for name, test := range map[string]struct {
+		resources Resources
+		keys      []string
+	}{
+		"none":                 {Resources{64, 64}, nil},
+		"little memory":        {Resources{63, 64}, []string{"MemoryMB"}},
+		"few file descriptors": {Resources{64, 63}, []string{"MaxFiles"}},
+		"not set":              {Resources{}, []string{"MemoryMB", "MaxFiles"}},
+		"negative":             {Resources{-1, 64}, []string{"MemoryMB"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			problems := test.resources.Problems()
+			c.Check(problems, qt.HasLen, len(test.keys))
+			for _, key := range test.keys {
+				c.Check(problems[key], qt.Not(qt.Equals), "")
+			}
+		})
+	}
+}
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -46,7 +46,7 @@
 // Open returns an empty reservation for a message that arrives. revoke is called if the message has to give way; it must
 // not block, and the owner then releases the reservation.
 func (p *Pool) Open(revoke func()) *Reservation {
-	return &Reservation{pool: p, holder: holder{arriving: true, revoke: revoke}}
+	return &Reservation{pool: p, holder: holder{revoke: revoke}}
 }
 
 // open adds a reservation to the ledger. The caller holds the lock.
@@ -57,16 +57,17 @@
 	}
 	if !r.opened.Load() {
 		r.opened.Store(true)
+		r.holder.arriving = !r.complete.Load()
 		p.ledger.add(&r.holder)
 	}
 }
 
-// Reservation is the memory of one message. One goroutine uses it.
+// Reservation is the memory of one message. One goroutine at a time lets it grow; others may release it.
 type Reservation struct {
 	pool   *Pool
 	holder holder
-	// opened is set while it is in the ledger.
-	opened atomic.Bool
+	// opened is set while it is in the ledger, and complete once the whole message has arrived.
+	opened, complete atomic.Bool
 }
 
 // Grow reserves n more bytes, or fails with an error for which IsRefusal holds. It may wait until messages that give way
@@ -140,8 +141,8 @@
 // Complete records that the whole message has arrived. It returns false if the message has to give way; otherwise it
 // does not have to from now on.
 func (r *Reservation) Complete() bool {
+	r.complete.Store(true)
 	if r.pool == nil || !r.opened.Load() {
-		r.holder.arriving = false
 		return true
 	}
 	r.pool.mu.Lock()
@@ -152,14 +153,18 @@
 
 // Release returns all bytes. It may be called again; the reservation may be used for a further message.
 func (r *Reservation) Release() {
+	r.complete.Store(false)
 	if r.pool == nil || !r.opened.Load() {
-		r.holder.arriving = true
 		return
 	}
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
+	if !r.opened.Load() {
+		// Another goroutine has released it meanwhile.
+		return
+	}
 	r.opened.Store(false)
 	r.pool.ledger.remove(&r.holder)
-	r.holder.arriving, r.holder.revoked = true, false
+	r.holder.revoked = false
 	r.pool.released.Broadcast()
 }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -17,6 +17,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzelead.example/pkg/buffersizer"
+	"bronzelead.example/pkg/logger"
+	"bronzelead.example/pkg/reserver"
 )
 
 const (
@@ -27,6 +31,8 @@
 	// writeTimeout is how long a write may be blocked by a caller that does not read.
 	writeTimeout       = 30 * time.Second
 	defaultIdleTimeout = 75 * time.Second
+	// refusalLogInterval is the shortest time between two log lines on refused requests.
+	refusalLogInterval = time.Second
 )
 
 // Server serves one listening address. Set the exported fields, then call Start.
@@ -40,9 +46,14 @@
 	// MaxBodyBytes is the size at which reading a body fails; 0 for no limit. Handlers refuse
 	// at a lower size, with a clear error.
 	MaxBodyBytes int64
+	// Memory is what all requests may hold together; nil for no limit.
+	Memory *reserver.Pool
+	// SocketBuffer is the size of the receive buffer of each connection in the kernel, in bytes; 0 for the kernel's choice.
+	SocketBuffer int
 
 	http     *http.Server
 	listener net.Listener
+	refusals logger.Limiter
 	stopping atomic.Bool
 
 	mu             sync.Mutex
@@ -56,14 +67,16 @@
 	if s.IdleTimeout == 0 {
 		s.IdleTimeout = defaultIdleTimeout
 	}
-	listen := net.ListenConfig{}
-	listener, err := listen.Listen(context.Background(), "tcp", s.Address)
+	listen := net.ListenConfig{Control: buffersizer.Control(s.SocketBuffer)}
+	listening, err := listen.Listen(context.Background(), "tcp", s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "server: listen on %s", s.Address)
 	}
-	s.listener = listener
+	s.refusals.Interval = refusalLogInterval
+	s.listener = &listener{TCPListener: listening.(*net.TCPListener), server: s}
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: s.IdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withConn,
+		Handler:     http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: s.IdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
 	}
 	go s.accept()
@@ -78,6 +91,14 @@
 	s.Log.Error("HTTP server stopped unexpectedly", "Address", s.Address, "Error", err.Error())
 }
 
+// recordRefusal logs that there is no memory for a request.
+func (s *Server) recordRefusal(peer net.Addr) {
+	if omitted, ok := s.refusals.Take(time.Now()); ok {
+		s.Log.Warn("refused a request: memory for requests is short", "Address", s.Address, "Peer", peer.String(),
+			"Reserved", s.Memory.Stats().Used, "NotLogged", omitted)
+	}
+}
+
 // Addr returns the listening address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -145,6 +166,15 @@
 		r.Body = http.MaxBytesReader(w, r.Body, s.MaxBodyBytes)
 	}
 	out := &deadlineWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
+	if c := connOf(r); c != nil {
+		defer c.end()
+		if !c.begin(r) {
+			panic(http.ErrAbortHandler)
+		}
+		if hasBody(r) {
+			r.Body = &body{ReadCloser: r.Body, conn: c, controller: out.controller}
+		}
+	}
 	s.handle(out, r)
 	if out.aborted {
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/pkg/server/untrusted_test.go
@@ -0,0 +1,114 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"bronzelead.example/pkg/reserver"
+)
+
+const (
+	ordinaryCall = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
+	chunkedHead  = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	bodyLimit    = 1 << 20
+)
+
+// readAll is a handler that reads the body as calls between instances do.
+func readAll(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.ReadAll(r.Body); err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// readBody is a handler that reads the body with ReadBody.
+func readBody(w http.ResponseWriter, r *http.Request) {
+	if _, err := ReadBody(r, bodyLimit); err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func startServer(c *qt.C, s *Server, handle http.HandlerFunc) {
+	s.Address, s.Log, s.Handler = "127.0.0.1:0", slog.New(slog.DiscardHandler), handle
+	c.Assert(s.Start(), qt.IsNil)
+	c.Cleanup(func() { _ = s.http.Close() })
+}
+
+func dial(c *qt.C, s *Server) net.Conn {
+	conn, err := net.Dial("tcp", s.Addr())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// statusOf sends an ordinary call and returns the status of its answer, or 0 if there is none.
+func statusOf(conn net.Conn) int {
+	if _, err := io.WriteString(conn, ordinaryCall); err != nil {
+		return 0
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+func eventually(c *qt.C, what string, condition func() bool) {
+	c.Helper()
+	for deadline := time.Now().Add(time.Minute); !condition(); {
+		if time.Now().After(deadline) {
+			c.Fatalf("timed out waiting until %s", what)
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
+// Nothing added up what unfinished requests held.
+func TestUnfinishedRequestsStayWithinMemory(t *testing.T) {
+	const (
+		clients  = 40
+		capacity = 4 << 20
+	)
+	body := strings.Repeat("x", 400<<10)
+	for name, test := range map[string]struct {
+		handle http.HandlerFunc
+		sent   string
+	}{
+		"bodies":                   {readAll, fmt.Sprintf("%s%x\r\n%s\r\n", chunkedHead, len(body), body)},
+		"bodies, exactly reserved": {readBody, fmt.Sprintf("%s%x\r\n%s\r\n", chunkedHead, len(body), body)},
+		"heads":                    {readAll, "POST / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 10000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			pool := &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: capacity}
+			s := &Server{Memory: pool}
+			startServer(c, s, test.handle)
+			var conns []net.Conn
+			var sending sync.WaitGroup
+			for range clients {
+				conn := dial(c, s)
+				conns = append(conns, conn)
+				sending.Go(func() { _, _ = io.WriteString(conn, test.sent) })
+			}
+			sending.Wait()
+			c.Check(statusOf(dial(c, s)), qt.Equals, http.StatusOK)
+			for _, conn := range conns {
+				_ = conn.Close()
+			}
+			eventually(c, "memory is given back", func() bool { return pool.Stats().Used == 0 })
+			c.Check(pool.Stats().Peak <= capacity, qt.IsTrue)
+			c.Check(pool.Stats().Refused+pool.Stats().Revoked > 0, qt.IsTrue)
+		})
+	}
+}
