Limit the connections to all other addresses

Controllers, readiness checks, calls between instances and gateways with contracts had no limit on connections: clients that open them and send nothing use up the file descriptors, and then the process can't serve anybody or call its peers.

Change: each address has a part of MaxFiles, fewer if its memory would not bear them, and the connection that waits for its peer for the longest time gives way to a new one, as at the callers' address of the routed mode.

Shown by TestConnectionsAreLimited (nine connections, three allowed; the server had no such setting before) and TestServingConnectionsAreKept.

--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -168,8 +168,8 @@
 	connections := resources.Connections(listenFilesDivisor)
 	a.server = &server.Server{
 		Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log, MaxBodyBytes: maxMessage,
-		Memory:       &reserver.Pool{Clock: a.Clock, Capacity: resources.Memory(listenPercent)},
-		SocketBuffer: resources.SocketBuffer(connections),
+		Memory:         &reserver.Pool{Clock: a.Clock, Capacity: resources.Memory(listenPercent)},
+		MaxConnections: connections, SocketBuffer: resources.SocketBuffer(connections),
 	}
 }
 
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -215,14 +215,14 @@
 	r.servers = []*server.Server{
 		{
 			Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log,
-			Memory:       &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)},
-			SocketBuffer: resources.SocketBuffer(meshConnections),
+			Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)},
+			MaxConnections: meshConnections, SocketBuffer: resources.SocketBuffer(meshConnections),
 		},
 		{
 			Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log,
-			IdleTimeout:  idleAnnouncements * s.Timing.Announcements,
-			Memory:       &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(controlPercent)},
-			SocketBuffer: resources.SocketBuffer(controlConnections),
+			IdleTimeout:    idleAnnouncements * s.Timing.Announcements,
+			Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(controlPercent)},
+			MaxConnections: controlConnections, SocketBuffer: resources.SocketBuffer(controlConnections),
 		},
 	}
 }
--- a/gateway/app/app.go
+++ b/gateway/app/app.go
@@ -150,8 +150,8 @@
 	connections := resources.Connections(callerFilesDivisor)
 	a.server = &server.Server{
 		Address: s.Instance.Listen, Handler: a.handler(), Log: a.Log,
-		Memory:       &reserver.Pool{Clock: a.Clock, Capacity: resources.Memory(requestPercent)},
-		SocketBuffer: resources.SocketBuffer(connections),
+		Memory:         &reserver.Pool{Clock: a.Clock, Capacity: resources.Memory(requestPercent)},
+		MaxConnections: connections, SocketBuffer: resources.SocketBuffer(connections),
 	}
 }
 
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -226,7 +226,7 @@
 	healthConnections, meshConnections := resources.Connections(healthFilesDivisor), resources.Connections(meshFilesDivisor)
 	r.health = &server.Server{
 		Address: s.Instance.Health, Handler: mux, Log: r.Log,
-		Memory: calls, SocketBuffer: resources.SocketBuffer(healthConnections),
+		Memory: calls, MaxConnections: healthConnections, SocketBuffer: resources.SocketBuffer(healthConnections),
 	}
 	meshMux := http.NewServeMux()
 	meshMux.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.relayer))
@@ -239,7 +239,7 @@
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{
 		Address: s.meshAddress(), Handler: meshMux, Log: r.Log,
-		Memory: calls, SocketBuffer: resources.SocketBuffer(meshConnections),
+		Memory: calls, MaxConnections: meshConnections, SocketBuffer: resources.SocketBuffer(meshConnections),
 	}
 }
 
--- a/pkg/server/conn.go
+++ b/pkg/server/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzelead.example/pkg/evictor"
 	"bronzelead.example/pkg/reserver"
 )
 
@@ -27,15 +28,21 @@
 	server *Server
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection for which there is room.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{TCPConn: accepted, server: l.server}
+		c.memory = l.server.Memory.Open(func() { _ = accepted.SetReadDeadline(expired) })
+		c.entry = l.server.evictor.Add(func() { _ = accepted.Close() })
+		if c.entry != nil {
+			return c, nil
+		}
+		_ = accepted.Close()
 	}
-	c := &conn{TCPConn: accepted, server: l.server}
-	c.memory = l.server.Memory.Open(func() { _ = accepted.SetReadDeadline(expired) })
-	return c, nil
 }
 
 // conn is a connection whose requests reserve the memory that they hold.
@@ -43,6 +50,7 @@
 	*net.TCPConn
 
 	server *Server
+	entry  *evictor.Entry
 	memory *reserver.Reservation
 	// serving is set while a request is handled; otherwise a head is read.
 	serving atomic.Bool
@@ -62,6 +70,9 @@
 	if n == 0 {
 		return 0, err
 	}
+	if c.headBytes == 0 {
+		c.entry.Wait()
+	}
 	c.headBytes += int64(n)
 	if grown := c.memory.Grow(int64(n) * headMemory); grown != nil {
 		return 0, c.refuse()
@@ -77,13 +88,15 @@
 
 // Close closes the connection.
 func (c *conn) Close() error {
+	c.entry.Remove()
 	if !c.serving.Load() {
 		c.memory.Release()
 	}
 	return c.TCPConn.Close()
 }
 
-// begin records that a request is handled from now on. It returns false if its memory was given to others.
+// begin records that a request is handled from now on. It returns false if the connection was closed for another one, or
+// its memory was given to others.
 func (c *conn) begin(r *http.Request) bool {
 	c.serving.Store(true)
 	c.memory.Shrink(c.headBytes*headMemory - headSize(r))
@@ -106,9 +119,10 @@
 	return int64(size)
 }
 
-// complete records that the whole request has arrived. It returns false if its memory was given to others.
+// complete records that the whole request has arrived. It returns false if the connection was closed for another one, or
+// its memory was given to others.
 func (c *conn) complete() bool {
-	return c.memory.Complete()
+	return c.entry.Busy() && c.memory.Complete()
 }
 
 // end records that a request has been handled.
@@ -127,3 +141,10 @@
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	return c
 }
+
+// observeState records that a connection waits for a request.
+func observeState(c net.Conn, state http.ConnState) {
+	if served, ok := c.(*conn); ok && state == http.StateIdle {
+		served.entry.Wait()
+	}
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/buffersizer"
+	"bronzelead.example/pkg/evictor"
 	"bronzelead.example/pkg/logger"
 	"bronzelead.example/pkg/reserver"
 )
@@ -46,6 +47,9 @@
 	// MaxBodyBytes is the size at which reading a body fails; 0 for no limit. Handlers refuse
 	// at a lower size, with a clear error.
 	MaxBodyBytes int64
+	// MaxConnections limits the open connections; 0 for no limit. For a new one, the one that has been waiting for its
+	// caller for the longest time is closed; if all serve requests, the new one is.
+	MaxConnections int
 	// Memory is what all requests may hold together; nil for no limit.
 	Memory *reserver.Pool
 	// SocketBuffer is the size of the receive buffer of each connection in the kernel, in bytes; 0 for the kernel's choice.
@@ -53,6 +57,7 @@
 
 	http     *http.Server
 	listener net.Listener
+	evictor  evictor.Evictor
 	refusals logger.Limiter
 	stopping atomic.Bool
 
@@ -72,11 +77,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "server: listen on %s", s.Address)
 	}
-	s.refusals.Interval = refusalLogInterval
+	s.evictor.Max, s.refusals.Interval = s.MaxConnections, refusalLogInterval
 	s.listener = &listener{TCPListener: listening.(*net.TCPListener), server: s}
 	s.http = &http.Server{
-		ConnContext: withConn,
-		Handler:     http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: s.IdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withConn, ConnState: observeState,
+		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: s.IdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
 	}
 	go s.accept()
@@ -99,6 +104,9 @@
 	}
 }
 
+// Connections returns the state of the connections.
+func (s *Server) Connections() evictor.Stats { return s.evictor.Stats() }
+
 // Addr returns the listening address.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/pkg/server/untrusted_test.go
+++ b/pkg/server/untrusted_test.go
@@ -112,3 +112,56 @@
 		})
 	}
 }
+
+// Connections were not limited at all.
+func TestConnectionsAreLimited(t *testing.T) {
+	const limit = 3
+	for name, sent := range map[string]string{
+		"nothing":        "",
+		"part of a head": "POST / HTTP/1.1\r\n",
+		"part of a body": chunkedHead + "5\r\nx",
+		"whole request":  ordinaryCall,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &Server{MaxConnections: limit}
+			startServer(c, s, readAll)
+			for range 3 * limit {
+				_, err := io.WriteString(dial(c, s), sent)
+				c.Assert(err, qt.IsNil)
+			}
+			eventually(c, "an ordinary call is answered", func() bool { return statusOf(dial(c, s)) == http.StatusOK })
+			c.Check(s.Connections().Open <= limit, qt.IsTrue)
+			c.Check(s.Connections().Evicted > 0, qt.IsTrue)
+		})
+	}
+}
+
+// A connection whose call is being answered is not closed for another one.
+func TestServingConnectionsAreKept(t *testing.T) {
+	for name, sent := range map[string]string{
+		"with a body":    ordinaryCall,
+		"without a body": "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			started, release := make(chan struct{}), make(chan struct{})
+			s := &Server{MaxConnections: 1, MaxBodyBytes: bodyLimit}
+			startServer(c, s, func(w http.ResponseWriter, r *http.Request) {
+				readAll(w, r)
+				close(started)
+				<-release
+			})
+			first := dial(c, s)
+			_, err := io.WriteString(first, sent)
+			c.Assert(err, qt.IsNil)
+			<-started
+			c.Check(statusOf(dial(c, s)), qt.Equals, 0)
+			close(release)
+			res, err := http.ReadResponse(bufio.NewReader(first), nil)
+			c.Assert(err, qt.IsNil)
+			_ = res.Body.Close()
+			c.Check(res.StatusCode, qt.Equals, http.StatusOK)
+		})
+	}
+}
