Give the bodies of calls an end in time

Cause: no read of a body had a limit in time at the servers over net/http. A peer that stopped, or sent a byte from time to time, kept its connection, a goroutine and what had arrived without end, also after it had been refused.

Change: five seconds between two reads, a minute for the whole body, as at the callers' address of the routed mode. The limit ends with the body: it does not end calls that take longer to answer (TestBodyTimeoutDoesNotEndCalls).

--- a/pkg/server/body.go
+++ b/pkg/server/body.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	defaultBodyTimeout      = 5 * time.Second
+	defaultWholeBodyTimeout = time.Minute
 	// growingBuffer is the memory that a byte of a body takes at most in a buffer that grows with it.
 	growingBuffer = 2
 )
@@ -32,6 +34,7 @@
 
 	conn       *conn
 	controller *http.ResponseController
+	until      time.Time
 	// exact is set if the reader reserves the memory itself.
 	exact bool
 	ended bool
@@ -42,7 +45,13 @@
 	if b.ended {
 		return 0, io.EOF
 	}
+	deadline := time.Now().Add(b.conn.server.bodyTimeout)
+	if b.until.Before(deadline) {
+		deadline = b.until
+	}
+	_ = b.controller.SetReadDeadline(deadline)
 	if b.conn.memory.Revoked() {
+		// The deadline was set to an earlier time before.
 		return 0, b.conn.refuse()
 	}
 	n, err := b.ReadCloser.Read(p)
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -57,6 +57,9 @@
 
 	http     *http.Server
 	listener net.Listener
+	// bodyTimeout limits the time between two reads of a body, and wholeBodyTimeout the time until its end.
+	bodyTimeout, wholeBodyTimeout time.Duration
+
 	evictor  evictor.Evictor
 	refusals logger.Limiter
 	stopping atomic.Bool
@@ -72,6 +75,9 @@
 	if s.IdleTimeout == 0 {
 		s.IdleTimeout = defaultIdleTimeout
 	}
+	if s.bodyTimeout == 0 {
+		s.bodyTimeout, s.wholeBodyTimeout = defaultBodyTimeout, defaultWholeBodyTimeout
+	}
 	listen := net.ListenConfig{Control: buffersizer.Control(s.SocketBuffer)}
 	listening, err := listen.Listen(context.Background(), "tcp", s.Address)
 	if err != nil {
@@ -180,7 +186,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		if hasBody(r) {
-			r.Body = &body{ReadCloser: r.Body, conn: c, controller: out.controller}
+			r.Body = &body{ReadCloser: r.Body, conn: c, controller: out.controller, until: time.Now().Add(s.wholeBodyTimeout)}
+			// It also limits how long net/http waits for the rest of a body that its handler does not read.
+			_ = out.controller.SetReadDeadline(time.Now().Add(s.bodyTimeout))
 		}
 	}
 	s.handle(out, r)
--- a/pkg/server/untrusted_test.go
+++ b/pkg/server/untrusted_test.go
@@ -165,3 +165,51 @@
 		})
 	}
 }
+
+// The limit on the time of a body does not end a call that takes longer to answer.
+func TestBodyTimeoutDoesNotEndCalls(t *testing.T) {
+	c := qt.New(t)
+	s := &Server{bodyTimeout: 50 * time.Millisecond, wholeBodyTimeout: 50 * time.Millisecond}
+	startServer(c, s, func(w http.ResponseWriter, r *http.Request) {
+		readAll(w, r)
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusGatewayTimeout)
+		case <-time.After(200 * time.Millisecond):
+		}
+	})
+	conn := dial(c, s)
+	c.Check(statusOf(conn), qt.Equals, http.StatusOK)
+	c.Check(statusOf(conn), qt.Equals, http.StatusOK)
+}
+
+// A body that never ended kept its call, and its goroutine, without end.
+func TestBodiesHaveToEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		handle  http.HandlerFunc
+		trickle bool
+	}{
+		"nothing more comes": {readAll, false},
+		"bytes trickle":      {readAll, true},
+		"it is not read":     {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &Server{bodyTimeout: 100 * time.Millisecond, wholeBodyTimeout: 300 * time.Millisecond}
+			startServer(c, s, test.handle)
+			conn := dial(c, s)
+			_, err := io.WriteString(conn, chunkedHead+"5\r\nx")
+			c.Assert(err, qt.IsNil)
+			if test.trickle {
+				go func() {
+					for err == nil {
+						<-time.After(20 * time.Millisecond)
+						_, err = io.WriteString(conn, "xxxx\r\n5\r\nx")
+					}
+				}()
+			}
+			_, _ = io.Copy(io.Discard, conn)
+			eventually(c, "the connection is closed", func() bool { return s.Connections().Open == 0 })
+		})
+	}
+}
