Keep only the first message of a chat request

Callers of gateways with contracts: a chat request with very many short messages took 69 times its body once it was decoded (69 MB allocated for 1 MB), so that requests within the limits could use up the memory.

Cause: all messages were decoded into a list, of which only the first is used, for the beginning of the prompt.

Shown by TestManyMessagesTakeLittleMemory: the decoding of 1 MB allocated 69 MB before; less than twice the body now.

--- a/gateway/receiver/completions.go
+++ b/gateway/receiver/completions.go
@@ -81,8 +81,8 @@
 // prefixOf hashes the beginning of a prompt together with its adapter.
 func prefixOf(req *translator.CompletionRequest) uint64 {
 	text := req.Prompt
-	if len(req.Messages) > 0 {
-		text = req.Messages[0]
+	if req.Messages.First != nil {
+		text = req.Messages.First
 	}
 	if len(text) < prefixBytes {
 		return 0
--- a/pkg/translator/requests.go
+++ b/pkg/translator/requests.go
@@ -65,7 +65,32 @@
 	Stream bool            `json:"stream"`
 	Prompt json.RawMessage `json:"prompt"`
 	// Messages replace the prompt in chat requests.
-	Messages []json.RawMessage `json:"messages"`
+	Messages Messages `json:"messages"`
+}
+
+// Messages is a list of which only the first entry is kept: a list may have millions of short ones, which take many times
+// their size once they are decoded.
+type Messages struct {
+	// First is the first message; nil for an empty list.
+	First json.RawMessage
+}
+
+// UnmarshalJSON decodes the first entry of a list.
+func (m *Messages) UnmarshalJSON(list []byte) error {
+	m.First = nil
+	decoder := json.NewDecoder(bytes.NewReader(list))
+	token, err := decoder.Token()
+	if err != nil || token == nil {
+		// The list is null, or was found to be no JSON before.
+		return err
+	}
+	if token != json.Delim('[') {
+		return fail("ParseCompletion", KindMalformed, "messages are no list")
+	}
+	if !decoder.More() {
+		return nil
+	}
+	return decoder.Decode(&m.First)
 }
 
 // ParseCompletion decodes and validates a caller's request.
@@ -80,7 +105,7 @@
 	if path == CompletionsPath && len(req.Prompt) == 0 {
 		return nil, fail("ParseCompletion", KindMalformed, "prompt is missing")
 	}
-	if path == ChatPath && len(req.Messages) == 0 {
+	if path == ChatPath && req.Messages.First == nil {
 		return nil, fail("ParseCompletion", KindMalformed, "messages are missing")
 	}
 	return req, nil
--- a/pkg/translator/translator_test.go
+++ b/pkg/translator/translator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -139,3 +140,39 @@
 		t.Fatal("more events than bytes")
 	})
 }
+
+// A chat request with very many short messages took many times the memory of its body.
+func TestManyMessagesTakeLittleMemory(t *testing.T) {
+	c := qt.New(t)
+	body := []byte(`{"model":"m@1","messages":[{"role":"user"}` + strings.Repeat(",1", 500_000) + `]}`)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	req, err := translator.ParseCompletion(translator.ChatPath, body)
+	runtime.ReadMemStats(&after)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(req.Messages.First), qt.Equals, `{"role":"user"}`)
+	c.Check(after.TotalAlloc-before.TotalAlloc < uint64(2*len(body)), qt.IsTrue, qt.Commentf("%d bytes", after.TotalAlloc-before.TotalAlloc))
+}
+
+func TestMessages(t *testing.T) {
+	for name, test := range map[string]struct {
+		messages, first string
+		accepted        bool
+	}{
+		"one":     {`[{"role":"user"}]`, `{"role":"user"}`, true},
+		"several": {`[ 1, 2 ]`, `1`, true},
+		"none":    {`[]`, "", false},
+		"null":    {`null`, "", false},
+		"no list": {`{}`, "", false},
+		"text":    {`"a"`, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			req, err := translator.ParseCompletion(translator.ChatPath, []byte(`{"model":"m@1","messages":`+test.messages+`}`))
+			c.Check(err == nil, qt.Equals, test.accepted)
+			if test.accepted {
+				c.Check(string(req.Messages.First), qt.Equals, test.first)
+			}
+		})
+	}
+}
