Keep no fields of a body beside the one that holds its key

A contract may take the idempotency key from a field of the body. All fields were decoded into a map for that, which takes many times the body if it has very many. Now they are read one after the other. TestFieldsOfBodies passes before and after: what is found is the same. The memory that the map took was not measured.

--- a/gateway/receiver/completions.go
+++ b/gateway/receiver/completions.go
@@ -256,13 +256,29 @@
 	return c.receiver.storedAnswer(out.Status, jsonContent, out.Body)
 }
 
-// jsonField returns a field of a JSON body as text.
+// jsonField returns a field of a JSON body as text. It keeps no other fields, of which there may be very many.
 func jsonField(body []byte, name string) string {
-	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(body, &fields); err != nil {
+	if !json.Valid(body) {
 		return ""
 	}
-	raw := fields[name]
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if first, err := decoder.Token(); err != nil || first != json.Delim('{') {
+		return ""
+	}
+	var raw json.RawMessage
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return ""
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return ""
+		}
+		if key == name {
+			raw = value
+		}
+	}
 	text := ""
 	if err := json.Unmarshal(raw, &text); err == nil {
 		return text
