Reserve the memory of very many prompt parts

A head within its limit may list some 4,000 parts of a prompt, and each takes 64 bytes once it is decoded. Requests with more than 64 parts reserve that, or are refused with 503 before anything of them is sent.

--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -14,6 +14,16 @@
 	"bronzelead.example/platform"
 )
 
+const (
+	// promptPartBytes is the memory that a part of a prompt takes, and freePromptParts is how many of them are kept without
+	// reserving it.
+	promptPartBytes = 64
+	freePromptParts = 64
+	// retryAfterNoMemory is when to come back after a refusal because memory is short.
+	retryAfterNoMemory = time.Second
+	reasonNoMemory     = "memory for requests is short"
+)
+
 // job is the state of one request.
 type job struct {
 	req   *acceptor.Request
@@ -95,6 +105,10 @@
 // Handle answers a request.
 func (f *Forwarder) Handle(ctx context.Context, req *acceptor.Request, reply *acceptor.Reply) {
 	j := &job{req: req, reply: reply, meta: platform.DecodeRequest(req.Head.Header)}
+	if n := len(j.meta.PromptParts); n > freePromptParts && !req.Reserve(int64(n)*promptPartBytes) {
+		f.refuse(j, statusUnavailable, reasonNoMemory, retryAfterNoMemory)
+		return
+	}
 	if !f.awaitTable(ctx, j) || !f.admit(j) {
 		return
 	}
