Report what callers hold at a gateway

Gauges of the memory that callers' requests have reserved and of their connections, and a log line at most once a second when requests gave way or were refused, or connections were closed for others, with counters by outcome.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -28,6 +28,7 @@
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/seedreader"
 	"bronzelead.example/pkg/server"
@@ -51,6 +52,8 @@
 	// other instances, may hold together.
 	requestPercent = 20
 	callPercent    = 10
+	// resourceReportInterval is the interval at which is reported what callers hold.
+	resourceReportInterval = time.Second
 	// stopMargin is reserved at the end of a planned stop, before the process is killed.
 	stopMargin = 500 * time.Millisecond
 	// lostAfter is the age of the leader's state from which on the settings file is read again. An election takes less.
@@ -83,11 +86,13 @@
 	tunneler     *tunneler.Tunneler
 	origins      *originfinder.Finder
 	// datagrams carries the reports of the origins of streams between gateways.
-	datagrams       *originfinder.Socket
-	granter         *granter.Granter
-	isolator        *isolator.Isolator
-	enforcer        *quotaenforcer.Enforcer
-	shedder         *connectionShedder
+	datagrams *originfinder.Socket
+	granter   *granter.Granter
+	isolator  *isolator.Isolator
+	enforcer  *quotaenforcer.Enforcer
+	shedder   *connectionShedder
+	// resources is what callers held at the latest report.
+	resources       resourceState
 	health          *server.Server
 	mesh            *server.Server
 	meter           *meter.Meter
@@ -117,6 +122,7 @@
 	if err := r.frontend.Start(); err != nil {
 		return errors.Wrap(err, "app")
 	}
+	go repeater.Run(background, r.Clock, resourceReportInterval, func() { r.reportResources(r.frontend) })
 	for _, listening := range []*server.Server{r.health, r.mesh} {
 		if err := listening.Start(); err != nil {
 			return errors.Wrap(err, "app")
