Divide the memory for connections among the addresses

Each address could take a quarter of the memory for its connections; at an instance of 64 MB two such addresses and what their requests hold exceeded it. The share is 40% for all addresses now, divided as the file descriptors are. Where file descriptors bind, as with 284 MB and 4,100 of them, nothing changes.

--- a/pkg/apportioner/apportioner.go
+++ b/pkg/apportioner/apportioner.go
@@ -9,8 +9,9 @@
 	// heapPercent is the percentage of the memory from which the garbage collector works harder. Bytes in sockets come on
 	// top.
 	heapPercent = 60
-	// connectionPercent is for the fixed part of all connections: goroutines, read buffers and small requests.
-	connectionPercent = 25
+	// connectionPercent is for the fixed part of the connections of all addresses, which have shares of it as of the file
+	// descriptors: goroutines, read buffers and small requests.
+	connectionPercent = 40
 	// connectionBytes is the fixed part of one connection.
 	connectionBytes = 24 << 10
 	// socketPercent is for the bytes of all connections that wait in the kernel to be read.
@@ -53,10 +54,10 @@
 	return int64(r.MemoryMB) * megabyte * int64(percent) / 100
 }
 
-// Connections returns how many connections an address may have that gets a part of the file descriptors, given as a
-// divisor.
+// Connections returns how many connections an address may have that gets a part of the file descriptors and of the memory
+// for connections, given as a divisor.
 func (r Resources) Connections(divisor int) int {
-	byMemory := int(r.Memory(connectionPercent) / connectionBytes)
+	byMemory := int(r.Memory(connectionPercent)/connectionBytes) / divisor
 	return max(min(r.MaxFiles/divisor, byMemory), minConnections)
 }
 
--- a/pkg/apportioner/apportioner_test.go
+++ b/pkg/apportioner/apportioner_test.go
@@ -11,6 +11,7 @@
 	const (
 		bodyLimit   = 4 * megabyte
 		callerShare = 20
+		divisor     = 2
 	)
 	for name, r := range map[string]Resources{
 		"small":                {64, 1024},
@@ -20,12 +21,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			connections := r.Connections(2)
+			connections := r.Connections(divisor)
 			c.Check(r.Problems(), qt.HasLen, 0)
 			c.Check(connections >= minConnections, qt.IsTrue)
-			c.Check(connections <= max(r.MaxFiles/2, minConnections), qt.IsTrue)
+			c.Check(connections <= max(r.MaxFiles/divisor, minConnections), qt.IsTrue)
 			fixed := int64(connections) * connectionBytes
-			c.Check(fixed <= r.Memory(connectionPercent), qt.IsTrue)
+			c.Check(fixed <= r.Memory(connectionPercent)/divisor, qt.IsTrue)
 			c.Check(fixed+r.Memory(callerShare) < r.HeapLimit(), qt.IsTrue)
 			// A body is joined from its segments once it has arrived, and large bodies leave a quarter to small ones.
 			c.Check(r.Memory(callerShare)*3/4 >= 2*bodyLimit, qt.IsTrue)
