Test: crowds in series while tables change and leaders are lost

Crowds of all kinds one after another and at once at one gateway, with new tables, restarted controllers, and a planned stop amid the last one.

--- a/proof/untrusted_clients_test.go
+++ b/proof/untrusted_clients_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -311,6 +312,38 @@
 	y.checkServed()
 }
 
+// Crowds of all kinds, one after another and at once, while tables change, the leader is lost and the gateway stops.
+func TestCrowdsInSeries(t *testing.T) {
+	const clients = 32
+	c := qt.New(t)
+	y := startReleased(c, fmt.Sprintf("MemoryMB = %d\n", gatewayMemoryMB))
+	gateway := y.gateways[0]
+	requests := incompleteRequests(string(idempotent), megabyte)
+	var crowds []*crowd
+	defer func() {
+		for _, w := range crowds {
+			w.disconnect()
+		}
+	}()
+	for range 3 {
+		for _, name := range slices.Sorted(maps.Keys(requests)) {
+			crowds = append(crowds, startCrowd(gateway.address, clients, requests[name].bytes()))
+			y.operator.putTable()
+		}
+		y.checkServed()
+	}
+	for _, n := range y.controllers {
+		n.kill()
+		n.restart()
+		crowds = append(crowds, startCrowd(gateway.address, clients, requests["large chunks"].bytes()))
+	}
+	y.operator.putTable()
+	y.waitServing()
+	checkResources(c, gateway.process, resources{gatewayMemoryMB, defaultFiles}, gateway.address)
+	crowds = append(crowds, startCrowd(gateway.address, clients, requests["small chunks"].bytes()))
+	gateway.stop()
+}
+
 // trickle sends a byte over each connection again and again.
 func (w *crowd) trickle(stop <-chan struct{}) {
 	const interval = 200 * time.Millisecond
