Give back the memory of a request before its rest is discarded

A request that was refused by its head kept its reservation while its body was awaited, for up to 5 s, and could not give way meanwhile, as the deadline of that wait replaced the one that ends it. TestDiscardedRequestsHoldNothing fails without the change (the head stayed reserved). The time that a caller waits is now decoded only for bodies that have to be waited for.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -247,7 +247,9 @@
 	memory   *reserver.Reservation
 	// used is set once a request was read, and kept if the connection stays open after its answer.
 	used, kept bool
-	// bodyUntil is when the body that is being read must have arrived; zero while none is.
+	// reading is the request whose body is being read; nil while none is. bodyUntil is when the body must have arrived; zero
+	// until it is waited for.
+	reading   *Request
 	bodyUntil time.Time
 
 	mu sync.Mutex
@@ -271,10 +273,14 @@
 
 // Read reads what the caller sends. While a body arrives, it sets the deadline of each read.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.bodyUntil.IsZero() {
+	if c.reading == nil {
 		return c.Conn.Read(p)
 	}
-	until := time.Now().Add(bodyTimeout)
+	now := time.Now()
+	if c.bodyUntil.IsZero() {
+		c.bodyUntil = now.Add(c.bodyTime(c.reading))
+	}
+	until := now.Add(bodyTimeout)
 	if c.bodyUntil.Before(until) {
 		until = c.bodyUntil
 	}
@@ -375,6 +381,8 @@
 	if !c.acceptor.CheckHead(req, reply) {
 		return false, false
 	}
+	// What follows is discarded, and takes no memory.
+	c.memory.Release()
 	if !reply.keep || !reply.complete {
 		c.linger()
 		return true, false
@@ -433,9 +441,9 @@
 	if body.Framing != framer.FramingChunked {
 		content.Length = body.Length
 	}
-	c.bodyUntil = time.Now().Add(c.bodyTime(req))
+	c.reading, c.bodyUntil = req, time.Time{}
 	req.Body, err = c.memory.ReadAll(body, content)
-	c.bodyUntil = time.Time{}
+	c.reading = nil
 	if err == nil && !c.memory.Complete() {
 		err = errGaveWay
 	}
--- a/gateway/acceptor/untrusted_test.go
+++ b/gateway/acceptor/untrusted_test.go
@@ -143,6 +143,26 @@
 	}
 }
 
+// The rest of a request that was refused by its head is discarded, and holds nothing while it is waited for: others that
+// wait for its memory would wait as long.
+func TestDiscardedRequestsHoldNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		pool := &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: 1 << 20}
+		connect := virtual(&Acceptor{Memory: pool, CheckHead: func(_ *Request, reply *Reply) bool {
+			reply.Send(http.StatusUnauthorized, nil, nil)
+			return true
+		}})
+		conn := connect()
+		head := "POST / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 3000) + "Content-Length: 2\r\n\r\n"
+		c.Check(statusOf(conn, head), qt.Equals, http.StatusUnauthorized)
+		synctest.Wait()
+		c.Check(pool.Stats().Peak > 0, qt.IsTrue)
+		c.Check(pool.Stats().Used, qt.Equals, int64(0))
+		_ = conn.Close()
+	})
+}
+
 // A byte from time to time renewed the limit between two reads without end.
 func TestBodiesHaveToEnd(t *testing.T) {
 	for name, test := range map[string]struct {
