--- a/controller/app/app.go
+++ b/controller/app/app.go
@@ -21,6 +21,7 @@
 	"bronzelead.example/controller/raftdriver"
 	"bronzelead.example/controller/responder"
 	"bronzelead.example/controller/transporter"
+	"bronzelead.example/pkg/apportioner"
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/logger"
@@ -169,7 +170,7 @@
 	a.server = &server.Server{
 		Address: s.Instance.Listen, Handler: a.handler(forward), Log: a.Log, MaxBodyBytes: maxMessage,
 		Memory:         &reserver.Pool{Clock: a.Clock, Capacity: resources.Memory(listenPercent)},
-		MaxConnections: connections, SocketBuffer: resources.SocketBuffer(connections),
+		MaxConnections: connections, SocketBuffer: apportioner.PeerSocketBytes,
 	}
 }
 
--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -20,6 +20,7 @@
 	"bronzelead.example/controller/transporter"
 	"bronzelead.example/pkg/ablator"
 	"bronzelead.example/pkg/applier"
+	"bronzelead.example/pkg/apportioner"
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
@@ -216,7 +217,7 @@
 		{
 			Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log,
 			Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)},
-			MaxConnections: meshConnections, SocketBuffer: resources.SocketBuffer(meshConnections),
+			MaxConnections: meshConnections, SocketBuffer: apportioner.PeerSocketBytes,
 		},
 		{
 			Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log,
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -25,6 +25,7 @@
 	"bronzelead.example/gateway/sender"
 	"bronzelead.example/gateway/synchronizer"
 	"bronzelead.example/gateway/tunneler"
+	"bronzelead.example/pkg/apportioner"
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
@@ -245,7 +246,7 @@
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{
 		Address: s.meshAddress(), Handler: meshMux, Log: r.Log,
-		Memory: calls, MaxConnections: meshConnections, SocketBuffer: resources.SocketBuffer(meshConnections),
+		Memory: calls, MaxConnections: meshConnections, SocketBuffer: apportioner.PeerSocketBytes,
 	}
 }
 
--- a/pkg/apportioner/apportioner.go
+++ b/pkg/apportioner/apportioner.go
@@ -19,6 +19,9 @@
 	// minSocketBytes and maxSocketBytes bound the receive buffer of one connection.
 	minSocketBytes = 16 << 10
 	maxSocketBytes = 256 << 10
+	// PeerSocketBytes is the receive buffer of a connection between own processes, which carries large states over long
+	// distances.
+	PeerSocketBytes = 256 << 10
 	// minConnections keeps an address reachable however few file descriptors there are.
 	minConnections = 16
 )
