--- a/pkg/framer/framer_test.go
+++ b/pkg/framer/framer_test.go
@@ -179,3 +179,31 @@
 	})
 	c.Check(err, qt.Equals, full)
 }
+
+// A body costs at most so many bytes to read for each byte of its content, whatever its chunks look like.
+func FuzzChunkOverhead(f *testing.F) {
+	f.Add([]byte("3\r\nabc\r\n0\r\n\r\n"))
+	f.Add([]byte(strings.Repeat("1\r\nx\r\n", 50)))
+	f.Add([]byte(strings.Repeat("1;"+strings.Repeat("e", 300)+"\r\nx\r\n", 80)))
+	f.Add([]byte(strings.Repeat("0000000000000000000000000001\r\nx\r\n", 80)))
+	f.Add([]byte("0\r\n" + strings.Repeat("a: b\r\n", 3000)))
+	f.Add([]byte(strings.Repeat("0", 5000)))
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		const (
+			// overheadOfChunk is the longest size and two line ends.
+			overheadOfChunk = maxSizeDigits + 2*len(lineEnd)
+			fixed           = maxExtensions + maxTrailers + 2*maxChunkLine + bufferBytes
+		)
+		c := qt.New(t)
+		source := strings.NewReader(string(sent))
+		head := &RequestHead{Minor: 1, Header: Header{{Name: "Transfer-Encoding", Value: "chunked"}}}
+		body, err := RequestBody(bufio.NewReaderSize(source, bufferBytes), head)
+		c.Assert(err, qt.IsNil)
+		content, _ := io.Copy(io.Discard, body)
+		read := len(sent) - source.Len()
+		c.Check(read <= int(content)*(1+overheadOfChunk)+fixed, qt.IsTrue, qt.Commentf("%d bytes read for %d of content", read, content))
+	})
+}
+
+// bufferBytes is the size of the buffer in front of the parser.
+const bufferBytes = 4096
