Bound what is kept of adapters that callers name

Callers may name any adapter of a model, in up to 16 KB. Gateways kept the names until their next report, without end while they reached no controller; each controller kept their demand for about a minute: a thousand such requests a second are 60,000 names.

Change: names longer than 512 bytes are refused with 400, a gateway keeps at most 16,384 adapters between two reports, and a controller 65,536, of which the least wanted one of eight gives way to a new one.

--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -368,7 +368,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, d := range list {
-		f.demand[d.GetAdapter()] += d.GetRequests()
+		f.addDemand(d.GetAdapter(), d.GetRequests())
+	}
+}
+
+// addDemand counts requests for an adapter, unless there are very many adapters. The caller holds the lock.
+func (f *Forwarder) addDemand(adapter string, requests uint32) {
+	if _, known := f.demand[adapter]; known || len(f.demand) < maxDemandedAdapters {
+		f.demand[adapter] += requests
 	}
 }
 
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -22,6 +22,11 @@
 	// retryAfterNoMemory is when to come back after a refusal because memory is short.
 	retryAfterNoMemory = time.Second
 	reasonNoMemory     = "memory for requests is short"
+	// maxModelName limits the name of a model with its adapter, in bytes: gateways and controllers keep it for some time.
+	maxModelName   = 512
+	reasonLongName = "the name of the model is too long"
+	// maxDemandedAdapters bounds the adapters whose demand is kept for the next report.
+	maxDemandedAdapters = 1 << 14
 )
 
 // job is the state of one request.
@@ -161,6 +166,10 @@
 		f.refuseKey(j)
 		return false
 	}
+	if len(j.meta.Model) > maxModelName {
+		f.refuse(j, statusBadRequest, reasonLongName, 0)
+		return false
+	}
 	f.setService(j, matcher.PickService(j.route, rand.Float64()))
 	j.deadline = j.req.ReceivedAt.Add(milliseconds(j.route.GetTimeoutMs()))
 	if j.meta.ClientTimeout > 0 {
@@ -191,7 +200,7 @@
 	defer f.mu.Unlock()
 	f.retries(j.service).limiter.RecordRequest(f.Clock.Now(), f.stalls.SentSince(j.req.ReceivedAt))
 	if j.adapter != "" {
-		f.demand[j.adapter]++
+		f.addDemand(j.adapter, 1)
 	}
 }
 
--- a/gateway/forwarder/memory_test.go
+++ b/gateway/forwarder/memory_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -10,6 +12,7 @@
 
 	"bronzelead.example/gateway/acceptor"
 	"bronzelead.example/pkg/reserver"
+	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
 )
 
@@ -46,3 +49,37 @@
 		})
 	}
 }
+
+// Callers may name any adapter; a gateway that reaches no controller kept all of these names.
+func TestDemandIsBounded(t *testing.T) {
+	c := qt.New(t)
+	_, f := newGateway(c, clockwork.NewRealClock())
+	var list []*wire.Demand
+	for i := range 2 * maxDemandedAdapters {
+		list = append(list, &wire.Demand{Adapter: fmt.Sprintf("m/%d", i), Requests: 1})
+	}
+	f.AddDemand(list)
+	f.AddDemand(list[:1])
+	taken := f.TakeDemand()
+	c.Check(len(taken), qt.Equals, maxDemandedAdapters)
+	total := uint32(0)
+	for _, d := range taken {
+		total += d.GetRequests()
+	}
+	c.Check(total, qt.Equals, uint32(maxDemandedAdapters+1))
+}
+
+func TestLongModelNamesAreRefused(t *testing.T) {
+	for name, test := range map[string]struct{ length, status int }{
+		"usual":    {20, http.StatusOK},
+		"longest":  {maxModelName, http.StatusOK},
+		"too long": {maxModelName + 1, http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address := startGateway(c, newBackend(c, "b1", runsAndAnswers(http.StatusOK, "ok")))
+			field := platform.StandInModel(strings.Repeat("m", test.length))[0]
+			c.Check(call(c, address, "/safe/a", field.Name+": "+field.Value).status, qt.Equals, test.status)
+		})
+	}
+}
--- a/pkg/placer/knowledge.go
+++ b/pkg/placer/knowledge.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"bronzelead.example/pkg/ablator"
@@ -51,6 +52,9 @@
 func (s *LearnedState) RecordRequests(now time.Time, adapter string, requests int) {
 	d := s.demand[adapter]
 	if d == nil {
+		if len(s.demand) >= maxDemand {
+			s.forgetLittleDemand(now)
+		}
 		d = &demand{lastRequest: now}
 		s.demand[adapter] = d
 	}
@@ -60,6 +64,27 @@
 	d.lastRequest = now
 }
 
+const (
+	// maxDemand bounds the adapters whose demand is known: callers may name any.
+	maxDemand = 1 << 16
+	// demandSample is the number of adapters of which the one with the least demand is forgotten.
+	demandSample = 8
+)
+
+// forgetLittleDemand drops the adapter with the least demand among a few.
+func (s *LearnedState) forgetLittleDemand(now time.Time) {
+	least, leastRate, seen := "", math.Inf(1), 0
+	for adapter, d := range s.demand {
+		if rate := d.rateAt(now, s.policy.DemandHalfLife); rate < leastRate {
+			least, leastRate = adapter, rate
+		}
+		if seen++; seen == demandSample {
+			break
+		}
+	}
+	delete(s.demand, least)
+}
+
 // rateAt returns the rate, decayed since the last request.
 func (d *demand) rateAt(now time.Time, halfLife time.Duration) float64 {
 	return d.rate * decayFactor(float64(now.Sub(d.lastRequest))/float64(halfLife))
