--- a/proof/routed_system_test.go
+++ b/proof/routed_system_test.go
@@ -37,8 +37,8 @@
 	budgetWindow time.Duration
 	// programs is the folder of the programs; empty for those with the race detector.
 	programs string
-	// gatewayResources are further settings of gateways' instances.
-	gatewayResources string
+	// gatewayResources and controllerResources are further settings of their instances.
+	gatewayResources, controllerResources string
 }
 
 // instance is a controller or gateway process with its own addresses.
@@ -137,7 +137,7 @@
 IP = {IP}
 Port = {Port}
 Control = {At}
-[Data]
+%s[Data]
 Folder = {Data}
 SnapshotEvery = 40
 [Members]
@@ -149,7 +149,7 @@
 Window = 4s
 Overage = 0.1
 Slack = 60
-`, bootstrap, announceInterval))
+`, y.controllerResources, bootstrap, announceInterval))
 }
 
 func (y *routedSystem) startGateway() *instance {
--- a/proof/untrusted_clients_test.go
+++ b/proof/untrusted_clients_test.go
@@ -190,9 +190,14 @@
 
 // startReleased starts a routed system of programs without the race detector.
 func startReleased(c *qt.C, gatewayResources string) *routedSystem {
+	return startReleasedWith(c, &routedSystem{gatewayResources: gatewayResources})
+}
+
+// startReleasedWith is startReleased with other settings.
+func startReleasedWith(c *qt.C, y *routedSystem) *routedSystem {
 	programs, err := programsWithoutRaceDetector()
 	c.Assert(err, qt.IsNil)
-	y := &routedSystem{c: c, budgetWindow: budgetWindow, programs: programs, gatewayResources: gatewayResources}
+	y.c, y.budgetWindow, y.programs = c, budgetWindow, programs
 	y.start(3, 1)
 	y.backends = append(y.backends, startBackend(y, "b0"))
 	y.initialize()
@@ -344,6 +349,27 @@
 	gateway.stop()
 }
 
+// Controllers did not limit their connections at all.
+func TestSlowClientsKeepNoConnectionsOfControllers(t *testing.T) {
+	const (
+		files   = 256
+		clients = 300
+	)
+	c := qt.New(t)
+	y := startReleasedWith(c, &routedSystem{controllerResources: fmt.Sprintf("MaxFiles = %d\n", files)})
+	at := y.controllers[0]
+	for _, address := range []string{at.address, at.mesh} {
+		idle := startCrowd(address, clients, nil)
+		defer idle.disconnect()
+		slow := startCrowd(address, clients, []byte(head(platform.StandInReplacePath, lengthField(megabyte))))
+		defer slow.disconnect()
+	}
+	checkResources(c, at.process, resources{defaultMemoryMB, files}, at.address)
+	eventually(c, "the controller acknowledges a table", func() bool { return y.operator.sendTable(0, y.operator.sent.Load()) })
+	y.operator.putTable()
+	y.checkServed()
+}
+
 // trickle sends a byte over each connection again and again.
 func (w *crowd) trickle(stop <-chan struct{}) {
 	const interval = 200 * time.Millisecond
