--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -287,7 +287,7 @@
 	_ = c.SetReadDeadline(until)
 	if c.memory.Revoked() {
 		// The deadline was set to an earlier time before.
-		return 0, errGaveWay
+		return 0, errRevoked
 	}
 	return c.Conn.Read(p)
 }
@@ -445,7 +445,7 @@
 	req.Body, err = c.memory.ReadAll(body, content)
 	c.reading = nil
 	if err == nil && !c.memory.Complete() {
-		err = errGaveWay
+		err = errRevoked
 	}
 	if err != nil {
 		c.refuse(req.Head, err, statusBodyTooLarge)
--- a/gateway/acceptor/reply.go
+++ b/gateway/acceptor/reply.go
@@ -26,7 +26,7 @@
 var (
 	errBodyTooLarge = framer.TooLarge("the body is too long")
 	errHeadSent     = errors.New("acceptor: the answer has begun already")
-	errGaveWay      = errors.New("acceptor: the request gave way to others as memory is short")
+	errRevoked      = errors.New("acceptor: the memory of the request was revoked for others")
 )
 
 // Reply answers one request. Call either Send, or Begin, then Write for each part, and End or
--- a/gateway/app/resources.go
+++ b/gateway/app/resources.go
@@ -21,9 +21,9 @@
 	r.meter.SetGauge("caller_connections", float64(now.connections.Open))
 	refused, revoked := now.memory.Refused-before.memory.Refused, now.memory.Revoked-before.memory.Revoked
 	if refused+revoked > 0 {
-		r.Log.Warn("memory for requests is short", "Refused", refused, "GaveWay", revoked, "Reserved", now.memory.Used)
+		r.Log.Warn("memory for requests is short", "Refused", refused, "Revoked", revoked, "Reserved", now.memory.Used)
 		r.meter.Add("request_memory", "outcome", "Refused", refused)
-		r.meter.Add("request_memory", "outcome", "GaveWay", revoked)
+		r.meter.Add("request_memory", "outcome", "Revoked", revoked)
 	}
 	evicted, closed := now.connections.Evicted-before.connections.Evicted, now.connections.Refused-before.connections.Refused
 	if evicted+closed > 0 {
--- a/pkg/reserver/content.go
+++ b/pkg/reserver/content.go
@@ -53,7 +53,7 @@
 		case err != nil:
 			return nil, err
 		case r.Revoked():
-			return nil, fail(KindRevoked, "the message gave way to others")
+			return nil, fail(KindRevoked, "the reservation was revoked for others")
 		}
 	}
 }
--- a/pkg/reserver/ledger.go
+++ b/pkg/reserver/ledger.go
@@ -10,16 +10,16 @@
 	smallBytes = 64 << 10
 	// smallShareDivisor sets the part of the capacity that is kept for small reservations, as a divisor.
 	smallShareDivisor = 4
-	// stallTime is the time without a byte after which a message that is still arriving gives way first.
+	// stallTime is the time without a byte after which a message that is still arriving is revoked first.
 	stallTime = 500 * time.Millisecond
 )
 
 // holder is a reservation in the ledger.
 type holder struct {
 	size int64
-	// arriving is set until the whole message has arrived; only then it may have to give way.
+	// arriving is set until the whole message has arrived; only then it can be revoked.
 	arriving bool
-	// revoked is set once it has to give way, until it is released.
+	// revoked is set from its revocation for others until it is released.
 	revoked bool
 	// progressAt is when bytes of it arrived last.
 	progressAt time.Time
@@ -33,11 +33,11 @@
 const (
 	granted verdict = iota + 1
 	refused
-	// postponed means that others give way; the caller asks again once one is released.
+	// postponed means that others were revoked; the caller asks again once one is released.
 	postponed
 )
 
-// ledger adds up what the reservations hold and decides which of them give way. It has no side effects.
+// ledger adds up what the reservations hold and decides which of them are revoked. It has no side effects.
 type ledger struct {
 	capacity int64
 	used     int64
@@ -73,7 +73,7 @@
 	return postponed, victims
 }
 
-// victims returns the reservations that give way to one that grows by n: those that make no progress, then those that
+// victims returns the reservations to revoke for one that grows by n: those that make no progress, then those that
 // would still be larger, the largest first. It returns nil if they don't hold what is missing.
 func (l *ledger) victims(now time.Time, h *holder, n, missing int64) []*holder {
 	stalled := func(v *holder) bool { return now.Sub(v.progressAt) >= stallTime }
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -1,6 +1,6 @@
 // Package reserver bounds the memory that messages of all peers together hold in a process. Whoever keeps bytes of a
-// message reserves them first. If there is no room, messages that are still arriving and make no progress or hold the
-// most give way; otherwise the reservation is refused.
+// message reserves them first. If there is no room, reservations of messages that are still arriving and make no progress
+// or hold the most are revoked; otherwise the new one is refused.
 package reserver
 
 import (
@@ -43,8 +43,8 @@
 	return s
 }
 
-// Open returns an empty reservation for a message that arrives. revoke is called if the message has to give way; it must
-// not block, and the owner then releases the reservation.
+// Open returns an empty reservation for a message that arrives. revoke is called when the reservation is revoked for
+// others; it must not block, and the owner then releases the reservation.
 func (p *Pool) Open(revoke func()) *Reservation {
 	return &Reservation{pool: p, holder: holder{revoke: revoke}}
 }
@@ -70,8 +70,8 @@
 	opened, complete atomic.Bool
 }
 
-// Grow reserves n more bytes, or fails with an error for which IsRefusal holds. It may wait until messages that give way
-// are released.
+// Grow reserves n more bytes, or fails with an error for which IsRefusal holds. It may wait until revoked
+// reservations are released.
 func (r *Reservation) Grow(n int64) error {
 	p := r.pool
 	if p == nil || n <= 0 {
@@ -103,7 +103,7 @@
 		}
 		p.released.Wait()
 	}
-	return fail(KindRevoked, "the message gave way to others")
+	return fail(KindRevoked, "the reservation was revoked for others")
 }
 
 // Shrink returns n bytes.
@@ -128,7 +128,7 @@
 	r.holder.progressAt = now
 }
 
-// Revoked reports whether the message has to give way.
+// Revoked reports whether the reservation was revoked for others.
 func (r *Reservation) Revoked() bool {
 	if r.pool == nil || !r.opened.Load() {
 		return false
@@ -138,8 +138,8 @@
 	return r.holder.revoked
 }
 
-// Complete records that the whole message has arrived. It returns false if the message has to give way; otherwise it
-// does not have to from now on.
+// Complete records that the whole message has arrived. It returns false if the reservation was revoked; otherwise it can't
+// be revoked from now on.
 func (r *Reservation) Complete() bool {
 	r.complete.Store(true)
 	if r.pool == nil || !r.opened.Load() {
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -29,7 +29,7 @@
 		held        []holding
 		size, grows int64
 		want        verdict
-		// revoked are the indices of those that give way.
+		// revoked are the indices of those that are revoked.
 		revoked []int
 	}{
 		"room":                              {nil, 0, 500 * kilobyte, granted, nil},
