--- a/pkg/server/untrusted_test.go
+++ b/pkg/server/untrusted_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/reserver"
 )
@@ -183,6 +185,20 @@
 	c.Check(statusOf(conn), qt.Equals, http.StatusOK)
 }
 
+// The reader of a body that does not come in time can tell this from one that its peer has broken off.
+func TestLateBodiesAreTimeouts(t *testing.T) {
+	c := qt.New(t)
+	late := make(chan bool, 1)
+	s := &Server{bodyTimeout: 50 * time.Millisecond, wholeBodyTimeout: time.Minute}
+	startServer(c, s, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := ReadBody(r, bodyLimit)
+		late <- errors.Is(err, os.ErrDeadlineExceeded)
+	})
+	_, err := io.WriteString(dial(c, s), chunkedHead+"5\r\nx")
+	c.Assert(err, qt.IsNil)
+	c.Check(<-late, qt.IsTrue)
+}
+
 // A body that never ended kept its call, and its goroutine, without end.
 func TestBodiesHaveToEnd(t *testing.T) {
 	for name, test := range map[string]struct {
