--- a/gateway/app/resources.go
+++ b/gateway/app/resources.go
@@ -14,8 +14,8 @@
 
 // reportResources records what callers hold at the frontend, and logs what was refused since the last call.
 func (r *Routed) reportResources(frontend *acceptor.Acceptor) {
-	before, now := r.resources, resourceState{frontend.Memory.Stats(), frontend.Connections()}
-	r.resources = now
+	before, now := r.reported, resourceState{frontend.Memory.Stats(), frontend.Connections()}
+	r.reported = now
 	r.meter.SetGauge("request_memory_bytes", float64(now.memory.Used))
 	r.meter.SetGauge("request_memory_peak_bytes", float64(now.memory.Peak))
 	r.meter.SetGauge("caller_connections", float64(now.connections.Open))
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -49,10 +49,11 @@
 	// tunnelFilesDivisor sets the number of tunnels for other gateways, each with two file
 	// descriptors, as a divisor of all descriptors.
 	tunnelFilesDivisor = 8
-	// requestPercent and callPercent are the percentages of the instance's memory that callers' requests, and calls of
-	// other instances, may hold together.
+	// requestPercent, callPercent and healthPercent are the percentages of the instance's memory that callers' requests,
+	// calls of other instances, and readiness checks may hold together.
 	requestPercent = 20
 	callPercent    = 10
+	healthPercent  = 2
 	// resourceReportInterval is the interval at which is reported what callers hold.
 	resourceReportInterval = time.Second
 	// stopMargin is reserved at the end of a planned stop, before the process is killed.
@@ -92,8 +93,8 @@
 	isolator  *isolator.Isolator
 	enforcer  *quotaenforcer.Enforcer
 	shedder   *connectionShedder
-	// resources is what callers held at the latest report.
-	resources       resourceState
+	// reported is what callers held at the latest report.
+	reported        resourceState
 	health          *server.Server
 	mesh            *server.Server
 	meter           *meter.Meter
@@ -229,11 +230,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", r.ready)
 	mux.Handle("GET /metrics", r.meter.Handler())
-	calls := &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)}
 	healthConnections, meshConnections := resources.Connections(healthFilesDivisor), resources.Connections(meshFilesDivisor)
 	r.health = &server.Server{
 		Address: s.Instance.Health, Handler: mux, Log: r.Log,
-		Memory: calls, MaxConnections: healthConnections, SocketBuffer: resources.SocketBuffer(healthConnections),
+		Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(healthPercent)},
+		MaxConnections: healthConnections, SocketBuffer: resources.SocketBuffer(healthConnections),
 	}
 	meshMux := http.NewServeMux()
 	meshMux.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.relayer))
@@ -246,7 +247,8 @@
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{
 		Address: s.meshAddress(), Handler: meshMux, Log: r.Log,
-		Memory: calls, MaxConnections: meshConnections, SocketBuffer: apportioner.PeerSocketBytes,
+		Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)},
+		MaxConnections: meshConnections, SocketBuffer: apportioner.PeerSocketBytes,
 	}
 }
 
