Read a clock without a system call for each part of a message

Reservations read the clock of the boot time, a system call, for each part of each call between instances.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -216,13 +216,13 @@
 	r.servers = []*server.Server{
 		{
 			Address: s.meshAddress(s.Instance.IP), Handler: r.meshHandler(), Log: r.Log,
-			Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)},
+			Memory:         &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: resources.Memory(callPercent)},
 			MaxConnections: meshConnections, SocketBuffer: apportioner.PeerSocketBytes,
 		},
 		{
 			Address: s.Instance.Control, Handler: r.control().Handler(), Log: r.Log,
 			IdleTimeout:    idleAnnouncements * s.Timing.Announcements,
-			Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(controlPercent)},
+			Memory:         &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: resources.Memory(controlPercent)},
 			MaxConnections: controlConnections, SocketBuffer: resources.SocketBuffer(controlConnections),
 		},
 	}
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -223,7 +223,7 @@
 		Clock: r.Clock, Log: r.Log, Address: s.Instance.Listen, Handle: r.forwarder.Handle,
 		CheckHead: r.forwarder.CheckHead,
 		Limits:    r.forwarder.Limits, MaxConnections: connections, SocketBuffer: resources.SocketBuffer(connections),
-		Memory: &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(requestPercent)},
+		Memory: &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: resources.Memory(requestPercent)},
 		Admit:  r.shedder.Admit, CallerTimeout: callerTimeout, EncodeRefusal: encodeRefusal,
 		OnRefusal: func(status int) { r.meter.Increment("unread_requests", "status", strconv.Itoa(status)) },
 	}
@@ -233,7 +233,7 @@
 	healthConnections, meshConnections := resources.Connections(healthFilesDivisor), resources.Connections(meshFilesDivisor)
 	r.health = &server.Server{
 		Address: s.Instance.Health, Handler: mux, Log: r.Log,
-		Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(healthPercent)},
+		Memory:         &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: resources.Memory(healthPercent)},
 		MaxConnections: healthConnections, SocketBuffer: resources.SocketBuffer(healthConnections),
 	}
 	meshMux := http.NewServeMux()
@@ -247,7 +247,7 @@
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{
 		Address: s.meshAddress(), Handler: meshMux, Log: r.Log,
-		Memory:         &reserver.Pool{Clock: r.Clock, Capacity: resources.Memory(callPercent)},
+		Memory:         &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: resources.Memory(callPercent)},
 		MaxConnections: meshConnections, SocketBuffer: apportioner.PeerSocketBytes,
 	}
 }
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -12,6 +12,8 @@
 
 // Pool is the memory that messages may hold. Set the exported fields before use; a nil pool grants everything.
 type Pool struct {
+	// Clock tells which messages make no progress. It is read for each part of a message, so that it should take no system
+	// call; it need not count suspensions.
 	Clock clockwork.Clock
 	// Capacity is the size of the pool in bytes.
 	Capacity int64
