--- a/proof/untrusted_clients_test.go
+++ b/proof/untrusted_clients_test.go
@@ -230,14 +230,14 @@
 	}
 }
 
-func checkCrowdAtGateway(c *qt.C, clients int, sent []byte) {
+func checkCrowdAtGateway(c *qt.C, size int, sent []byte) {
 	y := startReleased(c, fmt.Sprintf("MemoryMB = %d\n", gatewayMemoryMB))
 	gateway := y.gateways[0]
-	clientsOf := startCrowd(gateway.address, clients, sent)
-	defer clientsOf.disconnect()
+	clients := startCrowd(gateway.address, size, sent)
+	defer clients.disconnect()
 	checkResources(c, gateway.process, resources{gatewayMemoryMB, defaultFiles}, gateway.address)
 	y.checkServed()
-	clientsOf.disconnect()
+	clients.disconnect()
 	y.checkServed()
 }
 
@@ -276,7 +276,7 @@
 	}
 }
 
-// In the contracts' mode, too.
+// Callers of gateways with contracts did the same.
 func TestCrowdsAtGatewaysWithContracts(t *testing.T) {
 	const bodyLimit = 4 * megabyte
 	key := "Authorization: Bearer " + customerKey
