Count and log what proves that an attempt did not run

Logs could not tell the hypotheses on refused requests that ran apart: a rejection showed its status alone, answers skipped as another request's left no trace, and a failure that was passed on with 408, 421 or 429 was not logged. attempts_not_run counts attempts by evidence, and answers that promise it without proof are logged with what they lack. No logic changes: forwarder's and sender's tests pass, a quiet way of a request costs one comparison.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -82,6 +82,7 @@
 	f.observeConstraints(j, in.Head.Status, answer)
 	f.observeLoad(j, in.Head.Status, answer)
 	f.observeBrittle(j, in.Head.Status, answer)
+	f.observeEvidence(j, in.Head.Status, answer)
 	switch {
 	case answer.NotRun:
 		in.Close()
@@ -149,6 +150,7 @@
 	case sender.KindWithdrawn:
 		return f.withdraw(ctx, j, backend)
 	case sender.KindNotSent:
+		f.countEvidence(evidenceNotSent)
 		f.refundQuota(j)
 	case sender.KindLost, sender.KindMalformed:
 	}
--- a/gateway/forwarder/path.go
+++ b/gateway/forwarder/path.go
@@ -34,6 +34,7 @@
 		return
 	}
 	f.Sender.ObserveDial, f.Sender.ObserveKept = f.observeDial, f.observeKept
+	f.Sender.ObserveSkipped = f.observeSkipped
 	if f.Tunneler == nil {
 		return
 	}
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -52,6 +52,8 @@
 	// ObserveKept for each answer on a connection that was open before; nil ignores them.
 	ObserveDial func(backend string, err error)
 	ObserveKept func(backend string)
+	// ObserveSkipped is called for each answer to another request that is skipped; nil ignores them.
+	ObserveSkipped func(out *Request, status int)
 	// Detour opens connections where no direct one can be; nil is none.
 	Detour *Detour
 
@@ -159,6 +161,9 @@
 			return in, nil
 		}
 		// A second answer to an earlier request, in place of this request's answer.
+		if s.ObserveSkipped != nil {
+			s.ObserveSkipped(out, in.Head.Status)
+		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxSkippedBytes)); err != nil || !in.Body.Complete() {
 			return nil, fail(KindLost, "an answer to another request ended early, or did not end")
 		}
