--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -111,6 +111,8 @@
 	EncodeRefusal func(head *framer.RequestHead, retryAfter time.Duration) framer.Header
 	// OnRefusal is called for each request that was refused because it could not be read; nil is not called.
 	OnRefusal func(status int)
+	// Listen opens the listener at Address; nil opens a TCP socket.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 	// Admit reports whether to serve a new connection, or to keep one after an answer; otherwise it is
 	// closed without reading a request, so that its caller tries another gateway. nil admits all.
 	Admit func() bool
@@ -126,8 +128,7 @@
 
 // Start listens and serves in the background.
 func (a *Acceptor) Start() error {
-	listen := net.ListenConfig{KeepAlive: -1, Control: buffersizer.Control(a.SocketBuffer)}
-	listener, err := listen.Listen(context.Background(), "tcp", a.Address)
+	listener, err := a.listen(context.Background())
 	if err != nil {
 		return errors.Wrapf(err, "acceptor: listen on %s", a.Address)
 	}
@@ -138,6 +139,14 @@
 	return nil
 }
 
+func (a *Acceptor) listen(ctx context.Context) (net.Listener, error) {
+	if a.Listen != nil {
+		return a.Listen(ctx, a.Address)
+	}
+	listen := net.ListenConfig{KeepAlive: -1, Control: buffersizer.Control(a.SocketBuffer)}
+	return listen.Listen(ctx, "tcp", a.Address) //nolint:wrapcheck // Start wraps it with the address.
+}
+
 // Addr returns the listening address.
 func (a *Acceptor) Addr() string { return a.listener.Addr().String() }
 
