Count a request as not run only where its own answer proves it

Callers were told 503 or 429 for requests that ran, and requests that may run once ran twice, where a backend server's answer proved nothing: one without an id passed for the request's own, one with the signature of a run or a success status counted as a rejection, and a failure with 408, 429 or 503 was passed on though nothing said that it had not run.

The cause: the marker alone was the proof, and the status was passed on whatever it promises. An answer must now have the request's id and be an unsigned failure with the marker (or 421) to prove that it did not run; any other id, and a contradiction, ends the attempt as one that may have run, and its connection. A failure with a promising status becomes 502, or is retried where the request may be.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -82,18 +82,23 @@
 	f.observeConstraints(j, in.Head.Status, answer)
 	f.observeLoad(j, in.Head.Status, answer)
 	f.observeBrittle(j, in.Head.Status, answer)
-	f.observeEvidence(j, in.Head.Status, answer)
+	found := f.observeEvidence(j, in.Head.Status, answer)
 	switch {
-	case answer.NotRun:
+	case found == evidenceRejected:
 		in.Close()
 		f.refundQuota(j)
 		return f.handleRejection(j, d.Backend, in.Head.Status)
+	case found == evidenceContradictory:
+		in.Discard()
+		j.runs++
+		f.recordOutcome(j, d.Backend.GetId(), balancer.Failed)
+		return f.handleLostResponse(j, d.Backend, "the answer does not tell whether the request ran")
 	case !answer.Signed || answer.Encoded:
 		in.Close()
 		j.runs++
 		f.recordOutcome(j, d.Backend.GetId(), balancer.Failed)
 		return f.handleLostResponse(j, d.Backend, "the answer is not the backend server's")
-	case in.Head.Status >= http.StatusInternalServerError && f.repeatable(j) && j.runs+1 < f.maxAttempts(j) && f.mayRetry(j):
+	case (in.Head.Status >= http.StatusInternalServerError || found == evidenceUnproved) && f.repeatable(j) && j.runs+1 < f.maxAttempts(j) && f.mayRetry(j):
 		in.Close()
 		j.runs++
 		f.recordOutcome(j, d.Backend.GetId(), balancer.Failed)
@@ -103,6 +108,11 @@
 		return true
 	}
 	j.runs++
+	if found == evidenceUnproved {
+		in.Close()
+		f.handleUnproved(j, d.Backend)
+		return false
+	}
 	if j.route.GetRepetition() == wire.Repetition_REPETITION_STREAM && in.Head.Status == http.StatusOK && answer.Events {
 		return f.relayStream(ctx, j, d.Backend, in)
 	}
@@ -232,6 +242,14 @@
 	return false
 }
 
+// handleUnproved ends a request that a backend server has failed with a status which callers take for a promise.
+func (f *Forwarder) handleUnproved(j *job, backend *wire.Announcement) {
+	f.recordOutcome(j, backend.GetId(), balancer.Failed)
+	f.Isolator.RecordFailure(j.requestFingerprints, backend.GetId())
+	j.completed = true
+	f.refuseOrFail(j, "the backend server failed", 0)
+}
+
 // isEngine reports whether a service's backend servers hold models. An engine that has
 // restarted answers, until its model is loaded, like another incarnation. Removing it would
 // leave it unused for good, since it is announced only when something about it changes.
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -266,6 +266,13 @@
 	in.sender.keepIdle(in.backend, in.conn, in.idle)
 }
 
+// Discard closes the connection: the answer does not tell what may follow it there.
+func (in *Response) Discard() {
+	in.stop()
+	in.sender.unmarkBusy(in.backend, in.conn)
+	_ = in.conn.Close()
+}
+
 func (in *Response) bodyWritten() bool {
 	if in.written == nil {
 		return true
