Bound the answers that processes read of each other and of engines

A process read whatever a peer sent: heads and interim answers up to the 10 MB that net/http allows, for each call and each connection, and bodies for as long as the call lasted; generated clients and bronzectl read bodies whole. A backend server, or a process that listens at the address of one, could fill the memory of a controller, of a gateway with contracts or of bronzectl; callers then lost the process.

Transports of pkg/connector read heads of 64 KiB, as servers do, and its client bodies of MaxAnswer bytes, by default 32 MiB: the largest answer seen, the holdings of 300 machines, has 2.2 MB (docs/design/table-transfers.md).

TestLongestAnswers keeps the bound exact.

--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -25,6 +25,10 @@
 	defaultMaxIdleConns = 256
 	// maxTransfer bounds a call whose answer keeps coming.
 	maxTransfer = 10 * time.Second
+	// maxHeadBytes bounds the head of an answer, with the interim answers before it; net/http reads 10 MB by default.
+	maxHeadBytes = 64 << 10
+	// defaultMaxAnswer is some fifteen times the largest answer that was seen, the holdings of 300 machines.
+	defaultMaxAnswer = 32 << 20
 )
 
 // Client calls other processes. Set the exported fields, then call Do. It serves as the client
@@ -35,6 +39,8 @@
 	// Stall bounds the time between two reads of an answer of any size, in which bytes arrive; such a call takes
 	// maxTransfer at most. 0 is no such bound.
 	Stall time.Duration
+	// MaxAnswer bounds the body of an answer in bytes; reading a longer one fails. 0 is 32 MiB.
+	MaxAnswer int64
 	// Key is sent as a bearer token.
 	Key string
 	// Forwarded marks calls that were forwarded by another controller.
@@ -68,9 +74,10 @@
 			}
 			return &guardedConn{Conn: conn, guard: guard}, nil
 		},
-		MaxIdleConnsPerHost: defaultMaxIdleConns,
-		IdleConnTimeout:     defaultIdleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    defaultMaxIdleConns,
+		IdleConnTimeout:        defaultIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -103,8 +110,11 @@
 	return n, err
 }
 
-// errNoTransport means that nothing was sent.
-var errNoTransport = errors.New("connector: no transport is set")
+var (
+	// errNoTransport means that nothing was sent.
+	errNoTransport   = errors.New("connector: no transport is set")
+	errAnswerTooLong = errors.New("connector: the answer is too long")
+)
 
 // Do sends a request with the key and a deadline.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
@@ -135,7 +145,7 @@
 	if stalled != nil && stalled.Stop() {
 		stalled.Reset(c.Stall)
 	}
-	res.Body = &body{ReadCloser: res.Body, cancel: cancel, stalled: stalled, stall: c.Stall}
+	res.Body = &body{ReadCloser: res.Body, cancel: cancel, stalled: stalled, stall: c.Stall, left: c.maxAnswer()}
 	return res, nil
 }
 
@@ -147,17 +157,31 @@
 	return c.Timeout
 }
 
-// body ends the call's deadline once the answer has been read.
+func (c *Client) maxAnswer() int64 {
+	if c.MaxAnswer > 0 {
+		return c.MaxAnswer
+	}
+	return defaultMaxAnswer
+}
+
+// body bounds an answer, and ends the call's deadline once the answer has been read.
 type body struct {
 	io.ReadCloser
 	cancel context.CancelFunc
 	// stalled ends the call if nothing arrives for the time stall; nil if only its deadline does.
 	stalled *time.Timer
 	stall   time.Duration
+	// left is how many bytes may still come.
+	left int64
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	// One more byte shows that the answer is longer.
+	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left+1)])
+	if b.left -= int64(n); b.left < 0 {
+		b.cancel()
+		return 0, errAnswerTooLong
+	}
 	if n > 0 && b.stalled != nil && b.stalled.Stop() {
 		b.stalled.Reset(b.stall)
 	}
