Bound what is read for one event of an engine with contracts

A gateway with contracts kept up to 4 MiB of an event that did not end, and read comments, empty lines and other fields for as long as they came, until the caller's time was over.

An event may have 256 KiB, as in the routed mode, and as much may come between two events. The error says that the event is too long; before, it said that the stream had ended early.

Evidence: TestEventsWithoutEndAreGivenUp counts what is read: 4,194,304 bytes of a line, and all 16 MiB that were there of comments, empty lines and other fields before; at most 256 KiB and the reader's buffer now. TestLongStreamsWithCommentsAreRead passed before too: comments of a long stream do not add up.

--- a/pkg/translator/requests.go
+++ b/pkg/translator/requests.go
@@ -38,7 +38,8 @@
 	chatPrefix       = "chatcmpl-"
 	dataPrefix       = "data:"
 	doneMarker       = "[DONE]"
-	maxEventBytes    = 4 << 20
+	// maxEventBytes bounds an event, and what comes between two events: comments and fields other than data.
+	maxEventBytes = 256 << 10
 )
 
 // ModelName joins an adapter and a version to the name under which engines load it, so that a
@@ -145,16 +146,23 @@
 }
 
 // Next returns the data of the next event. Done is set for the closing [DONE]. A stream that
-// ends before it returns an error of KindTruncated.
+// ends before it returns an error of KindTruncated, one with too long an event an error of KindMalformed.
 func (r *EventReader) Next() (data []byte, done bool, err error) {
+	skipped := 0
 	for {
 		line, err := r.lines.ReadSlice('\n')
 		if err == bufio.ErrBufferFull {
 			line, err = r.readLongLine(line)
 		}
+		if IsKind(err, KindMalformed) {
+			return nil, false, err
+		}
 		if err != nil {
 			return nil, false, fail("Next", KindTruncated, "the stream ended early: %v", err)
 		}
+		if skipped += len(line); skipped > maxEventBytes {
+			return nil, false, tooLong()
+		}
 		line = bytes.TrimRight(line, "\r\n")
 		data, ok := bytes.CutPrefix(line, []byte(dataPrefix))
 		if !ok {
@@ -168,14 +176,20 @@
 // readLongLine reads the rest of a line that exceeds the reader's buffer.
 func (r *EventReader) readLongLine(head []byte) ([]byte, error) {
 	line := bytes.Clone(head)
-	for len(line) < maxEventBytes {
+	for {
 		more, err := r.lines.ReadSlice('\n')
+		if len(line)+len(more) > maxEventBytes {
+			return nil, tooLong()
+		}
 		line = append(line, more...)
 		if err != bufio.ErrBufferFull {
 			return line, err
 		}
 	}
-	return nil, fail("Next", KindMalformed, "an event is longer than %d bytes", maxEventBytes)
+}
+
+func tooLong() error {
+	return fail("Next", KindMalformed, "an event is longer than %d bytes", maxEventBytes)
 }
 
 // ResumePath is the path at which an engine sends a request's events after the given one.
--- a/pkg/translator/translator_test.go
+++ b/pkg/translator/translator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"runtime"
 	"strings"
 	"testing"
@@ -99,6 +100,55 @@
 	}
 }
 
+// countingReader repeats a text without end, and counts what was read of it.
+type countingReader struct {
+	text string
+	read int
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.read%len(r.text):])
+	r.read += n
+	return n, nil
+}
+
+// Of an event without end 4 MiB were kept, and lines that are no data were read for as long as they came.
+func TestEventsWithoutEndAreGivenUp(t *testing.T) {
+	// maxRead is the bound of an event and the reader's buffer.
+	const maxRead = 256<<10 + 4096
+	for name, text := range map[string]string{
+		"one line":     "data: ",
+		"no line ends": "x",
+		"comments":     ": ping\n\n",
+		"empty lines":  "\n",
+		"other fields": "id: 1\r\nevent: x\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			in := &countingReader{text: text}
+			_, _, err := translator.NewEventReader(io.LimitReader(in, 16<<20)).Next()
+			c.Check(translator.IsKind(err, translator.KindMalformed), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(in.read <= maxRead, qt.IsTrue, qt.Commentf("%d bytes", in.read))
+		})
+	}
+}
+
+// Comments between the events of a long stream do not add up.
+func TestLongStreamsWithCommentsAreRead(t *testing.T) {
+	const events = 100_000
+	c := qt.New(t)
+	r := translator.NewEventReader(strings.NewReader(strings.Repeat(": ping\n\ndata: a\n\n", events) + "data: [DONE]\n\n"))
+	for range events {
+		data, done, err := r.Next()
+		c.Assert(err, qt.IsNil)
+		c.Assert(done, qt.IsFalse)
+		c.Assert(string(data), qt.Equals, "a")
+	}
+	_, done, err := r.Next()
+	c.Check(err, qt.IsNil)
+	c.Check(done, qt.IsTrue)
+}
+
 func TestFencingNumbersRise(t *testing.T) {
 	c := qt.New(t)
 	c.Assert(translator.FencingNumber(2, 1) > translator.FencingNumber(1, 999), qt.IsTrue)
