Read an answer of an engine that is too long once

A gateway with contracts buffered 64 MiB of a complete answer, took the first part of a longer one for an interrupted answer, and requested it again six times. Callers got no answer either way, after the gateway had read up to 448 MiB.

A complete answer may have 4 MiB, as bodies of requests by default. A longer one is reported as such, and not requested again: the same would come.

Evidence: TestAnswersWithoutEndAreReadOnce saw seven calls before, one now; an answer of exactly the limit is delivered.

--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -19,12 +19,16 @@
 )
 
 const (
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes bounds a complete answer of an engine: it is buffered, and may be as long as the longest body of a
+	// request by default.
+	maxResponseBytes = 4 << 20
 	maxResumes       = 6
 	resumeBackoff    = 50 * time.Millisecond
 	cancelTimeout    = 2 * time.Second
 )
 
+var errAnswerTooLong = errors.New("dispatcher: the answer is too long")
+
 // Ran says whether a request ran.
 type Ran string
 
@@ -238,10 +242,15 @@
 	if a.exchange.Emit != nil {
 		return a.readStream(body, count)
 	}
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	// One more byte shows that the answer is longer.
+	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
 	if err != nil {
 		return Outcome{Ran: RanUnknown, Err: errors.Wrap(err, "dispatcher: the answer was interrupted"), Resumes: count}
 	}
+	if len(data) > maxResponseBytes {
+		// Resuming would bring the same answer.
+		return Outcome{Ran: RanUnknown, Err: errAnswerTooLong, Resumes: maxResumes}
+	}
 	if err := a.expectation.Check(data); err != nil {
 		return Outcome{Ran: RanUnknown, Err: err, Resumes: count}
 	}
