Reserve the memory of engines' reports while they arrive

A controller kept up to 1 MiB of each engine's report, and some 40 times that while it was decoded, for all engines at once and in no sum; with 300 engines that send without end this exceeds the instance's memory. Callers would lose the leader. A longer report was cut off and then called unreadable.

A report may have 256 KiB, which is room for some 4,000 adapters. It reserves what it takes beyond 4 KiB in a pool of 5% of the instance's memory until it is decoded, and one report at a time is decoded. Of the answer to an order 4 KiB are read; its outcome is the status.

The factor of 40 is an estimate from the sizes of Go's types, not measured.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -53,6 +53,8 @@
 	// controlPercent and callPercent are the percentages of the instance's memory that their calls may hold together.
 	controlPercent = 15
 	callPercent    = 15
+	// reportPercent is the percentage that reports of engines may hold together while they arrive.
+	reportPercent = 5
 	// relayQueue bounds the announcements that wait for a controller that does not answer.
 	relayQueue = 256
 )
@@ -261,7 +263,10 @@
 	client := &connector.Client{Timeout: r.Settings.Timing.OrderTimeout, Transport: connector.NewTransport(nil)}
 	return &orderSender{
 		log: r.Log, holder: r.Settings.Instance.Name, leads: r.driver.Leads,
-		orders: &platform.OrderClient{Do: client.Do, Timeout: r.Settings.Timing.OrderTimeout},
+		orders: &platform.OrderClient{
+			Do: client.Do, Timeout: r.Settings.Timing.OrderTimeout,
+			Memory: &reserver.Pool{Clock: clockwork.NewRealClock(), Capacity: r.Settings.Instance.resources().Memory(reportPercent)},
+		},
 	}
 }
 
