Count events that find no memory as failures of their backend server

Where servers held their events back, the others of their streams found no memory and were refused at 8 KiB; these refusals counted against nobody, so that such servers were not ejected, and a crowd's requests went on to be sent to them. Memory for events is mostly short because of such servers, so all refusals count as failures now. The price: long events of sound servers that find no memory count as well. Of a service with a single server that server is used on, as before.

--- a/gateway/forwarder/stream.go
+++ b/gateway/forwarder/stream.go
@@ -20,9 +20,6 @@
 	// maxEvent bounds one event of a stream in bytes, with the empty line that ends it. It is what is buffered of other
 	// answers; events with a token and its alternatives take a few KiB.
 	maxEvent = 256 << 10
-	// usualEvent is the size up to which an event for which memory is short is not held against its backend server: it is as
-	// likely that other streams have used the memory up.
-	usualEvent = 64 << 10
 	// firstEventBytes is the size of a stream's first buffer, which is held without reserving memory, and eventGrowth by how
 	// much the next one is larger.
 	firstEventBytes = readSize
@@ -32,7 +29,6 @@
 var (
 	errEventTooLong   = errors.New("forwarder: an event is too long")
 	errNoEventMemory  = errors.New("forwarder: memory for an event is short")
-	errLongEvent      = errors.New("forwarder: memory is short, and an event is long")
 	errTruncatedEvent = errors.New("forwarder: the stream ended inside an event")
 	errNoEvent        = errors.New("forwarder: the connection ended before the first event")
 	errCallerWrite    = errors.New("forwarder: the caller does not take the answer")
@@ -60,11 +56,8 @@
 		f.handleExpiry(ctx, j)
 		return false
 	}
-	outcome := balancer.Failed
-	if errors.Is(err, errNoEventMemory) {
-		outcome = balancer.Abandoned
-	}
-	f.recordOutcome(j, backend.GetId(), outcome)
+	// Memory for events is mostly short because of servers whose events do not end: refusals of it count as faults too.
+	f.recordOutcome(j, backend.GetId(), balancer.Failed)
 	again := f.handleLostResponse(j, backend, err.Error())
 	if !again {
 		f.recordStreamOutcome(j, streamUnfinished)
@@ -159,10 +152,7 @@
 	// events leave the memory that is kept for these.
 	needed := int64(size+grown) - b.reserved
 	if b.memory != nil && b.memory.Grow(needed) != nil {
-		if size < usualEvent {
-			return nil, errNoEventMemory
-		}
-		return nil, errLongEvent
+		return nil, errNoEventMemory
 	}
 	b.reserved += needed
 	b.bytes = append(make([]byte, 0, grown), b.bytes...)
