Compare the answers of all gateways that know the origin of a stream

Where an origin is known, a gateway that does not answer delays the take-up by this timeout and is not asked again (TestKnownOriginsAreNotAskedForAgain).

--- a/gateway/originfinder/find.go
+++ b/gateway/originfinder/find.go
@@ -70,7 +70,7 @@
 	}
 	remaining := ranker.Top(f.others(listed), string(key[:]), Asked)
 	for range maxRounds {
-		if len(remaining) == 0 || ctx.Err() != nil {
+		if len(remaining) == 0 || result.Knowledge != originrecorder.Unknown || ctx.Err() != nil {
 			break
 		}
 		result, remaining = f.askAll(ctx, key, remaining)
@@ -78,8 +78,8 @@
 	return result
 }
 
-// askAll asks gateways at the same time, until one of them knows the origin. It returns those that did
-// not answer.
+// askAll asks gateways at the same time, and waits for all of them or the timeout: an id whose origins
+// differ has none, whichever answer comes first. It returns the gateways that did not answer.
 func (f *Finder) askAll(ctx context.Context, key originrecorder.Key, gateways []string) (result Result, failed []string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -97,17 +97,44 @@
 			// Its process has ended, and with it what it remembered.
 		case r.err != nil:
 			failed = append(failed, r.address)
-		case r.res.GetKnowledge() == wire.OriginKnowledge_ORIGIN_KNOWLEDGE_KNOWN:
-			o := r.res.GetOrigin()
-			return Result{
-				Origin:    originrecorder.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()},
-				Knowledge: originrecorder.Known, Source: r.address,
-			}, nil
-		case r.res.GetKnowledge() == wire.OriginKnowledge_ORIGIN_KNOWLEDGE_AMBIGUOUS:
-			return Result{Knowledge: originrecorder.Ambiguous, Source: r.address}, nil
+		default:
+			result = result.merge(r.result())
 		}
 	}
-	return Result{Unanswered: len(failed)}, failed
+	if result.Knowledge == originrecorder.Unknown {
+		result.Unanswered = len(failed)
+	}
+	return result, failed
+}
+
+// result returns what a reply says of an origin.
+func (r *reply) result() Result {
+	switch r.res.GetKnowledge() {
+	case wire.OriginKnowledge_ORIGIN_KNOWLEDGE_KNOWN:
+		o := r.res.GetOrigin()
+		return Result{
+			Origin:    originrecorder.Origin{Service: o.GetService(), SoftwareVersion: o.GetSoftwareVersion()},
+			Knowledge: originrecorder.Known, Source: r.address,
+		}
+	case wire.OriginKnowledge_ORIGIN_KNOWLEDGE_AMBIGUOUS:
+		return Result{Knowledge: originrecorder.Ambiguous, Source: r.address}
+	default:
+		return Result{}
+	}
+}
+
+// merge returns what two replies say together.
+func (r Result) merge(other Result) Result {
+	switch {
+	case other.Knowledge == originrecorder.Unknown || r.Knowledge == originrecorder.Ambiguous:
+		return r
+	case r.Knowledge == originrecorder.Known && other.Knowledge == originrecorder.Known && r.Origin != other.Origin:
+		return Result{Knowledge: originrecorder.Ambiguous, Source: other.Source}
+	case r.Knowledge == originrecorder.Known && other.Knowledge == originrecorder.Known:
+		return r
+	default:
+		return other
+	}
 }
 
 // Server serves wire.Origins for the other gateways.
--- a/gateway/originfinder/originfinder_test.go
+++ b/gateway/originfinder/originfinder_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -152,6 +153,31 @@
 	c.Check(got.Unanswered >= 0, qt.IsTrue, qt.Commentf("%d", got.Unanswered))
 }
 
+// A gateway that does not answer delays an origin that another one knows by one timeout, not by all rounds.
+func TestKnownOriginsAreNotAskedForAgain(t *testing.T) {
+	c := qt.New(t)
+	y := newFleet(c, 6)
+	y.finders[0].Record([]Stream{stream(0, "v1")})
+	asking := y.finders[5]
+	y.forget(asking)
+	y.down[y.owner(0)] = true
+	asked := map[string]int{}
+	var mu sync.Mutex
+	asking.Client = func(address string) wire.Origins {
+		mu.Lock()
+		defer mu.Unlock()
+		asked[address]++
+		return y.client(address)
+	}
+	got := asking.Find(context.Background(), "attempt0")
+	c.Check(got.Knowledge, qt.Equals, originrecorder.Known)
+	c.Check(got.Unanswered, qt.Equals, 0)
+	c.Check(asked, qt.HasLen, 5)
+	for address, calls := range asked {
+		c.Check(calls, qt.Equals, 1, qt.Commentf("%s", address))
+	}
+}
+
 // findAfter prepares six gateways and returns what the last one finds of a stream.
 func findAfter(c *qt.C, prepare func(y *fleet)) Result {
 	y := newFleet(c, 6)
