Let controllers remember the origins of streams if all gateways are lost

After all gateways were killed at once while two software versions were in service, callers got 503 for every stream that they took up: origins were remembered by gateways only, so that nobody knew which version had begun a stream.

Gateways now report origins to three controllers too, in batches at most every 100 ms, and running streams again every 10 s. Controllers keep them in memory, 131,072 at most and 10 minutes at most, by the same rules as gateways (pkg/originreceiver, which both use now). A gateway asks controllers from its second round on, if no gateway knows the stream and it is not certain that a single version can have begun it. Unknown and different answers are refused as before. A service with one version reports nothing.

The wire format has no new numbers: controllers receive RecordOrigins and serve Origins.

--- a/controller/app/routed.go
+++ b/controller/app/routed.go
@@ -24,6 +24,7 @@
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/originreceiver"
 	"bronzelead.example/pkg/placer"
 	"bronzelead.example/pkg/quotaallocator"
 	"bronzelead.example/pkg/replicator"
@@ -55,6 +56,8 @@
 	callPercent    = 15
 	// relayQueue bounds the announcements that wait for a controller that does not answer.
 	relayQueue = 256
+	// maxOrigins bounds the origins of streams that are remembered, about 23 MB.
+	maxOrigins = 1 << 17
 )
 
 // Routed is one controller that keeps a table of routes. Set the exported fields, then
@@ -80,6 +83,8 @@
 	relay       *announcementRelay
 	servers     []*server.Server
 	meter       *meter.Meter
+	// origins remembers where streams began, for gateways that were all lost at once.
+	origins *originreceiver.Receiver
 }
 
 // Run works until ctx ends, then hands over leadership and stops.
@@ -101,6 +106,7 @@
 	failed := make(chan error, 1)
 	go r.coordinator.Run(background)
 	go func() { failed <- r.driver.Run(background) }()
+	r.receiveOrigins(background)
 	for _, listening := range r.servers {
 		if err := listening.Start(); err != nil {
 			return errors.Wrap(err, "app")
@@ -120,6 +126,17 @@
 	return r.stop()
 }
 
+// receiveOrigins receives the origins of streams until ctx ends. Without them a controller does all its other work.
+func (r *Routed) receiveOrigins(ctx context.Context) {
+	go r.origins.Run(ctx)
+	socket, err := originreceiver.Listen(r.Settings.meshAddress(r.Settings.Instance.IP))
+	if err != nil {
+		r.Log.Error("the origins of streams can't be received", "Error", err.Error())
+		return
+	}
+	go socket.Run(ctx, r.origins)
+}
+
 // bootstrap writes the first snapshot of a new cluster, if this is the first start and the
 // instance is a seed. All seeds write the same one, so that any majority of them can form the
 // cluster.
@@ -171,6 +188,8 @@
 func (r *Routed) build(ctx context.Context, contents *storer.Contents) {
 	s := r.Settings
 	r.meter = meter.New("controller", s.Instance.Name, s.Instance.Zone)
+	r.origins = &originreceiver.Receiver{Clock: r.Clock, Log: r.Log, Meter: r.meter, Max: maxOrigins}
+	r.origins.Init()
 	commits := make(chan raftdriver.CommittedBatch, commitQueue)
 	transport := connector.NewTransport(nil)
 	r.peers = &connector.Client{Timeout: s.Timing.PeerTimeout, Transport: transport}
@@ -275,6 +294,7 @@
 	mux.Handle(wire.PeerPathPrefix, responder.MarkForwarded(wire.NewPeerServer(peer)))
 	mux.Handle(wire.MeshPathPrefix, wire.NewMeshServer(r.mesh))
 	mux.Handle(wire.LimitsPathPrefix, wire.NewLimitsServer(r.coordinator))
+	mux.Handle(wire.OriginsPathPrefix, wire.NewOriginsServer(r.origins))
 	mux.Handle("GET /metrics", r.meter.Handler())
 	return mux
 }
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -29,6 +29,7 @@
 	"bronzelead.example/pkg/configurer"
 	"bronzelead.example/pkg/framer"
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/originreceiver"
 	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/reserver"
 	"bronzelead.example/pkg/seedreader"
@@ -88,7 +89,7 @@
 	tunneler     *tunneler.Tunneler
 	origins      *originfinder.Finder
 	// datagrams carries the reports of the origins of streams between gateways.
-	datagrams *originfinder.Socket
+	datagrams *originreceiver.Socket
 	granter   *granter.Granter
 	isolator  *isolator.Isolator
 	enforcer  *quotaenforcer.Enforcer
@@ -149,12 +150,12 @@
 
 // listenForDatagrams receives datagrams at the address for calls of other gateways until ctx ends.
 func (r *Routed) listenForDatagrams(ctx context.Context) error {
-	socket, err := originfinder.Listen(r.Settings.meshAddress())
+	socket, err := originreceiver.Listen(r.Settings.meshAddress())
 	if err != nil {
 		return errors.Wrap(err, "app")
 	}
 	r.datagrams = socket
-	go socket.Run(ctx, r.origins)
+	go socket.Run(ctx, r.origins.Receiver())
 	return nil
 }
 
@@ -162,6 +163,14 @@
 	return r.datagrams.Send(address, datagram)
 }
 
+// controllers returns the controllers as last listed by one of them, and the seeds before that.
+func (r *Routed) controllers() []string {
+	if list := r.relayer.Controllers(); len(list) > 0 {
+		return list
+	}
+	return r.seeds.Seeds()
+}
+
 func (r *Routed) build() {
 	s := r.Settings
 	r.seeds = &seedreader.Reader{
@@ -176,7 +185,7 @@
 	r.granter.Init()
 	r.origins = &originfinder.Finder{
 		Clock: r.Clock, Log: r.Log, Meter: r.meter, Self: s.meshAddress(), Send: r.sendDatagram,
-		Gateways: func() []*wire.GatewayEntry { return r.relayer.Gateways() },
+		Gateways: func() []*wire.GatewayEntry { return r.relayer.Gateways() }, Controllers: r.controllers,
 	}
 	r.origins.Init()
 	r.isolator = &isolator.Isolator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), LeaderAge: r.leaderAge}
@@ -243,7 +252,7 @@
 	tunnels := &tunneler.Server{Tunneler: r.tunneler}
 	meshMux.Handle(tunneler.Path, tunnels)
 	meshMux.Handle(wire.TunnelingPathPrefix, wire.NewTunnelingServer(tunnels))
-	meshMux.Handle(wire.OriginsPathPrefix, wire.NewOriginsServer(&originfinder.Server{Finder: r.origins}))
+	meshMux.Handle(wire.OriginsPathPrefix, wire.NewOriginsServer(r.origins.Receiver()))
 	meshMux.Handle(wire.PacingPathPrefix, wire.NewPacingServer(&regulator.Server{Regulator: r.regulator}))
 	r.mesh = &server.Server{
 		Address: s.meshAddress(), Handler: meshMux, Log: r.Log,
--- a/gateway/forwarder/origin.go
+++ b/gateway/forwarder/origin.go
@@ -27,7 +27,7 @@
 // Reasons for refusing to resume a stream.
 const (
 	reasonOriginUnknown   = "the software version that began the stream is not known"
-	reasonOriginUnread    = "the software version that began the stream is not known, as gateways do not answer"
+	reasonOriginUnread    = "the software version that began the stream is not known, as gateways or controllers do not answer"
 	reasonOriginAmbiguous = "two streams began with the id that the request resumes"
 	reasonOriginMoved     = "the route of the stream no longer leads to the service that began it"
 )
@@ -36,9 +36,10 @@
 type originSource string
 
 const (
-	originRemembered  originSource = "Remembered"
-	originOfGateway   originSource = "Gateway"
-	originOnlyVersion originSource = "OnlyVersion"
+	originRemembered   originSource = "Remembered"
+	originOfGateway    originSource = "Gateway"
+	originOfController originSource = "Controller"
+	originOnlyVersion  originSource = "OnlyVersion"
 )
 
 // streamOrigin is what is known of the software version that began a job's stream.
@@ -67,7 +68,7 @@
 	}
 	result := originfinder.Result{}
 	if j.meta.Resumes != "" {
-		result = f.Origins.Find(ctx, j.meta.Resumes)
+		result = f.lookUpOrigin(ctx, j)
 		j.waited += result.Took
 	}
 	switch result.Knowledge {
@@ -94,6 +95,15 @@
 	return false
 }
 
+// lookUpOrigin asks for the origin of the stream that a request takes up. While a single version can have begun it,
+// controllers are not asked: they have nothing to know.
+func (f *Forwarder) lookUpOrigin(ctx context.Context, j *job) originfinder.Result {
+	if _, certain := f.onlyVersion(j); certain {
+		return f.Origins.FindAtGateways(ctx, j.meta.Resumes)
+	}
+	return f.Origins.Find(ctx, j.meta.Resumes)
+}
+
 // useOrigin sends a request to the service that began its stream, if its route still leads there.
 func (f *Forwarder) useOrigin(j *job, result originfinder.Result) bool {
 	if !matcher.LeadsTo(j.route, result.Origin.Service) {
@@ -102,7 +112,10 @@
 	}
 	f.setService(j, result.Origin.Service)
 	source := originRemembered
-	if result.Source != "" {
+	switch {
+	case result.OfController:
+		source = originOfController
+	case result.Source != "":
 		source = originOfGateway
 	}
 	f.setOrigin(j, result.Origin, source, result)
@@ -117,8 +130,12 @@
 		// Nothing depends on it while a service has one version.
 		return
 	}
+	gateway, controller := result.Source, ""
+	if result.OfController {
+		gateway, controller = "", result.Source
+	}
 	f.Log.Info("a stream is taken up", "RequestID", j.meta.ID, "Resumes", j.meta.Resumes, "After", j.meta.ResumeAfter, "Service", origin.Service,
-		"SoftwareVersion", origin.SoftwareVersion, "Source", source, "Gateway", result.Source, "Took", result.Took.Milliseconds())
+		"SoftwareVersion", origin.SoftwareVersion, "Source", source, "Gateway", gateway, "Controller", controller, "Took", result.Took.Milliseconds())
 }
 
 // refuseOrigin refuses a request whose stream may not go on. It has not run.
@@ -192,23 +209,29 @@
 	delete(f.runningStreams, j)
 }
 
-// reportRunning reports the origins of the running streams of services.
+// reportRunning reports the origins of the running streams of services that have just got several software
+// versions.
 func (f *Forwarder) reportRunning(services []string) {
+	if streams := f.runningStreamsOf(services); len(streams) > 0 {
+		f.Origins.Record(streams)
+	}
+}
+
+// runningStreamsOf returns the running streams of services.
+func (f *Forwarder) runningStreamsOf(services []string) []originfinder.Stream {
 	if len(services) == 0 {
-		return
+		return nil
 	}
 	now := f.Clock.Now()
 	var streams []originfinder.Stream
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for j := range f.runningStreams {
 		if slices.Contains(services, j.service) {
 			streams = append(streams, f.streamOf(now, j))
 		}
 	}
-	f.mu.Unlock()
-	if len(streams) > 0 {
-		f.Origins.Record(streams)
-	}
+	return streams
 }
 
 // refreshOrigins periodically reports the origins of running streams again, while their services have
@@ -224,7 +247,9 @@
 		mixed = f.versions.Services(now)
 	}
 	f.mu.Unlock()
-	f.reportRunning(mixed)
+	if streams := f.runningStreamsOf(mixed); len(streams) > 0 {
+		f.Origins.Refresh(streams)
+	}
 }
 
 // pin returns the restriction to the software version that began the job's stream, if it has begun.
--- a/gateway/forwarder/origin_test.go
+++ b/gateway/forwarder/origin_test.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,3 +133,55 @@
 	c.Check((<-done).complete, qt.IsTrue)
 	eventually(c, func() bool { return running() == 0 })
 }
+
+// controllerOrigins is a controller that knows the origin of every stream.
+type controllerOrigins struct {
+	version string
+	asked   atomic.Int32
+}
+
+func (k *controllerOrigins) FindOrigin(context.Context, *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
+	k.asked.Add(1)
+	return &wire.FindOriginResponse{
+		Knowledge: wire.OriginKnowledge_ORIGIN_KNOWLEDGE_KNOWN, Origin: &wire.StreamOrigin{Service: "s", SoftwareVersion: k.version},
+	}, nil
+}
+
+// Controllers are asked where no gateway knows the origin and more than one version can have begun the stream, and
+// the stream goes on at the version that they name. A service with one version costs them nothing.
+func TestOriginsOfControllers(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions []string
+		observed time.Duration
+		known    string
+		status   int
+		asked    int32
+	}{
+		"two versions":                     {[]string{"v1", "v2"}, longObserved, "v2", 200, 1},
+		"two versions, a third began it":   {[]string{"v1", "v2"}, longObserved, "v3", 503, 1},
+		"one version":                      {[]string{"v1"}, longObserved, "v1", 200, 0},
+		"one version, leader just started": {[]string{"v1"}, 2 * time.Second, "v1", 200, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address, f := newGateway(c, clockwork.NewRealClock())
+			known := &controllerOrigins{version: test.known}
+			f.Origins.Controllers = func() []string { return []string{"controller"} }
+			f.Origins.Client = func(string) wire.Origins { return known }
+			var backends []*fakeBackend
+			for i, version := range test.versions {
+				backends = append(backends, newVersionedBackend(c, fmt.Sprint("b", i), version))
+			}
+			state := firstTable(backends...)
+			state.ObservedMs = uint32(test.observed.Milliseconds())
+			f.Apply("controller", state)
+			c.Check(resume(c, address, "/resumable/", "lost").status, qt.Equals, test.status)
+			c.Check(known.asked.Load(), qt.Equals, test.asked)
+			for _, b := range backends {
+				if b.version != test.known {
+					c.Check(b.runs.Load(), qt.Equals, int32(0))
+				}
+			}
+		})
+	}
+}
--- a/gateway/originfinder/originfinder_test.go
+++ b/gateway/originfinder/originfinder_test.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/originreceiver"
 	"bronzelead.example/pkg/originrecorder"
 	"bronzelead.example/pkg/ranker"
 	"bronzelead.example/pkg/wire"
@@ -26,6 +27,8 @@
 	c       *qt.C
 	clock   *clockwork.FakeClock
 	finders []*Finder
+	// controllers are none unless a test adds them.
+	controllers []*controller
 	// lost holds the gateways to which datagrams are lost, and down those that do not answer.
 	lost, down map[string]bool
 }
@@ -35,7 +38,7 @@
 	var list []*wire.GatewayEntry
 	for range gateways {
 		f := &Finder{Clock: y.clock, Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z")}
-		server := httptest.NewServer(wire.NewOriginsServer(&Server{Finder: f}))
+		server := httptest.NewServer(wire.NewOriginsServer(originsOf{f}))
 		c.Cleanup(server.Close)
 		f.Self = strings.TrimPrefix(server.URL, "http://")
 		f.Gateways = func() []*wire.GatewayEntry { return list }
@@ -48,6 +51,13 @@
 	return y
 }
 
+// originsOf serves what a gateway remembers, also after it has forgotten what it knew.
+type originsOf struct{ finder *Finder }
+
+func (s originsOf) FindOrigin(ctx context.Context, req *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
+	return s.finder.Receiver().FindOrigin(ctx, req)
+}
+
 // send delivers a datagram at once.
 func (y *fleet) send(address string, datagram []byte) error {
 	if y.lost[address] {
@@ -55,7 +65,13 @@
 	}
 	for _, f := range y.finders {
 		if f.Self == address {
-			return f.Receive(datagram)
+			return f.Receiver().Receive(datagram)
+		}
+	}
+	for _, k := range y.controllers {
+		if k.address == address {
+			k.datagrams++
+			return k.receiver.Receive(datagram)
 		}
 	}
 	return errors.New("no such gateway")
@@ -78,9 +94,8 @@
 
 // forget lets a gateway lose what it remembers, as after a restart.
 func (y *fleet) forget(f *Finder) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.recorder = originrecorder.Recorder{Max: maxOrigins}
+	f.receiver = &originreceiver.Receiver{Clock: f.Clock, Log: f.Log, Meter: f.Meter, Max: maxOrigins}
+	f.receiver.Init()
 }
 
 func stream(i int, version string) Stream {
@@ -254,7 +269,7 @@
 	c.Check(largest <= maxDatagram, qt.IsTrue, qt.Commentf("%d", largest))
 	c.Check(datagrams > 10, qt.IsTrue)
 	for _, s := range streams {
-		got, known := y.finders[1].recorder.Find(y.clock.Now(), originrecorder.KeyOf(s.Attempt))
+		got, known := y.finders[1].receiver.Find(originrecorder.KeyOf(s.Attempt))
 		c.Check(known, qt.Equals, originrecorder.Known)
 		c.Check(got, qt.Equals, s.Origin)
 	}
@@ -270,8 +285,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			y := newFleet(c, 1)
-			c.Check(y.finders[0].Receive([]byte(datagram)), qt.IsNotNil)
-			c.Check(y.finders[0].recorder.Len(), qt.Equals, 0)
+			c.Check(y.finders[0].Receiver().Receive([]byte(datagram)), qt.IsNotNil)
+			c.Check(y.finders[0].receiver.Len(), qt.Equals, 0)
 		})
 	}
 }
@@ -282,24 +297,22 @@
 	y := newFleet(c, 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var sockets []*Socket
+	var sockets []*originreceiver.Socket
 	for _, f := range y.finders {
-		s, err := Listen("127.0.0.1:0")
+		s, err := originreceiver.Listen("127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
 		sockets = append(sockets, s)
-		go s.Run(ctx, f)
+		go s.Run(ctx, f.Receiver())
 	}
 	y.finders[0].Send = func(_ string, datagram []byte) error {
-		return sockets[0].Send(sockets[1].conn.LocalAddr().String(), datagram)
+		return sockets[0].Send(sockets[1].Address(), datagram)
 	}
-	_, err := Listen(sockets[0].conn.LocalAddr().String())
+	_, err := originreceiver.Listen(sockets[0].Address())
 	c.Check(err, qt.IsNotNil)
 	c.Check(sockets[0].Send("no address", nil), qt.IsNotNil)
 	for deadline := time.Now().Add(10 * time.Second); ; {
 		y.finders[0].Record([]Stream{stream(0, "v1")})
-		y.finders[1].mu.Lock()
-		_, known := y.finders[1].recorder.Find(y.clock.Now(), originrecorder.KeyOf("attempt0"))
-		y.finders[1].mu.Unlock()
+		_, known := y.finders[1].receiver.Find(originrecorder.KeyOf("attempt0"))
 		if known == originrecorder.Known {
 			return
 		}
@@ -312,11 +325,11 @@
 func BenchmarkRecord(b *testing.B) {
 	for _, gateways := range []int{9, 300, 1200} {
 		b.Run(fmt.Sprint(gateways), func(b *testing.B) {
-			socket, err := Listen("127.0.0.1:0")
+			socket, err := originreceiver.Listen("127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
 			}
-			receiver, err := Listen("127.0.0.1:0")
+			receiver, err := originreceiver.Listen("127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -328,7 +341,7 @@
 				Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Meter: meter.New("gateway", "test", "z"),
 				Gateways: func() []*wire.GatewayEntry { return list },
 				Send: func(_ string, datagram []byte) error {
-					return socket.Send(receiver.conn.LocalAddr().String(), datagram)
+					return socket.Send(receiver.Address(), datagram)
 				},
 			}
 			f.Init()
--- a/pkg/wire/wire.twirp.go
+++ b/pkg/wire/wire.twirp.go
@@ -10763,7 +10763,7 @@
 // Origins Interface
 // =================
 
-// Origins is served by gateways, for streams that are taken up at another one.
+// Origins is served by gateways, and by controllers, for streams that are taken up at another gateway.
 type Origins interface {
 	// FindOrigin answers at once.
 	FindOrigin(context.Context, *FindOriginRequest) (*FindOriginResponse, error)
--- a/proof/routed_versions_test.go
+++ b/proof/routed_versions_test.go
@@ -383,3 +383,91 @@
 	tally.checkVersions(c)
 	y.history.check(c)
 }
+
+// heldStreams begins streams, one after the other by several callers at once, each of which is left after some
+// events.
+func heldStreams(y *routedSystem, streams int, deadline time.Time, tally *streamTally) []*heldStream {
+	list := make([]*heldStream, streams)
+	var running sync.WaitGroup
+	for i := range list {
+		l := &streamCaller{y: y, name: fmt.Sprintf("h%d", i), random: rand.New(rand.NewPCG(4, uint64(i))), tally: tally}
+		running.Go(func() {
+			for list[i] == nil || list[i].complete || list[i].events == 0 {
+				list[i] = &heldStream{leaves: 1}
+				l.attempt(list[i], deadline)
+			}
+		})
+	}
+	running.Wait()
+	return list
+}
+
+// takeUp takes streams up, each once and at any gateway, and returns how many went on.
+func takeUp(y *routedSystem, streams []*heldStream, deadline time.Time, tally *streamTally) int {
+	var goneOn atomic.Int32
+	var running sync.WaitGroup
+	for i, s := range streams {
+		l := &streamCaller{y: y, name: fmt.Sprintf("t%d", i), random: rand.New(rand.NewPCG(5, uint64(i))), tally: tally}
+		running.Go(func() {
+			before := s.events
+			l.attempt(s, deadline)
+			if s.complete || s.events > before {
+				goneOn.Add(1)
+			}
+			for _, version := range s.versions {
+				if version != s.versions[0] {
+					y.history.addViolation("%s: a stream of several versions: %q", s.first, s.versions)
+					return
+				}
+			}
+		})
+	}
+	running.Wait()
+	return int(goneOn.Load())
+}
+
+// After all gateways were killed at once while a service had two versions, no stream could be taken up. Controllers
+// remember the origins, also while one of them is killed or stands still; if they are killed too, all are refused.
+func TestRoutedStreamsOfTwoVersionsOutliveAllGateways(t *testing.T) {
+	const streams = 60
+	for name, test := range map[string]struct {
+		disturb func(y *routedSystem)
+		// minimum and maximum are how many streams go on.
+		minimum, maximum int
+	}{
+		"gateways alone":              {func(*routedSystem) {}, streams, streams},
+		"a controller is killed":      {func(y *routedSystem) { y.controllers[1].kill(); y.controllers[1].restart() }, streams, streams},
+		"a controller stands still":   {func(y *routedSystem) { y.controllers[0].freeze() }, streams, streams},
+		"all controllers are killed":  {func(y *routedSystem) { restartTogether(y.controllers) }, 0, 0},
+		"two controllers are killed":  {func(y *routedSystem) { restartTogether(y.controllers[:2]) }, streams, streams},
+		"a controller loses its disk": {func(y *routedSystem) { y.loseDisks(y.controllers[1]) }, streams, streams},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			y := startWithoutBackends(c, 3, 3)
+			for i := range 6 {
+				y.backends = append(y.backends, startVersionedBackend(y, fmt.Sprintf("b%d", i), fmt.Sprintf("v%d", i%2)))
+			}
+			y.initialize()
+			deadline := time.Now().Add(30 * time.Second)
+			tally := &streamTally{}
+			held := heldStreams(y, streams, deadline, tally)
+			// Origins are reported to controllers each 100 ms.
+			<-time.After(300 * time.Millisecond)
+			for _, g := range y.gateways {
+				g.kill()
+			}
+			test.disturb(y)
+			for _, g := range y.gateways {
+				g.restart()
+				<-time.After(200 * time.Millisecond)
+			}
+			y.waitServing()
+			goneOn := takeUp(y, held, deadline, tally)
+			c.Logf("%d of %d streams went on", goneOn, streams)
+			c.Check(goneOn >= test.minimum && goneOn <= test.maximum, qt.IsTrue, qt.Commentf("%d of %d streams went on", goneOn, streams))
+			y.history.check(c)
+		})
+	}
+}
