--- a/gateway/tunneler/serving.go
+++ b/gateway/tunneler/serving.go
@@ -208,7 +208,7 @@
 		_ = from.SetReadDeadline(time.Now().Add(tunnelIdleTimeout))
 		n, err := from.Read(buf)
 		if n > 0 {
-			if from == s.downstream && socketprober.PeerClosed(from) {
+			if from == s.downstream && t.peerClosed(from) {
 				// The other gateway gave up the request.
 				s.reset()
 				return
@@ -234,6 +234,13 @@
 	}
 }
 
+func (t *Tunneler) peerClosed(c net.Conn) bool {
+	if t.PeerClosed == nil {
+		return socketprober.PeerClosed(c)
+	}
+	return t.PeerClosed(c)
+}
+
 func closeWrite(c net.Conn) {
 	if half, ok := c.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
--- a/gateway/tunneler/tunneler.go
+++ b/gateway/tunneler/tunneler.go
@@ -8,7 +8,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -59,6 +58,11 @@
 	Resolve func(backend string) (address, zone string)
 	// Declines reports whether this gateway opens no connections to a backend server for others.
 	Declines func(backend string) bool
+	// DialContext opens connections to other gateways; nil is a net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// PeerClosed reports whether the peer of a connection has closed or reset it, also while bytes are left to read; nil
+	// asks the socket.
+	PeerClosed func(c net.Conn) bool
 	// Dial opens a direct connection to a backend server, and Probe one that is kept for this
 	// gateway's own requests.
 	Dial  func(ctx context.Context, backend, address string) (net.Conn, error)
@@ -208,8 +212,7 @@
 
 // openThrough requests a tunnel of a gateway.
 func (t *Tunneler) openThrough(ctx context.Context, peer, backend, address string) (net.Conn, wire.Reach, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", peer)
+	c, err := t.dialGateway(ctx, peer)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "dial")
 	}
@@ -218,19 +221,33 @@
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
-	tcp, ok := c.(*net.TCPConn)
-	if err != nil || outcome != wire.Reach_REACH_CONNECTED || !ok {
+	if err != nil || outcome != wire.Reach_REACH_CONNECTED {
 		_ = c.Close()
 		return nil, outcome, err
 	}
 	t.mu.Lock()
 	t.peers.RecordOpened(peer)
 	t.mu.Unlock()
-	return &tunnel{TCPConn: tcp, closed: func() {
+	opened := &tunnel{Conn: c, closed: func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.peers.RecordClosed(peer)
-	}}, outcome, nil
+	}}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &socketTunnel{tunnel: opened, tcp: tcp}, outcome, nil
+	}
+	return opened, outcome, nil
+}
+
+// dialGateway opens a connection to another gateway within dialTimeout.
+func (t *Tunneler) dialGateway(ctx context.Context, peer string) (net.Conn, error) {
+	if t.DialContext == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+		return dialer.DialContext(ctx, "tcp", peer)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return t.DialContext(ctx, "tcp", peer)
 }
 
 // requestTunnel sends the request for a tunnel on a new connection to a gateway.
@@ -262,9 +279,9 @@
 	return wire.Reach_REACH_UNKNOWN, nil
 }
 
-// tunnel is a connection through another gateway.
+// tunnel is a connection through another gateway. It has no ReadFrom, which would move bytes in the kernel.
 type tunnel struct {
-	*net.TCPConn
+	net.Conn
 	once   sync.Once
 	closed func()
 }
@@ -272,13 +289,27 @@
 // Close closes the connection.
 func (c *tunnel) Close() error {
 	c.once.Do(c.closed)
-	return errors.Wrap(c.TCPConn.Close(), "tunneler: close")
+	return errors.Wrap(c.Conn.Close(), "tunneler: close")
+}
+
+// SetLinger sets what Close does with bytes that are still to be sent.
+func (c *tunnel) SetLinger(sec int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return errors.Wrap(conn.SetLinger(sec), "tunneler: linger")
+	}
+	return nil
+}
+
+// socketTunnel is a tunnel whose state the kernel can be asked for.
+type socketTunnel struct {
+	*tunnel
+	tcp *net.TCPConn
 }
 
-// ReadFrom hides the method of the embedded connection, which would move bytes in the kernel.
-func (c *tunnel) ReadFrom(r io.Reader) (int64, error) {
-	n, err := io.Copy(struct{ io.Writer }{c.TCPConn}, r)
-	return n, errors.Wrap(err, "tunneler: read")
+// SyscallConn returns the socket of the connection.
+func (c *socketTunnel) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.tcp.SyscallConn()
+	return raw, errors.Wrap(err, "tunneler: socket")
 }
 
 // ShareBackOff reports a backoff that a backend server has asked for, to the gateways whose
