Do not take a reset for the end of an answer while a body is written

The kernel tells a reset once. If the write of a long body gets it, the read of the answer sees an end, so that a part of an answer that ends with its connection looked complete. At an end during the write of a body, the sender now ends that write and looks at its error.

--- a/gateway/sender/dial.go
+++ b/gateway/sender/dial.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Detour opens connections to backend servers that can't be reached directly.
@@ -32,6 +36,8 @@
 	sentAt    time.Time
 	// received counts the receipts of all connections.
 	received *receipts
+	// body is the write of its latest request's body, if that goes on while the answer is read.
+	body *bodyWrite
 	// answered is set once the answer to its latest request has begun.
 	answered atomic.Bool
 }
@@ -57,9 +63,27 @@
 	if n > 0 {
 		l.received.at.Store(l.received.now().UnixNano())
 	}
+	if err == io.EOF && l.body != nil {
+		err = l.endOfAnswer()
+	}
 	return n, err
 }
 
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
+
+// endOfAnswer returns io.EOF if the backend server has ended its answer, or the error of the connection. The kernel tells a
+// reset once: if the write of the body gets it, the read sees an end, and a part of an answer would look complete. EPIPE
+// means that the end came before.
+func (l *connection) endOfAnswer() error {
+	_ = l.SetWriteDeadline(expired)
+	<-l.body.ended
+	if err := l.body.err; err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return io.EOF
+}
+
 // dial opens a connection to a backend server, directly or by the detour.
 func (s *Sender) dial(ctx context.Context, backend, address string) (*connection, error) {
 	if s.needsDetour(backend) {
--- a/gateway/sender/sender.go
+++ b/gateway/sender/sender.go
@@ -109,7 +109,7 @@
 	backend string
 	idle    time.Duration
 	stop    func() bool
-	written <-chan error
+	written *bodyWrite
 	// Via is the instance that the answer came through; empty if it came directly.
 	Via string
 }
@@ -175,8 +175,16 @@
 // answer may arrive before the whole body was read.
 const asyncBodySize = 16 << 10
 
-func write(l *connection, out *Request) (<-chan error, error) {
+// bodyWrite is the write of a body that goes on while the answer is read.
+type bodyWrite struct {
+	// ended is closed at its end, and err is its error then.
+	ended chan struct{}
+	err   error
+}
+
+func write(l *connection, out *Request) (*bodyWrite, error) {
 	head := encode(out)
+	l.body = nil
 	if len(out.Body) <= asyncBodySize {
 		n, err := l.Write(append(head, out.Body...))
 		if err != nil && n == 0 {
@@ -193,12 +201,13 @@
 		}
 		return nil, fail(KindLost, "%v", err)
 	}
-	done := make(chan error, 1)
+	written := &bodyWrite{ended: make(chan struct{})}
+	l.body = written
 	go func() {
-		_, err := l.Write(out.Body)
-		done <- err
+		defer close(written.ended)
+		_, written.err = l.Write(out.Body)
 	}()
-	return done, nil
+	return written, nil
 }
 
 func encode(out *Request) []byte {
@@ -271,8 +280,8 @@
 		return true
 	}
 	select {
-	case err := <-in.written:
-		return err == nil
+	case <-in.written.ended:
+		return in.written.err == nil
 	default:
 		// The backend server answered before it had the whole body.
 		return false
