Pass on whole answers of backend servers that stop reading, and keep long streams

A gateway that serves a tunnel reset it when a write to the backend server failed. An answer that had come before the end of a long body was lost or, if it ends with its connection, cut off and taken for complete, since the answer's side could see the reset as an end. Answers are now copied to their end whatever becomes of the request, and an end is only passed on as one if no write was told of a reset. A tunnel was also reset five minutes after the last byte of its request in the middle of a stream: now bytes of either direction count.

The series has buffers of 512 bytes to 32 KiB, so that writes end in the middle, and reads most rejections to their end, so that their connections are used again.

--- a/gateway/tunneler/network_test.go
+++ b/gateway/tunneler/network_test.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// socketBuffer is the size of each buffer of a simulated connection, and maxSegment what is delivered at once at most.
-	socketBuffer = 24 << 10
-	maxSegment   = 8 << 10
+	// minBuffer is the size of the smallest buffers of simulated connections, bufferDoublings how often it is doubled at
+	// most, and maxSegment what is delivered at once at most.
+	minBuffer       = 512
+	bufferDoublings = 6
+	maxSegment      = 8 << 10
 	// maxLatency bounds the time that a segment takes, in µs.
 	maxLatency = 1500
 	// unacknowledged is how long sent bytes may stay unacknowledged on connections that were dialed.
@@ -236,6 +238,9 @@
 	local := &endpoint{net: n, owner: p, name: p.name, remote: to, timeout: unacknowledged, budget: -1}
 	accepted := &endpoint{net: n, owner: l.owner, name: to, remote: p.name, budget: -1}
 	local.peer, accepted.peer = accepted, local
+	for _, e := range []*endpoint{local, accepted} {
+		e.buffer = minBuffer << n.random.IntN(bufferDoublings+1)
+	}
 	if n.random.IntN(100) < n.breakPercent {
 		[]*endpoint{local, accepted}[n.random.IntN(2)].budget = n.random.IntN(1 << (6 + n.random.IntN(12)))
 	}
@@ -251,6 +256,8 @@
 	owner        *process
 	peer         *endpoint
 	name, remote string
+	// buffer is the size of each buffer.
+	buffer int
 	// timeout is TCP_USER_TIMEOUT; 0 for none.
 	timeout time.Duration
 	// out are bytes that were written and not delivered, and in those that were delivered and not read.
@@ -303,7 +310,7 @@
 		}
 		return
 	}
-	size := min(len(e.out), socketBuffer-len(e.peer.in), 1+n.random.IntN(maxSegment))
+	size := min(len(e.out), e.peer.buffer-len(e.peer.in), 1+n.random.IntN(maxSegment))
 	if e.budget >= 0 {
 		size = min(size, e.budget)
 		e.budget -= size
@@ -323,7 +330,7 @@
 		return
 	}
 	e.stuckSince = time.Time{}
-	if len(e.out) > 0 && len(e.peer.in) < socketBuffer || len(e.out) == 0 {
+	if len(e.out) > 0 && len(e.peer.in) < e.peer.buffer || len(e.out) == 0 {
 		e.schedule()
 	}
 }
@@ -370,6 +377,9 @@
 		return
 	}
 	e.dead, e.out, e.failure = true, nil, syscall.ECONNRESET
+	if e.endReceived {
+		e.failure = syscall.EPIPE
+	}
 	e.net.changed.Broadcast()
 }
 
@@ -423,11 +433,13 @@
 			e.in = e.in[n:]
 			e.peer.schedule()
 			return n, nil
+		case e.endReceived:
+			return 0, io.EOF
 		case e.failure != nil:
 			err := e.failure
 			e.failure = nil
 			return 0, e.error("read", err)
-		case e.dead, e.endReceived:
+		case e.dead:
 			return 0, io.EOF
 		}
 		e.net.changed.Wait()
@@ -441,7 +453,7 @@
 	written := 0
 	for {
 		e.owner.wait()
-		switch room := socketBuffer - len(e.out); {
+		switch room := e.buffer - len(e.out); {
 		case e.closed:
 			return written, e.error("write", net.ErrClosed)
 		case passed(e.writeDeadline):
--- a/gateway/tunneler/series_test.go
+++ b/gateway/tunneler/series_test.go
@@ -299,6 +299,10 @@
 		s.count("answers through tunnels")
 	}
 	if in.Head.Header.Has("Not-Executed") {
+		if random.IntN(4) > 0 {
+			// The connection can be used again only then.
+			_, _ = io.Copy(io.Discard, in.Body)
+		}
 		s.recordNotRun(key, "rejected")
 		return refused
 	}
--- a/gateway/tunneler/serving.go
+++ b/gateway/tunneler/serving.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,8 +38,13 @@
 	downstream, upstream net.Conn
 	// usedAt is when it carried bytes last, in ns of Unix time.
 	usedAt atomic.Int64
+	// reads counts the reads of both directions that got bytes.
+	reads atomic.Uint64
 	// awaiting is set while the last bytes were those of a request.
 	awaiting atomic.Bool
+	// writing holds an element while a request is written upstream, and guards writeError, the first error of that.
+	writing    chan struct{}
+	writeError error
 }
 
 // Server serves tunnels and calls of other gateways.
@@ -191,41 +197,66 @@
 
 // serve copies bytes both ways until the tunnel ends.
 func (s *served) serve(t *Tunneler) {
+	s.writing = make(chan struct{}, 1)
 	var answers sync.WaitGroup
-	answers.Go(func() { s.copy(t, s.downstream, s.upstream) })
-	s.copy(t, s.upstream, s.downstream)
+	answers.Go(func() { s.copyAnswers(t) })
+	s.copyRequests(t)
 	answers.Wait()
 	_ = s.downstream.Close()
 	_ = s.upstream.Close()
 }
 
-// copy copies bytes one way. An end of the backend server's bytes is passed on, so that an
-// answer that ends with its connection stays complete; a reset is passed on as one. The other
-// gateway never ends its bytes alone, so that an end there ends the tunnel.
-func (s *served) copy(t *Tunneler, to, from net.Conn) {
+// copyRequests copies bytes to the backend server. The other gateway never ends its bytes alone, so that an end there ends the
+// tunnel. Bytes that the backend server does not take any more are dropped, since the answer may be under way.
+func (s *served) copyRequests(t *Tunneler) {
 	buf := make([]byte, copyBufferSize)
 	for {
-		_ = from.SetReadDeadline(time.Now().Add(tunnelIdleTimeout))
-		n, err := from.Read(buf)
+		n, err := s.read(s.downstream, buf)
 		if n > 0 {
-			if from == s.downstream && t.peerClosed(from) {
+			if t.peerClosed(s.downstream) {
 				// The other gateway gave up the request.
 				s.reset()
 				return
 			}
-			s.usedAt.Store(t.Clock.Now().UnixNano())
-			s.awaiting.Store(from == s.downstream)
-			if _, err := to.Write(buf[:n]); err != nil {
+			s.use(t, true)
+			s.writeRequest(buf[:n])
+		}
+		switch {
+		case err == io.EOF:
+			_ = s.upstream.Close()
+			return
+		case err != nil:
+			s.reset()
+			return
+		}
+	}
+}
+
+// writeRequest writes a part of a request to the backend server, unless that has failed before.
+func (s *served) writeRequest(b []byte) {
+	s.writing <- struct{}{}
+	defer func() { <-s.writing }()
+	if s.writeError == nil {
+		_, s.writeError = s.upstream.Write(b)
+	}
+}
+
+// copyAnswers copies bytes from the backend server. Their end is passed on, so that an answer that ends with its connection
+// stays complete; a reset is passed on as one.
+func (s *served) copyAnswers(t *Tunneler) {
+	buf := make([]byte, copyBufferSize)
+	for {
+		n, err := s.read(s.upstream, buf)
+		if n > 0 {
+			s.use(t, false)
+			if _, err := s.downstream.Write(buf[:n]); err != nil {
 				s.reset()
 				return
 			}
 		}
 		switch {
-		case err == io.EOF && from == s.upstream:
-			closeWrite(to)
-			return
-		case err == io.EOF:
-			_ = s.upstream.Close()
+		case err == io.EOF && s.backendEnded():
+			closeWrite(s.downstream)
 			return
 		case err != nil:
 			s.reset()
@@ -234,6 +265,37 @@
 	}
 }
 
+// backendEnded reports whether an end of the backend server's bytes is its own. The kernel tells a reset once: if a write gets
+// it, the read sees an end. EPIPE means that the end came before.
+func (s *served) backendEnded() bool {
+	_ = s.upstream.SetWriteDeadline(time.Unix(1, 0))
+	s.writing <- struct{}{}
+	defer func() { <-s.writing }()
+	err := s.writeError
+	return err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// read reads bytes, and fails once the tunnel has carried nothing for too long in either direction.
+func (s *served) read(from net.Conn, buf []byte) (int, error) {
+	for {
+		before := s.reads.Load()
+		_ = from.SetReadDeadline(time.Now().Add(tunnelIdleTimeout))
+		n, err := from.Read(buf)
+		if n > 0 {
+			s.reads.Add(1)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || s.reads.Load() == before {
+			return n, err
+		}
+	}
+}
+
+// use records that the tunnel carries bytes of a request or of an answer.
+func (s *served) use(t *Tunneler, request bool) {
+	s.usedAt.Store(t.Clock.Now().UnixNano())
+	s.awaiting.Store(request)
+}
+
 func (t *Tunneler) peerClosed(c net.Conn) bool {
 	if t.PeerClosed == nil {
 		return socketprober.PeerClosed(c)
