Freeze the gateway and withdraw requests in the series of tunnels

It also closes all connections to a backend server that it takes for exited. TestTunnelsAreSockets guards what the sender needs of a tunnel: its state and a reset.

--- a/gateway/tunneler/series_test.go
+++ b/gateway/tunneler/series_test.go
@@ -281,13 +281,18 @@
 
 func (s *series) attempt(ctx context.Context, random *rand.Rand, key attemptKey, length int, used *sender.Connections) outcome {
 	name := s.servers[random.IntN(len(s.servers))]
+	withdrawn := random.IntN(50) == 0
 	in, err := s.sender.Send(ctx, &sender.Request{
-		Backend: name, Address: name, RequestID: key.id, Method: "POST", Target: "/", Body: bodyOf(key.id, length), Used: used,
+		Permitted: func() bool { return !withdrawn },
+		Backend:   name, Address: name, RequestID: key.id, Method: "POST", Target: "/", Body: bodyOf(key.id, length), Used: used,
 		Header: framer.Header{{Name: "Host", Value: "x"}, {Name: "Id", Value: key.id}, {Name: "Attempt", Value: strconv.Itoa(key.n)}},
 	})
 	switch {
+	case sender.KindOf(err) == sender.KindWithdrawn:
+		s.recordNotRun(key, "withdrawn")
+		return refused
 	case sender.KindOf(err) == sender.KindNotSent:
-		s.recordNotRun(key, "not sent: "+err.Error())
+		s.recordNotRun(key, "not sent")
 		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
 		return refused
 	case err != nil:
@@ -322,7 +327,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.notRun[key] = why
-	s.counts[why[:len("not sent")]]++
+	s.counts[why]++
 }
 
 // disturb cuts and heals paths, and freezes, kills and stops processes, until the callers have ended.
@@ -337,7 +342,7 @@
 		}
 		relay, server := s.relays[random.IntN(len(s.relays))], s.servers[random.IntN(len(s.servers))]
 		d := time.Duration(1+random.IntN(1<<(4+random.IntN(9)))) * time.Millisecond
-		switch event := random.IntN(18); event {
+		switch event := random.IntN(20); event {
 		case 0, 1, 2, 3:
 			s.cutFor(&pending, random, "gateway", server, 8*d)
 		case 4, 5:
@@ -357,7 +362,14 @@
 		case 13:
 			s.stopRelay(&pending, relay, d)
 		case 14, 15:
-			s.detoured[server].Store(random.IntN(4) > 0)
+			if s.detoured[server].Store(random.IntN(4) > 0); s.detoured[server].Load() {
+				s.sender.CloseIdleDirect(server)
+			}
+		case 16:
+			s.gateway.freeze(d / 4)
+		case 17:
+			// It takes the backend server for exited.
+			s.sender.CloseAll(server)
 		default:
 			s.net.heal()
 		}
--- a/gateway/tunneler/tunneler_test.go
+++ b/gateway/tunneler/tunneler_test.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/meter"
+	"bronzelead.example/pkg/socketprober"
 	"bronzelead.example/pkg/wire"
 )
 
@@ -126,6 +127,20 @@
 	}
 }
 
+// A gateway must be able to tell whether a tunnel that it keeps is still open, and to drop what it has not sent yet.
+func TestTunnelsAreSockets(t *testing.T) {
+	s := newSite(t)
+	conn, served := s.open()
+	s.c.Check(socketprober.Probe(conn), qt.Equals, socketprober.Idle)
+	lingering, ok := conn.(interface{ SetLinger(sec int) error })
+	s.c.Assert(ok, qt.IsTrue)
+	s.c.Assert(lingering.SetLinger(0), qt.IsNil)
+	s.c.Assert(conn.Close(), qt.IsNil)
+	_, err := served.Read(make([]byte, 1))
+	s.c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	s.c.Check(socketprober.Probe(conn), qt.Equals, socketprober.Closed)
+}
+
 // A backend server must notice that a caller has left.
 func TestClosedTunnelEndsAtBackend(t *testing.T) {
 	s := newSite(t)
