Dispatcher: believe a refusal only with the request's id

Callers were told "Ran: no" of requests that ran: a refusal with X-Ran: no counted without an id too, as a late copy of another request's refusal or an intermediary that had passed the request on would send it.

A refusal now proves "not run" only with the request's id; after any other one the engine is asked to cancel, which settles it. Engines that send none still work: their word is replaced by that of the cancel.

--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -277,7 +277,7 @@
 func (a *attempt) readRefusal(res *http.Response, body io.Reader, count int) Outcome {
 	text, _ := io.ReadAll(io.LimitReader(body, maxRefusalBytes))
 	out := Outcome{Ran: RanUnknown, Status: res.StatusCode, Body: text, Resumes: count}
-	if res.Header.Get(translator.RanHeader) == translator.RanNo && a.events == 0 {
+	if a.provesNotRun(res) {
 		out.Ran = RanNo
 	}
 	out.AdapterMissing = res.StatusCode == http.StatusNotFound
@@ -290,6 +290,17 @@
 	return out
 }
 
+// provesNotRun reports whether an answer proves that the request did not run and never will. Without the request's id
+// the answer may be that of another request, or of an intermediary that has passed the request on.
+func (a *attempt) provesNotRun(res *http.Response) bool {
+	return a.events == 0 && statesNotRun(res, a.exchange.RequestID)
+}
+
+// statesNotRun reports whether an answer names a request and says that it did not run.
+func statesNotRun(res *http.Response, requestID string) bool {
+	return res.Header.Get(translator.RanHeader) == translator.RanNo && res.Header.Get(translator.RequestIDHeader) == requestID
+}
+
 // ranAfterError returns what is known after a call without an answer.
 func ranAfterError(err error) Ran {
 	if errors.Is(err, scheduler.ErrNoSession) || isDialError(err) {
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -56,7 +56,7 @@
 	b := body{MaxTokens: defaultTokens}
 	data, err := io.ReadAll(r.Body)
 	if err != nil || json.Unmarshal(data, &b) != nil || b.MaxTokens < 1 || b.MaxTokens > maxTokens {
-		reject(w, http.StatusBadRequest, "the body is not right")
+		reject(w, r, http.StatusBadRequest, "the body is not right")
 		return
 	}
 	if g.ExitText != "" && bytes.Contains(data, []byte(g.ExitText)) {
@@ -73,7 +73,7 @@
 		chat: r.URL.Path == translator.ChatPath, stream: b.Stream, priority: priority, readers: 1,
 	}
 	if status := g.submit(req); status != http.StatusOK {
-		reject(w, status, "the request does not run here")
+		reject(w, r, status, "the request does not run here")
 		return
 	}
 	g.respond(r.Context(), w, req, 0)
@@ -95,7 +95,9 @@
 	_, _ = w.Write([]byte("cut"))
 }
 
-func reject(w http.ResponseWriter, status int, text string) {
+// reject refuses a request, which has not run and will not. Callers believe that only of a refusal with the request's id.
+func reject(w http.ResponseWriter, r *http.Request, status int, text string) {
+	w.Header().Set(translator.RequestIDHeader, r.Header.Get(translator.RequestIDHeader))
 	w.Header().Set(translator.RanHeader, translator.RanNo)
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(text))
