Dispatcher: a success status with the marker proves nothing

Callers were told "Ran: no" of requests that ran: an answer with X-Ran: no counted as a refusal with any status but 200, so also with 201, 202, 204 or a redirect. Such an answer contradicts itself, and an engine that accepts a request runs it.

Only a status of 400 or more is a refusal now; after any other answer the engine is asked to cancel.

TestMarkerWithSuccessStatusDoesNotProveNotRun failed before for 201, 202, 204 and 302.

--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -296,9 +296,11 @@
 	return a.events == 0 && statesNotRun(res, a.exchange.RequestID)
 }
 
-// statesNotRun reports whether an answer names a request and says that it did not run.
+// statesNotRun reports whether an answer refuses a request, by its id, and says that it did not run. With a status that
+// is no failure the answer contradicts itself and proves nothing.
 func statesNotRun(res *http.Response, requestID string) bool {
-	return res.Header.Get(translator.RanHeader) == translator.RanNo && res.Header.Get(translator.RequestIDHeader) == requestID
+	return res.StatusCode >= http.StatusBadRequest &&
+		res.Header.Get(translator.RanHeader) == translator.RanNo && res.Header.Get(translator.RequestIDHeader) == requestID
 }
 
 // ranAfterError returns what is known after a call without an answer.
--- a/gateway/dispatcher/refusal_test.go
+++ b/gateway/dispatcher/refusal_test.go
@@ -67,3 +67,16 @@
 		})
 	}
 }
+
+// An answer with the marker and a success status counted as a refusal. It contradicts itself and proves nothing: the
+// request had been accepted, and ran.
+func TestMarkerWithSuccessStatusDoesNotProveNotRun(t *testing.T) {
+	for status, want := range map[int]Ran{
+		http.StatusCreated: RanUnknown, http.StatusAccepted: RanUnknown, http.StatusNoContent: RanUnknown, http.StatusFound: RanUnknown,
+		http.StatusBadRequest: RanNo, http.StatusMisdirectedRequest: RanNo, http.StatusServiceUnavailable: RanNo,
+	} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			qt.New(t).Check(runAgainst(refuses(status, "r")).Ran, qt.Equals, want)
+		})
+	}
+}
