Dispatcher: a refusal to resume is not a refusal of the request

Callers were told "Ran: no" of requests that ran, and a claim that another gateway took up was released, so that the next repeat ran a second time: the answer to the call that resumes went through the same code as the answer to the request, and a 503 with X-Ran: no to that call, from an engine that was too busy or had restarted, counted for the request.

Only the answer to the request itself proves "not run" now. After a refusal to resume the outcome stays unknown until the cancel settles it.

TestRefusalToResumeDoesNotProveNotRun failed before, for Run and for Recover.

--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -277,7 +277,7 @@
 func (a *attempt) readRefusal(res *http.Response, body io.Reader, count int) Outcome {
 	text, _ := io.ReadAll(io.LimitReader(body, maxRefusalBytes))
 	out := Outcome{Ran: RanUnknown, Status: res.StatusCode, Body: text, Resumes: count}
-	if a.provesNotRun(res) {
+	if a.provesNotRun(res, count) {
 		out.Ran = RanNo
 	}
 	out.AdapterMissing = res.StatusCode == http.StatusNotFound
@@ -291,9 +291,10 @@
 }
 
 // provesNotRun reports whether an answer proves that the request did not run and never will. Without the request's id
-// the answer may be that of another request, or of an intermediary that has passed the request on.
-func (a *attempt) provesNotRun(res *http.Response) bool {
-	return a.events == 0 && statesNotRun(res, a.exchange.RequestID)
+// the answer may be that of another request, or of an intermediary that has passed the request on. A refusal to resume
+// the answer, which has a count above 0, concerns that call alone.
+func (a *attempt) provesNotRun(res *http.Response, count int) bool {
+	return count == 0 && statesNotRun(res, a.exchange.RequestID)
 }
 
 // statesNotRun reports whether an answer refuses a request, by its id, and says that it did not run. With a status that
--- a/gateway/dispatcher/refusal_test.go
+++ b/gateway/dispatcher/refusal_test.go
@@ -80,3 +80,25 @@
 		})
 	}
 }
+
+// A refusal of the call that resumes an answer counted as a refusal of the request, which was running.
+func TestRefusalToResumeDoesNotProveNotRun(t *testing.T) {
+	c := qt.New(t)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == translator.CompletionsPath:
+			panic(http.ErrAbortHandler)
+		case strings.HasSuffix(r.URL.Path, "/cancel"):
+			w.WriteHeader(http.StatusInternalServerError)
+		default:
+			refuses(http.StatusServiceUnavailable, "r")(w, r)
+		}
+	}))
+	defer engine.Close()
+	x := &Exchange{
+		RequestID: "r", Address: strings.TrimPrefix(engine.URL, "http://"), Incarnation: "first",
+		Path: translator.CompletionsPath, Body: []byte("{}"), Model: "m",
+	}
+	c.Check(newDispatcher().Run(context.Background(), x).Ran, qt.Equals, RanUnknown)
+	c.Check(newDispatcher().Recover(context.Background(), x).Ran, qt.Equals, RanUnknown)
+}
