Dispatcher: believe a cancel only with the request's id

A request could be reported as not run on the answer to the cancel of another one, since that answer had the incarnation of the engine but no request. An answer without an incarnation counted for a request whose incarnation was not known either.

The answer now has RequestId, and proves "not run" only with the id and the incarnation of the request. After the answer of an engine without the field the outcome is MayHaveRun, as after a lost one.

--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -200,7 +200,7 @@
 	if err != nil || res.StatusCode != http.StatusOK {
 		return RanUnknown, errors.Errorf("dispatcher: cancel: %s", res.Status)
 	}
-	return parseCancellation(body, x.Incarnation), nil
+	return x.parseCancellation(body), nil
 }
 
 func (a *attempt) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
--- a/gateway/dispatcher/watch.go
+++ b/gateway/dispatcher/watch.go
@@ -55,12 +55,15 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// parseCancellation returns what an incarnation of an engine states about a request that was
-// sent to the incarnation sentTo.
-func parseCancellation(body []byte, sentTo string) Ran {
+// parseCancellation returns what the answer to a cancel proves of a request: that it never ran and never will only if it
+// names the request and the incarnation to which the request went.
+func (x *Exchange) parseCancellation(body []byte) Ran {
 	c := &translator.Cancellation{}
-	if err := json.Unmarshal(body, c); err == nil && c.Ran == translator.RanNo && c.Incarnation == sentTo {
-		return RanNo
+	if err := json.Unmarshal(body, c); err != nil || c.Ran != translator.RanNo {
+		return RanUnknown
 	}
-	return RanUnknown
+	if c.RequestID != x.RequestID || c.Incarnation != x.Incarnation || x.Incarnation == "" {
+		return RanUnknown
+	}
+	return RanNo
 }
--- a/pkg/translator/requests.go
+++ b/pkg/translator/requests.go
@@ -194,6 +194,8 @@
 	// Incarnation is the one that answers: if it is not the one that received the request, it
 	// can't know whether the request ran.
 	Incarnation string `json:",omitempty"`
+	// RequestID is the request that was cancelled: an answer for another one, or without it, proves nothing.
+	RequestID string `json:"RequestId,omitempty"`
 }
 
 // RanNo means that a request did not run.
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -147,7 +147,8 @@
 		ran = translator.RanNo
 	}
 	g.mu.Unlock()
-	answer, _ := json.Marshal(translator.Cancellation{Ran: ran, Incarnation: incarnation})
+	answer, _ := json.Marshal(translator.Cancellation{Ran: ran, Incarnation: incarnation, RequestID: id})
+	w.Header().Set(translator.RequestIDHeader, id)
 	_, _ = w.Write(answer)
 }
 
