Dispatcher: an engine that forgets requests proves nothing of old ones

A request with an idempotency key ran twice: its gateway had exited, and when a repeat came later, the engine had forgotten the request. It said that it never ran, which was believed since its incarnation was right, and the claim was released. Cancelled and queued requests were forgotten like others, so that one which the network held ran after it had been reported as not run.

The answer to a cancel now says how far back the engine remembers: all (RemembersAll), or all requests of the last KnownForMs. The gateway compares this with the time since it sent the request, less a tenth for drift; for a claim that it takes up, with the claim's age and a minute for clocks that differ. The stand-in keeps requests that have yet to run, and tombstones for 20 minutes, twice the longest deadline.

The believed answers in TestOnlyTheReceivingIncarnationConfirmsNotRun and TestCancelOfAnotherRequestDoesNotProveNotRun now say that all is remembered.

--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -46,6 +46,8 @@
 	Model       string
 	Priority    int32
 	Session     uint64
+	// SentAgo is how long ago, at most, another gateway may have sent the request; for Recover.
+	SentAgo time.Duration
 	// Emit receives each event of a streamed answer; nil requests a complete answer.
 	Emit func(data []byte) error
 }
@@ -85,9 +87,7 @@
 
 // Run performs an exchange.
 func (d *Dispatcher) Run(ctx context.Context, x *Exchange) Outcome {
-	a := &attempt{dispatcher: d, exchange: x, expectation: translator.Expectation{
-		AnswerID: translator.AnswerID(x.Path, x.RequestID), Model: x.Model,
-	}}
+	a := d.newAttempt(x)
 	out := a.first(ctx)
 	for out.Err != nil && out.Ran == RanUnknown && out.Resumes < maxResumes && ctx.Err() == nil && !a.callerFailed {
 		out = a.resume(ctx, out.Resumes+1)
@@ -102,9 +102,7 @@
 // Recover resumes the answer to a request that another gateway sent. Ran is no when the request
 // never started and never will.
 func (d *Dispatcher) Recover(ctx context.Context, x *Exchange) Outcome {
-	a := &attempt{dispatcher: d, exchange: x, expectation: translator.Expectation{
-		AnswerID: translator.AnswerID(x.Path, x.RequestID), Model: x.Model,
-	}}
+	a := d.newAttempt(x)
 	out := Outcome{Ran: RanUnknown, Err: errors.New("dispatcher: no attempt was made")}
 	for out.Err != nil && out.Resumes < maxResumes && ctx.Err() == nil {
 		out = a.resume(ctx, out.Resumes+1)
@@ -121,11 +119,19 @@
 	dispatcher  *Dispatcher
 	exchange    *Exchange
 	expectation translator.Expectation
-	events      int
+	// begun is when the exchange began.
+	begun  time.Time
+	events int
 	// callerFailed is set when the caller accepted no more events.
 	callerFailed bool
 }
 
+func (d *Dispatcher) newAttempt(x *Exchange) *attempt {
+	return &attempt{dispatcher: d, exchange: x, begun: d.Clock.Now(), expectation: translator.Expectation{
+		AnswerID: translator.AnswerID(x.Path, x.RequestID), Model: x.Model,
+	}}
+}
+
 func (a *attempt) first(ctx context.Context) Outcome {
 	timedCtx, timer := newSilenceTimer(ctx, a.dispatcher)
 	defer timer.stop()
@@ -174,7 +180,7 @@
 
 // cancelUnknown cancels a request at its engine, and determines whether it had started.
 func (a *attempt) cancelUnknown(out Outcome) Outcome {
-	ran, err := a.dispatcher.cancel(a.exchange)
+	ran, err := a.cancel()
 	if err == nil && ran == RanNo && a.events == 0 {
 		out.Ran = RanNo
 	}
@@ -184,14 +190,15 @@
 // cancel cancels a request at an engine. The answer no means that it never started and never
 // will; only the incarnation that received the request can give it. It is sent even if the
 // caller has disconnected.
-func (d *Dispatcher) cancel(x *Exchange) (Ran, error) {
+func (a *attempt) cancel() (Ran, error) {
+	x := a.exchange
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Address+translator.CancelPath(x.RequestID), nil)
 	if err != nil {
 		return RanUnknown, errors.Wrap(err, "dispatcher: cancel")
 	}
-	res, err := d.UnpooledTransport.RoundTrip(req)
+	res, err := a.dispatcher.UnpooledTransport.RoundTrip(req)
 	if err != nil {
 		return RanUnknown, errors.Wrap(err, "dispatcher: cancel")
 	}
@@ -200,7 +207,7 @@
 	if err != nil || res.StatusCode != http.StatusOK {
 		return RanUnknown, errors.Errorf("dispatcher: cancel: %s", res.Status)
 	}
-	return x.parseCancellation(body), nil
+	return x.parseCancellation(body, x.SentAgo+a.dispatcher.Clock.Since(a.begun)), nil
 }
 
 func (a *attempt) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
--- a/gateway/dispatcher/dispatcher_test.go
+++ b/gateway/dispatcher/dispatcher_test.go
@@ -21,10 +21,10 @@
 		cancelled string
 		want      Ran
 	}{
-		"the same incarnation": {`{"Ran":"no","Incarnation":"first","RequestId":"r"}`, RanNo},
-		"a later incarnation":  {`{"Ran":"no","Incarnation":"second","RequestId":"r"}`, RanUnknown},
-		"no incarnation named": {`{"Ran":"no","RequestId":"r"}`, RanUnknown},
-		"it ran":               {`{"Ran":"partly","Incarnation":"first","RequestId":"r"}`, RanUnknown},
+		"the same incarnation": {`{"Ran":"no","Incarnation":"first","RequestId":"r","RemembersAll":true}`, RanNo},
+		"a later incarnation":  {`{"Ran":"no","Incarnation":"second","RequestId":"r","RemembersAll":true}`, RanUnknown},
+		"no incarnation named": {`{"Ran":"no","RequestId":"r","RemembersAll":true}`, RanUnknown},
+		"it ran":               {`{"Ran":"partly","Incarnation":"first","RequestId":"r","RemembersAll":true}`, RanUnknown},
 		"a malformed answer":   {`no`, RanUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/dispatcher/watch.go
+++ b/gateway/dispatcher/watch.go
@@ -55,9 +55,13 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// parseCancellation returns what the answer to a cancel proves of a request: that it never ran and never will only if it
-// names the request and the incarnation to which the request went.
-func (x *Exchange) parseCancellation(body []byte) Ran {
+// clockDriftDivisor is the divisor for the part of an engine's memory that does not count, as clocks may drift apart.
+const clockDriftDivisor = 10
+
+// parseCancellation returns what the answer to a cancel proves of a request that was sent at most the given time ago: that
+// it never ran and never will only if the answer names the request and the incarnation to which the request went, and that
+// incarnation remembers all requests of that time.
+func (x *Exchange) parseCancellation(body []byte, age time.Duration) Ran {
 	c := &translator.Cancellation{}
 	if err := json.Unmarshal(body, c); err != nil || c.Ran != translator.RanNo {
 		return RanUnknown
@@ -65,5 +69,9 @@
 	if c.RequestID != x.RequestID || c.Incarnation != x.Incarnation || x.Incarnation == "" {
 		return RanUnknown
 	}
+	known := time.Duration(c.KnownForMs) * time.Millisecond
+	if !c.RemembersAll && known-known/clockDriftDivisor <= age {
+		return RanUnknown
+	}
 	return RanNo
 }
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +21,8 @@
 	lookupTimeout   = time.Second
 	releaseTimeout  = 2 * time.Second
 	maxRecoveries   = 3
+	// maxClockSkew is how far the clocks of instances may be apart when the age of a claim is computed.
+	maxClockSkew = time.Minute
 )
 
 // existingClaim is the result for a request whose key is already claimed.
@@ -140,7 +143,7 @@
 	if e.job.Want.Service == "" {
 		out := r.Dispatcher.Recover(ctx, &dispatcher.Exchange{
 			RequestID: cmd.GetRequestId(), Address: cmd.GetAddress(), Incarnation: cmd.GetIncarnation(),
-			Path: e.http.URL.Path, Model: e.job.Want.Adapter,
+			Path: e.http.URL.Path, Model: e.job.Want.Adapter, SentAgo: maxAge(r.Clock.Now(), c),
 		})
 		r.Explainer.Record(e.id, e.terms.Customer(), "took up request %s of a gateway that is gone: ran: %s, %v", cmd.GetRequestId(), out.Ran, out.Err)
 		switch {
@@ -158,6 +161,16 @@
 	return r.finishRecovered(ctx, old, cmd.GetRequestId(), &wire.Outcome{Unknown: true}), false
 }
 
+// maxAge returns how long ago, at most, the request of a claim was sent. The claim's time is that of a controller's clock:
+// a claim from the future has no known age.
+func maxAge(now time.Time, c *wire.Claim) time.Duration {
+	age := time.Duration(now.UnixNano() - c.GetClaimedAtNs())
+	if age < -maxClockSkew {
+		return math.MaxInt64 / 2
+	}
+	return max(0, age) + maxClockSkew
+}
+
 func (r *Receiver) finishRecovered(ctx context.Context, e *activeRequest, requestID string, o *wire.Outcome) *existingClaim {
 	stored, err := r.Claimer.Finish(ctx, finishOf(e, requestID, o))
 	if err != nil || stored == nil {
--- a/pkg/translator/requests.go
+++ b/pkg/translator/requests.go
@@ -196,6 +196,10 @@
 	Incarnation string `json:",omitempty"`
 	// RequestID is the request that was cancelled: an answer for another one, or without it, proves nothing.
 	RequestID string `json:"RequestId,omitempty"`
+	// RemembersAll is set if this incarnation still knows all requests that it ever received. Otherwise it knows all that
+	// arrived within the last KnownForMs milliseconds, and an older one may have run and been forgotten.
+	RemembersAll bool  `json:",omitempty"`
+	KnownForMs   int64 `json:",omitempty"`
 }
 
 // RanNo means that a request did not run.
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -16,6 +16,8 @@
 	defaultTokens = 8
 	maxTokens     = 4096
 	maxRequests   = 20_000
+	// Tombstones outlive the longest deadline, 10 minutes, after which no gateway sends the request any more.
+	tombstoneRetention = 20 * time.Minute
 	// A queued request without readers is cancelled after this time.
 	unreadTimeout = 5 * time.Second
 )
@@ -80,13 +82,18 @@
 	loading     map[string]bool
 	requests    map[string]*request
 	requestIDs  []string
-	queue       []*request
-	fault       Fault
-	frozenUntil time.Time
-	fencing     string
-	log         []Entry
-	steps       int
-	filled      int
+	// forgotten is when the newest of the requests arrived that are not known any more; zero if all are known.
+	forgotten time.Time
+	// tombstones are forgotten requests that must not run if they arrive, the oldest first.
+	tombstones   map[string]*request
+	tombstoneIDs []string
+	queue        []*request
+	fault        Fault
+	frozenUntil  time.Time
+	fencing      string
+	log          []Entry
+	steps        int
+	filled       int
 }
 
 // request is one request that the engine knows.
@@ -105,6 +112,7 @@
 	ran       bool
 	readers   int
 	unreadAt  time.Time
+	arrivedAt time.Time
 	wrongID   bool
 	truncate  bool
 }
@@ -114,7 +122,7 @@
 	g.changed = sync.NewCond(&g.mu)
 	g.incarnation = incarnation
 	g.loaded, g.loading = map[string]bool{}, map[string]bool{}
-	g.requests = map[string]*request{}
+	g.requests, g.tombstones = map[string]*request{}, map[string]*request{}
 }
 
 // Run executes steps until done is closed.
@@ -195,7 +203,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case g.requests[r.id] != nil:
+	case g.find(r.id) != nil:
 		return http.StatusConflict
 	case !g.loaded[r.model]:
 		return http.StatusNotFound
@@ -213,12 +221,42 @@
 	return http.StatusOK
 }
 
+// find returns what the engine knows of a request, or nil.
+func (g *Generator) find(id string) *request {
+	if r := g.requests[id]; r != nil {
+		return r
+	}
+	return g.tombstones[id]
+}
+
 func (g *Generator) store(r *request) {
+	r.arrivedAt = time.Now()
 	g.requests[r.id] = r
 	g.requestIDs = append(g.requestIDs, r.id)
 	if len(g.requestIDs) > maxRequests {
-		delete(g.requests, g.requestIDs[0])
-		g.requestIDs = g.requestIDs[1:]
+		g.forgetOldest(r.arrivedAt)
+	}
+}
+
+// forgetOldest forgets the oldest request. One that has yet to run is kept, and of a cancelled one the tombstone.
+func (g *Generator) forgetOldest(now time.Time) {
+	oldest := g.requests[g.requestIDs[0]]
+	g.requestIDs = g.requestIDs[1:]
+	if !oldest.done && !oldest.tombstone {
+		g.requestIDs = append(g.requestIDs, oldest.id)
+		return
+	}
+	delete(g.requests, oldest.id)
+	if oldest.arrivedAt.After(g.forgotten) {
+		g.forgotten = oldest.arrivedAt
+	}
+	if oldest.tombstone {
+		g.tombstones[oldest.id] = oldest
+		g.tombstoneIDs = append(g.tombstoneIDs, oldest.id)
+	}
+	for len(g.tombstoneIDs) > 0 && now.Sub(g.tombstones[g.tombstoneIDs[0]].arrivedAt) > tombstoneRetention {
+		delete(g.tombstones, g.tombstoneIDs[0])
+		g.tombstoneIDs = g.tombstoneIDs[1:]
 	}
 }
 
--- a/standin/generator/orders.go
+++ b/standin/generator/orders.go
@@ -136,6 +136,7 @@
 	g.incarnation += "r"
 	g.loaded, g.loading = map[string]bool{}, map[string]bool{}
 	g.requests, g.requestIDs, g.queue = map[string]*request{}, nil, nil
+	g.tombstones, g.tombstoneIDs, g.forgotten = map[string]*request{}, nil, time.Time{}
 	g.fencing = ""
 	g.changed.Broadcast()
 }
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -133,23 +133,30 @@
 // so that it will not run if it arrives later.
 func (g *Generator) cancelRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
+	answer, _ := json.Marshal(g.cancelByID(id))
+	w.Header().Set(translator.RequestIDHeader, id)
+	_, _ = w.Write(answer)
+}
+
+func (g *Generator) cancelByID(id string) translator.Cancellation {
 	g.mu.Lock()
-	req := g.requests[id]
+	defer g.mu.Unlock()
+	c := translator.Cancellation{Ran: "partly", Incarnation: g.incarnation, RequestID: id, RemembersAll: g.forgotten.IsZero()}
+	if !c.RemembersAll {
+		c.KnownForMs = time.Since(g.forgotten).Milliseconds()
+	}
+	req := g.find(id)
 	if req == nil {
 		req = &request{id: id}
 		g.store(req)
 	}
-	if !req.done {
+	if !req.done && !req.tombstone {
 		g.cancel(req)
 	}
-	ran, incarnation := "partly", g.incarnation
 	if !req.ran {
-		ran = translator.RanNo
+		c.Ran = translator.RanNo
 	}
-	g.mu.Unlock()
-	answer, _ := json.Marshal(translator.Cancellation{Ran: ran, Incarnation: incarnation, RequestID: id})
-	w.Header().Set(translator.RequestIDHeader, id)
-	_, _ = w.Write(answer)
+	return c
 }
 
 func (g *Generator) respond(ctx context.Context, w http.ResponseWriter, r *request, after int) {
--- a/standin/generator/serve_test.go
+++ b/standin/generator/serve_test.go
@@ -1,10 +1,13 @@
 package generator
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"bronzelead.example/pkg/translator"
 )
@@ -29,3 +32,39 @@
 		})
 	}
 }
+
+// An engine that had forgotten a request said that it never ran: it had answered it, and many others since.
+func TestForgottenRequestIsNotReportedAsNotRun(t *testing.T) {
+	g := newEngine()
+	sent := time.Now()
+	r := &request{id: "r", model: "m", tokens: 1}
+	g.submit(r)
+	g.step(time.Unix(1000, 0))
+	for i := range maxRequests {
+		g.store(&request{id: strconv.Itoa(i), done: true})
+	}
+	c := &translator.Cancellation{}
+	if err := json.Unmarshal(g.call(http.MethodPost, translator.CancelPath("r"), "").Body.Bytes(), c); err != nil {
+		t.Fatal(err)
+	}
+	if c.Ran == translator.RanNo && (c.RemembersAll || c.KnownForMs > time.Since(sent).Milliseconds()) {
+		t.Errorf("the engine says that r never ran: %+v", c)
+	}
+}
+
+// Cancelled requests were forgotten like others, so that one that the network held ran after it was reported as not run;
+// requests that had yet to run were forgotten too, and then reported as not run.
+func TestRequestsInUseAreNotForgotten(t *testing.T) {
+	g := newEngine()
+	g.submit(&request{id: "queued", model: "m", tokens: 1})
+	g.call(http.MethodPost, translator.CancelPath("cancelled"), "")
+	for i := range 2 * maxRequests {
+		g.store(&request{id: strconv.Itoa(i), done: true})
+	}
+	if status := g.submit(&request{id: "cancelled", model: "m", tokens: 1}); status != http.StatusConflict {
+		t.Errorf("a cancelled request is taken: status %d", status)
+	}
+	if g.find("queued") == nil {
+		t.Errorf("a queued request is not known")
+	}
+}
