Stand-in: a copy of a request that runs is not refused as not run

An engine that got a request once more, over a network that repeats it, refused the copy with X-Ran: no while the first one was queued or ran. The refusal speaks for the id, so that a gateway whose first answer was lost would have told its caller that the request did not run.

TestKnownRequestIsRefusedAsNotRunOnlyIfItNeverRuns failed before. submit returns a second value, which TestUnreadRequestsAreCancelled ignores.

--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -198,15 +198,17 @@
 	g.log = append(g.log, e)
 }
 
-// submit queues a request. A status other than 200 means that it does not run.
-func (g *Generator) submit(r *request) int {
+// submit queues a request. With a status other than 200 it is not queued; neverRuns states that no request of this id has
+// run or will.
+func (g *Generator) submit(r *request) (status int, neverRuns bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	known := g.find(r.id)
 	switch {
-	case g.find(r.id) != nil:
-		return http.StatusConflict
+	case known != nil:
+		return http.StatusConflict, known.tombstone && !known.ran
 	case !g.loaded[r.model]:
-		return http.StatusNotFound
+		return http.StatusNotFound, true
 	}
 	if g.fault.Cross > 0 {
 		g.fault.Cross--
@@ -218,7 +220,7 @@
 	}
 	g.store(r)
 	g.queue = append(g.queue, r)
-	return http.StatusOK
+	return http.StatusOK, false
 }
 
 // find returns what the engine knows of a request, or nil.
--- a/standin/generator/generator_test.go
+++ b/standin/generator/generator_test.go
@@ -24,7 +24,7 @@
 		if id == "read" {
 			r.readers = 1
 		}
-		if status := g.submit(r); status != http.StatusOK {
+		if status, _ := g.submit(r); status != http.StatusOK {
 			t.Fatalf("request %s: status %d", id, status)
 		}
 	}
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -56,7 +56,7 @@
 	b := body{MaxTokens: defaultTokens}
 	data, err := io.ReadAll(r.Body)
 	if err != nil || json.Unmarshal(data, &b) != nil || b.MaxTokens < 1 || b.MaxTokens > maxTokens {
-		reject(w, r, http.StatusBadRequest, "the body is not right")
+		reject(w, r, http.StatusBadRequest, true)
 		return
 	}
 	if g.ExitText != "" && bytes.Contains(data, []byte(g.ExitText)) {
@@ -72,8 +72,8 @@
 		id: id, responseID: translator.AnswerID(r.URL.Path, id), model: b.Model, tokens: b.MaxTokens,
 		chat: r.URL.Path == translator.ChatPath, stream: b.Stream, priority: priority, readers: 1,
 	}
-	if status := g.submit(req); status != http.StatusOK {
-		reject(w, r, status, "the request does not run here")
+	if status, neverRuns := g.submit(req); status != http.StatusOK {
+		reject(w, r, status, neverRuns)
 		return
 	}
 	g.respond(r.Context(), w, req, 0)
@@ -95,12 +95,15 @@
 	_, _ = w.Write([]byte("cut"))
 }
 
-// reject refuses a request, which has not run and will not. Callers believe that only of a refusal with the request's id.
-func reject(w http.ResponseWriter, r *http.Request, status int, text string) {
+// reject refuses a request. NeverRuns states that it has not run and will not, which callers believe only of a refusal
+// with the request's id.
+func reject(w http.ResponseWriter, r *http.Request, status int, neverRuns bool) {
 	w.Header().Set(translator.RequestIDHeader, r.Header.Get(translator.RequestIDHeader))
-	w.Header().Set(translator.RanHeader, translator.RanNo)
+	if neverRuns {
+		w.Header().Set(translator.RanHeader, translator.RanNo)
+	}
 	w.WriteHeader(status)
-	_, _ = w.Write([]byte(text))
+	_, _ = w.Write([]byte("the request is refused"))
 }
 
 func (g *Generator) removeReader(r *request) {
--- a/standin/generator/serve_test.go
+++ b/standin/generator/serve_test.go
@@ -12,9 +12,9 @@
 	"bronzelead.example/pkg/translator"
 )
 
-// call sends a call with the id r to an engine.
-func (g *Generator) call(method, path, body string) *httptest.ResponseRecorder {
-	req := httptest.NewRequest(method, path, strings.NewReader(body))
+// post sends a call with the id r to an engine.
+func (g *Generator) post(path, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	req.Header.Set(translator.RequestIDHeader, "r")
 	w := httptest.NewRecorder()
 	g.Handler().ServeHTTP(w, req)
@@ -25,7 +25,7 @@
 func TestRefusalsNameTheirRequest(t *testing.T) {
 	for name, body := range map[string]string{"an unknown model": `{"model":"other"}`, "a malformed body": `{`} {
 		t.Run(name, func(t *testing.T) {
-			w := newEngine().call(http.MethodPost, translator.CompletionsPath, body)
+			w := newEngine().post(translator.CompletionsPath, body)
 			if ran, id := w.Header().Get(translator.RanHeader), w.Header().Get(translator.RequestIDHeader); ran != translator.RanNo || id != "r" {
 				t.Errorf("%s: %q, %s: %q; want %q, %q", translator.RanHeader, ran, translator.RequestIDHeader, id, translator.RanNo, "r")
 			}
@@ -44,7 +44,7 @@
 		g.store(&request{id: strconv.Itoa(i), done: true})
 	}
 	c := &translator.Cancellation{}
-	if err := json.Unmarshal(g.call(http.MethodPost, translator.CancelPath("r"), "").Body.Bytes(), c); err != nil {
+	if err := json.Unmarshal(g.post(translator.CancelPath("r"), "").Body.Bytes(), c); err != nil {
 		t.Fatal(err)
 	}
 	if c.Ran == translator.RanNo && (c.RemembersAll || c.KnownForMs > time.Since(sent).Milliseconds()) {
@@ -57,14 +57,29 @@
 func TestRequestsInUseAreNotForgotten(t *testing.T) {
 	g := newEngine()
 	g.submit(&request{id: "queued", model: "m", tokens: 1})
-	g.call(http.MethodPost, translator.CancelPath("cancelled"), "")
+	g.post(translator.CancelPath("cancelled"), "")
 	for i := range 2 * maxRequests {
 		g.store(&request{id: strconv.Itoa(i), done: true})
 	}
-	if status := g.submit(&request{id: "cancelled", model: "m", tokens: 1}); status != http.StatusConflict {
+	if status, _ := g.submit(&request{id: "cancelled", model: "m", tokens: 1}); status != http.StatusConflict {
 		t.Errorf("a cancelled request is taken: status %d", status)
 	}
 	if g.find("queued") == nil {
 		t.Errorf("a queued request is not known")
 	}
 }
+
+// A request that arrived once more was refused as not run although it ran: the refusal speaks for the id.
+func TestKnownRequestIsRefusedAsNotRunOnlyIfItNeverRuns(t *testing.T) {
+	g := newEngine()
+	g.submit(&request{id: "r", model: "m", tokens: 1})
+	w := g.post(translator.CompletionsPath, `{"model":"m"}`)
+	if ran := w.Header().Get(translator.RanHeader); w.Code != http.StatusConflict || ran == translator.RanNo {
+		t.Errorf("a queued request: status %d, ran %q; want 409 and not no", w.Code, ran)
+	}
+	g.cancelByID("r")
+	w = g.post(translator.CompletionsPath, `{"model":"m"}`)
+	if ran := w.Header().Get(translator.RanHeader); w.Code != http.StatusConflict || ran != translator.RanNo {
+		t.Errorf("a cancelled request: status %d, ran %q; want 409 and no", w.Code, ran)
+	}
+}
