Requests name the engine's incarnation, and another one refuses them

A request that was reported as not run ran later: the incarnation that it was sent to had been asked to cancel it and kept a tombstone, the engine restarted, and the next incarnation, which had no tombstone, got the request from a network or queue that had held it.

Requests now carry X-Incarnation, and an engine refuses those for another one with 421. With the tombstones of the incarnation itself, nothing is left that can run a cancelled request. Engines that ignore the header work as before.

TestRequestNamesItsIncarnation and the stand-in's TestRequestForAnotherIncarnationIsRefused failed before.

--- a/gateway/dispatcher/cancel_test.go
+++ b/gateway/dispatcher/cancel_test.go
@@ -1,10 +1,13 @@
 package dispatcher
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/translator"
 )
 
 // The answer to the cancel of another request, or one that does not say whose it is, counted for a request that ran.
@@ -46,3 +49,16 @@
 		})
 	}
 }
+
+// A request that the network held until the engine had restarted ran there, after the earlier incarnation had stated that
+// it never would. An engine can refuse it only if the request names the incarnation.
+func TestRequestNamesItsIncarnation(t *testing.T) {
+	c := qt.New(t)
+	named := ""
+	out := runAgainst(func(w http.ResponseWriter, r *http.Request) {
+		named = r.Header.Get(translator.IncarnationHeader)
+		refuses(http.StatusMisdirectedRequest, "r")(w, r)
+	})
+	c.Check(out.Ran, qt.Equals, RanNo)
+	c.Check(named, qt.Equals, "first")
+}
--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -218,6 +218,7 @@
 	if body != nil {
 		setBody(req, body)
 		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set(translator.IncarnationHeader, a.exchange.Incarnation)
 	}
 	req.Header.Set(translator.RequestIDHeader, a.exchange.RequestID)
 	req.Header.Set(translator.PriorityHeader, strconv.Itoa(int(a.exchange.Priority)))
--- a/pkg/translator/requests.go
+++ b/pkg/translator/requests.go
@@ -31,6 +31,8 @@
 	RanHeader = "X-Ran"
 	// SessionHeader carries the session of the gateway that sent a request.
 	SessionHeader = "X-Session"
+	// IncarnationHeader names the incarnation of the engine that a request is meant for; another one refuses it.
+	IncarnationHeader = "X-Incarnation"
 )
 
 const (
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -100,13 +100,15 @@
 type request struct {
 	id         string
 	responseID string
-	model      string
-	chat       bool
-	stream     bool
-	priority   int
-	tokens     int
-	events     []string
-	done       bool
+	// incarnation is the one that the request is meant for; "" is any.
+	incarnation string
+	model       string
+	chat        bool
+	stream      bool
+	priority    int
+	tokens      int
+	events      []string
+	done        bool
 	// tombstone is set if the request was cancelled; it never runs again.
 	tombstone bool
 	ran       bool
@@ -205,6 +207,8 @@
 	defer g.mu.Unlock()
 	known := g.find(r.id)
 	switch {
+	case r.incarnation != "" && r.incarnation != g.incarnation:
+		return http.StatusMisdirectedRequest, true
 	case known != nil:
 		return http.StatusConflict, known.tombstone && !known.ran
 	case !g.loaded[r.model]:
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -70,7 +70,8 @@
 	priority, _ := strconv.Atoi(r.Header.Get(translator.PriorityHeader))
 	req := &request{
 		id: id, responseID: translator.AnswerID(r.URL.Path, id), model: b.Model, tokens: b.MaxTokens,
-		chat: r.URL.Path == translator.ChatPath, stream: b.Stream, priority: priority, readers: 1,
+		incarnation: r.Header.Get(translator.IncarnationHeader),
+		chat:        r.URL.Path == translator.ChatPath, stream: b.Stream, priority: priority, readers: 1,
 	}
 	if status, neverRuns := g.submit(req); status != http.StatusOK {
 		reject(w, r, status, neverRuns)
--- a/standin/generator/serve_test.go
+++ b/standin/generator/serve_test.go
@@ -83,3 +83,27 @@
 		t.Errorf("a cancelled request: status %d, ran %q; want 409 and no", w.Code, ran)
 	}
 }
+
+// A request that the network held until the engine had restarted ran there, after the incarnation that it was sent to had
+// been asked to cancel it.
+func TestRequestForAnotherIncarnationIsRefused(t *testing.T) {
+	for incarnation, want := range map[string]int{"i": http.StatusOK, "earlier": http.StatusMisdirectedRequest, "": http.StatusOK} {
+		t.Run(incarnation, func(t *testing.T) {
+			g := newEngine()
+			done := make(chan struct{})
+			defer close(done)
+			g.StepDuration = time.Millisecond
+			go g.Run(done)
+			req := httptest.NewRequest(http.MethodPost, translator.CompletionsPath, strings.NewReader(`{"model":"m"}`))
+			req.Header.Set(translator.RequestIDHeader, "r")
+			if incarnation != "" {
+				req.Header.Set(translator.IncarnationHeader, incarnation)
+			}
+			w := httptest.NewRecorder()
+			g.Handler().ServeHTTP(w, req)
+			if w.Code != want {
+				t.Errorf("status %d; want %d", w.Code, want)
+			}
+		})
+	}
+}
