Dispatcher: believe a service's refusal only with the request's id

A request to a plain service was sent once more, and its claim released, after an answer with X-Ran: no that named no request, such as that of an intermediary which had passed it on. It had run, and ran again.

As for engines, such an answer now proves "not run" only with the request's id. Without it the outcome is unknown: a request that may run once stays claimed. Services that send no id lose the retry of such requests, nothing else.

TestServiceRefusalWithoutAnIDDoesNotProveNotRun failed before.

--- a/gateway/dispatcher/services.go
+++ b/gateway/dispatcher/services.go
@@ -82,6 +82,10 @@
 		return &ServiceResponse{Ran: RanUnknown, Err: errors.Errorf("dispatcher: the answer is for %s", got)}
 	}
 	if res.Header.Get(translator.RanHeader) == translator.RanNo && res.StatusCode >= http.StatusInternalServerError {
+		if !statesNotRun(res, c.RequestID) {
+			_ = res.Body.Close()
+			return &ServiceResponse{Ran: RanUnknown, Err: errors.Errorf("dispatcher: a refusal of no request: %s", res.Status)}
+		}
 		a.Ran = RanNo
 	}
 	for _, name := range hopByHopHeaders() {
