Receiver: an unknown outcome has no status that promises "not run"

A repeat under an idempotency key could get 503 or 429, which promise that the request has not run, though the first one ran: where the key could not be looked up, or the gateway had no session, only the field Ran said unknown, and the status stayed that of the refusal.

Such an answer has the status 502 now; kind and Retry-After stay.

TestUnknownOutcomeHasNoStatusThatPromisesNotRun failed before, for all reasons but NotAllowed, whose 403 promises nothing.

--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -14,6 +14,7 @@
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/router"
 	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
 )
 
 const (
@@ -257,9 +258,12 @@
 	return terms.Service(name).GetKeyFrom() != ""
 }
 
-// markRanUnknown replaces a "not run" that could not be verified.
+// markRanUnknown replaces a "not run" that could not be verified, and a status that promises the same.
 func markRanUnknown(p *Problem) *Problem {
 	p.Ran = dispatcher.RanUnknown
+	if platform.PromisesNotRun(p.Status) {
+		p.Status = http.StatusBadGateway
+	}
 	p.Message += "; this attempt did not run, an earlier one with the same key may have"
 	return p
 }
