Services: 408, 421, 429 and 503 reach callers only with proof

A caller of a plain service got the service's own 503 or 429, which promises that the request has not run, though the service had not said so and had run it, or an earlier attempt may have. Under a key the answer was kept, and each repeat got the promise again. The service's X-Ran was passed on as well.

Such a status counts as "not run" only with X-Ran: no and the request's id, and the request is then sent to another replica; else the caller gets 502, MayHaveRun, with the service's Retry-After, and a request that may run once is not run again. Kept answers of earlier versions with these statuses become MayHaveRun.

--- a/gateway/dispatcher/services.go
+++ b/gateway/dispatcher/services.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/pkg/translator"
+	"bronzelead.example/platform"
 )
 
 // ServiceCall is one request to a plain service.
@@ -30,6 +31,8 @@
 
 // ServiceResponse is the answer of a plain service.
 type ServiceResponse struct {
+	// Ran is RanUnknown without Err after a complete answer whose status promises "not run" without proof; callers must
+	// not get that status.
 	Ran    Ran
 	Status int
 	Header http.Header
@@ -81,16 +84,21 @@
 		_ = res.Body.Close()
 		return &ServiceResponse{Ran: RanUnknown, Err: errors.Errorf("dispatcher: the answer is for %s", got)}
 	}
-	if res.Header.Get(translator.RanHeader) == translator.RanNo && res.StatusCode >= http.StatusInternalServerError {
-		if !statesNotRun(res, c.RequestID) {
-			_ = res.Body.Close()
-			return &ServiceResponse{Ran: RanUnknown, Err: errors.Errorf("dispatcher: a refusal of no request: %s", res.Status)}
-		}
+	promises, failed := platform.PromisesNotRun(res.StatusCode), res.StatusCode >= http.StatusInternalServerError
+	switch {
+	case (promises || failed) && statesNotRun(res, c.RequestID):
 		a.Ran = RanNo
+	case failed && res.Header.Get(translator.RanHeader) == translator.RanNo:
+		_ = res.Body.Close()
+		return &ServiceResponse{Ran: RanUnknown, Err: errors.Errorf("dispatcher: a refusal of no request: %s", res.Status)}
+	case promises:
+		// Callers would take the status for a promise that nobody made.
+		a.Ran = RanUnknown
 	}
 	for _, name := range hopByHopHeaders() {
 		a.Header.Del(name)
 	}
+	a.Header.Del(translator.RanHeader)
 	body, err := io.ReadAll(io.LimitReader(res.Body, int64(c.MaxBuffered)))
 	if err != nil {
 		_ = res.Body.Close()
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -123,7 +123,9 @@
 
 func claimOutcome(o *wire.Outcome) *existingClaim {
 	switch {
-	case o.GetUnknown():
+	case o.GetUnknown(), !o.GetTruncated() && platform.PromisesNotRun(int(o.GetStatus())):
+		// Earlier versions stored a service's answer with any status. The request was sent, so that a status which
+		// promises "not run" is not repeated.
 		return &existingClaim{problem: &Problem{
 			Status: http.StatusConflict, Kind: kindMayHaveRun, Ran: dispatcher.RanUnknown,
 			Message: "the request may have run; it will not be run again under this key",
--- a/gateway/receiver/services.go
+++ b/gateway/receiver/services.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"bronzelead.example/gateway/dispatcher"
 	"bronzelead.example/gateway/scheduler"
@@ -116,6 +117,9 @@
 	})
 	if answer.Err == nil && answer.Ran != dispatcher.RanNo {
 		r.recordCompletion(e, candidate)
+		if answer.Ran == dispatcher.RanUnknown {
+			return c.refuseUnproved(requestID, answer)
+		}
 		return c.deliver(requestID, answer)
 	}
 	if answer.Ran == dispatcher.RanUnknown {
@@ -141,6 +145,30 @@
 	return attemptResult{final: true, backendFailed: e.http.Context().Err() == nil, problem: mayHaveRun(ctx)}
 }
 
+// refuseUnproved ends a request whose service refused it without proof that it did not run. It is not sent again: the
+// service may be overloaded.
+func (c *serviceCall) refuseUnproved(requestID string, a *dispatcher.ServiceResponse) attemptResult {
+	if a.Rest != nil {
+		_ = a.Rest.Close()
+	}
+	if c.entry.runOnce {
+		c.receiver.store(c.entry, requestID, &wire.Outcome{Unknown: true})
+	}
+	return attemptResult{final: true, problem: unproved(a)}
+}
+
+// unproved replaces a service's answer whose status promises, without proof, that the request did not run.
+func unproved(a *dispatcher.ServiceResponse) *Problem {
+	p := &Problem{
+		Status: http.StatusBadGateway, Kind: kindMayHaveRun, Ran: dispatcher.RanUnknown,
+		Message: "the service answered " + strconv.Itoa(a.Status) + ", which does not prove that the request did not run",
+	}
+	if seconds, err := strconv.Atoi(a.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		p.RetryAfter = time.Duration(min(seconds, maxDeadlineSeconds)) * time.Second
+	}
+	return p
+}
+
 // deliver forwards the service's answer and stores it for the key.
 func (c *serviceCall) deliver(requestID string, a *dispatcher.ServiceResponse) attemptResult {
 	r, e := c.receiver, c.entry
