Applier: a clock that steps forward expires no claims at once

After the clock of a leader was set forward by more than a contract keeps its keys, or a leader with such a clock took over, all claims had expired: a repeat was granted the key of a request that was running, and a refused repeat was told "Ran: no" of a request whose answer had been kept a moment before. Time in the log comes from the leader's clock alone.

If time goes on by more than half of a claim's time with one command, the claim is now kept once more for its whole time; contracts keep keys for at least two deadlines, so that its request ends within it. An idle cluster keeps keys up to twice as long.

TestClockStepDoesNotExpireClaims failed before, in all checks but those that are to be granted.

--- a/pkg/applier/applier.go
+++ b/pkg/applier/applier.go
@@ -104,8 +104,9 @@
 	if err := proto.Unmarshal(e.GetData(), cmd); err != nil {
 		return Result{}
 	}
+	previous := sm.now
 	sm.now = max(sm.now, cmd.GetAtNs())
-	sm.expire()
+	sm.expire(sm.now - previous)
 	return sm.execute(e.GetIndex(), cmd)
 }
 
@@ -196,18 +197,10 @@
 	return cmd
 }
 
-func (sm *StateMachine) expire() {
+// expire removes what is no longer kept. Advance is by how much time went on since the last command.
+func (sm *StateMachine) expire(advance int64) {
 	sm.expireQuarantine()
-	for {
-		key, at, ok := sm.expiry.peek()
-		if !ok || at > sm.now {
-			break
-		}
-		sm.expiry.pop()
-		if c := sm.claims[key]; c != nil && c.GetExpiresAtNs() <= sm.now {
-			sm.removeClaim(key)
-		}
-	}
+	sm.expireClaims(advance)
 	for len(sm.ended) > 0 && sm.ended[0].GetEndedAtNs()+int64(endedRetention) < sm.now {
 		sm.ended = sm.ended[1:]
 	}
--- a/pkg/applier/applier_test.go
+++ b/pkg/applier/applier_test.go
@@ -211,3 +211,27 @@
 	// Nobody owns the key, so the caller's next attempt may run.
 	c.Assert(l.claim(s, "k", "r2").GetGranted(), qt.IsTrue)
 }
+
+// The clock of a leader was set forward: the claim of a running request expired, so that a repeat was granted the key, and
+// answers were forgotten, so that a repeat ran again.
+func TestClockStepDoesNotExpireClaims(t *testing.T) {
+	const step, keep = 24 * 365 * time.Hour, time.Hour
+	c := qt.New(t)
+	l := newLog()
+	s := l.open()
+	l.claim(s, "k", "r1")
+	l.now = l.now.Add(step)
+	c.Check(l.claim(s, "k", "r2").GetGranted(), qt.IsFalse)
+	l.restart(c)
+	c.Check(l.claim(s, "k", "r2").GetGranted(), qt.IsFalse)
+	c.Check(string(l.finish("k", "r1", "ran").GetBody()), qt.Equals, "ran")
+	c.Check(string(l.claim(s, "k", "r2").GetClaim().GetOutcome().GetBody()), qt.Equals, "ran")
+
+	l.claim(s, "finished", "r3")
+	l.finish("finished", "r3", "ran")
+	l.now = l.now.Add(step)
+	c.Check(string(l.claim(s, "finished", "r4").GetClaim().GetOutcome().GetBody()), qt.Equals, "ran")
+	// A claim is kept once more only, however often the clock steps.
+	l.now = l.now.Add(keep + time.Second)
+	c.Check(l.claim(s, "finished", "r5").GetGranted(), qt.IsTrue)
+}
--- a/pkg/applier/claims.go
+++ b/pkg/applier/claims.go
@@ -85,3 +85,31 @@
 		delete(sm.claimsBySession, session)
 	}
 }
+
+// expireClaims removes the claims whose time is over. If time went on by more than half of it with one command, a clock
+// may have been set forward: a claim is then kept once more for its whole time, since its request may run, and a repeat of
+// it may come.
+func (sm *StateMachine) expireClaims(advance int64) {
+	for {
+		key, at, ok := sm.expiry.peek()
+		if !ok || at > sm.now {
+			return
+		}
+		sm.expiry.pop()
+		c := sm.claims[key]
+		if c == nil || c.GetExpiresAtNs() > sm.now {
+			continue
+		}
+		keep := c.GetCommand().GetKeepNs()
+		extended := c.GetExpiresAtNs() > c.GetClaimedAtNs()+keep
+		if extended || advance <= keep/2 {
+			sm.removeClaim(key)
+			continue
+		}
+		sm.claims[key] = &wire.Claim{
+			Command: c.GetCommand(), State: c.GetState(), Outcome: c.GetOutcome(), Orphaned: c.GetOrphaned(),
+			ClaimedAtNs: c.GetClaimedAtNs(), ExpiresAtNs: sm.now + keep,
+		}
+		sm.expiry.push(key, sm.now+keep)
+	}
+}
