Receiver: a request that holds no claim ends with its caller

A caller whose request under a key waited at one gateway left, repeated it at another, and was told "Ran: no": nobody had claimed the key. Then the first gateway admitted the request, since requests that may run once outlive their callers, and it ran.

Such a request outlives its caller only once it holds its key, from when every gateway sees the claim. While it waits for admission, for a backend server, for a retry or for the claim, it ends with its caller, and a claim that may be committed all the same is released.

--- a/gateway/receiver/attempts.go
+++ b/gateway/receiver/attempts.go
@@ -24,20 +24,23 @@
 func (r *Receiver) runAttempts(e *activeRequest, attempt func(context.Context, *router.Candidate, int) attemptResult) *Problem {
 	base := e.ctx
 	if e.runOnce {
-		// The request runs on after a disconnect, so that a retry finds the answer instead of
-		// an unknown outcome.
+		// Once it holds its key, the request runs on after a disconnect, so that a retry finds the
+		// answer instead of an unknown outcome.
 		base = context.WithoutCancel(base)
 	}
 	ctx, cancel := context.WithDeadline(base, e.job.Deadline)
 	defer cancel()
-	e.ctx = ctx
+	// Without a claim it ends with its caller, who may be told by another gateway that nobody holds the key.
+	unclaimed, stop := context.WithDeadline(e.ctx, e.job.Deadline)
+	defer stop()
+	e.ctx, e.unclaimed = ctx, unclaimed
 	if p := r.checkQuarantine(e); p != nil {
 		return p
 	}
 	defer r.endTrial(e)
 	r.RetryBudget.Deposit()
 	maybeRan := false
-	candidate, refusal := r.Scheduler.Acquire(ctx, e.job)
+	candidate, refusal := r.Scheduler.Acquire(unclaimed, e.job)
 	for n := 0; refusal == nil; n++ {
 		r.recordAssignment(e, candidate)
 		if p := r.checkQuarantine(e); p != nil {
@@ -52,11 +55,11 @@
 			r.Scheduler.Complete(e.job, result.backendFailed)
 			return result.problem
 		}
-		if !r.RetryBudget.Withdraw(ctx, n, e.job.Deadline) {
+		if !r.RetryBudget.Withdraw(unclaimed, n, e.job.Deadline) {
 			r.Scheduler.Complete(e.job, result.backendFailed)
 			return refusalOrUnknown(ctx, maybeRan, refused(&scheduler.Refusal{Reason: scheduler.NoBackend, RetryAfter: retryAfterFault}))
 		}
-		candidate, refusal = r.Scheduler.Reassign(ctx, e.job, result.backendFailed, result.adapterMissing)
+		candidate, refusal = r.Scheduler.Reassign(unclaimed, e.job, result.backendFailed, result.adapterMissing)
 	}
 	return refusalOrUnknown(ctx, maybeRan, refused(refusal))
 }
--- a/gateway/receiver/notrun_series_test.go
+++ b/gateway/receiver/notrun_series_test.go
@@ -84,7 +84,9 @@
 	backends []*worldBackend
 	gateways [2]*worldGateway
 	calls    int
-	conns    []net.Conn
+	// share is each gateway's share of the customer's limit.
+	share uint32
+	conns []net.Conn
 	// sent counts the requests of a key that arrived at a backend server; keys has their ids.
 	sent     map[string]int
 	keys     map[string]string
@@ -118,7 +120,7 @@
 func newWorld(seed uint64, series *meter.Meter) *world {
 	w := &world{
 		seed: seed, meter: series, state: applier.New(), sent: map[string]int{}, keys: map[string]string{}, ran: map[string]int{}, notRun: map[string]string{},
-		answered: map[string]bool{}, events: map[string][]string{},
+		answered: map[string]bool{}, share: 64, events: map[string][]string{},
 		backends: []*worldBackend{{name: "engine-1"}, {name: "engine-2"}, {name: "orders-1", service: true}},
 	}
 	w.ctx, w.stop = context.WithCancel(context.Background())
@@ -157,6 +159,11 @@
 	callers.Wait()
 	w.stop()
 	disturbing.Wait()
+	w.end()
+}
+
+// end waits until nothing is left to do, and stops all goroutines.
+func (w *world) end() {
 	// Handlers that go on without their callers end by their deadlines; the network holds requests for as long.
 	time.Sleep(5 * time.Minute)
 	w.mu.Lock()
@@ -245,9 +252,7 @@
 	random := w.draw("disturb " + strconv.Itoa(i))
 	for incarnation := 1; w.ctx.Err() == nil; incarnation++ {
 		w.sleep(time.Duration(2+random.IntN(15)) * time.Second)
-		w.mu.Lock()
-		g := w.gateways[i]
-		w.mu.Unlock()
+		g := w.gateway(i)
 		if random.IntN(2) == 0 {
 			g.silent.Store(true)
 			w.sleep(time.Duration(1+random.IntN(12)) * time.Second)
@@ -315,7 +320,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	res := &wire.RenewResponse{
-		Term: 1, BackendsWhole: true, Allotments: []*wire.Allotment{{Customer: worldCustomer, Amount: 64}},
+		Term: 1, BackendsWhole: true, Allotments: []*wire.Allotment{{Customer: worldCustomer, Amount: w.share}},
 		Contracts: []*wire.Contract{{
 			Customer: worldCustomer, RequestsAtOnce: 64, QueueLength: 64, DeadlineNs: int64(worldDeadline), KeepKeysNs: int64(time.Hour),
 			Adapters: []*wire.AdapterTerms{{Name: "a", BaseModel: "base", Versions: []string{"1"}, NonIdempotent: true}},
@@ -367,14 +372,23 @@
 
 // send sends a caller's request to a gateway. Without an answer the status is 0.
 func (w *world) send(key string, service bool, random *rand.Rand) (status int, ran string) {
+	g := w.gateway(random.IntN(len(w.gateways)))
+	return g.send(key, service, time.Duration(200+random.IntN(25_000))*time.Millisecond)
+}
+
+func (w *world) gateway(i int) *worldGateway {
 	w.mu.Lock()
-	g := w.gateways[random.IntN(len(w.gateways))]
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	return w.gateways[i]
+}
+
+// send sends a request, whose caller waits for the given time.
+func (g *worldGateway) send(key string, service bool, patience time.Duration) (status int, ran string) {
 	path := translator.CompletionsPath
 	if service {
 		path = "/services/orders/new"
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(200+random.IntN(25_000))*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(fmt.Sprintf(`{"model":"a@1","prompt":%q}`, key)))
 	req.Header.Set("Authorization", "Bearer "+worldKey)
 	req.Header.Set(IdempotencyKeyHeader, key)
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -64,7 +64,7 @@
 		DeadlineNs: int64(e.job.Deadline.Sub(e.start)),
 	}
 	for range maxRecoveries {
-		res, err := r.Claimer.Claim(ctx, cmd)
+		res, err := r.Claimer.Claim(e.unclaimed, cmd)
 		if err != nil {
 			// The claim may be committed all the same, so it is released later.
 			r.Claimer.ReleaseAsync(releaseOf(e, requestID))
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -166,8 +166,10 @@
 	class string
 	job   *scheduler.Job
 	ctx   context.Context
-	body  []byte
-	http  *http.Request
+	// unclaimed ends with the caller as well, for what is done before the request holds its key.
+	unclaimed context.Context
+	body      []byte
+	http      *http.Request
 	// key makes the request run at most once; empty if it may be retried.
 	key string
 	// runOnce marks a request that must not be retried after it may have run.
