--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -50,6 +50,8 @@
 	Model       string
 	Priority    int32
 	Session     uint64
+	// SentAgo is how long ago, at most, another gateway may have sent the request; for Recover.
+	SentAgo time.Duration
 	// Emit receives each event of a streamed answer; nil requests a complete answer.
 	Emit func(data []byte) error
 }
@@ -89,9 +91,7 @@
 
 // Run performs an exchange.
 func (d *Dispatcher) Run(ctx context.Context, x *Exchange) Outcome {
-	a := &attempt{dispatcher: d, exchange: x, expectation: translator.Expectation{
-		AnswerID: translator.AnswerID(x.Path, x.RequestID), Model: x.Model,
-	}}
+	a := d.newAttempt(x)
 	out := a.first(ctx)
 	for out.Err != nil && out.Ran == RanUnknown && out.Resumes < maxResumes && ctx.Err() == nil && !a.callerFailed {
 		out = a.resume(ctx, out.Resumes+1)
@@ -106,9 +106,7 @@
 // Recover resumes the answer to a request that another gateway sent. Ran is no when the request
 // never started and never will.
 func (d *Dispatcher) Recover(ctx context.Context, x *Exchange) Outcome {
-	a := &attempt{dispatcher: d, exchange: x, expectation: translator.Expectation{
-		AnswerID: translator.AnswerID(x.Path, x.RequestID), Model: x.Model,
-	}}
+	a := d.newAttempt(x)
 	out := Outcome{Ran: RanUnknown, Err: errors.New("dispatcher: no attempt was made")}
 	for out.Err != nil && out.Resumes < maxResumes && ctx.Err() == nil {
 		out = a.resume(ctx, out.Resumes+1)
@@ -125,11 +123,19 @@
 	dispatcher  *Dispatcher
 	exchange    *Exchange
 	expectation translator.Expectation
-	events      int
+	// begun is when the exchange began.
+	begun  time.Time
+	events int
 	// callerFailed is set when the caller accepted no more events.
 	callerFailed bool
 }
 
+func (d *Dispatcher) newAttempt(x *Exchange) *attempt {
+	return &attempt{dispatcher: d, exchange: x, begun: d.Clock.Now(), expectation: translator.Expectation{
+		AnswerID: translator.AnswerID(x.Path, x.RequestID), Model: x.Model,
+	}}
+}
+
 func (a *attempt) first(ctx context.Context) Outcome {
 	timedCtx, timer := newSilenceTimer(ctx, a.dispatcher)
 	defer timer.stop()
@@ -178,7 +184,7 @@
 
 // cancelUnknown cancels a request at its engine, and determines whether it had started.
 func (a *attempt) cancelUnknown(out Outcome) Outcome {
-	ran, err := a.dispatcher.cancel(a.exchange)
+	ran, err := a.cancel()
 	if err == nil && ran == RanNo && a.events == 0 {
 		out.Ran = RanNo
 	}
@@ -188,14 +194,15 @@
 // cancel cancels a request at an engine. The answer no means that it never started and never
 // will; only the incarnation that received the request can give it. It is sent even if the
 // caller has disconnected.
-func (d *Dispatcher) cancel(x *Exchange) (Ran, error) {
+func (a *attempt) cancel() (Ran, error) {
+	x := a.exchange
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Address+translator.CancelPath(x.RequestID), nil)
 	if err != nil {
 		return RanUnknown, errors.Wrap(err, "dispatcher: cancel")
 	}
-	res, err := d.UnpooledTransport.RoundTrip(req)
+	res, err := a.dispatcher.UnpooledTransport.RoundTrip(req)
 	if err != nil {
 		return RanUnknown, errors.Wrap(err, "dispatcher: cancel")
 	}
@@ -204,7 +211,7 @@
 	if err != nil || res.StatusCode != http.StatusOK {
 		return RanUnknown, errors.Errorf("dispatcher: cancel: %s", res.Status)
 	}
-	return parseCancellation(body, x.Incarnation), nil
+	return x.parseCancellation(body, x.SentAgo+a.dispatcher.Clock.Since(a.begun)), nil
 }
 
 func (a *attempt) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
@@ -215,6 +222,7 @@
 	if body != nil {
 		setBody(req, body)
 		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set(translator.IncarnationHeader, a.exchange.Incarnation)
 	}
 	req.Header.Set(translator.RequestIDHeader, a.exchange.RequestID)
 	req.Header.Set(translator.PriorityHeader, strconv.Itoa(int(a.exchange.Priority)))
@@ -286,7 +294,7 @@
 func (a *attempt) readRefusal(res *http.Response, body io.Reader, count int) Outcome {
 	text, _ := io.ReadAll(io.LimitReader(body, maxRefusalBytes))
 	out := Outcome{Ran: RanUnknown, Status: res.StatusCode, Body: text, Resumes: count}
-	if res.Header.Get(translator.RanHeader) == translator.RanNo && a.events == 0 {
+	if a.provesNotRun(res, count) {
 		out.Ran = RanNo
 	}
 	out.AdapterMissing = res.StatusCode == http.StatusNotFound
@@ -299,6 +307,20 @@
 	return out
 }
 
+// provesNotRun reports whether an answer proves that the request did not run and never will. Without the request's id
+// the answer may be that of another request, or of an intermediary that has passed the request on. A refusal to resume
+// the answer, which has a count above 0, concerns that call alone.
+func (a *attempt) provesNotRun(res *http.Response, count int) bool {
+	return count == 0 && statesNotRun(res, a.exchange.RequestID)
+}
+
+// statesNotRun reports whether an answer refuses a request, by its id, and says that it did not run. With a status that
+// is no failure the answer contradicts itself and proves nothing.
+func statesNotRun(res *http.Response, requestID string) bool {
+	return res.StatusCode >= http.StatusBadRequest &&
+		res.Header.Get(translator.RanHeader) == translator.RanNo && res.Header.Get(translator.RequestIDHeader) == requestID
+}
+
 // ranAfterError returns what is known after a call without an answer.
 func ranAfterError(err error) Ran {
 	if errors.Is(err, scheduler.ErrNoSession) || isDialError(err) {
--- a/gateway/dispatcher/dispatcher_test.go
+++ b/gateway/dispatcher/dispatcher_test.go
@@ -21,10 +21,10 @@
 		cancelled string
 		want      Ran
 	}{
-		"the same incarnation": {`{"Ran":"no","Incarnation":"first"}`, RanNo},
-		"a later incarnation":  {`{"Ran":"no","Incarnation":"second"}`, RanUnknown},
-		"no incarnation named": {`{"Ran":"no"}`, RanUnknown},
-		"it ran":               {`{"Ran":"partly","Incarnation":"first"}`, RanUnknown},
+		"the same incarnation": {`{"Ran":"no","Incarnation":"first","RequestId":"r","RemembersAll":true}`, RanNo},
+		"a later incarnation":  {`{"Ran":"no","Incarnation":"second","RequestId":"r","RemembersAll":true}`, RanUnknown},
+		"no incarnation named": {`{"Ran":"no","RequestId":"r","RemembersAll":true}`, RanUnknown},
+		"it ran":               {`{"Ran":"partly","Incarnation":"first","RequestId":"r","RemembersAll":true}`, RanUnknown},
 		"a malformed answer":   {`no`, RanUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/dispatcher/watch.go
+++ b/gateway/dispatcher/watch.go
@@ -55,12 +55,23 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// parseCancellation returns what an incarnation of an engine states about a request that was
-// sent to the incarnation sentTo.
-func parseCancellation(body []byte, sentTo string) Ran {
+// clockDriftDivisor is the divisor for the part of an engine's memory that does not count, as clocks may drift apart.
+const clockDriftDivisor = 10
+
+// parseCancellation returns what the answer to a cancel proves of a request that was sent at most the given time ago: that
+// it never ran and never will only if the answer names the request and the incarnation to which the request went, and that
+// incarnation remembers all requests of that time.
+func (x *Exchange) parseCancellation(body []byte, age time.Duration) Ran {
 	c := &translator.Cancellation{}
-	if err := json.Unmarshal(body, c); err == nil && c.Ran == translator.RanNo && c.Incarnation == sentTo {
-		return RanNo
+	if err := json.Unmarshal(body, c); err != nil || c.Ran != translator.RanNo {
+		return RanUnknown
+	}
+	if c.RequestID != x.RequestID || c.Incarnation != x.Incarnation || x.Incarnation == "" {
+		return RanUnknown
+	}
+	known := time.Duration(c.KnownForMs) * time.Millisecond
+	if !c.RemembersAll && known-known/clockDriftDivisor <= age {
+		return RanUnknown
 	}
-	return RanUnknown
+	return RanNo
 }
--- a/gateway/receiver/once.go
+++ b/gateway/receiver/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 	"bronzelead.example/pkg/authenticator"
 	"bronzelead.example/pkg/router"
 	"bronzelead.example/pkg/wire"
+	"bronzelead.example/platform"
 )
 
 const (
@@ -20,6 +22,8 @@
 	lookupTimeout   = time.Second
 	releaseTimeout  = 2 * time.Second
 	maxRecoveries   = 3
+	// maxClockSkew is how far the clocks of instances may be apart when the age of a claim is computed.
+	maxClockSkew = time.Minute
 )
 
 // existingClaim is the result for a request whose key is already claimed.
@@ -60,7 +64,7 @@
 		DeadlineNs: int64(e.job.Deadline.Sub(e.start)),
 	}
 	for range maxRecoveries {
-		res, err := r.Claimer.Claim(ctx, cmd)
+		res, err := r.Claimer.Claim(e.unclaimed, cmd)
 		if err != nil {
 			// The claim may be committed all the same, so it is released later.
 			r.Claimer.ReleaseAsync(releaseOf(e, requestID))
@@ -119,7 +123,9 @@
 
 func claimOutcome(o *wire.Outcome) *existingClaim {
 	switch {
-	case o.GetUnknown():
+	case o.GetUnknown(), !o.GetTruncated() && platform.PromisesNotRun(int(o.GetStatus())):
+		// Earlier versions stored a service's answer with any status. The request was sent, so that a status which
+		// promises "not run" is not repeated.
 		return &existingClaim{problem: &Problem{
 			Status: http.StatusConflict, Kind: kindMayHaveRun, Ran: dispatcher.RanUnknown,
 			Message: "the request may have run; it will not be run again under this key",
@@ -140,7 +146,7 @@
 	if e.job.Want.Service == "" {
 		out := r.Dispatcher.Recover(ctx, &dispatcher.Exchange{
 			RequestID: cmd.GetRequestId(), Address: cmd.GetAddress(), Incarnation: cmd.GetIncarnation(),
-			Path: e.http.URL.Path, Model: e.job.Want.Adapter,
+			Path: e.http.URL.Path, Model: e.job.Want.Adapter, SentAgo: maxAge(r.Clock.Now(), c),
 		})
 		r.Explainer.Record(e.id, e.terms.Customer(), "took up request %s of a gateway that is gone: ran: %s, %v", cmd.GetRequestId(), out.Ran, out.Err)
 		switch {
@@ -158,6 +164,16 @@
 	return r.finishRecovered(ctx, old, cmd.GetRequestId(), &wire.Outcome{Unknown: true}), false
 }
 
+// maxAge returns how long ago, at most, the request of a claim was sent. The claim's time is that of a controller's clock:
+// a claim from the future has no known age.
+func maxAge(now time.Time, c *wire.Claim) time.Duration {
+	age := time.Duration(now.UnixNano() - c.GetClaimedAtNs())
+	if age < -maxClockSkew {
+		return math.MaxInt64 / 2
+	}
+	return max(0, age) + maxClockSkew
+}
+
 func (r *Receiver) finishRecovered(ctx context.Context, e *activeRequest, requestID string, o *wire.Outcome) *existingClaim {
 	stored, err := r.Claimer.Finish(ctx, finishOf(e, requestID, o))
 	if err != nil || stored == nil {
@@ -244,9 +260,12 @@
 	return terms.Service(name).GetKeyFrom() != ""
 }
 
-// markRanUnknown replaces a "not run" that could not be verified.
+// markRanUnknown replaces a "not run" that could not be verified, and a status that promises the same.
 func markRanUnknown(p *Problem) *Problem {
 	p.Ran = dispatcher.RanUnknown
+	if platform.PromisesNotRun(p.Status) {
+		p.Status = http.StatusBadGateway
+	}
 	p.Message += "; this attempt did not run, an earlier one with the same key may have"
 	return p
 }
--- a/pkg/translator/requests.go
+++ b/pkg/translator/requests.go
@@ -31,6 +31,8 @@
 	RanHeader = "X-Ran"
 	// SessionHeader carries the session of the gateway that sent a request.
 	SessionHeader = "X-Session"
+	// IncarnationHeader names the incarnation of the engine that a request is meant for; another one refuses it.
+	IncarnationHeader = "X-Incarnation"
 )
 
 const (
@@ -208,6 +210,12 @@
 	// Incarnation is the one that answers: if it is not the one that received the request, it
 	// can't know whether the request ran.
 	Incarnation string `json:",omitempty"`
+	// RequestID is the request that was cancelled: an answer for another one, or without it, proves nothing.
+	RequestID string `json:"RequestId,omitempty"`
+	// RemembersAll is set if this incarnation still knows all requests that it ever received. Otherwise it knows all that
+	// arrived within the last KnownForMs milliseconds, and an older one may have run and been forgotten.
+	RemembersAll bool  `json:",omitempty"`
+	KnownForMs   int64 `json:",omitempty"`
 }
 
 // RanNo means that a request did not run.
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -16,6 +16,8 @@
 	defaultTokens = 8
 	maxTokens     = 4096
 	maxRequests   = 20_000
+	// Tombstones outlive the longest deadline, 10 minutes, after which no gateway sends the request any more.
+	tombstoneRetention = 20 * time.Minute
 	// A queued request without readers is cancelled after this time.
 	unreadTimeout = 5 * time.Second
 )
@@ -80,31 +82,39 @@
 	loading     map[string]bool
 	requests    map[string]*request
 	requestIDs  []string
-	queue       []*request
-	fault       Fault
-	frozenUntil time.Time
-	fencing     string
-	log         []Entry
-	steps       int
-	filled      int
+	// forgotten is when the newest of the requests arrived that are not known any more; zero if all are known.
+	forgotten time.Time
+	// tombstones are forgotten requests that must not run if they arrive, the oldest first.
+	tombstones   map[string]*request
+	tombstoneIDs []string
+	queue        []*request
+	fault        Fault
+	frozenUntil  time.Time
+	fencing      string
+	log          []Entry
+	steps        int
+	filled       int
 }
 
 // request is one request that the engine knows.
 type request struct {
 	id         string
 	responseID string
-	model      string
-	chat       bool
-	stream     bool
-	priority   int
-	tokens     int
-	events     []string
-	done       bool
+	// incarnation is the one that the request is meant for; "" is any.
+	incarnation string
+	model       string
+	chat        bool
+	stream      bool
+	priority    int
+	tokens      int
+	events      []string
+	done        bool
 	// tombstone is set if the request was cancelled; it never runs again.
 	tombstone bool
 	ran       bool
 	readers   int
 	unreadAt  time.Time
+	arrivedAt time.Time
 	wrongID   bool
 	truncate  bool
 }
@@ -114,7 +124,7 @@
 	g.changed = sync.NewCond(&g.mu)
 	g.incarnation = incarnation
 	g.loaded, g.loading = map[string]bool{}, map[string]bool{}
-	g.requests = map[string]*request{}
+	g.requests, g.tombstones = map[string]*request{}, map[string]*request{}
 }
 
 // Run executes steps until done is closed.
@@ -190,15 +200,19 @@
 	g.log = append(g.log, e)
 }
 
-// submit queues a request. A status other than 200 means that it does not run.
-func (g *Generator) submit(r *request) int {
+// submit queues a request. With a status other than 200 it is not queued; neverRuns states that no request of this id has
+// run or will.
+func (g *Generator) submit(r *request) (status int, neverRuns bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	known := g.find(r.id)
 	switch {
-	case g.requests[r.id] != nil:
-		return http.StatusConflict
+	case r.incarnation != "" && r.incarnation != g.incarnation:
+		return http.StatusMisdirectedRequest, true
+	case known != nil:
+		return http.StatusConflict, known.tombstone && !known.ran
 	case !g.loaded[r.model]:
-		return http.StatusNotFound
+		return http.StatusNotFound, true
 	}
 	if g.fault.Cross > 0 {
 		g.fault.Cross--
@@ -210,15 +224,45 @@
 	}
 	g.store(r)
 	g.queue = append(g.queue, r)
-	return http.StatusOK
+	return http.StatusOK, false
+}
+
+// find returns what the engine knows of a request, or nil.
+func (g *Generator) find(id string) *request {
+	if r := g.requests[id]; r != nil {
+		return r
+	}
+	return g.tombstones[id]
 }
 
 func (g *Generator) store(r *request) {
+	r.arrivedAt = time.Now()
 	g.requests[r.id] = r
 	g.requestIDs = append(g.requestIDs, r.id)
 	if len(g.requestIDs) > maxRequests {
-		delete(g.requests, g.requestIDs[0])
-		g.requestIDs = g.requestIDs[1:]
+		g.forgetOldest(r.arrivedAt)
+	}
+}
+
+// forgetOldest forgets the oldest request. One that has yet to run is kept, and of a cancelled one the tombstone.
+func (g *Generator) forgetOldest(now time.Time) {
+	oldest := g.requests[g.requestIDs[0]]
+	g.requestIDs = g.requestIDs[1:]
+	if !oldest.done && !oldest.tombstone {
+		g.requestIDs = append(g.requestIDs, oldest.id)
+		return
+	}
+	delete(g.requests, oldest.id)
+	if oldest.arrivedAt.After(g.forgotten) {
+		g.forgotten = oldest.arrivedAt
+	}
+	if oldest.tombstone {
+		g.tombstones[oldest.id] = oldest
+		g.tombstoneIDs = append(g.tombstoneIDs, oldest.id)
+	}
+	for len(g.tombstoneIDs) > 0 && now.Sub(g.tombstones[g.tombstoneIDs[0]].arrivedAt) > tombstoneRetention {
+		delete(g.tombstones, g.tombstoneIDs[0])
+		g.tombstoneIDs = g.tombstoneIDs[1:]
 	}
 }
 
--- a/standin/generator/serve.go
+++ b/standin/generator/serve.go
@@ -56,7 +56,7 @@
 	b := body{MaxTokens: defaultTokens}
 	data, err := io.ReadAll(r.Body)
 	if err != nil || json.Unmarshal(data, &b) != nil || b.MaxTokens < 1 || b.MaxTokens > maxTokens {
-		reject(w, http.StatusBadRequest, "the body is not right")
+		reject(w, r, http.StatusBadRequest, true)
 		return
 	}
 	if g.ExitText != "" && bytes.Contains(data, []byte(g.ExitText)) {
@@ -70,10 +70,11 @@
 	priority, _ := strconv.Atoi(r.Header.Get(translator.PriorityHeader))
 	req := &request{
 		id: id, responseID: translator.AnswerID(r.URL.Path, id), model: b.Model, tokens: b.MaxTokens,
-		chat: r.URL.Path == translator.ChatPath, stream: b.Stream, priority: priority, readers: 1,
+		incarnation: r.Header.Get(translator.IncarnationHeader),
+		chat:        r.URL.Path == translator.ChatPath, stream: b.Stream, priority: priority, readers: 1,
 	}
-	if status := g.submit(req); status != http.StatusOK {
-		reject(w, status, "the request does not run here")
+	if status, neverRuns := g.submit(req); status != http.StatusOK {
+		reject(w, r, status, neverRuns)
 		return
 	}
 	g.respond(r.Context(), w, req, 0)
@@ -95,10 +96,15 @@
 	_, _ = w.Write([]byte("cut"))
 }
 
-func reject(w http.ResponseWriter, status int, text string) {
-	w.Header().Set(translator.RanHeader, translator.RanNo)
+// reject refuses a request. NeverRuns states that it has not run and will not, which callers believe only of a refusal
+// with the request's id.
+func reject(w http.ResponseWriter, r *http.Request, status int, neverRuns bool) {
+	w.Header().Set(translator.RequestIDHeader, r.Header.Get(translator.RequestIDHeader))
+	if neverRuns {
+		w.Header().Set(translator.RanHeader, translator.RanNo)
+	}
 	w.WriteHeader(status)
-	_, _ = w.Write([]byte(text))
+	_, _ = w.Write([]byte("the request is refused"))
 }
 
 func (g *Generator) removeReader(r *request) {
@@ -131,22 +137,30 @@
 // so that it will not run if it arrives later.
 func (g *Generator) cancelRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
+	answer, _ := json.Marshal(g.cancelByID(id))
+	w.Header().Set(translator.RequestIDHeader, id)
+	_, _ = w.Write(answer)
+}
+
+func (g *Generator) cancelByID(id string) translator.Cancellation {
 	g.mu.Lock()
-	req := g.requests[id]
+	defer g.mu.Unlock()
+	c := translator.Cancellation{Ran: "partly", Incarnation: g.incarnation, RequestID: id, RemembersAll: g.forgotten.IsZero()}
+	if !c.RemembersAll {
+		c.KnownForMs = time.Since(g.forgotten).Milliseconds()
+	}
+	req := g.find(id)
 	if req == nil {
 		req = &request{id: id}
 		g.store(req)
 	}
-	if !req.done {
+	if !req.done && !req.tombstone {
 		g.cancel(req)
 	}
-	ran, incarnation := "partly", g.incarnation
 	if !req.ran {
-		ran = translator.RanNo
+		c.Ran = translator.RanNo
 	}
-	g.mu.Unlock()
-	answer, _ := json.Marshal(translator.Cancellation{Ran: ran, Incarnation: incarnation})
-	_, _ = w.Write(answer)
+	return c
 }
 
 func (g *Generator) respond(ctx context.Context, w http.ResponseWriter, r *request, after int) {
