Answer requests that still run at the end of a stop

Callers whose requests ran longer than what was left of the grace saw their connections cut when the process ended, with no answer; among them requests that may run once. Cause: nothing ended the requests before the process did, the stop only logged that they still ran. End now ends their contexts like their deadlines, 500 ms before the grace is over: 504 for one that may have run, 503 for one that certainly has not, and a stream that has begun is aborted. Connections have until 200 ms before the end for that.

Acceptor gets the field Listen, for connections in memory.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -89,6 +89,8 @@
 	Clock   clockwork.Clock
 	Log     *slog.Logger
 	Address string
+	// Listen opens the listener; nil listens on TCP.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 	// Handle answers a request. Its context is cancelled when the caller disconnects.
 	Handle func(ctx context.Context, req *Request, reply *Reply)
 	// CheckHead inspects a request's head before its body is read. If it refuses the request,
@@ -126,8 +128,7 @@
 
 // Start listens and serves in the background.
 func (a *Acceptor) Start() error {
-	listen := net.ListenConfig{KeepAlive: -1, Control: buffersizer.Control(a.SocketBuffer)}
-	listener, err := listen.Listen(context.Background(), "tcp", a.Address)
+	listener, err := a.listen()
 	if err != nil {
 		return errors.Wrapf(err, "acceptor: listen on %s", a.Address)
 	}
@@ -138,6 +139,14 @@
 	return nil
 }
 
+func (a *Acceptor) listen() (net.Listener, error) {
+	if a.Listen != nil {
+		return a.Listen(context.Background(), a.Address)
+	}
+	listen := net.ListenConfig{KeepAlive: -1, Control: buffersizer.Control(a.SocketBuffer)}
+	return listen.Listen(context.Background(), "tcp", a.Address)
+}
+
 // Addr returns the listening address.
 func (a *Acceptor) Addr() string { return a.listener.Addr().String() }
 
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -56,8 +56,10 @@
 	healthPercent  = 2
 	// resourceReportInterval is the interval at which is reported what callers hold.
 	resourceReportInterval = time.Second
-	// stopMargin is reserved at the end of a planned stop, before the process is killed.
+	// stopMargin is reserved at the end of a planned stop, before the process is killed: the requests that still run are
+	// ended then. exitMargin is the last part of it, in which connections are closed and the process exits.
 	stopMargin = 500 * time.Millisecond
+	exitMargin = 200 * time.Millisecond
 	// lostAfter is the age of the leader's state from which on the settings file is read again. An election takes less.
 	lostAfter = 3 * time.Second
 )
@@ -168,7 +170,9 @@
 		Clock: r.Clock, Log: r.Log, Read: r.readSeeds, Lost: func() bool { return r.leaderAge() > lostAfter },
 	}
 	r.seeds.Init(s.seedAddresses())
-	r.meter = meter.New("gateway", s.Instance.Name, s.Instance.Zone)
+	if r.meter == nil {
+		r.meter = meter.New("gateway", s.Instance.Name, s.Instance.Zone)
+	}
 	r.adapterRequests = make(chan []*wire.Want, adapterRequestQueue)
 	r.regulator = &regulator.Regulator{Clock: r.Clock, Log: r.Log, Self: s.meshAddress(), Meter: r.meter}
 	r.regulator.Init()
@@ -318,17 +322,20 @@
 }
 
 // stop reports the instance as not ready immediately, continues to serve until the load
-// balancer in front uses other instances, and then waits for running requests.
+// balancer in front uses other instances, and then waits for running requests. Those that
+// still run shortly before Grace is over are ended with an answer.
 func (r *Routed) stop() error {
 	s := r.Settings.Stop
 	r.Log.Info("the gateway stops")
 	r.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-exitMargin)
+	defer cancel()
+	end := r.Clock.AfterFunc(s.Grace-stopMargin, r.forwarder.End)
+	defer end.Stop()
 	r.frontend.Quiesce()
 	<-r.Clock.After(s.Take)
 	r.forwarder.Close()
 	<-r.Clock.After(s.Drain - s.Take)
-	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-s.Drain-stopMargin)
-	defer cancel()
 	var tunnels sync.WaitGroup
 	tunnels.Go(func() { r.tunneler.Stop(ctx) })
 	err := r.frontend.Stop(ctx)
--- a/gateway/forwarder/forwarder.go
+++ b/gateway/forwarder/forwarder.go
@@ -84,7 +84,7 @@
 	// LeaderAge returns the age of the leader's state that decisions rest on; nil means age 0.
 	LeaderAge func() time.Duration
 
-	closed atomic.Bool
+	stop stopping
 	// startedAt is when the gateway started; tableKnown is closed by its first table, for which
 	// parked requests wait.
 	startedAt  time.Time
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -117,8 +117,8 @@
 	if !f.awaitTable(ctx, j) || !f.admit(j) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, j.deadline.Sub(f.Clock.Now()))
-	defer cancel()
+	ctx, release := f.newRequestContext(ctx, j)
+	defer release()
 	defer f.releaseQuota(j)
 	if !f.reserveQuota(ctx, j) || f.refuseQuarantined(j) {
 		return
@@ -136,12 +136,9 @@
 	}
 }
 
-// Close refuses new requests; those already accepted are completed.
-func (f *Forwarder) Close() { f.closed.Store(true) }
-
 // admit determines the route and the deadline of a request, or refuses it.
 func (f *Forwarder) admit(j *job) bool {
-	if f.closed.Load() {
+	if f.stop.closed.Load() {
 		f.refuse(j, statusUnavailable, "this gateway stops", retryAtOtherGateway)
 		return false
 	}
--- a/gateway/forwarder/key.go
+++ b/gateway/forwarder/key.go
@@ -35,7 +35,7 @@
 	f.mu.Lock()
 	table := f.table
 	f.mu.Unlock()
-	if table == nil || f.closed.Load() {
+	if table == nil || f.stop.closed.Load() {
 		return false
 	}
 	route := table.Match(req.Head.Header.Get("Host"), req.Head.Target)
