Refuse requests that arrive too slowly for a stop

Callers whose bodies, or heads, arrived slowly saw their connections cut at the end of a stop, with no answer; bodies that came after new requests were refused were waited for, and refused only then. Cause: the acceptor bounded their arrival by its usual limits alone. Refuse now ends the reads of bodies once new requests are refused, and End those of heads before the process ends: 503 with when to come back. What has arrived is still read.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -40,8 +40,10 @@
 	// freeHeadBytes and freeBodyBytes of each request are held without a reservation: MaxConnections bounds them.
 	freeHeadBytes = 4 << 10
 	freeBodyBytes = 4 << 10
-	// retryAfterFull is when to come back after a refusal because memory is short.
+	// retryAfterFull is when to come back after a refusal because memory is short, and retryAfterStop after one by a gateway
+	// that stops: a new connection leads to another gateway.
 	retryAfterFull = time.Second
+	retryAfterStop = 20 * time.Millisecond
 	// writeTimeout limits how long a caller that does not read may block an answer.
 	writeTimeout = 5 * time.Second
 	// lingerTimeout is how long bytes after a refused request are read and discarded, so that
@@ -119,11 +121,13 @@
 
 	listener net.Listener
 	stopping atomic.Bool
-	evictor  evictor.Evictor
-	refusals logger.Limiter
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	active   sync.WaitGroup
+	// refusing is set while bodies are not waited for, and ending while heads are not either.
+	refusing, ending atomic.Bool
+	evictor          evictor.Evictor
+	refusals         logger.Limiter
+	mu               sync.Mutex
+	conns            map[*conn]struct{}
+	active           sync.WaitGroup
 }
 
 // Start listens and serves in the background.
@@ -204,6 +208,29 @@
 // since the load balancer needs time to switch to other instances.
 func (a *Acceptor) Quiesce() { a.stopping.Store(true) }
 
+// Refuse refuses the requests whose bodies are still arriving, and later ones whose bodies do not come with their heads.
+// Call it once Handle refuses all requests.
+func (a *Acceptor) Refuse() {
+	a.refusing.Store(true)
+	a.interrupt(readingBody)
+}
+
+// End refuses the requests that are still arriving, also those whose heads are. Call it shortly before the process ends.
+func (a *Acceptor) End() {
+	a.Refuse()
+	a.ending.Store(true)
+	a.interrupt(readingHead)
+}
+
+// interrupt ends the reads of connections in a state. A connection that enters it later reads no further by itself.
+func (a *Acceptor) interrupt(s connState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.interrupt(s)
+	}
+}
+
 // Stop stops accepting connections, closes those without a request, and waits for the others
 // until ctx ends.
 func (a *Acceptor) Stop(ctx context.Context) error {
@@ -247,6 +274,17 @@
 	return l
 }
 
+// connState is what a connection does.
+type connState int
+
+const (
+	// awaitingRequest is the state while no byte of a request has been received.
+	awaitingRequest connState = iota
+	readingHead
+	readingBody
+	answering
+)
+
 // conn is a caller's connection.
 type conn struct {
 	net.Conn
@@ -261,9 +299,8 @@
 	reading   *Request
 	bodyUntil time.Time
 
-	mu sync.Mutex
-	// idle is set while no byte of a request has been received.
-	idle   bool
+	mu     sync.Mutex
+	state  connState
 	closed bool
 }
 
@@ -294,9 +331,12 @@
 		until = c.bodyUntil
 	}
 	_ = c.SetReadDeadline(until)
-	if c.memory.Revoked() {
-		// The deadline was set to an earlier time before.
+	// The deadline was set to an earlier time before.
+	switch {
+	case c.memory.Revoked():
 		return 0, errRevoked
+	case c.acceptor.refusing.Load():
+		return 0, errStopping
 	}
 	return c.Conn.Read(p)
 }
@@ -311,19 +351,28 @@
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	if c.state == awaitingRequest {
 		c.closed = true
 		_ = c.Close()
 	}
 }
 
-// setIdle records whether a request has begun. It returns false if the connection was closed
+// interrupt ends a read of the connection if it is in a state.
+func (c *conn) interrupt(s connState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == s {
+		_ = c.SetReadDeadline(expired)
+	}
+}
+
+// setState records what the connection does. It returns false if the connection was closed
 // before: a request whose bytes had arrived by then is not accepted, so that its caller can
 // tell that it did not run.
-func (c *conn) setIdle(idle bool) bool {
+func (c *conn) setState(s connState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.state = s
 	return !c.closed
 }
 
@@ -359,6 +408,10 @@
 // readHead reads a request's head.
 func (c *conn) readHead(limits Limits) (*framer.RequestHead, error) {
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	if c.acceptor.ending.Load() {
+		// What has arrived is still read.
+		_ = c.SetReadDeadline(expired)
+	}
 	reserved := freeHeadBytes
 	reserve := func(size int) error {
 		grows := size - reserved
@@ -421,11 +474,11 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest(limits Limits) bool {
-	c.setIdle(true)
+	c.setState(awaitingRequest)
 	c.entry.Wait()
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	_, err := c.reader.Peek(1)
-	open := c.setIdle(false)
+	open := c.setState(readingHead)
 	return err == nil && open
 }
 
@@ -439,7 +492,7 @@
 		c.refuse(req.Head, errBodyTooLarge, statusBodyTooLarge)
 		return false
 	}
-	if req.Head.Header.HasToken("Expect", "100-continue") && !body.Complete() {
+	if req.Head.Header.HasToken("Expect", "100-continue") && !body.Complete() && !c.acceptor.refusing.Load() {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return false
 		}
@@ -451,6 +504,7 @@
 		content.Length = body.Length
 	}
 	c.reading, c.bodyUntil = req, time.Time{}
+	c.setState(readingBody)
 	req.Body, err = c.memory.ReadAll(body, content)
 	c.reading = nil
 	if err == nil && !c.memory.Complete() {
@@ -479,6 +533,7 @@
 func (c *conn) answer(req *Request) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	c.setState(answering)
 	_ = c.SetReadDeadline(time.Time{})
 	answered, watched := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -518,24 +573,28 @@
 }
 
 // refuse answers a request that is malformed or too large, one that timed out with 408, and one for which there is no
-// memory with 503. A truncated request gets no answer.
+// memory or that does not arrive before a stop with 503. A truncated request gets no answer.
 func (c *conn) refuse(head *framer.RequestHead, err error, tooLarge int) {
 	status := 0
 	var timeout net.Error
-	header := framer.Header(nil)
+	timedOut := errors.As(err, &timeout) && timeout.Timeout()
+	retryAfter := time.Duration(0)
 	switch {
 	case reserver.IsRefusal(err) || c.memory.Revoked():
-		status = statusUnavailable
-		if c.acceptor.EncodeRefusal != nil {
-			header = c.acceptor.EncodeRefusal(head, retryAfterFull)
-		}
+		status, retryAfter = statusUnavailable, retryAfterFull
+	case errors.Is(err, errStopping), timedOut && c.interrupted(head):
+		status, retryAfter = statusUnavailable, retryAfterStop
 	case framer.Is(err, framer.KindMalformed):
 		status = statusBadRequest
 	case framer.Is(err, framer.KindTooLarge):
 		status = tooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case timedOut:
 		status = statusTimeout
 	}
+	header := framer.Header(nil)
+	if retryAfter > 0 && c.acceptor.EncodeRefusal != nil {
+		header = c.acceptor.EncodeRefusal(head, retryAfter)
+	}
 	// Others may use the memory while the refusal is sent.
 	c.memory.Release()
 	if status == 0 {
@@ -547,6 +606,14 @@
 	c.linger()
 }
 
+// interrupted reports whether reads of a request end since the process stops; the head is nil while it is read.
+func (c *conn) interrupted(head *framer.RequestHead) bool {
+	if head == nil {
+		return c.acceptor.ending.Load()
+	}
+	return c.acceptor.refusing.Load()
+}
+
 // linger reads and discards what the caller still sends, for at most lingerTimeout.
 func (c *conn) linger() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/gateway/acceptor/reply.go
+++ b/gateway/acceptor/reply.go
@@ -26,6 +26,7 @@
 var (
 	errBodyTooLarge = framer.TooLarge("the body is too long")
 	errHeadSent     = errors.New("acceptor: the answer has begun already")
+	errStopping     = errors.New("acceptor: the gateway stops")
 	errRevoked      = errors.New("acceptor: the memory of the request was revoked for others")
 )
 
--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -330,11 +330,12 @@
 	r.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-exitMargin)
 	defer cancel()
-	end := r.Clock.AfterFunc(s.Grace-stopMargin, r.forwarder.End)
+	end := r.Clock.AfterFunc(s.Grace-stopMargin, r.end)
 	defer end.Stop()
 	r.frontend.Quiesce()
 	<-r.Clock.After(s.Take)
 	r.forwarder.Close()
+	r.frontend.Refuse()
 	<-r.Clock.After(s.Drain - s.Take)
 	var tunnels sync.WaitGroup
 	tunnels.Go(func() { r.tunneler.Stop(ctx) })
@@ -346,3 +347,9 @@
 	r.Log.Info("the gateway has stopped")
 	return nil
 }
+
+// end ends the requests that are still arriving or running with an answer.
+func (r *Routed) end() {
+	r.forwarder.End()
+	r.frontend.End()
+}
--- a/gateway/app/stop_test.go
+++ b/gateway/app/stop_test.go
@@ -422,3 +422,15 @@
 
 // Requests that still ran at the end of a stop were cut by the end of the process, with no answer.
 func TestRequestsAtTheEndOfAStopAreAnswered(t *testing.T) { stopSeries(t, stopDraws{}, nil) }
+
+// Requests whose bodies were still arriving at the end of a stop were cut by the end of the process, and bodies that came
+// after new requests were refused were waited for.
+func TestSlowBodiesDuringAStopAreAnswered(t *testing.T) {
+	stopSeries(t, stopDraws{slowBodies: true}, func(_ *stopSite, q *stopRequest) error {
+		refused := max(stopTake, q.sendAt)
+		if q.bodyTime > 0 && q.sendAt+q.bodyTime > refused && q.status == http.StatusServiceUnavailable && q.answeredAt > refused {
+			return errors.New("it was refused late")
+		}
+		return nil
+	})
+}
