Keep open connections usable until a stop ends

Callers whose connections were kept open saw them closed at the end of Drain, while the process went on for up to 3.5 s: a request that met the closing got no answer, and its caller could not tell whether it ran. Cause: Stop closed all connections without a request before it waited for the others. They are now closed once no request is served; until then a request on them is answered, by a refusal if need be. Answers that are not complete when Stop gives up, as where a caller does not read, are aborted: one that ends with its connection looked complete when the process ended.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -10,8 +10,10 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +53,8 @@
 	lingerTimeout = 500 * time.Millisecond
 	// disconnectInterval is the interval at which a connection with a full buffer is polled for a disconnect.
 	disconnectInterval = 100 * time.Millisecond
+	// idleCheckInterval is the interval at which a stop checks whether requests are served.
+	idleCheckInterval = 10 * time.Millisecond
 )
 
 // Limits are the bounds on what callers may send.
@@ -224,23 +228,17 @@
 
 // interrupt ends the reads of connections in a state. A connection that enters it later reads no further by itself.
 func (a *Acceptor) interrupt(s connState) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for c := range a.conns {
+	for _, c := range a.list() {
 		c.interrupt(s)
 	}
 }
 
-// Stop stops accepting connections, closes those without a request, and waits for the others
-// until ctx ends.
+// Stop stops accepting connections, and waits until no request is served or ctx ends. Until then a connection without a
+// request can be used; then it is closed. Answers that are not complete when ctx ends are aborted.
 func (a *Acceptor) Stop(ctx context.Context) error {
 	a.Quiesce()
 	_ = a.listener.Close()
-	a.mu.Lock()
-	for c := range a.conns {
-		c.closeIfIdle()
-	}
-	a.mu.Unlock()
+	a.awaitIdle(ctx)
 	done := make(chan struct{})
 	go func() {
 		a.active.Wait()
@@ -250,8 +248,40 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "acceptor: requests still run")
 	}
+	for _, c := range a.list() {
+		c.abort()
+	}
+	return errors.Wrap(ctx.Err(), "acceptor: requests still run")
+}
+
+// awaitIdle waits until no connection has a request, or ctx ends, and closes those without one.
+func (a *Acceptor) awaitIdle(ctx context.Context) {
+	ticker := a.Clock.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for !a.idle() {
+		select {
+		case <-ticker.Chan():
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	for _, c := range a.list() {
+		c.closeIfIdle()
+	}
+}
+
+// idle reports whether no connection has a request.
+func (a *Acceptor) idle() bool {
+	return !slices.ContainsFunc(a.list(), func(c *conn) bool { return !c.isIdle() })
+}
+
+// list returns the open connections.
+func (a *Acceptor) list() []*conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Keys(a.conns))
 }
 
 func (a *Acceptor) limits() Limits {
@@ -302,6 +332,8 @@
 	mu     sync.Mutex
 	state  connState
 	closed bool
+	// reply is the reply to the request that is being answered; nil while none is.
+	reply *Reply
 }
 
 // expired is a deadline that has passed.
@@ -357,6 +389,24 @@
 	}
 }
 
+// isIdle reports whether the connection has no request.
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == awaitingRequest
+}
+
+// abort closes a connection whose answer is not complete in such a way that it does not look complete.
+func (c *conn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reply == nil || c.reply.complete.Load() {
+		return
+	}
+	resetOnClose(c.Conn)
+	_ = c.Close()
+}
+
 // interrupt ends a read of the connection if it is in a state.
 func (c *conn) interrupt(s connState) {
 	c.mu.Lock()
@@ -376,6 +426,12 @@
 	return !c.closed
 }
 
+func (c *conn) setReply(reply *Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reply = reply
+}
+
 // serveRequest serves one request and reports whether the connection may be reused.
 func (c *conn) serveRequest() bool {
 	limits := c.acceptor.limits()
@@ -445,7 +501,7 @@
 	}
 	// What follows is discarded, and takes no memory.
 	c.memory.Release()
-	if !reply.keep || !reply.complete {
+	if !reply.keep || !reply.complete.Load() {
 		c.linger()
 		return true, false
 	}
@@ -542,12 +598,14 @@
 		cancel()
 	}()
 	reply := c.newReply(req)
+	c.setReply(reply)
+	defer c.setReply(nil)
 	c.acceptor.Handle(ctx, req, reply)
 	reply.finish()
 	close(answered)
 	_ = c.SetReadDeadline(expired)
 	<-watched
-	return reply.keep && reply.complete
+	return reply.keep && reply.complete.Load()
 }
 
 // awaitDisconnect returns once the caller has disconnected, or after answered is closed and the read
--- a/gateway/acceptor/reply.go
+++ b/gateway/acceptor/reply.go
@@ -42,7 +42,7 @@
 	stopping *atomic.Bool
 
 	headSent bool
-	complete bool
+	complete atomic.Bool
 	aborted  bool
 	chunked  bool
 	buf      []byte
@@ -62,11 +62,11 @@
 		body = nil
 	}
 	if len(body) > maxCopiedBody {
-		r.complete = r.flush() == nil && r.send(body) == nil
+		r.complete.Store(r.flush() == nil && r.send(body) == nil)
 		return
 	}
 	r.buf = append(r.buf, body...)
-	r.complete = r.flush() == nil
+	r.complete.Store(r.flush() == nil)
 }
 
 // SendHead sends an answer that has no body because of its status or method; the header is sent
@@ -76,7 +76,7 @@
 		return
 	}
 	r.buf = append(r.buf, "\r\n"...)
-	r.complete = r.flush() == nil
+	r.complete.Store(r.flush() == nil)
 }
 
 // Begin sends the head of an answer of unknown length.
@@ -115,25 +115,30 @@
 func (r *Reply) End() {
 	if r.chunked {
 		r.buf = append(r.buf, "0\r\n\r\n"...)
-		r.complete = r.flush() == nil
+		r.complete.Store(r.flush() == nil)
 		return
 	}
-	r.complete = true
+	r.complete.Store(true)
 }
 
 // Abort leaves the answer incomplete. The connection is reset, so that an answer that ends with
 // its connection does not look complete either.
 func (r *Reply) Abort() {
 	r.aborted, r.keep = true, false
-	if tcp, ok := r.conn.(*net.TCPConn); ok {
+	resetOnClose(r.conn)
+	_ = r.conn.Close()
+}
+
+// resetOnClose lets a connection be reset when it is closed.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = r.conn.Close()
 }
 
 // finish aborts an answer that was not completed.
 func (r *Reply) finish() {
-	if !r.complete && !r.aborted {
+	if !r.complete.Load() && !r.aborted {
 		r.Abort()
 	}
 }
--- a/gateway/app/stop_test.go
+++ b/gateway/app/stop_test.go
@@ -434,3 +434,9 @@
 		return nil
 	})
 }
+
+// Connections that callers kept open were closed at the end of Drain, while the process went on for seconds: a request
+// that met the closing got no answer, and the caller could not tell whether it ran.
+func TestKeptConnectionsAreUsableUntilTheEndOfAStop(t *testing.T) {
+	stopSeries(t, stopDraws{slowBodies: true, kept: true}, nil)
+}
