Send no request during a stop that may not be repeated and may outlive it

A request that may run once, or a stream that can't go on elsewhere, was taken and sent late in the grace although its route and its caller allowed it to run beyond the end; whether its answer came in time was luck. So was one that waited for a backend server when the stop began. The gateway now tells the forwarder at the beginning of a stop when it will end requests. From then on such requests are refused at once, if their timeouts end later than that and no attempt may have run: new ones, those that wait, and those that would be sent again after a rejection. Requests that may be repeated are taken until Take as before, since their callers can repeat them after a 504.

The price: on routes whose timeouts are longer than what is left of the grace, such requests are refused from the beginning of a stop, also those that would have been short. Their callers may come back to another gateway at once.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -330,6 +330,7 @@
 	r.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-exitMargin)
 	defer cancel()
+	r.forwarder.BeginStop(r.Clock.Now().Add(s.Grace - stopMargin))
 	end := r.Clock.AfterFunc(s.Grace-stopMargin, r.end)
 	defer end.Stop()
 	r.frontend.Quiesce()
--- a/gateway/app/stop_test.go
+++ b/gateway/app/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -70,6 +71,8 @@
 	id   string
 	mu   sync.Mutex
 	runs map[string]int
+	// arrivals are when each request arrived last.
+	arrivals map[string]time.Time
 }
 
 func (b *stopBackend) serve(conn net.Conn) {
@@ -86,6 +89,7 @@
 		id := platform.DecodeRequest(headerFields(req.Header)).ID
 		b.mu.Lock()
 		b.runs[id]++
+		b.arrivals[id] = time.Now()
 		b.mu.Unlock()
 		if !b.answer(conn, id, req.URL.Query()) {
 			return
@@ -146,6 +150,11 @@
 		q.id, q.timeout, q.client, q.work, q.connectAt, q.sendAt, q.bodyTime, q.status, q.complete, q.answeredAt)
 }
 
+// deadline is when the request ends at the latest, by its route and by its caller.
+func (q *stopRequest) deadline() time.Duration {
+	return q.sendAt + min(q.timeout, cmp.Or(q.client, q.timeout))
+}
+
 const (
 	stopGrace = 8 * time.Second
 	stopTake  = 2800 * time.Millisecond
@@ -197,7 +206,7 @@
 	}
 	byAddress := map[string]*stopBackend{}
 	for i := range 2 {
-		b := &stopBackend{id: fmt.Sprintf("b%d", i), runs: map[string]int{}}
+		b := &stopBackend{id: fmt.Sprintf("b%d", i), runs: map[string]int{}, arrivals: map[string]time.Time{}}
 		address := fmt.Sprintf("127.0.0.%d:1", 2+i)
 		y.backends, byAddress[address] = append(y.backends, b), b
 		state.Announcements = append(state.Announcements, &wire.Announcement{
@@ -321,6 +330,18 @@
 	slowBodies, kept bool
 }
 
+// ranAt returns when a request arrived at a backend server, or false if it did not.
+func (y *stopSite) ranAt(id string) (at time.Duration, ran bool) {
+	for _, b := range y.backends {
+		b.mu.Lock()
+		if arrival, ok := b.arrivals[id]; ok {
+			at, ran = arrival.Sub(y.began), true
+		}
+		b.mu.Unlock()
+	}
+	return at, ran
+}
+
 // drawStopRequests draws the requests of callers around a stop.
 func drawStopRequests(r *rand.Rand, n int, draws stopDraws) []*stopRequest {
 	between := func(from, to time.Duration) time.Duration {
@@ -440,3 +461,55 @@
 func TestKeptConnectionsAreUsableUntilTheEndOfAStop(t *testing.T) {
 	stopSeries(t, stopDraws{slowBodies: true, kept: true}, nil)
 }
+
+// Requests that may not be repeated were sent to backend servers although they could run beyond the end of a stop, and
+// their answers were lost there: nobody knew whether they ran.
+func TestRequestsThatMayOutliveAStopAreRefusedAtOnce(t *testing.T) {
+	stopSeries(t, stopDraws{slowBodies: true, kept: true}, func(y *stopSite, q *stopRequest) error {
+		if q.kind != "once" && q.kind != "stream" || q.deadline() <= stopGrace-stopMargin {
+			return nil
+		}
+		at, ran := y.ranAt(q.id)
+		decidable := max(0, q.sendAt+q.bodyTime)
+		switch {
+		case ran && at > 0:
+			return fmt.Errorf("it was sent at %v", at)
+		case !ran && q.status == http.StatusServiceUnavailable && q.answeredAt > decidable:
+			return errors.New("it was refused late")
+		}
+		return nil
+	})
+}
+
+// A request that waited for a backend server when a stop began was sent to one shortly before its end.
+func TestWaitingRequestsThatMayOutliveAStopAreRefusedAtOnce(t *testing.T) {
+	m := meter.New("gateway", "g", "z")
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		y := startStopSite(ctx, c, m, 6*time.Second, 16)
+		request := func(id, kind string, timeout time.Duration) *stopRequest {
+			return &stopRequest{
+				id: id, kind: kind, timeout: timeout, client: 20 * time.Second, work: 100 * time.Millisecond,
+				connectAt: -time.Second, sendAt: -time.Second,
+			}
+		}
+		y.sleepUntil(-2 * time.Second)
+		for _, b := range y.backends {
+			// It asked for no requests until a second after the stop has begun.
+			y.gateway.tunneler.BackOff(b.id, 3*time.Second)
+		}
+		long := request("long", "once", 30*time.Second)
+		short := request("short", "once", 8*time.Second)
+		repeatable := request("repeatable", "safe", 30*time.Second)
+		y.callAround([]*stopRequest{long, short, repeatable})
+		c.Check(long.status, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(long.answeredAt, qt.Equals, time.Duration(0))
+		c.Check(y.runs(long.id), qt.Equals, 0)
+		for _, q := range []*stopRequest{short, repeatable} {
+			c.Check(q.status, qt.Equals, http.StatusOK, qt.Commentf("%v", q))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/gateway/forwarder/constraint.go
+++ b/gateway/forwarder/constraint.go
@@ -86,6 +86,10 @@
 		f.Meter.Increment("requests_withdrawn", "constraint", "CallerLeft")
 		return false
 	}
+	if !f.permitDuringStop(j) {
+		f.Meter.Increment("requests_withdrawn", "constraint", "Stopping")
+		return false
+	}
 	j.sentAt = now
 	f.recordRetrySent(now, j)
 	return true
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -22,6 +22,7 @@
 	// retryAfterNoMemory is when to come back after a refusal because memory is short.
 	retryAfterNoMemory = time.Second
 	reasonNoMemory     = "memory for requests is short"
+	reasonStopping     = "this gateway stops"
 	// maxModelName limits the name of a model with its adapter, in bytes: gateways and controllers keep it for some time.
 	maxModelName   = 512
 	reasonLongName = "the name of the model is too long"
@@ -35,6 +36,8 @@
 	reply *acceptor.Reply
 	meta  platform.Request
 	route *wire.Route
+	// context ends when it does.
+	context *requestContext
 	// customer is the holder of the request's key by the table checked last; nil if there is
 	// none.
 	customer *wire.RoutedCustomer
@@ -139,7 +142,7 @@
 // admit determines the route and the deadline of a request, or refuses it.
 func (f *Forwarder) admit(j *job) bool {
 	if f.stop.closed.Load() {
-		f.refuse(j, statusUnavailable, "this gateway stops", retryAtOtherGateway)
+		f.refuse(j, statusUnavailable, reasonStopping, retryAtOtherGateway)
 		return false
 	}
 	f.mu.Lock()
@@ -175,6 +178,10 @@
 			j.deadline = j.clientDeadline
 		}
 	}
+	if !f.endsInTime(j) {
+		f.refuse(j, statusUnavailable, reasonStopping, retryAtOtherGateway)
+		return false
+	}
 	if firstEventTimeout := milliseconds(j.route.GetPatienceMs()); firstEventTimeout > 0 {
 		j.firstEventDeadline = j.req.ReceivedAt.Add(firstEventTimeout)
 	}
--- a/gateway/forwarder/stopping.go
+++ b/gateway/forwarder/stopping.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // errGatewayEnds is why the contexts of requests end that still run when the gateway ends.
@@ -18,7 +19,9 @@
 	mu sync.Mutex
 	// running are the contexts of the requests that are being served.
 	running map[*requestContext]struct{}
-	ended   bool
+	// endsAt is when those that still run are ended; zero before a stop.
+	endsAt time.Time
+	ended  bool
 }
 
 // requestContext is the context of a request. An end of the gateway ends it like its deadline, so that its caller gets an
@@ -26,6 +29,17 @@
 type requestContext struct {
 	context.Context
 	cancel context.CancelCauseFunc
+	// until is when the request ends at the latest, and once is set if it may not be repeated. sent is set once an attempt
+	// of it may have been sent.
+	until time.Time
+	once  bool
+	sent  bool
+}
+
+// isFutile reports whether a request is not to be sent any more: it may not be repeated, and may still run when the
+// gateway ends. The caller holds the lock.
+func (s *stopping) isFutile(c *requestContext) bool {
+	return c.once && !s.endsAt.IsZero() && c.until.After(s.endsAt)
 }
 
 // Err returns DeadlineExceeded too if the gateway ends.
@@ -41,15 +55,16 @@
 func (f *Forwarder) newRequestContext(parent context.Context, j *job) (ctx context.Context, release func()) {
 	parent, cancel := context.WithCancelCause(parent)
 	inner, cancelTimer := context.WithTimeout(parent, j.deadline.Sub(f.Clock.Now()))
-	c := &requestContext{Context: inner, cancel: cancel}
+	c := &requestContext{Context: inner, cancel: cancel, until: j.deadline, once: !f.repeatable(j)}
+	j.context = c
 	f.stop.mu.Lock()
 	if f.stop.running == nil {
 		f.stop.running = map[*requestContext]struct{}{}
 	}
 	f.stop.running[c] = struct{}{}
-	ended := f.stop.ended
+	ends := f.stop.ended || f.stop.isFutile(c)
 	f.stop.mu.Unlock()
-	if ended {
+	if ends {
 		cancel(errGatewayEnds)
 	}
 	return c, func() {
@@ -61,6 +76,42 @@
 	}
 }
 
+// permitDuringStop reports whether a request that has not run may be sent. It ends one that may not.
+func (f *Forwarder) permitDuringStop(j *job) bool {
+	if j.context == nil {
+		return true
+	}
+	f.stop.mu.Lock()
+	defer f.stop.mu.Unlock()
+	if j.runs == 0 && f.stop.isFutile(j.context) {
+		j.context.cancel(errGatewayEnds)
+		return false
+	}
+	j.context.sent = true
+	return true
+}
+
+// endsInTime reports whether a new request may be taken during a stop: it may be repeated, or ends before the gateway
+// does, by its route and by its caller.
+func (f *Forwarder) endsInTime(j *job) bool {
+	f.stop.mu.Lock()
+	defer f.stop.mu.Unlock()
+	return !f.stop.isFutile(&requestContext{until: j.deadline, once: !f.repeatable(j)})
+}
+
+// BeginStop announces that End will be called at a time. Requests that may not be repeated and may still run then are
+// refused from now on, also those that wait for a backend server.
+func (f *Forwarder) BeginStop(endsAt time.Time) {
+	f.stop.mu.Lock()
+	defer f.stop.mu.Unlock()
+	f.stop.endsAt = endsAt
+	for c := range f.stop.running {
+		if !c.sent && f.stop.isFutile(c) {
+			c.cancel(errGatewayEnds)
+		}
+	}
+}
+
 // Close refuses new requests; those already accepted are completed.
 func (f *Forwarder) Close() { f.stop.closed.Store(true) }
 
