Open no tunnels for other gateways once a stop refuses new requests

Requests of other gateways' callers that went through a stopping gateway were cut at its end more often than its own, and got 502. Tunnels are now refused from Take on, and the other gateway asks a third one. Evidence: TestTunnelsDuringAStopAreRefusedWithNewRequests failed before. Not covered: a tunnel that is open and in use is still used for new requests until the process ends, since the other gateway is not told of the stop.

--- a/gateway/app/routed.go
+++ b/gateway/app/routed.go
@@ -337,9 +337,9 @@
 	<-r.Clock.After(s.Take)
 	r.forwarder.Close()
 	r.frontend.Refuse()
-	<-r.Clock.After(s.Drain - s.Take)
 	var tunnels sync.WaitGroup
 	tunnels.Go(func() { r.tunneler.Stop(ctx) })
+	<-r.Clock.After(s.Drain - s.Take)
 	err := r.frontend.Stop(ctx)
 	tunnels.Wait()
 	if err != nil {
--- a/gateway/app/stop_test.go
+++ b/gateway/app/stop_test.go
@@ -23,6 +23,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"bronzelead.example/gateway/tunneler"
 	"bronzelead.example/pkg/meter"
 	"bronzelead.example/pkg/wire"
 	"bronzelead.example/platform"
@@ -513,3 +514,31 @@
 		synctest.Wait()
 	})
 }
+
+// A stopping gateway opened tunnels for other gateways until Drain, although it took no requests of its own callers after
+// Take: those that were sent through the tunnels had less time to end before the process did.
+func TestTunnelsDuringAStopAreRefusedWithNewRequests(t *testing.T) {
+	m := meter.New("gateway", "g", "z")
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		y := startStopSite(ctx, c, m, time.Second, 16)
+		server := &tunneler.Server{Tunneler: y.gateway.tunneler}
+		reach := func() wire.Reach {
+			a := y.backends[0]
+			address, _ := y.gateway.tunneler.Resolve(a.id)
+			res, err := server.Check(ctx, &wire.CheckRequest{Backend: a.id, Address: address})
+			c.Assert(err, qt.IsNil)
+			return res.GetReach()
+		}
+		var stopped sync.WaitGroup
+		stopped.Go(func() { y.stop() })
+		y.sleepUntil(stopTake - 100*time.Millisecond)
+		c.Check(reach(), qt.Equals, wire.Reach_REACH_CONNECTED)
+		y.sleepUntil(stopTake + 100*time.Millisecond)
+		c.Check(reach(), qt.Equals, wire.Reach_REACH_UNKNOWN)
+		stopped.Wait()
+		cancel()
+		synctest.Wait()
+	})
+}
