--- a/proof/routed_backends_test.go
+++ b/proof/routed_backends_test.go
@@ -40,6 +40,8 @@
 	failing atomic.Bool
 	// failingHalf is set while it fails every second request that it runs.
 	failingHalf atomic.Bool
+	// delay is how much longer each answer, and each further event of a stream, takes.
+	delay atomic.Int64
 	// isFatal reports whether a request crashes the server; nil for none. crash performs the
 	// crash.
 	isFatal func(body string, parts []platform.PromptPart) bool
@@ -172,9 +174,13 @@
 		b.crash()
 		return
 	}
+	processing := processingTime
+	if routeKindOf(r.URL.Path) != stream {
+		processing += time.Duration(b.delay.Load())
+	}
 	select {
 	case <-r.Context().Done():
-	case <-time.After(processingTime):
+	case <-time.After(processing):
 	}
 	setHeaders(w, platform.StandInResponse(id, b.id))
 	if b.failing.Load() || b.failingHalf.Load() && run%2 == 0 {
@@ -196,7 +202,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(5 * time.Millisecond):
+		case <-time.After(5*time.Millisecond + time.Duration(b.delay.Load())):
 		}
 	}
 }
