Answer requests that outlive StopWithin in the contracts' mode

Requests that ran longer than StopWithin saw their connections cut when the gateway exited, with no answer. Cause: as in the routed mode, nothing ended them before the process did. Their contexts now end like their deadlines, 3 s before StopWithin is over (a quarter of it at most, since backend servers are asked first whether they have begun): MayHaveRun, a stream is aborted, and one that waits is refused as Stopping. Package terminator holds the context that tells this end from a caller that has left; the forwarder uses it too.

--- a/gateway/app/app.go
+++ b/gateway/app/app.go
@@ -37,6 +37,11 @@
 	closeTimeout = 3 * time.Second
 	// Storing the outcomes of requests is tried for this long at a stop.
 	storeTimeout = 10 * time.Second
+	// endMargin is how long before the end of a stop the requests that still run are ended: their backend servers are
+	// asked first whether they have begun.
+	endMargin = 3 * time.Second
+	// endMarginDivisor limits endMargin to a part of StopWithin.
+	endMarginDivisor = 4
 	// probeTimeout bounds the probe whether a backend server still listens.
 	probeTimeout = time.Second
 )
@@ -56,6 +61,9 @@
 	server    *server.Server
 	leave     chan struct{}
 	stopping  chan struct{}
+	// ending ends when the requests that still run at a stop are ended, by endRequests.
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 type keys struct {
@@ -83,6 +91,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	a.build()
+	defer a.endRequests()
 	go a.scheduler.Run(background)
 	go a.claimer.Run(background)
 	go a.isolator.Run(background)
@@ -113,6 +122,7 @@
 
 func (a *App) build() {
 	s := a.Settings
+	a.ending, a.endRequests = context.WithCancel(context.Background())
 	a.leave, a.stopping = make(chan struct{}), make(chan struct{})
 	a.registrar = &registrar.Registrar{}
 	controllers := &connector.Controllers{Addresses: s.Controllers.Addresses}
@@ -174,7 +184,7 @@
 		Meter:       meter.New("gateway", s.Instance.Name, s.Instance.Zone),
 		RetryBudget: &receiver.RetryBudget{Clock: a.Clock, RetryRatio: s.Requests.RetryShare, Burst: s.Requests.RetryBurst},
 		Session:     a.scheduler.SessionID, BackendKeys: a.keys.backends, OperatorKeys: a.keys.operators,
-		Ready: a.ready, MaxBody: s.Requests.MaxBody, MaxStoredAnswer: s.Requests.KeepAnswer,
+		Ready: a.ready, Ending: a.ending, MaxBody: s.Requests.MaxBody, MaxStoredAnswer: s.Requests.KeepAnswer,
 	}
 	return r.Handler()
 }
@@ -210,6 +220,9 @@
 	a.scheduler.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.Requests.StopWithin)
 	defer cancel()
+	within := a.Settings.Requests.StopWithin
+	end := a.Clock.AfterFunc(within-min(endMargin, within/endMarginDivisor), a.endRequests)
+	defer end.Stop()
 	err := a.server.Stop(ctx)
 	for !a.scheduler.Idle() && ctx.Err() == nil {
 		<-a.Clock.After(idleCheckInterval)
--- a/gateway/forwarder/stopping.go
+++ b/gateway/forwarder/stopping.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
-)
 
-// errGatewayEnds is why the contexts of requests end that still run when the gateway ends.
-var errGatewayEnds = errors.New("forwarder: the gateway ends")
+	"bronzelead.example/gateway/terminator"
+)
 
 // stopping is the state of a planned stop.
 type stopping struct {
@@ -24,11 +22,9 @@
 	ended  bool
 }
 
-// requestContext is the context of a request. An end of the gateway ends it like its deadline, so that its caller gets an
-// answer; a caller that has disconnected cancels it.
+// requestContext is the context of a request.
 type requestContext struct {
-	context.Context
-	cancel context.CancelCauseFunc
+	*terminator.Context
 	// until is when the request ends at the latest, and once is set if it may not be repeated. sent is set once an attempt
 	// of it may have been sent.
 	until time.Time
@@ -42,37 +38,25 @@
 	return c.once && !s.endsAt.IsZero() && c.until.After(s.endsAt)
 }
 
-// Err returns DeadlineExceeded too if the gateway ends.
-func (c *requestContext) Err() error {
-	err := c.Context.Err()
-	if err != nil && context.Cause(c.Context) == errGatewayEnds {
-		return context.DeadlineExceeded
-	}
-	return err
-}
-
 // newRequestContext returns the context of a request until its deadline. release frees its resources.
 func (f *Forwarder) newRequestContext(parent context.Context, j *job) (ctx context.Context, release func()) {
-	parent, cancel := context.WithCancelCause(parent)
-	inner, cancelTimer := context.WithTimeout(parent, j.deadline.Sub(f.Clock.Now()))
-	c := &requestContext{Context: inner, cancel: cancel, until: j.deadline, once: !f.repeatable(j)}
+	inner, end := terminator.WithTimeout(parent, j.deadline.Sub(f.Clock.Now()))
+	c := &requestContext{Context: inner, until: j.deadline, once: !f.repeatable(j)}
 	j.context = c
 	f.stop.mu.Lock()
+	defer f.stop.mu.Unlock()
 	if f.stop.running == nil {
 		f.stop.running = map[*requestContext]struct{}{}
 	}
 	f.stop.running[c] = struct{}{}
-	ends := f.stop.ended || f.stop.isFutile(c)
-	f.stop.mu.Unlock()
-	if ends {
-		cancel(errGatewayEnds)
+	if f.stop.ended || f.stop.isFutile(c) {
+		c.Terminate()
 	}
 	return c, func() {
 		f.stop.mu.Lock()
 		delete(f.stop.running, c)
 		f.stop.mu.Unlock()
-		cancelTimer()
-		cancel(nil)
+		end()
 	}
 }
 
@@ -84,7 +68,7 @@
 	f.stop.mu.Lock()
 	defer f.stop.mu.Unlock()
 	if j.runs == 0 && f.stop.isFutile(j.context) {
-		j.context.cancel(errGatewayEnds)
+		j.context.Terminate()
 		return false
 	}
 	j.context.sent = true
@@ -107,7 +91,7 @@
 	f.stop.endsAt = endsAt
 	for c := range f.stop.running {
 		if !c.sent && f.stop.isFutile(c) {
-			c.cancel(errGatewayEnds)
+			c.Terminate()
 		}
 	}
 }
@@ -123,6 +107,6 @@
 	defer f.stop.mu.Unlock()
 	f.stop.ended = true
 	for c := range f.stop.running {
-		c.cancel(errGatewayEnds)
+		c.Terminate()
 	}
 }
--- a/gateway/receiver/attempts.go
+++ b/gateway/receiver/attempts.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"bronzelead.example/gateway/scheduler"
+	"bronzelead.example/gateway/terminator"
 	"bronzelead.example/pkg/router"
 )
 
@@ -28,8 +30,11 @@
 		// an unknown outcome.
 		base = context.WithoutCancel(base)
 	}
-	ctx, cancel := context.WithDeadline(base, e.job.Deadline)
-	defer cancel()
+	ctx, release := terminator.WithTimeout(base, time.Until(e.job.Deadline))
+	defer release()
+	if r.Ending != nil {
+		defer context.AfterFunc(r.Ending, ctx.Terminate)()
+	}
 	e.ctx = ctx
 	if p := r.checkQuarantine(e); p != nil {
 		return p
@@ -58,6 +63,9 @@
 		}
 		candidate, refusal = r.Scheduler.Reassign(ctx, e.job, result.backendFailed, result.adapterMissing)
 	}
+	if refusal.Reason == scheduler.CallerGone && ctx.Terminated() {
+		refusal = &scheduler.Refusal{Reason: scheduler.Stopping, RetryAfter: retryAfterFault}
+	}
 	return refusalOrUnknown(ctx, maybeRan, refused(refusal))
 }
 
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -70,6 +70,9 @@
 	OperatorKeys authenticator.Keyring
 	// Ready reports whether the load balancer should send callers to this instance.
 	Ready func() bool
+	// Ending ends shortly before the process does: requests that are still served then are ended with an answer. nil never
+	// ends.
+	Ending context.Context
 	// MaxBody limits a request's body, in bytes.
 	MaxBody int
 	// MaxStoredAnswer limits the answer that is stored for an idempotency key, in bytes.
--- a/proof/promises_test.go
+++ b/proof/promises_test.go
@@ -237,6 +237,28 @@
 	}
 }
 
+// Requests that ran longer than a stop waits were cut when the gateway exited, with no answer.
+func TestStopAnswersLongRequests(t *testing.T) {
+	c := qt.New(t)
+	y := startSystem(c, systemConfig{controllers: 3, gateways: 2, engines: 2, slots: 4, stopWithin: 4 * time.Second})
+	// An engine takes 10 ms a token.
+	long := func(stream bool) reply {
+		return y.call(1, http.MethodPost, "/v1/completions", "", fmt.Sprintf(`{"model":"proof-0@1","prompt":"two loaves","max_tokens":1500,"stream":%t}`, stream))
+	}
+	var whole, streamed reply
+	var callers sync.WaitGroup
+	callers.Go(func() { whole = long(false) })
+	callers.Go(func() { streamed = long(true) })
+	eventually(c, "requests run at the gateway", func() bool { return len(y.runningRequests(1)) >= 2 })
+	y.gateways[1].stop()
+	callers.Wait()
+	c.Check(whole.err, qt.IsNil)
+	c.Check(whole.status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", whole.body))
+	c.Check(whole.ran(), qt.Equals, "unknown")
+	c.Check(streamed.status, qt.Equals, http.StatusOK)
+	c.Check(streamed.err, qt.Not(qt.IsNil), qt.Commentf("a stream that broke off looked complete"))
+}
+
 func TestGatewayStopsWithoutControllers(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -39,6 +39,8 @@
 	programs string
 	// ignoreFencing makes engines accept orders with old fencing numbers.
 	ignoreFencing bool
+	// stopWithin is StopWithin of the gateways; 0 for the default.
+	stopWithin time.Duration
 }
 
 // system is a complete bronzelead of separate processes, connected by proxies.
@@ -60,11 +62,16 @@
 	client            *http.Client
 	version           uint64
 	programs          string
+	// requestSettings are further settings of the gateways' requests.
+	requestSettings string
 }
 
 // startSystem starts all processes, applies a contract and waits until each gateway serves.
 func startSystem(c *qt.C, s systemConfig) *system {
 	y := &system{c: c, folder: c.TempDir(), programs: s.programs, client: &http.Client{Transport: connector.NewTransport(nil)}}
+	if s.stopWithin > 0 {
+		y.requestSettings = "StopWithin = " + s.stopWithin.String() + "\n"
+	}
 	y.write("cluster.key", clusterKey)
 	y.write("operators", "tester "+digest(operatorKey))
 	y.write("backends", "all "+digest(backendKey))
@@ -171,9 +178,9 @@
 [Requests]
 SilenceAfter = 700ms
 StopDelay = 300ms
-[Policy]
+%s[Policy]
 IdleLease = 2s
-`, name, i, y.gatewayAddrs[i], strings.Join(proxyAddrs, ", "), y.path("cluster.key"), y.path("backends"), y.path("operators")))
+`, name, i, y.gatewayAddrs[i], strings.Join(proxyAddrs, ", "), y.path("cluster.key"), y.path("backends"), y.path("operators"), y.requestSettings))
 	y.gateways = append(y.gateways, y.process(name, "gateway", "run", y.path(name+".ini")))
 }
 
