--- a/gateway/receiver/attempts.go
+++ b/gateway/receiver/attempts.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"bronzelead.example/gateway/scheduler"
+	"bronzelead.example/gateway/terminator"
 	"bronzelead.example/pkg/router"
 )
 
@@ -28,11 +30,11 @@
 		// answer instead of an unknown outcome.
 		base = context.WithoutCancel(base)
 	}
-	ctx, cancel := context.WithDeadline(base, e.job.Deadline)
-	defer cancel()
+	ctx, release := r.requestContext(base, e.job.Deadline)
+	defer release()
 	// Without a claim it ends with its caller, who may be told by another gateway that nobody holds the key.
-	unclaimed, stop := context.WithDeadline(e.ctx, e.job.Deadline)
-	defer stop()
+	unclaimed, releaseUnclaimed := r.requestContext(e.ctx, e.job.Deadline)
+	defer releaseUnclaimed()
 	e.ctx, e.unclaimed = ctx, unclaimed
 	if p := r.checkQuarantine(e); p != nil {
 		return p
@@ -61,9 +63,25 @@
 		}
 		candidate, refusal = r.Scheduler.Reassign(unclaimed, e.job, result.backendFailed, result.adapterMissing)
 	}
+	if refusal.Reason == scheduler.CallerGone && ctx.Terminated() {
+		refusal = &scheduler.Refusal{Reason: scheduler.Stopping, RetryAfter: retryAfterFault}
+	}
 	return refusalOrUnknown(ctx, maybeRan, refused(refusal))
 }
 
+// requestContext returns a context that ends at a deadline, and as the process ends.
+func (r *Receiver) requestContext(parent context.Context, deadline time.Time) (ctx *terminator.Context, release func()) {
+	ctx, cancel := terminator.WithTimeout(parent, time.Until(deadline))
+	if r.Ending == nil {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(r.Ending, ctx.Terminate)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // refusalOrUnknown returns the refusal p, or an unknown outcome if an attempt may have run: a
 // request is refused only if it certainly did not run.
 func refusalOrUnknown(ctx context.Context, maybeRan bool, p *Problem) *Problem {
