--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -27,7 +27,7 @@
 	maxTransfer = 10 * time.Second
 	// maxHeadBytes bounds the head of an answer, with the interim answers before it; net/http reads 10 MB by default.
 	maxHeadBytes = 64 << 10
-	// defaultMaxAnswer is some fifteen times the largest answer that was seen, the holdings of 300 machines.
+	// defaultMaxAnswer bounds the body of an answer in bytes. The largest are whole tables and the holdings of all machines.
 	defaultMaxAnswer = 32 << 20
 )
 
