--- a/gateway/tunneler/series_test.go
+++ b/gateway/tunneler/series_test.go
@@ -101,6 +101,10 @@
 		})
 	}
 	t.Logf("%v", totals)
+	// The series must reach what it is about.
+	for _, name := range []string{"answers through tunnels", "lost", "not sent", "ran after the caller was told", "rejected", "stops", "withdrawn"} {
+		qt.Check(t, totals[name] > 0, qt.IsTrue, qt.Commentf(name))
+	}
 }
 
 func newSeries(seed uint64, m *meter.Meter) *series {
@@ -564,6 +568,9 @@
 	if !rejects {
 		s.mu.Lock()
 		s.ran[key]++
+		if _, told := s.outcomes[key.id]; told {
+			s.counts["ran after the caller was told"]++
+		}
 		s.mu.Unlock()
 		b.work()
 	}
