Refuse answers with more than 512 header fields

A faulty backend server whose heads had thousands of empty fields, within the 64 KiB that a head may have, made a gateway hold some ten times their length for each request, in no sum: with 300 clients a gateway of 96 MB took 284 MB, and 2 of 100 requests to another service were served.

A parsed field takes 32 bytes beside its text, and the header that is passed on as many again. The fields of an answer's head are counted before it is parsed; one with more than 512 is malformed, as a head that is too long. Heads of requests reserve this memory already.

--- a/pkg/framer/framer.go
+++ b/pkg/framer/framer.go
@@ -92,6 +92,10 @@
 	return r.Minor == 1 && !r.Header.HasToken("Connection", "close")
 }
 
+// maxResponseFields bounds the header fields of an answer. A parsed field takes 32 bytes beside its text, so that a head of 64 KiB
+// with empty fields would take ten times its length, for each request in flight.
+const maxResponseFields = 512
+
 // firstHeadBytes is the memory that a head takes at first.
 const firstHeadBytes = 1024
 
@@ -172,8 +176,12 @@
 	return head, nil
 }
 
-// ParseResponse parses an answer's head.
+// ParseResponse parses an answer's head. One with more than 512 fields is an error.
 func ParseResponse(raw []byte) (*ResponseHead, error) {
+	// The status line and the empty line end with it too.
+	if bytes.Count(raw, []byte(lineEnd))-2 > maxResponseFields {
+		return nil, fail("ParseResponse", KindTooLarge, "the head has more than %d fields", maxResponseFields)
+	}
 	first, header, err := splitHead(raw)
 	if err != nil {
 		return nil, err
--- a/pkg/framer/framer_test.go
+++ b/pkg/framer/framer_test.go
@@ -180,6 +180,29 @@
 	c.Check(err, qt.Equals, full)
 }
 
+// Answers of 64 KiB with thousands of empty fields took ten times that, for each request.
+func TestAnswersOfManyFieldsAreRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		fields int
+		parsed bool
+	}{
+		"none":     {0, true},
+		"the most": {maxResponseFields, true},
+		"too many": {maxResponseFields + 1, false},
+		"64 KiB":   {16 << 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			head, err := ParseResponse([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", test.fields) + "\r\n"))
+			c.Check(err == nil, qt.Equals, test.parsed, qt.Commentf("%v", err))
+			c.Check(Is(err, KindTooLarge), qt.Equals, !test.parsed)
+			if test.parsed {
+				c.Check(head.Header, qt.HasLen, test.fields)
+			}
+		})
+	}
+}
+
 // A body costs at most so many bytes to read for each byte of its content, whatever its chunks look like.
 func FuzzChunkOverhead(f *testing.F) {
 	f.Add([]byte("3\r\nabc\r\n0\r\n\r\n"))
--- a/proof/endless_answers_test.go
+++ b/proof/endless_answers_test.go
@@ -38,12 +38,14 @@
 	// begin is how much of an event it sends at once, and pause the time between the pieces that follow.
 	begin int
 	pause time.Duration
+	// fields is the number of empty header fields that its answers have beside the usual ones.
+	fields int
 	// ran counts requests, and sent the bytes of their answers.
 	ran, sent atomic.Int64
 }
 
-func startEndlessBackend(y *routedSystem, begin int, pause time.Duration) *endlessBackend {
-	b := &endlessBackend{y: y, begin: begin, pause: pause}
+func (b *endlessBackend) start(y *routedSystem) {
+	b.y = y
 	listener, err := net.Listen("tcp", freeAddress(y.c))
 	y.c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -61,7 +63,6 @@
 		}
 	}()
 	go b.announce(ctx, listener.Addr().String())
-	return b
 }
 
 func (b *endlessBackend) announce(ctx context.Context, address string) {
@@ -97,6 +98,7 @@
 	for _, field := range platform.StandInResponse(platform.DecodeRequest(fieldsOf(req.Header)).ID, "e0") {
 		answer += field.Name + ": " + field.Value + "\r\n"
 	}
+	answer += strings.Repeat("a:\r\n", b.fields)
 	_, err = io.WriteString(conn, answer+fmt.Sprintf("\r\n%x\r\n%s\r\n", b.begin, strings.Repeat("x", b.begin)))
 	const size = 4096
 	piece := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size))
@@ -169,20 +171,18 @@
 // A backend server that did not end its events made a gateway hold and search all of them: the callers of other services got
 // no answers, and the process took most of the memory of its instance.
 func TestEventsWithoutEndAtGateways(t *testing.T) {
-	for name, test := range map[string]struct {
-		begin int
-		pause time.Duration
-	}{
-		"at full speed":        {kilobyte, 0},
-		"held back at 240 KiB": {240 * kilobyte, time.Second},
-		"held back at 60 KiB":  {60 * kilobyte, time.Second},
-		"held back at 7 KiB":   {7 * kilobyte, time.Second},
+	for name, backend := range map[string]*endlessBackend{
+		"at full speed":        {begin: kilobyte, pause: 0},
+		"held back at 240 KiB": {begin: 240 * kilobyte, pause: time.Second},
+		"held back at 60 KiB":  {begin: 60 * kilobyte, pause: time.Second},
+		"held back at 7 KiB":   {begin: 7 * kilobyte, pause: time.Second},
+		"heads of many fields": {begin: kilobyte, pause: time.Second, fields: 15 * kilobyte},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			y := startReleased(c, fmt.Sprintf("MemoryMB = %d\n", gatewayMemoryMB))
 			gateway := y.gateways[0]
-			backend := startEndlessBackend(y, test.begin, test.pause)
+			backend.start(y)
 			y.putEndlessRoute()
 			eventually(c, "the faulty server gets a request", func() bool {
 				callEndless(gateway.address, fmt.Sprint("first-", time.Now().UnixNano()))
