--- a/pkg/originreceiver/originreceiver_test.go
+++ b/pkg/originreceiver/originreceiver_test.go
@@ -116,3 +116,18 @@
 		runtime.KeepAlive(y)
 	}
 }
+
+// BenchmarkPrune is for how long a clean-up of a full memory keeps datagrams waiting.
+func BenchmarkPrune(b *testing.B) {
+	const origins = 1 << 17
+	y := newReceiver(clockwork.NewRealClock(), origins)
+	for i := range origins {
+		if err := y.Receive(report(i, 1, "v1", time.Hour)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		y.prune()
+	}
+}
