--- a/gateway/originfinder/series_test.go
+++ b/gateway/originfinder/series_test.go
@@ -664,10 +664,10 @@
 }
 
 // No stream gets events of two versions in series of releases and losses of gateways and controllers, and more of those
-// that break off go on than with what gateways remember. While some controller remembers the origins, half of those
-// that meet a server of their version go on at least.
+// that break off go on than with what gateways remember. While controllers are killed one at a
+// time, half of those that meet a server of their version go on at least.
 func TestStreamsOutliveSeriesOfLosses(t *testing.T) {
-	for name, severe := range map[string]bool{"controllers one at a time": false, "anything": true} {
+	for name, severe := range map[string]bool{"controllers killed one at a time": false, "anything": true} {
 		for _, size := range []struct{ gateways, controllers int }{{1, 3}, {3, 3}, {9, 3}, {9, 5}, {40, 3}} {
 			t.Run(fmt.Sprintf("%s, %d gateways, %d controllers", name, size.gateways, size.controllers), func(t *testing.T) {
 				t.Parallel()
