Refuse rejected requests during a stop that may outlive it

A request that backend servers had rejected before a stop, and that may not be repeated, waited for another one until up to the end of the grace and was refused only then. Cause: it counted as one that may have run, since an attempt had been sent. It is refused at once now, like one that was never sent.

The series of these tests begin after the window of the retry budget, so that there are retries.

--- a/gateway/app/stop_test.go
+++ b/gateway/app/stop_test.go
@@ -74,6 +74,8 @@
 	runs map[string]int
 	// arrivals are when each request arrived last.
 	arrivals map[string]time.Time
+	// rejections are the requests that were rejected.
+	rejections map[string]bool
 }
 
 func (b *stopBackend) serve(conn net.Conn) {
@@ -88,16 +90,47 @@
 			return
 		}
 		id := platform.DecodeRequest(headerFields(req.Header)).ID
-		b.mu.Lock()
-		b.runs[id]++
-		b.arrivals[id] = time.Now()
-		b.mu.Unlock()
-		if !b.answer(conn, id, req.URL.Query()) {
+		fate := req.URL.Query().Get("fate")
+		if fate == rejected && b.takeRejection(id) {
+			if !b.reject(conn, id, req.URL.Query()) {
+				return
+			}
+			continue
+		}
+		b.recordRun(id)
+		if fate == broken || !b.answer(conn, id, req.URL.Query()) {
 			return
 		}
 	}
 }
 
+// takeRejection reports whether a request is to be rejected: each backend server does so once.
+func (b *stopBackend) takeRejection(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.rejections[id]
+	b.rejections[id] = true
+	return !before
+}
+
+func (b *stopBackend) recordRun(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id]++
+	b.arrivals[id] = time.Now()
+}
+
+// reject does not run a request, and asks for no more during its work.
+func (b *stopBackend) reject(conn net.Conn, id string, query url.Values) bool {
+	work, _ := strconv.Atoi(query.Get("work"))
+	head := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+	for _, field := range append(platform.StandInRefusal(id), platform.StandInBackoff(time.Duration(work)*time.Millisecond)) {
+		head += field.Name + ": " + field.Value + "\r\n"
+	}
+	_, err := io.WriteString(conn, head+"\r\n")
+	return err == nil
+}
+
 // answer works in equal parts: before the answer, or before each event of a stream.
 func (b *stopBackend) answer(conn net.Conn, id string, query url.Values) bool {
 	work, _ := strconv.Atoi(query.Get("work"))
@@ -126,6 +159,13 @@
 	return err == nil
 }
 
+// The fates of requests at backend servers besides being run.
+const (
+	// rejected requests run once each backend server has rejected them.
+	rejected = "rejected"
+	broken   = "broken"
+)
+
 // stopRequest is one request of a caller, with times in relation to the beginning of the stop.
 type stopRequest struct {
 	id      string
@@ -134,6 +174,8 @@
 	// client is the client timeout; 0 for none.
 	client time.Duration
 	work   time.Duration
+	// fate is what backend servers do with it; empty if they run it.
+	fate string
 	// connectAt is when its connection is opened, sendAt when its head is sent, and bodyTime how long its body takes.
 	connectAt, sendAt, bodyTime time.Duration
 
@@ -147,8 +189,8 @@
 }
 
 func (q *stopRequest) String() string {
-	return fmt.Sprintf("%s: timeout %v, client %v, work %v, connected at %v, sent at %v, body takes %v: status %d, complete %t, at %v",
-		q.id, q.timeout, q.client, q.work, q.connectAt, q.sendAt, q.bodyTime, q.status, q.complete, q.answeredAt)
+	return fmt.Sprintf("%s: timeout %v, client %v, work %v %s, connected at %v, sent at %v, body takes %v: status %d, complete %t, at %v",
+		q.id, q.timeout, q.client, q.work, q.fate, q.connectAt, q.sendAt, q.bodyTime, q.status, q.complete, q.answeredAt)
 }
 
 // deadline is when the request ends at the latest, by its route and by its caller.
@@ -162,6 +204,9 @@
 	stopDrain = 4 * time.Second
 	// killAfter is when the process is killed.
 	killAfter = stopGrace
+	// stopLead is how long a gateway runs before it stops: longer than the window of its retry budget, without which it
+	// allows no retries.
+	stopLead = 15 * time.Second
 )
 
 // stopTimeouts are the timeouts of routes.
@@ -207,7 +252,7 @@
 	}
 	byAddress := map[string]*stopBackend{}
 	for i := range 2 {
-		b := &stopBackend{id: fmt.Sprintf("b%d", i), runs: map[string]int{}, arrivals: map[string]time.Time{}}
+		b := &stopBackend{id: fmt.Sprintf("b%d", i), runs: map[string]int{}, arrivals: map[string]time.Time{}, rejections: map[string]bool{}}
 		address := fmt.Sprintf("127.0.0.%d:1", 2+i)
 		y.backends, byAddress[address] = append(y.backends, b), b
 		state.Announcements = append(state.Announcements, &wire.Announcement{
@@ -290,7 +335,7 @@
 
 // write sends a request, with a body that takes bodyTime to send.
 func (q *stopRequest) write(conn net.Conn) {
-	target := fmt.Sprintf("/%s-%d/?work=%d", q.kind, q.timeout.Milliseconds(), q.work.Milliseconds())
+	target := fmt.Sprintf("/%s-%d/?work=%d&fate=%s", q.kind, q.timeout.Milliseconds(), q.work.Milliseconds(), q.fate)
 	if stopKinds[q.kind].Repetition == wire.Repetition_REPETITION_STREAM {
 		target += "&events=4"
 	}
@@ -329,6 +374,8 @@
 type stopDraws struct {
 	// slowBodies lets some bodies arrive slowly, and kept some connections be opened before they are used.
 	slowBodies, kept bool
+	// faults lets backend servers reject some requests, and lose some answers.
+	faults bool
 }
 
 // ranAt returns when a request arrived at a backend server, or false if it did not.
@@ -366,6 +413,9 @@
 		if draws.slowBodies && r.IntN(3) == 0 {
 			q.bodyTime = between(time.Millisecond, 9*time.Second)
 		}
+		if draws.faults {
+			q.fate = []string{"", "", "", "", "", "", "", rejected, rejected, broken}[r.IntN(10)]
+		}
 		list[i] = q
 	}
 	return list
@@ -419,7 +469,7 @@
 				c := qt.New(t)
 				r := rand.New(rand.NewPCG(seed, 1))
 				ctx, cancel := context.WithCancel(context.Background())
-				y := startStopSite(ctx, c, m, 6*time.Second, 3+r.IntN(30))
+				y := startStopSite(ctx, c, m, stopLead, 3+r.IntN(30))
 				list := drawStopRequests(r, 150, draws)
 				ended := y.callAround(list)
 				statuses := map[int]int{}
@@ -466,20 +516,23 @@
 // Requests that may not be repeated were sent to backend servers although they could run beyond the end of a stop, and
 // their answers were lost there: nobody knew whether they ran.
 func TestRequestsThatMayOutliveAStopAreRefusedAtOnce(t *testing.T) {
-	stopSeries(t, stopDraws{slowBodies: true, kept: true}, func(y *stopSite, q *stopRequest) error {
-		if q.kind != "once" && q.kind != "stream" || q.deadline() <= stopGrace-stopMargin {
-			return nil
-		}
-		at, ran := y.ranAt(q.id)
-		decidable := max(0, q.sendAt+q.bodyTime)
-		switch {
-		case ran && at > 0:
-			return fmt.Errorf("it was sent at %v", at)
-		case !ran && q.status == http.StatusServiceUnavailable && q.answeredAt > decidable:
-			return errors.New("it was refused late")
-		}
+	stopSeries(t, stopDraws{slowBodies: true, kept: true}, mayNotOutlive)
+}
+
+// mayNotOutlive checks that a request that may not be repeated was not sent during a stop if it could outlive it.
+func mayNotOutlive(y *stopSite, q *stopRequest) error {
+	if q.kind != "once" && q.kind != "stream" || q.deadline() <= stopGrace-stopMargin {
 		return nil
-	})
+	}
+	at, ran := y.ranAt(q.id)
+	decidable := max(0, q.sendAt+q.bodyTime)
+	switch {
+	case ran && at > 0:
+		return fmt.Errorf("it was sent at %v", at)
+	case !ran && q.status == http.StatusServiceUnavailable && q.answeredAt > decidable:
+		return errors.New("it was refused late")
+	}
+	return nil
 }
 
 // A request that waited for a backend server when a stop began was sent to one shortly before its end.
@@ -542,3 +595,9 @@
 		synctest.Wait()
 	})
 }
+
+// Requests that wait as backend servers have rejected others, and those whose answers were lost, are answered as truly as
+// without a stop.
+func TestAnswersDuringAStopAreTrueWithFaults(t *testing.T) {
+	stopSeries(t, stopDraws{slowBodies: true, kept: true, faults: true}, mayNotOutlive)
+}
--- a/gateway/forwarder/job.go
+++ b/gateway/forwarder/job.go
@@ -282,6 +282,9 @@
 		f.refundShare(j)
 	}
 	f.mu.Unlock()
+	if outcome == balancer.Full || outcome == balancer.Unreachable || outcome == balancer.Absent {
+		f.recordNotRun(j)
+	}
 	if ejected > 0 {
 		f.Log.Info("ejected a failing backend server", "Backend", backend, "Service", j.service,
 			"For", ejected.Milliseconds(), "RequestID", j.meta.ID)
--- a/gateway/forwarder/stopping.go
+++ b/gateway/forwarder/stopping.go
@@ -25,8 +25,8 @@
 // requestContext is the context of a request.
 type requestContext struct {
 	*terminator.Context
-	// until is when the request ends at the latest, and once is set if it may not be repeated. sent is set once an attempt
-	// of it may have been sent.
+	// until is when the request ends at the latest, and once is set if it may not be repeated. sent is set while an attempt
+	// of it may have run.
 	until time.Time
 	once  bool
 	sent  bool
@@ -75,6 +75,20 @@
 	return true
 }
 
+// recordNotRun records that the latest attempt of a request has certainly not run. During a stop it ends one that may not
+// be sent again.
+func (f *Forwarder) recordNotRun(j *job) {
+	if j.context == nil || j.runs > 0 {
+		return
+	}
+	f.stop.mu.Lock()
+	defer f.stop.mu.Unlock()
+	j.context.sent = false
+	if f.stop.isFutile(j.context) {
+		j.context.Terminate()
+	}
+}
+
 // endsInTime reports whether a new request may be taken during a stop: it may be repeated, or ends before the gateway
 // does, by its route and by its caller.
 func (f *Forwarder) endsInTime(j *job) bool {
