Connector: an interim answer does not let a request count as unsent

A request to a plain service was reported as not run, and its claim released, though the service had begun to run it: the service sent an interim answer (103) while a long body was written, and the gateway's session ended. What was read counted as the end of a request, so that the check of the session stood again before the rest of the body, and its error says that nothing was sent.

Connections of transports without keep-alive, as those of plain services, have one request each, so that the check stands once, before its first byte, and a request that has begun is written to its end. Connections of engines have several; an engine refuses half a body, so the claim is true there.

--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -58,20 +58,21 @@
 
 // NewTransportWith is NewTransport for connections that are opened another way.
 func NewTransportWith(dial Dial, guard func() error) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
-			defer cancel()
-			conn, err := dial(ctx, network, address)
-			if err != nil || guard == nil {
-				return conn, err
-			}
-			return &guardedConn{Conn: conn, guard: guard}, nil
-		},
+	transport := &http.Transport{
 		MaxIdleConnsPerHost: defaultMaxIdleConns,
 		IdleConnTimeout:     defaultIdleTimeout,
 		DisableCompression:  true,
 	}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
+		defer cancel()
+		conn, err := dial(ctx, network, address)
+		if err != nil || guard == nil {
+			return conn, err
+		}
+		return &guardedConn{Conn: conn, guard: guard, single: transport.DisableKeepAlives}, nil
+	}
+	return transport
 }
 
 // guardedConn calls its guard directly before the first byte of each request is written, so
@@ -80,7 +81,10 @@
 // one might have.
 type guardedConn struct {
 	net.Conn
-	guard        func() error
+	guard func() error
+	// single is set if the connection has one request only, so that what is read begins no other one: an interim answer
+	// may arrive before the request has been written.
+	single       bool
 	requestBegun atomic.Bool
 }
 
@@ -97,7 +101,7 @@
 // Read records that an answer has arrived, after which the next write is a new request.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
+	if n > 0 && !c.single {
 		c.requestBegun.Store(false)
 	}
 	return n, err
