Scheduler: a request refused on reassignment returns its slot

Customers were refused below their limit after an overload: a request that was to be sent to another backend server while the scheduler's queue was full was refused, and its part of the limit, and of the backend server's load, was never given back.

The refused request is completed like any other; that call waits for the queue, as those of all completed requests do.

TestRequestRefusedOnReassignmentReturnsItsSlot failed before.

--- a/gateway/scheduler/scheduler.go
+++ b/gateway/scheduler/scheduler.go
@@ -173,6 +173,7 @@
 		s.place(now, j)
 	})
 	if !ok {
+		s.Complete(j, failed)
 		return nil, &Refusal{Reason: Overloaded, RetryAfter: time.Second}
 	}
 	return s.await(ctx, j)
