--- a/gateway/tunneler/series_test.go
+++ b/gateway/tunneler/series_test.go
@@ -307,7 +307,7 @@
 	if in.Via != "" {
 		s.count("answers through tunnels")
 	}
-	if in.Head.Header.Has("Not-Executed") {
+	if in.Head.Header.Has("Not-Run") {
 		if random.IntN(4) > 0 {
 			// The connection can be used again only then.
 			_, _ = io.Copy(io.Discard, in.Body)
@@ -608,7 +608,7 @@
 	head := "HTTP/1.1 200 OK\r\nId: " + key.id + "\r\n"
 	body := answerBody(key.id)
 	if rejects {
-		head, body = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nId: "+key.id+"\r\n", "full"
+		head, body = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: "+key.id+"\r\n", "full"
 	}
 	switch {
 	case closes && b.draw(2) == 0:
