Applier: a finished request gets no outcome of another one under its key

A gateway that takes up the request of one that is gone, and finishes it after its claim was released and its key claimed for another request, was given the outcome of that one, which it could pass on as the answer. The state machine returned whatever was stored under the key.

It returns an outcome only if it is the request's; gateways already take none for a request in progress.

--- a/pkg/applier/claims.go
+++ b/pkg/applier/claims.go
@@ -46,7 +46,8 @@
 	return c
 }
 
-// finish stores the outcome of a request. The first outcome is final.
+// finish stores the outcome of a request, and returns the one that is stored: the first is final. It returns nil if another
+// request holds the key.
 func (sm *StateMachine) finish(cmd *wire.FinishCommand) *wire.Outcome {
 	key := ClaimKey{Customer: cmd.GetCustomer(), Key: cmd.GetKey()}
 	if c := sm.runningClaim(key, cmd.GetRequestId()); c != nil {
@@ -57,7 +58,10 @@
 		}
 		sm.removeFromSession(key, c)
 	}
-	return sm.claims[key].GetOutcome()
+	if c := sm.claims[key]; c.GetCommand().GetRequestId() == cmd.GetRequestId() {
+		return c.GetOutcome()
+	}
+	return nil
 }
 
 // release removes a claim whose request is known not to have run. A claim of the request that
