Forwarder: learn nothing from an answer that may not be the request's

An answer without the request's id, or one that contradicts itself, still changed what is known of its backend server: limits, backoff, load. It is now dropped first.

--- a/gateway/forwarder/attempt.go
+++ b/gateway/forwarder/attempt.go
@@ -78,21 +78,22 @@
 func (f *Forwarder) handleResponse(ctx context.Context, j *job, d balancer.Decision, in *sender.Response) bool {
 	answer := platform.DecodeResponse(in.Head)
 	j.via = in.Via
+	found := f.observeEvidence(j, in.Head.Status, answer)
+	if found == evidenceContradictory {
+		in.Discard()
+		j.runs++
+		f.recordOutcome(j, d.Backend.GetId(), balancer.Failed)
+		return f.handleLostResponse(j, d.Backend, "the answer does not tell whether the request ran")
+	}
 	f.observeLimit(j, in.Head.Status, answer)
 	f.observeConstraints(j, in.Head.Status, answer)
 	f.observeLoad(j, in.Head.Status, answer)
 	f.observeBrittle(j, in.Head.Status, answer)
-	found := f.observeEvidence(j, in.Head.Status, answer)
 	switch {
 	case found == evidenceRejected:
 		in.Close()
 		f.refundQuota(j)
 		return f.handleRejection(j, d.Backend, in.Head.Status)
-	case found == evidenceContradictory:
-		in.Discard()
-		j.runs++
-		f.recordOutcome(j, d.Backend.GetId(), balancer.Failed)
-		return f.handleLostResponse(j, d.Backend, "the answer does not tell whether the request ran")
 	case !answer.Signed || answer.Encoded:
 		in.Close()
 		j.runs++
--- a/gateway/forwarder/notrun_test.go
+++ b/gateway/forwarder/notrun_test.go
@@ -405,6 +405,15 @@
 		_, err := io.Copy(io.Discard, req.Body)
 		return err == nil
 	}
+	if req.ContentLength > int64(longBody)/2 && draw(4) == 0 && platform.DecodeDispatch(fields(req.Header)).Name == incarnation {
+		b.count("ran before its body")
+		b.run(id)
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return false
+		}
+		b.sendWithCopies(out, seriesAnswer(req, id))
+		return true
+	}
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return false
 	}
@@ -436,7 +445,10 @@
 	draw := b.series.network.draw
 	promises := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 	b.run(id)
-	switch draw(4) {
+	switch draw(5) {
+	case 4:
+		b.count("success with the marker")
+		out.send(plainAnswer(http.StatusOK, platform.StandInRefusal(id)))
 	case 0:
 		b.count("failed with a status that promises")
 		out.send(plainAnswer(promises[draw(len(promises))], platform.StandInResponse(id, "x")))
