Acknowledge departures of backend servers once the log has them

Cause: ReceiveAnnouncement acknowledged a departure that only the memory of the receiving controller had. The relay to the others starts after that, in the background, once. A backend server that has deregistered says nothing more, and a silent one that still answers stays in use.

Change: a departure (deregistered or draining) is a command in the replicated log, and is acknowledged once that is committed, which a majority has on disk. Gateways learn of it at once, as before, without waiting for the log. Repeats of a recorded departure need no entry.

Why not the memory of other controllers: all processes of the core may be killed at once, and two may be lost with their disks.

Tests: TestAcknowledgedDeparturesOutliveLosses plays controllers with real logs in virtual time.

--- /dev/null
+++ b/controller/routecoordinator/departures_fleet_test.go
@@ -0,0 +1,216 @@
+package routecoordinator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bronzelead.example/pkg/wire"
+)
+
+const (
+	departureSeeds = 12
+	// drainTime is how long after an acknowledged departure gateways may still send requests, if machines are in contact.
+	drainTime = 2 * time.Second
+	// contactTime is how long after a disruption machines count as in contact again.
+	contactTime = 3 * time.Second
+	// ackTime bounds the time in which a departure is acknowledged.
+	ackTime = 4 * time.Second
+	// answerTime is how long a backend server waits for one answer.
+	answerTime = time.Second
+)
+
+// loss is what happens to controllers around a departure.
+type loss struct {
+	name string
+	// victims chooses the members from the one that is called first and all in random order.
+	victims func(f *fleet, giver *member, shuffled []*member) []*member
+	// cut members lose their links and keep running, and split ones only those to other members; others are killed.
+	cut, split bool
+	// forGood is set if killed members do not start again.
+	forGood bool
+}
+
+func giverAnd(n int) func(*fleet, *member, []*member) []*member {
+	return func(_ *fleet, giver *member, shuffled []*member) []*member {
+		list := []*member{giver}
+		for _, m := range shuffled {
+			if m != giver && len(list) <= n {
+				list = append(list, m)
+			}
+		}
+		return list
+	}
+}
+
+func giverAndLeader(f *fleet, giver *member, _ []*member) []*member {
+	if leader := f.leader(); leader != nil && leader != giver {
+		return []*member{giver, leader}
+	}
+	return []*member{giver}
+}
+
+func losses() []loss {
+	all := func(_ *fleet, _ *member, shuffled []*member) []*member { return shuffled }
+	return []loss{
+		{name: "none", victims: func(*fleet, *member, []*member) []*member { return nil }},
+		{name: "giver killed", victims: giverAnd(0)},
+		{name: "giver and another killed", victims: giverAnd(1)},
+		{name: "giver and leader killed", victims: giverAndLeader},
+		{name: "all killed", victims: all},
+		{name: "giver lost for good", victims: giverAnd(0), forGood: true},
+		{name: "giver and another lost for good", victims: giverAnd(1), forGood: true},
+		{name: "giver and leader lost for good", victims: giverAndLeader, forGood: true},
+		{name: "giver cut off", victims: giverAnd(0), cut: true},
+		{name: "giver and another cut off", victims: giverAnd(1), cut: true},
+		{name: "giver and leader cut off", victims: giverAndLeader, cut: true},
+		{name: "giver in a minority", victims: giverAnd(1), split: true},
+		{name: "giver and leader in a minority", victims: giverAndLeader, split: true},
+	}
+}
+
+// departureStory is one drawn departure.
+type departureStory struct {
+	f      *fleet
+	random *rand.Rand
+	giver  *member
+	loss   loss
+	// lossAt is when the loss begins after the departure is first sent; negative if that is as soon as it is acknowledged.
+	lossAt time.Duration
+	// lossTime is how long cut members have no links and killed ones do not run.
+	lossTime  time.Duration
+	gone      bool
+	endLosses sync.WaitGroup
+}
+
+// A departure that a controller had acknowledged was known to that controller alone for a moment. If it was killed then, all
+// gateways went on sending requests to a backend server that soon ended.
+func TestAcknowledgedDeparturesOutliveLosses(t *testing.T) {
+	for seed := range uint64(departureSeeds) {
+		for _, l := range losses() {
+			t.Run(fmt.Sprint(l.name, ", seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { playDeparture(t, seed, l) })
+			})
+		}
+	}
+}
+
+func playDeparture(t *testing.T, seed uint64, l loss) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := newFleet(ctx, c, seed, 5)
+	gateway := newFleetGateway()
+	f.running.Go(func() { gateway.run(ctx, f) })
+	random := rand.New(rand.NewPCG(seed, 2))
+	s := &departureStory{f: f, random: random, loss: l, giver: f.members[random.IntN(5)], gone: random.IntN(2) == 0}
+	s.lossAt = time.Duration(random.IntN(20_000)) * time.Microsecond
+	if random.IntN(2) == 0 {
+		s.lossAt = -1
+	}
+	s.lossTime = []time.Duration{time.Second, 3 * time.Second}[random.IntN(2)]
+	f.lostRelays = []float64{0, 0.5, 1}[random.IntN(3)]
+	time.Sleep(3 * time.Second)
+	c.Assert(f.leader(), qt.IsNotNil)
+	for _, m := range f.members {
+		c.Assert(s.announce(ctx, m, announcement(1)), qt.IsNil)
+	}
+	time.Sleep(500 * time.Millisecond)
+	c.Assert(gateway.uses("b"), qt.IsTrue)
+
+	sentAt := time.Now()
+	acknowledged := s.depart(ctx)
+	took := time.Since(sentAt)
+	s.endLosses.Wait()
+	time.Sleep(max(drainTime, contactTime))
+	if l.name != "all killed" || s.lossAt < 0 {
+		c.Check(acknowledged, qt.IsTrue)
+		c.Check(took < ackTime, qt.IsTrue, qt.Commentf("acknowledged after %v", took))
+	}
+	if acknowledged {
+		c.Check(gateway.uses("b"), qt.IsFalse)
+		// An announcement from before the departure does not undo it, wherever it arrives.
+		for _, m := range f.members {
+			_ = s.announce(ctx, m, announcement(2))
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.Check(gateway.uses("b"), qt.IsFalse)
+	}
+	cancel()
+	f.running.Wait()
+}
+
+// depart sends the departure to one member after the other until one acknowledges it.
+func (s *departureStory) depart(ctx context.Context) bool {
+	order := slices.Clone(s.f.members)
+	s.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	if s.lossAt >= 0 {
+		time.AfterFunc(s.lossAt, func() { s.lose(order) })
+		s.endLosses.Add(1)
+	}
+	departure := &wire.Announcement{Id: "b", Name: "b", Gone: true}
+	if !s.gone {
+		departure = announcement(3)
+		departure.Draining = true
+	}
+	giver := s.giver
+	for i := range 6 {
+		if s.announce(ctx, giver, departure) == nil {
+			if s.lossAt < 0 {
+				s.giver = giver
+				s.endLosses.Add(1)
+				s.lose(order)
+			}
+			return true
+		}
+		time.Sleep(50 * time.Millisecond << i)
+		giver = order[i%len(order)]
+	}
+	return false
+}
+
+func announcement(sequence uint64) *wire.Announcement {
+	return &wire.Announcement{Id: "b", Name: "b", Service: "s", Address: "10.0.0.1:80", Slots: 4, Sequence: sequence}
+}
+
+func (s *departureStory) announce(ctx context.Context, to *member, a *wire.Announcement) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	_, err := reach(ctx, s.f, nil, to, func(ctx context.Context, p *process) (struct{}, error) {
+		return struct{}{}, p.mesh.ReceiveAnnouncement(ctx, a)
+	})
+	return err
+}
+
+// lose lets the loss begin at once, and end a moment later.
+func (s *departureStory) lose(shuffled []*member) {
+	victims := s.loss.victims(s.f, s.giver, shuffled)
+	var killed sync.WaitGroup
+	for _, m := range victims {
+		if s.loss.cut || s.loss.split {
+			m.setCut(s.loss.cut, s.loss.split)
+			continue
+		}
+		killed.Go(m.kill)
+	}
+	killed.Wait()
+	go func() {
+		defer s.endLosses.Done()
+		time.Sleep(s.lossTime)
+		for _, m := range victims {
+			switch {
+			case s.loss.cut, s.loss.split:
+				m.setCut(false, false)
+			case !s.loss.forGood:
+				m.start()
+			}
+		}
+	}()
+}
--- a/controller/routecoordinator/mesh.go
+++ b/controller/routecoordinator/mesh.go
@@ -56,6 +56,8 @@
 		cmd.Body = &wire.Command_PutTable{PutTable: change.Table}
 	case *wire.PutRequest_Version:
 		cmd.Body = &wire.Command_PutAdapterVersion{PutAdapterVersion: change.Version}
+	case *wire.PutRequest_Departure:
+		cmd.Body = &wire.Command_RecordDeparture{RecordDeparture: change.Departure}
 	case *wire.PutRequest_ReleaseHeld:
 		cmd.Body = &wire.Command_ReleaseHeld{ReleaseHeld: change.ReleaseHeld}
 		m.Coordinator.Log.Info("a request was released from quarantine", "Fingerprint", change.ReleaseHeld.GetFingerprint(),
@@ -165,7 +167,7 @@
 
 // ReceiveAnnouncement takes an announcement. It is acknowledged only while a leader is known: a
 // partitioned instance would not forward it to the others, and the backend server would keep
-// announcing itself here.
+// announcing itself here. A departure is acknowledged once it is recorded in the log.
 func (m *Mesh) ReceiveAnnouncement(ctx context.Context, a *wire.Announcement) error {
 	if _, err := m.Coordinator.ReceiveAnnouncements(ctx, []*wire.Announcement{a}, false); err != nil {
 		return err
@@ -173,7 +175,10 @@
 	if m.Leader() == "" && !m.Coordinator.Raft.Leads() {
 		return twirp.NewError(twirp.Unavailable, "this instance knows no leader")
 	}
-	return nil
+	if !a.GetDraining() && !a.GetGone() {
+		return nil
+	}
+	return m.recordDeparture(ctx, a)
 }
 
 // InvalidTableError is returned for a table that may not come into force.
--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -111,6 +111,8 @@
 	// appliedRevision is the revision of the tracker that the placer has.
 	appliedRevision uint64
 	versions        uint64
+	// departuresIndex is the index up to which the tracker has the departures that are recorded in the log.
+	departuresIndex uint64
 	// recentTables are the latest tables, the newest last.
 	recentTables []*wire.RoutingTable
 	waiters      []*waiter
@@ -234,6 +236,7 @@
 		}
 	}
 	c.versionsChanged()
+	c.observeDepartures(c.Clock.Now())
 	c.arbiter.SyncState(c.Clock.Now())
 	if c.state.Applied() >= c.snapshot+c.SnapshotEntries || c.logBytes > c.SnapshotBytes {
 		c.compact()
@@ -274,7 +277,7 @@
 		return
 	}
 	c.state = state
-	c.snapshot, c.logBytes = s.GetIndex(), 0
+	c.snapshot, c.logBytes, c.departuresIndex = s.GetIndex(), 0, 0
 	if c.state.Table() != nil {
 		c.tableChanged()
 	}
--- a/pkg/applier/applier.go
+++ b/pkg/applier/applier.go
@@ -1,6 +1,7 @@
 // Package applier implements the state machine of the replicated log: contracts and their
 // history, sessions of gateways, claims of requests that run at most once, admitted members,
-// drained backend servers, the routing table, adapter versions and quarantined requests.
+// drained backend servers, the routing table, adapter versions, quarantined requests and departures of
+// backend servers.
 //
 // It is deterministic: the same commands in the same order give the same state on each member.
 // Time comes only from the commands and never goes back.
@@ -73,6 +74,9 @@
 	quarantineDueAt     int64
 	dueAtRevision       uint64
 	quarantineEvictions int
+	// departures of backend servers are sorted by index; departed has their incarnations.
+	departures []*wire.RecordedDeparture
+	departed   map[string]bool
 }
 
 // New returns an empty state.
@@ -90,6 +94,7 @@
 		adapters:        map[string]*wire.AdapterVersion{},
 		software:        map[softwareKey]*wire.SoftwareVersion{},
 		quarantined:     map[string]*wire.HeldRequest{},
+		departed:        map[string]bool{},
 	}
 }
 
@@ -139,6 +144,8 @@
 		sm.quarantine(body.HoldRequest)
 	case *wire.Command_ReleaseHeld:
 		sm.releaseQuarantined(body.ReleaseHeld.GetFingerprint())
+	case *wire.Command_RecordDeparture:
+		sm.recordDeparture(index, body.RecordDeparture)
 	}
 	return Result{}
 }
@@ -201,6 +208,7 @@
 func (sm *StateMachine) expire(advance int64) {
 	sm.expireQuarantine()
 	sm.expireClaims(advance)
+	sm.expireDepartures()
 	for len(sm.ended) > 0 && sm.ended[0].GetEndedAtNs()+int64(endedRetention) < sm.now {
 		sm.ended = sm.ended[1:]
 	}
--- a/pkg/applier/snapshot.go
+++ b/pkg/applier/snapshot.go
@@ -28,7 +28,7 @@
 		Outcomes: slices.Clone(sm.outcomesByAge), EndedSessions: slices.Clone(sm.ended),
 		Released: slices.Clone(sm.releasedOrder),
 		Table:    sm.table, AdapterVersions: sm.AdapterVersions(), HeldRequests: sm.Quarantined(),
-		SoftwareVersions: sm.SoftwareVersions(),
+		SoftwareVersions: sm.SoftwareVersions(), Departures: slices.Clone(sm.departures),
 	}
 	for _, customer := range slices.Sorted(maps.Keys(sm.latest)) {
 		s.Latest = append(s.Latest, sm.latest[customer])
@@ -84,6 +84,9 @@
 	for _, v := range s.GetSoftwareVersions() {
 		r.putSoftwareVersion(v)
 	}
+	for _, d := range s.GetDepartures() {
+		r.addDeparture(d)
+	}
 	for _, held := range s.GetHeldRequests() {
 		r.quarantined[held.GetFingerprint()] = held
 		r.quarantineRevision++
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -40,14 +40,20 @@
 	lastContactAt time.Time
 	accepted      int
 	revision      uint64
+	// recordedOnly is set while the incarnation is known from the log only.
+	recordedOnly bool
 }
 
-// Observe takes an announcement. It reports whether it was new, and is to be forwarded, and
-// whether it changes what gateways must know.
-func (t *Tracker) Observe(now time.Time, a *wire.Announcement) (isNew, changed bool) {
+func (t *Tracker) init() {
 	if t.entries == nil {
 		t.entries, t.byAddress, t.latest = map[string]*entry{}, map[string]string{}, map[string]*entry{}
 	}
+}
+
+// Observe takes an announcement. It reports whether it was new, and is to be forwarded, and
+// whether it changes what gateways must know.
+func (t *Tracker) Observe(now time.Time, a *wire.Announcement) (isNew, changed bool) {
+	t.init()
 	a = t.resolveIncarnation(now, a)
 	if a == nil {
 		return false, false
@@ -70,7 +76,7 @@
 	if e.info.GetSoftwareVersion() == "" {
 		e.info.SoftwareVersion = before.GetSoftwareVersion()
 	}
-	e.lastContactAt = now
+	e.lastContactAt, e.recordedOnly = now, false
 	e.accepted++
 	changed = t.assignAddress(now, e)
 	if !sameForGateways(before, e.info) {
@@ -102,6 +108,45 @@
 	return true
 }
 
+// ObserveRecorded takes the announcement of a departure that is recorded in the log. It reports whether that was not
+// known. The record may be of any age, so that an unknown incarnation takes no address by it, and one without a start
+// time does not stand for a later incarnation of its name.
+func (t *Tracker) ObserveRecorded(now time.Time, a *wire.Announcement) bool {
+	t.init()
+	if latest := t.latest[a.GetName()]; latest != nil && a.GetBornMs() < latest.info.GetBornMs() {
+		return false
+	}
+	a = t.resolveIncarnation(now, a)
+	e := t.entries[a.GetId()]
+	if e == nil {
+		e = &entry{info: proto.CloneOf(a), lastContactAt: now, recordedOnly: true}
+		t.addEntry(a, e)
+		t.touch(e)
+		return true
+	}
+	if e.info.GetGone() || e.info.GetDraining() && !a.GetGone() {
+		return false
+	}
+	e.info = proto.CloneOf(e.info)
+	e.info.Draining, e.info.Gone = true, a.GetGone()
+	e.info.Sequence = max(e.info.GetSequence(), a.GetSequence())
+	t.touch(e)
+	return true
+}
+
+// Departure returns what is known of the backend server of an announcement, if it leaves or has left; else nil.
+func (t *Tracker) Departure(a *wire.Announcement) *wire.Announcement {
+	id := a.GetId()
+	if latest := t.latest[a.GetName()]; latest != nil && a.GetBornMs() == 0 {
+		id = latest.info.GetId()
+	}
+	info := t.Get(id)
+	if info.GetReplaced() || !info.GetDraining() && !info.GetGone() {
+		return nil
+	}
+	return info
+}
+
 // addEntry adds an unknown incarnation.
 func (t *Tracker) addEntry(a *wire.Announcement, e *entry) {
 	t.entries[a.GetId()] = e
@@ -233,7 +278,7 @@
 // counts as silent.
 func (t *Tracker) Partitioned(now time.Time) bool {
 	for _, e := range t.entries {
-		if !e.info.GetGone() && now.Sub(e.lastContactAt) <= t.SilentAfter {
+		if !e.info.GetGone() && !e.recordedOnly && now.Sub(e.lastContactAt) <= t.SilentAfter {
 			return false
 		}
 	}
