Connector: a reset that a write was told is no end of an answer

Callers of a plain service in the contracts' mode got a part of an answer as a complete one: the service answered a long upload at once, without a length, and reset the connection while the upload was still written.

Cause: the kernel tells a reset once. The HTTP library writes the body and reads the answer at the same time; where the write got ECONNRESET, the read saw a plain end, which is how an answer without a length ends.

Change: connections of pkg/connector keep the error of a write. A read that sees an end returns that error, unless it says that the peer had ended its bytes before (EPIPE). The routed mode's connections and tunnels did so already (TestResetDuringLongBodyIsNoEnd, TestResetDuringRequestIsNoEnd); all three now use one rule. Orders, reports and calls between own processes have the same transport.

--- a/gateway/sender/dial.go
+++ b/gateway/sender/dial.go
@@ -5,12 +5,11 @@
 	"context"
 	"io"
 	"net"
-	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
+	"bronzelead.example/pkg/connector"
 )
 
 // Detour opens connections to backend servers that can't be reached directly.
@@ -73,13 +72,12 @@
 var expired = time.Unix(1, 0)
 
 // endOfAnswer returns io.EOF if the backend server has ended its answer, or the error of the connection. The kernel tells a
-// reset once: if the write of the body gets it, the read sees an end, and a part of an answer would look complete. EPIPE
-// means that the end came before.
+// reset once: if the write of the body gets it, the read sees an end, and a part of an answer would look complete.
 func (l *connection) endOfAnswer() error {
 	_ = l.SetWriteDeadline(expired)
 	<-l.body.ended
-	if err := l.body.err; err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return err
+	if !connector.EndedBefore(l.body.err) {
+		return l.body.err
 	}
 	return io.EOF
 }
--- a/gateway/tunneler/serving.go
+++ b/gateway/tunneler/serving.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/repeater"
 	"bronzelead.example/pkg/socketprober"
 	"bronzelead.example/pkg/wire"
@@ -266,13 +267,12 @@
 }
 
 // backendEnded reports whether an end of the backend server's bytes is its own. The kernel tells a reset once: if a write gets
-// it, the read sees an end. EPIPE means that the end came before.
+// it, the read sees an end.
 func (s *served) backendEnded() bool {
 	_ = s.upstream.SetWriteDeadline(time.Unix(1, 0))
 	s.writing <- struct{}{}
 	defer func() { <-s.writing }()
-	err := s.writeError
-	return err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
+	return connector.EndedBefore(s.writeError)
 }
 
 // read reads bytes, and fails once the tunnel has carried nothing for too long in either direction.
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -74,8 +74,12 @@
 		ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
 		defer cancel()
 		conn, err := dial(ctx, network, address)
-		if err != nil || guard == nil {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		conn = &endingConn{Conn: conn}
+		if guard == nil {
+			return conn, nil
 		}
 		return &guardedConn{Conn: conn, guard: guard, single: transport.DisableKeepAlives}, nil
 	}
