Connector: refuse answers without a final status

In the contracts' mode a service's answer with status 000 (or 001, 099, +20) was passed on to its caller as an answer, and 101 too. An engine's answer to an order with such a status counted as its refusal, though the order may still be carried out.

Cause: the HTTP library returns any three characters that parse as a number. The routed mode reads answers of backend servers itself and refuses these (framer.ParseResponse); orders and reports of both modes, and calls between own processes, go through the library.

Change: connector.RoundTrip fails for a status below 200. Interim answers never get there, and no call asks for another protocol. The request counts as one that may have run.

Statuses of one, two and four digits, and none, were refused before.

--- a/gateway/dispatcher/broken_test.go
+++ b/gateway/dispatcher/broken_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bronzelead.example/pkg/connector"
+	"bronzelead.example/pkg/translator"
 )
 
 // serveBroken answers each connection with some bytes once it has read the beginning of a request, and then closes or resets it.
@@ -68,6 +69,23 @@
 	}
 }
 
+// An answer with a status such as 000 was passed on to the caller. 101 answers a request to change protocols, which none is.
+func TestAnswerWithoutAStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "0", "20", "2000", "101", "+20", "-20", "2 0", "OK", ""} {
+		t.Run(status, func(t *testing.T) {
+			c := qt.New(t)
+			address := serveBroken(c, fmt.Sprintf("HTTP/1.1 %s OK\r\nContent-Length: 2\r\n\r\nok", status), false)
+			a, err := callService(address, nil, 100)
+			c.Check(err, qt.Not(qt.IsNil))
+			c.Check(a.Ran, qt.Equals, RanUnknown)
+			out := newDispatcher().Run(context.Background(), &Exchange{RequestID: "r", Address: address, Path: translator.CompletionsPath, Body: []byte("{}")})
+			c.Check(out.Err, qt.Not(qt.IsNil))
+			c.Check(out.Ran, qt.Equals, RanUnknown)
+			c.Check(out.Status, qt.Equals, 0)
+		})
+	}
+}
+
 // A service that stops in the middle of its answer's head, or of its body, gives no complete answer.
 func TestAnswerThatStopsIsNoAnswer(t *testing.T) {
 	for name, answer := range map[string]string{
--- a/gateway/dispatcher/dispatcher.go
+++ b/gateway/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"bronzelead.example/gateway/scheduler"
+	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/translator"
 )
 
@@ -143,7 +144,7 @@
 	if err != nil {
 		return Outcome{Ran: RanNo, Err: err}
 	}
-	res, err := a.dispatcher.SessionTransport.RoundTrip(req)
+	res, err := connector.RoundTrip(a.dispatcher.SessionTransport, req)
 	if err != nil {
 		// The other idle connections may be as silent as this one was.
 		a.dispatcher.SessionTransport.CloseIdleConnections()
@@ -167,7 +168,7 @@
 	if err != nil {
 		return Outcome{Ran: RanUnknown, Err: err, Resumes: count}
 	}
-	res, err := a.dispatcher.UnpooledTransport.RoundTrip(req)
+	res, err := connector.RoundTrip(a.dispatcher.UnpooledTransport, req)
 	if err != nil {
 		return Outcome{Ran: RanUnknown, Err: errors.Wrap(err, "dispatcher: resume"), Resumes: count}
 	}
@@ -202,7 +203,7 @@
 	if err != nil {
 		return RanUnknown, errors.Wrap(err, "dispatcher: cancel")
 	}
-	res, err := a.dispatcher.UnpooledTransport.RoundTrip(req)
+	res, err := connector.RoundTrip(a.dispatcher.UnpooledTransport, req)
 	if err != nil {
 		return RanUnknown, errors.Wrap(err, "dispatcher: cancel")
 	}
--- a/gateway/dispatcher/services.go
+++ b/gateway/dispatcher/services.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzelead.example/pkg/connector"
 	"bronzelead.example/pkg/translator"
 	"bronzelead.example/platform"
 )
@@ -69,7 +70,7 @@
 	if len(c.Body) > 0 || c.NonIdempotent {
 		setBody(req, c.Body)
 	}
-	res, err := d.UnpooledSessionTransport.RoundTrip(req)
+	res, err := connector.RoundTrip(d.UnpooledSessionTransport, req)
 	if err != nil {
 		return &ServiceResponse{Ran: ranAfterError(err), Err: errors.Wrap(err, "dispatcher")}
 	}
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -141,7 +141,7 @@
 	if c.Forwarded {
 		req.Header.Set(ForwardedHeader, "1")
 	}
-	res, err := c.Transport.RoundTrip(req)
+	res, err := RoundTrip(c.Transport, req)
 	if err != nil {
 		if stalled != nil {
 			stalled.Stop()
