Forwarder: take up no stream by an outdated list of software versions

A report of other operators: a gateway was cut off for a few seconds while backend servers of a new software version joined. Streams that these had begun through other gateways were taken up there, and went on at a backend server of the old version.

Cause: a stream whose origin nobody names goes on at the only version that can have begun it. The leader's state counted for that while it was up to 3 s old, also where no other gateway had answered the question for the origin, or none was asked as the caller named no id.

Change: in these two cases the state must be at most 300 ms old, about the time in which updates arrive. The request waits up to 500 ms for it and is refused with Retry-After otherwise; it has not run. Where all that were asked answer, nothing changes: a stream of another version was reported to them.

Evidence: TestStreamsAreNotTakenUpByOutdatedVersions; with a limit of 3 s, as before, its four cases of a gateway that is cut off, or that learns of the other version while it waits, go on at the old version. A gateway that stood still is the case with answers: it asks the others as it goes on, and its clock counts the time of a suspension.

TestStreamsOfUnknownOrigin and its expectations are unchanged.

--- a/gateway/forwarder/origin.go
+++ b/gateway/forwarder/origin.go
@@ -22,6 +22,12 @@
 	// retryOfOrigin is the retry time of a caller whose stream's origin could not be found since gateways
 	// did not answer.
 	retryOfOrigin = 300 * time.Millisecond
+	// maxUnconfirmedAge is the age of the leader's state up to which it shows all software versions that can have begun
+	// a stream, where others can't confirm it: about the time in which updates reach a gateway.
+	maxUnconfirmedAge = 300 * time.Millisecond
+	// stateWait bounds the wait for such a state, and statePoll is the time between two looks at its age.
+	stateWait = 500 * time.Millisecond
+	statePoll = 20 * time.Millisecond
 )
 
 // Reasons for refusing to resume a stream.
@@ -29,6 +35,7 @@
 	reasonOriginUnknown   = "the software version that began the stream is not known"
 	reasonOriginUnread    = "the software version that began the stream is not known, as gateways or controllers do not answer"
 	reasonOriginAmbiguous = "two streams began with the id that the request resumes"
+	reasonOriginOutdated  = "the software version that began the stream is not known, as this instance is not up to date"
 	reasonOriginMoved     = "the route of the stream no longer leads to the service that began it"
 )
 
@@ -83,18 +90,41 @@
 		f.handleExpiry(ctx, j)
 		return false
 	}
-	if version, certain := f.onlyVersion(j); certain {
+	outdated := false
+	if _, certain := f.onlyVersion(j); certain && (j.meta.Resumes == "" || result.Unanswered > 0) {
+		outdated = !f.awaitRecentState(ctx)
+	}
+	if version, certain := f.onlyVersion(j); certain && !outdated {
 		f.setOrigin(j, originrecorder.Origin{Service: j.service, SoftwareVersion: version}, originOnlyVersion, result)
 		return true
 	}
-	if result.Unanswered > 0 {
+	switch {
+	case result.Unanswered > 0:
 		f.refuseOrigin(j, result, reasonOriginUnread, retryOfOrigin)
-	} else {
+	case outdated:
+		f.refuseOrigin(j, result, reasonOriginOutdated, retryOfOrigin)
+	default:
 		f.refuseOrigin(j, result, reasonOriginUnknown, 0)
 	}
 	return false
 }
 
+// awaitRecentState waits until the leader's state is recent, and reports whether it is. A gateway that was out of contact
+// may not know yet of a version that has begun streams at others since.
+func (f *Forwarder) awaitRecentState(ctx context.Context) bool {
+	for began := f.Clock.Now(); f.leaderAge() > maxUnconfirmedAge; {
+		if f.Clock.Since(began) >= stateWait {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-f.Clock.After(statePoll):
+		}
+	}
+	return true
+}
+
 // lookUpOrigin asks for the origin of the stream that a request takes up. While a single version can have begun it,
 // controllers are not asked: they have nothing to know.
 func (f *Forwarder) lookUpOrigin(ctx context.Context, j *job) originfinder.Result {
@@ -157,10 +187,7 @@
 
 // onlyVersion returns the only software version that can have begun a stream, if that is certain.
 func (f *Forwarder) onlyVersion(j *job) (version string, certain bool) {
-	leaderAge := time.Duration(0)
-	if f.LeaderAge != nil {
-		leaderAge = f.LeaderAge()
-	}
+	leaderAge := f.leaderAge()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.versions.Only(f.Clock.Now(), j.service, f.longestStream(j), leaderAge)
--- a/gateway/forwarder/origin_test.go
+++ b/gateway/forwarder/origin_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -185,3 +186,77 @@
 		})
 	}
 }
+
+// silentOrigins is a gateway that does not answer, or one that knows no origin.
+type silentOrigins struct{ answers bool }
+
+func (g silentOrigins) FindOrigin(ctx context.Context, _ *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
+	if g.answers {
+		return &wire.FindOriginResponse{}, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// A gateway was cut off for a few seconds while backend servers of a new software version joined. A stream that one of them had
+// begun through another gateway was taken up there, and went on at the only version that it knew.
+func TestStreamsAreNotTakenUpByOutdatedVersions(t *testing.T) {
+	stale := func(int32) time.Duration { return 2 * time.Second }
+	current := func(int32) time.Duration { return 100 * time.Millisecond }
+	// It is looked at twice before the gateway waits.
+	soonCurrent := func(looks int32) time.Duration {
+		if looks <= 4 {
+			return 2 * time.Second
+		}
+		return 0
+	}
+	for name, test := range map[string]struct {
+		leaderAge func(looks int32) time.Duration
+		resumes   string
+		answers   bool
+		// joins is set if the state that arrives late has another version.
+		joins  bool
+		status int
+	}{
+		"cut off":                             {stale, "id", false, false, 503},
+		"cut off, no id":                      {stale, "", false, false, 503},
+		"others do not answer":                {current, "id", false, false, 200},
+		"no id":                               {current, "", false, false, 200},
+		"others know nothing of it":           {stale, "id", true, false, 200},
+		"in contact soon":                     {soonCurrent, "id", false, false, 200},
+		"in contact soon, no id":              {soonCurrent, "", false, false, 200},
+		"in contact soon, another version":    {soonCurrent, "id", false, true, 503},
+		"in contact soon, the same and no id": {soonCurrent, "", false, true, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address, f := newGateway(c, clockwork.NewRealClock())
+			f.Origins = &originfinder.Finder{
+				Clock: f.Clock, Log: f.Log, Meter: f.Meter, Self: "self",
+				Gateways: func() []*wire.GatewayEntry {
+					return []*wire.GatewayEntry{{Address: "self"}, {Address: "a"}, {Address: "b"}}
+				},
+				Client: func(string) wire.Origins { return silentOrigins{test.answers} },
+			}
+			f.Origins.Init()
+			b := newVersionedBackend(c, "b1", "v1")
+			state := firstTable(b)
+			state.ObservedMs = uint32(longObserved.Milliseconds())
+			f.Apply("controller", state)
+			var looks atomic.Int32
+			var joined sync.Once
+			f.LeaderAge = func() time.Duration {
+				age := test.leaderAge(looks.Add(1))
+				if age == 0 && test.joins {
+					joined.Do(func() {
+						f.Apply("controller", &wire.SyncResponse{Announcements: []*wire.Announcement{{Id: "b2", Service: "s", SoftwareVersion: "v2", Address: "127.0.0.1:1"}}})
+					})
+				}
+				return age
+			}
+			got := resume(c, address, "/resumable/", test.resumes)
+			c.Check(got.status, qt.Equals, test.status)
+			c.Check(b.runs.Load(), qt.Equals, map[int]int32{http.StatusOK: 1}[test.status])
+		})
+	}
+}
