Acknowledge departures that a majority knows while the log is blocked

Backend servers that left got 503 while the leader's disk hung for about a second, or while a leader was elected. Some exit without an acknowledgement some seconds later.

Cause: since departures are recorded in the log, one is acknowledged only after a sync at the leader, whose goroutine also sends its heartbeats.

Change: if the leader has not recorded a departure within 300 ms, the controller asks all that vote to confirm that they know it. A majority suffices for the acknowledgement: two may be lost with their disks, and those that are left tell the gateways within moments. The departure is recorded afterwards. In a minority without a leader the call is refused at once. Not covered: all controllers killed in these moments, while the log is blocked.

TestDeparturesThatAMajorityKnowsAreAcknowledged fails without the change in its three cases with a majority.

--- a/controller/routecoordinator/departures.go
+++ b/controller/routecoordinator/departures.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/twitchtv/twirp"
 
 	"bronzelead.example/pkg/wire"
@@ -13,10 +14,14 @@
 	// departureTimeout bounds the time in which a departure is recorded; a backend server calls another instance after a
 	// second.
 	departureTimeout = 850 * time.Millisecond
-	// departureAttempt bounds one attempt, so that another follows within departureTimeout if the leader has stopped.
-	departureAttempt = 400 * time.Millisecond
+	// departureAttempt bounds one attempt to record it, or to confirm that others know it.
+	departureAttempt = 300 * time.Millisecond
 	// departurePause is the time between two attempts.
 	departurePause = 50 * time.Millisecond
+	// recordLaterTimeout bounds the attempts to record a departure that was acknowledged before it was recorded, and
+	// recordLaterPause is the time between two of them.
+	recordLaterTimeout = 30 * time.Second
+	recordLaterPause   = 250 * time.Millisecond
 )
 
 // observeDepartures passes departures that the log has recorded on to the tracker: their announcements may have reached
@@ -52,7 +57,9 @@
 }
 
 // recordDeparture records in the log that the backend server of an announcement leaves or has left. Its caller is told
-// that this is known everywhere, and may not repeat it, so that it must outlive this instance and its disk.
+// that this is known everywhere, and may not repeat it, so that it must outlive this instance and its disk. While no
+// leader can record it, as one is elected or its disk hangs, it is enough that a majority knows it; these tell the
+// gateways within moments.
 func (m *Mesh) recordDeparture(ctx context.Context, a *wire.Announcement) error {
 	departure, err := m.Coordinator.unrecordedDeparture(ctx, a)
 	if err != nil || departure == nil {
@@ -69,9 +76,13 @@
 				"Took", m.Coordinator.Clock.Since(began).Milliseconds())
 			return nil
 		}
-		select {
-		case <-m.Coordinator.Clock.After(departurePause):
-		case <-ctx.Done():
+		if m.majorityKnows(ctx, departure) {
+			log.Info("a majority of controllers knows the departure of a backend server, which is recorded later",
+				"Backend", departure.GetId(), "Took", m.Coordinator.Clock.Since(began).Milliseconds(), "Error", err.Error())
+			go m.recordLater(departure.GetId(), req)
+			return nil
+		}
+		if ctx.Err() != nil || !m.knowsLeader() || pauseFor(ctx, m.Coordinator.Clock, departurePause) != nil {
 			log.Warn("the departure of a backend server is not recorded, so that it is not acknowledged",
 				"Backend", departure.GetId(), "Error", err.Error())
 			return twirp.NewError(twirp.Unavailable, "the departure can't be recorded now")
@@ -84,3 +95,67 @@
 	defer cancel()
 	return m.atLeader(ctx, req)
 }
+
+// majorityKnows tells all controllers that vote of a departure, and reports whether a majority of them has confirmed that
+// it knows it.
+func (m *Mesh) majorityKnows(ctx context.Context, departure *wire.Announcement) bool {
+	ctx, cancel := context.WithTimeout(ctx, departureAttempt)
+	defer cancel()
+	voters := m.Coordinator.Raft.Status().Configuration.GetVoters()
+	confirmed := make(chan bool, len(voters))
+	for _, v := range voters {
+		go func() {
+			_, err := m.Client(v.GetAddress()).Relay(ctx, &wire.RelayRequest{Announcements: []*wire.Announcement{departure}})
+			confirmed <- err == nil
+		}()
+	}
+	missing := len(voters)/2 + 1
+	for range voters {
+		if <-confirmed {
+			missing--
+		}
+		if missing == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// recordLater records a departure that was acknowledged before.
+func (m *Mesh) recordLater(backend string, req *wire.PutRequest) {
+	ctx, cancel := m.Coordinator.whileRunning(recordLaterTimeout)
+	defer cancel()
+	for pauseFor(ctx, m.Coordinator.Clock, recordLaterPause) == nil {
+		if m.attempt(ctx, req) == nil {
+			m.Coordinator.Log.Info("the departure of a backend server is recorded, after its acknowledgement", "Backend", backend)
+			return
+		}
+	}
+	m.Coordinator.Log.Warn("the departure of a backend server was acknowledged and is not recorded", "Backend", backend)
+}
+
+// whileRunning returns a context that ends with the coordinator, after a timeout at the latest.
+func (c *Coordinator) whileRunning(timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	go func() {
+		select {
+		case <-c.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// knowsLeader reports whether this instance leads or knows who does.
+func (m *Mesh) knowsLeader() bool { return m.Leader() != "" || m.Coordinator.Raft.Leads() }
+
+// pauseFor waits, and returns an error if ctx ends before.
+func pauseFor(ctx context.Context, clock clockwork.Clock, d time.Duration) error {
+	select {
+	case <-clock.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/controller/routecoordinator/departures_record_test.go
+++ b/controller/routecoordinator/departures_record_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,3 +168,66 @@
 		})
 	}
 }
+
+// confirmer is a controller that takes announcements.
+type confirmer struct {
+	wire.Mesh
+	reachable bool
+	taken     *atomic.Int32
+}
+
+func (r confirmer) Relay(ctx context.Context, _ *wire.RelayRequest) (*wire.RelayResponse, error) {
+	if !r.reachable {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	r.taken.Add(1)
+	return &wire.RelayResponse{}, nil
+}
+
+// While the leader's disk hung, or a leader was elected, no departure was acknowledged, and backend servers ended without one.
+func TestDeparturesThatAMajorityKnowsAreAcknowledged(t *testing.T) {
+	for name, test := range map[string]struct {
+		reachable, voters int
+		leads             bool
+		acknowledged      bool
+	}{
+		"all, the leader's disk hangs":      {5, 5, true, true},
+		"three of five":                     {3, 5, true, true},
+		"two of five":                       {2, 5, true, false},
+		"two of four":                       {2, 4, true, false},
+		"three of five, without a leader":   {3, 5, false, true},
+		"a minority, without a leader":      {2, 5, false, false},
+		"none that votes, without a leader": {0, 0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playHeld(t, func(c *qt.C, m *Mesh, k *heldRaft) {
+				for i := range test.voters {
+					k.status.Configuration = &wire.Configuration{Voters: append(k.status.Configuration.GetVoters(), &wire.Member{Address: fmt.Sprint(i)})}
+				}
+				if !test.leads {
+					k.status.Role = 0
+				}
+				var taken atomic.Int32
+				m.Client = func(address string) wire.Mesh {
+					i, err := strconv.Atoi(address)
+					c.Check(err, qt.IsNil)
+					return confirmer{reachable: i < test.reachable, taken: &taken}
+				}
+				began := time.Now()
+				err := m.ReceiveAnnouncement(context.Background(), draining(1, 0))
+				c.Check(err == nil, qt.Equals, test.acknowledged)
+				c.Check(time.Since(began) < answerTime, qt.IsTrue)
+				if !test.acknowledged || !test.leads {
+					return
+				}
+				// It is recorded once that is possible.
+				k.commit <- nil
+				synctest.Wait()
+				recorded := make(chan bool, 1)
+				c.Assert(m.Coordinator.Call(context.Background(), func(time.Time) { recorded <- m.Coordinator.state.HasDeparture("b") }), qt.IsNil)
+				c.Check(<-recorded, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/controller/routecoordinator/fleet_test.go
+++ b/controller/routecoordinator/fleet_test.go
@@ -296,6 +296,10 @@
 	return reach(ctx, c.from.fleet, c.from, c.to, func(ctx context.Context, p *process) (*wire.PutResponse, error) { return p.mesh.Put(ctx, req) })
 }
 
+func (c *peerClient) Relay(ctx context.Context, req *wire.RelayRequest) (*wire.RelayResponse, error) {
+	return reach(ctx, c.from.fleet, c.from, c.to, func(ctx context.Context, p *process) (*wire.RelayResponse, error) { return p.mesh.Relay(ctx, req) })
+}
+
 // fleetGateway polls all controllers and keeps the latest announcement of each backend server.
 type fleetGateway struct {
 	// mu guards known, table and adapter.
--- a/controller/routecoordinator/losses_test.go
+++ b/controller/routecoordinator/losses_test.go
@@ -38,6 +38,8 @@
 	cut, split bool
 	// forGood is set if killed members do not start again.
 	forGood bool
+	// leaderCut is set if the leader is cut off before the call, and the loss begins as that is acknowledged.
+	leaderCut bool
 }
 
 func giverAnd(n int) func(*fleet, *member, []*member) []*member {
@@ -73,6 +75,8 @@
 		{name: "giver cut off", victims: giverAnd(0), cut: true},
 		{name: "giver and another cut off", victims: giverAnd(1), cut: true},
 		{name: "giver and leader cut off", victims: giverAndLeader, cut: true},
+		{name: "giver killed while the leader is cut off", victims: giverAnd(0), leaderCut: true},
+		{name: "giver lost for good while the leader is cut off", victims: giverAnd(0), leaderCut: true, forGood: true},
 		{name: "giver in a minority", victims: giverAnd(1), split: true},
 		{name: "giver and leader in a minority", victims: giverAndLeader, split: true},
 	}
@@ -171,6 +175,13 @@
 	c.Assert(gateway.uses("b"), qt.IsTrue)
 	c.Assert(call.obeyed(gateway), qt.IsFalse)
 
+	if leader := f.leader(); l.leaderCut {
+		leader.setCut(true, false)
+		time.AfterFunc(3*time.Second, func() { leader.setCut(false, false) })
+		if s.lossAt = -1; s.giver == leader {
+			s.giver = f.members[(slices.Index(f.members, leader)+1)%len(f.members)]
+		}
+	}
 	sentAt := time.Now()
 	acknowledged := s.deliver(ctx)
 	took := time.Since(sentAt)
--- a/controller/routecoordinator/mesh.go
+++ b/controller/routecoordinator/mesh.go
@@ -167,18 +167,18 @@
 
 // ReceiveAnnouncement takes an announcement. It is acknowledged only while a leader is known: a
 // partitioned instance would not forward it to the others, and the backend server would keep
-// announcing itself here. A departure is acknowledged once it is recorded in the log.
+// announcing itself here. A departure is acknowledged once it outlives this instance.
 func (m *Mesh) ReceiveAnnouncement(ctx context.Context, a *wire.Announcement) error {
 	if _, err := m.Coordinator.ReceiveAnnouncements(ctx, []*wire.Announcement{a}, false); err != nil {
 		return err
 	}
-	if m.Leader() == "" && !m.Coordinator.Raft.Leads() {
-		return twirp.NewError(twirp.Unavailable, "this instance knows no leader")
+	if a.GetDraining() || a.GetGone() {
+		return m.recordDeparture(ctx, a)
 	}
-	if !a.GetDraining() && !a.GetGone() {
-		return nil
+	if !m.knowsLeader() {
+		return twirp.NewError(twirp.Unavailable, "this instance knows no leader")
 	}
-	return m.recordDeparture(ctx, a)
+	return nil
 }
 
 // InvalidTableError is returned for a table that may not come into force.
--- a/controller/routecoordinator/routecoordinator.go
+++ b/controller/routecoordinator/routecoordinator.go
@@ -97,7 +97,9 @@
 	SnapshotEntries uint64
 	SnapshotBytes   int
 
-	calls      *sequencer.Sequencer
+	calls *sequencer.Sequencer
+	// stopped is closed when Run has returned.
+	stopped    chan struct{}
 	epoch      uint64
 	state      *applier.StateMachine
 	snapshot   uint64
@@ -183,6 +185,7 @@
 // Init prepares the coordinator for calls before Run.
 func (c *Coordinator) Init() {
 	c.calls = sequencer.New(callQueueSize)
+	c.stopped = make(chan struct{})
 	c.epoch = rand.Uint64()
 	c.state = applier.New()
 	c.tracker = &tracker.Tracker{SilentAfter: c.SilentAfter, ForgetAfter: forgetAfter}
@@ -199,6 +202,7 @@
 
 // Run works until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
+	defer close(c.stopped)
 	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
