Acceptor: close a connection that is accepted during a stop

A gateway that was stopping could end in the middle of a request, or wait for a connection until the end of its time: a connection that had been accepted just before the listener was closed was added while the stop waited for the others.

Change: once no connection has a request, a stop adds no more connections, and one that comes later is closed unread, which callers may repeat.

TestConnectionAcceptedDuringAStopIsClosed owns the order of events. Without the change the stop serves the late connection, and the test runs into its timeout.

--- a/gateway/acceptor/acceptor.go
+++ b/gateway/acceptor/acceptor.go
@@ -132,6 +132,8 @@
 	mu               sync.Mutex
 	conns            map[*conn]struct{}
 	active           sync.WaitGroup
+	// closed is set once no connection is added any more. mu guards it.
+	closed bool
 }
 
 // Start listens and serves in the background.
@@ -191,6 +193,12 @@
 		return
 	}
 	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		served.entry.Remove()
+		_ = c.Close()
+		return
+	}
 	a.conns[served] = struct{}{}
 	a.active.Add(1)
 	a.mu.Unlock()
@@ -239,6 +247,10 @@
 	a.Quiesce()
 	_ = a.listener.Close()
 	a.awaitIdle(ctx)
+	a.mu.Lock()
+	// A connection may have been accepted just before the listener was closed.
+	a.closed = true
+	a.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		a.active.Wait()
