Test: lose disks only after the change of voters is committed

Trace: the leader proposed the fifth voter at 18:17:02.144; the test took the proposal's log line for the vote and wiped the first controller and the leader at once. The change was lost with the leader, and of the four voters two had no disk: more than is allowed.

The test now waits for an acknowledged table after that, as TestRoutedSeedsWithoutState did after its replacement, and before it too. What is checked afterwards is the same, and holds in one case more than before: the fifth vote is committed.

--- a/proof/routed_test.go
+++ b/proof/routed_test.go
@@ -12,6 +12,8 @@
 	t.Parallel()
 	c := qt.New(t)
 	y := startRouted(c, 5, 2, 2)
+	// A change of voters is logged when it is proposed; a later entry is committed after it.
+	y.operator.putTable()
 	background := startBackgroundLoad(y, 4, 1)
 	y.loseDisks(y.controllers[:2]...)
 	eventually(c, "the controllers with new disks vote", y.allVote)
@@ -38,10 +40,11 @@
 	t.Parallel()
 	c := qt.New(t)
 	y := startRouted(c, 5, 1, 1)
+	// A change of voters is logged when it is proposed; a later entry is committed after it.
+	y.operator.putTable()
 	y.replace(2)
 	y.operator.refreshControllers()
 	eventually(c, "the replacement votes", y.allVote)
-	// The change of voters is logged when it is proposed; a later entry is committed after it.
 	y.operator.putTable()
 	y.loseDisks(y.controllers[:2]...)
 	eventually(c, "the controllers with new disks vote", y.allVote)
